--- /dev/null
+++ b/pkg/platform/errors.go
@@ -0,0 +1,55 @@
+package platform
+
+import (
+	"fmt"
+	"time"
+)
+
+// ErrUnavailable says that the platform gave no answer. A write may have taken
+// effect all the same.
+type ErrUnavailable struct {
+	// Service is "kv", "instances" or "weights", Op the call.
+	Service, Op string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *ErrUnavailable) Error() string {
+	return fmt.Sprintf("platform unavailable: service=%s op=%s cause=%v", e.Service, e.Op, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrUnavailable) Unwrap() error { return e.Err }
+
+// ErrConflict says that a compare-and-swap met another version.
+type ErrConflict struct {
+	Key        string
+	Want, Have uint64
+}
+
+// Error implements error.
+func (e *ErrConflict) Error() string {
+	return fmt.Sprintf("version conflict: key=%s want=%d have=%d", e.Key, e.Want, e.Have)
+}
+
+// ErrTooLarge says that a value is over MaxValue.
+type ErrTooLarge struct {
+	Key  string
+	Size int
+}
+
+// Error implements error.
+func (e *ErrTooLarge) Error() string {
+	return fmt.Sprintf("value too large: key=%s size=%d limit=%d", e.Key, e.Size, MaxValue)
+}
+
+// ErrThrottled says that the weight store's rate is used up.
+type ErrThrottled struct {
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *ErrThrottled) Error() string {
+	return fmt.Sprintf("weight store throttled: retry_after=%s", e.RetryAfter)
+}
--- /dev/null
+++ b/pkg/platform/http.go
@@ -0,0 +1,169 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// HeaderVersion carries a value's version.
+const HeaderVersion = "Version"
+
+// Query parameters of the platform's HTTP API.
+const (
+	ParamVersion = "version"
+	ParamTTL     = "ttl"
+	ParamAfter   = "after"
+	ParamWait    = "wait"
+)
+
+// Client speaks the platform's HTTP API; it is a KV, a List and a Weights.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the platform at a base URL. It uses net/http:
+// nbhttp's client can't be cancelled in the middle of a waiting watch.
+func NewClient(base string) *Client {
+	return &Client{base: base, http: &http.Client{}}
+}
+
+// errStatus is an answer that the client does not know.
+type errStatus struct {
+	Status int
+	Body   string
+}
+
+// Error implements error.
+func (e *errStatus) Error() string {
+	return "unexpected answer: status=" + strconv.Itoa(e.Status) + " body=" + strconv.Quote(e.Body)
+}
+
+// call sends one request and returns its answer's body.
+func (c *Client) call(ctx context.Context, service, op, method, path string, query url.Values, body []byte) (*http.Response, []byte, error) {
+	u := c.base + path
+	if len(query) > 0 {
+		u += "?" + query.Encode()
+	}
+	r, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, &ErrUnavailable{Service: service, Op: op, Err: err}
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, nil, &ErrUnavailable{Service: service, Op: op, Err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, 4*MaxValue))
+	if err != nil {
+		return nil, nil, &ErrUnavailable{Service: service, Op: op, Err: err}
+	}
+	return resp, data, nil
+}
+
+// unexpected describes an answer that is no success.
+func unexpected(service, op string, resp *http.Response, data []byte) error {
+	return &ErrUnavailable{Service: service, Op: op, Err: &errStatus{Status: resp.StatusCode, Body: string(data)}}
+}
+
+func toValue(resp *http.Response, data []byte) (Value, error) {
+	version, err := strconv.ParseUint(resp.Header.Get(HeaderVersion), 10, 64)
+	if err != nil {
+		return Value{}, &ErrUnavailable{Service: "kv", Op: "get", Err: err}
+	}
+	return Value{Version: version, Data: data}, nil
+}
+
+// Get implements KV.
+func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+	return c.read(ctx, "get", "/kv/"+key, nil)
+}
+
+func (c *Client) read(ctx context.Context, op, path string, query url.Values) (Value, error) {
+	resp, data, err := c.call(ctx, "kv", op, http.MethodGet, path, query, nil)
+	if err != nil {
+		return Value{}, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return Value{}, unexpected("kv", op, resp, data)
+	}
+	return toValue(resp, data)
+}
+
+// Swap implements KV.
+func (c *Client) Swap(ctx context.Context, key string, version uint64, data []byte, ttl time.Duration) (uint64, error) {
+	if len(data) > MaxValue {
+		return 0, &ErrTooLarge{Key: key, Size: len(data)}
+	}
+	query := url.Values{ParamVersion: {strconv.FormatUint(version, 10)}}
+	if ttl > 0 {
+		query.Set(ParamTTL, ttl.String())
+	}
+	resp, body, err := c.call(ctx, "kv", "swap", http.MethodPut, "/kv/"+key, query, data)
+	if err != nil {
+		return 0, err
+	}
+	v, verr := toValue(resp, nil)
+	switch {
+	case resp.StatusCode == http.StatusOK && verr == nil:
+		return v.Version, nil
+	case resp.StatusCode == http.StatusConflict && verr == nil:
+		return 0, &ErrConflict{Key: key, Want: version, Have: v.Version}
+	}
+	return 0, unexpected("kv", "swap", resp, body)
+}
+
+// Watch implements KV.
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
+	query := url.Values{ParamAfter: {strconv.FormatUint(after, 10)}, ParamWait: {wait.String()}}
+	return c.read(ctx, "watch", "/watch/"+key, query)
+}
+
+// Instances implements List.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	resp, data, err := c.call(ctx, "instances", "list", http.MethodGet, "/instances", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, unexpected("instances", "list", resp, data)
+	}
+	var out []Instance
+	if err := json.Unmarshal(data, &out); err != nil {
+		return nil, &ErrUnavailable{Service: "instances", Op: "list", Err: err}
+	}
+	return out, nil
+}
+
+// Fetch implements Weights.
+func (c *Client) Fetch(ctx context.Context, model, version, adapter string) error {
+	query := url.Values{"model": {model}, "version": {version}, "adapter": {adapter}}
+	resp, data, err := c.call(ctx, "weights", "fetch", http.MethodPost, "/weights", query, nil)
+	if err != nil {
+		return err
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusTooManyRequests:
+		wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		if err != nil {
+			return unexpected("weights", "fetch", resp, data)
+		}
+		return &ErrThrottled{RetryAfter: time.Duration(wait * float64(time.Second))}
+	}
+	return unexpected("weights", "fetch", resp, data)
+}
+
+// IsConflict reports whether an error is a lost compare-and-swap.
+func IsConflict(err error) bool {
+	var c *ErrConflict
+	return errors.As(err, &c)
+}
