--- /dev/null
+++ b/pkg/fake/cache.go
@@ -0,0 +1,46 @@
+package fake
+
+import "container/list"
+
+// blockCache is a prefix cache with limited memory that forgets the blocks
+// used longest ago.
+type blockCache struct {
+	limit  int
+	note   func(block uint64, evicted bool)
+	order  *list.List
+	blocks map[uint64]*list.Element
+}
+
+func newBlockCache(limit int, note func(uint64, bool)) *blockCache {
+	return &blockCache{limit: limit, note: note, order: list.New(), blocks: map[uint64]*list.Element{}}
+}
+
+// match returns how many leading blocks are cached.
+func (c *blockCache) match(blocks []uint64) int {
+	for i, b := range blocks {
+		el, ok := c.blocks[b]
+		if !ok {
+			return i
+		}
+		c.order.MoveToFront(el)
+	}
+	return len(blocks)
+}
+
+// add keeps blocks and evicts others where memory runs out.
+func (c *blockCache) add(blocks []uint64) {
+	for _, b := range blocks {
+		if el, ok := c.blocks[b]; ok {
+			c.order.MoveToFront(el)
+			continue
+		}
+		c.blocks[b] = c.order.PushFront(b)
+		c.note(b, false)
+	}
+	for c.order.Len() > c.limit {
+		el := c.order.Back()
+		c.order.Remove(el)
+		delete(c.blocks, el.Value.(uint64))
+		c.note(el.Value.(uint64), true)
+	}
+}
--- /dev/null
+++ b/pkg/fake/fabric.go
@@ -0,0 +1,119 @@
+package fake
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hopwell/hopwell/pkg/engine"
+)
+
+// transferSlices is how often a transfer looks again at its share of the link.
+const transferSlices = 8
+
+// Fabric carries transfers between engines.
+type Fabric struct {
+	mu      sync.Mutex
+	engines map[string]*Engine
+}
+
+// NewFabric returns a fabric without engines.
+func NewFabric() *Fabric {
+	return &Fabric{engines: map[string]*Engine{}}
+}
+
+func (f *Fabric) add(e *Engine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engines[e.address] = e
+}
+
+func (f *Fabric) find(address string) *Engine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engines[address]
+}
+
+// transfer moves an export over its engine's link.
+func (f *Fabric) transfer(ctx context.Context, x *engine.Export) error {
+	src := f.find(x.Address)
+	if src == nil {
+		return &engine.ErrEngine{Code: engine.CodeGone, Detail: x.Handle}
+	}
+	if err := src.begin(x.Handle); err != nil {
+		return err
+	}
+	defer src.end()
+	for range transferSlices {
+		if err := src.slice(ctx, x.Bytes/transferSlices); err != nil {
+			return err
+		}
+	}
+	return src.imported(x.Handle)
+}
+
+// begin opens a transfer out of e.
+func (e *Engine) begin(handle string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.exports[handle]; !ok || e.dead {
+		return &engine.ErrEngine{Code: engine.CodeGone, Detail: handle}
+	}
+	e.active++
+	return nil
+}
+
+func (e *Engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.active--
+}
+
+// slice moves some bytes at the transfer's share of the link.
+func (e *Engine) slice(ctx context.Context, bytes int64) error {
+	e.mu.Lock()
+	d := time.Duration(float64(bytes) * float64(e.active) / e.spec.LinkRate * float64(time.Second))
+	stalled := e.stalled
+	e.mu.Unlock()
+	if stalled != nil {
+		select {
+		case <-stalled:
+		case <-e.stop:
+		case <-ctx.Done():
+			return &engine.ErrEngine{Code: engine.CodeStalled, Detail: e.address}
+		}
+	}
+	return sleep(ctx, d)
+}
+
+// imported books an export as used.
+func (e *Engine) imported(handle string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	x, ok := e.exports[handle]
+	if !ok {
+		return &engine.ErrEngine{Code: engine.CodeGone, Detail: handle}
+	}
+	x.imported = true
+	return nil
+}
+
+// TokenText is the text of an answer's token: the same for the same prompt and
+// offset on every engine, so that a test knows each whole answer.
+func TokenText(prompt string, offset int) string {
+	h := xxhash.Sum64String(prompt[max(0, len(prompt)-64):]) + uint64(offset)*0x9e3779b97f4a7c15
+	return " " + strconv.FormatUint(h>>52, 36)
+}
+
+// Answer is the first n tokens of the answer to a prompt.
+func Answer(prompt string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(TokenText(prompt, i))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/pkg/fake/list.go
@@ -0,0 +1,103 @@
+package fake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/platform"
+)
+
+// List is an instance list whose answers lag behind.
+type List struct {
+	// Lag is the age of what it shows.
+	Lag time.Duration
+
+	mu        sync.Mutex
+	instances map[string]platform.Instance
+	versions  []listVersion
+	down      bool
+	empty     bool
+}
+
+// listVersion is the whole list as it was from a time on.
+type listVersion struct {
+	at        time.Time
+	instances []platform.Instance
+}
+
+// NewList returns an empty list.
+func NewList() *List {
+	return &List{instances: map[string]platform.Instance{}}
+}
+
+// Put adds or replaces an instance.
+func (l *List) Put(in platform.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.instances[in.Name] = in
+	l.record()
+}
+
+// Remove drops an instance.
+func (l *List) Remove(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.instances, name)
+	l.record()
+}
+
+// Reclaim marks an instance as leaving.
+func (l *List) Reclaim(name string, deadline time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	in, ok := l.instances[name]
+	if !ok {
+		return
+	}
+	in.Leaving, in.Deadline = true, deadline
+	l.instances[name] = in
+	l.record()
+}
+
+// SetDown starts or ends an outage.
+func (l *List) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// SetEmpty makes the list come back empty, as a failing platform may.
+func (l *List) SetEmpty(empty bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.empty = empty
+}
+
+// record keeps the present list as a version. The caller holds the lock.
+func (l *List) record() {
+	v := listVersion{at: time.Now()}
+	for _, in := range l.instances {
+		v.instances = append(v.instances, in)
+	}
+	l.versions = append(l.versions, v)
+}
+
+// Instances implements platform.List.
+func (l *List) Instances(context.Context) ([]platform.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return nil, &platform.ErrUnavailable{Service: "instances", Op: "list", Err: errOutage}
+	}
+	if l.empty {
+		return nil, nil
+	}
+	seen := time.Now().Add(-l.Lag)
+	for i := len(l.versions) - 1; i >= 0; i-- {
+		if !l.versions[i].at.After(seen) {
+			return append([]platform.Instance(nil), l.versions[i].instances...), nil
+		}
+	}
+	return nil, nil
+}
