--- /dev/null
+++ b/pkg/fleet/document.go
@@ -0,0 +1,275 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Document is the whole configuration that operators change. Exactly one
+// document exists for each revision: it lives under one key of the platform's
+// key-value service and changes only by compare-and-swap.
+type Document struct {
+	// Revision grows by 1 with each accepted change.
+	Revision uint64 `json:"revision"`
+	// Labels are the operators' labels, by instance. An empty value removes a
+	// label that the platform gave.
+	Labels map[string]Labels `json:"labels"`
+	// Selectors are sorted by name.
+	Selectors []Selector `json:"selectors"`
+	// Recent lists the last changes, newest last, so that the sender of one
+	// whose answer was lost can tell whether it took effect.
+	Recent []Accepted `json:"recent"`
+}
+
+// Accepted records one change in a Document.
+type Accepted struct {
+	ID       string `json:"id"`
+	Revision uint64 `json:"revision"`
+	// Touched names what the change wrote: "label/INSTANCE/KEY" or
+	// "selector/NAME".
+	Touched []string `json:"touched"`
+}
+
+// recentLimit is how many accepted changes a document remembers: at 600
+// changes a day, about ten hours.
+const recentLimit = 256
+
+// Change is one edit that an operator asks for.
+type Change struct {
+	// ID is unique to the change; repeating it has no further effect.
+	ID string `json:"id"`
+	// Base is the revision that the operator saw.
+	Base uint64 `json:"base"`
+	// SetLabels sets labels by instance; an empty value removes one.
+	SetLabels map[string]Labels `json:"set_labels,omitempty"`
+	// Apply adds or replaces selectors, Delete removes them by name.
+	Apply  []Selector `json:"apply,omitempty"`
+	Delete []string   `json:"delete,omitempty"`
+	// Force allows a change that leaves a request kind without a runner.
+	Force bool `json:"force,omitempty"`
+}
+
+// Touches names what the change writes, sorted.
+func (c *Change) Touches() []string {
+	var out []string
+	for in, labels := range c.SetLabels {
+		for k := range labels {
+			out = append(out, "label/"+in+"/"+k)
+		}
+	}
+	for _, s := range c.Apply {
+		out = append(out, "selector/"+s.Name)
+	}
+	for _, name := range c.Delete {
+		out = append(out, "selector/"+name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Decode reads a document as Encode wrote it; empty data is the first document.
+func Decode(data []byte) (*Document, error) {
+	d := &Document{Labels: map[string]Labels{}}
+	if len(data) == 0 {
+		return d, nil
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	if err := dec.Decode(d); err != nil {
+		return nil, &ErrDocument{Err: err}
+	}
+	for i := range d.Selectors {
+		if err := d.Selectors[i].check(); err != nil {
+			return nil, &ErrDocument{Err: err}
+		}
+	}
+	return d, nil
+}
+
+// Encode writes the document. Equal documents give equal bytes.
+func (d *Document) Encode() []byte {
+	data, err := json.Marshal(d)
+	if err != nil {
+		panic(err) // Only maps, slices and strings are inside.
+	}
+	return data
+}
+
+// Hash tells two documents of one revision apart.
+func (d *Document) Hash() uint64 { return xxhash.Sum64(d.Encode()) }
+
+// Accepted returns the revision at which a change took effect.
+func (d *Document) Accepted(id string) (uint64, bool) {
+	for _, a := range d.Recent {
+		if a.ID == id {
+			return a.Revision, true
+		}
+	}
+	return 0, false
+}
+
+// Apply returns the next document. A change whose base is older is rebased
+// when nothing that it touches was written since; otherwise *ErrConflict shows
+// both sides. A change ID that was accepted before returns d itself. Other
+// errors are *ErrSelector, *ErrMatch, *ErrLabel and *ErrUnknownSelector.
+func (d *Document) Apply(c *Change) (*Document, error) {
+	if _, ok := d.Accepted(c.ID); ok {
+		return d, nil
+	}
+	if err := d.conflict(c); err != nil {
+		return nil, err
+	}
+	next := d.clone()
+	if err := next.edit(c); err != nil {
+		return nil, err
+	}
+	next.Revision++
+	next.Recent = append(next.Recent, Accepted{ID: c.ID, Revision: next.Revision, Touched: c.Touches()})
+	if n := len(next.Recent); n > recentLimit {
+		next.Recent = slices.Clone(next.Recent[n-recentLimit:])
+	}
+	return next, nil
+}
+
+// conflict reports what was written since the change's base.
+func (d *Document) conflict(c *Change) error {
+	if c.Base == d.Revision {
+		return nil
+	}
+	if c.Base > d.Revision {
+		return &ErrConflict{Base: c.Base, Revision: d.Revision}
+	}
+	known := d.Revision
+	if len(d.Recent) > 0 {
+		known = d.Recent[0].Revision - 1
+	}
+	if c.Base < known {
+		return &ErrConflict{Base: c.Base, Revision: d.Revision}
+	}
+	mine := c.Touches()
+	for _, a := range d.Recent {
+		if a.Revision <= c.Base {
+			continue
+		}
+		for _, t := range a.Touched {
+			if slices.Contains(mine, t) {
+				return &ErrConflict{Base: c.Base, Revision: d.Revision, Touched: t, By: a.ID, Theirs: d.show(t), Mine: c.show(t)}
+			}
+		}
+	}
+	return nil
+}
+
+// show describes the present state of something touched.
+func (d *Document) show(touched string) string {
+	kind, rest, _ := strings.Cut(touched, "/")
+	if kind == "selector" {
+		return showSelector(d.Selectors, rest)
+	}
+	in, key := cutLabel(rest)
+	return d.Labels[in][key]
+}
+
+// show describes what the change would make of something touched.
+func (c *Change) show(touched string) string {
+	kind, rest, _ := strings.Cut(touched, "/")
+	if kind == "selector" {
+		return showSelector(c.Apply, rest)
+	}
+	in, key := cutLabel(rest)
+	return c.SetLabels[in][key]
+}
+
+// cutLabel splits "INSTANCE/KEY"; instance names hold no slash.
+func cutLabel(s string) (instance, key string) {
+	instance, key, _ = strings.Cut(s, "/")
+	return instance, key
+}
+
+func showSelector(all []Selector, name string) string {
+	for i := range all {
+		if all[i].Name == name {
+			data, _ := json.Marshal(all[i])
+			return string(data)
+		}
+	}
+	return "deleted"
+}
+
+// clone copies what edit changes.
+func (d *Document) clone() *Document {
+	next := &Document{Revision: d.Revision, Labels: map[string]Labels{}}
+	for in, l := range d.Labels {
+		next.Labels[in] = maps.Clone(l)
+	}
+	next.Selectors = slices.Clone(d.Selectors)
+	next.Recent = slices.Clone(d.Recent)
+	return next
+}
+
+// edit carries out a change on a fresh clone.
+func (d *Document) edit(c *Change) error {
+	for in, labels := range c.SetLabels {
+		if err := d.setLabels(in, labels); err != nil {
+			return err
+		}
+	}
+	for _, s := range c.Apply {
+		if err := s.check(); err != nil {
+			return err
+		}
+		d.remove(s.Name)
+		d.Selectors = append(d.Selectors, s)
+	}
+	for _, name := range c.Delete {
+		if !d.remove(name) {
+			return &ErrUnknownSelector{Name: name}
+		}
+	}
+	slices.SortFunc(d.Selectors, func(a, b Selector) int { return strings.Compare(a.Name, b.Name) })
+	return nil
+}
+
+func (d *Document) setLabels(in string, labels Labels) error {
+	if !ValidInstance(in) {
+		return &ErrLabel{Instance: in, Expected: "an instance name of letters, digits and -_.:"}
+	}
+	if d.Labels[in] == nil {
+		d.Labels[in] = Labels{}
+	}
+	for k, v := range labels {
+		if !validName(k) || (v != "" && !validName(v)) {
+			return &ErrLabel{Instance: in, Key: k, Value: v, Expected: "key and value of letters, digits and -_./:"}
+		}
+		if k == LabelInstance || k == LabelDomain || k == LabelRegion {
+			return &ErrLabel{Instance: in, Key: k, Value: v, Expected: "a key that the instance's settings do not give"}
+		}
+		d.Labels[in][k] = v
+	}
+	return nil
+}
+
+func (d *Document) remove(name string) bool {
+	for i := range d.Selectors {
+		if d.Selectors[i].Name == name {
+			d.Selectors = slices.Delete(d.Selectors, i, i+1)
+			return true
+		}
+	}
+	return false
+}
+
+// Models returns the models that prefill or decode selectors offer, sorted.
+func (d *Document) Models() []string {
+	seen := map[string]bool{}
+	for _, s := range d.Selectors {
+		if s.Role != RoleServe {
+			seen[s.Model] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
--- /dev/null
+++ b/pkg/fleet/view.go
@@ -0,0 +1,152 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/hopwell/hopwell/pkg/platform"
+)
+
+// Member is an instance with its labels under a document.
+type Member struct {
+	platform.Instance
+	// Labels are the platform's, overlaid by the operators', and those that
+	// every instance has.
+	Labels Labels
+}
+
+// Grant says that a member may do some work under a selector.
+type Grant struct {
+	Member   *Member
+	Selector *Selector
+}
+
+// View is the fleet under one document: immutable, safe for all to share.
+type View struct {
+	Doc     *Document
+	Members []*Member
+
+	matches []Match
+	mu      sync.RWMutex
+	grants  map[grantKey][]Grant
+}
+
+type grantKey struct {
+	kind, model string
+	role        Role
+}
+
+// maxGrantCache bounds the cached answers of one view, since request kinds
+// come from callers.
+const maxGrantCache = 4096
+
+// NewView puts a document and instances together.
+func NewView(doc *Document, instances []platform.Instance) *View {
+	v := &View{Doc: doc, grants: map[grantKey][]Grant{}}
+	for _, in := range instances {
+		v.Members = append(v.Members, &Member{Instance: in, Labels: doc.LabelsOf(in)})
+	}
+	slices.SortFunc(v.Members, func(a, b *Member) int { return strings.Compare(a.Name, b.Name) })
+	for i := range doc.Selectors {
+		m, err := ParseMatch(doc.Selectors[i].Match)
+		if err != nil {
+			m = Match{{Key: doc.Selectors[i].Match, Op: OpExists}} // Decode has checked it: this matches nothing.
+		}
+		v.matches = append(v.matches, m)
+	}
+	return v
+}
+
+// LabelsOf returns an instance's labels under the document.
+func (d *Document) LabelsOf(in platform.Instance) Labels {
+	l := merge(in.Labels, d.Labels[in.Name])
+	l[LabelInstance], l[LabelDomain], l[LabelRegion] = in.Name, in.Domain, in.Region
+	return l
+}
+
+// Grants returns the members that may do the role for such requests, leaving
+// ones excepted, in name order. The caller must not change the result.
+func (v *View) Grants(kind, model string, role Role) []Grant {
+	key := grantKey{kind, model, role}
+	v.mu.RLock()
+	g, ok := v.grants[key]
+	v.mu.RUnlock()
+	if ok {
+		return g
+	}
+	g = v.compute(key)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.grants) < maxGrantCache {
+		v.grants[key] = g
+	}
+	return g
+}
+
+func (v *View) compute(key grantKey) []Grant {
+	var out []Grant
+	for _, m := range v.Members {
+		if m.Leaving || m.Labels.Leaving() || m.Role != platform.RoleSidecar {
+			continue
+		}
+		if s := v.Select(key.kind, key.model, key.role, m.Labels); s != nil {
+			out = append(out, Grant{m, s})
+		}
+	}
+	return out
+}
+
+// Select returns the selector that gives labels the role, nil for none. A
+// selector for the request's own kind goes before one for every kind.
+func (v *View) Select(kind, model string, role Role, labels Labels) *Selector {
+	var general *Selector
+	for i := range v.Doc.Selectors {
+		s := &v.Doc.Selectors[i]
+		if !s.serves(kind, model, role) || !v.matches[i].Matches(labels) {
+			continue
+		}
+		if s.Kind != AnyKind {
+			return s
+		}
+		if general == nil {
+			general = s
+		}
+	}
+	return general
+}
+
+// Find returns the member with a name, nil for none.
+func (v *View) Find(name string) *Member {
+	i, ok := slices.BinarySearchFunc(v.Members, name, func(m *Member, n string) int { return strings.Compare(m.Name, n) })
+	if !ok {
+		return nil
+	}
+	return v.Members[i]
+}
+
+// Work lists the selectors that match a member, in name order.
+func (v *View) Work(m *Member) []*Selector {
+	var out []*Selector
+	for i := range v.Doc.Selectors {
+		if v.matches[i].Matches(m.Labels) {
+			out = append(out, &v.Doc.Selectors[i])
+		}
+	}
+	return out
+}
+
+// Check returns *ErrNoRunner when after has no live member for a request kind
+// that before has one for.
+func Check(before, after *View) error {
+	for i := range before.Doc.Selectors {
+		s := &before.Doc.Selectors[i]
+		if len(before.Grants(s.Kind, s.Model, s.Role)) == 0 {
+			continue
+		}
+		if len(after.Grants(s.Kind, s.Model, s.Role)) == 0 {
+			return &ErrNoRunner{Kind: s.Kind, Model: s.Model, Role: s.Role}
+		}
+	}
+	return nil
+}
