--- /dev/null
+++ b/pkg/admission/queue.go
@@ -0,0 +1,162 @@
+// Package admission decides at a runner what its sidecar lets in: which
+// prefills can still meet their deadlines, and which streams fit the memory and
+// the batch. It is the one place through which every order for a runner passes.
+// Time comes in as an argument.
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// Job is one prefill that waits or runs.
+type Job struct {
+	// ID is the attempt's.
+	ID string
+	// Tokens is how many prompt tokens are still to compute, by estimate.
+	Tokens int
+	// Deadline is when its KV cache must be ready.
+	Deadline time.Time
+	// Priority is the selector's; larger is more important.
+	Priority int
+	// Workspace is the tenant that it belongs to.
+	Workspace string
+	// Paid marks a repetition of work that was lost: it goes before new work.
+	Paid bool
+
+	arrived time.Time
+	begun   time.Time
+	running bool
+	relaxed bool
+}
+
+// Queue orders the prefills of one engine by deadline and admits only what it
+// can still finish in time, so that overload turns work away before it costs
+// anything. A job that could not meet its deadline on an idle engine runs when
+// it hurts no other.
+type Queue struct {
+	// Rate is the engine's speed in tokens a second.
+	Rate float64
+	// Slots is how many jobs may be on the engine at once.
+	Slots int
+	// Margin scales the time that a job is taken to need, for what the
+	// estimates leave out.
+	Margin float64
+
+	jobs []*Job
+}
+
+// relaxedFactor stretches the deadline of a job that can't meet its own.
+const relaxedFactor = 4
+
+// Admit takes a job in and returns how long it will wait, or *ErrLate when it
+// or a job already admitted would miss its deadline.
+func (q *Queue) Admit(now time.Time, j Job) (time.Duration, error) {
+	j.arrived = now
+	alone := q.time(j.Tokens)
+	if now.Add(alone).After(j.Deadline) {
+		j.relaxed = true
+		j.Deadline = now.Add(relaxedFactor * alone)
+	}
+	if j.Paid {
+		j.Deadline = now
+		j.relaxed = true
+	}
+	at, _ := slices.BinarySearchFunc(q.jobs, &j, before)
+	trial := slices.Insert(slices.Clone(q.jobs), at, &j)
+	wait, late := q.check(now, trial, &j)
+	if late > 0 && !j.Paid {
+		return 0, &ErrLate{ID: j.ID, RetryAfter: late}
+	}
+	q.jobs = trial
+	return wait, nil
+}
+
+// before orders jobs: paid work first, then by deadline.
+func before(a, b *Job) int {
+	if a.Paid != b.Paid {
+		if a.Paid {
+			return -1
+		}
+		return 1
+	}
+	return a.Deadline.Compare(b.Deadline)
+}
+
+// check walks the queue in order and returns the wait of one job and by how
+// much the worst job would be late.
+func (q *Queue) check(now time.Time, jobs []*Job, mine *Job) (wait, late time.Duration) {
+	end := now
+	for _, j := range jobs {
+		if j == mine {
+			wait = end.Sub(now)
+		}
+		end = end.Add(q.remaining(now, j))
+		if over := end.Sub(j.Deadline); over > late && (!j.relaxed || j == mine) {
+			late = over
+		}
+	}
+	return wait, late
+}
+
+// remaining is the engine time that a job still needs.
+func (q *Queue) remaining(now time.Time, j *Job) time.Duration {
+	need := q.time(j.Tokens)
+	if j.running {
+		need -= now.Sub(j.begun)
+	}
+	return max(need, 0)
+}
+
+func (q *Queue) time(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / q.Rate * q.Margin * float64(time.Second))
+}
+
+// Next marks the job that should go to the engine now as running and returns
+// it, nil for none. Where the engine is busy, a job goes only if it is more
+// urgent than all on it, since the engine honours priorities.
+func (q *Queue) Next(now time.Time) *Job {
+	if len(q.jobs) == 0 || q.jobs[0].running || q.busy() >= q.Slots {
+		return nil
+	}
+	j := q.jobs[0]
+	j.running, j.begun = true, now
+	return j
+}
+
+// busy counts the jobs on the engine.
+func (q *Queue) busy() int {
+	n := 0
+	for _, j := range q.jobs {
+		if j.running {
+			n++
+		}
+	}
+	return n
+}
+
+// Remove drops a job and reports whether it was known.
+func (q *Queue) Remove(id string) bool {
+	i := slices.IndexFunc(q.jobs, func(j *Job) bool { return j.ID == id })
+	if i < 0 {
+		return false
+	}
+	q.jobs = slices.Delete(q.jobs, i, i+1)
+	return true
+}
+
+// Len returns how many jobs wait or run.
+func (q *Queue) Len() int { return len(q.jobs) }
+
+// Tokens returns the work ahead of a new job: all tokens, and those of jobs
+// with a deadline within soon.
+func (q *Queue) Tokens(now time.Time, soon time.Duration) (all, urgent int) {
+	for _, j := range q.jobs {
+		n := int(q.remaining(now, j).Seconds() * q.Rate / q.Margin)
+		all += n
+		if j.Paid || j.Deadline.Sub(now) <= soon {
+			urgent += n
+		}
+	}
+	return all, urgent
+}
--- /dev/null
+++ b/pkg/claim/shard.go
@@ -0,0 +1,277 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hopwell/hopwell/pkg/platform"
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
+)
+
+// Bounds of one commit.
+const (
+	commitTries = 6
+	callTime    = time.Second
+)
+
+// op is one claim or release that waits for its commit.
+type op struct {
+	key     Key
+	request string
+	release bool
+	answer  chan result
+}
+
+type result struct {
+	holder string
+	err    error
+}
+
+// shard commits the claims of one shard in groups.
+type shard struct {
+	number int
+	kv     platform.KV
+
+	mu      sync.Mutex
+	waiting []op
+	busy    bool
+	last    time.Time
+
+	// What follows belongs to the one commit that runs.
+	version uint64
+	head    *wirepb.ClaimHead
+	blocks  map[uint64]map[Key]string
+}
+
+func newShard(number int, kv platform.KV) *shard {
+	return &shard{number: number, kv: kv, blocks: map[uint64]map[Key]string{}}
+}
+
+func headKey(shard int) string { return fmt.Sprintf("hopwell/claims/%d", shard) }
+
+func blockKey(shard int, block uint64) string {
+	return fmt.Sprintf("hopwell/claims/%d/%d", shard, block)
+}
+
+// do adds an operation to the next group and waits for it. An operation whose
+// caller stopped waiting may still take effect.
+func (s *shard) do(ctx context.Context, o op) (string, error) {
+	o.answer = make(chan result, 1)
+	s.mu.Lock()
+	s.waiting = append(s.waiting, o)
+	if !s.busy {
+		s.busy = true
+		go s.work()
+	}
+	s.mu.Unlock()
+	select {
+	case r := <-o.answer:
+		return r.holder, r.err
+	case <-ctx.Done():
+		return "", &ErrUnsettled{Shard: s.number, Err: ctx.Err()}
+	}
+}
+
+// work commits groups until none waits. The first one goes at once; others
+// wait until Interval has passed since the last.
+func (s *shard) work() {
+	for {
+		time.Sleep(time.Until(s.last.Add(Interval)))
+		s.mu.Lock()
+		group := s.waiting
+		s.waiting = nil
+		if len(group) == 0 {
+			s.busy = false
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		s.last = time.Now()
+		s.commit(group)
+	}
+}
+
+// commit settles one group.
+func (s *shard) commit(group []op) {
+	var err error
+	for range commitTries {
+		var results []result
+		results, err = s.try(group)
+		if err == nil {
+			for i, o := range group {
+				o.answer <- results[i]
+			}
+			return
+		}
+		s.head = nil
+		var conflict *platform.ErrConflict
+		if !errors.As(err, &conflict) {
+			// The answer was lost. The next try reads the head and sees what
+			// took effect; if even that fails, nothing can be told.
+			if loadErr := s.load(); loadErr != nil {
+				break
+			}
+		}
+	}
+	for _, o := range group {
+		o.answer <- result{err: &ErrUnsettled{Shard: s.number, Err: err}}
+	}
+}
+
+// try applies the group to the head as it is known and swaps it. A group that
+// changes nothing needs no write.
+func (s *shard) try(group []op) ([]result, error) {
+	if s.head == nil {
+		if err := s.load(); err != nil {
+			return nil, err
+		}
+	}
+	next := proto.Clone(s.head).(*wirepb.ClaimHead)
+	results := make([]result, len(group))
+	changed := false
+	for i, o := range group {
+		holder, wrote := s.apply(next, o)
+		results[i].holder = holder
+		changed = changed || wrote
+	}
+	if !changed {
+		return results, nil
+	}
+	if len(next.Entries) > sealEntries {
+		if err := s.seal(next); err != nil {
+			return nil, err
+		}
+	}
+	return results, s.swap(next)
+}
+
+// apply carries out one operation on a head. An entry whose request is the
+// operation's own is from an earlier try of it.
+func (s *shard) apply(head *wirepb.ClaimHead, o op) (holder string, wrote bool) {
+	for i, e := range head.Entries {
+		if Key(e.Key) != o.key {
+			continue
+		}
+		if o.release && e.RequestId == o.request {
+			head.Entries = append(head.Entries[:i:i], head.Entries[i+1:]...)
+			return "", true
+		}
+		return e.RequestId, false
+	}
+	for _, b := range head.Blocks {
+		if h, ok := s.blocks[b.Number][o.key]; ok {
+			return h, false
+		}
+	}
+	if o.release {
+		return "", false
+	}
+	head.Entries = append(head.Entries, &wirepb.ClaimEntry{Key: o.key[:], RequestId: o.request, Unix: time.Now().Unix()})
+	return o.request, true
+}
+
+// seal moves a head's older entries into a new block and forgets blocks past
+// Keep. The block goes first: until the head names it, it means nothing. Its
+// number is random, so that a block whose writer then lost the race for the
+// head is in nobody's way.
+func (s *shard) seal(head *wirepb.ClaimHead) error {
+	cut := len(head.Entries) - sealEntries/4
+	block := &wirepb.ClaimHead{Entries: head.Entries[:cut]}
+	data, err := proto.Marshal(block)
+	if err != nil {
+		return err
+	}
+	number := rand.Uint64()
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	if _, err := s.kv.Swap(ctx, blockKey(s.number, number), 0, data, 2*Keep); err != nil {
+		return err
+	}
+	now := time.Now()
+	head.Entries = head.Entries[cut:]
+	head.Blocks = append(live(head.Blocks, now), &wirepb.ClaimBlock{Number: number, NewestUnix: now.Unix()})
+	s.blocks[number] = index(block)
+	return nil
+}
+
+// live returns the blocks that still count.
+func live(blocks []*wirepb.ClaimBlock, now time.Time) []*wirepb.ClaimBlock {
+	var out []*wirepb.ClaimBlock
+	for _, b := range blocks {
+		if now.Sub(time.Unix(b.NewestUnix, 0)) < Keep {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+func (s *shard) swap(next *wirepb.ClaimHead) error {
+	data, err := proto.Marshal(next)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	version, err := s.kv.Swap(ctx, headKey(s.number), s.version, data, 0)
+	if err != nil {
+		return err
+	}
+	s.version, s.head = version, next
+	return nil
+}
+
+// load reads the head and the blocks that it names and that are not known yet.
+func (s *shard) load() error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	v, err := s.kv.Get(ctx, headKey(s.number))
+	if err != nil {
+		return err
+	}
+	head := &wirepb.ClaimHead{}
+	if err := proto.Unmarshal(v.Data, head); err != nil {
+		return err
+	}
+	known := s.blocks
+	s.blocks = map[uint64]map[Key]string{}
+	for _, b := range live(head.Blocks, time.Now()) {
+		s.blocks[b.Number] = known[b.Number]
+		if err := s.loadBlock(b.Number); err != nil {
+			return err
+		}
+	}
+	s.version, s.head = v.Version, head
+	return nil
+}
+
+func (s *shard) loadBlock(number uint64) error {
+	if s.blocks[number] != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	v, err := s.kv.Get(ctx, blockKey(s.number, number))
+	if err != nil {
+		return err
+	}
+	block := &wirepb.ClaimHead{}
+	if err := proto.Unmarshal(v.Data, block); err != nil {
+		return err
+	}
+	s.blocks[number] = index(block)
+	return nil
+}
+
+func index(block *wirepb.ClaimHead) map[Key]string {
+	m := make(map[Key]string, len(block.Entries))
+	for _, e := range block.Entries {
+		m[Key(e.Key)] = e.RequestId
+	}
+	return m
+}
--- /dev/null
+++ b/pkg/route/baselines.go
@@ -0,0 +1,91 @@
+package route
+
+import "sync/atomic"
+
+// RoundRobin takes the next prefill and the next decode runner in turn.
+type RoundRobin struct {
+	prefill, decode atomic.Uint64
+}
+
+// Choose implements Policy.
+func (b *RoundRobin) Choose(_ *Request, s *Scratch) (Choice, error) {
+	return choosePair(s, func(all []State) int { return turn(all, &b.prefill) }, func(all []State) int { return turn(all, &b.decode) })
+}
+
+// turn returns the next usable candidate after the last one, or -1.
+func turn(all []State, last *atomic.Uint64) int {
+	n := int(last.Add(1) % uint64(max(len(all), 1)))
+	for i := range all {
+		if k := (n + i) % len(all); !all[k].Shunned {
+			return k
+		}
+	}
+	return -1
+}
+
+// LeastLoaded takes the prefill runner with the least queued work and the
+// decode runner with the fewest streams.
+type LeastLoaded struct{}
+
+// Choose implements Policy.
+func (LeastLoaded) Choose(_ *Request, s *Scratch) (Choice, error) {
+	return choosePair(s, leastQueued, leastStreams)
+}
+
+func leastQueued(all []State) int {
+	return usable(all, func(x *State) float64 { return x.Queued })
+}
+
+func leastStreams(all []State) int {
+	return usable(all, func(x *State) float64 { return float64(x.Running + x.Reserved) })
+}
+
+// CacheAware is the rule of "sgl-model-gateway and cache-aware routing" (SGLang
+// manual, edition 2026.10): the longest prefix match wins above a match rate of
+// 0.3, the least loaded runner below it or when the load is imbalanced.
+type CacheAware struct{}
+
+// The thresholds of the CacheAware rule, as its source gives them.
+const (
+	cacheThreshold      = 0.3
+	balanceAbsThreshold = 64
+	balanceRelThreshold = 1.5
+)
+
+// Choose implements Policy.
+func (CacheAware) Choose(r *Request, s *Scratch) (Choice, error) {
+	return choosePair(s, func(all []State) int { return cacheAware(r, all) }, leastStreams)
+}
+
+func cacheAware(r *Request, all []State) int {
+	load := func(x *State) float64 { return float64(x.InFlight) }
+	least := usable(all, load)
+	if least < 0 {
+		return -1
+	}
+	most := usable(all, func(x *State) float64 { return -load(x) })
+	low, high := load(&all[least]), load(&all[most])
+	if high-low > balanceAbsThreshold && high > balanceRelThreshold*low {
+		return least
+	}
+	best := usable(all, func(x *State) float64 { return -float64(x.Cached) })
+	if float64(all[best].Cached) > cacheThreshold*float64(r.PromptTokens) {
+		return best
+	}
+	return least
+}
+
+// choosePair puts two independent choices together.
+func choosePair(s *Scratch, prefill, decode func([]State) int) (Choice, error) {
+	p := prefill(s.Prefills)
+	if p < 0 {
+		return Choice{}, &ErrNoRunner{Role: "prefill"}
+	}
+	d := decode(s.Decodes)
+	if d < 0 {
+		return Choice{}, &ErrNoRunner{Role: "decode"}
+	}
+	c := Choice{Prefill: p, Decode: d, N: 1, Candidates: len(s.Prefills) * len(s.Decodes)}
+	c.Weighed[0] = Weighed{Prefill: s.Prefills[p].Name, Decode: s.Decodes[d].Name}
+	return c, nil
+}
--- /dev/null
+++ b/pkg/route/tracker.go
@@ -0,0 +1,196 @@
+package route
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Report is a sidecar's word on its runner's load, converted from the wire.
+type Report struct {
+	Running, Reserved, Batch      int
+	KVUsed, KVTotal, KVPerToken   float64
+	Queued, Urgent, Rate          float64
+	StepBase, StepSlope, SlotWait float64
+	Transfers                     int
+	LinkRate                      float64
+}
+
+// Back-off after failures: doubles from backoffMin to backoffMax.
+const (
+	backoffMin = 250 * time.Millisecond
+	backoffMax = 8 * time.Second
+)
+
+// Guesses for a runner that has not reported yet.
+const (
+	guessRate      = 8000
+	guessBatch     = 16
+	guessStepBase  = 0.02
+	guessStepSlope = 0.001
+	guessKVToken   = 1 << 17
+	guessKVFree    = 1 << 33
+)
+
+// Runner is one runner's state as this gateway knows it, under its own lock.
+type Runner struct {
+	id             int
+	hash           uint64
+	name           string
+	domain, region string
+
+	mu       sync.Mutex
+	report   Report
+	at       time.Time
+	inFlight int
+	// sentTokens and sentStreams are what this gateway sent since the report.
+	sentTokens  float64
+	sentStreams int
+	sentBytes   float64
+	failures    int
+	until       time.Time
+}
+
+// trackerShards is the number of locks that the runners' names spread over.
+const trackerShards = 16
+
+// Tracker knows the runners of a fleet.
+type Tracker struct {
+	shards [trackerShards]trackerShard
+
+	mu   sync.Mutex
+	next int
+}
+
+type trackerShard struct {
+	mu      sync.RWMutex
+	runners map[string]*Runner
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker() *Tracker {
+	t := &Tracker{}
+	for i := range t.shards {
+		t.shards[i].runners = map[string]*Runner{}
+	}
+	return t
+}
+
+// Get returns the runner on an instance, making it if need be.
+func (t *Tracker) Get(name, domain, region string) *Runner {
+	s := &t.shards[xxhash.Sum64String(name)%trackerShards]
+	s.mu.RLock()
+	r, ok := s.runners[name]
+	s.mu.RUnlock()
+	if ok {
+		return r
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok = s.runners[name]; ok {
+		return r
+	}
+	r = &Runner{id: t.newID(), hash: xxhash.Sum64String(name), name: name, domain: domain, region: region}
+	r.report = Report{Batch: guessBatch, Rate: guessRate, StepBase: guessStepBase, StepSlope: guessStepSlope, KVPerToken: guessKVToken, KVTotal: guessKVFree}
+	s.runners[name] = r
+	return r
+}
+
+func (t *Tracker) newID() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next++
+	return t.next
+}
+
+// Keep forgets the runners whose instance is not among names.
+func (t *Tracker) Keep(names map[string]bool) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for name := range s.runners {
+			if !names[name] {
+				delete(s.runners, name)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// ID returns the runner's small number.
+func (r *Runner) ID() int { return r.id }
+
+// Name returns the runner's instance.
+func (r *Runner) Name() string { return r.name }
+
+// Reported takes over a sidecar's report. It is also a sign of life.
+func (r *Runner) Reported(p Report, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report, r.at = p, now
+	r.sentTokens, r.sentStreams, r.sentBytes = 0, 0, 0
+	r.failures, r.until = 0, time.Time{}
+}
+
+// Age returns how old the newest report is; large when there was none.
+func (r *Runner) Age(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.at)
+}
+
+// Sent books work that this gateway sent after the newest report.
+func (r *Runner) Sent(tokens int, streams int, bytes float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inFlight++
+	r.sentTokens += float64(tokens)
+	r.sentStreams += streams
+	r.sentBytes += bytes
+}
+
+// Returned books the end of an attempt.
+func (r *Runner) Returned() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inFlight--
+}
+
+// Failed books that the runner could not be reached or broke off, and keeps new
+// work away from it for a time. The jitter is in [0, 1).
+func (r *Runner) Failed(now time.Time, jitter float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wait := min(backoffMin<<min(r.failures, 8), backoffMax)
+	r.failures++
+	r.until = now.Add(wait/2 + time.Duration(jitter*float64(wait/2)))
+}
+
+// Suspect reports whether the runner is backed off after failures.
+func (r *Runner) Suspect(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.until)
+}
+
+// State returns what is known now, with the report brought forward in time.
+func (r *Runner) State(now time.Time) State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := &r.report
+	worked := now.Sub(r.at).Seconds() * p.Rate
+	return State{
+		ID: r.id, Hash: r.hash, Name: r.name, Domain: r.domain, Region: r.region,
+		Rate:     p.Rate,
+		Queued:   max(0, p.Queued+r.sentTokens-worked),
+		Urgent:   max(0, p.Urgent+r.sentTokens-worked),
+		InFlight: r.inFlight,
+		Running:  p.Running, Reserved: p.Reserved + r.sentStreams, Batch: p.Batch,
+		KVFree: p.KVTotal - p.KVUsed - r.sentBytes, KVPerToken: p.KVPerToken,
+		SlotWait: max(0, p.SlotWait-now.Sub(r.at).Seconds()),
+		StepBase: p.StepBase, StepSlope: p.StepSlope,
+		Transfers: float64(p.Transfers), LinkRate: p.LinkRate,
+		Shunned: now.Before(r.until),
+	}
+}
