--- /dev/null
+++ b/pkg/gateway/choose.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hopwell/hopwell/pkg/fleet"
+	"github.com/hopwell/hopwell/pkg/prefix"
+	"github.com/hopwell/hopwell/pkg/route"
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
+)
+
+const (
+	// subsetSize is how many runners of one role and model a gateway considers.
+	subsetSize = 64
+	// staleAfter is how old the last confirmation of the configuration may be
+	// before a gateway asks peers; an exchange happens about every second.
+	staleAfter = 4 * time.Second
+	// confirmPeers is how many peers it asks then.
+	confirmPeers = 4
+)
+
+// choose runs the policy for a request. A fixed prefill or decode member is the
+// only candidate of its role.
+func (g *Gateway) choose(r *run, prefill, decode *fleet.Member) (pairing, error) {
+	s := g.scratch.Get().(*route.Scratch)
+	defer g.scratch.Put(s)
+	s.Reset()
+	view := g.View()
+	pg := g.candidates(view, r, fleet.RolePrefill, prefill)
+	dg := g.candidates(view, r, fleet.RoleDecode, decode)
+	now := time.Now()
+	s.Prefills = g.states(s.Prefills, pg, r, now)
+	s.Decodes = g.states(s.Decodes, dg, r, now)
+	g.prefixes.Fill(r.blocks, prefix.BlockTokens, r.tokens, s.Prefills)
+	offset, _ := r.life.Progress()
+	req := route.Request{
+		PromptTokens: r.tokens + offset, MaxTokens: r.req.MaxTokens - offset, Blocks: r.blocks,
+		FirstToken: r.left().Seconds(), PerToken: r.per.Seconds(),
+		Domain: g.Self.Domain, Region: g.Self.Region,
+		Exported: r.export != nil, Paid: r.paid(), Now: now,
+	}
+	c, err := g.opt.Policy.Choose(&req, s)
+	if err != nil {
+		return pairing{}, err
+	}
+	g.explains.chosen(r.req.ID, &c)
+	return pairing{Choice: c, prefill: pg[c.Prefill], decode: dg[c.Decode]}, nil
+}
+
+// candidates returns the runners to weigh for a role.
+func (g *Gateway) candidates(view *fleet.View, r *run, role fleet.Role, fixed *fleet.Member) []fleet.Grant {
+	if fixed != nil {
+		return []fleet.Grant{{Member: fixed, Selector: r.selector}}
+	}
+	return g.subset(view, r.req.Kind, r.req.Model, role)
+}
+
+// states reads what is known of the candidates. Those that refused this request
+// are shunned, and so are those that failed lately unless no others are left.
+func (g *Gateway) states(out []route.State, grants []fleet.Grant, r *run, now time.Time) []route.State {
+	usable := false
+	for _, x := range grants {
+		m := x.Member
+		s := g.tracker.Get(m.Name, m.Domain, m.Region).State(now)
+		s.Shunned = s.Shunned || r.excluded[m.Name]
+		usable = usable || !s.Shunned
+		out = append(out, s)
+	}
+	for i := range out {
+		out[i].Shunned = out[i].Shunned && (usable || r.excluded[out[i].Name])
+	}
+	return out
+}
+
+// subsetKey names a memoized subset.
+type subsetKey struct {
+	kind, model string
+	role        fleet.Role
+}
+
+// maxSubsets bounds the memoized subsets of one view.
+const maxSubsets = 4096
+
+// subset bounds the runners that this gateway considers, so that its state and
+// its probes do not grow with the fleet. The choice is by rendezvous hashing,
+// an equal share from each failure domain, and stays put while instances come
+// and go.
+func (g *Gateway) subset(view *fleet.View, kind, model string, role fleet.Role) []fleet.Grant {
+	all := view.Grants(kind, model, role)
+	if len(all) <= subsetSize {
+		return all
+	}
+	key := subsetKey{kind, model, role}
+	g.subsetMu.Lock()
+	defer g.subsetMu.Unlock()
+	if g.subsetOf != view {
+		g.subsetOf, g.subsets = view, map[subsetKey][]fleet.Grant{}
+	}
+	if s, ok := g.subsets[key]; ok {
+		return s
+	}
+	s := pickSubset(all, g.Self.Name, subsetSize)
+	if len(g.subsets) < maxSubsets {
+		g.subsets[key] = s
+	}
+	return s
+}
+
+// pickSubset takes size grants, round the failure domains in turn.
+func pickSubset(all []fleet.Grant, self string, size int) []fleet.Grant {
+	byDomain := map[string][]fleet.Grant{}
+	for _, x := range all {
+		byDomain[x.Member.Domain] = append(byDomain[x.Member.Domain], x)
+	}
+	var domains []string
+	for d, list := range byDomain {
+		domains = append(domains, d)
+		slices.SortFunc(list, func(a, b fleet.Grant) int {
+			ha, hb := xxhash.Sum64String(self+"/"+a.Member.Name), xxhash.Sum64String(self+"/"+b.Member.Name)
+			if ha < hb {
+				return -1
+			}
+			return 1
+		})
+	}
+	slices.Sort(domains)
+	var out []fleet.Grant
+	for i := 0; len(out) < size; i++ {
+		for _, d := range domains {
+			if list := byDomain[d]; i < len(list) && len(out) < size {
+				out = append(out, list[i])
+			}
+		}
+	}
+	return out
+}
+
+// learnPrefix books what a prefill showed of its runner's cache: what it had to
+// compute again it did not have, and now it has all.
+func (g *Gateway) learnPrefix(blocks []uint64, r *route.Runner, _ int) {
+	g.prefixes.Add(blocks, r.ID())
+}
+
+// confirm makes sure that the configuration is fresh: a gateway that was paused
+// or cut off asks peers before it sends work by an old one.
+func (g *Gateway) confirm(ctx context.Context) error {
+	if !g.Keeper.Stale(time.Now(), staleAfter) {
+		return nil
+	}
+	if g.Agent.Push(ctx, confirmPeers) == 0 {
+		return &ErrStale{}
+	}
+	return nil
+}
+
+// Probing of runners that this gateway has not heard from.
+const (
+	probeEvery = 500 * time.Millisecond
+	probeAge   = 1500 * time.Millisecond
+	probeBatch = 4
+)
+
+// probe asks the runners that were heard from longest ago for their load, a few
+// at a time, so that the cost does not grow with the fleet.
+func (g *Gateway) probe(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !pause(ctx, g.spread(probeEvery)) {
+			return
+		}
+		for _, m := range g.oldest(time.Now()) {
+			go g.probeOne(ctx, m)
+		}
+	}
+}
+
+// oldest returns the probe's next members.
+func (g *Gateway) oldest(now time.Time) []*fleet.Member {
+	var out []*fleet.Member
+	view := g.View()
+	keep := map[string]bool{}
+	for _, m := range view.Members {
+		keep[m.Name] = true
+		if m.Role == "sidecar" && g.tracker.Get(m.Name, m.Domain, m.Region).Age(now) > probeAge {
+			out = append(out, m)
+		}
+	}
+	g.tracker.Keep(keep)
+	slices.SortFunc(out, func(a, b *fleet.Member) int {
+		return int(g.age(b, now) - g.age(a, now))
+	})
+	return out[:min(len(out), probeBatch)]
+}
+
+func (g *Gateway) age(m *fleet.Member, now time.Time) time.Duration {
+	return min(g.tracker.Get(m.Name, m.Domain, m.Region).Age(now), math.MaxInt32)
+}
+
+func (g *Gateway) probeOne(ctx context.Context, m *fleet.Member) {
+	ctx, cancel := context.WithTimeout(ctx, openTime)
+	defer cancel()
+	d, _ := g.Keeper.Digest()
+	client := wirepb.NewDRPCRunnerClient(g.Pool.Conn(m.Inner))
+	l, err := client.Probe(ctx, &wirepb.ProbeRequest{Revision: d.Revision, Clock: g.Log.Clock.Next()})
+	r := g.tracker.Get(m.Name, m.Domain, m.Region)
+	if err != nil {
+		r.Failed(time.Now(), g.Jitter())
+		return
+	}
+	g.heardLoad(r, m, l)
+}
--- /dev/null
+++ b/pkg/gateway/convert.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/fleet"
+	"github.com/hopwell/hopwell/pkg/route"
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
+)
+
+// toReport converts a load from the wire.
+func toReport(l *wirepb.Load) route.Report {
+	return route.Report{
+		Running: int(l.Running), Reserved: int(l.Reserved), Batch: int(l.BatchLimit),
+		KVUsed: float64(l.KvUsed), KVTotal: float64(l.KvTotal), KVPerToken: float64(l.KvPerToken),
+		Queued: float64(l.QueuedTokens), Urgent: float64(l.UrgentTokens), Rate: l.PrefillRate,
+		StepBase: l.StepBase, StepSlope: l.StepSlope, SlotWait: l.SlotSeconds,
+		Transfers: int(l.Transfers), LinkRate: l.LinkRate,
+	}
+}
+
+// heardLoad takes over a sidecar's word on itself. One of an earlier epoch than
+// known is ignored, and a newer configuration than ours is fetched.
+func (g *Gateway) heardLoad(r *route.Runner, m *fleet.Member, l *wirepb.Load) {
+	now := time.Now()
+	if !g.Members.Heard(m.Name, l.Epoch, l.Leaving, now) {
+		return
+	}
+	r.Reported(toReport(l), now)
+	if d, _ := g.Keeper.Digest(); l.Revision > d.Revision {
+		go func() { _ = g.Agent.Exchange(context.Background(), m.Inner) }()
+	}
+}
--- /dev/null
+++ b/pkg/gateway/errors.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+)
+
+// ErrLimit says that too many requests are open.
+type ErrLimit struct {
+	// What is "gateway" or "workspace".
+	What  string
+	Limit int
+}
+
+// Error implements error.
+func (e *ErrLimit) Error() string {
+	return fmt.Sprintf("too many open requests: of=%s limit=%d", e.What, e.Limit)
+}
+
+// ErrUnknownModel says that no selector offers a model or plain service.
+type ErrUnknownModel struct {
+	Model, Kind string
+}
+
+// Error implements error.
+func (e *ErrUnknownModel) Error() string {
+	return fmt.Sprintf("no selector offers it: model=%q kind=%q", e.Model, e.Kind)
+}
+
+// ErrPromptTooLong says that a prompt is over the limit.
+type ErrPromptTooLong struct {
+	Tokens, Limit int
+}
+
+// Error implements error.
+func (e *ErrPromptTooLong) Error() string {
+	return fmt.Sprintf("prompt too long: tokens=%d limit=%d", e.Tokens, e.Limit)
+}
+
+// ErrShed says that capacity does not suffice now; nothing was run.
+type ErrShed struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *ErrShed) Error() string {
+	return fmt.Sprintf("no capacity in time: reason=%s retry_after=%s", e.Reason, e.RetryAfter)
+}
+
+// ErrRefused says that a sidecar did not admit an attempt; it never will run.
+type ErrRefused struct {
+	Instance, Reason string
+	RetryAfter       time.Duration
+}
+
+// Error implements error.
+func (e *ErrRefused) Error() string {
+	return fmt.Sprintf("refused: instance=%s reason=%s", e.Instance, e.Reason)
+}
+
+// ErrBroken says that a stream with a sidecar ended before its time.
+type ErrBroken struct {
+	Instance string
+	// Code is the sidecar's failure code, "lost" when the stream itself broke
+	// and "silent" when nothing came any more.
+	Code string
+	// Never is set when the sidecar said that the attempt did not begin.
+	Never bool
+	Err   error
+}
+
+// Error implements error.
+func (e *ErrBroken) Error() string {
+	return fmt.Sprintf("runner failed: instance=%s code=%s never=%t cause=%v", e.Instance, e.Code, e.Never, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrBroken) Unwrap() error { return e.Err }
+
+// ErrCallerGone says that the caller went away.
+type ErrCallerGone struct {
+	Err error
+}
+
+// Error implements error.
+func (e *ErrCallerGone) Error() string { return fmt.Sprintf("caller is gone: cause=%v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *ErrCallerGone) Unwrap() error { return e.Err }
+
+// ErrExhausted says that all tries failed.
+type ErrExhausted struct {
+	Tries int
+	Err   error
+}
+
+// Error implements error.
+func (e *ErrExhausted) Error() string {
+	return fmt.Sprintf("all tries failed: tries=%d last=%v", e.Tries, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrExhausted) Unwrap() error { return e.Err }
+
+// ErrStale says that the gateway can't confirm its configuration with anybody.
+type ErrStale struct{}
+
+// Error implements error.
+func (e *ErrStale) Error() string { return "configuration not confirmed: no peer answers" }
--- /dev/null
+++ b/pkg/gateway/explain.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"sync"
+
+	"github.com/hopwell/hopwell/pkg/route"
+)
+
+// explainsKept is how many requests are remembered for `hopwell explain`.
+const explainsKept = 4096
+
+// Explanation tells how the runners of a request were chosen.
+type Explanation struct {
+	Request string `json:"request"`
+	// Choices are in order: one for each time that the policy was asked.
+	Choices []Chosen `json:"choices"`
+	// Outcome and Err are empty while the request runs.
+	Outcome string `json:"outcome,omitempty"`
+	Err     string `json:"error,omitempty"`
+	// FirstTokenMs, PerTokenMs and their targets are in milliseconds.
+	FirstTokenMs  float64 `json:"first_token_ms,omitempty"`
+	PerTokenMs    float64 `json:"per_token_ms,omitempty"`
+	TargetFirstMs float64 `json:"target_first_ms,omitempty"`
+	TargetPerMs   float64 `json:"target_per_ms,omitempty"`
+	Prefilled     int     `json:"prefilled_tokens,omitempty"`
+	Wasted        int     `json:"wasted_tokens,omitempty"`
+	Attempts      int     `json:"attempts,omitempty"`
+}
+
+// Chosen is one answer of the policy.
+type Chosen struct {
+	// Candidates is how many pairs there were; Weighed holds the best, the
+	// chosen one first, with the estimate's terms in seconds.
+	Candidates int             `json:"candidates"`
+	Weighed    []route.Weighed `json:"weighed"`
+}
+
+// explanations keeps the newest requests' explanations.
+type explanations struct {
+	mu    sync.Mutex
+	byID  map[string]*Explanation
+	order []string
+	next  int
+}
+
+func newExplanations() *explanations {
+	return &explanations{byID: map[string]*Explanation{}, order: make([]string, explainsKept)}
+}
+
+// get returns a request's entry, making room for a new one. The caller holds
+// the lock.
+func (x *explanations) get(id string) *Explanation {
+	if e, ok := x.byID[id]; ok {
+		return e
+	}
+	delete(x.byID, x.order[x.next])
+	x.order[x.next] = id
+	x.next = (x.next + 1) % explainsKept
+	e := &Explanation{Request: id}
+	x.byID[id] = e
+	return e
+}
+
+// maxChoices bounds the choices remembered for one request.
+const maxChoices = 16
+
+// chosen books one answer of the policy.
+func (x *explanations) chosen(id string, c *route.Choice) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e := x.get(id)
+	if len(e.Choices) < maxChoices {
+		e.Choices = append(e.Choices, Chosen{Candidates: c.Candidates, Weighed: append([]route.Weighed(nil), c.Weighed[:c.N]...)})
+	}
+}
+
+// finished books a request's outcome.
+func (x *explanations) finished(id string, r *Result) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e := x.get(id)
+	e.Outcome = string(r.Outcome)
+	if r.Err != nil {
+		e.Err = r.Err.Error()
+	}
+	e.FirstTokenMs, e.PerTokenMs = r.FirstToken.Seconds()*1e3, r.PerToken.Seconds()*1e3
+	e.TargetFirstMs, e.TargetPerMs = r.TargetFirst.Seconds()*1e3, r.TargetPer.Seconds()*1e3
+	e.Prefilled, e.Wasted, e.Attempts = r.Prefilled, r.Wasted, r.Attempts
+}
+
+// Explain returns a copy of a request's explanation.
+func (g *Gateway) Explain(id string) (Explanation, bool) {
+	x := g.explains
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e, ok := x.byID[id]
+	if !ok {
+		return Explanation{}, false
+	}
+	out := *e
+	out.Choices = append([]Chosen(nil), e.Choices...)
+	return out, true
+}
--- /dev/null
+++ b/pkg/gateway/stream.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/engine"
+	"github.com/hopwell/hopwell/pkg/fleet"
+	"github.com/hopwell/hopwell/pkg/trace"
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
+)
+
+// generate starts the decode from the source and relays the answer.
+func (a *attempt) generate(ctx context.Context) error {
+	if err := a.catchUp(); err != nil {
+		return err
+	}
+	if err := a.life.Send(a.n); err != nil {
+		return err
+	}
+	_, text := a.life.Progress()
+	a.g.Log.Add(trace.Event{Type: trace.Chosen, Request: a.req.ID, Attempt: a.n, Instance: a.decode.member.Name, Detail: "role=decode"})
+	start := &wirepb.Start{SourceAddress: a.export.Address, Handle: a.export.Handle, KvBytes: a.export.Bytes, Generated: text}
+	if err := a.decode.order(&wirepb.Order{Body: &wirepb.Order_Start{Start: start}}); err != nil {
+		a.excluded[a.decode.member.Name] = true
+		return a.decode.failure("lost")
+	}
+	return a.relay(ctx)
+}
+
+// catchUp delivers what a handed-over decode generated beyond what came here.
+func (a *attempt) catchUp() error {
+	have, text := a.life.Progress()
+	more := int(a.export.Offset) - have
+	if more <= 0 || len(a.export.Generated) < len(text) {
+		return nil
+	}
+	return a.accept(have, more, a.export.Generated[len(text):])
+}
+
+// accept passes a run of tokens through the request's order to the caller.
+func (a *attempt) accept(offset, tokens int, text string) error {
+	ready, err := a.life.Chunk(a.n, offset, tokens, text)
+	if err != nil {
+		return err
+	}
+	return a.deliver(ready, tokens)
+}
+
+// relay takes the decode's reports until its end.
+func (a *attempt) relay(ctx context.Context) error {
+	b := a.decode
+	gap := time.NewTimer(a.g.opt.Lease * maxTries)
+	defer gap.Stop()
+	for {
+		select {
+		case r := <-b.reports:
+			done, err := a.take(r)
+			if done || err != nil {
+				return err
+			}
+			if a.source == nil {
+				gap.Reset(chunkGap)
+			}
+		case <-b.broken:
+			return a.decodeLost(b.failure("lost"))
+		case <-gap.C:
+			b.cancelCtx()
+			return a.decodeLost(b.failure("silent"))
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// take handles one report of the decode and reports whether it was the last.
+func (a *attempt) take(r *wirepb.Report) (bool, error) {
+	switch x := r.Body.(type) {
+	case *wirepb.Report_Imported:
+		a.release()
+	case *wirepb.Report_Chunk:
+		if err := a.accept(int(x.Chunk.Offset), int(x.Chunk.Tokens), x.Chunk.Text); err != nil {
+			return false, err
+		}
+	case *wirepb.Report_End:
+		a.decode.finished()
+		a.reason = x.End.Reason
+		return true, a.life.End(a.n, int(x.End.Tokens))
+	case *wirepb.Report_Exported:
+		return false, a.moved(x.Exported)
+	case *wirepb.Report_Failed:
+		a.decode.finished()
+		return false, a.decodeFailed(x.Failed)
+	}
+	return false, nil
+}
+
+// release tells the prefill runner that its export was imported.
+func (r *run) release() {
+	if r.source == nil {
+		return
+	}
+	_ = r.source.order(&wirepb.Order{Body: &wirepb.Order_Release{Release: &wirepb.Release{}}})
+	r.source.finished()
+	r.dropSource()
+}
+
+// moved takes over a decode that its leaving runner handed over: the next
+// attempt imports from there.
+func (a *attempt) moved(x *wirepb.Exported) error {
+	from := a.decode
+	a.excluded[from.member.Name] = true
+	a.decode = nil
+	a.source, a.export, a.stalls = from, x, 0
+	return &ErrBroken{Instance: from.member.Name, Code: engine.CodeMoved}
+}
+
+// decodeLost books a decode runner that broke off.
+func (a *attempt) decodeLost(err error) error {
+	a.excluded[a.decode.member.Name] = true
+	if a.source != nil && a.source.role == fleet.RolePrefill {
+		a.keepOrDrop()
+	}
+	return err
+}
+
+// decodeFailed decides what of the attempt can be used again.
+func (a *attempt) decodeFailed(f *wirepb.Failed) error {
+	a.excluded[a.decode.member.Name] = true
+	switch f.Code {
+	case engine.CodeStalled:
+		a.stalls++
+		if a.source != nil && a.stalls > 1 {
+			a.excluded[a.source.member.Name] = true
+			a.dropSource()
+		}
+	case engine.CodeGone:
+		a.dropSource()
+	}
+	if !f.Started {
+		a.life.Withdraw(a.n)
+	}
+	return &ErrBroken{Instance: a.decode.member.Name, Code: f.Code, Never: !f.Started}
+}
+
+// keepOrDrop keeps the source while its branch lives.
+func (r *run) keepOrDrop() {
+	select {
+	case <-r.source.broken:
+		r.dropSource()
+	default:
+	}
+}
--- /dev/null
+++ b/pkg/sidecar/decode.go
@@ -0,0 +1,157 @@
+package sidecar
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/admission"
+	"github.com/hopwell/hopwell/pkg/engine"
+	"github.com/hopwell/hopwell/pkg/trace"
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
+)
+
+// Bounds of an import: it counts as stalled when it takes stallFactor times
+// what the link should need, and at least stallMin.
+const (
+	stallFactor = 6
+	stallMin    = 300 * time.Millisecond
+)
+
+// decode reserves a stream, waits for the order to start, and relays tokens.
+func (a *attempt) decode() error {
+	if err := a.s.reserve(a); err != nil {
+		var full *admission.ErrFull
+		errors.As(err, &full)
+		return a.refuse(&wirepb.Refused{Reason: ReasonFull, RetryAfterUs: full.RetryAfter.Microseconds()})
+	}
+	defer a.s.unreserve(a.key)
+	if err := a.admit(0); err != nil {
+		return err
+	}
+	var start *wirepb.Start
+	select {
+	case start = <-a.start:
+	case <-a.ctx.Done():
+		a.s.fences.fence(a.key)
+		return a.fail(a.cause(), false)
+	}
+	if err := a.s.slot(a); err != nil {
+		a.s.fences.fence(a.key)
+		return a.fail(err, false)
+	}
+	if !a.s.fences.begin(a.key) {
+		return a.fail(&ErrOrder{Want: "an attempt that was not fenced"}, false)
+	}
+	return a.generate(start)
+}
+
+// reserve books a stream with the ledger.
+func (s *Sidecar) reserve(a *attempt) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tokens := int64(a.open.PromptTokens) + int64(a.open.MaxTokens)
+	st := admission.Stream{
+		ID: a.key, Bytes: tokens * s.kvToken, Tokens: int(a.open.MaxTokens - a.open.ResumeOffset),
+		PerToken: time.Duration(a.open.PerTokenUs) * time.Microsecond, Paid: a.open.Paid,
+	}
+	if s.opt.Admission == AdmitFIFO {
+		s.ledger.Book(st)
+		return nil
+	}
+	need := time.Duration(a.open.NeedUs) * time.Microsecond
+	return s.ledger.Reserve(time.Now(), need, st)
+}
+
+func (s *Sidecar) unreserve(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Drop(key)
+	s.nextStarter()
+}
+
+// starter is a stream whose KV cache is ready and that waits for its slot.
+type starter struct {
+	key string
+	ok  chan struct{}
+}
+
+// slot waits until the stream has room. Streams start in the order in which
+// their KV caches became ready, which are kept for a few seconds only.
+func (s *Sidecar) slot(a *attempt) error {
+	w := &starter{key: a.key, ok: make(chan struct{})}
+	s.mu.Lock()
+	s.starters = append(s.starters, w)
+	s.nextStarter()
+	s.mu.Unlock()
+	select {
+	case <-w.ok:
+		return nil
+	case <-a.ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starters = slices.DeleteFunc(s.starters, func(x *starter) bool { return x == w })
+	return a.cause()
+}
+
+// nextStarter lets waiting streams start while there is room. The caller holds
+// the lock.
+func (s *Sidecar) nextStarter() {
+	for len(s.starters) > 0 && s.ledger.Start(s.starters[0].key) {
+		close(s.starters[0].ok)
+		s.starters = s.starters[1:]
+	}
+}
+
+// generate runs the decode on the engine and relays its tokens.
+func (a *attempt) generate(start *wirepb.Start) error {
+	a.event(trace.Started, "role=decode")
+	r := &relay{a: a, next: int(a.open.ResumeOffset), last: time.Now(), moved: make(chan engine.Export, 1)}
+	done := make(chan struct{})
+	defer close(done)
+	go a.watchHandover(done, r)
+	err := a.s.decodeEngine(a, a.order(start), r)
+	if err == nil {
+		a.event(trace.Ended, "role=decode")
+		return a.send(&wirepb.Report{Load: a.s.load(), Body: &wirepb.Report_End{End: &wirepb.End{Tokens: uint32(r.next), Reason: r.reason}}})
+	}
+	if isCode(err, engine.CodeMoved) {
+		return a.awaitMoved(r)
+	}
+	a.s.free(a.key)
+	return a.fail(err, true)
+}
+
+func (a *attempt) order(start *wirepb.Start) engine.Decode {
+	d := engine.Decode{
+		ID: a.key, Model: a.open.Model, Version: a.open.Version, Adapter: a.open.Adapter,
+		Prompt: a.open.Prompt, PromptTokens: int(a.open.PromptTokens),
+		Generated: start.Generated, Offset: int(a.open.ResumeOffset),
+		MaxTokens: int(a.open.MaxTokens), Seed: a.open.Seed, Priority: int(a.open.Priority),
+	}
+	if start.Handle != "" {
+		d.Source = &engine.Export{Handle: start.Handle, Address: start.SourceAddress, Bytes: int64(start.KvBytes)}
+	}
+	return d
+}
+
+// decodeEngine runs a decode whose import must not stall.
+func (s *Sidecar) decodeEngine(a *attempt, d engine.Decode, r *relay) error {
+	ctx, stall := stallContext(a.ctx, s.importTime(d))
+	err := s.opt.Engine.Decode(ctx, d, func() { stall.done(); r.imported() }, r.token)
+	if stall.fired() && a.ctx.Err() == nil {
+		return &engine.ErrEngine{Code: engine.CodeStalled, Detail: d.ID}
+	}
+	return err
+}
+
+// importTime is how long the import may take. Without a source the engine
+// computes the prompt itself, which has no bound but the lease.
+func (s *Sidecar) importTime(d engine.Decode) time.Duration {
+	if d.Source == nil || s.opt.LinkRate <= 0 {
+		return maxLease
+	}
+	ideal := time.Duration(float64(d.Source.Bytes) / s.opt.LinkRate * float64(time.Second))
+	return max(stallFactor*ideal, stallMin)
+}
--- /dev/null
+++ b/pkg/sidecar/epoch.go
@@ -0,0 +1,24 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/engine"
+)
+
+// NextEpoch returns a new sidecar's epoch: later than that of every earlier
+// process beside the engine. The engine's own word goes before the clock, which
+// may have been set back.
+func NextEpoch(e engine.Engine) uint64 {
+	epoch := uint64(time.Now().UnixMilli())
+	if e == nil {
+		return epoch
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), engineTime)
+	defer cancel()
+	if l, err := e.Load(ctx); err == nil {
+		epoch = max(epoch, l.Fence.Epoch+1)
+	}
+	return epoch
+}
--- /dev/null
+++ b/pkg/sidecar/load.go
@@ -0,0 +1,35 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
+)
+
+// urgentWithin is the time to a prefill's deadline below which it counts as
+// urgent in a load report; gateways use the same measure.
+const urgentWithin = 1500 * time.Millisecond
+
+// load reports what the sidecar knows of its runner now.
+func (s *Sidecar) load() *wirepb.Load {
+	d, _ := s.Keeper.Digest()
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all, urgent := s.queue.Tokens(now, urgentWithin)
+	running, reserved, bytes := s.ledger.Usage()
+	base, slope := s.step.Model()
+	l := &wirepb.Load{
+		Instance: s.Self.Name, Epoch: s.Epoch, Revision: d.Revision, Leaving: s.leaving.Load(),
+		Running: uint32(running), Reserved: uint32(reserved), BatchLimit: uint32(s.ledger.Batch),
+		KvUsed: uint64(bytes), KvTotal: uint64(s.ledger.Bytes), KvPerToken: uint64(s.kvToken),
+		QueuedTokens: uint64(all), UrgentTokens: uint64(urgent), PrefillRate: s.queue.Rate,
+		StepBase: base.Seconds(), StepSlope: slope.Seconds(),
+		Transfers: uint32(s.transfers), LinkRate: s.opt.LinkRate,
+		Waiting: uint32(s.queue.Len()), SlotSeconds: s.ledger.SlotTime(now).Seconds(),
+	}
+	if s.opt.Service != nil {
+		l.Running, l.BatchLimit = uint32(s.calls), uint32(s.opt.Slots)
+	}
+	return l
+}
