httpd: nbhttp server whose request contexts end with the connection

Cause: nbhttp queues its close notice behind the running handler, so a handler hears of a gone caller only after it has ended. Ruled out: write errors (Flush returns none), the request's own context (not cancelled).

--- /dev/null
+++ b/pkg/httpd/httpd.go
@@ -0,0 +1,170 @@
+// Package httpd serves HTTP with nbio's nbhttp. Beyond nbhttp it ends the
+// context of a request as soon as its caller's connection closes.
+//
+// nbhttp tells a handler of a closed connection only after the handler has
+// returned, since it queues the notice behind it. A caller that waits for its
+// first token sends and gets nothing, so write errors don't show its leaving
+// either. The server therefore looks at the connections of all running
+// requests every sweepEvery; docs/DESIGN.md gives the ways that were weighed.
+package httpd
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/hopwell/hopwell/pkg/logs"
+)
+
+const (
+	// sweepEvery is the time between two looks at the connections.
+	sweepEvery = 25 * time.Millisecond
+	// keepalive is how long a connection may take to send its next request.
+	keepalive = 75 * time.Second
+	// maxWriteBuffer is how much may wait for a caller that does not read; its
+	// connection is closed above that.
+	maxWriteBuffer = 4 << 20
+	// maxHandlers bounds the requests that run at once.
+	maxHandlers = 16384
+)
+
+// ErrListen says that an address can't be served.
+type ErrListen struct {
+	Address string
+	Err     error
+}
+
+// Error implements error.
+func (e *ErrListen) Error() string {
+	return fmt.Sprintf("can't listen: address=%s cause=%v", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrListen) Unwrap() error { return e.Err }
+
+// Server is one listening HTTP server.
+type Server struct {
+	engine   *nbhttp.Engine
+	listener net.Listener
+	stop     chan struct{}
+	once     sync.Once
+
+	mu   sync.Mutex
+	open map[*nbio.Conn]context.CancelFunc
+}
+
+// Listen serves a handler on an address. Bodies above maxBody bytes end their
+// connection; handlers answer smaller limits by themselves.
+func Listen(address string, h http.Handler, maxBody int) (*Server, error) {
+	logs.AdoptLibrary()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &ErrListen{Address: address, Err: err}
+	}
+	s := &Server{listener: l, stop: make(chan struct{}), open: map[*nbio.Conn]context.CancelFunc{}}
+	s.engine = nbhttp.NewEngine(nbhttp.Config{
+		Network:                "tcp",
+		Addrs:                  []string{l.Addr().String()},
+		Listen:                 func(string, string) (net.Listener, error) { return l, nil },
+		Handler:                s.watched(h),
+		MaxHTTPBodySize:        maxBody,
+		ReadLimit:              maxBody,
+		KeepaliveTime:          keepalive,
+		MaxWriteBufferSize:     maxWriteBuffer,
+		MessageHandlerPoolSize: maxHandlers,
+	})
+	if err := s.engine.Start(); err != nil {
+		_ = l.Close()
+		return nil, &ErrListen{Address: address, Err: err}
+	}
+	go s.sweep()
+	return s, nil
+}
+
+// Addr returns the address that is served.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Close stops serving. Running requests are cut off.
+func (s *Server) Close() {
+	s.once.Do(func() {
+		close(s.stop)
+		s.engine.Stop()
+	})
+}
+
+// Shutdown stops taking connections and waits for running requests.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.once.Do(func() { close(s.stop) })
+	return s.engine.Shutdown(ctx)
+}
+
+// watched gives a handler's requests a context that ends with the connection.
+func (s *Server) watched(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		if c := connOf(w); c != nil {
+			s.watch(c, cancel)
+			defer s.unwatch(c)
+		}
+		h.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// connOf returns the connection below a response, nil for none.
+func connOf(w http.ResponseWriter) *nbio.Conn {
+	res, ok := w.(*nbhttp.Response)
+	if !ok || res.Parser == nil {
+		return nil
+	}
+	switch c := res.Parser.Conn.(type) {
+	case *nbio.Conn:
+		return c
+	case *nbhttp.Conn:
+		inner, _ := c.Conn.(*nbio.Conn)
+		return inner
+	}
+	return nil
+}
+
+func (s *Server) watch(c *nbio.Conn, cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = cancel
+}
+
+func (s *Server) unwatch(c *nbio.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+// sweep ends the contexts of requests whose connection is closed.
+func (s *Server) sweep() {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			s.look()
+		case <-s.stop:
+			return
+		}
+	}
+}
+
+func (s *Server) look() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, cancel := range s.open {
+		if closed, _ := c.IsClosed(); closed {
+			cancel()
+		}
+	}
+}
