--- /dev/null
+++ b/pkg/admin/admin.go
@@ -0,0 +1,306 @@
+// Package admin is the operators' side of a process: health, metrics, the time
+// line, explanations, and changes of the configuration. It listens on a port of
+// its own, which belongs on the operators' network only: nothing on it asks who
+// calls.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/fleet"
+	"github.com/hopwell/hopwell/pkg/gateway"
+	"github.com/hopwell/hopwell/pkg/gossip"
+	"github.com/hopwell/hopwell/pkg/node"
+	"github.com/hopwell/hopwell/pkg/platform"
+	"github.com/hopwell/hopwell/pkg/sidecar"
+	"github.com/hopwell/hopwell/pkg/trace"
+)
+
+// Paths of the admin port.
+const (
+	PathHealth   = "/health"
+	PathReady    = "/ready"
+	PathMetrics  = "/metrics"
+	PathStatus   = "/v1/status"
+	PathTimeline = "/v1/timeline"
+	PathExplain  = "/v1/explain/"
+	PathConfig   = "/v1/config"
+	PathChange   = "/v1/change"
+	PathDrain    = "/v1/drain"
+)
+
+// maxChange bounds the body of a change, in bytes.
+const maxChange = platform.MaxValue
+
+// Handler serves the admin port of one process. Gateway or Sidecar is nil.
+type Handler struct {
+	Node    *node.Node
+	Gateway *gateway.Gateway
+	Sidecar *sidecar.Sidecar
+	// Drain starts the process's planned stop.
+	Drain func(deadline time.Time)
+}
+
+// Status is one process's word on itself.
+type Status struct {
+	Instance string    `json:"instance"`
+	Role     string    `json:"role"`
+	Domain   string    `json:"domain"`
+	Epoch    uint64    `json:"epoch"`
+	Ready    bool      `json:"ready"`
+	Revision uint64    `json:"revision"`
+	Hash     uint64    `json:"hash"`
+	Members  []Member  `json:"members"`
+	Time     time.Time `json:"time"`
+}
+
+// Member is an instance as the process sees it.
+type Member struct {
+	Name    string       `json:"name"`
+	Role    string       `json:"role"`
+	Domain  string       `json:"domain"`
+	Admin   string       `json:"admin"`
+	Leaving bool         `json:"leaving"`
+	Labels  fleet.Labels `json:"labels"`
+	Work    []string     `json:"work"`
+	// Load is known to gateways only.
+	Load *gateway.RunnerLoad `json:"load,omitempty"`
+}
+
+// Mux returns the handler of the admin port.
+func (h *Handler) Mux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathHealth, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET "+PathReady, h.ready)
+	mux.HandleFunc("GET "+PathMetrics, h.metrics)
+	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, h.status()) })
+	mux.HandleFunc("GET "+PathTimeline, h.timeline)
+	mux.HandleFunc("GET "+PathExplain+"{id}", h.explain)
+	mux.HandleFunc("GET "+PathConfig, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, h.Node.Keeper.Document()) })
+	mux.HandleFunc("POST "+PathChange, h.change)
+	mux.HandleFunc("POST "+PathDrain, h.drain)
+	return mux
+}
+
+func (h *Handler) isReady() bool {
+	if h.Gateway != nil {
+		return h.Gateway.Ready()
+	}
+	return h.Node.Ready()
+}
+
+func (h *Handler) ready(w http.ResponseWriter, _ *http.Request) {
+	if !h.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = io.WriteString(w, "\n")
+}
+
+func (h *Handler) metrics(w http.ResponseWriter, _ *http.Request) {
+	if h.Gateway != nil {
+		h.Gateway.WriteMetrics(w)
+	}
+	if h.Sidecar != nil {
+		h.Sidecar.WriteMetrics(w)
+	}
+}
+
+func (h *Handler) status() Status {
+	d, _ := h.Node.Keeper.Digest()
+	s := Status{
+		Instance: h.Node.Self.Name, Role: h.Node.Self.Role, Domain: h.Node.Self.Domain, Epoch: h.Node.Epoch,
+		Ready: h.isReady(), Revision: d.Revision, Hash: d.Hash, Time: time.Now(),
+	}
+	view := h.Node.View()
+	for _, m := range view.Members {
+		x := Member{Name: m.Name, Role: m.Role, Domain: m.Domain, Admin: m.Admin, Leaving: m.Leaving || m.Labels.Leaving(), Labels: m.Labels}
+		for _, sel := range view.Work(m) {
+			x.Work = append(x.Work, sel.Name)
+		}
+		if h.Gateway != nil && m.Role == platform.RoleSidecar {
+			l := h.Gateway.Load(m)
+			x.Load = &l
+		}
+		s.Members = append(s.Members, x)
+	}
+	return s
+}
+
+func (h *Handler) timeline(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	f := trace.Filter{Request: q.Get("request"), Instance: q.Get("instance")}
+	if s := q.Get("since"); s != "" {
+		at, err := time.Parse(time.RFC3339Nano, s)
+		if err != nil {
+			writeError(w, http.StatusBadRequest, &ErrParam{Name: "since", Expected: "a time as 2006-01-02T15:04:05Z"})
+			return
+		}
+		f.Since = at
+	}
+	writeJSON(w, http.StatusOK, h.Node.Log.Events(f))
+}
+
+func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
+	if h.Gateway != nil {
+		if e, ok := h.Gateway.Explain(r.PathValue("id")); ok {
+			writeJSON(w, http.StatusOK, e)
+			return
+		}
+	}
+	writeError(w, http.StatusNotFound, &ErrParam{Name: "id", Expected: "a request that this gateway served lately"})
+}
+
+// ChangeReply is the answer to a change.
+type ChangeReply struct {
+	// Revision is the one that the change made, or would make.
+	Revision uint64 `json:"revision"`
+	// Gains and Losses list by instance the selectors that it gains or loses.
+	Gains  map[string][]string `json:"gains"`
+	Losses map[string][]string `json:"losses"`
+	DryRun bool                `json:"dry_run"`
+}
+
+// Conflict is the body of an answer that refuses a change.
+type Conflict struct {
+	Error string `json:"error"`
+	// Kind is the Go name of the error's type.
+	Kind string `json:"kind"`
+}
+
+// change carries out an operator's edit, or with ?dry_run=1 only says what it
+// would do.
+func (h *Handler) change(w http.ResponseWriter, r *http.Request) {
+	var c fleet.Change
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxChange)).Decode(&c); err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	if c.ID == "" {
+		writeError(w, http.StatusBadRequest, &ErrParam{Name: "id", Expected: "a unique ID of the change"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), changeTime)
+	defer cancel()
+	before := h.Node.Keeper.Document()
+	var next *fleet.Document
+	var err error
+	dry := r.URL.Query().Get("dry_run") != ""
+	if dry {
+		next, err = h.dryRun(before, &c)
+	} else {
+		next, err = h.Node.Agent.Change(ctx, &c, h.check(&c))
+	}
+	if err != nil {
+		writeError(w, statusOf(err), err)
+		return
+	}
+	writeJSON(w, http.StatusOK, h.reply(before, next, dry))
+}
+
+// changeTime bounds one change.
+const changeTime = 8 * time.Second
+
+func (h *Handler) dryRun(before *fleet.Document, c *fleet.Change) (*fleet.Document, error) {
+	next, err := before.Apply(c)
+	if err != nil {
+		return nil, err
+	}
+	return next, h.check(c)(before, next)
+}
+
+// check refuses a change that leaves a request kind without a runner, unless
+// it is forced.
+func (h *Handler) check(c *fleet.Change) func(before, after *fleet.Document) error {
+	return func(before, after *fleet.Document) error {
+		if c.Force {
+			return nil
+		}
+		members := h.Node.Members.Members()
+		return fleet.Check(fleet.NewView(before, members), fleet.NewView(after, members))
+	}
+}
+
+func (h *Handler) reply(before, next *fleet.Document, dry bool) ChangeReply {
+	members := h.Node.Members.Members()
+	out := ChangeReply{Revision: next.Revision, Gains: map[string][]string{}, Losses: map[string][]string{}, DryRun: dry}
+	was, is := work(fleet.NewView(before, members)), work(fleet.NewView(next, members))
+	for name := range is {
+		out.Gains[name] = minus(is[name], was[name])
+		out.Losses[name] = minus(was[name], is[name])
+		dropEmpty(out.Gains, name)
+		dropEmpty(out.Losses, name)
+	}
+	return out
+}
+
+// work lists each member's selectors by name.
+func work(v *fleet.View) map[string][]string {
+	out := map[string][]string{}
+	for _, m := range v.Members {
+		out[m.Name] = nil
+		if m.Labels.Leaving() {
+			continue
+		}
+		for _, s := range v.Work(m) {
+			out[m.Name] = append(out[m.Name], s.Name)
+		}
+	}
+	return out
+}
+
+// minus returns what is in a and not in b.
+func minus(a, b []string) []string {
+	in := map[string]bool{}
+	for _, x := range b {
+		in[x] = true
+	}
+	var out []string
+	for _, x := range a {
+		if !in[x] {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func dropEmpty(m map[string][]string, key string) {
+	if len(m[key]) == 0 {
+		delete(m, key)
+	}
+}
+
+// drain starts the process's planned stop: ?deadline=30s says when its instance
+// ends.
+func (h *Handler) drain(w http.ResponseWriter, r *http.Request) {
+	var deadline time.Time
+	if s := r.URL.Query().Get("deadline"); s != "" {
+		d, err := time.ParseDuration(s)
+		if err != nil {
+			writeError(w, http.StatusBadRequest, &ErrParam{Name: "deadline", Expected: "a duration as 30s"})
+			return
+		}
+		deadline = time.Now().Add(d)
+	}
+	h.Drain(deadline)
+	writeJSON(w, http.StatusOK, h.status())
+}
+
+// statusOf maps a change's error to an HTTP status.
+func statusOf(err error) int {
+	var conflict *fleet.ErrConflict
+	var none *fleet.ErrNoRunner
+	var unsettled *gossip.ErrUnsettled
+	var down *platform.ErrUnavailable
+	switch {
+	case errors.As(err, &unsettled), errors.As(err, &down):
+		return http.StatusServiceUnavailable
+	case errors.As(err, &conflict), errors.As(err, &none):
+		return http.StatusConflict
+	}
+	return http.StatusBadRequest
+}
--- /dev/null
+++ b/pkg/config/load.go
@@ -0,0 +1,163 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// ErrSettings says what is wrong in a settings file, and where.
+type ErrSettings struct {
+	File         string
+	Line, Column int
+	// Field is the path of the key, as listen.inner.
+	Field    string
+	Expected string
+}
+
+// Error implements error.
+func (e *ErrSettings) Error() string {
+	return fmt.Sprintf("bad settings: file=%s line=%d column=%d field=%s expected=%q", e.File, e.Line, e.Column, e.Field, e.Expected)
+}
+
+// ErrFile says that a settings file can't be read.
+type ErrFile struct {
+	File string
+	Err  error
+}
+
+// Error implements error.
+func (e *ErrFile) Error() string {
+	return fmt.Sprintf("can't read settings: file=%s cause=%v", e.File, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrFile) Unwrap() error { return e.Err }
+
+// fault is a failed check before its place in the file is known.
+type fault struct {
+	field, expected string
+}
+
+// LoadGateway reads and checks a gateway's settings file.
+func LoadGateway(file string) (*Gateway, error) {
+	data, err := read(file)
+	if err != nil {
+		return nil, err
+	}
+	return ParseGateway(file, data)
+}
+
+// ParseGateway reads and checks a gateway's settings; file is for errors.
+func ParseGateway(file string, data []byte) (*Gateway, error) {
+	var g Gateway
+	must(yaml.Unmarshal([]byte(GatewayDefault), &g))
+	g.Instance, g.Platform, g.Listen = Instance{}, "", Listen{}
+	if err := decode(file, data, &g); err != nil {
+		return nil, err
+	}
+	return &g, place(file, data, g.check())
+}
+
+// LoadSidecar reads and checks a sidecar's settings file.
+func LoadSidecar(file string) (*Sidecar, error) {
+	data, err := read(file)
+	if err != nil {
+		return nil, err
+	}
+	return ParseSidecar(file, data)
+}
+
+// ParseSidecar reads and checks a sidecar's settings; file is for errors.
+func ParseSidecar(file string, data []byte) (*Sidecar, error) {
+	var s Sidecar
+	must(yaml.Unmarshal([]byte(SidecarDefault), &s))
+	s.Instance, s.Platform, s.Listen, s.Engine = Instance{}, "", Listen{}, ""
+	if err := decode(file, data, &s); err != nil {
+		return nil, err
+	}
+	return &s, place(file, data, s.check())
+}
+
+// Kind tells from a file's keys whether it is for "gateway" or "sidecar".
+func Kind(data []byte) string {
+	var keys map[string]any
+	if yaml.Unmarshal(data, &keys) != nil {
+		return "gateway"
+	}
+	for _, k := range []string{"engine", "service", "slots", "admission", "guesses"} {
+		if _, ok := keys[k]; ok {
+			return "sidecar"
+		}
+	}
+	return "gateway"
+}
+
+func read(file string) ([]byte, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &ErrFile{File: file, Err: err}
+	}
+	return data, nil
+}
+
+// must guards the embedded defaults, which tests check.
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// decode reads YAML strictly: unknown and doubled keys are errors.
+func decode(file string, data []byte, into any) error {
+	if len(bytes.TrimSpace(data)) == 0 {
+		return &ErrSettings{File: file, Line: 1, Column: 1, Field: ".", Expected: "settings"}
+	}
+	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	err := dec.Decode(into)
+	if err == nil {
+		return nil
+	}
+	out := &ErrSettings{File: file, Line: 1, Column: 1, Field: ".", Expected: err.Error()}
+	if at, ok := err.(yaml.Error); ok {
+		out.Expected = at.GetMessage()
+		if t := at.GetToken(); t != nil {
+			out.Line, out.Column, out.Field = t.Position.Line, t.Position.Column, t.Value
+		}
+	}
+	return out
+}
+
+// place finds where in the file a fault is.
+func place(file string, data []byte, f *fault) error {
+	if f == nil {
+		return nil
+	}
+	out := &ErrSettings{File: file, Line: 1, Column: 1, Field: f.field, Expected: f.expected}
+	if n := find(data, f.field); n != nil && n.GetToken() != nil {
+		out.Line, out.Column = n.GetToken().Position.Line, n.GetToken().Position.Column
+	}
+	return out
+}
+
+// find returns the node of a field, or of the nearest key above it.
+func find(data []byte, field string) ast.Node {
+	tree, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return nil
+	}
+	for field != "" {
+		if p, err := yaml.PathString("$." + field); err == nil {
+			if n, err := p.FilterFile(tree); err == nil && n != nil {
+				return n
+			}
+		}
+		cut := bytes.LastIndexByte([]byte(field), '.')
+		field = field[:max(cut, 0)]
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/httpapi/service.go
@@ -0,0 +1,85 @@
+package httpapi
+
+import (
+	"net/http"
+
+	"github.com/hopwell/hopwell/pkg/gateway"
+	"github.com/hopwell/hopwell/pkg/request"
+)
+
+// hopHeaders belong to one connection and are not passed on (RFC 9110, 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// service passes a call to a plain service: /services/NAME/PATH becomes /PATH.
+func (a *API) service(w http.ResponseWriter, r *http.Request) {
+	c, err := identify(r)
+	var body []byte
+	if err == nil {
+		body, err = readBody(r)
+	}
+	if err != nil {
+		writeError(w, c.id, err)
+		return
+	}
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	header := endToEnd(r.Header)
+	header.Set(HeaderRequest, c.id)
+	s := &serviceSink{w: w, id: c.id}
+	res := a.g.Call(r.Context(), &gateway.ServiceRequest{
+		ID: c.id, Workspace: c.workspace, Kind: c.kind, Service: r.PathValue("name"),
+		Method: r.Method, Path: path, Header: header, Body: body,
+		Key: c.key, NotRepeatable: c.notRepeatable,
+	}, s)
+	s.end(&res)
+}
+
+// endToEnd copies the headers that are passed on.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	out.Del("Content-Length")
+	return out
+}
+
+// serviceSink writes a service's answer. The body is sent when it is complete,
+// so that a caller never takes a part of it for the whole.
+type serviceSink struct {
+	w      http.ResponseWriter
+	id     string
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Head implements gateway.ServiceSink.
+func (s *serviceSink) Head(status int, header http.Header) {
+	s.status, s.header, s.body = status, endToEnd(header), nil
+}
+
+// Body implements gateway.ServiceSink.
+func (s *serviceSink) Body(p []byte) error {
+	s.body = append(s.body, p...)
+	return nil
+}
+
+func (s *serviceSink) end(res *gateway.Result) {
+	if res.Err != nil {
+		writeAnswer(s.w, describe(s.id, res.Err, res.Outcome))
+		return
+	}
+	for name, values := range s.header {
+		s.w.Header()[name] = values
+	}
+	s.w.Header().Set(HeaderRequest, s.id)
+	s.w.Header().Set(HeaderOutcome, string(request.Done))
+	s.w.WriteHeader(s.status)
+	_, _ = s.w.Write(s.body)
+}
