--- /dev/null
+++ b/cmd/hopwelld/cmds/demo.go
@@ -0,0 +1,56 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/hopwell/hopwell/pkg/demo"
+)
+
+// demoStart bounds the time in which the demo must be ready.
+const demoStart = 30 * time.Second
+
+func newDemo() *cobra.Command {
+	var o demo.Options
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a whole fleet with stand-ins on loopback",
+		Long:  "Run stand-ins for the platform, six model engines and a plain service, their\nsidecars and two gateways in one process on loopback, until interrupted.",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			begin, cancel := context.WithTimeout(ctx, demoStart)
+			defer cancel()
+			d, err := demo.Start(begin, o)
+			if err != nil {
+				return err
+			}
+			defer d.Close()
+			describe(cmd, d)
+			<-ctx.Done()
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&o.Platform, "platform", "", "address of the stand-in platform (default a free port)")
+	cmd.Flags().StringSliceVar(&o.Callers, "callers", nil, "addresses of the gateways for callers (default free ports)")
+	cmd.Flags().StringSliceVar(&o.Admin, "admin", nil, "admin addresses of the gateways (default free ports)")
+	return cmd
+}
+
+// describe prints where everything is and what to try.
+func describe(cmd *cobra.Command, d *demo.Demo) {
+	out := cmd.OutOrStdout()
+	for i, g := range d.Gateways {
+		fmt.Fprintf(out, "gateway %d   callers http://%s   admin http://%s\n", i+1, g.Ports().Callers, g.Ports().Admin)
+	}
+	fmt.Fprintf(out, "platform    %s\n\n", d.PlatformURL)
+	fmt.Fprintf(out, "curl -N http://%s/v1/completions -d '{\"model\":%q,\"prompt\":\"Welcome aboard\",\"max_tokens\":32,\"stream\":true}'\n", d.Gateways[0].Ports().Callers, demo.Model)
+	fmt.Fprintf(out, "curl http://%s/services/%s/lookup?q=hull\n", d.Gateways[0].Ports().Callers, demo.Service)
+	fmt.Fprintf(out, "hopwell --platform %s status\n", d.PlatformURL)
+}
--- /dev/null
+++ b/cmd/hopwelld/cmds/run.go
@@ -0,0 +1,92 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/hopwell/hopwell/pkg/config"
+	"github.com/hopwell/hopwell/pkg/logs"
+	"github.com/hopwell/hopwell/pkg/process"
+)
+
+func newGateway() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "gateway",
+		Short: "Run a gateway",
+		Long:  "Run a gateway: it takes callers' requests and chooses runners for them.\nSIGTERM starts a planned stop, which cuts off no request; a second one ends it at once.",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := config.LoadGateway(file)
+			if err != nil {
+				return err
+			}
+			if err := logs.Enable(c.Log); err != nil {
+				return err
+			}
+			p, err := process.StartGateway(c, process.FromURL(c.Platform))
+			if err != nil {
+				return err
+			}
+			return serve(cmd.OutOrStdout(), p)
+		},
+	}
+	settingsFlag(cmd, &file)
+	return cmd
+}
+
+func newSidecar() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "sidecar",
+		Short: "Run the sidecar of a runner",
+		Long:  "Run the sidecar beside a model engine or a plain service: it decides admission\nand frees what nobody renews. SIGTERM starts a planned stop, which cuts off no\nrequest; a second one ends it at once.",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := config.LoadSidecar(file)
+			if err != nil {
+				return err
+			}
+			if err := logs.Enable(c.Log); err != nil {
+				return err
+			}
+			p, err := process.StartSidecar(c, process.FromURL(c.Platform))
+			if err != nil {
+				return err
+			}
+			return serve(cmd.OutOrStdout(), p)
+		},
+	}
+	settingsFlag(cmd, &file)
+	return cmd
+}
+
+func settingsFlag(cmd *cobra.Command, file *string) {
+	cmd.Flags().StringVarP(file, "config", "c", "", "settings file (see `hopwelld config`)")
+	_ = cmd.MarkFlagRequired("config")
+}
+
+// serve waits for a signal and carries out the planned stop.
+func serve(out io.Writer, p *process.Process) error {
+	ports := p.Ports()
+	fmt.Fprintf(out, "ready callers=%s inner=%s admin=%s\n", ports.Callers, ports.Inner, ports.Admin)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+		go p.Stop(time.Time{})
+	case <-p.Stopped():
+		return nil
+	}
+	select {
+	case <-signals:
+	case <-p.Stopped():
+	}
+	return nil
+}
