hopwell: the operators' command and its client

Found on the way: a sidecar's last report still counted the stream that had just ended (status showed 1 of 40 streams at rest); it now gives the slot back before it reads the load. A bad duration was reported without its line.

--- /dev/null
+++ b/cmd/hopwell/cmds/ops.go
@@ -0,0 +1,62 @@
+package cmds
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/hopwell/hopwell/pkg/config"
+)
+
+func newDrain(o *options) *cobra.Command {
+	var deadline time.Duration
+	cmd := &cobra.Command{
+		Use:   "drain INSTANCE",
+		Short: "Start the planned stop of an instance's process, which cuts off no request",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := o.client().Drain(cmd.Context(), args[0], deadline); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "draining %s\n", args[0])
+			return err
+		},
+	}
+	cmd.Flags().DurationVar(&deadline, "deadline", 0, "when the instance ends; streams that would not end before move to another runner")
+	return cmd
+}
+
+func newCheck() *cobra.Command {
+	var kind string
+	cmd := &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file",
+		Long:  "Check a settings file of a gateway or a sidecar. What is wrong is reported with\nline, column, field and what was expected, with exit code 2.",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			data, err := readFile(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			if kind == "" {
+				kind = config.Kind(data)
+			}
+			switch kind {
+			case "gateway":
+				_, err = config.ParseGateway(args[0], data)
+			case "sidecar":
+				_, err = config.ParseSidecar(args[0], data)
+			default:
+				err = &errInput{What: "role=" + kind, Expected: "gateway or sidecar"}
+			}
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: good settings of a %s\n", args[0], kind)
+			return err
+		},
+	}
+	cmd.Flags().StringVar(&kind, "role", "", "gateway or sidecar (default told by the file's keys)")
+	return cmd
+}
--- /dev/null
+++ b/cmd/hopwell/cmds/root.go
@@ -0,0 +1,133 @@
+// Package cmds holds the commands of hopwell.
+package cmds
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/hopwell/hopwell/pkg/clidocs"
+	"github.com/hopwell/hopwell/pkg/config"
+	"github.com/hopwell/hopwell/pkg/opclient"
+)
+
+// Exit codes, for scripts.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitInput    = 2
+	exitRefused  = 3
+	exitUnknown  = 4
+	envPlatform  = "HOPWELL_PLATFORM"
+	defaultURL   = "http://127.0.0.1:7400"
+	formatText   = "text"
+	formatJSON   = "json"
+	formatChrome = "chrome"
+)
+
+// options are the flags of all commands.
+type options struct {
+	platform string
+	admin    []string
+	format   string
+}
+
+// client returns the client that the flags ask for.
+func (o *options) client() *opclient.Client { return opclient.New(o.platform, o.admin) }
+
+// New returns the command tree.
+func New() *cobra.Command {
+	var o options
+	root := &cobra.Command{
+		Use:   "hopwell",
+		Short: "Operate a hopwell fleet",
+		Long: "hopwell changes labels and selectors and tells what the fleet does and why.\n\n" +
+			"Exit codes: 0 done, 1 failed, 2 bad input, 3 refused (a conflict, or no runner\nwould be left), 4 not known whether the change took effect.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	f := root.PersistentFlags()
+	f.StringVar(&o.platform, "platform", platformURL(), "base URL of the platform, where the instance list is ($"+envPlatform+")")
+	f.StringSliceVar(&o.admin, "admin", nil, "admin addresses to use instead of the instance list")
+	f.StringVarP(&o.format, "output", "o", formatText, "output format: text or json")
+	root.AddCommand(newLabel(&o), newSelector(&o), newStatus(&o), newExplain(&o), newTimeline(&o), newDrain(&o), newCheck())
+	root.AddCommand(clidocs.New(root))
+	return root
+}
+
+// platformURL is the platform flag's default. The documented default does not
+// depend on the environment.
+func platformURL() string {
+	if v := os.Getenv(envPlatform); v != "" {
+		return v
+	}
+	return defaultURL
+}
+
+// errInput says that an argument is wrong.
+type errInput struct {
+	What, Expected string
+}
+
+// Error implements error.
+func (e *errInput) Error() string {
+	return fmt.Sprintf("bad argument: %s expected=%q", e.What, e.Expected)
+}
+
+// Main runs a command line and returns its exit code.
+func Main(args []string) int {
+	root := New()
+	root.SetArgs(args)
+	err := root.Execute()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "error:", err)
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var answer *opclient.ErrAnswer
+	var input *errInput
+	var settings *config.ErrSettings
+	var file *config.ErrFile
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &input), errors.As(err, &settings), errors.As(err, &file):
+		return exitInput
+	case errors.As(err, &answer):
+		return answerCode(answer)
+	}
+	return exitFailed
+}
+
+func answerCode(e *opclient.ErrAnswer) int {
+	switch {
+	case e.Status == http.StatusConflict:
+		return exitRefused
+	case e.Status == http.StatusBadRequest:
+		return exitInput
+	case e.Kind == "gossip.ErrUnsettled":
+		return exitUnknown
+	}
+	return exitFailed
+}
+
+// show writes a value as JSON, or by the text function.
+func (o *options) show(w io.Writer, v any, text func(io.Writer)) error {
+	switch o.format {
+	case formatJSON:
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	case formatText:
+		text(w)
+		return nil
+	}
+	return &errInput{What: "output=" + o.format, Expected: "text or json"}
+}
--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -2,12 +2,16 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
+
+	"github.com/hopwell/hopwell/pkg/fleet"
 )
 
 // ErrSettings says what is wrong in a settings file, and where.
@@ -123,6 +127,12 @@
 		return nil
 	}
 	out := &ErrSettings{File: file, Line: 1, Column: 1, Field: ".", Expected: err.Error()}
+	var duration *fleet.ErrDuration
+	if errors.As(err, &duration) {
+		out.Expected = duration.Expected()
+		out.locate(data, duration.Text)
+		return out
+	}
 	if at, ok := err.(yaml.Error); ok {
 		out.Expected = at.GetMessage()
 		if t := at.GetToken(); t != nil {
@@ -132,6 +142,17 @@
 	return out
 }
 
+// locate finds the first key whose value is a text.
+func (e *ErrSettings) locate(data []byte, text string) {
+	for _, t := range lexer.Tokenize(string(data)) {
+		if t.Value != text || t.Prev == nil || t.Prev.Prev == nil {
+			continue
+		}
+		e.Line, e.Column, e.Field = t.Position.Line, t.Position.Column, t.Prev.Prev.Value
+		return
+	}
+}
+
 // place finds where in the file a fault is.
 func place(file string, data []byte, f *fault) error {
 	if f == nil {
@@ -161,3 +182,10 @@
 	}
 	return nil
 }
+
+// ParseSelectors reads a list of selectors strictly; file is for errors. The
+// values are checked where the change is carried out.
+func ParseSelectors(file string, data []byte) ([]fleet.Selector, error) {
+	var list []fleet.Selector
+	return list, decode(file, data, &list)
+}
--- a/pkg/fleet/errors.go
+++ b/pkg/fleet/errors.go
@@ -82,9 +82,12 @@
 
 // Error implements error.
 func (e *ErrDuration) Error() string {
-	return fmt.Sprintf("bad duration: text=%q expected=%q", e.Text, "a number with a unit, as 63ms or 1.4s")
+	return fmt.Sprintf("bad duration: text=%q expected=%q", e.Text, e.Expected())
 }
 
+// Expected says what would be right.
+func (e *ErrDuration) Expected() string { return "a number with a unit, as 63ms or 1.4s" }
+
 // ErrNoRunner says that a change would leave a request kind without a runner.
 type ErrNoRunner struct {
 	Kind, Model string
--- /dev/null
+++ b/pkg/opclient/opclient.go
@@ -0,0 +1,334 @@
+// Package opclient is the operators' client: it finds the processes of a fleet
+// through the platform's instance list and speaks to their admin ports.
+package opclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/admin"
+	"github.com/hopwell/hopwell/pkg/fleet"
+	"github.com/hopwell/hopwell/pkg/gateway"
+	"github.com/hopwell/hopwell/pkg/platform"
+	"github.com/hopwell/hopwell/pkg/trace"
+)
+
+const (
+	// askTime bounds one question to one process.
+	askTime = 3 * time.Second
+	// changeTime bounds one try of a change.
+	changeTime = 10 * time.Second
+	// waitPoll is the time between two looks at how far a change has come.
+	waitPoll = 100 * time.Millisecond
+	// parallel is how many processes are asked at the same time.
+	parallel = 64
+)
+
+// ErrAnswer is an error that a process answered with.
+type ErrAnswer struct {
+	Process string
+	Status  int
+	admin.Conflict
+}
+
+// Error implements error.
+func (e *ErrAnswer) Error() string { return e.Conflict.Error }
+
+// ErrNoProcess says that no process answered.
+type ErrNoProcess struct {
+	Asked int
+	Err   error
+}
+
+// Error implements error.
+func (e *ErrNoProcess) Error() string {
+	return fmt.Sprintf("no process answers: asked=%d last=%v", e.Asked, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrNoProcess) Unwrap() error { return e.Err }
+
+// Client speaks to a fleet.
+type Client struct {
+	list  platform.List
+	fixed []string
+	http  *http.Client
+}
+
+// New returns a client that finds processes through the platform, or only the
+// given admin addresses where there are any.
+func New(platformURL string, adminAddresses []string) *Client {
+	return &Client{list: platform.NewClient(platformURL), fixed: adminAddresses, http: &http.Client{}}
+}
+
+// Processes returns the admin addresses of all processes, gateways first.
+func (c *Client) Processes(ctx context.Context) ([]platform.Instance, error) {
+	if len(c.fixed) > 0 {
+		var out []platform.Instance
+		for _, a := range c.fixed {
+			out = append(out, platform.Instance{Name: a, Admin: a})
+		}
+		return out, nil
+	}
+	all, err := c.list.Instances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	slices.SortFunc(all, func(a, b platform.Instance) int {
+		return strings.Compare(a.Role+"/"+a.Name, b.Role+"/"+b.Name)
+	})
+	return all, nil
+}
+
+// get asks one process.
+func (c *Client) get(ctx context.Context, p platform.Instance, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Admin+path, nil)
+	if err != nil {
+		return err
+	}
+	return c.do(r, p, into)
+}
+
+func (c *Client) post(ctx context.Context, p platform.Instance, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, changeTime)
+	defer cancel()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Admin+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	return c.do(r, p, into)
+}
+
+func (c *Client) do(r *http.Request, p platform.Instance, into any) error {
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		out := &ErrAnswer{Process: p.Name, Status: resp.StatusCode}
+		if json.Unmarshal(data, &out.Conflict) != nil {
+			out.Conflict.Error = string(data)
+		}
+		return out
+	}
+	return json.Unmarshal(data, into)
+}
+
+// Answer is what one process said, or why it did not.
+type Answer[T any] struct {
+	Process platform.Instance
+	Value   T
+	Err     error
+}
+
+// askAll asks all processes at the same time.
+func askAll[T any](ctx context.Context, c *Client, path string) ([]Answer[T], error) {
+	all, err := c.Processes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]Answer[T], len(all))
+	slots := make(chan struct{}, parallel)
+	var wg sync.WaitGroup
+	for i, p := range all {
+		wg.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			out[i].Process = p
+			out[i].Err = c.get(ctx, p, path, &out[i].Value)
+		})
+	}
+	wg.Wait()
+	return out, nil
+}
+
+// Status asks all processes for their word on themselves.
+func (c *Client) Status(ctx context.Context) ([]Answer[admin.Status], error) {
+	return askAll[admin.Status](ctx, c, admin.PathStatus)
+}
+
+// Timeline merges the events of all processes in causal order. Silent lists the
+// processes that did not answer.
+func (c *Client) Timeline(ctx context.Context, f trace.Filter) (events []trace.Event, silent []string, err error) {
+	q := url.Values{}
+	if f.Request != "" {
+		q.Set("request", f.Request)
+	}
+	if f.Instance != "" {
+		q.Set("instance", f.Instance)
+	}
+	if !f.Since.IsZero() {
+		q.Set("since", f.Since.Format(time.RFC3339Nano))
+	}
+	answers, err := askAll[[]trace.Event](ctx, c, admin.PathTimeline+"?"+q.Encode())
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, a := range answers {
+		if a.Err != nil {
+			silent = append(silent, a.Process.Name)
+			continue
+		}
+		events = append(events, a.Value...)
+	}
+	trace.Sort(events)
+	return events, silent, nil
+}
+
+// Explain finds the gateway that served a request.
+func (c *Client) Explain(ctx context.Context, id string) (gateway.Explanation, error) {
+	answers, err := askAll[gateway.Explanation](ctx, c, admin.PathExplain+url.PathEscape(id))
+	if err != nil {
+		return gateway.Explanation{}, err
+	}
+	var last error
+	for _, a := range answers {
+		if a.Err == nil {
+			return a.Value, nil
+		}
+		last = a.Err
+	}
+	return gateway.Explanation{}, &ErrNoProcess{Asked: len(answers), Err: last}
+}
+
+// Document returns the newest configuration that any process has.
+func (c *Client) Document(ctx context.Context) (*fleet.Document, error) {
+	answers, err := askAll[*fleet.Document](ctx, c, admin.PathConfig)
+	if err != nil {
+		return nil, err
+	}
+	var newest *fleet.Document
+	var last error
+	for _, a := range answers {
+		if a.Err != nil {
+			last = a.Err
+			continue
+		}
+		if newest == nil || a.Value.Revision > newest.Revision {
+			newest = a.Value
+		}
+	}
+	if newest == nil {
+		return nil, &ErrNoProcess{Asked: len(answers), Err: last}
+	}
+	return newest, nil
+}
+
+// Change sends a change to one process after another until one settles it: a
+// change that is sent twice has one effect, by its ID.
+func (c *Client) Change(ctx context.Context, change *fleet.Change, dryRun bool) (admin.ChangeReply, error) {
+	all, err := c.Processes(ctx)
+	if err != nil {
+		return admin.ChangeReply{}, err
+	}
+	path := admin.PathChange
+	if dryRun {
+		path += "?dry_run=1"
+	}
+	var last error
+	for _, p := range all {
+		var reply admin.ChangeReply
+		err := c.post(ctx, p, path, change, &reply)
+		if err == nil {
+			return reply, nil
+		}
+		var answered *ErrAnswer
+		if errors.As(err, &answered) && answered.Status != http.StatusServiceUnavailable {
+			return reply, err
+		}
+		last = err
+	}
+	return admin.ChangeReply{}, &ErrNoProcess{Asked: len(all), Err: last}
+}
+
+// Drain starts the planned stop of an instance's process.
+func (c *Client) Drain(ctx context.Context, instance string, deadline time.Duration) error {
+	all, err := c.Processes(ctx)
+	if err != nil {
+		return err
+	}
+	path := admin.PathDrain
+	if deadline > 0 {
+		path += "?deadline=" + deadline.String()
+	}
+	for _, p := range all {
+		if p.Name == instance {
+			var s admin.Status
+			return c.post(ctx, p, path, nil, &s)
+		}
+	}
+	return &ErrUnknownInstance{Name: instance}
+}
+
+// ErrUnknownInstance says that the instance list has no such instance.
+type ErrUnknownInstance struct {
+	Name string
+}
+
+// Error implements error.
+func (e *ErrUnknownInstance) Error() string { return fmt.Sprintf("no such instance: name=%q", e.Name) }
+
+// Progress is how far a revision has come.
+type Progress struct {
+	Behind []string
+	Silent []string
+	Total  int
+}
+
+// Await calls report now and then until every process that answers has the
+// revision, or until the context ends.
+func (c *Client) Await(ctx context.Context, revision uint64, report func(Progress)) error {
+	for {
+		p, err := c.progress(ctx, revision)
+		if err != nil {
+			return err
+		}
+		report(p)
+		if len(p.Behind) == 0 {
+			return nil
+		}
+		select {
+		case <-time.After(waitPoll):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (c *Client) progress(ctx context.Context, revision uint64) (Progress, error) {
+	answers, err := c.Status(ctx)
+	if err != nil {
+		return Progress{}, err
+	}
+	p := Progress{Total: len(answers)}
+	for _, a := range answers {
+		switch {
+		case a.Err != nil:
+			p.Silent = append(p.Silent, a.Process.Name)
+		case a.Value.Revision < revision:
+			p.Behind = append(p.Behind, a.Process.Name)
+		}
+	}
+	return p, nil
+}
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/engine"
@@ -25,7 +26,8 @@
 	if !a.s.takeSlot() {
 		return a.refuse(&wirepb.Refused{Reason: ReasonFull, RetryAfterUs: callRetry.Microseconds()})
 	}
-	defer a.s.giveSlot()
+	give := sync.OnceFunc(a.s.giveSlot)
+	defer give()
 	if err := a.admit(0); err != nil {
 		return err
 	}
@@ -44,6 +46,7 @@
 		return a.fail(err, mayHaveRun(err))
 	}
 	a.event(trace.Ended, "role=serve")
+	give() // Before the load is read for the report.
 	return a.send(&wirepb.Report{Load: a.s.load(), Body: &wirepb.Report_End{End: &wirepb.End{Bytes: uint32(sent)}}})
 }
 
--- a/pkg/sidecar/decode.go
+++ b/pkg/sidecar/decode.go
@@ -114,6 +114,7 @@
 	err := a.s.decodeEngine(a, a.order(start), r)
 	if err == nil {
 		a.event(trace.Ended, "role=decode")
+		a.s.unreserve(a.key) // Before the load is read for the report.
 		return a.send(&wirepb.Report{Load: a.s.load(), Body: &wirepb.Report_End{End: &wirepb.End{Tokens: uint32(r.next), Reason: r.reason}}})
 	}
 	if isCode(err, engine.CodeMoved) {
--- a/pkg/sidecar/prefill.go
+++ b/pkg/sidecar/prefill.go
@@ -101,7 +101,6 @@
 func (a *attempt) hold(x engine.Export) error {
 	a.event(trace.Exported, "")
 	a.s.transfer(1)
-	defer a.s.transfer(-1)
 	err := a.send(&wirepb.Report{Load: a.s.load(), Body: &wirepb.Report_Exported{Exported: exported(x)}})
 	if err == nil {
 		select {
@@ -116,6 +115,7 @@
 		a.s.free(a.key)
 	}
 	a.event(trace.Freed, "role=prefill")
+	a.s.transfer(-1)
 	if err != nil {
 		return a.fail(err, true)
 	}
