--- a/pkg/fake/engine.go
+++ b/pkg/fake/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -94,6 +95,7 @@
 	stop     chan struct{}
 	stats    Stats
 	nextName int
+	began    map[string]time.Time
 }
 
 type prefillJob struct {
@@ -141,6 +143,7 @@
 		spec:    spec,
 		fabric:  fabric,
 		exports: map[string]*export{},
+		began:   map[string]time.Time{},
 		wake:    make(chan struct{}, 1),
 		stop:    make(chan struct{}),
 	}
@@ -208,6 +211,20 @@
 	return e.stats
 }
 
+// Began returns when each piece of work came to the engine, by its ID.
+func (e *Engine) Began() map[string]time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.began)
+}
+
+// beginWork books that work came. The caller holds the lock.
+func (e *Engine) beginWork(id string) {
+	if _, ok := e.began[id]; !ok {
+		e.began[id] = time.Now()
+	}
+}
+
 // run computes prefill chunks and decode steps until Close.
 func (e *Engine) run() {
 	for {
@@ -365,6 +382,7 @@
 		}
 		e.kvUsed += bytes
 	}
+	e.beginWork(p.ID)
 	cached := min(e.cache.match(blocks)*prefix.BlockTokens, p.Tokens-1)
 	j := &prefillJob{order: p, left: p.Tokens - cached, cached: cached, blocks: blocks, bytes: bytes, local: local, finished: make(chan error, 1)}
 	e.stats.Cached += int64(cached)
@@ -463,6 +481,7 @@
 	if d.Offset > 0 && d.Generated != Answer(d.Prompt, d.Offset) {
 		e.stats.Wrong++
 	}
+	e.beginWork(d.ID)
 	e.kvUsed += bytes
 	job := &decodeJob{order: d, bytes: bytes, next: d.Offset, ended: make(chan error, 1)}
 	job.tokens = make(chan engine.Token, d.MaxTokens-d.Offset+1)
--- a/pkg/fake/list.go
+++ b/pkg/fake/list.go
@@ -10,10 +10,8 @@
 
 // List is an instance list whose answers lag behind.
 type List struct {
-	// Lag is the age of what it shows.
-	Lag time.Duration
-
 	mu        sync.Mutex
+	lag       time.Duration
 	instances map[string]platform.Instance
 	versions  []listVersion
 	down      bool
@@ -67,6 +65,13 @@
 	l.down = down
 }
 
+// SetLag sets the age of what the list shows.
+func (l *List) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+}
+
 // SetEmpty makes the list come back empty, as a failing platform may.
 func (l *List) SetEmpty(empty bool) {
 	l.mu.Lock()
@@ -93,7 +98,7 @@
 	if l.empty {
 		return nil, nil
 	}
-	seen := time.Now().Add(-l.Lag)
+	seen := time.Now().Add(-l.lag)
 	for i := len(l.versions) - 1; i >= 0; i-- {
 		if !l.versions[i].at.After(seen) {
 			return append([]platform.Instance(nil), l.versions[i].instances...), nil
--- /dev/null
+++ b/pkg/fleettest/caller.go
@@ -0,0 +1,101 @@
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/gateway"
+	"github.com/hopwell/hopwell/pkg/platform"
+)
+
+// Call is one request as its caller saw it.
+type Call struct {
+	ID      string
+	Gateway string
+	// Request or Service is nil.
+	Request *gateway.Request
+	Service *gateway.ServiceRequest
+	// Began and Ended frame the call; Left is when the caller went away, zero if
+	// it stayed.
+	Began, Ended, Left time.Time
+	// Result is what the gateway answered, unless the answer was Lost with it.
+	Result gateway.Result
+	Lost   bool
+	// Text is what came, Answers how many whole answers.
+	Text    string
+	Answers int
+}
+
+// sink collects what the caller gets. A dead gateway delivers nothing.
+type sink struct {
+	text strings.Builder
+	dead func() bool
+}
+
+// Text implements gateway.Sink.
+func (s *sink) Text(text string, _ int) error {
+	if s.dead() {
+		return &errNetwork{What: "gateway died"}
+	}
+	s.text.WriteString(text)
+	return nil
+}
+
+// Head implements gateway.ServiceSink.
+func (s *sink) Head(int, http.Header) {}
+
+// Body implements gateway.ServiceSink.
+func (s *sink) Body(p []byte) error { return s.Text(string(p), 0) }
+
+// Generate sends a request to a gateway and waits for its end.
+func (f *Fleet) Generate(ctx context.Context, p *Process, req *gateway.Request) *Call {
+	return f.call(ctx, p, &Call{ID: req.ID, Request: req}, func(ctx context.Context, s *sink) gateway.Result {
+		return p.Gateway.Generate(ctx, req, s)
+	})
+}
+
+// Order sends a plain service's call to a gateway and waits for its end.
+func (f *Fleet) Order(ctx context.Context, p *Process, req *gateway.ServiceRequest) *Call {
+	return f.call(ctx, p, &Call{ID: req.ID, Service: req}, func(ctx context.Context, s *sink) gateway.Result {
+		return p.Gateway.Call(ctx, req, s)
+	})
+}
+
+func (f *Fleet) call(ctx context.Context, p *Process, c *Call, do func(context.Context, *sink) gateway.Result) *Call {
+	s := &sink{dead: p.crashed.Load}
+	c.Gateway, c.Began = p.Entry.Name, time.Now()
+	stop := context.AfterFunc(ctx, func() { c.Left = time.Now() })
+	c.Result = do(ctx, s)
+	stop()
+	c.Ended, c.Text, c.Lost = time.Now(), s.text.String(), p.crashed.Load()
+	if !c.Lost {
+		c.Answers++
+	}
+	return c
+}
+
+// NewOrder is an order confirmation, which must not be repeated.
+func NewOrder(id, key string) *gateway.ServiceRequest {
+	return &gateway.ServiceRequest{
+		ID: id, Workspace: "counter", Kind: "order", Service: Service, Method: http.MethodPost,
+		Path: "/confirm", Header: http.Header{}, Body: []byte("order " + key), Key: key, NotRepeatable: true,
+	}
+}
+
+// NewRequest is a generation whose prompt has so many tokens and is its own.
+func NewRequest(id string, promptTokens, maxTokens int) *gateway.Request {
+	unique := fmt.Sprintf(" the end of %s.", id)
+	return &gateway.Request{
+		ID: id, Workspace: "team", Kind: "text", Model: Model, MaxTokens: maxTokens,
+		Prompt: id + strings.Repeat(" hull", max(0, promptTokens*4-len(unique)-len(id))/5) + unique,
+	}
+}
+
+// Gateway returns the i-th live gateway, going round.
+func (f *Fleet) Gateway(i int) *Process {
+	live := f.Live(platform.RoleGateway)
+	return live[i%len(live)]
+}
--- /dev/null
+++ b/pkg/fleettest/fleet.go
@@ -0,0 +1,335 @@
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/fake"
+	"github.com/hopwell/hopwell/pkg/fleet"
+	"github.com/hopwell/hopwell/pkg/gateway"
+	"github.com/hopwell/hopwell/pkg/node"
+	"github.com/hopwell/hopwell/pkg/platform"
+	"github.com/hopwell/hopwell/pkg/route"
+	"github.com/hopwell/hopwell/pkg/sidecar"
+	"github.com/hopwell/hopwell/pkg/wire"
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
+)
+
+// Names of what the fleets of tests offer.
+const (
+	Model   = "model"
+	Service = "orders"
+	Region  = "region"
+)
+
+// Spec sizes a fleet.
+type Spec struct {
+	Gateways, Prefills, Decodes, Services int
+	// Domains are the failure domains, over which instances are dealt in turn.
+	Domains []string
+	// Delay is the one-way delay between domains.
+	Delay time.Duration
+	// Prefill and Decode are the engines' speeds and sizes.
+	Prefill, Decode fake.Spec
+	// ServiceTime is what a plain service's call takes; ServiceSlots how many it
+	// takes at once.
+	ServiceTime  time.Duration
+	ServiceSlots int
+	// Selectors is the first configuration; nil gives one selector for each role.
+	Selectors []fleet.Selector
+	// Policy and Admission choose the decisions.
+	Policy, Admission string
+	// Seed decides all random choices.
+	Seed uint64
+	// Tweak may change a sidecar's options, to break a mechanism on purpose.
+	Tweak func(*sidecar.Options)
+	// MaxOpen bounds a gateway's open requests; 0 takes the default.
+	MaxOpen int
+}
+
+// DefaultSpec is a small fleet.
+func DefaultSpec() Spec {
+	return Spec{
+		Gateways: 2, Prefills: 3, Decodes: 3, Services: 2,
+		Domains: []string{"a", "b", "c"}, Delay: time.Millisecond,
+		Prefill: fake.DefaultSpec(), Decode: fake.DefaultSpec(),
+		ServiceTime: 20 * time.Millisecond, ServiceSlots: 16,
+		Policy: route.NameHopwell, Admission: sidecar.AdmitDeadline, Seed: 1,
+	}
+}
+
+// Process is one running gateway or sidecar.
+type Process struct {
+	Entry   platform.Instance
+	Node    *node.Node
+	Gateway *gateway.Gateway
+	Sidecar *sidecar.Sidecar
+	cancel  context.CancelFunc
+	done    chan struct{}
+	crashed atomic.Bool
+	Died    time.Time
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Spec    Spec
+	Net     *Network
+	KV      *fake.KV
+	List    *fake.List
+	Weights *fake.Weights
+	Fabric  *fake.Fabric
+	Engines map[string]*fake.Engine
+	Calls   map[string]*fake.Service
+
+	mu        sync.Mutex
+	processes map[string]*Process
+	// past holds the processes that ended.
+	past  []*Process
+	epoch uint64
+}
+
+// Start brings a fleet up. It must be called inside a bubble.
+func Start(spec Spec) *Fleet {
+	f := &Fleet{
+		Spec: spec, Net: NewNetwork(), KV: fake.NewKV(), List: fake.NewList(),
+		Weights: fake.NewWeights(50), Fabric: fake.NewFabric(),
+		Engines: map[string]*fake.Engine{}, Calls: map[string]*fake.Service{},
+		processes: map[string]*Process{},
+	}
+	f.Net.Delay = f.delay
+	for i := range spec.Prefills {
+		f.addEngine(fmt.Sprintf("prefill-%d", i+1), i, "prefill", spec.Prefill)
+	}
+	for i := range spec.Decodes {
+		f.addEngine(fmt.Sprintf("decode-%d", i+1), i, "decode", spec.Decode)
+	}
+	for i := range spec.Services {
+		name := fmt.Sprintf("service-%d", i+1)
+		f.Calls[name] = fake.NewService(spec.ServiceTime)
+		f.StartSidecar(f.entry(name, i, platform.RoleSidecar, "service"))
+	}
+	for i := range spec.Gateways {
+		f.StartGateway(f.entry(fmt.Sprintf("gateway-%d", i+1), i, platform.RoleGateway, ""))
+	}
+	f.configure()
+	time.Sleep(settle)
+	return f
+}
+
+// settle is the time in which a new fleet knows itself.
+const settle = 4 * time.Second
+
+func (f *Fleet) addEngine(name string, i int, pool string, spec fake.Spec) {
+	f.Engines[name] = fake.NewEngine(name, spec, f.Fabric)
+	f.StartSidecar(f.entry(name, i, platform.RoleSidecar, pool))
+}
+
+// entry is a process's entry in the instance list; addresses are names.
+func (f *Fleet) entry(name string, i int, role, pool string) platform.Instance {
+	in := platform.Instance{
+		Name: name, Role: role, Region: Region, Domain: f.Spec.Domains[i%len(f.Spec.Domains)],
+		Inner: name, Admin: name,
+	}
+	if pool != "" {
+		in.Labels = map[string]string{"pool": pool}
+	}
+	return in
+}
+
+// delay is the network's delay by the failure domains of two processes.
+func (f *Fleet) delay(from, to string) time.Duration {
+	a, b := f.Process(from), f.Process(to)
+	if a == nil || b == nil || a.Entry.Domain == b.Entry.Domain {
+		return f.Spec.Delay / 10
+	}
+	return f.Spec.Delay
+}
+
+// Process returns a live process by name, nil for none.
+func (f *Fleet) Process(name string) *Process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.processes[name]
+}
+
+// Processes returns all processes, live and past, in the order of their names.
+func (f *Fleet) Processes() []*Process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := append([]*Process(nil), f.past...)
+	for _, p := range f.processes {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *Process) int { return strings.Compare(a.Entry.Name, b.Entry.Name) })
+	return out
+}
+
+// Live returns the live processes of a role.
+func (f *Fleet) Live(role string) []*Process {
+	var out []*Process
+	for _, p := range f.Processes() {
+		if p.Entry.Role == role && f.Process(p.Entry.Name) == p {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (f *Fleet) newNode(in platform.Instance) *node.Node {
+	f.mu.Lock()
+	f.epoch++
+	epoch := f.epoch
+	f.mu.Unlock()
+	return node.New(node.Options{Self: in, Epoch: epoch, KV: f.KV, List: f.List, Dial: f.Net.Dialer(in.Inner), Seed: f.Spec.Seed*1000 + epoch})
+}
+
+// StartGateway starts a gateway and lists it.
+func (f *Fleet) StartGateway(in platform.Instance) *Process {
+	policy, err := route.New(f.Spec.Policy)
+	if err != nil {
+		panic(err)
+	}
+	n := f.newNode(in)
+	maxOpen := f.Spec.MaxOpen
+	if maxOpen == 0 {
+		maxOpen = gateway.DefaultMaxOpen
+	}
+	g := gateway.New(n, gateway.Options{
+		Policy: policy, Lease: gateway.DefaultLease, ReserveFirst: f.Spec.Policy == route.NameHopwell,
+		MaxOpen: maxOpen, MaxPerWorkspace: maxOpen, MaxPrompt: gateway.DefaultMaxPrompt,
+	})
+	return f.run(&Process{Entry: in, Node: n, Gateway: g}, g.Run, nil)
+}
+
+// StartSidecar starts a sidecar beside the runner of its name and lists it.
+func (f *Fleet) StartSidecar(in platform.Instance) *Process {
+	n := f.newNode(in)
+	o := sidecar.Options{
+		Slots: f.Spec.ServiceSlots, Admission: f.Spec.Admission, Weights: f.Weights,
+		PrefillRate: 8000, StepBase: 20 * time.Millisecond, StepSlope: time.Millisecond, LinkRate: 10e9,
+	}
+	p := &Process{Entry: in, Node: n}
+	if e := f.Engines[in.Name]; e != nil {
+		o.Engine = &gated{Engine: e, dead: func() bool { return p.crashed.Load() }}
+	} else {
+		o.Service = f.Calls[in.Name]
+	}
+	if f.Spec.Tweak != nil {
+		f.Spec.Tweak(&o)
+	}
+	p.Sidecar = sidecar.New(n, o)
+	return f.run(p, p.Sidecar.Run, p.Sidecar)
+}
+
+// run starts a process's role and its inner port.
+func (f *Fleet) run(p *Process, role func(context.Context), runner wirepb.DRPCRunnerServer) *Process {
+	server, err := wire.NewServer(node.PeerServer{N: p.Node}, runner)
+	if err != nil {
+		panic(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel, p.done = cancel, make(chan struct{})
+	f.mu.Lock()
+	f.processes[p.Entry.Name] = p
+	f.mu.Unlock()
+	f.Net.Serve(ctx, p.Entry.Inner, server)
+	f.List.Put(p.Entry)
+	go func() {
+		defer close(p.done)
+		role(ctx)
+	}()
+	return p
+}
+
+// configure makes the first configuration.
+func (f *Fleet) configure() {
+	list := f.Spec.Selectors
+	if list == nil {
+		list = DefaultSelectors()
+	}
+	if _, err := f.Change(&fleet.Change{ID: "first", Apply: list}); err != nil {
+		panic(err)
+	}
+}
+
+// DefaultSelectors give each pool its role for all kinds.
+func DefaultSelectors() []fleet.Selector {
+	return []fleet.Selector{
+		{Name: "prefill", Kind: fleet.AnyKind, Role: fleet.RolePrefill, Model: Model, Match: "pool=prefill"},
+		{Name: "decode", Kind: fleet.AnyKind, Role: fleet.RoleDecode, Model: Model, Match: "pool=decode"},
+		{Name: "orders", Kind: fleet.AnyKind, Role: fleet.RoleServe, Model: Service, Match: "pool=service", NotRepeatable: true},
+	}
+}
+
+// Change carries out an operator's edit at the first live gateway.
+func (f *Fleet) Change(c *fleet.Change) (*fleet.Document, error) {
+	g := f.Live(platform.RoleGateway)[0]
+	if c.Base == 0 {
+		c.Base = g.Node.Keeper.Document().Revision
+	}
+	return g.Node.Agent.Change(context.Background(), c, func(_, _ *fleet.Document) error { return nil })
+}
+
+// Crash ends a process as kill -9 does: nothing more comes from it, its
+// connections break, and its runner goes on with what it had.
+func (f *Fleet) Crash(name string) {
+	f.mu.Lock()
+	p := f.processes[name]
+	if p == nil {
+		f.mu.Unlock()
+		return
+	}
+	p.crashed.Store(true)
+	p.Died = time.Now()
+	delete(f.processes, name)
+	f.past = append(f.past, p)
+	f.mu.Unlock()
+	p.cancel()
+	f.Net.Reset(name)
+}
+
+// Lose ends an instance with all on it: the process, its runner and its entry.
+func (f *Fleet) Lose(name string) {
+	f.Crash(name)
+	if e := f.Engines[name]; e != nil {
+		e.Close()
+	}
+	f.List.Remove(name)
+}
+
+// LoseDomain ends all instances of a failure domain.
+func (f *Fleet) LoseDomain(domain string) {
+	for _, p := range f.Processes() {
+		if p.Entry.Domain == domain {
+			f.Lose(p.Entry.Name)
+		}
+	}
+}
+
+// Restart brings a crashed sidecar or gateway back under its address.
+func (f *Fleet) Restart(in platform.Instance) *Process {
+	if in.Role == platform.RoleGateway {
+		return f.StartGateway(in)
+	}
+	return f.StartSidecar(in)
+}
+
+// Close ends everything, so that the bubble can end.
+func (f *Fleet) Close() {
+	for _, p := range f.Processes() {
+		p.cancel()
+		f.Net.Reset(p.Entry.Name)
+	}
+	for _, p := range f.Processes() {
+		<-p.done
+		_ = p.Node.Pool.Close()
+	}
+	for _, e := range f.Engines {
+		e.Close()
+	}
+}
--- /dev/null
+++ b/pkg/fleettest/gated.go
@@ -0,0 +1,63 @@
+package fleettest
+
+import (
+	"context"
+
+	"github.com/hopwell/hopwell/pkg/engine"
+	"github.com/hopwell/hopwell/pkg/fake"
+)
+
+// gated is an engine as a sidecar reaches it. When the sidecar's process is
+// dead, nothing that its goroutines still do reaches the engine, and the engine
+// goes on with what it was doing: the worst that a crash can leave behind.
+type gated struct {
+	*fake.Engine
+	dead func() bool
+}
+
+// detach derives a context for the engine that ends with the caller's unless
+// the process died first.
+func (g *gated) detach(ctx context.Context) (context.Context, context.CancelFunc) {
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if !g.dead() {
+			cancel()
+		}
+	})
+	return inner, func() { stop() }
+}
+
+// Prefill implements engine.Engine.
+func (g *gated) Prefill(ctx context.Context, p engine.Prefill) (engine.Export, error) {
+	inner, done := g.detach(ctx)
+	defer done()
+	return g.Engine.Prefill(inner, p)
+}
+
+// Decode implements engine.Engine.
+func (g *gated) Decode(ctx context.Context, d engine.Decode, imported func(), token func(engine.Token) error) error {
+	inner, done := g.detach(ctx)
+	defer done()
+	return g.Engine.Decode(inner, d, imported, func(t engine.Token) error {
+		if g.dead() {
+			return nil
+		}
+		return token(t)
+	})
+}
+
+// Release implements engine.Engine.
+func (g *gated) Release(ctx context.Context, handle string) error {
+	if g.dead() {
+		return &engine.ErrUnreachable{}
+	}
+	return g.Engine.Release(ctx, handle)
+}
+
+// Cancel implements engine.Engine.
+func (g *gated) Cancel(ctx context.Context, id string) error {
+	if g.dead() {
+		return &engine.ErrUnreachable{}
+	}
+	return g.Engine.Cancel(ctx, id)
+}
--- /dev/null
+++ b/pkg/fleettest/judge.go
@@ -0,0 +1,346 @@
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/fake"
+	"github.com/hopwell/hopwell/pkg/gateway"
+	"github.com/hopwell/hopwell/pkg/platform"
+	"github.com/hopwell/hopwell/pkg/request"
+	"github.com/hopwell/hopwell/pkg/trace"
+)
+
+// Promise numbers the brief's eight promises in their order.
+type Promise int
+
+// The promises.
+const (
+	NoMemoryForGone Promise = iota + 1
+	NothingTwice
+	WholeOwnAnswer
+	NotRunIsTrue
+	AtMostOnce
+	LeavingGetsNothing
+	StopCutsNothing
+	ChangeInForce
+)
+
+// Violation is a promise that was broken.
+type Violation struct {
+	Promise Promise
+	Detail  string
+}
+
+// String is for failure messages.
+func (v Violation) String() string { return fmt.Sprintf("promise %d: %s", v.Promise, v.Detail) }
+
+// Bounds that the promises name.
+const (
+	goneBound    = time.Second
+	leaveBound   = 3 * time.Second
+	inForceBound = 5 * time.Second
+)
+
+// Record is what a run must be judged by, besides the fleet's own records.
+type Record struct {
+	// Calls are all requests.
+	Calls []*Call
+	// Planned names the processes that were stopped as planned.
+	Planned map[string]bool
+	// Left tells since when each instance is known to be leaving.
+	Left map[string]time.Time
+	// Accepted tells when each revision was accepted.
+	Accepted map[uint64]time.Time
+	// Held are samples of engine memory, from Watch.
+	Held []Sample
+	// CutOff names gateways that a fault cut off, and since when: what runs
+	// through them has the bound of a dead gateway.
+	CutOff map[string]time.Time
+}
+
+// Sample is a piece of engine memory that was seen held.
+type Sample struct {
+	At       time.Time
+	Instance string
+	Work     string
+}
+
+// NewRecord returns an empty record.
+func NewRecord() *Record {
+	return &Record{Planned: map[string]bool{}, Left: map[string]time.Time{}, Accepted: map[uint64]time.Time{}, CutOff: map[string]time.Time{}}
+}
+
+// requestOf returns the request ID in a work's name, which is ID/ATTEMPT/ROLE.
+func requestOf(work string) string {
+	id, _, _ := strings.Cut(work, "/")
+	return id
+}
+
+// Judge checks all promises over a finished run.
+func (f *Fleet) Judge(r *Record) []Violation {
+	var out []Violation
+	out = append(out, f.judgeMemory(r)...)
+	out = append(out, judgeAnswers(r)...)
+	out = append(out, f.judgeRuns(r)...)
+	out = append(out, f.judgeLeaving(r)...)
+	out = append(out, f.judgeStops(r)...)
+	out = append(out, f.judgeChanges(r)...)
+	return out
+}
+
+// judgeMemory checks the samples against the ends of the requests, and that
+// nothing is held now.
+func (f *Fleet) judgeMemory(r *Record) []Violation {
+	var out []Violation
+	freeBy := map[string]time.Time{}
+	for _, c := range r.Calls {
+		freeBy[c.ID] = f.freeBy(r, c)
+	}
+	for _, s := range r.Held {
+		by, ok := freeBy[requestOf(s.Work)]
+		if ok && s.At.After(by) && !f.diedBefore(s.Instance, s.At) {
+			out = append(out, Violation{NoMemoryForGone, fmt.Sprintf("%s holds %s %s too long", s.Instance, s.Work, s.At.Sub(by))})
+		}
+	}
+	for name, e := range f.Engines {
+		if used := e.KVUsed(); used != 0 && f.Process(name) != nil {
+			out = append(out, Violation{NoMemoryForGone, fmt.Sprintf("%s holds %d bytes at rest", name, used)})
+		}
+	}
+	return out
+}
+
+// freeBy is when no engine may hold memory for a call any more.
+func (f *Fleet) freeBy(r *Record, c *Call) time.Time {
+	at, bound := c.Ended, goneBound
+	if !c.Left.IsZero() {
+		at = c.Left
+	}
+	for _, p := range f.Processes() {
+		if p.Entry.Name == c.Gateway && p.crashed.Load() && p.Died.Before(c.Ended) {
+			at, bound = p.Died, gateway.DefaultLease+goneBound
+		}
+	}
+	if cut, ok := r.CutOff[c.Gateway]; ok {
+		at, bound = later(at, cut), gateway.DefaultLease+goneBound
+	}
+	return at.Add(bound)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// diedBefore reports whether the sidecar on an instance died before a time and
+// was not there again: then nobody can free what its engine holds.
+func (f *Fleet) diedBefore(instance string, at time.Time) bool {
+	for _, p := range f.Processes() {
+		if p.Entry.Name == instance && p.crashed.Load() && p.Died.Before(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// judgeAnswers checks what each caller got.
+func judgeAnswers(r *Record) []Violation {
+	var out []Violation
+	for _, c := range r.Calls {
+		if c.Answers > 1 {
+			out = append(out, Violation{NothingTwice, c.ID + " was answered twice"})
+		}
+		if c.Request == nil {
+			continue
+		}
+		whole := fake.Answer(c.Request.Prompt, c.Request.MaxTokens)
+		if !strings.HasPrefix(whole, c.Text) {
+			out = append(out, Violation{WholeOwnAnswer, c.ID + " got text that is not its own, or twice"})
+		}
+		if !c.Lost && c.Result.Outcome == request.Done && c.Text != whole {
+			out = append(out, Violation{WholeOwnAnswer, fmt.Sprintf("%s was told done with %d of %d bytes", c.ID, len(c.Text), len(whole))})
+		}
+	}
+	return out
+}
+
+// judgeRuns compares outcomes with what runners recorded.
+func (f *Fleet) judgeRuns(r *Record) []Violation {
+	var out []Violation
+	began := map[string]string{}
+	for name, e := range f.Engines {
+		for work := range e.Began() {
+			began[requestOf(work)] = name
+		}
+	}
+	for _, c := range r.Calls {
+		if c.Service != nil {
+			out = append(out, f.judgeOrder(r, c)...)
+			continue
+		}
+		if at, ran := began[c.ID]; ran && !c.Lost && c.Result.Outcome == request.NotRun {
+			out = append(out, Violation{NotRunIsTrue, fmt.Sprintf("%s was told not run but began on %s", c.ID, at)})
+		}
+	}
+	return out
+}
+
+// runs counts how often an order ran on all services.
+func (f *Fleet) runs(body string) int {
+	n := 0
+	for _, s := range f.Calls {
+		n += s.Runs(body)
+	}
+	return n
+}
+
+func (f *Fleet) judgeOrder(r *Record, c *Call) []Violation {
+	var out []Violation
+	runs := f.runs(string(c.Service.Body))
+	if runs > 1 {
+		out = append(out, Violation{AtMostOnce, fmt.Sprintf("%s ran %d times", c.Service.Body, runs)})
+	}
+	// Another call with the same key may be the one that ran.
+	only := true
+	for _, o := range r.Calls {
+		only = only && (o == c || o.Service == nil || o.Service.Key != c.Service.Key)
+	}
+	if only && runs > 0 && !c.Lost && c.Result.Outcome == request.NotRun {
+		out = append(out, Violation{NotRunIsTrue, c.ID + " was told not run but ran"})
+	}
+	if runs == 0 && !c.Lost && c.Result.Outcome == request.Done {
+		out = append(out, Violation{WholeOwnAnswer, c.ID + " was told done but never ran"})
+	}
+	return out
+}
+
+// judgeLeaving checks that no work began on an instance that is leaving.
+func (f *Fleet) judgeLeaving(r *Record) []Violation {
+	var out []Violation
+	for _, p := range f.Processes() {
+		since, ok := r.Left[p.Entry.Name]
+		if !ok || p.Sidecar == nil {
+			continue
+		}
+		for _, e := range p.Node.Log.Events(trace.Filter{}) {
+			if e.Type == trace.Started && e.Wall.After(since.Add(leaveBound)) && !admittedBefore(p, e, since.Add(leaveBound)) {
+				out = append(out, Violation{LeavingGetsNothing, fmt.Sprintf("%s began on %s %s after it was leaving", e.Request, p.Entry.Name, e.Wall.Sub(since))})
+			}
+		}
+	}
+	return out
+}
+
+// admittedBefore reports whether the work of an event had its admission before
+// a time: it then is no new work.
+func admittedBefore(p *Process, started trace.Event, by time.Time) bool {
+	for _, e := range p.Node.Log.Events(trace.Filter{Request: started.Request}) {
+		if e.Type == trace.Admitted && e.Attempt == started.Attempt && e.Wall.Before(by) {
+			return true
+		}
+	}
+	return false
+}
+
+// judgeStops checks that no request was cut off by a planned stop alone.
+func (f *Fleet) judgeStops(r *Record) []Violation {
+	var out []Violation
+	if len(r.Planned) == 0 {
+		return nil
+	}
+	for _, c := range r.Calls {
+		if r.Planned[c.Gateway] && c.Lost {
+			out = append(out, Violation{StopCutsNothing, c.ID + " was lost with its gateway"})
+		}
+		if c.Left.IsZero() && !c.Lost && c.Result.Outcome == request.Unknown {
+			out = append(out, Violation{StopCutsNothing, fmt.Sprintf("%s was cut off: %v", c.ID, c.Result.Err)})
+		}
+	}
+	return out
+}
+
+// judgeChanges checks that revisions only grow and come into force in time.
+func (f *Fleet) judgeChanges(r *Record) []Violation {
+	var out []Violation
+	for _, p := range f.Processes() {
+		var last uint64
+		seen := map[uint64]time.Time{}
+		for _, e := range p.Node.Log.Events(trace.Filter{}) {
+			if e.Type != trace.Revision {
+				continue
+			}
+			if e.Revision < last {
+				out = append(out, Violation{ChangeInForce, fmt.Sprintf("%s went back from revision %d to %d", p.Entry.Name, last, e.Revision)})
+			}
+			last = e.Revision
+			seen[e.Revision] = e.Wall
+		}
+		if p.crashed.Load() {
+			continue
+		}
+		out = append(out, late(p, r, seen, last)...)
+	}
+	return out
+}
+
+// late checks one live process's revisions against their acceptance.
+func late(p *Process, r *Record, seen map[uint64]time.Time, newest uint64) []Violation {
+	var out []Violation
+	for revision, at := range r.Accepted {
+		if newest < revision {
+			out = append(out, Violation{ChangeInForce, fmt.Sprintf("%s has revision %d, not %d", p.Entry.Name, newest, revision)})
+			continue
+		}
+		if _, cut := r.CutOff[p.Entry.Name]; cut {
+			continue
+		}
+		for n := revision; n <= newest; n++ {
+			if when, ok := seen[n]; ok {
+				if when.Sub(at) > inForceBound {
+					out = append(out, Violation{ChangeInForce, fmt.Sprintf("%s got revision %d after %s", p.Entry.Name, revision, when.Sub(at))})
+				}
+				break
+			}
+		}
+	}
+	return out
+}
+
+// Watch samples the engines' memory until stop is closed.
+func (f *Fleet) Watch(r *Record, stop <-chan struct{}) {
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-stop:
+			return
+		}
+		now := time.Now()
+		for name, e := range f.Engines {
+			held, err := e.Held(context.Background())
+			if err != nil {
+				continue
+			}
+			for _, h := range held {
+				r.Held = append(r.Held, Sample{now, name, h.ID})
+			}
+		}
+	}
+}
+
+// Sidecars names all sidecars of a pool.
+func (f *Fleet) Sidecars(pool string) []string {
+	var out []string
+	for _, p := range f.Live(platform.RoleSidecar) {
+		if p.Entry.Labels["pool"] == pool {
+			out = append(out, p.Entry.Name)
+		}
+	}
+	return out
+}
