gateway: an answer is whole with its last token

A decode runner was lost after its last token and before its end report; the gateway resumed at the offset of the whole answer and the next runner generated one token more. Ruled out: chunk order and the stand-in engine's resume, which were right. Change: the last chunk says that it is the last, with the reason.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -79,9 +79,7 @@
 	case *wirepb.Report_Imported:
 		a.release()
 	case *wirepb.Report_Chunk:
-		if err := a.accept(int(x.Chunk.Offset), int(x.Chunk.Tokens), x.Chunk.Text); err != nil {
-			return false, err
-		}
+		return a.chunk(x.Chunk)
 	case *wirepb.Report_End:
 		a.decode.finished()
 		a.reason = x.End.Reason
@@ -95,6 +93,19 @@
 	return false, nil
 }
 
+// chunk takes a run of tokens. After the last one the answer is whole, whatever
+// becomes of the stream.
+func (a *attempt) chunk(c *wirepb.Chunk) (bool, error) {
+	if err := a.accept(int(c.Offset), int(c.Tokens), c.Text); err != nil {
+		return false, err
+	}
+	if !c.Final {
+		return false, nil
+	}
+	a.reason = c.Reason
+	return true, a.life.End(a.n, int(c.Offset+c.Tokens))
+}
+
 // release tells the prefill runner that its export was imported.
 func (r *run) release() {
 	if r.source == nil {
--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -39,7 +39,7 @@
 		r.reason = t.Reason
 	}
 	return r.a.send(&wirepb.Report{Body: &wirepb.Report_Chunk{Chunk: &wirepb.Chunk{
-		Attempt: r.a.open.Attempt, Offset: uint32(t.Offset), Tokens: 1, Text: t.Text,
+		Attempt: r.a.open.Attempt, Offset: uint32(t.Offset), Tokens: 1, Text: t.Text, Final: t.Final, Reason: t.Reason,
 	}}})
 }
 
