sidecar, fleettest: the promises' failures brought about one by one

Scenarios for each promise, and for each a test that breaks its mechanism and expects the judge to object. Found on the way: a sidecar took an empty instance list for its own leaving and never came back (20 s of an empty list left no runner); it now believes only an entry that says so.

--- a/pkg/fleet/membership.go
+++ b/pkg/fleet/membership.go
@@ -136,6 +136,17 @@
 	return true
 }
 
+// Listed returns an instance's own entry as the list last showed it.
+func (m *Membership) Listed(name string) (platform.Instance, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x, ok := m.members[name]
+	if !ok {
+		return platform.Instance{}, false
+	}
+	return x.Instance, true
+}
+
 // Change counts the changes of the membership, so that a view is made anew
 // only when needed.
 func (m *Membership) Change() uint64 {
--- a/pkg/fleettest/fleet.go
+++ b/pkg/fleettest/fleet.go
@@ -48,6 +48,8 @@
 	Seed uint64
 	// Tweak may change a sidecar's options, to break a mechanism on purpose.
 	Tweak func(*sidecar.Options)
+	// WrapKV may change the key-value service that processes see.
+	WrapKV func(platform.KV) platform.KV
 	// MaxOpen bounds a gateway's open requests; 0 takes the default.
 	MaxOpen int
 }
@@ -185,7 +187,11 @@
 	f.epoch++
 	epoch := f.epoch
 	f.mu.Unlock()
-	return node.New(node.Options{Self: in, Epoch: epoch, KV: f.KV, List: f.List, Dial: f.Net.Dialer(in.Inner), Seed: f.Spec.Seed*1000 + epoch})
+	var kv platform.KV = f.KV
+	if f.Spec.WrapKV != nil {
+		kv = f.Spec.WrapKV(kv)
+	}
+	return node.New(node.Options{Self: in, Epoch: epoch, KV: kv, List: f.List, Dial: f.Net.Dialer(in.Inner), Seed: f.Spec.Seed*1000 + epoch})
 }
 
 // StartGateway starts a gateway and lists it.
@@ -333,3 +339,27 @@
 		e.Close()
 	}
 }
+
+// Drain carries out the planned stop of a process: it ends when no work is
+// left. A deadline other than zero is when its instance ends.
+func (f *Fleet) Drain(name string, deadline time.Time) {
+	p := f.Process(name)
+	ctx := context.Background()
+	if p.Sidecar != nil {
+		p.Sidecar.Drain(ctx, deadline)
+	} else {
+		p.Gateway.Drain(ctx)
+	}
+	f.end(p)
+}
+
+// end removes a process that has nothing left to do.
+func (f *Fleet) end(p *Process) {
+	f.mu.Lock()
+	delete(f.processes, p.Entry.Name)
+	f.past = append(f.past, p)
+	f.mu.Unlock()
+	p.cancel()
+	f.Net.Reset(p.Entry.Name)
+	f.List.Remove(p.Entry.Name)
+}
--- /dev/null
+++ b/pkg/fleettest/promises_test.go
@@ -0,0 +1,339 @@
+package fleettest
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/claim"
+	"github.com/hopwell/hopwell/pkg/fleet"
+	"github.com/hopwell/hopwell/pkg/gateway"
+	"github.com/hopwell/hopwell/pkg/request"
+	"github.com/hopwell/hopwell/pkg/trace"
+)
+
+// scenario runs a test against a fleet in a bubble. testing/synctest needs a
+// *testing.T of its own, so these are plain tests with gomega's matchers.
+func scenario(t *testing.T, spec Spec, run func(g *WithT, f *Fleet, r *Record)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := Start(spec)
+		defer f.Close()
+		r := NewRecord()
+		stop := make(chan struct{})
+		var watch sync.WaitGroup
+		watch.Go(func() { f.Watch(r, stop) })
+		end := sync.OnceFunc(func() { close(stop) })
+		defer end()
+		run(NewWithT(t), f, r)
+		time.Sleep(quiet)
+		end()
+		watch.Wait()
+		for _, v := range f.Judge(r) {
+			t.Error(v)
+		}
+	})
+}
+
+// inBackground starts a call and returns a function that waits for it.
+func inBackground(r *Record, do func() *Call) func() *Call {
+	done := make(chan *Call, 1)
+	go func() { done <- do() }()
+	return func() *Call {
+		c := <-done
+		r.Calls = append(r.Calls, c)
+		return c
+	}
+}
+
+// heldBy counts the pieces of engine memory held for a request.
+func (f *Fleet) heldBy(id string) int {
+	n := 0
+	for _, e := range f.Engines {
+		held, _ := e.Held(context.Background())
+		for _, h := range held {
+			if requestOf(h.ID) == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// streamingOn returns the decode instance that a request streams from.
+func (f *Fleet) streamingOn(id string) string {
+	for name, e := range f.Engines {
+		held, _ := e.Held(context.Background())
+		for _, h := range held {
+			if requestOf(h.ID) == id && h.What == "decode" {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
+func TestCallerGoneFreesWithinASecond(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		ctx, leave := context.WithCancel(context.Background())
+		wait := inBackground(r, func() *Call { return f.Generate(ctx, f.Gateway(0), NewRequest("r", 300, 4000)) })
+		time.Sleep(2 * time.Second)
+		g.Expect(f.heldBy("r")).To(Equal(1))
+		leave()
+		time.Sleep(goneBound)
+		g.Expect(f.heldBy("r")).To(BeZero())
+		wait()
+	})
+}
+
+func TestGatewayDeathFreesWithinTheLease(t *testing.T) {
+	for _, name := range []string{"killed", "cut off"} {
+		t.Run(name, func(t *testing.T) {
+			scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+				p := f.Gateway(0)
+				wait := inBackground(r, func() *Call { return f.Generate(context.Background(), p, NewRequest("r", 300, 4000)) })
+				time.Sleep(2 * time.Second)
+				if name == "killed" {
+					f.Crash(p.Entry.Name)
+				} else {
+					r.CutOff[p.Entry.Name] = time.Now()
+					defer f.Net.Freeze(p.Entry.Inner)()
+				}
+				time.Sleep(gateway.DefaultLease + goneBound)
+				g.Expect(f.heldBy("r")).To(BeZero())
+				wait()
+			})
+		})
+	}
+}
+
+func TestRestartedSidecarFreesWhatItDoesNotOwn(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		wait := inBackground(r, func() *Call { return f.Generate(context.Background(), f.Gateway(0), NewRequest("r", 300, 900)) })
+		time.Sleep(2 * time.Second)
+		on := f.streamingOn("r")
+		entry := f.Process(on).Entry
+		f.Crash(on)
+		time.Sleep(time.Second)
+		held, _ := f.Engines[on].Held(context.Background())
+		g.Expect(held).NotTo(BeEmpty(), "the engine goes on without its sidecar")
+		f.Restart(entry)
+		time.Sleep(100 * time.Millisecond)
+		held, _ = f.Engines[on].Held(context.Background())
+		g.Expect(held).To(BeEmpty())
+		g.Expect(wait().Result.Outcome).To(Equal(request.Done), "the answer goes on elsewhere")
+	})
+}
+
+func TestOrderRunsOnceThroughTwoGateways(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		p := f.Gateway(0)
+		first := inBackground(r, func() *Call { return f.Order(context.Background(), p, NewOrder("o1", "k")) })
+		time.Sleep(10 * time.Millisecond)
+		f.Crash(p.Entry.Name)
+		second := f.Order(context.Background(), f.Gateway(0), NewOrder("o2", "k"))
+		r.Calls = append(r.Calls, second)
+		first()
+		var held *claim.ErrHeld
+		g.Expect(errors.As(second.Result.Err, &held)).To(BeTrue(), "%v", second.Result.Err)
+		g.Expect(f.runs("order k")).To(BeNumerically("<=", 1))
+	})
+}
+
+func TestOrdersRaceOnOneKey(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		var waits []func() *Call
+		for i, id := range []string{"o1", "o2", "o3", "o4", "o5", "o6"} {
+			waits = append(waits, inBackground(r, func() *Call { return f.Order(context.Background(), f.Gateway(i), NewOrder(id, "k")) }))
+		}
+		done := 0
+		for _, wait := range waits {
+			if wait().Result.Outcome == request.Done {
+				done++
+			}
+		}
+		g.Expect(done).To(Equal(1))
+		g.Expect(f.runs("order k")).To(Equal(1))
+	})
+}
+
+func TestOrderWithLostClaimAnswer(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		f.KV.LoseAnswers(1)
+		c := f.Order(context.Background(), f.Gateway(0), NewOrder("o1", "k"))
+		r.Calls = append(r.Calls, c)
+		g.Expect(c.Result.Outcome).To(Equal(request.Done))
+		g.Expect(f.runs("order k")).To(Equal(1))
+	})
+}
+
+func TestOrderInOutageIsNotRunAndItsKeyComesBack(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		f.KV.SetDown(true)
+		c := f.Order(context.Background(), f.Gateway(0), NewOrder("o1", "k"))
+		r.Calls = append(r.Calls, c)
+		g.Expect(c.Result.Outcome).To(Equal(request.NotRun))
+		g.Expect(c.Result.Err).To(BeAssignableToTypeOf(&gateway.ErrShed{}))
+		f.KV.SetDown(false)
+		time.Sleep(3 * time.Second)
+		c = f.Order(context.Background(), f.Gateway(1), NewOrder("o2", "k"))
+		r.Calls = append(r.Calls, c)
+		g.Expect(c.Result.Outcome).To(Equal(request.Done))
+	})
+}
+
+func TestOrderWhoseRunnerIsLostIsUnknownAndNeverRepeated(t *testing.T) {
+	spec := DefaultSpec()
+	spec.ServiceTime = time.Second
+	scenario(t, spec, func(g *WithT, f *Fleet, r *Record) {
+		wait := inBackground(r, func() *Call { return f.Order(context.Background(), f.Gateway(0), NewOrder("o1", "k")) })
+		time.Sleep(300 * time.Millisecond)
+		for name, s := range f.Calls {
+			if s.Runs("order k") == 1 {
+				f.Lose(name)
+			}
+		}
+		g.Expect(wait().Result.Outcome).To(Equal(request.Unknown))
+		again := f.Order(context.Background(), f.Gateway(1), NewOrder("o2", "k"))
+		r.Calls = append(r.Calls, again)
+		var held *claim.ErrHeld
+		g.Expect(errors.As(again.Result.Err, &held)).To(BeTrue())
+		g.Expect(f.runs("order k")).To(Equal(1))
+	})
+}
+
+func TestLeavingInstanceGetsNothingFromAStaleGateway(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		f.List.SetLag(time.Hour)
+		r.Left["decode-1"] = time.Now()
+		f.Process("decode-1").Sidecar.Leave(time.Time{}, "notice")
+		for i := range 30 {
+			c := f.Generate(context.Background(), f.Gateway(i), NewRequest("r"+string(rune('a'+i)), 100, 20))
+			r.Calls = append(r.Calls, c)
+			g.Expect(c.Result.Err).NotTo(HaveOccurred())
+		}
+		g.Expect(f.Process("decode-1").Node.Log.Events(trace.Filter{})).NotTo(ContainElement(HaveField("Type", trace.Started)))
+	})
+}
+
+func TestLabelTakesAnInstanceOutWithinSeconds(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		doc, err := f.Change(&fleet.Change{ID: "out", SetLabels: map[string]fleet.Labels{"decode-1": {fleet.LabelLeaving: "true"}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		r.Accepted[doc.Revision], r.Left["decode-1"] = time.Now(), time.Now()
+		for i := range 30 {
+			c := f.Generate(context.Background(), f.Gateway(i), NewRequest("r"+string(rune('a'+i)), 100, 20))
+			r.Calls = append(r.Calls, c)
+			g.Expect(c.Result.Outcome).To(Equal(request.Done))
+		}
+	})
+}
+
+func TestDrainMovesWhatCannotEndBeforeTheDeadline(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		wait := inBackground(r, func() *Call { return f.Generate(context.Background(), f.Gateway(0), NewRequest("r", 300, 2000)) })
+		time.Sleep(2 * time.Second)
+		on := f.streamingOn("r")
+		r.Planned[on], r.Left[on] = true, time.Now()
+		began := time.Now()
+		f.Drain(on, time.Now().Add(5*time.Second))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 5*time.Second))
+		c := wait()
+		g.Expect(c.Result.Outcome).To(Equal(request.Done))
+		g.Expect(c.Result.Wasted).To(BeZero(), "the KV cache moved, nothing was computed again")
+		g.Expect(c.Result.PerToken).To(BeNumerically("<", 63*time.Millisecond))
+	})
+}
+
+func TestDrainWithoutADeadlineFinishesWhatRuns(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		var waits []func() *Call
+		for i := range 12 {
+			waits = append(waits, inBackground(r, func() *Call {
+				return f.Generate(context.Background(), f.Gateway(i), NewRequest("r"+string(rune('a'+i)), 300, 200))
+			}))
+		}
+		time.Sleep(time.Second)
+		for _, name := range []string{"decode-1", "prefill-1", "gateway-1"} {
+			r.Planned[name] = true
+			f.Drain(name, time.Time{})
+		}
+		for _, wait := range waits {
+			c := wait()
+			g.Expect(c.Result.Outcome).To(Equal(request.Done))
+			g.Expect(c.Result.Attempts).To(Equal(1))
+		}
+	})
+}
+
+func TestChangeIsInForceThoughTheKVGoesDownRightAfter(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		doc, err := f.Change(&fleet.Change{ID: "c", SetLabels: map[string]fleet.Labels{"decode-1": {"rack": "7"}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		f.KV.SetDown(true)
+		r.Accepted[doc.Revision] = time.Now()
+		f.Crash("prefill-3")
+		time.Sleep(time.Second)
+		p := f.Restart(f.entry("prefill-3", 2, "sidecar", "prefill"))
+		time.Sleep(inForceBound)
+		g.Expect(p.Node.Keeper.Document().Revision).To(Equal(doc.Revision), "a process that starts in the outage learns it from peers")
+	})
+}
+
+func TestChangeWithLostAnswerIsSettled(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		before := f.Gateway(0).Node.Keeper.Document().Revision
+		f.KV.LoseAnswers(1)
+		doc, err := f.Change(&fleet.Change{ID: "c", SetLabels: map[string]fleet.Labels{"decode-1": {"rack": "7"}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(doc.Revision).To(Equal(before+1), "it took effect once")
+		r.Accepted[doc.Revision] = time.Now()
+	})
+}
+
+func TestRacingOperators(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		base := f.Gateway(0).Node.Keeper.Document().Revision
+		set := func(id, in, key, value string) error {
+			doc, err := f.Change(&fleet.Change{ID: id, Base: base, SetLabels: map[string]fleet.Labels{in: {key: value}}})
+			if err == nil {
+				r.Accepted[doc.Revision] = time.Now()
+			}
+			return err
+		}
+		g.Expect(set("a", "decode-1", "rack", "7")).To(Succeed())
+		g.Expect(set("b", "decode-2", "rack", "8")).To(Succeed(), "a disjoint change is rebased")
+		var conflict *fleet.ErrConflict
+		g.Expect(errors.As(set("c", "decode-1", "rack", "9"), &conflict)).To(BeTrue())
+		g.Expect(conflict.Theirs).To(Equal("7"))
+		g.Expect(conflict.Mine).To(Equal("9"))
+	})
+}
+
+func TestEmptyListDropsNoHealthyRunner(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, r *Record) {
+		f.List.SetEmpty(true)
+		for i := range 20 {
+			time.Sleep(time.Second)
+			c := f.Generate(context.Background(), f.Gateway(i), NewRequest("r"+string(rune('a'+i)), 100, 20))
+			r.Calls = append(r.Calls, c)
+			g.Expect(c.Result.Outcome).To(Equal(request.Done))
+		}
+	})
+}
+
+func TestWeightLoadsStayWithinTheStoresRate(t *testing.T) {
+	scenario(t, DefaultSpec(), func(g *WithT, f *Fleet, _ *Record) {
+		time.Sleep(10 * time.Second)
+		for name, e := range f.Engines {
+			l, _ := e.Load(context.Background())
+			g.Expect(l.Assigned.Model).To(Equal(Model), name)
+		}
+		g.Expect(f.Weights.Fetches()).To(Equal(len(f.Engines)))
+	})
+}
--- a/pkg/sidecar/assign.go
+++ b/pkg/sidecar/assign.go
@@ -62,8 +62,8 @@
 			return err
 		}
 	}
-	if now := s.Keeper.Document(); now.Revision != doc.Revision {
-		return &ErrOrder{Want: "the newest revision"}
+	if err := s.mayOrder(ctx, doc); err != nil {
+		return err
 	}
 	if err := s.opt.Engine.Assign(ctx, engine.Fence{Epoch: s.Epoch, Revision: doc.Revision}, want); err != nil {
 		return err
@@ -72,6 +72,27 @@
 	return nil
 }
 
+// staleAfter is how old the last confirmation of the configuration may be for
+// an order to the engine; peers are asked about every second.
+const staleAfter = 4 * time.Second
+
+// mayOrder checks what an engine that does not look at fences would let through:
+// an order from an old document, from a process that was paused and has not
+// compared its configuration since, or from one that was replaced meanwhile.
+func (s *Sidecar) mayOrder(ctx context.Context, doc *fleet.Document) error {
+	if s.Keeper.Document().Revision != doc.Revision || s.Keeper.Stale(time.Now(), staleAfter) {
+		return &ErrOrder{Want: "a confirmed newest revision"}
+	}
+	l, err := s.opt.Engine.Load(ctx)
+	if err != nil {
+		return err
+	}
+	if l.Fence.Epoch > s.Epoch {
+		return &ErrOrder{Want: "no later sidecar"}
+	}
+	return nil
+}
+
 // Assignment computes what the engine should run on the one member of a view:
 // what the first selector in name order that matches it says. It returns false
 // when none does.
--- a/pkg/sidecar/leaving.go
+++ b/pkg/sidecar/leaving.go
@@ -31,8 +31,8 @@
 // moves work away when the deadline comes near.
 func (s *Sidecar) watchLeaving(ctx context.Context) {
 	for ctx.Err() == nil {
-		if m := s.View().Find(s.Self.Name); m != nil && m.Leaving && m.Inner == s.Self.Inner {
-			s.Leave(m.Deadline, "instance_list")
+		if in, ok := s.Members.Listed(s.Self.Name); ok && in.Leaving && in.Inner == s.Self.Inner {
+			s.Leave(in.Deadline, "instance_list")
 		}
 		s.moveLate()
 		select {
