--- /dev/null
+++ b/experiment/outcome.go
@@ -0,0 +1,183 @@
+package experiment
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/fleettest"
+	"github.com/hopwell/hopwell/pkg/gateway"
+	"github.com/hopwell/hopwell/pkg/request"
+)
+
+// Outcome sums up a run.
+type Outcome struct {
+	// Offered, Good and Bound count requests: Good met both targets.
+	Offered, Good, Bound int
+	// ByClass is the share of good answers of each class.
+	ByClass map[string]float64
+	// Prefilled and Wasted count prompt tokens.
+	Prefilled, Wasted int
+	// Recovery is the time from the fault to full goodput of what is left; -1
+	// when it was not reached.
+	Recovery time.Duration
+	// NotRun, Unknown and Late count what was not good; Left the callers that
+	// went away by themselves.
+	NotRun, Unknown, Late, Left int
+	// Reasons counts the refused by class and reason.
+	Reasons map[string]int
+	// Cached is the share of prompt tokens that engines had cached; Busy the
+	// share of time that prefill engines computed.
+	Cached, Busy float64
+	// KVReads and KVWrites are calls a second.
+	KVReads, KVWrites float64
+}
+
+// classOf returns the kind of a call.
+func classOf(c *fleettest.Call) string {
+	if c.Service != nil {
+		return c.Service.Kind
+	}
+	return c.Request.Kind
+}
+
+// summarize counts the calls of a run.
+func summarize(d Deployment, load []Arrival, calls []*fleettest.Call, scene Scene, length time.Duration) Outcome {
+	o := Outcome{Offered: len(load), ByClass: map[string]float64{}, Reasons: map[string]int{}}
+	o.Bound = d.Bound(load, length, float64(d.Prefills), float64(d.Decodes))
+	total := map[string]float64{}
+	for _, c := range calls {
+		total[classOf(c)]++
+		o.Prefilled += c.Result.Prefilled
+		o.Wasted += c.Result.Wasted
+		o.count(c)
+	}
+	for kind, n := range total {
+		o.ByClass[kind] /= n
+	}
+	o.Recovery = recovery(d, calls, scene, length)
+	return o
+}
+
+func (o *Outcome) count(c *fleettest.Call) {
+	switch {
+	case good(c):
+		o.Good++
+		o.ByClass[classOf(c)]++
+	case !c.Left.IsZero():
+		o.Left++
+	case c.Result.Outcome == request.NotRun:
+		o.NotRun++
+		var shed *gateway.ErrShed
+		if errors.As(c.Result.Err, &shed) {
+			o.Reasons[classOf(c)+"/"+shed.Reason]++
+		}
+	case c.Result.Outcome == request.Unknown || c.Lost:
+		o.Unknown++
+	default:
+		o.Late++
+	}
+}
+
+// good reports whether a caller got a whole answer within both targets.
+func good(c *fleettest.Call) bool { return !c.Lost && c.Left.IsZero() && c.Result.Good() }
+
+// enough is the share of the goodput before a fault, scaled by the capacity
+// that is left, that counts as full.
+const enough = 0.9
+
+// recovery finds the last second after the fault with too little goodput.
+func recovery(d Deployment, calls []*fleettest.Call, scene Scene, length time.Duration) time.Duration {
+	if scene.Fault == nil || len(calls) == 0 {
+		return 0
+	}
+	n := int(length.Seconds())
+	offered, ok := make([]float64, n), make([]float64, n)
+	start := calls[0].Began
+	for _, c := range calls {
+		if c.Began.Before(start) {
+			start = c.Began
+		}
+	}
+	for _, c := range calls {
+		s := int(c.Began.Sub(start).Seconds())
+		if s >= n {
+			continue
+		}
+		offered[s]++
+		if good(c) {
+			ok[s]++
+		}
+	}
+	fault := int(faultAt.Seconds())
+	before := sum(ok[2:fault]) / sum(offered[2:fault])
+	left := min(1-float64(scene.Prefills)/float64(d.Prefills), 1-float64(scene.Decodes)/float64(d.Decodes))
+	for s := n - 3; s >= fault; s-- {
+		window := sum(ok[s:s+3]) / max(1, sum(offered[s:s+3]))
+		if window < enough*before*left {
+			if s >= n-4 {
+				return -1
+			}
+			return time.Duration(s+1-fault) * time.Second
+		}
+	}
+	return 0
+}
+
+func sum(xs []float64) float64 {
+	t := 0.0
+	for _, x := range xs {
+		t += x
+	}
+	return t
+}
+
+// Row is a line of the table.
+type Row struct {
+	Scene, Setting string
+	Outcome        Outcome
+}
+
+// WriteTable writes a deployment's table in Markdown.
+func WriteTable(w io.Writer, d Deployment, rows []Row) {
+	kinds := make([]string, len(d.Classes))
+	for i := range d.Classes {
+		kinds[i] = d.Classes[i].Kind
+	}
+	_, _ = fmt.Fprintf(w, "\n| %s | setting | good %% of offered | %% of bound | %s | wasted prefill %% | recovery s | not run | late | unknown | KV r/s | KV w/s |\n", d.Name, strings.Join(kinds, " | "))
+	_, _ = fmt.Fprintf(w, "|%s\n", strings.Repeat("---|", 11+len(kinds)))
+	for _, r := range rows {
+		o := &r.Outcome
+		_, _ = fmt.Fprintf(w, "| %s | %s | %.1f | %.1f |", r.Scene, r.Setting, share(o.Good, o.Offered), share(o.Good, o.Bound))
+		for _, k := range kinds {
+			_, _ = fmt.Fprintf(w, " %.1f |", 100*o.ByClass[k])
+		}
+		_, _ = fmt.Fprintf(w, " %.2f | %s | %d | %d | %d | %.1f | %.1f |\n", share(o.Wasted, o.Prefilled), seconds(o.Recovery), o.NotRun, o.Late, o.Unknown, o.KVReads, o.KVWrites)
+	}
+}
+
+func share(a, b int) float64 { return 100 * float64(a) / float64(max(b, 1)) }
+
+func seconds(d time.Duration) string {
+	if d < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.0f", d.Seconds())
+}
+
+// use sums up what the prefill engines did.
+func (o *Outcome) use(f *fleettest.Fleet, length time.Duration) {
+	var done, cached int64
+	n := 0
+	for _, e := range f.Engines {
+		s := e.Stats()
+		done, cached = done+s.Prefilled, cached+s.Cached
+		if s.Prefilled > 0 {
+			n++
+		}
+	}
+	o.Cached = float64(cached) / float64(max(1, cached+done))
+	o.Busy = float64(done) / (f.Spec.Prefill.PrefillRate * length.Seconds() * float64(max(n, 1)))
+}
