gateway: a stream's end never overtakes its reports

Cause: reports and the stream's end came over two channels, and select takes either when both are ready. Ruled out: the sidecar, which had sent all. Change: one channel, closed after the last report.

admission: the prefill rate is learned from jobs that shared the engine with no other.

--- a/experiment/outcome.go
+++ b/experiment/outcome.go
@@ -76,6 +76,7 @@
 		}
 	case c.Result.Outcome == request.Unknown || c.Lost:
 		o.Unknown++
+		o.Reasons["unknown/"+fmt.Sprint(c.Result.Err)]++
 	default:
 		o.Late++
 	}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -28,6 +28,8 @@
 	begun   time.Time
 	running bool
 	relaxed bool
+	// shared is set once another job was on the engine at the same time.
+	shared bool
 }
 
 // Queue orders the prefills of one engine by deadline and admits only what it
@@ -120,6 +122,11 @@
 		return nil
 	}
 	j := q.jobs[0]
+	for _, other := range q.jobs {
+		if other.running {
+			other.shared, j.shared = true, true
+		}
+	}
 	j.running, j.begun = true, now
 	return j
 }
@@ -145,6 +152,17 @@
 	return true
 }
 
+// Alone returns how long a running job has had the engine to itself, and false
+// when it shared it.
+func (q *Queue) Alone(now time.Time, id string) (time.Duration, bool) {
+	for _, j := range q.jobs {
+		if j.ID == id {
+			return now.Sub(j.begun), j.running && !j.shared
+		}
+	}
+	return 0, false
+}
+
 // Len returns how many jobs wait or run.
 func (q *Queue) Len() int { return len(q.jobs) }
 
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -222,7 +222,11 @@
 	}
 	for {
 		select {
-		case r := <-b.reports:
+		case r, ok := <-b.reports:
+			if !ok {
+				a.excluded[b.member.Name] = true
+				return b.failure("lost")
+			}
 			switch x := r.Body.(type) {
 			case *wirepb.Report_Exported:
 				a.exported(b, x.Exported)
@@ -232,9 +236,6 @@
 				a.excluded[b.member.Name] = true
 				return &ErrBroken{Instance: b.member.Name, Code: x.Failed.Code, Never: !x.Failed.Started}
 			}
-		case <-b.broken:
-			a.excluded[b.member.Name] = true
-			return b.failure("lost")
 		case <-decodeBroken:
 			decodeBroken = nil
 			a.excluded[a.decode.member.Name] = true
--- a/pkg/gateway/branch.go
+++ b/pkg/gateway/branch.go
@@ -39,6 +39,8 @@
 
 	cancelCtx context.CancelFunc
 	st        wirepb.DRPCRunner_AttemptClient
+	// reports is closed after the last one; broken, at the same time, is for
+	// those who do not read reports.
 	reports   chan *wirepb.Report
 	broken    chan struct{}
 	err       error
@@ -60,9 +62,10 @@
 	timer := time.NewTimer(openTime)
 	defer timer.Stop()
 	select {
-	case r := <-b.reports:
-		return b.answered(r)
-	case <-b.broken:
+	case r, ok := <-b.reports:
+		if ok {
+			return b.answered(r)
+		}
 		err = b.failure("lost")
 	case <-timer.C:
 		err = b.failure("silent")
@@ -143,8 +146,10 @@
 	return b.st.Send(o)
 }
 
-// receive passes reports on until the stream ends.
+// receive passes reports on until the stream ends. It closes reports last, so
+// that whoever reads them meets the stream's end after all that came before it.
 func (b *branch) receive() {
+	defer close(b.reports)
 	defer close(b.broken)
 	for {
 		r, err := b.st.Recv()
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -223,7 +223,10 @@
 func (r *serviceRun) relay(ctx context.Context, b *branch, n int) error {
 	for {
 		select {
-		case rep := <-b.reports:
+		case rep, ok := <-b.reports:
+			if !ok {
+				return b.failure("lost")
+			}
 			switch x := rep.Body.(type) {
 			case *wirepb.Report_Head:
 				r.head(x.Head)
@@ -238,8 +241,6 @@
 				b.finished()
 				return &ErrBroken{Instance: b.member.Name, Code: x.Failed.Code, Never: !x.Failed.Started}
 			}
-		case <-b.broken:
-			return b.failure("lost")
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -54,7 +54,10 @@
 	defer gap.Stop()
 	for {
 		select {
-		case r := <-b.reports:
+		case r, ok := <-b.reports:
+			if !ok {
+				return a.decodeLost(b.failure("lost"))
+			}
 			done, err := a.take(r)
 			if done || err != nil {
 				return err
@@ -62,8 +65,6 @@
 			if a.source == nil {
 				gap.Reset(chunkGap)
 			}
-		case <-b.broken:
-			return a.decodeLost(b.failure("lost"))
 		case <-gap.C:
 			b.cancelCtx()
 			return a.decodeLost(b.failure("silent"))
--- a/pkg/sidecar/prefill.go
+++ b/pkg/sidecar/prefill.go
@@ -60,11 +60,10 @@
 		Prompt: a.open.Prompt, Tokens: int(a.open.PromptTokens), Priority: a.urgency(),
 	}
 	a.event(trace.Started, "role=prefill")
-	began := time.Now()
 	for {
 		x, err := a.s.opt.Engine.Prefill(a.ctx, p)
 		if err == nil {
-			a.s.observePrefill(x, time.Since(began))
+			a.s.observePrefill(a.key, x)
 			return x, nil
 		}
 		if !isCode(err, engine.CodeFull) {
@@ -182,13 +181,15 @@
 	s.transfers += n
 }
 
-// observePrefill learns the engine's speed from a prefill that met no other.
-func (s *Sidecar) observePrefill(x engine.Export, took time.Duration) {
+// observePrefill learns the engine's speed from a prefill that shared it with no
+// other.
+func (s *Sidecar) observePrefill(key string, x engine.Export) {
 	s.met.prefilled.Add(x.Tokens - x.Cached)
 	s.met.found.Add(x.Cached)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.queue.Len() == 1 {
+	if took, alone := s.queue.Alone(time.Now(), key); alone {
 		s.speed.Observe(x.Tokens-x.Cached, took)
+		s.queue.Rate = s.speed.Rate()
 	}
 }
