admission: reservations of decode slots are windows in time

Cause: a stream reserved for a prefill of seconds held its slot and memory from its admission on, and a check that needed a slot now was refused as full. Change: a reservation counts from the time when its KV cache will be there, and may wait for a slot as long as its first token allows.

--- a/pkg/admission/ledger.go
+++ b/pkg/admission/ledger.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 )
 
@@ -39,29 +40,64 @@
 	return &Ledger{Bytes: bytes, Batch: batch, streams: map[string]*Stream{}}
 }
 
-// Reserve books a stream whose KV cache will be there after need. It fails with
-// *ErrFull when the engine will have no room then.
-func (l *Ledger) Reserve(now time.Time, need time.Duration, s Stream) error {
-	s.need = now.Add(need)
+// Reserve books a stream whose KV cache will be there after need and whose start
+// may wait for slack beyond that. It returns how long it will wait, or *ErrFull
+// when the engine will have no room in time.
+func (l *Ledger) Reserve(now time.Time, need, slack time.Duration, s Stream) (time.Duration, error) {
 	if s.Bytes > l.Bytes {
-		return &ErrFull{ID: s.ID, Never: true}
+		return 0, &ErrFull{ID: s.ID, Never: true}
 	}
-	if l.fits(now, &s) {
-		l.streams[s.ID] = &s
-		return nil
+	s.need = now.Add(need)
+	latest := s.need.Add(max(slack, 0))
+	for _, at := range l.starts(now, s.need, latest) {
+		if l.fits(now, at, &s) {
+			wait := at.Sub(s.need)
+			s.need = at
+			l.streams[s.ID] = &s
+			return wait, nil
+		}
+	}
+	return 0, &ErrFull{ID: s.ID, RetryAfter: l.nextFree(now)}
+}
+
+// starts returns the times at which a stream could begin: when it is ready, and
+// whenever another one ends after that.
+func (l *Ledger) starts(now, ready, latest time.Time) []time.Time {
+	out := []time.Time{ready}
+	for _, x := range l.streams {
+		if end := l.end(now, x); end.After(ready) && !end.After(latest) {
+			out = append(out, end)
+		}
 	}
-	return &ErrFull{ID: s.ID, RetryAfter: l.nextFree(now)}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
 }
 
 // Book books a stream without asking whether it fits; it waits for its room
 // when it starts.
 func (l *Ledger) Book(s Stream) { l.streams[s.ID] = &s }
 
-// fits reports whether a stream finds room at its time of need.
-func (l *Ledger) fits(now time.Time, s *Stream) bool {
+// fits reports whether a stream that begins at a time finds room until its end.
+// The room is tightest at its begin or at the begin of a stream reserved for
+// later, so only those times are looked at.
+func (l *Ledger) fits(now, at time.Time, s *Stream) bool {
+	end := at.Add(l.duration(s))
+	if !l.roomAt(now, at, s) {
+		return false
+	}
+	for _, x := range l.streams {
+		if !x.started && x.need.After(at) && x.need.Before(end) && !l.roomAt(now, x.need, s) {
+			return false
+		}
+	}
+	return true
+}
+
+// roomAt reports whether a stream fits beside those that are there at a time.
+func (l *Ledger) roomAt(now, at time.Time, s *Stream) bool {
 	batch, bytes, target := 1, s.Bytes, s.PerToken
 	for _, x := range l.streams {
-		if x.started && now.Add(l.left(x)).Before(s.need) {
+		if !x.started && x.need.After(at) || !l.end(now, x).After(at) {
 			continue
 		}
 		batch++
@@ -71,6 +107,14 @@
 	return batch <= l.Batch && bytes <= l.Bytes && (target == 0 || l.step(batch) <= target)
 }
 
+// end is when a stream will have ended at the latest.
+func (l *Ledger) end(now time.Time, s *Stream) time.Time {
+	if s.started || s.need.Before(now) {
+		return now.Add(l.duration(s))
+	}
+	return s.need.Add(l.duration(s))
+}
+
 func tighter(a, b time.Duration) time.Duration {
 	if a == 0 || (b > 0 && b < a) {
 		return b
@@ -84,12 +128,12 @@
 	if !ok || !s.started {
 		return 0
 	}
-	return l.left(s)
+	return l.duration(s)
 }
 
-// left is the time that a started stream still takes at most.
-func (l *Ledger) left(s *Stream) time.Duration {
-	return time.Duration(s.Tokens) * l.step(len(l.streams))
+// duration is the time that a stream's remaining tokens take at most.
+func (l *Ledger) duration(s *Stream) time.Duration {
+	return time.Duration(s.Tokens) * l.step(min(len(l.streams), l.Batch))
 }
 
 func (l *Ledger) step(batch int) time.Duration {
@@ -100,7 +144,7 @@
 func (l *Ledger) nextFree(now time.Time) time.Duration {
 	best := time.Duration(0)
 	for _, s := range l.streams {
-		if d := l.left(s); s.started && (best == 0 || d < best) {
+		if d := l.duration(s); s.started && (best == 0 || d < best) {
 			best = d
 		}
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -126,14 +126,17 @@
 	offset, _ := a.life.Progress()
 	e := &p.Estimate
 	d, _ := a.g.Keeper.Digest()
-	after := e.Transfer + e.Step + e.Network
+	slack := a.left() - seconds(e.Transfer+e.Step+e.Network)
+	if role == fleet.RoleDecode {
+		slack = a.left() - seconds(e.FirstToken-e.Slot)
+	}
 	return &wirepb.Open{
 		RequestId: a.req.ID, Attempt: uint32(a.n), Role: string(role),
 		Kind: a.req.Kind, Model: a.selector.Model, Version: a.selector.Version, Adapter: a.selector.Adapter,
 		Workspace: a.req.Workspace, Priority: int32(a.selector.Priority),
 		PromptTokens: uint32(a.tokens), MaxTokens: uint32(a.req.MaxTokens), ResumeOffset: uint32(offset),
 		Prompt:  a.req.Prompt,
-		SlackUs: (a.left() - seconds(after)).Microseconds(), PerTokenUs: a.per.Microseconds(),
+		SlackUs: slack.Microseconds(), PerTokenUs: a.per.Microseconds(),
 		NeedUs:   seconds(e.Queue + e.Prefill + e.Transfer).Microseconds(),
 		Revision: d.Revision, Seed: a.seed(), Paid: a.paid(),
 	}
--- a/pkg/gateway/branch.go
+++ b/pkg/gateway/branch.go
@@ -41,10 +41,10 @@
 	st        wirepb.DRPCRunner_AttemptClient
 	// reports is closed after the last one; broken, at the same time, is for
 	// those who do not read reports.
-	reports   chan *wirepb.Report
-	broken    chan struct{}
-	err       error
-	quit      chan struct{}
+	reports chan *wirepb.Report
+	broken  chan struct{}
+	err     error
+	quit    chan struct{}
 
 	mu    sync.Mutex
 	heard time.Time
--- a/pkg/sidecar/decode.go
+++ b/pkg/sidecar/decode.go
@@ -20,13 +20,14 @@
 
 // decode reserves a stream, waits for the order to start, and relays tokens.
 func (a *attempt) decode() error {
-	if err := a.s.reserve(a); err != nil {
+	wait, err := a.s.reserve(a)
+	if err != nil {
 		var full *admission.ErrFull
 		errors.As(err, &full)
 		return a.refuse(&wirepb.Refused{Reason: ReasonFull, RetryAfterUs: full.RetryAfter.Microseconds()})
 	}
 	defer a.s.unreserve(a.key)
-	if err := a.admit(0); err != nil {
+	if err := a.admit(wait); err != nil {
 		return err
 	}
 	var start *wirepb.Start
@@ -46,8 +47,9 @@
 	return a.generate(start)
 }
 
-// reserve books a stream with the ledger.
-func (s *Sidecar) reserve(a *attempt) error {
+// reserve books a stream with the ledger and returns how long its start will
+// wait for its slot.
+func (s *Sidecar) reserve(a *attempt) (time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	tokens := int64(a.open.PromptTokens) + int64(a.open.MaxTokens)
@@ -57,10 +59,11 @@
 	}
 	if s.opt.Admission == AdmitFIFO {
 		s.ledger.Book(st)
-		return nil
+		return 0, nil
 	}
 	need := time.Duration(a.open.NeedUs) * time.Microsecond
-	return s.ledger.Reserve(time.Now(), need, st)
+	slack := time.Duration(a.open.SlackUs) * time.Microsecond
+	return s.ledger.Reserve(time.Now(), need, slack, st)
 }
 
 func (s *Sidecar) unreserve(key string) {
