admission: the longest waiting prefill gives way (Moore and Hodgson)

Cause: with deadlines in order, one long prefill that was admitted first made every check behind it late, so checks were refused under load. Change: a job that has not begun and is the longest among those before the first late one gives way; its gateway tries another runner or says not run.

--- a/experiment/outcome.go
+++ b/experiment/outcome.go
@@ -79,6 +79,11 @@
 		o.Reasons["unknown/"+fmt.Sprint(c.Result.Err)]++
 	default:
 		o.Late++
+		if c.Result.FirstToken > c.Result.TargetFirst {
+			o.Reasons[classOf(c)+"/first token"]++
+		} else {
+			o.Reasons[classOf(c)+"/per token"]++
+		}
 	}
 }
 
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -51,9 +51,42 @@
 // relaxedFactor stretches the deadline of a job that can't meet its own.
 const relaxedFactor = 4
 
-// Admit takes a job in and returns how long it will wait, or *ErrLate when it
-// or a job already admitted would miss its deadline.
-func (q *Queue) Admit(now time.Time, j Job) (time.Duration, error) {
+// Admit takes a job in and returns how long it will wait, and the IDs of jobs
+// that gave way to it. It fails with *ErrLate when the job or one already
+// admitted would miss its deadline.
+//
+// A job gives way when it has not begun and is the longest of those that would
+// make another late: the rule of Moore and Hodgson (1968), which keeps the
+// number of late jobs on one machine least. It may find room on another runner.
+func (q *Queue) Admit(now time.Time, j Job) (wait time.Duration, gaveWay []string, err error) {
+	q.place(now, &j)
+	at, _ := slices.BinarySearchFunc(q.jobs, &j, before)
+	trial := slices.Insert(slices.Clone(q.jobs), at, &j)
+	for {
+		wait, late, over := q.check(now, trial, &j)
+		if late < 0 || j.Paid {
+			q.jobs = trial
+			return wait, gaveWay, nil
+		}
+		victim := q.longest(trial[:late+1], &j)
+		if victim < 0 || len(gaveWay) == maxGiveWay {
+			return 0, nil, &ErrLate{ID: j.ID, RetryAfter: over}
+		}
+		gaveWay = append(gaveWay, trial[victim].ID)
+		trial = slices.Delete(trial, victim, victim+1)
+	}
+}
+
+const (
+	// maxGiveWay bounds the jobs that give way to one.
+	maxGiveWay = 2
+	// giveWayFactor is by how much a job must be longer than the new one to
+	// give way to it.
+	giveWayFactor = 2
+)
+
+// place sets the deadline by which a job is ordered.
+func (q *Queue) place(now time.Time, j *Job) {
 	j.arrived = now
 	alone := q.time(j.Tokens)
 	if now.Add(alone).After(j.Deadline) {
@@ -64,14 +97,21 @@
 		j.Deadline = now
 		j.relaxed = true
 	}
-	at, _ := slices.BinarySearchFunc(q.jobs, &j, before)
-	trial := slices.Insert(slices.Clone(q.jobs), at, &j)
-	wait, late := q.check(now, trial, &j)
-	if late > 0 && !j.Paid {
-		return 0, &ErrLate{ID: j.ID, RetryAfter: late}
+}
+
+// longest returns the index of the longest job that may give way to a new one,
+// or -1.
+func (q *Queue) longest(jobs []*Job, mine *Job) int {
+	best := -1
+	for i, x := range jobs {
+		if x == mine || x.running || x.Paid || x.Priority > mine.Priority || x.Tokens < giveWayFactor*mine.Tokens {
+			continue
+		}
+		if best < 0 || x.Tokens > jobs[best].Tokens {
+			best = i
+		}
 	}
-	q.jobs = trial
-	return wait, nil
+	return best
 }
 
 // before orders jobs: paid work first, then by deadline.
@@ -85,20 +125,21 @@
 	return a.Deadline.Compare(b.Deadline)
 }
 
-// check walks the queue in order and returns the wait of one job and by how
-// much the worst job would be late.
-func (q *Queue) check(now time.Time, jobs []*Job, mine *Job) (wait, late time.Duration) {
+// check walks the queue in order and returns the wait of one job, the index of
+// the first job that would be late, -1 for none, and by how much.
+func (q *Queue) check(now time.Time, jobs []*Job, mine *Job) (wait time.Duration, late int, over time.Duration) {
 	end := now
-	for _, j := range jobs {
+	late = -1
+	for i, j := range jobs {
 		if j == mine {
 			wait = end.Sub(now)
 		}
 		end = end.Add(q.remaining(now, j))
-		if over := end.Sub(j.Deadline); over > late && (!j.relaxed || j == mine) {
-			late = over
+		if late < 0 && end.After(j.Deadline) && (!j.relaxed || j == mine) {
+			late, over = i, end.Sub(j.Deadline)
 		}
 	}
-	return wait, late
+	return wait, late, over
 }
 
 // remaining is the engine time that a job still needs.
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -207,7 +207,7 @@
 	var refused *ErrRefused
 	var broken *ErrBroken
 	switch {
-	case errors.As(err, &refused):
+	case errors.As(err, &refused): // At once, or later when it gave way to others.
 		a.life.Withdraw(a.n)
 	case errors.As(err, &broken) && broken.Never:
 		a.life.Withdraw(a.n)
@@ -234,6 +234,9 @@
 			case *wirepb.Report_Exported:
 				a.exported(b, x.Exported)
 				return nil
+			case *wirepb.Report_Refused:
+				b.finished()
+				return b.refused(x.Refused)
 			case *wirepb.Report_Failed:
 				b.finished()
 				a.excluded[b.member.Name] = true
--- a/pkg/gateway/branch.go
+++ b/pkg/gateway/branch.go
@@ -128,8 +128,7 @@
 		return b, nil
 	case *wirepb.Report_Refused:
 		b.close()
-		b.g.met.refused(x.Refused.Reason)
-		return nil, &ErrRefused{Instance: b.member.Name, Reason: x.Refused.Reason, RetryAfter: time.Duration(x.Refused.RetryAfterUs) * time.Microsecond}
+		return nil, b.refused(x.Refused)
 	case *wirepb.Report_Failed:
 		b.close()
 		return nil, &ErrBroken{Instance: b.member.Name, Code: x.Failed.Code, Never: !x.Failed.Started}
@@ -138,6 +137,12 @@
 	return nil, &ErrBroken{Instance: b.member.Name, Code: "protocol"}
 }
 
+// refused counts and describes a sidecar's refusal.
+func (b *branch) refused(r *wirepb.Refused) error {
+	b.g.met.refused(r.Reason)
+	return &ErrRefused{Instance: b.member.Name, Reason: r.Reason, RetryAfter: time.Duration(r.RetryAfterUs) * time.Microsecond}
+}
+
 // order writes one order.
 func (b *branch) order(o *wirepb.Order) error {
 	b.mu.Lock()
--- a/pkg/sidecar/prefill.go
+++ b/pkg/sidecar/prefill.go
@@ -16,6 +16,9 @@
 // fullRetry is the wait before an engine without room is asked again.
 const fullRetry = 20 * time.Millisecond
 
+// gaveWayRetry is when a prefill that gave way to others is worth another try.
+const gaveWayRetry = 500 * time.Millisecond
+
 // fifoStep keeps a baseline's jobs in order of arrival: each one's deadline is
 // later than that of all before.
 const fifoStep = time.Hour
@@ -24,7 +27,7 @@
 // gateway releases it.
 func (a *attempt) prefill() error {
 	hashes := blocks(a.open.Model, a.open.Version, a.open.Adapter, a.open.Prompt)
-	turn := make(chan struct{}, 1)
+	turn := make(chan bool, 1)
 	wait, err := a.s.enqueue(a, hashes, turn)
 	var late *admission.ErrLate
 	if errors.As(err, &late) {
@@ -35,7 +38,10 @@
 		return err
 	}
 	select {
-	case <-turn:
+	case run := <-turn:
+		if !run {
+			return a.refuse(&wirepb.Refused{Reason: ReasonLate, RetryAfterUs: gaveWayRetry.Microseconds()})
+		}
 	case <-a.ctx.Done():
 		a.s.fences.fence(a.key)
 		return a.fail(a.cause(), false)
@@ -129,8 +135,9 @@
 	}
 }
 
-// enqueue admits a prefill to the queue. Turn gets a value when it may run.
-func (s *Sidecar) enqueue(a *attempt, hashes []uint64, turn chan struct{}) (time.Duration, error) {
+// enqueue admits a prefill to the queue. Turn gets true when it may run, and
+// false when it must give way to others and never will.
+func (s *Sidecar) enqueue(a *attempt, hashes []uint64, turn chan bool) (time.Duration, error) {
 	tokens := int(a.open.PromptTokens)
 	state := []route.State{{ID: ownID}}
 	s.cached.Fill(hashes, prefix.BlockTokens, tokens, state)
@@ -144,10 +151,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wait, err := s.queue.Admit(time.Now(), j)
+	wait, gaveWay, err := s.queue.Admit(time.Now(), j)
 	if err != nil {
 		return 0, err
 	}
+	for _, key := range gaveWay {
+		offer(s.waiting[key], false)
+		delete(s.waiting, key)
+	}
 	s.waiting[a.key] = turn
 	s.dispatch()
 	return wait, nil
@@ -170,7 +181,7 @@
 		if j == nil {
 			return
 		}
-		offer(s.waiting[j.ID], struct{}{})
+		offer(s.waiting[j.ID], true)
 	}
 }
 
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -65,7 +65,7 @@
 	speed     *admission.Speed
 	step      *admission.Step
 	kvToken   int64
-	waiting   map[string]chan struct{}
+	waiting   map[string]chan bool
 	starters  []*starter
 	attempts  map[string]*attempt
 	transfers int
@@ -92,7 +92,7 @@
 		ledger:   admission.NewLedger(0, 0),
 		speed:    admission.NewSpeed(o.PrefillRate),
 		step:     admission.NewStep(o.StepBase, o.StepSlope),
-		waiting:  map[string]chan struct{}{},
+		waiting:  map[string]chan bool{},
 		attempts: map[string]*attempt{},
 		cached:   route.NewPrefixes(cachedBlocks),
 		fences:   newFences(),
