admission: a long prefill leaves room for the urgent work that will come

Cause: work with seconds to its deadline was admitted against the queue as it stood, though urgent work that comes later goes before it; when the queue was tight, every check was refused. Change: the share of the engine's time that urgent jobs took lately is left free.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -28,6 +28,9 @@
 	begun   time.Time
 	running bool
 	relaxed bool
+	// headroom is how much before its deadline a job must fit when it is
+	// admitted, since urgent jobs that come later will go before it.
+	headroom time.Duration
 	// shared is set once another job was on the engine at the same time.
 	shared bool
 }
@@ -46,6 +49,8 @@
 	Margin float64
 
 	jobs []*Job
+	// urgent is the use of the engine by urgent jobs.
+	urgent Usage
 }
 
 // relaxedFactor stretches the deadline of a job that can't meet its own.
@@ -66,6 +71,9 @@
 		wait, late, over := q.check(now, trial, &j)
 		if late < 0 || j.Paid {
 			q.jobs = trial
+			if j.Deadline.Sub(now) <= UrgentWithin {
+				q.urgent.Add(now, q.time(j.Tokens))
+			}
 			return wait, gaveWay, nil
 		}
 		victim := q.longest(trial[:late+1], &j)
@@ -83,6 +91,11 @@
 	// giveWayFactor is by how much a job must be longer than the new one to
 	// give way to it.
 	giveWayFactor = 2
+	// maxHeadroom bounds the part of its time that a new job leaves as headroom.
+	maxHeadroom = 0.6
+	// UrgentWithin is the time to its deadline below which a job is urgent: it
+	// will go before most others.
+	UrgentWithin = 1500 * time.Millisecond
 )
 
 // place sets the deadline by which a job is ordered.
@@ -97,6 +110,9 @@
 		j.Deadline = now
 		j.relaxed = true
 	}
+	if slack := j.Deadline.Sub(now); !j.relaxed && slack > UrgentWithin {
+		j.headroom = time.Duration(float64(slack) * min(maxHeadroom, q.urgent.Share(now)))
+	}
 }
 
 // longest returns the index of the longest job that may give way to a new one,
@@ -135,7 +151,11 @@
 			wait = end.Sub(now)
 		}
 		end = end.Add(q.remaining(now, j))
-		if late < 0 && end.After(j.Deadline) && (!j.relaxed || j == mine) {
+		due := j.Deadline
+		if j == mine {
+			due = due.Add(-j.headroom)
+		}
+		if late < 0 && end.After(due) && (!j.relaxed || j == mine) {
 			late, over = i, end.Sub(j.Deadline)
 		}
 	}
--- a/pkg/route/hopwell.go
+++ b/pkg/route/hopwell.go
@@ -6,6 +6,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/hopwell/hopwell/pkg/admission"
 )
 
 // Penalties of the choice, and the bounds on its cost.
@@ -81,16 +83,12 @@
 // their queue by deadline, so a request due soon waits for urgent work only.
 func queueTime(r *Request, p *State) float64 {
 	ahead := p.Queued
-	if r.FirstToken <= urgentWithin {
+	if r.FirstToken <= admission.UrgentWithin.Seconds() {
 		ahead = p.Urgent
 	}
 	return ahead / p.Rate
 }
 
-// urgentWithin is the time to the deadline below which a request counts as
-// urgent; sidecars report their urgent work by the same measure.
-const urgentWithin = 1.5
-
 func computeTime(r *Request, p *State) float64 {
 	return float64(r.PromptTokens-p.Cached) / p.Rate
 }
--- a/pkg/sidecar/load.go
+++ b/pkg/sidecar/load.go
@@ -3,20 +3,17 @@
 import (
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/admission"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
-// urgentWithin is the time to a prefill's deadline below which it counts as
-// urgent in a load report; gateways use the same measure.
-const urgentWithin = 1500 * time.Millisecond
-
 // load reports what the sidecar knows of its runner now.
 func (s *Sidecar) load() *wirepb.Load {
 	d, _ := s.Keeper.Digest()
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all, urgent := s.queue.Tokens(now, urgentWithin)
+	all, urgent := s.queue.Tokens(now, admission.UrgentWithin)
 	running, reserved, bytes := s.ledger.Usage()
 	base, slope := s.step.Model()
 	l := &wirepb.Load{
