admission, sidecar: reckon the engine's time as the engine spends it

Cause, from the time lines of late checks: (1) a survey whose KV cache waited for memory held up all streams behind it; (2) a prefill that the engine had no memory for counted as running; (3) a preempted job counted as progressing; (4) a job with a stretched deadline kept its old priority on the engine. Change: streams that fit pass one that does not, for a second, and brief ones always; stuck prefills hold up nobody; time is reckoned on the most urgent job; the engine's priority is the queue's deadline. A job is stretched only if its target could never be met; otherwise, too late is refused.

--- a/pkg/admission/ledger.go
+++ b/pkg/admission/ledger.go
@@ -131,6 +131,16 @@
 	return l.duration(s)
 }
 
+// Duration returns the time that a stream takes at most once it runs; 0 for an
+// unknown one.
+func (l *Ledger) Duration(id string) time.Duration {
+	s, ok := l.streams[id]
+	if !ok {
+		return 0
+	}
+	return l.duration(s)
+}
+
 // duration is the time that a stream's remaining tokens take at most.
 func (l *Ledger) duration(s *Stream) time.Duration {
 	return time.Duration(s.Tokens) * l.step(min(len(l.streams), l.Batch))
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -15,8 +15,10 @@
 	ID string
 	// Tokens is how many prompt tokens are still to compute, by estimate.
 	Tokens int
-	// Deadline is when its KV cache must be ready.
+	// Deadline is when its KV cache must be ready, Target the whole time that the
+	// request had for its first token.
 	Deadline time.Time
+	Target   time.Duration
 	// Priority is the selector's; larger is more important.
 	Priority int
 	// Workspace is the tenant that it belongs to.
@@ -24,10 +26,14 @@
 	// Paid marks a repetition of work that was lost: it goes before new work.
 	Paid bool
 
-	arrived time.Time
 	begun   time.Time
 	running bool
+	// spent is the engine time that the job had by reckoning.
+	spent time.Duration
+
 	relaxed bool
+	// stuck is set while the engine has no memory for the running job.
+	stuck bool
 	// headroom is how much before its deadline a job must fit when it is
 	// admitted, since urgent jobs that come later will go before it.
 	headroom time.Duration
@@ -37,8 +43,8 @@
 
 // Queue orders the prefills of one engine by deadline and admits only what it
 // can still finish in time, so that overload turns work away before it costs
-// anything. A job that could not meet its deadline on an idle engine runs when
-// it hurts no other.
+// anything. A job that could never meet its target, even on an idle engine, runs
+// when it hurts no other.
 type Queue struct {
 	// Rate is the engine's speed in tokens a second.
 	Rate float64
@@ -51,9 +57,11 @@
 	jobs []*Job
 	// urgent is the use of the engine by urgent jobs.
 	urgent Usage
+	// last is the time up to which spent is reckoned.
+	last time.Time
 }
 
-// relaxedFactor stretches the deadline of a job that can't meet its own.
+// relaxedFactor stretches the deadline of a job that can't meet its target.
 const relaxedFactor = 4
 
 // Admit takes a job in and returns how long it will wait, and the IDs of jobs
@@ -64,6 +72,7 @@
 // make another late: the rule of Moore and Hodgson (1968), which keeps the
 // number of late jobs on one machine least. It may find room on another runner.
 func (q *Queue) Admit(now time.Time, j Job) (wait time.Duration, gaveWay []string, err error) {
+	q.advance(now)
 	q.place(now, &j)
 	at, _ := slices.BinarySearchFunc(q.jobs, &j, before)
 	trial := slices.Insert(slices.Clone(q.jobs), at, &j)
@@ -100,9 +109,8 @@
 
 // place sets the deadline by which a job is ordered.
 func (q *Queue) place(now time.Time, j *Job) {
-	j.arrived = now
 	alone := q.time(j.Tokens)
-	if now.Add(alone).After(j.Deadline) {
+	if alone > j.Target {
 		j.relaxed = true
 		j.Deadline = now.Add(relaxedFactor * alone)
 	}
@@ -150,7 +158,7 @@
 		if j == mine {
 			wait = end.Sub(now)
 		}
-		end = end.Add(q.remaining(now, j))
+		end = end.Add(q.remaining(j))
 		due := j.Deadline
 		if j == mine {
 			due = due.Add(-j.headroom)
@@ -163,12 +171,24 @@
 }
 
 // remaining is the engine time that a job still needs.
-func (q *Queue) remaining(now time.Time, j *Job) time.Duration {
-	need := q.time(j.Tokens)
-	if j.running {
-		need -= now.Sub(j.begun)
+func (q *Queue) remaining(j *Job) time.Duration {
+	return max(q.time(j.Tokens)-j.spent, 0)
+}
+
+// advance reckons the engine's time since the last look as spent on its most
+// urgent job, as an engine that honours priorities does, and what that job did
+// not need on the next one.
+func (q *Queue) advance(now time.Time) {
+	left := now.Sub(q.last)
+	q.last = now
+	for _, j := range q.jobs {
+		if !j.running || j.stuck {
+			continue
+		}
+		d := min(left, q.remaining(j))
+		j.spent += d
+		left -= d
 	}
-	return max(need, 0)
 }
 
 func (q *Queue) time(tokens int) time.Duration {
@@ -177,14 +197,17 @@
 
 // Next marks the job that should go to the engine now as running and returns
 // it, nil for none. Where the engine is busy, a job goes only if it is more
-// urgent than all on it, since the engine honours priorities.
+// urgent than all on it, since the engine honours priorities. Stuck jobs hold up
+// nobody.
 func (q *Queue) Next(now time.Time) *Job {
-	if len(q.jobs) == 0 || q.jobs[0].running || q.busy() >= q.Slots {
+	q.advance(now)
+	i := slices.IndexFunc(q.jobs, func(j *Job) bool { return !j.stuck })
+	if i < 0 || q.jobs[i].running || q.busy() >= q.Slots {
 		return nil
 	}
-	j := q.jobs[0]
+	j := q.jobs[i]
 	for _, other := range q.jobs {
-		if other.running {
+		if other.running && !other.stuck {
 			other.shared, j.shared = true, true
 		}
 	}
@@ -192,11 +215,22 @@
 	return j
 }
 
+// Stuck books that the engine has no room for a running job, or that it has
+// again.
+func (q *Queue) Stuck(now time.Time, id string, stuck bool) {
+	q.advance(now)
+	for _, j := range q.jobs {
+		if j.ID == id {
+			j.stuck, j.shared, j.begun = stuck, true, now
+		}
+	}
+}
+
 // busy counts the jobs on the engine.
 func (q *Queue) busy() int {
 	n := 0
 	for _, j := range q.jobs {
-		if j.running {
+		if j.running && !j.stuck {
 			n++
 		}
 	}
@@ -204,7 +238,8 @@
 }
 
 // Remove drops a job and reports whether it was known.
-func (q *Queue) Remove(id string) bool {
+func (q *Queue) Remove(now time.Time, id string) bool {
+	q.advance(now)
 	i := slices.IndexFunc(q.jobs, func(j *Job) bool { return j.ID == id })
 	if i < 0 {
 		return false
@@ -213,6 +248,17 @@
 	return true
 }
 
+// Deadline returns the deadline by which a job is ordered, which is later than
+// the one it came with where that could never be met.
+func (q *Queue) Deadline(id string) time.Time {
+	for _, j := range q.jobs {
+		if j.ID == id {
+			return j.Deadline
+		}
+	}
+	return time.Time{}
+}
+
 // Alone returns how long a running job has had the engine to itself, and false
 // when it shared it.
 func (q *Queue) Alone(now time.Time, id string) (time.Duration, bool) {
@@ -230,8 +276,9 @@
 // Tokens returns the work ahead of a new job: all tokens, and those of jobs
 // with a deadline within soon.
 func (q *Queue) Tokens(now time.Time, soon time.Duration) (all, urgent int) {
+	q.advance(now)
 	for _, j := range q.jobs {
-		n := int(q.remaining(now, j).Seconds() * q.Rate / q.Margin)
+		n := int(q.remaining(j).Seconds() * q.Rate / q.Margin)
 		all += n
 		if j.Paid || j.Deadline.Sub(now) <= soon {
 			urgent += n
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -137,6 +137,7 @@
 		PromptTokens: uint32(a.tokens), MaxTokens: uint32(a.req.MaxTokens), ResumeOffset: uint32(offset),
 		Prompt:  a.req.Prompt,
 		SlackUs: slack.Microseconds(), PerTokenUs: a.per.Microseconds(),
+		TargetUs: a.first.Microseconds(),
 		NeedUs:   seconds(e.Queue + e.Prefill + e.Transfer).Microseconds(),
 		Revision: d.Revision, Seed: a.seed(), Paid: a.paid(),
 	}
--- a/pkg/sidecar/decode.go
+++ b/pkg/sidecar/decode.go
@@ -75,14 +75,24 @@
 
 // starter is a stream whose KV cache is ready and that waits for its slot.
 type starter struct {
-	key string
-	ok  chan struct{}
+	key   string
+	since time.Time
+	ok    chan struct{}
 }
 
+// starterPatience is how long a waiting stream lets smaller ones pass: KV caches
+// are kept for a few seconds only.
+const starterPatience = time.Second
+
+// briefStream is the length of a stream that always passes: it ends before it
+// could keep a larger one waiting.
+const briefStream = 250 * time.Millisecond
+
 // slot waits until the stream has room. Streams start in the order in which
-// their KV caches became ready, which are kept for a few seconds only.
+// their KV caches became ready, but one that does not fit yet lets others pass
+// for a while.
 func (s *Sidecar) slot(a *attempt) error {
-	w := &starter{key: a.key, ok: make(chan struct{})}
+	w := &starter{key: a.key, since: time.Now(), ok: make(chan struct{})}
 	s.mu.Lock()
 	s.starters = append(s.starters, w)
 	s.nextStarter()
@@ -95,16 +105,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.starters = slices.DeleteFunc(s.starters, func(x *starter) bool { return x == w })
+	s.nextStarter()
 	return a.cause()
 }
 
 // nextStarter lets waiting streams start while there is room. The caller holds
 // the lock.
 func (s *Sidecar) nextStarter() {
-	for len(s.starters) > 0 && s.ledger.Start(s.starters[0].key) {
-		close(s.starters[0].ok)
-		s.starters = s.starters[1:]
+	var waiting []*starter
+	blocked := false
+	fifo := s.opt.Admission == AdmitFIFO
+	for _, w := range s.starters {
+		brief := !fifo && s.ledger.Duration(w.key) <= briefStream
+		if (!blocked || brief) && s.ledger.Start(w.key) {
+			close(w.ok)
+			continue
+		}
+		waiting = append(waiting, w)
+		blocked = blocked || fifo || time.Since(w.since) > starterPatience
 	}
+	s.starters = waiting
 }
 
 // generate runs the decode on the engine and relays its tokens.
--- a/pkg/sidecar/prefill.go
+++ b/pkg/sidecar/prefill.go
@@ -75,15 +75,18 @@
 		if !isCode(err, engine.CodeFull) {
 			return x, err
 		}
+		a.s.stuck(a.key, true)
 		select {
 		case <-time.After(fullRetry):
 		case <-a.ctx.Done():
 			return x, a.cause()
 		}
+		a.s.stuck(a.key, false)
 	}
 }
 
-// urgency is the engine's priority: the earlier the deadline, the larger.
+// urgency is the engine's priority: the earlier the queue's deadline for the
+// prefill, the larger, so that the engine's order is the queue's.
 func (a *attempt) urgency() int {
 	if a.s.opt.Admission == AdmitFIFO {
 		return 0
@@ -91,7 +94,9 @@
 	if a.open.Paid {
 		return paidUrgency
 	}
-	return -int(a.deadline().UnixMilli())
+	a.s.mu.Lock()
+	defer a.s.mu.Unlock()
+	return -int(a.s.queue.Deadline(a.key).UnixMilli())
 }
 
 // paidUrgency is above that of every deadline.
@@ -143,10 +148,11 @@
 	s.cached.Fill(hashes, prefix.BlockTokens, tokens, state)
 	j := admission.Job{
 		ID: a.key, Tokens: max(1, tokens-state[0].Cached), Deadline: a.deadline(),
+		Target:   time.Duration(a.open.TargetUs) * time.Microsecond,
 		Priority: int(a.open.Priority), Workspace: a.open.Workspace, Paid: a.open.Paid,
 	}
 	if s.opt.Admission == AdmitFIFO {
-		j.Deadline = a.at.Add(fifoStep)
+		j.Deadline, j.Target = a.at.Add(fifoStep), fifoStep
 		j.Paid = false
 	}
 	s.mu.Lock()
@@ -169,11 +175,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.waiting, key)
-	if s.queue.Remove(key) {
+	if s.queue.Remove(time.Now(), key) {
 		s.dispatch()
 	}
 }
 
+// stuck books that the engine has no memory for a prefill, which lets others go
+// before it, or that it is tried again.
+func (s *Sidecar) stuck(key string, stuck bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.Stuck(time.Now(), key, stuck)
+	s.dispatch()
+}
+
 // dispatch lets prefills run while the queue says so. The caller holds the lock.
 func (s *Sidecar) dispatch() {
 	for {
