gateway, sidecar: recovery that does not run into its own traces

Causes, from the outcomes of the fault scenes: (1) a runner that refused the connection was not excluded, and the request spent its tries on it; (2) new prefills kept going to the runner whose link had stalled, since it looked idle; (3) a refusal fenced the attempt on that runner, so that paid work that asked again was admitted and then failed; (4) a request whose prefill was lost was refused as new work and told 'unknown'. Change: what was never written counts as never run and another runner is asked; a stalled link is backed off until a transfer succeeds, and a short prompt is computed elsewhere at once; only a fence order fences; begun work goes on. A scenario for (3) fails without the change (3 attempts for 2).

--- a/experiment/outcome.go
+++ b/experiment/outcome.go
@@ -18,8 +18,9 @@
 	Offered, Good, Bound int
 	// ByClass is the share of good answers of each class.
 	ByClass map[string]float64
-	// Prefilled and Wasted count prompt tokens.
-	Prefilled, Wasted int
+	// Prefilled and Wasted count prompt tokens; Gone is the part of Wasted whose
+	// callers went away, or lost their answer with their gateway.
+	Prefilled, Wasted, Gone int
 	// Recovery is the time from the fault to full goodput of what is left; -1
 	// when it was not reached.
 	Recovery time.Duration
@@ -52,6 +53,9 @@
 		total[classOf(c)]++
 		o.Prefilled += c.Result.Prefilled
 		o.Wasted += c.Result.Wasted
+		if c.Lost || !c.Left.IsZero() {
+			o.Gone += c.Result.Wasted
+		}
 		o.count(c)
 	}
 	for kind, n := range total {
@@ -152,15 +156,15 @@
 	for i := range d.Classes {
 		kinds[i] = d.Classes[i].Kind
 	}
-	_, _ = fmt.Fprintf(w, "\n| %s | setting | good %% of offered | %% of bound | %s | wasted prefill %% | recovery s | not run | late | unknown | KV r/s | KV w/s |\n", d.Name, strings.Join(kinds, " | "))
-	_, _ = fmt.Fprintf(w, "|%s\n", strings.Repeat("---|", 11+len(kinds)))
+	_, _ = fmt.Fprintf(w, "\n| %s | setting | good %% of offered | %% of bound | %s | wasted prefill %% | of it callers gone %% | recovery s | not run | late | unknown | KV r/s | KV w/s |\n", d.Name, strings.Join(kinds, " | "))
+	_, _ = fmt.Fprintf(w, "|%s\n", strings.Repeat("---|", 12+len(kinds)))
 	for _, r := range rows {
 		o := &r.Outcome
 		_, _ = fmt.Fprintf(w, "| %s | %s | %.1f | %.1f |", r.Scene, r.Setting, share(o.Good, o.Offered), share(o.Good, o.Bound))
 		for _, k := range kinds {
 			_, _ = fmt.Fprintf(w, " %.1f |", 100*o.ByClass[k])
 		}
-		_, _ = fmt.Fprintf(w, " %.2f | %s | %d | %d | %d | %.1f | %.1f |\n", share(o.Wasted, o.Prefilled), seconds(o.Recovery), o.NotRun, o.Late, o.Unknown, o.KVReads, o.KVWrites)
+		_, _ = fmt.Fprintf(w, " %.2f | %.2f | %s | %d | %d | %d | %.1f | %.1f |\n", share(o.Wasted, o.Prefilled), share(o.Gone, o.Prefilled), seconds(o.Recovery), o.NotRun, o.Late, o.Unknown, o.KVReads, o.KVWrites)
 	}
 }
 
--- a/pkg/fleettest/promises_test.go
+++ b/pkg/fleettest/promises_test.go
@@ -337,3 +337,25 @@
 		g.Expect(f.Weights.Fetches()).To(Equal(len(f.Engines)))
 	})
 }
+
+// TestPaidWorkGetsInAfterARefusal: what was paid for asks the same runner again
+// until it has room. A refusal used to fence the attempt there for good.
+func TestPaidWorkGetsInAfterARefusal(t *testing.T) {
+	spec := DefaultSpec()
+	spec.Decodes = 2
+	spec.Decode.BatchLimit = 1
+	scenario(t, spec, func(g *WithT, f *Fleet, r *Record) {
+		long := inBackground(r, func() *Call { return f.Generate(context.Background(), f.Gateway(0), NewRequest("long", 300, 1000)) })
+		time.Sleep(time.Second)
+		short := inBackground(r, func() *Call { return f.Generate(context.Background(), f.Gateway(1), NewRequest("short", 300, 200)) })
+		time.Sleep(time.Second)
+		on := f.streamingOn("long")
+		r.Planned[on], r.Left[on] = true, time.Now()
+		f.Drain(on, time.Now().Add(3100*time.Millisecond))
+		g.Expect(short().Result.Outcome).To(Equal(request.Done))
+		c := long()
+		g.Expect(c.Result.Err).NotTo(HaveOccurred())
+		g.Expect(c.Result.Attempts).To(Equal(2))
+		g.Expect(c.Result.Wasted).To(BeZero())
+	})
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -158,8 +158,7 @@
 			p = next
 		}
 		err := a.tryPrefill(ctx, &p)
-		var refused *ErrRefused
-		if err == nil || !errors.As(err, &refused) {
+		if err == nil || !neverRan(err) {
 			return err
 		}
 		last = a.turnedAway(ctx, p.prefill, err)
@@ -202,17 +201,19 @@
 	return nil
 }
 
+// neverRan reports whether an error says that the order certainly did not begin:
+// another runner may then be asked in the same attempt.
+func neverRan(err error) bool {
+	var refused *ErrRefused
+	var broken *ErrBroken
+	return errors.As(err, &refused) || errors.As(err, &broken) && broken.Never
+}
+
 // unsent takes a Send back where the runner certainly did not begin. For a
 // request that must not be repeated the runner is asked for its word.
 func (a *attempt) unsent(err error, b *branch) {
-	var refused *ErrRefused
-	var broken *ErrBroken
-	switch {
-	case errors.As(err, &refused): // At once, or later when it gave way to others.
-		a.life.Withdraw(a.n)
-	case errors.As(err, &broken) && broken.Never:
-		a.life.Withdraw(a.n)
-	case b != nil && b.fence():
+	// Also a refusal that came after the admission, when the job gave way.
+	if neverRan(err) || b != nil && b.fence() {
 		a.life.Withdraw(a.n)
 	}
 }
--- a/pkg/gateway/branch.go
+++ b/pkg/gateway/branch.go
@@ -92,7 +92,8 @@
 	st, err := wirepb.NewDRPCRunnerClient(g.Pool.Conn(m.Inner)).Attempt(ctx)
 	if !connect.Stop() || err != nil {
 		cancel()
-		return nil, b.lost(err)
+		// The Open was not written, so that nothing can have begun.
+		return nil, b.lost(err, true)
 	}
 	b.st = st
 	tokens, streams, bytes := b.weight(o)
@@ -100,7 +101,7 @@
 	if err := b.order(&wirepb.Order{Body: &wirepb.Order_Open{Open: o}}); err != nil {
 		cancel()
 		b.runner.Returned()
-		return nil, b.lost(err)
+		return nil, b.lost(err, false)
 	}
 	go b.receive()
 	go b.renew()
@@ -115,10 +116,11 @@
 	return 0, 1, float64(o.KvBytes)
 }
 
-// lost books a runner that can't be reached.
-func (b *branch) lost(err error) error {
+// lost books a runner that can't be reached. Never says that the attempt cannot
+// have begun there.
+func (b *branch) lost(err error, never bool) *ErrBroken {
 	b.runner.Failed(time.Now(), b.g.Jitter())
-	return &ErrBroken{Instance: b.member.Name, Code: "lost", Err: err}
+	return &ErrBroken{Instance: b.member.Name, Code: "lost", Never: never, Err: err}
 }
 
 // answered takes the answer to the Open.
@@ -217,7 +219,7 @@
 
 // failure describes a branch that broke, and keeps new work from its runner.
 func (b *branch) failure(code string) error {
-	err := b.lost(nil).(*ErrBroken)
+	err := b.lost(nil, false)
 	err.Code = code
 	select {
 	case <-b.broken:
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -158,8 +158,10 @@
 	return nil
 }
 
-// paid reports whether a prefill of the request was computed already.
-func (r *run) paid() bool { return len(r.computed) > 0 }
+// paid reports whether work for the request was done or begun already. It then
+// goes before new work: giving up now would waste what was done, and could not
+// tell its caller that nothing ran.
+func (r *run) paid() bool { return len(r.computed) > 0 || r.life.MayHaveRun() }
 
 // once makes one attempt.
 func (r *run) once(ctx context.Context) error {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -112,6 +112,7 @@
 	if r.source == nil {
 		return
 	}
+	r.source.runner.Moved()
 	_ = r.source.order(&wirepb.Order{Body: &wirepb.Order_Release{Release: &wirepb.Release{}}})
 	r.source.finished()
 	r.dropSource()
@@ -141,11 +142,7 @@
 	a.excluded[a.decode.member.Name] = true
 	switch f.Code {
 	case engine.CodeStalled:
-		a.stalls++
-		if a.source != nil && a.stalls > 1 {
-			a.excluded[a.source.member.Name] = true
-			a.dropSource()
-		}
+		a.stalled()
 	case engine.CodeGone:
 		a.dropSource()
 	}
@@ -155,6 +152,25 @@
 	return &ErrBroken{Instance: a.decode.member.Name, Code: f.Code, Never: !f.Started}
 }
 
+// stalled decides what to do about a transfer that made no progress. What costs
+// little is computed again elsewhere at once; for a long prompt the transfer is
+// tried once more, to another runner.
+func (a *attempt) stalled() {
+	if a.source == nil {
+		return
+	}
+	a.source.runner.Stalled(time.Now(), a.g.Jitter())
+	a.stalls++
+	if a.stalls > 1 || a.tokens < cheapTokens {
+		a.excluded[a.source.member.Name] = true
+		a.dropSource()
+	}
+}
+
+// cheapTokens is the length of a prompt that is computed again rather than
+// waiting for a second transfer: about what takes as long as noticing a stall.
+const cheapTokens = 3000
+
 // keepOrDrop keeps the source while its branch lives.
 func (r *run) keepOrDrop() {
 	select {
--- a/pkg/route/hopwell.go
+++ b/pkg/route/hopwell.go
@@ -80,8 +80,12 @@
 }
 
 // queueTime is the wait for work that goes before the request. Runners order
-// their queue by deadline, so a request due soon waits for urgent work only.
+// their queue by deadline, so a request due soon waits for urgent work only, and
+// one whose earlier work was lost goes before all others.
 func queueTime(r *Request, p *State) float64 {
+	if r.Paid {
+		return 0
+	}
 	ahead := p.Queued
 	if r.FirstToken <= admission.UrgentWithin.Seconds() {
 		ahead = p.Urgent
--- a/pkg/route/tracker.go
+++ b/pkg/route/tracker.go
@@ -23,6 +23,9 @@
 	backoffMax = 8 * time.Second
 )
 
+// stallBackoff is the least time for which a stalled link is left alone.
+const stallBackoff = time.Second
+
 // Guesses for a runner that has not reported yet.
 const (
 	guessRate      = 8000
@@ -50,6 +53,10 @@
 	sentBytes   float64
 	failures    int
 	until       time.Time
+	// stalls and stalledUntil are those of the runner's link, which a sign of
+	// life does not clear.
+	stalls       int
+	stalledUntil time.Time
 }
 
 // trackerShards is the number of locks that the runners' names spread over.
@@ -162,9 +169,33 @@
 func (r *Runner) Failed(now time.Time, jitter float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	wait := min(backoffMin<<min(r.failures, 8), backoffMax)
+	r.until = now.Add(backoff(r.failures, jitter))
 	r.failures++
-	r.until = now.Add(wait/2 + time.Duration(jitter*float64(wait/2)))
+}
+
+// backoff doubles with each failure; the jitter is in [0, 1).
+func backoff(failures int, jitter float64) time.Duration {
+	wait := min(backoffMin<<min(failures, 8), backoffMax)
+	return wait/2 + time.Duration(jitter*float64(wait/2))
+}
+
+// Stalled books that a transfer out of the runner made no progress, and keeps
+// new prefills away from it for a time.
+func (r *Runner) Stalled(now time.Time, jitter float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Before(r.stalledUntil) {
+		return
+	}
+	r.stalledUntil = now.Add(stallBackoff + backoff(r.stalls, jitter))
+	r.stalls++
+}
+
+// Moved books that a transfer out of the runner was completed.
+func (r *Runner) Moved() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stalls, r.stalledUntil = 0, time.Time{}
 }
 
 // Suspect reports whether the runner is backed off after failures.
@@ -191,6 +222,6 @@
 		SlotWait: max(0, p.SlotWait-now.Sub(r.at).Seconds()),
 		StepBase: p.StepBase, StepSlope: p.StepSlope,
 		Transfers: float64(p.Transfers), LinkRate: p.LinkRate,
-		Shunned: now.Before(r.until),
+		Shunned: now.Before(r.until) || now.Before(r.stalledUntil),
 	}
 }
--- a/pkg/sidecar/attempt.go
+++ b/pkg/sidecar/attempt.go
@@ -201,9 +201,9 @@
 	})
 }
 
-// refuse ends an attempt that has not begun and, by its fence, never will.
+// refuse ends an attempt that has not begun. It never will: its stream ends here,
+// and only this stream could start it. The gateway may ask again on another.
 func (a *attempt) refuse(r *wirepb.Refused) error {
-	a.s.fences.fence(a.key)
 	a.s.met.refused(r.Reason)
 	a.event(trace.Refused, "role="+a.open.Role+" reason="+r.Reason)
 	return a.send(&wirepb.Report{Load: a.s.load(), Body: &wirepb.Report_Refused{Refused: r}})
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -34,7 +34,6 @@
 	select {
 	case <-a.start:
 	case <-a.ctx.Done():
-		a.s.fences.fence(a.key)
 		return a.fail(a.cause(), false)
 	}
 	if !a.s.fences.begin(a.key) {
--- a/pkg/sidecar/decode.go
+++ b/pkg/sidecar/decode.go
@@ -34,11 +34,9 @@
 	select {
 	case start = <-a.start:
 	case <-a.ctx.Done():
-		a.s.fences.fence(a.key)
 		return a.fail(a.cause(), false)
 	}
 	if err := a.s.slot(a); err != nil {
-		a.s.fences.fence(a.key)
 		return a.fail(err, false)
 	}
 	if !a.s.fences.begin(a.key) {
--- a/pkg/sidecar/prefill.go
+++ b/pkg/sidecar/prefill.go
@@ -43,7 +43,6 @@
 			return a.refuse(&wirepb.Refused{Reason: ReasonLate, RetryAfterUs: gaveWayRetry.Microseconds()})
 		}
 	case <-a.ctx.Done():
-		a.s.fences.fence(a.key)
 		return a.fail(a.cause(), false)
 	}
 	if !a.s.fences.begin(a.key) {
