admission: repeated prefills wait their turn by what their answer still allows

Cause: repeated prefills went before everything, so that after the loss of a failure domain quick checks were refused for seconds. Change: a resumed stream's deadline is what its mean time between tokens still allows; it is always admitted and never gives way, but is not put first.

--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -23,7 +23,8 @@
 	Priority int
 	// Workspace is the tenant that it belongs to.
 	Workspace string
-	// Paid marks a repetition of work that was lost: it goes before new work.
+	// Paid marks a repetition of work that was lost: it is always admitted and
+	// never gives way.
 	Paid bool
 
 	begun   time.Time
@@ -110,14 +111,10 @@
 // place sets the deadline by which a job is ordered.
 func (q *Queue) place(now time.Time, j *Job) {
 	alone := q.time(j.Tokens)
-	if alone > j.Target {
+	if alone > j.Target || j.Paid && now.Add(alone).After(j.Deadline) {
 		j.relaxed = true
 		j.Deadline = now.Add(relaxedFactor * alone)
 	}
-	if j.Paid {
-		j.Deadline = now
-		j.relaxed = true
-	}
 	if slack := j.Deadline.Sub(now); !j.relaxed && slack > UrgentWithin {
 		j.headroom = time.Duration(float64(slack) * min(maxHeadroom, q.urgent.Share(now)))
 	}
@@ -138,16 +135,8 @@
 	return best
 }
 
-// before orders jobs: paid work first, then by deadline.
-func before(a, b *Job) int {
-	if a.Paid != b.Paid {
-		if a.Paid {
-			return -1
-		}
-		return 1
-	}
-	return a.Deadline.Compare(b.Deadline)
-}
+// before orders jobs by deadline.
+func before(a, b *Job) int { return a.Deadline.Compare(b.Deadline) }
 
 // check walks the queue in order and returns the wait of one job, the index of
 // the first job that would be late, -1 for none, and by how much.
@@ -280,7 +269,7 @@
 	for _, j := range q.jobs {
 		n := int(q.remaining(j).Seconds() * q.Rate / q.Margin)
 		all += n
-		if j.Paid || j.Deadline.Sub(now) <= soon {
+		if j.Deadline.Sub(now) <= soon {
 			urgent += n
 		}
 	}
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -252,8 +252,16 @@
 // seed makes the sampling of all attempts the same.
 func (r *run) seed() uint64 { return xxhash.Sum64String(r.req.ID) }
 
-// left is the time until the first token is due.
-func (r *run) left() time.Duration { return r.first - time.Since(r.began) }
+// left is the time until the next token is due. Within an answer that is what
+// the mean time between tokens still allows, if the rest comes at half of it.
+func (r *run) left() time.Duration {
+	if r.firstAt.IsZero() {
+		return r.first - time.Since(r.began)
+	}
+	n, _ := r.life.Progress()
+	rest := time.Duration(r.req.MaxTokens-n) * r.per / 2
+	return time.Duration(r.req.MaxTokens)*r.per - time.Since(r.firstAt) - rest
+}
 
 // pause waits and reports whether the context is still open.
 func pause(ctx context.Context, d time.Duration) bool {
--- a/pkg/route/hopwell.go
+++ b/pkg/route/hopwell.go
@@ -80,12 +80,8 @@
 }
 
 // queueTime is the wait for work that goes before the request. Runners order
-// their queue by deadline, so a request due soon waits for urgent work only, and
-// one whose earlier work was lost goes before all others.
+// their queue by deadline, so a request due soon waits for urgent work only.
 func queueTime(r *Request, p *State) float64 {
-	if r.Paid {
-		return 0
-	}
 	ahead := p.Queued
 	if r.FirstToken <= admission.UrgentWithin.Seconds() {
 		ahead = p.Urgent
--- a/pkg/sidecar/prefill.go
+++ b/pkg/sidecar/prefill.go
@@ -90,17 +90,11 @@
 	if a.s.opt.Admission == AdmitFIFO {
 		return 0
 	}
-	if a.open.Paid {
-		return paidUrgency
-	}
 	a.s.mu.Lock()
 	defer a.s.mu.Unlock()
 	return -int(a.s.queue.Deadline(a.key).UnixMilli())
 }
 
-// paidUrgency is above that of every deadline.
-const paidUrgency = 1
-
 // deadline is when the KV cache must be ready.
 func (a *attempt) deadline() time.Time {
 	return a.at.Add(time.Duration(a.open.SlackUs) * time.Microsecond)
