--- /dev/null
+++ b/pkg/admission/ledger_test.go
@@ -0,0 +1,100 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+var _ = Describe("the decode ledger", func() {
+	newLedger := func(bytes int64, batch int) *Ledger {
+		l := NewLedger(bytes, batch)
+		l.StepBase, l.StepSlope = 10*time.Millisecond, time.Millisecond
+		return l
+	}
+	It("lets a brief stream in before one that is reserved for later", func() {
+		l := newLedger(100, 4)
+		_, err := l.Reserve(start, 5*time.Second, 0, Stream{ID: "survey", Bytes: 90, Tokens: 100})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = l.Reserve(start, 0, 0, Stream{ID: "check", Bytes: 20, Tokens: 5})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = l.Reserve(start, 0, 0, Stream{ID: "long", Bytes: 20, Tokens: 1000})
+		Expect(err).To(HaveOccurred(), "it would still be there with the survey")
+	})
+	It("lets a stream wait for the end of another, as long as it has time", func() {
+		l := newLedger(100, 1)
+		_, _ = l.Reserve(start, 0, 0, Stream{ID: "a", Bytes: 1, Tokens: 100})
+		l.Start("a")
+		_, err := l.Reserve(start, 0, 500*time.Millisecond, Stream{ID: "b", Bytes: 1, Tokens: 10})
+		Expect(err).To(HaveOccurred())
+		wait, err := l.Reserve(start, 0, 5*time.Second, Stream{ID: "b", Bytes: 1, Tokens: 10})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(wait).To(Equal(1100 * time.Millisecond))
+	})
+	It("keeps the batch below what the tightest target allows", func() {
+		l := newLedger(100, 40)
+		for i := range 10 {
+			_, err := l.Reserve(start, 0, 0, Stream{ID: fmt.Sprint(i), Bytes: 1, Tokens: 100, PerToken: 20 * time.Millisecond})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := l.Reserve(start, 0, 0, Stream{ID: "one more", Bytes: 1, Tokens: 100})
+		Expect(err).To(HaveOccurred())
+	})
+	It("says that a stream never fits", func() {
+		_, err := newLedger(100, 4).Reserve(start, 0, 0, Stream{ID: "x", Bytes: 101})
+		Expect(err).To(Equal(&ErrFull{ID: "x", Never: true}))
+	})
+})
+
+func TestLedgerNeverRunsMoreThanFits(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		l := NewLedger(1000, 6)
+		l.StepBase, l.StepSlope = 10*time.Millisecond, time.Millisecond
+		now, next := start, 0
+		known := map[string]bool{}
+		id := func(t *rapid.T) string { return fmt.Sprint(rapid.IntRange(0, next).Draw(t, "id")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"reserve": func(t *rapid.T) {
+				next++
+				s := Stream{ID: fmt.Sprint(next), Bytes: rapid.Int64Range(1, 600).Draw(t, "bytes"), Tokens: rapid.IntRange(1, 200).Draw(t, "tokens")}
+				need := time.Duration(rapid.IntRange(0, 3000).Draw(t, "need")) * time.Millisecond
+				if _, err := l.Reserve(now, need, need, s); err == nil {
+					known[s.ID] = true
+				}
+			},
+			"start":    func(t *rapid.T) { l.Start(id(t)) },
+			"progress": func(t *rapid.T) { l.Progress(id(t), 10) },
+			"drop": func(t *rapid.T) {
+				x := id(t)
+				if l.Drop(x) != known[x] {
+					t.Fatalf("drop of %s: known=%t", x, known[x])
+				}
+				delete(known, x)
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				batch, bytes := 0, int64(0)
+				for _, s := range l.streams {
+					if s.started {
+						batch++
+						bytes += s.Bytes
+					}
+				}
+				if batch > l.Batch || bytes > l.Bytes {
+					t.Fatalf("%d streams with %d bytes run", batch, bytes)
+				}
+				if running, reserved, _ := l.Usage(); running+reserved != len(known) {
+					t.Fatalf("%d+%d booked, %d known", running, reserved, len(known))
+				}
+			},
+		})
+	})
+}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -153,7 +153,7 @@
 			due = due.Add(-j.headroom)
 		}
 		if late < 0 && end.After(due) && (!j.relaxed || j == mine) {
-			late, over = i, end.Sub(j.Deadline)
+			late, over = i, end.Sub(due)
 		}
 	}
 	return wait, late, over
--- /dev/null
+++ b/pkg/admission/queue_test.go
@@ -0,0 +1,156 @@
+package admission
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+func TestAdmission(t *testing.T) { spectest.Run(t, "admission") }
+
+var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+func job(id string, tokens int, due time.Duration) Job {
+	return Job{ID: id, Tokens: tokens, Deadline: start.Add(due), Target: due}
+}
+
+var _ = Describe("the prefill queue", func() {
+	var q *Queue
+	BeforeEach(func() { q = &Queue{Rate: 1000, Slots: 2, Margin: 1} })
+
+	It("refuses at once what would be late", func() {
+		_, _, err := q.Admit(start, job("a", 900, time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = q.Admit(start, job("b", 900, time.Second))
+		var late *ErrLate
+		Expect(errors.As(err, &late)).To(BeTrue())
+		Expect(late.RetryAfter).To(Equal(800 * time.Millisecond))
+	})
+	It("lets a long job that has not begun give way to a check", func() {
+		_, _, _ = q.Admit(start, job("running", 500, 600*time.Millisecond))
+		q.Next(start)
+		_, _, err := q.Admit(start, job("long", 1400, 2100*time.Millisecond))
+		Expect(err).NotTo(HaveOccurred())
+		_, gaveWay, err := q.Admit(start, job("check", 250, 1900*time.Millisecond))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(gaveWay).To(Equal([]string{"long"}))
+	})
+	It("never lets a job give way that has begun or was paid for", func() {
+		_, _, _ = q.Admit(start, job("running", 1000, time.Second))
+		q.Next(start)
+		_, _, err := q.Admit(start, job("check", 50, 500*time.Millisecond))
+		Expect(err).To(HaveOccurred())
+	})
+	It("sends a more urgent job past a running one", func() {
+		_, _, _ = q.Admit(start, job("long", 2000, 8*time.Second))
+		Expect(q.Next(start).ID).To(Equal("long"))
+		_, _, _ = q.Admit(start, job("check", 50, 500*time.Millisecond))
+		Expect(q.Next(start).ID).To(Equal("check"))
+	})
+	It("is held up by no job that the engine has no memory for", func() {
+		_, _, _ = q.Admit(start, job("long", 2000, 2500*time.Millisecond))
+		q.Next(start)
+		q.Stuck(start, "long", true)
+		_, _, _ = q.Admit(start, job("later", 50, 4*time.Second))
+		Expect(q.Next(start).ID).To(Equal("later"))
+	})
+	It("takes a job that could never meet its target, when it hurts no other", func() {
+		_, _, err := q.Admit(start, job("huge", 5000, time.Second))
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
+
+// queueMachine feeds a queue at random and works on it as an engine that is
+// exactly as fast as the queue thinks.
+type queueMachine struct {
+	q    *Queue
+	now  time.Time
+	left map[string]time.Duration
+	due  map[string]time.Time
+	next int
+	// began holds the jobs that went to the engine.
+	began map[string]bool
+}
+
+func (m *queueMachine) admit(t *rapid.T) {
+	m.next++
+	tokens := rapid.IntRange(1, 4000).Draw(t, "tokens")
+	target := time.Duration(rapid.IntRange(100, 8000).Draw(t, "target_ms")) * time.Millisecond
+	j := Job{ID: fmt.Sprint(m.next), Tokens: tokens, Deadline: m.now.Add(target), Target: target}
+	alone := time.Duration(tokens) * time.Second / 1000
+	_, gaveWay, err := m.q.Admit(m.now, j)
+	if err != nil {
+		return
+	}
+	m.left[j.ID] = alone
+	if alone <= target {
+		m.due[j.ID] = j.Deadline
+	}
+	for _, id := range gaveWay {
+		if m.began[id] {
+			t.Fatalf("%s gave way after it had begun", id)
+		}
+		delete(m.left, id)
+		delete(m.due, id)
+	}
+}
+
+// admitPaid adds work that was lost and is repeated: it is never refused.
+func (m *queueMachine) admitPaid(t *rapid.T) {
+	m.next++
+	tokens := rapid.IntRange(1, 4000).Draw(t, "tokens")
+	j := Job{ID: fmt.Sprint(m.next), Tokens: tokens, Deadline: m.now, Target: time.Second, Paid: true}
+	if _, _, err := m.q.Admit(m.now, j); err != nil {
+		t.Fatalf("paid work was refused: %v", err)
+	}
+	m.left[j.ID] = time.Duration(tokens) * time.Second / 1000
+	clear(m.due) // It may make others late.
+}
+
+// work lets time pass: the engine works on its most urgent job.
+func (m *queueMachine) work(t *rapid.T) {
+	d := time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond
+	for d > 0 {
+		for j := m.q.Next(m.now); j != nil; j = m.q.Next(m.now) {
+			m.began[j.ID] = true
+		}
+		var on *Job
+		for _, j := range m.q.jobs {
+			if j.running {
+				on = j
+				break
+			}
+		}
+		if on == nil {
+			m.now = m.now.Add(d)
+			return
+		}
+		step := min(d, m.left[on.ID])
+		m.now, d = m.now.Add(step), d-step
+		if m.left[on.ID] -= step; m.left[on.ID] > 0 {
+			return
+		}
+		if due, ok := m.due[on.ID]; ok && m.now.After(due) {
+			t.Fatalf("%s was admitted and is %s late", on.ID, m.now.Sub(due))
+		}
+		delete(m.left, on.ID)
+		m.q.Remove(m.now, on.ID)
+	}
+}
+
+func TestWhatTheQueueAdmitsIsInTime(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		m := &queueMachine{
+			q: &Queue{Rate: 1000, Slots: 100, Margin: 1}, now: start,
+			left: map[string]time.Duration{}, due: map[string]time.Time{}, began: map[string]bool{},
+		}
+		t.Repeat(map[string]func(*rapid.T){"admit": m.admit, "admit paid": m.admitPaid, "work": m.work})
+	})
+}
--- a/pkg/claim/shard.go
+++ b/pkg/claim/shard.go
@@ -125,20 +125,21 @@
 }
 
 // try applies the group to the head as it is known and swaps it. A group that
-// changes nothing needs no write.
+// changes nothing needs no write. But that somebody else holds a key, or that
+// nobody holds one that is given back, is only believed of a head that was just
+// read: another process may have changed it.
 func (s *shard) try(group []op) ([]result, error) {
-	if s.head == nil {
+	fresh := s.head == nil
+	if fresh {
 		if err := s.load(); err != nil {
 			return nil, err
 		}
 	}
 	next := proto.Clone(s.head).(*wirepb.ClaimHead)
-	results := make([]result, len(group))
-	changed := false
-	for i, o := range group {
-		holder, wrote := s.apply(next, o)
-		results[i].holder = holder
-		changed = changed || wrote
+	results, changed, denied := s.applyAll(next, group)
+	if denied && !fresh {
+		s.head = nil
+		return s.try(group)
 	}
 	if !changed {
 		return results, nil
@@ -151,6 +152,20 @@
 	return results, s.swap(next)
 }
 
+// applyAll carries out a group on a head. Denied says that a key was not given,
+// or was not there to be given back.
+func (s *shard) applyAll(head *wirepb.ClaimHead, group []op) (results []result, changed, denied bool) {
+	results = make([]result, len(group))
+	for i, o := range group {
+		holder, wrote := s.apply(head, o)
+		results[i].holder = holder
+		changed = changed || wrote
+		idle := o.release && !wrote
+		denied = denied || idle || holder != "" && holder != o.request
+	}
+	return results, changed, denied
+}
+
 // apply carries out one operation on a head. An entry whose request is the
 // operation's own is from an earlier try of it.
 func (s *shard) apply(head *wirepb.ClaimHead, o op) (holder string, wrote bool) {
--- /dev/null
+++ b/pkg/gossip/keeper_test.go
@@ -0,0 +1,113 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/hopwell/hopwell/pkg/fake"
+	"github.com/hopwell/hopwell/pkg/fleet"
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+// mesh joins agents by calls that may be cut.
+type mesh struct {
+	agents []*Agent
+	cut    map[[2]int]bool
+}
+
+// end is one agent's way to the others.
+type end struct {
+	m *mesh
+	i int
+}
+
+func (e end) Addresses() []string {
+	var out []string
+	for j := range e.m.agents {
+		if j != e.i {
+			out = append(out, fmt.Sprint(j))
+		}
+	}
+	return out
+}
+
+func (e end) Exchange(_ context.Context, address string, mine Digest, document []byte) (Digest, []byte, error) {
+	var j int
+	_, _ = fmt.Sscan(address, &j)
+	if e.m.cut[[2]int{e.i, j}] {
+		return Digest{}, nil, errors.New("cut")
+	}
+	d, doc := e.m.agents[j].Answer(mine, document)
+	return d, doc, nil
+}
+
+// TestRevisionsOnlyGrowAndMeet: agents that hear of documents in any order, and
+// are cut off from each other, never go back, and agree once they can talk.
+func TestRevisionsOnlyGrowAndMeet(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		m := &mesh{cut: map[[2]int]bool{}}
+		for i := range 4 {
+			m.agents = append(m.agents, NewAgent(NewKeeper(), fake.NewKV(), end{m, i}, uint64(i)))
+		}
+		doc, _ := fleet.Decode(nil)
+		history := [][]byte{doc.Encode()}
+		last := make([]uint64, len(m.agents))
+		agent := func(t *rapid.T) int { return rapid.IntRange(0, len(m.agents)-1).Draw(t, "agent") }
+		t.Repeat(map[string]func(*rapid.T){
+			"accept": func(t *rapid.T) {
+				next, err := doc.Apply(&fleet.Change{ID: fmt.Sprint(len(history)), Base: doc.Revision, SetLabels: map[string]fleet.Labels{"a": {"k": fmt.Sprint(len(history))}}})
+				if err != nil {
+					t.Fatal(err)
+				}
+				doc = next
+				history = append(history, doc.Encode())
+				m.agents[agent(t)].take(doc.Encode())
+			},
+			"old news": func(t *rapid.T) { m.agents[agent(t)].take(rapid.SampledFrom(history).Draw(t, "document")) },
+			"cut":      func(t *rapid.T) { m.cut[[2]int{agent(t), agent(t)}] = rapid.Bool().Draw(t, "cut") },
+			"exchange": func(t *rapid.T) { _ = m.agents[agent(t)].Exchange(context.Background(), fmt.Sprint(agent(t))) },
+			"": func(t *rapid.T) {
+				for i, a := range m.agents {
+					d, _ := a.keeper.Digest()
+					if d.Revision < last[i] {
+						t.Fatalf("agent %d went from revision %d to %d", i, last[i], d.Revision)
+					}
+					last[i] = d.Revision
+				}
+			},
+		})
+		m.cut = map[[2]int]bool{}
+		for range 2 {
+			for i, a := range m.agents {
+				_ = a.Exchange(context.Background(), fmt.Sprint((i+1)%len(m.agents)))
+			}
+			for i, a := range m.agents {
+				_ = a.Exchange(context.Background(), fmt.Sprint((i+len(m.agents)-1)%len(m.agents)))
+			}
+		}
+		for i, a := range m.agents {
+			if d, _ := a.keeper.Digest(); len(history) > 1 && d.Revision != doc.Revision {
+				t.Fatalf("agent %d has revision %d of %d", i, d.Revision, doc.Revision)
+			}
+		}
+	})
+}
+
+func TestTwoDocumentsOfOneRevisionAreRefused(t *testing.T) {
+	k := NewKeeper()
+	first, _ := fleet.Decode(nil)
+	a, _ := first.Apply(&fleet.Change{ID: "a", SetLabels: map[string]fleet.Labels{"x": {"k": "a"}}})
+	b, _ := first.Apply(&fleet.Change{ID: "b", SetLabels: map[string]fleet.Labels{"x": {"k": "b"}}})
+	if _, err := k.Offer(a.Encode()); err != nil {
+		t.Fatal(err)
+	}
+	_, err := k.Offer(b.Encode())
+	var fork *ErrFork
+	if !errors.As(err, &fork) {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/pkg/spectest/spectest.go
+++ b/pkg/spectest/spectest.go
@@ -33,5 +33,9 @@
 			t.Fatal(err)
 		}
 	}
-	rapid.Check(t, property)
+	rapid.Check(bubbled{t}, property)
 }
+
+// bubbled hides the deadline of a test, which rapid would ask for and which may
+// not be asked for inside a synctest bubble.
+type bubbled struct{ rapid.TB }
