--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -121,8 +121,7 @@
 	if len(bytes.TrimSpace(data)) == 0 {
 		return &ErrSettings{File: file, Line: 1, Column: 1, Field: ".", Expected: "settings"}
 	}
-	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
-	err := dec.Decode(into)
+	err := decodeYAML(data, into)
 	if err == nil {
 		return nil
 	}
@@ -142,6 +141,24 @@
 	return out
 }
 
+// errParser says that the YAML library gave up on a text.
+type errParser struct {
+	Cause any
+}
+
+// Error implements error.
+func (e *errParser) Error() string { return fmt.Sprintf("readable YAML (%v)", e.Cause) }
+
+// decodeYAML calls the library, which panics on some texts (as on "!0 0").
+func decodeYAML(data []byte, into any) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = &errParser{Cause: cause}
+		}
+	}()
+	return yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(into)
+}
+
 // locate finds the first key whose value is a text.
 func (e *ErrSettings) locate(data []byte, text string) {
 	for _, t := range lexer.Tokenize(string(data)) {
