realtest: kill -9, SIGSTOP and SIGTERM against real processes

Found: a sidecar that was stopped for seconds took the gap between two tokens for a step's time and refused every stream as too slow from then on. What is 8 times slower than expected is not learned from any more, and an empty engine takes any stream. httpd: the opening of a connection and its first data are ordered by the connection's lock; nbio orders them by epoll alone, which the race detector reported.

--- a/pkg/admission/ledger.go
+++ b/pkg/admission/ledger.go
@@ -93,7 +93,8 @@
 	return true
 }
 
-// roomAt reports whether a stream fits beside those that are there at a time.
+// roomAt reports whether a stream fits beside those that are there at a time. An
+// empty engine takes any stream: if it is too slow, only that one suffers.
 func (l *Ledger) roomAt(now, at time.Time, s *Stream) bool {
 	batch, bytes, target := 1, s.Bytes, s.PerToken
 	for _, x := range l.streams {
@@ -104,7 +105,8 @@
 		bytes += x.Bytes
 		target = tighter(target, x.PerToken)
 	}
-	return batch <= l.Batch && bytes <= l.Bytes && (target == 0 || l.step(batch) <= target)
+	slow := batch > 1 && target > 0 && l.step(batch) > target
+	return batch <= l.Batch && bytes <= l.Bytes && !slow
 }
 
 // end is when a stream will have ended at the latest.
--- a/pkg/admission/ledger_test.go
+++ b/pkg/admission/ledger_test.go
@@ -98,3 +98,37 @@
 		})
 	})
 }
+
+var _ = Describe("what is learned of an engine", func() {
+	// A sidecar that was stopped for seconds once took the gap for a step's time
+	// and refused every stream from then on.
+	It("is not spoilt by a pause of the process", func() {
+		s := NewStep(20*time.Millisecond, time.Millisecond)
+		for range 50 {
+			s.Observe(4, 24*time.Millisecond)
+		}
+		s.Observe(4, 5*time.Second)
+		base, slope := s.Model()
+		Expect(base + 4*slope).To(BeNumerically("~", 24*time.Millisecond, time.Millisecond))
+		r := NewSpeed(1000)
+		r.Observe(1000, time.Minute)
+		Expect(r.Rate()).To(Equal(1000.0))
+	})
+	It("follows an engine that differs from the guess", func() {
+		s := NewStep(20*time.Millisecond, time.Millisecond)
+		for i := range 4000 {
+			s.Observe(i%30, 14*time.Millisecond+time.Duration(i%30)*900*time.Microsecond)
+		}
+		base, slope := s.Model()
+		Expect(base).To(BeNumerically("~", 14*time.Millisecond, time.Millisecond))
+		Expect(slope).To(BeNumerically("~", 900*time.Microsecond, 100*time.Microsecond))
+	})
+	It("leaves an engine that seems too slow open for one stream", func() {
+		l := NewLedger(100, 4)
+		l.StepBase = time.Second
+		_, err := l.Reserve(start, 0, 0, Stream{ID: "a", Bytes: 1, Tokens: 1, PerToken: time.Millisecond})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = l.Reserve(start, 0, 0, Stream{ID: "b", Bytes: 1, Tokens: 1, PerToken: time.Millisecond})
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/pkg/admission/speed.go
+++ b/pkg/admission/speed.go
@@ -18,12 +18,17 @@
 
 // Observe takes over a prefill of so many tokens that had the engine to itself.
 func (s *Speed) Observe(tokens int, took time.Duration) {
-	if tokens < minObserved || took <= 0 {
+	if tokens < minObserved || took <= 0 || took.Seconds()*s.rate > outlier*float64(tokens) {
 		return
 	}
 	s.rate += rateWeight * (float64(tokens)/took.Seconds() - s.rate)
 }
 
+// outlier is by how much an observation may be slower than expected. What is
+// slower still was a pause of the process or of the machine, and says nothing
+// about the engine.
+const outlier = 8
+
 // minObserved is the least work whose speed tells something.
 const minObserved = 64
 
@@ -45,6 +50,9 @@
 // Observe takes over one step's time at a batch size.
 func (s *Step) Observe(batch int, took time.Duration) {
 	b, t := float64(batch), took.Seconds()
+	if t > outlier*(s.base+s.slope*b) {
+		return
+	}
 	const keep = 1 - stepWeight
 	s.n, s.x, s.y = s.n*keep+1, s.x*keep+b, s.y*keep+t
 	s.xx, s.xy = s.xx*keep+b*b, s.xy*keep+b*t
--- a/pkg/httpd/httpd.go
+++ b/pkg/httpd/httpd.go
@@ -79,6 +79,7 @@
 		MaxWriteBufferSize:     maxWriteBuffer,
 		MessageHandlerPoolSize: maxHandlers,
 	})
+	s.orderOpens()
 	if err := s.engine.Start(); err != nil {
 		_ = l.Close()
 		return nil, &ErrListen{Address: address, Err: err}
@@ -87,6 +88,21 @@
 	return s, nil
 }
 
+// orderOpens makes the order between the opening of a connection and its first
+// data one that Go's memory model knows. nbio has it from epoll alone, which the
+// race detector does not see.
+func (s *Server) orderOpens() {
+	pass := func(c *nbio.Conn) {
+		c.Lock()
+		defer c.Unlock()
+	}
+	s.engine.Engine.OnOpen(pass)
+	s.engine.Engine.OnData(func(c *nbio.Conn, data []byte) {
+		pass(c)
+		c.DataHandler()(c, data)
+	})
+}
+
 // Addr returns the address that is served.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
--- /dev/null
+++ b/pkg/realtest/real_test.go
@@ -0,0 +1,174 @@
+package realtest
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/demo"
+	"github.com/hopwell/hopwell/pkg/fake"
+	"github.com/hopwell/hopwell/pkg/openai"
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+func TestReal(t *testing.T) { spectest.Run(t, "real processes") }
+
+// patience is long: no verdict here depends on the machine's speed.
+const patience = 2 * time.Minute
+
+// stream is a streamed completion as its caller sees it.
+type stream struct {
+	body  io.ReadCloser
+	lines *bufio.Scanner
+	text  strings.Builder
+	done  bool
+}
+
+func open(callers, prompt string, tokens int) *stream {
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, demo.Model, prompt, tokens)
+	r, err := http.Post("http://"+callers+"/v1/completions", "application/json", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(r.StatusCode).To(Equal(http.StatusOK))
+	return &stream{body: r.Body, lines: bufio.NewScanner(r.Body)}
+}
+
+// next reads one event and reports whether the stream goes on.
+func (s *stream) next() bool {
+	for s.lines.Scan() {
+		data, ok := strings.CutPrefix(s.lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			s.done = true
+			return false
+		}
+		var c openai.Completion
+		Expect(json.Unmarshal([]byte(data), &c)).To(Succeed())
+		Expect(c.Choices).NotTo(BeEmpty(), data)
+		s.text.WriteString(c.Choices[0].Text)
+		return true
+	}
+	return false
+}
+
+// rest reads to the end and returns the whole text.
+func (s *stream) rest() string {
+	for s.next() {
+	}
+	return s.text.String()
+}
+
+var _ = Describe("a fleet of real processes", Ordered, func() {
+	var f *Fleet
+	var binary string
+
+	BeforeAll(func() {
+		var err error
+		binary, err = Build(GinkgoT().TempDir())
+		Expect(err).NotTo(HaveOccurred())
+	})
+	BeforeEach(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		var err error
+		f, err = Start(ctx, binary, GinkgoT().TempDir())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(f.Close)
+		// Until both gateways see all runners, a request may find none.
+		Eventually(func(g Gomega) {
+			answers, err := f.Client.Status(ctx)
+			g.Expect(err).NotTo(HaveOccurred())
+			for _, a := range answers {
+				g.Expect(a.Err).NotTo(HaveOccurred())
+				g.Expect(a.Value.Members).To(HaveLen(len(f.Daemons)))
+			}
+		}).WithTimeout(patience).WithPolling(50 * time.Millisecond).Should(Succeed())
+	})
+	free := func() {
+		GinkgoHelper()
+		Eventually(f.Held).WithTimeout(patience).WithPolling(20 * time.Millisecond).Should(BeZero())
+	}
+	streaming := func() string {
+		for _, name := range []string{"decode-1", "decode-2"} {
+			if f.Engines[name].KVUsed() > 0 {
+				return name
+			}
+		}
+		return ""
+	}
+
+	It("frees the engines' memory of a gateway that is killed", func() {
+		s := open(f.Daemons["gateway-1"].Callers, "killed", 20000)
+		Expect(s.next()).To(BeTrue())
+		Expect(f.Signal("gateway-1", syscall.SIGKILL)).To(Succeed())
+		free()
+		Expect(s.rest()).NotTo(BeEmpty())
+		Expect(s.done).To(BeFalse(), "a cut stream must not look whole")
+	})
+	It("frees the engines' memory of a gateway that is paused", func() {
+		s := open(f.Daemons["gateway-1"].Callers, "paused", 20000)
+		Expect(s.next()).To(BeTrue())
+		Expect(f.Signal("gateway-1", syscall.SIGSTOP)).To(Succeed())
+		free()
+		Expect(f.Signal("gateway-1", syscall.SIGCONT)).To(Succeed())
+		Expect(s.body.Close()).To(Succeed())
+		free()
+	})
+	It("answers whole though the decode's sidecar is killed or paused", func() {
+		for _, sig := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGKILL} {
+			prompt := "sidecar " + sig.String()
+			s := open(f.Daemons["gateway-2"].Callers, prompt, 200)
+			Expect(s.next()).To(BeTrue())
+			on := streaming()
+			Expect(f.Signal(on, sig)).To(Succeed())
+			Expect(s.rest()).To(Equal(fake.Answer(prompt, 200)))
+			Expect(s.done).To(BeTrue())
+			if sig == syscall.SIGSTOP {
+				Expect(f.Signal(on, syscall.SIGCONT)).To(Succeed())
+				free()
+			}
+		}
+	})
+	It("cuts off nothing when a gateway and a sidecar are stopped as planned", func() {
+		s := open(f.Daemons["gateway-1"].Callers, "planned", 150)
+		Expect(s.next()).To(BeTrue())
+		on := streaming()
+		Expect(f.Signal("gateway-1", syscall.SIGTERM)).To(Succeed())
+		Expect(f.Signal(on, syscall.SIGTERM)).To(Succeed())
+		Expect(s.rest()).To(Equal(fake.Answer("planned", 150)))
+		Expect(s.done).To(BeTrue())
+		Eventually(f.Ended("gateway-1")).WithTimeout(patience).Should(BeClosed())
+		Eventually(f.Ended(on)).WithTimeout(patience).Should(BeClosed())
+	})
+	It("runs an order once though its gateway is killed and its caller asks again", func() {
+		f.Orders.Delay = 300 * time.Millisecond
+		order := func(gateway string) (*http.Response, error) {
+			r, err := http.NewRequest(http.MethodPost, "http://"+f.Daemons[gateway].Callers+"/services/memory/order", strings.NewReader("one keel"))
+			Expect(err).NotTo(HaveOccurred())
+			r.Header.Set("Idempotency-Key", "k1")
+			return http.DefaultClient.Do(r)
+		}
+		go func() {
+			defer GinkgoRecover()
+			_, _ = order("gateway-1")
+		}()
+		Eventually(func() int { return f.Orders.Runs("one keel") }).WithTimeout(patience).WithPolling(5 * time.Millisecond).Should(Equal(1))
+		Expect(f.Signal("gateway-1", syscall.SIGKILL)).To(Succeed())
+		r, err := order("gateway-2")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.StatusCode).To(Equal(http.StatusConflict))
+		Expect(r.Header.Get("Hopwell-Outcome")).To(Equal("unknown"))
+		Expect(f.Orders.Runs("one keel")).To(Equal(1))
+	})
+})
