--- /dev/null
+++ b/pkg/realtest/cost_test.go
@@ -0,0 +1,206 @@
+package realtest
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/demo"
+	"github.com/hopwell/hopwell/pkg/engine"
+	"github.com/hopwell/hopwell/pkg/fake"
+	"github.com/hopwell/hopwell/pkg/fleet"
+)
+
+// ready builds and starts a fleet for a benchmark and waits until it is at rest.
+func ready(b *testing.B, size Size) *Fleet {
+	b.Helper()
+	binary, err := Build(b.TempDir())
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	f, err := Start(ctx, binary, b.TempDir(), size)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(f.Close)
+	time.Sleep(5 * time.Second)
+	return f
+}
+
+// usage sums what the processes whose names begin with a prefix used, and
+// counts them.
+func usage(b *testing.B, f *Fleet, prefix string) (sum Usage, n int) {
+	b.Helper()
+	for name := range f.Daemons {
+		if !strings.HasPrefix(name, prefix) {
+			continue
+		}
+		u, err := f.Usage(name)
+		if err != nil {
+			b.Fatal(err)
+		}
+		sum.CPU, sum.RSS, sum.IO, n = sum.CPU+u.CPU, sum.RSS+u.RSS, sum.IO+u.IO, n+1
+	}
+	return sum, n
+}
+
+// BenchmarkIdle measures the processes of a fleet that does nothing: processor
+// share, traffic and memory of each, and calls to the key-value service.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{3, 30, 100} {
+		b.Run(fmt.Sprintf("processes=%d", n), func(b *testing.B) {
+			gateways := max(1, n/3)
+			size := Small()
+			size.Gateways, size.Prefills, size.Decodes, size.Services = gateways, 0, 0, n-gateways
+			f := ready(b, size)
+			const span = 20 * time.Second
+			for _, role := range []string{"gateway", "service"} {
+				before, _ := usage(b, f, role)
+				reads, writes := f.KV.Calls()
+				time.Sleep(span)
+				after, k := usage(b, f, role)
+				reads2, writes2 := f.KV.Calls()
+				per := span.Seconds() * float64(k)
+				b.ReportMetric(100*(after.CPU-before.CPU).Seconds()/per, role+"-cpu-%")
+				b.ReportMetric(float64(after.IO-before.IO)/per, role+"-bytes/s")
+				b.ReportMetric(float64(after.RSS)/float64(k)/(1<<20), role+"-MB")
+				b.ReportMetric(float64(reads2-reads+writes2-writes)/span.Seconds(), "kv-calls/s")
+			}
+		})
+	}
+}
+
+// wide is a fleet whose engines run many streams at a step time.
+func wide(step time.Duration) Size {
+	size := Small()
+	size.Gateways = 1
+	size.Engine.BatchLimit, size.Engine.KVTotal = 10000, 1<<50
+	size.Engine.StepBase, size.Engine.StepSlope = step, 0
+	for i := range size.Selectors {
+		size.Selectors[i].FirstToken, size.Selectors[i].PerToken = fleet.Duration(5*time.Minute), fleet.Duration(time.Minute)
+	}
+	return size
+}
+
+// drink opens n streams at the same time and reads them; opened is called after
+// the first byte of each. It returns the tokens read.
+func drink(f *Fleet, n, tokens int, opened func()) int {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: n}}
+	total := make(chan int, n)
+	for i := range n {
+		go func() { total <- drinkOne(client, f, i, tokens, opened) }()
+	}
+	sum := 0
+	for range n {
+		sum += <-total
+	}
+	return sum
+}
+
+func drinkOne(client *http.Client, f *Fleet, i, tokens int, opened func()) int {
+	body := fmt.Sprintf(`{"model":%q,"prompt":"stream %d","max_tokens":%d,"stream":true}`, demo.Model, i, tokens)
+	r, err := client.Post("http://"+f.Daemons["gateway-1"].Callers+"/v1/completions", "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	defer r.Body.Close()
+	n := 0
+	lines := bufio.NewScanner(r.Body)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "data: {") {
+			if n++; n == 1 {
+				opened()
+			}
+		}
+	}
+	return n
+}
+
+// BenchmarkRelay measures what a relayed token costs the gateway and the sidecar.
+func BenchmarkRelay(b *testing.B) {
+	f := ready(b, wide(20*time.Millisecond))
+	const streams, tokens = 300, 500
+	drink(f, streams, 20, func() {})
+	roles := []string{"gateway", "decode"}
+	before := map[string]Usage{}
+	for _, role := range roles {
+		before[role], _ = usage(b, f, role)
+	}
+	began := time.Now()
+	n := drink(f, streams, tokens, func() {})
+	b.ReportMetric(float64(n)/time.Since(began).Seconds(), "tokens/s")
+	for _, role := range roles {
+		after, _ := usage(b, f, role)
+		b.ReportMetric(float64((after.CPU-before[role].CPU).Microseconds())/float64(n), role+"-us/token")
+	}
+}
+
+// BenchmarkStreams measures memory at many open streams.
+func BenchmarkStreams(b *testing.B) {
+	for _, n := range []int{1000, 5000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := ready(b, wide(time.Second))
+			idle, _ := usage(b, f, "gateway")
+			var open sync.WaitGroup
+			open.Add(n)
+			go drink(f, n, 10000, open.Done)
+			open.Wait()
+			for _, role := range []string{"gateway", "decode"} {
+				u, k := usage(b, f, role)
+				b.ReportMetric(float64(u.RSS)/float64(k)/(1<<20), role+"-MB")
+			}
+			u, _ := usage(b, f, "gateway")
+			b.ReportMetric(float64(u.RSS-idle.RSS)/float64(n)/(1<<10), "gateway-KB/stream")
+		})
+	}
+}
+
+// BenchmarkFirstToken measures the time to the first token through hopwell and
+// straight from the engines, in turn, and their ratio.
+func BenchmarkFirstToken(b *testing.B) {
+	f := ready(b, wide(5*time.Millisecond))
+	prefill, decode := f.Engines["prefill-1"], f.Engines["decode-1"]
+	var direct, through time.Duration
+	n := 0
+	for b.Loop() {
+		n++
+		began := time.Now()
+		straight(b, prefill, decode, fmt.Sprintf("direct %d", n))
+		direct += time.Since(began)
+		began = time.Now()
+		r, err := http.Post("http://"+f.Daemons["gateway-1"].Callers+"/v1/completions", "application/json",
+			strings.NewReader(fmt.Sprintf(`{"model":%q,"prompt":"through %d","max_tokens":1}`, demo.Model, n)))
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_ = r.Body.Close()
+		through += time.Since(began)
+	}
+	b.ReportMetric(float64(direct.Microseconds())/float64(n), "direct-us")
+	b.ReportMetric(float64(through.Microseconds())/float64(n), "through-us")
+	b.ReportMetric(float64(through)/float64(direct), "ratio")
+}
+
+// straight prefills on one engine and decodes a token on another over the
+// engines' HTTP API.
+func straight(b *testing.B, prefill, decode *fake.Engine, prompt string) {
+	b.Helper()
+	ctx := context.Background()
+	x, err := prefill.Prefill(ctx, engine.Prefill{ID: prompt, Model: demo.Model, Prompt: prompt, Tokens: len(prompt) / 4})
+	if err == nil {
+		err = decode.Decode(ctx, engine.Decode{ID: prompt, Model: demo.Model, Prompt: prompt, PromptTokens: len(prompt) / 4, Source: &x, MaxTokens: 1},
+			func() {}, func(engine.Token) error { return nil })
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+}
--- a/pkg/realtest/real_test.go
+++ b/pkg/realtest/real_test.go
@@ -82,7 +82,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
 		var err error
-		f, err = Start(ctx, binary, GinkgoT().TempDir())
+		f, err = Start(ctx, binary, GinkgoT().TempDir(), Small())
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(f.Close)
 		// Until both gateways see all runners, a request may find none.
--- a/pkg/realtest/realtest.go
+++ b/pkg/realtest/realtest.go
@@ -11,8 +11,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/hopwell/hopwell/pkg/demo"
 	"github.com/hopwell/hopwell/pkg/fake"
@@ -65,9 +67,25 @@
 	return fmt.Sprintf("build failed: cause=%v output=%s", e.Err, e.Output)
 }
 
-// Start brings up two gateways, two prefill and two decode runners and a plain
-// service.
-func Start(ctx context.Context, binary, dir string) (*Fleet, error) {
+// Size is what a fleet consists of.
+type Size struct {
+	Gateways, Prefills, Decodes, Services int
+	// Engine is the speed and size of all engines.
+	Engine fake.Spec
+	// Selectors is the first configuration.
+	Selectors []fleet.Selector
+}
+
+// Small is two gateways, two runners in each role and a plain service whose
+// calls must not be repeated.
+func Small() Size {
+	list := demo.Selectors()
+	list[2].NotRepeatable = true
+	return Size{Gateways: 2, Prefills: 2, Decodes: 2, Services: 1, Engine: fake.DefaultSpec(), Selectors: list}
+}
+
+// Start brings up a fleet.
+func Start(ctx context.Context, binary, dir string, size Size) (*Fleet, error) {
 	f := &Fleet{
 		KV: fake.NewKV(), List: fake.NewList(), Engines: map[string]*fake.Engine{}, Orders: fake.NewService(0),
 		Daemons: map[string]*Daemon{}, dir: dir, binary: binary,
@@ -78,31 +96,45 @@
 	}
 	f.platform = p
 	f.Client = opclient.New(p, nil)
-	fabric := fake.NewFabric()
-	for _, name := range []string{"prefill-1", "prefill-2", "decode-1", "decode-2"} {
-		e := fake.NewEngine(name, fake.DefaultSpec(), fabric)
-		f.Engines[name] = e
-		url, err := f.serve(fake.EngineHandler(e))
-		if err != nil {
-			return nil, err
-		}
-		if err := f.Sidecar(name, "engine: "+url); err != nil {
+	if err := f.runners(size); err != nil {
+		return nil, err
+	}
+	for i := range size.Gateways {
+		if err := f.Gateway(fmt.Sprintf("gateway-%d", i+1)); err != nil {
 			return nil, err
 		}
 	}
-	url, err := f.serve(f.Orders)
-	if err != nil {
-		return nil, err
-	}
-	if err := f.Sidecar("service-1", "service: "+url); err != nil {
-		return nil, err
+	return f, f.configure(ctx, size.Selectors)
+}
+
+// runners starts the stand-in runners and their sidecars.
+func (f *Fleet) runners(size Size) error {
+	fabric := fake.NewFabric()
+	for i := range size.Prefills + size.Decodes {
+		name := fmt.Sprintf("prefill-%d", i+1)
+		if i >= size.Prefills {
+			name = fmt.Sprintf("decode-%d", i-size.Prefills+1)
+		}
+		f.Engines[name] = fake.NewEngine(name, size.Engine, fabric)
+		if err := f.runner(name, "engine", fake.EngineHandler(f.Engines[name])); err != nil {
+			return err
+		}
 	}
-	for _, name := range []string{"gateway-1", "gateway-2"} {
-		if err := f.Gateway(name); err != nil {
-			return nil, err
+	for i := range size.Services {
+		if err := f.runner(fmt.Sprintf("service-%d", i+1), "service", f.Orders); err != nil {
+			return err
 		}
 	}
-	return f, f.configure(ctx)
+	return nil
+}
+
+// runner serves a stand-in and starts its sidecar.
+func (f *Fleet) runner(name, kind string, h http.Handler) error {
+	url, err := f.serve(h)
+	if err != nil {
+		return err
+	}
+	return f.Sidecar(name, kind+": "+url)
 }
 
 func (f *Fleet) serve(h http.Handler) (string, error) {
@@ -114,10 +146,8 @@
 	return "http://" + s.Addr(), nil
 }
 
-// configure makes the demo's configuration and waits until it is in force.
-func (f *Fleet) configure(ctx context.Context) error {
-	list := demo.Selectors()
-	list[2].NotRepeatable = true
+// configure makes the first configuration and waits until it is in force.
+func (f *Fleet) configure(ctx context.Context, list []fleet.Selector) error {
 	reply, err := f.Client.Change(ctx, &fleet.Change{ID: "first", Apply: list}, false)
 	if err != nil {
 		return err
@@ -221,3 +251,43 @@
 		e.Close()
 	}
 }
+
+// Usage is what a process used so far.
+type Usage struct {
+	// CPU is its processor time, RSS its memory in bytes, IO the bytes that it
+	// read and wrote, files and sockets together.
+	CPU time.Duration
+	RSS int64
+	IO  int64
+}
+
+// clockTick is the unit of processor times in /proc, in hertz.
+const clockTick = 100
+
+// Usage reads what a process used from /proc.
+func (f *Fleet) Usage(name string) (Usage, error) {
+	dir := fmt.Sprintf("/proc/%d/", f.Daemons[name].cmd.Process.Pid)
+	var u Usage
+	stat, err := os.ReadFile(dir + "stat")
+	if err != nil {
+		return u, err
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	u.CPU = time.Duration(user+system) * time.Second / clockTick
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	u.RSS = pages * int64(os.Getpagesize())
+	io, err := os.ReadFile(dir + "io")
+	if err != nil {
+		return u, err
+	}
+	for _, line := range strings.Split(string(io), "\n") {
+		key, value, _ := strings.Cut(line, ": ")
+		if key == "rchar" || key == "wchar" {
+			n, _ := strconv.ParseInt(value, 10, 64)
+			u.IO += n
+		}
+	}
+	return u, nil
+}
