--- a/pkg/claim/shard.go
+++ b/pkg/claim/shard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -110,8 +109,7 @@
 			return
 		}
 		s.head = nil
-		var conflict *platform.ErrConflict
-		if !errors.As(err, &conflict) {
+		if !platform.IsConflict(err) {
 			// The answer was lost. The next try reads the head and sees what
 			// took effect; if even that fails, nothing can be told.
 			if loadErr := s.load(); loadErr != nil {
--- a/pkg/fake/platform_http.go
+++ b/pkg/fake/platform_http.go
@@ -5,9 +5,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hopwell/hopwell/pkg/platform"
 )
 
@@ -32,7 +36,7 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
-		_ = json.NewEncoder(w).Encode(all)
+		writeTagged(w, r, all)
 	})
 	mux.HandleFunc("POST /weights", func(w http.ResponseWriter, r *http.Request) {
 		q := r.URL.Query()
@@ -41,6 +45,24 @@
 	return mux
 }
 
+// writeTagged answers with the list, or that it is still the one that the caller
+// has.
+func writeTagged(w http.ResponseWriter, r *http.Request, all []platform.Instance) {
+	slices.SortFunc(all, func(a, b platform.Instance) int { return strings.Compare(a.Name, b.Name) })
+	data, err := json.Marshal(all)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(data), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
 func writeValue(w http.ResponseWriter, v platform.Value, err error) {
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/pkg/gossip/change.go
+++ b/pkg/gossip/change.go
@@ -48,8 +48,7 @@
 // transient reports whether another try may help.
 func transient(err error) bool {
 	var down *platform.ErrUnavailable
-	var conflict *platform.ErrConflict
-	return errors.As(err, &down) || errors.As(err, &conflict)
+	return errors.As(err, &down) || platform.IsConflict(err)
 }
 
 // tryChange reads, edits and swaps once. Wrote says that a swap was sent.
@@ -78,8 +77,7 @@
 	}
 	data := next.Encode()
 	if _, err := a.kv.Swap(ctx, DocumentKey, v.Version, data, 0); err != nil {
-		var conflict *platform.ErrConflict
-		return nil, !errors.As(err, &conflict), err
+		return nil, !platform.IsConflict(err), err
 	}
 	a.take(data)
 	a.Push(ctx, fanOut)
--- a/pkg/httpd/httpd.go
+++ b/pkg/httpd/httpd.go
@@ -52,11 +52,11 @@
 type Server struct {
 	engine   *nbhttp.Engine
 	listener net.Listener
-	stop     chan struct{}
 	once     sync.Once
 
-	mu   sync.Mutex
-	open map[*nbio.Conn]context.CancelFunc
+	mu       sync.Mutex
+	open     map[*nbio.Conn]context.CancelFunc
+	sweeping bool
 }
 
 // Listen serves a handler on an address. Bodies above maxBody bytes end their
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, &ErrListen{Address: address, Err: err}
 	}
-	s := &Server{listener: l, stop: make(chan struct{}), open: map[*nbio.Conn]context.CancelFunc{}}
+	s := &Server{listener: l, open: map[*nbio.Conn]context.CancelFunc{}}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:                "tcp",
 		Addrs:                  []string{l.Addr().String()},
@@ -84,7 +84,6 @@
 		_ = l.Close()
 		return nil, &ErrListen{Address: address, Err: err}
 	}
-	go s.sweep()
 	return s, nil
 }
 
@@ -108,16 +107,7 @@
 
 // Close stops serving. Running requests are cut off.
 func (s *Server) Close() {
-	s.once.Do(func() {
-		close(s.stop)
-		s.engine.Stop()
-	})
-}
-
-// Shutdown stops taking connections and waits for running requests.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.once.Do(func() { close(s.stop) })
-	return s.engine.Shutdown(ctx)
+	s.once.Do(s.engine.Stop)
 }
 
 // watched gives a handler's requests a context that ends with the connection.
@@ -153,6 +143,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[c] = cancel
+	if !s.sweeping {
+		s.sweeping = true
+		time.AfterFunc(sweepEvery, s.sweep)
+	}
 }
 
 func (s *Server) unwatch(c *nbio.Conn) {
@@ -161,21 +155,9 @@
 	delete(s.open, c)
 }
 
-// sweep ends the contexts of requests whose connection is closed.
+// sweep ends the contexts of requests whose connection is closed, and comes back
+// as long as there are requests: an idle server has no timer.
 func (s *Server) sweep() {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			s.look()
-		case <-s.stop:
-			return
-		}
-	}
-}
-
-func (s *Server) look() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, cancel := range s.open {
@@ -183,4 +165,8 @@
 			cancel()
 		}
 	}
+	s.sweeping = len(s.open) > 0
+	if s.sweeping {
+		time.AfterFunc(sweepEvery, s.sweep)
+	}
 }
--- a/pkg/platform/http.go
+++ b/pkg/platform/http.go
@@ -8,7 +8,9 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -27,6 +29,10 @@
 type Client struct {
 	base string
 	http *http.Client
+
+	mu   sync.Mutex
+	tag  string
+	list []Instance
 }
 
 // NewClient returns a client of the platform at a base URL. It uses net/http:
@@ -56,6 +62,11 @@
 	if err != nil {
 		return nil, nil, &ErrUnavailable{Service: service, Op: op, Err: err}
 	}
+	return c.send(r, service, op)
+}
+
+// send sends a request and reads its answer's body.
+func (c *Client) send(r *http.Request, service, op string) (*http.Response, []byte, error) {
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return nil, nil, &ErrUnavailable{Service: service, Op: op, Err: err}
@@ -126,20 +137,43 @@
 	return c.read(ctx, "watch", "/watch/"+key, query)
 }
 
-// Instances implements List.
+// Instances implements List. It asks with the entity tag of the last answer (RFC
+// 9110, 13.1.2), so that an unchanged list of a large fleet costs a few bytes.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
-	resp, data, err := c.call(ctx, "instances", "list", http.MethodGet, "/instances", nil, nil)
+	c.mu.Lock()
+	tag := c.tag
+	c.mu.Unlock()
+	resp, data, err := c.conditional(ctx, tag)
 	if err != nil {
 		return nil, err
 	}
-	if resp.StatusCode != http.StatusOK {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch resp.StatusCode {
+	case http.StatusNotModified:
+		return slices.Clone(c.list), nil
+	case http.StatusOK:
+	default:
 		return nil, unexpected("instances", "list", resp, data)
 	}
 	var out []Instance
 	if err := json.Unmarshal(data, &out); err != nil {
 		return nil, &ErrUnavailable{Service: "instances", Op: "list", Err: err}
 	}
-	return out, nil
+	c.tag, c.list = resp.Header.Get("ETag"), out
+	return slices.Clone(out), nil
+}
+
+// conditional asks for the list unless it is still the one with a tag.
+func (c *Client) conditional(ctx context.Context, tag string) (*http.Response, []byte, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/instances", nil)
+	if err != nil {
+		return nil, nil, &ErrUnavailable{Service: "instances", Op: "list", Err: err}
+	}
+	if tag != "" {
+		r.Header.Set("If-None-Match", tag)
+	}
+	return c.send(r, "instances", "list")
 }
 
 // Fetch implements Weights.
--- /dev/null
+++ b/pkg/platform/http_test.go
@@ -0,0 +1,68 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/fake"
+	"github.com/hopwell/hopwell/pkg/platform"
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+func TestPlatform(t *testing.T) { spectest.Run(t, "platform") }
+
+var _ = Describe("the platform's client", func() {
+	var kv *fake.KV
+	var list *fake.List
+	var c *platform.Client
+	ctx := context.Background()
+	BeforeEach(func() {
+		kv, list = fake.NewKV(), fake.NewList()
+		s := httptest.NewServer(fake.PlatformHandler(kv, list, fake.NewWeights(1)))
+		DeferCleanup(s.Close)
+		c = platform.NewClient(s.URL)
+	})
+	It("swaps, reads and watches values", func() {
+		v, err := c.Swap(ctx, "a/b", 0, []byte("x"), 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(v).To(Equal(uint64(1)))
+		_, err = c.Swap(ctx, "a/b", 0, []byte("y"), 0)
+		Expect(platform.IsConflict(err)).To(BeTrue())
+		got, err := c.Watch(ctx, "a/b", 0, time.Minute)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(got.Data)).To(Equal("x"))
+	})
+	It("tells an outage and a value that is too large apart", func() {
+		_, err := c.Swap(ctx, "a", 0, make([]byte, platform.MaxValue+1), 0)
+		var large *platform.ErrTooLarge
+		Expect(errors.As(err, &large)).To(BeTrue())
+		kv.SetDown(true)
+		_, err = c.Get(ctx, "a")
+		var down *platform.ErrUnavailable
+		Expect(errors.As(err, &down)).To(BeTrue())
+	})
+	It("sees changes of the list, and the same list when nothing changed", func() {
+		list.Put(platform.Instance{Name: "a"})
+		for range 2 {
+			all, err := c.Instances(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(all).To(HaveLen(1))
+		}
+		list.Put(platform.Instance{Name: "b"})
+		all, err := c.Instances(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(all).To(HaveLen(2))
+	})
+	It("says when the weight store wants to be asked again", func() {
+		Expect(c.Fetch(ctx, "m", "", "")).To(Succeed())
+		var slow *platform.ErrThrottled
+		Expect(errors.As(c.Fetch(ctx, "m", "", ""), &slow)).To(BeTrue())
+		Expect(slow.RetryAfter).To(BeNumerically(">", 0))
+	})
+})
