--- /dev/null
+++ b/pkg/fake/engine_calls.go
@@ -0,0 +1,340 @@
+package fake
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/engine"
+	"github.com/hopwell/hopwell/pkg/prefix"
+)
+
+// Prefill implements engine.Engine.
+func (e *Engine) Prefill(ctx context.Context, p engine.Prefill) (engine.Export, error) {
+	salt := prefix.Salt(p.Model, p.Version, p.Adapter)
+	bytes := int64(p.Tokens) * e.spec.KVPerToken
+	j, err := e.queue(p, prefix.Blocks(nil, salt, p.Prompt), bytes, false)
+	if err != nil {
+		return engine.Export{}, err
+	}
+	if err := e.await(ctx, j); err != nil {
+		return engine.Export{}, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return engine.Export{}, e.lost()
+	}
+	x := e.hold(p.ID, bytes, j)
+	return x.Export, nil
+}
+
+// queue admits a prefill to the engine's own queue.
+func (e *Engine) queue(p engine.Prefill, blocks []uint64, bytes int64, local bool) (*prefillJob, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return nil, e.lost()
+	}
+	if !local {
+		if e.kvUsed+bytes > e.spec.KVTotal {
+			return nil, &engine.ErrEngine{Code: engine.CodeFull, Detail: "no memory for a prefill"}
+		}
+		e.kvUsed += bytes
+	}
+	e.beginWork(p.ID)
+	cached := min(e.cache.match(blocks)*prefix.BlockTokens, p.Tokens-1)
+	j := &prefillJob{order: p, left: p.Tokens - cached, cached: cached, blocks: blocks, bytes: bytes, local: local, finished: make(chan error, 1)}
+	e.stats.Cached += int64(cached)
+	e.jobs = append(e.jobs, j)
+	e.kick()
+	return j, nil
+}
+
+// await waits for a prefill and drops it when the caller is gone.
+func (e *Engine) await(ctx context.Context, j *prefillJob) error {
+	var err error
+	select {
+	case err = <-j.finished:
+		if err == nil {
+			return nil
+		}
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return e.lost()
+	}
+	e.dropJob(j)
+	e.stats.Wasted += int64(j.done)
+	if !j.local {
+		e.kvUsed -= j.bytes
+	}
+	return err
+}
+
+// hold keeps a KV cache for import. The caller holds the lock.
+func (e *Engine) hold(id string, bytes int64, j *prefillJob) *export {
+	e.nextName++
+	x := &export{id: id, expires: time.Now().Add(e.spec.ExportTTL)}
+	x.Export = engine.Export{Handle: fmt.Sprintf("%s/%d", e.address, e.nextName), Address: e.address, Bytes: bytes}
+	if j != nil {
+		x.Tokens, x.Cached, x.paid = j.order.Tokens, j.cached, int64(j.done)
+	}
+	e.exports[x.Handle] = x
+	time.AfterFunc(e.spec.ExportTTL, func() { e.drop(x.Handle) })
+	return x
+}
+
+// drop frees an export.
+func (e *Engine) drop(handle string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	x, ok := e.exports[handle]
+	if !ok {
+		return
+	}
+	delete(e.exports, handle)
+	e.kvUsed -= x.Bytes
+	e.waste(x)
+}
+
+// Decode implements engine.Engine.
+func (e *Engine) Decode(ctx context.Context, d engine.Decode, imported func(), token func(engine.Token) error) error {
+	job, err := e.admit(d)
+	if err != nil {
+		return err
+	}
+	if err := e.load(ctx, job); err != nil {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if !e.dead {
+			e.kvUsed -= job.bytes
+		}
+		return err
+	}
+	imported()
+	e.mu.Lock()
+	if e.dead {
+		e.mu.Unlock()
+		return e.lost()
+	}
+	e.running = append(e.running, job)
+	e.mu.Unlock()
+	e.kick()
+	return e.relay(ctx, job, token)
+}
+
+// admit takes memory for a whole answer.
+func (e *Engine) admit(d engine.Decode) (*decodeJob, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return nil, &engine.ErrUnreachable{Address: e.address, Err: errOutage}
+	}
+	bytes := int64(d.PromptTokens+d.MaxTokens) * e.spec.KVPerToken
+	if e.kvUsed+bytes > e.spec.KVTotal || len(e.running) >= e.spec.BatchLimit {
+		return nil, &engine.ErrEngine{Code: engine.CodeFull, Detail: "no memory for a stream"}
+	}
+	if d.Offset > 0 && d.Generated != Answer(d.Prompt, d.Offset) {
+		e.stats.Wrong++
+	}
+	e.beginWork(d.ID)
+	e.kvUsed += bytes
+	job := &decodeJob{order: d, bytes: bytes, next: d.Offset, ended: make(chan error, 1)}
+	job.tokens = make(chan engine.Token, d.MaxTokens-d.Offset+1)
+	return job, nil
+}
+
+// load imports the KV cache, or computes it where there is no source.
+func (e *Engine) load(ctx context.Context, job *decodeJob) error {
+	if job.order.Source != nil {
+		return e.fabric.transfer(ctx, job.order.Source)
+	}
+	d := job.order
+	p := engine.Prefill{ID: d.ID, Tokens: d.PromptTokens + d.Offset, Priority: d.Priority}
+	salt := prefix.Salt(d.Model, d.Version, d.Adapter)
+	j, err := e.queue(p, prefix.Blocks(nil, salt, d.Prompt+d.Generated), 0, true)
+	if err != nil {
+		return err
+	}
+	return e.await(ctx, j)
+}
+
+// relay hands over tokens until the last one.
+func (e *Engine) relay(ctx context.Context, job *decodeJob, token func(engine.Token) error) error {
+	for {
+		select {
+		case t := <-job.tokens:
+			if err := token(t); err != nil {
+				e.abandon(job)
+				return err
+			}
+			if t.Final {
+				return nil
+			}
+		case err := <-job.ended:
+			return err
+		case <-ctx.Done():
+			e.abandon(job)
+			return ctx.Err()
+		}
+	}
+}
+
+func (e *Engine) abandon(job *decodeJob) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dropDecode(job)
+}
+
+// Handover implements engine.Engine.
+func (e *Engine) Handover(_ context.Context, id string) (engine.Export, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, d := range e.running {
+		if d.order.ID != id {
+			continue
+		}
+		e.dropDecode(d)
+		bytes := int64(d.order.PromptTokens+d.next) * e.spec.KVPerToken
+		e.kvUsed += bytes
+		x := e.hold(id, bytes, nil)
+		x.Tokens, x.Offset = d.order.PromptTokens+d.next, d.next
+		x.Generated = Answer(d.order.Prompt, d.next)
+		d.ended <- &engine.ErrEngine{Code: engine.CodeMoved}
+		return x.Export, nil
+	}
+	return engine.Export{}, &engine.ErrEngine{Code: engine.CodeGone, Detail: id}
+}
+
+// Release implements engine.Engine.
+func (e *Engine) Release(_ context.Context, handle string) error {
+	e.drop(handle)
+	return nil
+}
+
+// Cancel implements engine.Engine.
+func (e *Engine) Cancel(_ context.Context, id string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, d := range append([]*decodeJob(nil), e.running...) {
+		if d.order.ID == id && e.dropDecode(d) {
+			d.ended <- &engine.ErrEngine{Code: engine.CodeGone, Detail: "cancelled"}
+		}
+	}
+	for _, j := range append([]*prefillJob(nil), e.jobs...) {
+		if j.order.ID == id {
+			j.finished <- &engine.ErrEngine{Code: engine.CodeGone, Detail: "cancelled"}
+		}
+	}
+	for h, x := range e.exports {
+		if x.id == id {
+			delete(e.exports, h)
+			e.kvUsed -= x.Bytes
+			e.waste(x)
+		}
+	}
+	return nil
+}
+
+// Held implements engine.Engine.
+func (e *Engine) Held(context.Context) ([]engine.Holding, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return nil, &engine.ErrUnreachable{Address: e.address, Err: errOutage}
+	}
+	var all []engine.Holding
+	for _, j := range e.jobs {
+		all = append(all, engine.Holding{ID: j.order.ID, What: "prefill", Bytes: j.bytes})
+	}
+	for _, x := range e.exports {
+		all = append(all, engine.Holding{ID: x.id, What: "export", Bytes: x.Bytes})
+	}
+	for _, d := range e.running {
+		all = append(all, engine.Holding{ID: d.order.ID, What: "decode", Bytes: d.bytes})
+	}
+	return all, nil
+}
+
+// loadNow is the load without its lag. The caller holds the lock.
+func (e *Engine) loadNow() engine.Load {
+	l := engine.Load{
+		Running: len(e.running), BatchLimit: e.spec.BatchLimit,
+		KVUsed: e.kvUsed, KVTotal: e.spec.KVTotal, KVPerToken: e.spec.KVPerToken,
+		Fence: e.fence, Assigned: e.assigned,
+	}
+	for _, j := range e.jobs {
+		l.QueuedTokens += j.left
+	}
+	return l
+}
+
+// Load implements engine.Engine.
+func (e *Engine) Load(context.Context) (engine.Load, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return engine.Load{}, &engine.ErrUnreachable{Address: e.address, Err: errOutage}
+	}
+	old := time.Now().Add(-e.spec.ReportLag)
+	l := e.loadNow()
+	for i := len(e.reports) - 1; i >= 0; i-- {
+		if e.reports[i].at.Before(old) {
+			r := e.reports[i].load
+			l.Running, l.KVUsed, l.QueuedTokens = r.Running, r.KVUsed, r.QueuedTokens
+			break
+		}
+	}
+	return l, nil
+}
+
+// KVUsed returns the memory held now, without a lag.
+func (e *Engine) KVUsed() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.kvUsed
+}
+
+// note records a cache event. The caller holds the lock.
+func (e *Engine) note(block uint64, evicted bool) {
+	e.sequence++
+	if e.spec.EventGap > 0 && e.sequence%e.spec.EventGap == 0 {
+		return
+	}
+	e.events = append(e.events, cacheEvent{time.Now(), engine.CacheEvent{Sequence: e.sequence, Block: block, Evicted: evicted}})
+	if len(e.events) > 2*eventWindow {
+		e.events = append([]cacheEvent(nil), e.events[eventWindow:]...)
+	}
+}
+
+// eventWindow is how many cache events an engine keeps at least.
+const eventWindow = 4096
+
+// Events implements engine.Engine.
+func (e *Engine) Events(_ context.Context, after uint64) ([]engine.CacheEvent, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := time.Now().Add(-e.spec.ReportLag)
+	var out []engine.CacheEvent
+	for _, ev := range e.events {
+		if ev.Sequence > after && ev.at.Before(old) {
+			out = append(out, ev.CacheEvent)
+		}
+	}
+	return out, nil
+}
+
+// Assign implements engine.Engine.
+func (e *Engine) Assign(_ context.Context, f engine.Fence, a engine.Assignment) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.spec.ChecksFence && f.Less(e.fence) {
+		return &engine.ErrEngine{Code: engine.CodeFenced, Detail: fmt.Sprintf("newest=%v", e.fence)}
+	}
+	e.fence, e.assigned = f, a
+	return nil
+}
