--- a/pkg/gossip/agent.go
+++ b/pkg/gossip/agent.go
@@ -18,6 +18,7 @@
 const (
 	watchTime     = 20 * time.Second
 	watchRetry    = time.Second
+	watchRetryMax = 8 * time.Second
 	exchangeEvery = time.Second
 	callTime      = 700 * time.Millisecond
 	fanOut        = 3
@@ -59,16 +60,19 @@
 	wg.Wait()
 }
 
-// watch follows the key-value service.
+// watch follows the key-value service. In an outage it asks ever less often:
+// whoever finds the service back first tells the others.
 func (a *Agent) watch(ctx context.Context) {
 	var version uint64
+	retry := watchRetry
 	for ctx.Err() == nil {
 		v, err := a.kv.Watch(ctx, DocumentKey, version, watchTime)
 		if err != nil {
-			a.pause(ctx, watchRetry)
+			a.pause(ctx, retry)
+			retry = min(2*retry, watchRetryMax)
 			continue
 		}
-		version = v.Version
+		version, retry = v.Version, watchRetry
 		a.take(v.Data)
 	}
 }
