--- a/experiment/run.go
+++ b/experiment/run.go
@@ -128,7 +128,7 @@
 			time.Sleep(8 * time.Second)
 			resume()
 		}},
-		Scene{Name: "reports late", Load: 1, Fault: func(r *Run) { r.Fleet.List.SetLag(5 * time.Second) }},
+		Scene{Name: "reports late", Load: 1, Fault: reportsLate},
 		Scene{Name: "KV down", Load: 1, Fault: func(r *Run) {
 			r.Fleet.KV.SetDown(true)
 			time.Sleep(15 * time.Second)
@@ -147,6 +147,15 @@
 	)
 }
 
+// reportsLate makes the instance list and the engines' reports lag by 5 s and
+// loses every second cache event.
+func reportsLate(r *Run) {
+	r.Fleet.List.SetLag(5 * time.Second)
+	for _, e := range r.Fleet.Engines {
+		e.SetReports(5*time.Second, 2)
+	}
+}
+
 // domainLost ends all instances of one failure domain but its gateway's callers
 // go to the others.
 func domainLost(d Deployment) Scene {
--- a/pkg/fake/engine.go
+++ b/pkg/fake/engine.go
@@ -201,6 +201,14 @@
 	}
 }
 
+// SetReports makes load reports and cache events later, and every gap-th event
+// lost.
+func (e *Engine) SetReports(lag time.Duration, gap uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.spec.ReportLag, e.spec.EventGap = lag, gap
+}
+
 // Stats returns what the engine did so far.
 func (e *Engine) Stats() Stats {
 	e.mu.Lock()
