admission: a workspace with more than its share gives way first

Cause: half of all requests at 150% from one workspace cost the others as much as itself. Change: in the choice of the job that gives way, the work of a workspace with k times its fair share of the queue counts as k times longer.

--- a/experiment/bound.go
+++ b/experiment/bound.go
@@ -27,7 +27,7 @@
 func (d *Deployment) demand() cost {
 	const sample = 20000
 	var sum cost
-	load := d.Load(1, 1000, sample*time.Millisecond)
+	load := d.Load(1, 1000, 0, sample*time.Millisecond)
 	for i := range load {
 		if load[i].Request != nil {
 			c := d.costOf(&load[i])
--- a/experiment/outcome.go
+++ b/experiment/outcome.go
@@ -18,6 +18,8 @@
 	Offered, Good, Bound int
 	// ByClass is the share of good answers of each class.
 	ByClass map[string]float64
+	// Others is the share of good answers of all workspaces but the flooding one.
+	Others float64
 	// Prefilled and Wasted count prompt tokens; Gone is the part of Wasted whose
 	// callers went away, or lost their answer with their gateway.
 	Prefilled, Wasted, Gone int
@@ -44,13 +46,28 @@
 	return c.Request.Kind
 }
 
+// workspaceOf returns the workspace of a call.
+func workspaceOf(c *fleettest.Call) string {
+	if c.Service != nil {
+		return c.Service.Workspace
+	}
+	return c.Request.Workspace
+}
+
 // summarize counts the calls of a run.
 func summarize(d Deployment, load []Arrival, calls []*fleettest.Call, scene Scene, length time.Duration) Outcome {
 	o := Outcome{Offered: len(load), ByClass: map[string]float64{}, Reasons: map[string]int{}}
 	o.Bound = d.Bound(load, length, float64(d.Prefills), float64(d.Decodes))
 	total := map[string]float64{}
+	others, ok := 0.0, 0.0
 	for _, c := range calls {
 		total[classOf(c)]++
+		if workspaceOf(c) != flooding {
+			others++
+			if good(c) {
+				ok++
+			}
+		}
 		o.Prefilled += c.Result.Prefilled
 		o.Wasted += c.Result.Wasted
 		if c.Lost || !c.Left.IsZero() {
@@ -61,6 +78,7 @@
 	for kind, n := range total {
 		o.ByClass[kind] /= n
 	}
+	o.Others = ok / max(others, 1)
 	o.Recovery = recovery(d, calls, scene, length)
 	return o
 }
@@ -156,11 +174,11 @@
 	for i := range d.Classes {
 		kinds[i] = d.Classes[i].Kind
 	}
-	_, _ = fmt.Fprintf(w, "\n| %s | setting | good %% of offered | %% of bound | %s | wasted prefill %% | of it callers gone %% | recovery s | not run | late | unknown | KV r/s | KV w/s |\n", d.Name, strings.Join(kinds, " | "))
-	_, _ = fmt.Fprintf(w, "|%s\n", strings.Repeat("---|", 12+len(kinds)))
+	_, _ = fmt.Fprintf(w, "\n| %s | setting | good %% of offered | %% of bound | other workspaces %% | %s | wasted prefill %% | of it callers gone %% | recovery s | not run | late | unknown | KV r/s | KV w/s |\n", d.Name, strings.Join(kinds, " | "))
+	_, _ = fmt.Fprintf(w, "|%s\n", strings.Repeat("---|", 13+len(kinds)))
 	for _, r := range rows {
 		o := &r.Outcome
-		_, _ = fmt.Fprintf(w, "| %s | %s | %.1f | %.1f |", r.Scene, r.Setting, share(o.Good, o.Offered), share(o.Good, o.Bound))
+		_, _ = fmt.Fprintf(w, "| %s | %s | %.1f | %.1f | %.1f |", r.Scene, r.Setting, share(o.Good, o.Offered), share(o.Good, o.Bound), 100*o.Others)
 		for _, k := range kinds {
 			_, _ = fmt.Fprintf(w, " %.1f |", 100*o.ByClass[k])
 		}
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -31,8 +31,9 @@
 // Scene is a load with a fault.
 type Scene struct {
 	Name string
-	// Load is the share of the deployment's capacity.
-	Load float64
+	// Load is the share of the deployment's capacity; Flood the part of it that
+	// comes from one workspace.
+	Load, Flood float64
 	// Fault brings the fault about; nil for none.
 	Fault func(r *Run)
 	// Prefills and Decodes is what the fault takes for good.
@@ -65,7 +66,7 @@
 	}
 	r := &Run{Fleet: fleettest.Start(spec), Spec: spec}
 	defer r.Fleet.Close()
-	load := d.Load(seed, scene.Load*d.Capacity(), length)
+	load := d.Load(seed, scene.Load*d.Capacity(), scene.Flood, length)
 	reads, writes := r.Fleet.KV.Calls()
 	r.offer(load, scene, length)
 	reads2, writes2 := r.Fleet.KV.Calls()
@@ -121,6 +122,7 @@
 func Scenes(d Deployment) []Scene {
 	out := []Scene{{Name: "60%", Load: 0.6}, {Name: "100%", Load: 1}, {Name: "150%", Load: 1.5}}
 	return append(out,
+		Scene{Name: "flood 150%", Load: 1.5, Flood: 0.5},
 		Scene{Name: "runner lost", Load: 1, Decodes: 1, Fault: func(r *Run) { r.Fleet.Lose("decode-1") }},
 		domainLost(d),
 		Scene{Name: "link stalled", Load: 1, Fault: func(r *Run) {
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -71,6 +71,9 @@
 	}
 }
 
+// flooding is the workspace that floods in a scene with a flood.
+const flooding = "workspace-0"
+
 // service reports whether a class goes to a plain service.
 func (c *Class) service() bool { return c.OutMax == 0 }
 
@@ -105,8 +108,9 @@
 	PrefixID int
 }
 
-// Load draws the arrivals of a run: a Poisson process of a rate.
-func (d *Deployment) Load(seed uint64, rate float64, length time.Duration) []Arrival {
+// Load draws the arrivals of a run: a Poisson process of a rate. Of its requests
+// the share flood comes from the first workspace, the rest from all alike.
+func (d *Deployment) Load(seed uint64, rate, flood float64, length time.Duration) []Arrival {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	var out []Arrival
 	for at := time.Duration(0); ; {
@@ -114,14 +118,17 @@
 		if at >= length {
 			return out
 		}
-		out = append(out, d.arrival(rng, at, len(out)))
+		out = append(out, d.arrival(rng, at, flood, len(out)))
 	}
 }
 
-func (d *Deployment) arrival(rng *rand.Rand, at time.Duration, n int) Arrival {
+func (d *Deployment) arrival(rng *rand.Rand, at time.Duration, flood float64, n int) Arrival {
 	c := d.pick(rng.Float64())
 	id := fmt.Sprintf("%s-%d", c.Kind, n)
 	workspace := fmt.Sprintf("workspace-%d", rng.IntN(d.Workspaces))
+	if flood > 0 && rng.Float64() < flood {
+		workspace = flooding
+	}
 	a := Arrival{At: at, Class: c}
 	if c.service() {
 		a.Service = &gateway.ServiceRequest{
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -120,21 +120,40 @@
 	}
 }
 
-// longest returns the index of the longest job that may give way to a new one,
-// or -1.
+// longest returns the index of the job that may give way to a new one, or -1:
+// the longest, where the jobs of a workspace that has more than its share of the
+// queue count as so many times longer.
 func (q *Queue) longest(jobs []*Job, mine *Job) int {
-	best := -1
+	crowd := q.crowding(mine)
+	least := giveWayFactor * float64(mine.Tokens) * crowd[mine.Workspace]
+	best, most := -1, 0.0
 	for i, x := range jobs {
-		if x == mine || x.running || x.Paid || x.Priority > mine.Priority || x.Tokens < giveWayFactor*mine.Tokens {
+		if x == mine || x.running || x.Paid || x.Priority > mine.Priority {
 			continue
 		}
-		if best < 0 || x.Tokens > jobs[best].Tokens {
-			best = i
+		if w := float64(x.Tokens) * crowd[x.Workspace]; w >= least && w > most {
+			best, most = i, w
 		}
 	}
 	return best
 }
 
+// crowding returns for each workspace how many times its fair share of the
+// queue's work it has, at least 1; a new job counts as there already.
+func (q *Queue) crowding(mine *Job) map[string]float64 {
+	work := map[string]float64{mine.Workspace: float64(mine.Tokens)}
+	total := float64(mine.Tokens)
+	for _, x := range q.jobs {
+		work[x.Workspace] += float64(x.Tokens)
+		total += float64(x.Tokens)
+	}
+	fair := total / float64(len(work))
+	for name, w := range work {
+		work[name] = max(1, w/fair)
+	}
+	return work
+}
+
 // before orders jobs by deadline.
 func before(a, b *Job) int { return a.Deadline.Compare(b.Deadline) }
 
--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -42,6 +42,26 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(gaveWay).To(Equal([]string{"long"}))
 	})
+	It("lets a job of a crowding workspace give way to an equal one of another", func() {
+		of := func(id, workspace string, tokens int) Job {
+			j := job(id, tokens, 2*time.Second)
+			j.Workspace = workspace
+			return j
+		}
+		for _, id := range []string{"a1", "a2", "a3", "a4"} {
+			_, _, err := q.Admit(start, of(id, "a", 400))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, _, err := q.Admit(start, of("c1", "c", 10))
+		Expect(err).NotTo(HaveOccurred())
+		q.Next(start)
+		_, _, err = q.Admit(start, of("a5", "a", 400))
+		Expect(err).To(HaveOccurred())
+		_, gaveWay, err := q.Admit(start, of("b1", "b", 400))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(gaveWay).To(HaveLen(1))
+		Expect(gaveWay[0]).To(HavePrefix("a"))
+	})
 	It("never lets a job give way that has begun or was paid for", func() {
 		_, _, _ = q.Admit(start, job("running", 1000, time.Second))
 		q.Next(start)
