sidecar: a load rides on renewals at most twice a second for each gateway

Cause: docs/CAPACITY.md counts 15 KB/s of renewals for a gateway at the target, most of it the load (some 150 B) in every answer. Change: an answer to a renewal carries no load when the gateway was told within 0.5 s. The traffic at the target's size is counted, not measured.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -258,5 +258,5 @@
 func (r *run) exported(b *branch, x *wirepb.Exported) {
 	r.source, r.export, r.stalls = b, x, 0
 	r.computed = append(r.computed, int(x.PromptTokens-x.CachedTokens))
-	r.g.learnPrefix(r.blocks, b.runner, int(x.CachedTokens))
+	r.g.prefixes.Add(r.blocks, b.runner.ID())
 }
--- a/pkg/gateway/branch.go
+++ b/pkg/gateway/branch.go
@@ -87,7 +87,7 @@
 		reports: make(chan *wirepb.Report, reportBuffer),
 		broken:  make(chan struct{}), quit: make(chan struct{}),
 	}
-	o.LeaseUs = g.opt.Lease.Microseconds()
+	o.LeaseUs, o.Gateway = g.opt.Lease.Microseconds(), g.Self.Name
 	connect := time.AfterFunc(openTime, cancel)
 	st, err := wirepb.NewDRPCRunnerClient(g.Pool.Conn(m.Inner)).Attempt(ctx)
 	if !connect.Stop() || err != nil {
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -140,12 +140,6 @@
 	return out
 }
 
-// learnPrefix books what a prefill showed of its runner's cache: what it had to
-// compute again it did not have, and now it has all.
-func (g *Gateway) learnPrefix(blocks []uint64, r *route.Runner, _ int) {
-	g.prefixes.Add(blocks, r.ID())
-}
-
 // confirm makes sure that the configuration is fresh: a gateway that was paused
 // or cut off asks peers before it sends work by an old one.
 func (g *Gateway) confirm(ctx context.Context) error {
--- a/pkg/realtest/realtest.go
+++ b/pkg/realtest/realtest.go
@@ -165,7 +165,7 @@
 // Gateway starts a gateway.
 func (f *Fleet) Gateway(name string) error {
 	return f.start(name, platform.RoleGateway, 3, func(ports []string) string {
-		return fmt.Sprintf("%s\nlisten: {inner: %q, admin: %q, callers: %q}\ndrain: {balancer_wait: 0s}\n", f.head(name), ports[0], ports[1], ports[2])
+		return fmt.Sprintf("%s\nlisten: {inner: %q, admin: %q, callers: %q}\ndrain: {balancer_wait: 0s}\nlimits: {open_requests: 20000, open_requests_per_workspace: 20000}\n", f.head(name), ports[0], ports[1], ports[2])
 	})
 }
 
--- a/pkg/sidecar/attempt.go
+++ b/pkg/sidecar/attempt.go
@@ -165,7 +165,7 @@
 	switch b := o.Body.(type) {
 	case *wirepb.Order_Renew:
 		a.lease.renew()
-		_ = a.send(&wirepb.Report{Load: a.s.load()})
+		_ = a.send(&wirepb.Report{Load: a.s.renewalLoad(a.open.Gateway)})
 	case *wirepb.Order_Start:
 		a.lease.renew()
 		offer(a.start, b.Start)
--- a/pkg/sidecar/load.go
+++ b/pkg/sidecar/load.go
@@ -30,3 +30,28 @@
 	}
 	return l
 }
+
+const (
+	// loadEvery is the least time between two loads that ride on renewals of one
+	// gateway, however many streams it has here.
+	loadEvery = 500 * time.Millisecond
+	// maxTold bounds the gateways that are remembered.
+	maxTold = 4096
+)
+
+// renewalLoad returns the load for an answer to a renewal, nil when the gateway
+// was told a moment ago.
+func (s *Sidecar) renewalLoad(gateway string) *wirepb.Load {
+	now := time.Now()
+	s.mu.Lock()
+	if now.Sub(s.told[gateway]) < loadEvery {
+		s.mu.Unlock()
+		return nil
+	}
+	if len(s.told) >= maxTold {
+		clear(s.told)
+	}
+	s.told[gateway] = now
+	s.mu.Unlock()
+	return s.load()
+}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -70,7 +70,9 @@
 	attempts  map[string]*attempt
 	transfers int
 	calls     int
-	cached    *route.Prefixes
+	// told is when each gateway last got a load with a renewal.
+	told   map[string]time.Time
+	cached *route.Prefixes
 
 	fences fences
 }
@@ -94,6 +96,7 @@
 		step:     admission.NewStep(o.StepBase, o.StepSlope),
 		waiting:  map[string]chan bool{},
 		attempts: map[string]*attempt{},
+		told:     map[string]time.Time{},
 		cached:   route.NewPrefixes(cachedBlocks),
 		fences:   newFences(),
 	}
