--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -102,6 +102,7 @@
 }
 
 func (h *Handler) metrics(w http.ResponseWriter, _ *http.Request) {
+	h.Node.WriteMetrics(w)
 	if h.Gateway != nil {
 		h.Gateway.WriteMetrics(w)
 	}
--- a/pkg/httpapi/api.go
+++ b/pkg/httpapi/api.go
@@ -40,6 +40,7 @@
 	maxMaxTokens     = 32768
 	maxNameBytes     = 128
 	maxKeyBytes      = 256
+	maxHeader        = 64 << 10
 )
 
 // MaxBody is the largest request body, in bytes.
@@ -67,7 +68,24 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.mux.ServeHTTP(w, r) }
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if headerBytes(r.Header) > maxHeader {
+		writeError(w, "", &errRequest{Status: http.StatusRequestHeaderFieldsTooLarge, Code: "header_too_large", Message: "the headers are over 64 KiB"})
+		return
+	}
+	a.mux.ServeHTTP(w, r)
+}
+
+// headerBytes is the size of a request's headers.
+func headerBytes(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
 
 // health is the balancer's health page: it fails first when the gateway drains.
 func (a *API) health(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/httpapi/api_test.go
+++ b/pkg/httpapi/api_test.go
@@ -67,6 +67,7 @@
 		Entry("an unknown model", `{"model":"m","prompt":"x"}`, 404, "model_not_found", ""),
 		Entry("a prompt that is too long", `{"model":"m","prompt":"`+strings.Repeat("x", 5000)+`"}`, 400, "context_length_exceeded", ""),
 		Entry("a body that is too large", strings.Repeat(" ", MaxBody+1), 413, "body_too_large", ""),
+		Entry("headers that are too large", `{"model":"m","prompt":"x"}`, 431, "header_too_large", "", "X", strings.Repeat("x", 70000)),
 		Entry("a bad mark", `{"model":"m","prompt":"x"}`, 400, "invalid_value", HeaderRepeatable, HeaderRepeatable, "perhaps"),
 		Entry("a key that is too long", `{"model":"m","prompt":"x"}`, 400, "invalid_value", HeaderKey, HeaderKey, strings.Repeat("k", 300)),
 	)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -5,10 +5,13 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/hopwell/hopwell/pkg/claim"
 	"github.com/hopwell/hopwell/pkg/fleet"
 	"github.com/hopwell/hopwell/pkg/gossip"
@@ -51,8 +54,9 @@
 	Pool    *wire.Pool
 	Claims  *claim.Store
 
-	list platform.List
-	logs *logs.Logger
+	metrics *metrics.Set
+	list    platform.List
+	logs    *logs.Logger
 
 	mu     sync.Mutex
 	view   *fleet.View
@@ -68,6 +72,8 @@
 
 // New makes a node; Run brings it to life.
 func New(o Options) *Node {
+	set := metrics.NewSet()
+	kv := platform.NewCountedKV(o.KV, set)
 	n := &Node{
 		Self:    o.Self,
 		Epoch:   o.Epoch,
@@ -75,12 +81,13 @@
 		Keeper:  gossip.NewKeeper(),
 		Members: fleet.NewMembership(),
 		Pool:    wire.NewPool(o.Dial),
-		Claims:  claim.NewStore(o.KV),
+		Claims:  claim.NewStore(kv),
+		metrics: set,
 		list:    o.List,
 		logs:    logs.For(logs.LayerFleet),
 		rng:     rand.New(rand.NewPCG(o.Seed, 1)),
 	}
-	n.Agent = gossip.NewAgent(n.Keeper, o.KV, peers{n}, o.Seed)
+	n.Agent = gossip.NewAgent(n.Keeper, kv, peers{n}, o.Seed)
 	return n
 }
 
@@ -152,6 +159,9 @@
 	return n.view
 }
 
+// WriteMetrics writes the metrics of the common part in the Prometheus text format.
+func (n *Node) WriteMetrics(w io.Writer) { n.metrics.WritePrometheus(w) }
+
 // Ready reports whether the node knows a configuration.
 func (n *Node) Ready() bool {
 	_, known := n.Keeper.Digest()
