gateway: a decode runner prefills a short prompt when no other can

Cause: after the loss of a failure domain the prefill side is the bottleneck for seconds while decode slots stand free, and quick checks are refused. Change: where a selector gives the reserved decode runner both roles, it computes a prompt of up to 512 tokens by itself after the prefill runners have refused.

--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -25,6 +25,8 @@
 	Prefix, Prefixes     int
 	// Out is the range of the answer's tokens; 0 makes it a plain service's call.
 	OutMin, OutMax int
+	// Colocate lets decode runners prefill it when the others have no time.
+	Colocate bool
 	// FirstToken and PerToken are the targets.
 	FirstToken, PerToken time.Duration
 }
@@ -49,8 +51,8 @@
 		Engine: fake.DefaultSpec(), ServiceTime: 200 * time.Millisecond, Workspaces: 12,
 		Classes: []Class{
 			{Kind: "segment-batch", Share: 0.15, PromptMin: 800, PromptMax: 3000, Prefix: 3072, Prefixes: 12, OutMin: 100, OutMax: 240, FirstToken: 4 * time.Second, PerToken: 80 * time.Millisecond},
-			{Kind: "glossary-lookup", Share: 0.45, PromptMin: 40, PromptMax: 160, OutMin: 6, OutMax: 20, FirstToken: 500 * time.Millisecond, PerToken: 63 * time.Millisecond},
-			{Kind: "term-check", Share: 0.30, PromptMin: 200, PromptMax: 800, OutMin: 20, OutMax: 60, FirstToken: 1400 * time.Millisecond, PerToken: 63 * time.Millisecond},
+			{Kind: "glossary-lookup", Colocate: true, Share: 0.45, PromptMin: 40, PromptMax: 160, OutMin: 6, OutMax: 20, FirstToken: 500 * time.Millisecond, PerToken: 63 * time.Millisecond},
+			{Kind: "term-check", Colocate: true, Share: 0.30, PromptMin: 200, PromptMax: 800, OutMin: 20, OutMax: 60, FirstToken: 1400 * time.Millisecond, PerToken: 63 * time.Millisecond},
 			{Kind: "memory-export", Share: 0.10, FirstToken: 3 * time.Second},
 		},
 	}
@@ -64,8 +66,8 @@
 		Engine: fake.DefaultSpec(), ServiceTime: 50 * time.Millisecond, Workspaces: 9,
 		Classes: []Class{
 			{Kind: "hull-survey", Share: 0.08, PromptMin: 8000, PromptMax: 30000, OutMin: 150, OutMax: 400, FirstToken: 8 * time.Second, PerToken: 80 * time.Millisecond},
-			{Kind: "part-check", Share: 0.40, PromptMin: 100, PromptMax: 400, Prefix: 1024, Prefixes: 3, OutMin: 15, OutMax: 40, FirstToken: 1400 * time.Millisecond, PerToken: 63 * time.Millisecond},
-			{Kind: "stock", Share: 0.42, PromptMin: 40, PromptMax: 100, OutMin: 2, OutMax: 6, FirstToken: 500 * time.Millisecond, PerToken: 63 * time.Millisecond},
+			{Kind: "part-check", Colocate: true, Share: 0.40, PromptMin: 100, PromptMax: 400, Prefix: 1024, Prefixes: 3, OutMin: 15, OutMax: 40, FirstToken: 1400 * time.Millisecond, PerToken: 63 * time.Millisecond},
+			{Kind: "stock", Colocate: true, Share: 0.42, PromptMin: 40, PromptMax: 100, OutMin: 2, OutMax: 6, FirstToken: 500 * time.Millisecond, PerToken: 63 * time.Millisecond},
 			{Kind: "order-confirm", Share: 0.10, FirstToken: 1400 * time.Millisecond},
 		},
 	}
@@ -90,6 +92,9 @@
 		}
 		for _, role := range []fleet.Role{fleet.RolePrefill, fleet.RoleDecode} {
 			s.Name, s.Role, s.Match = c.Kind+"-"+string(role), role, "pool="+string(role)
+			if role == fleet.RolePrefill && c.Colocate {
+				s.Match = "pool in (prefill,decode)"
+			}
 			out = append(out, s)
 		}
 	}
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -84,7 +84,35 @@
 	return g
 }
 
+// rolePrefillOnly is the key of PrefillOnly's cached answers.
+const rolePrefillOnly Role = "prefill_only"
+
+// PrefillOnly returns the members that may prefill such requests and may not
+// decode them; all that may prefill where there are none of those. Members in
+// both roles prefill for their own decodes only, when the others have no time.
+func (v *View) PrefillOnly(kind, model string) []Grant {
+	return v.Grants(kind, model, rolePrefillOnly)
+}
+
+// prefillOnly computes PrefillOnly.
+func (v *View) prefillOnly(kind, model string) []Grant {
+	all := v.Grants(kind, model, RolePrefill)
+	var out []Grant
+	for _, g := range all {
+		if v.Select(kind, model, RoleDecode, g.Member.Labels) == nil {
+			out = append(out, g)
+		}
+	}
+	if len(out) == 0 {
+		return all
+	}
+	return out
+}
+
 func (v *View) compute(key grantKey) []Grant {
+	if key.role == rolePrefillOnly {
+		return v.prefillOnly(key.kind, key.model)
+	}
 	var out []Grant
 	for _, m := range v.Members {
 		if m.Leaving || m.Labels.Leaving() || m.Role != platform.RoleSidecar {
--- a/pkg/fleettest/promises_test.go
+++ b/pkg/fleettest/promises_test.go
@@ -359,3 +359,26 @@
 		g.Expect(c.Result.Wasted).To(BeZero())
 	})
 }
+
+// TestDecodeRunnerPrefillsWhenNoOtherCan: a short prompt whose prefill runner is
+// gone is computed by the reserved decode runner, where it has both roles.
+func TestDecodeRunnerPrefillsWhenNoOtherCan(t *testing.T) {
+	spec := DefaultSpec()
+	spec.Prefills = 1
+	spec.Selectors = DefaultSelectors()
+	spec.Selectors[0].Match = "pool in (prefill,decode)"
+	scenario(t, spec, func(g *WithT, f *Fleet, r *Record) {
+		c := f.Generate(context.Background(), f.Gateway(0), NewRequest("before", 100, 20))
+		r.Calls = append(r.Calls, c)
+		g.Expect(f.Engines["prefill-1"].Stats().Prefilled).To(BeNumerically(">", 0), "decode runners only prefill when they must")
+		f.Crash("prefill-1")
+		c = f.Generate(context.Background(), f.Gateway(0), NewRequest("short", 100, 20))
+		r.Calls = append(r.Calls, c)
+		g.Expect(c.Result.Outcome).To(Equal(request.Done))
+		g.Expect(c.Result.Prefilled).To(Equal(100))
+		g.Expect(c.Result.Wasted).To(BeZero())
+		long := f.Generate(context.Background(), f.Gateway(0), NewRequest("long", 5000, 20))
+		r.Calls = append(r.Calls, long)
+		g.Expect(long.Result.Outcome).To(Equal(request.NotRun))
+	})
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -145,8 +145,33 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// prefill computes the KV cache on some runner and keeps it as the source.
+// colocatedTokens is the longest prompt that a decode runner computes by itself:
+// about what it adds to one step of its streams.
+const colocatedTokens = 512
+
+// prefill computes the KV cache on some runner and keeps it as the source. When
+// none has time for a short prompt, the reserved decode runner computes it by
+// itself, if a selector gives it both roles: there then is no source.
 func (a *attempt) prefill(ctx context.Context) error {
+	err := a.tryPrefills(ctx)
+	var shed *ErrShed
+	if errors.As(err, &shed) && a.mayColocate() {
+		return nil
+	}
+	return err
+}
+
+// mayColocate reports whether the reserved decode runner may prefill too.
+func (a *attempt) mayColocate() bool {
+	offset, _ := a.life.Progress()
+	if a.decode == nil || a.tokens+offset > colocatedTokens {
+		return false
+	}
+	return a.g.View().Select(a.req.Kind, a.req.Model, fleet.RolePrefill, a.decode.member.Labels) != nil
+}
+
+// tryPrefills asks a few prefill runners in the policy's order.
+func (a *attempt) tryPrefills(ctx context.Context) error {
 	var last error
 	p := a.chosen
 	for i := range maxOpens {
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -92,6 +92,9 @@
 // and go.
 func (g *Gateway) subset(view *fleet.View, kind, model string, role fleet.Role) []fleet.Grant {
 	all := view.Grants(kind, model, role)
+	if role == fleet.RolePrefill {
+		all = view.PrefillOnly(kind, model)
+	}
 	if len(all) <= subsetSize {
 		return all
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -15,12 +15,15 @@
 	if err := a.catchUp(); err != nil {
 		return err
 	}
+	if err := a.key.take(ctx); err != nil {
+		return err
+	}
 	if err := a.life.Send(a.n); err != nil {
 		return err
 	}
 	_, text := a.life.Progress()
 	a.g.Log.Add(trace.Event{Type: trace.Chosen, Request: a.req.ID, Attempt: a.n, Instance: a.decode.member.Name, Detail: "role=decode"})
-	start := &wirepb.Start{SourceAddress: a.export.Address, Handle: a.export.Handle, KvBytes: a.export.Bytes, Generated: text}
+	start := &wirepb.Start{SourceAddress: a.export.GetAddress(), Handle: a.export.GetHandle(), KvBytes: a.export.GetBytes(), Generated: text}
 	if err := a.decode.order(&wirepb.Order{Body: &wirepb.Order_Start{Start: start}}); err != nil {
 		a.excluded[a.decode.member.Name] = true
 		return a.decode.failure("lost")
@@ -31,8 +34,8 @@
 // catchUp delivers what a handed-over decode generated beyond what came here.
 func (a *attempt) catchUp() error {
 	have, text := a.life.Progress()
-	more := int(a.export.Offset) - have
-	if more <= 0 || len(a.export.Generated) < len(text) {
+	more := int(a.export.GetOffset()) - have
+	if more <= 0 || len(a.export.GetGenerated()) < len(text) {
 		return nil
 	}
 	return a.accept(have, more, a.export.Generated[len(text):])
@@ -78,6 +81,10 @@
 func (a *attempt) take(r *wirepb.Report) (bool, error) {
 	switch x := r.Body.(type) {
 	case *wirepb.Report_Imported:
+		if a.export == nil {
+			offset, _ := a.life.Progress()
+			a.computed = append(a.computed, a.tokens+offset)
+		}
 		a.release()
 	case *wirepb.Report_Chunk:
 		return a.chunk(x.Chunk)
