--- a/cmd/hopwelld/cmds/run.go
+++ b/cmd/hopwelld/cmds/run.go
@@ -16,47 +16,42 @@
 )
 
 func newGateway() *cobra.Command {
-	var file string
-	cmd := &cobra.Command{
-		Use:   "gateway",
-		Short: "Run a gateway",
-		Long:  "Run a gateway: it takes callers' requests and chooses runners for them.\nSIGTERM starts a planned stop, which cuts off no request; a second one ends it at once.",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
+	return newRole("gateway", "Run a gateway",
+		"Run a gateway: it takes callers' requests and chooses runners for them.\nSIGTERM starts a planned stop, which cuts off no request; a second one ends it at once.",
+		func(file string) (*process.Process, error) {
 			c, err := config.LoadGateway(file)
 			if err != nil {
-				return err
+				return nil, err
 			}
 			if err := logs.Enable(c.Log); err != nil {
-				return err
-			}
-			p, err := process.StartGateway(c, process.FromURL(c.Platform))
-			if err != nil {
-				return err
+				return nil, err
 			}
-			return serve(cmd.OutOrStdout(), p)
-		},
-	}
-	settingsFlag(cmd, &file)
-	return cmd
+			return process.StartGateway(c, process.FromURL(c.Platform))
+		})
 }
 
 func newSidecar() *cobra.Command {
-	var file string
-	cmd := &cobra.Command{
-		Use:   "sidecar",
-		Short: "Run the sidecar of a runner",
-		Long:  "Run the sidecar beside a model engine or a plain service: it decides admission\nand frees what nobody renews. SIGTERM starts a planned stop, which cuts off no\nrequest; a second one ends it at once.",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
+	return newRole("sidecar", "Run the sidecar of a runner",
+		"Run the sidecar beside a model engine or a plain service: it decides admission\nand frees what nobody renews. SIGTERM starts a planned stop, which cuts off no\nrequest; a second one ends it at once.",
+		func(file string) (*process.Process, error) {
 			c, err := config.LoadSidecar(file)
 			if err != nil {
-				return err
+				return nil, err
 			}
 			if err := logs.Enable(c.Log); err != nil {
-				return err
+				return nil, err
 			}
-			p, err := process.StartSidecar(c, process.FromURL(c.Platform))
+			return process.StartSidecar(c, process.FromURL(c.Platform))
+		})
+}
+
+// newRole returns the command of a role, which starts from a settings file.
+func newRole(use, short, long string, start func(file string) (*process.Process, error)) *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use: use, Short: short, Long: long, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p, err := start(file)
 			if err != nil {
 				return err
 			}
