fleet, wire, sidecar: what stood twice, and what nothing used

The preference of a selector for the request's own kind stood in View.Select and in the gateway's offer: both are now Document.prefer. The reasons of refusals are the inner protocol's words and moved to package wire, where the gateway takes them from instead of writing one again. Dropped: a second cancel in stallContext that the derived context had by itself, Ledger.Tightest, Stream.Paid, ReasonFenced and an unused argument. Behaviour is the same.

--- a/pkg/admission/ledger.go
+++ b/pkg/admission/ledger.go
@@ -15,8 +15,6 @@
 	Tokens int
 	// PerToken is its target for the time between tokens.
 	PerToken time.Duration
-	// Paid marks a stream whose KV cache was computed already.
-	Paid bool
 
 	need    time.Time
 	started bool
@@ -218,12 +216,3 @@
 	}
 	return l.nextFree(now)
 }
-
-// Tightest returns the smallest per-token target of all booked streams, 0 for none.
-func (l *Ledger) Tightest() time.Duration {
-	var t time.Duration
-	for _, s := range l.streams {
-		t = tighter(t, s.PerToken)
-	}
-	return t
-}
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -128,10 +128,22 @@
 // Select returns the selector that gives labels the role, nil for none. A
 // selector for the request's own kind goes before one for every kind.
 func (v *View) Select(kind, model string, role Role, labels Labels) *Selector {
+	return v.Doc.prefer(kind, model, role, func(i int) bool { return v.matches[i].Matches(labels) })
+}
+
+// Offer returns the selector under which such requests are served, nil for none,
+// whatever instances there are.
+func (d *Document) Offer(kind, model string, role Role) *Selector {
+	return d.prefer(kind, model, role, func(int) bool { return true })
+}
+
+// prefer returns the first selector for such requests that passes, by its index:
+// one for their own kind before one for every kind.
+func (d *Document) prefer(kind, model string, role Role, passes func(i int) bool) *Selector {
 	var general *Selector
-	for i := range v.Doc.Selectors {
-		s := &v.Doc.Selectors[i]
-		if !s.serves(kind, model, role) || !v.matches[i].Matches(labels) {
+	for i := range d.Selectors {
+		s := &d.Selectors[i]
+		if !s.serves(kind, model, role) || !passes(i) {
 			continue
 		}
 		if s.Kind != AnyKind {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/hopwell/hopwell/pkg/fleet"
 	"github.com/hopwell/hopwell/pkg/route"
 	"github.com/hopwell/hopwell/pkg/trace"
+	"github.com/hopwell/hopwell/pkg/wire"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
@@ -92,7 +93,7 @@
 		if refused.RetryAfter > 0 && (r.retry == 0 || refused.RetryAfter < r.retry) {
 			r.retry = refused.RetryAfter
 		}
-		if refused.Reason == "behind" && r.g.Agent.Exchange(ctx, g.Member.Inner) == nil {
+		if refused.Reason == wire.ReasonBehind && r.g.Agent.Exchange(ctx, g.Member.Inner) == nil {
 			return err
 		}
 	}
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hopwell/hopwell/pkg/fleet"
+	"github.com/hopwell/hopwell/pkg/platform"
 	"github.com/hopwell/hopwell/pkg/prefix"
 	"github.com/hopwell/hopwell/pkg/route"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
@@ -182,7 +183,7 @@
 	keep := map[string]bool{}
 	for _, m := range view.Members {
 		keep[m.Name] = true
-		if m.Role == "sidecar" && g.tracker.Get(m.Name, m.Domain, m.Region).Age(now) > probeAge {
+		if m.Role == platform.RoleSidecar && g.tracker.Get(m.Name, m.Domain, m.Region).Age(now) > probeAge {
 			out = append(out, m)
 		}
 	}
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -81,7 +81,7 @@
 	if tokens > g.opt.MaxPrompt {
 		return nil, &ErrPromptTooLong{Tokens: tokens, Limit: g.opt.MaxPrompt}
 	}
-	sel := g.offer(req.Kind, req.Model, fleet.RoleDecode)
+	sel := g.Keeper.Document().Offer(req.Kind, req.Model, fleet.RoleDecode)
 	if sel == nil {
 		return nil, &ErrUnknownModel{Model: req.Model, Kind: req.Kind}
 	}
@@ -101,26 +101,6 @@
 	return r, nil
 }
 
-// offer returns the selector under which such requests are served, nil for
-// none. It looks at the configuration alone, not at what is alive.
-func (g *Gateway) offer(kind, model string, role fleet.Role) *fleet.Selector {
-	var general *fleet.Selector
-	doc := g.Keeper.Document()
-	for i := range doc.Selectors {
-		s := &doc.Selectors[i]
-		if s.Role != role || s.Model != model {
-			continue
-		}
-		if s.Kind == kind {
-			return s
-		}
-		if s.Kind == fleet.AnyKind && general == nil {
-			general = s
-		}
-	}
-	return general
-}
-
 // loop makes attempts until one succeeds or no other may follow.
 func (r *run) loop(ctx context.Context) error {
 	defer r.dropSource()
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -55,7 +55,7 @@
 // Call runs a plain service's call to its one outcome.
 func (g *Gateway) Call(ctx context.Context, req *ServiceRequest, sink ServiceSink) Result {
 	as := &Request{ID: req.ID, Workspace: req.Workspace, Kind: req.Kind, Model: req.Service, Key: req.Key}
-	sel := g.offer(req.Kind, req.Service, fleet.RoleServe)
+	sel := g.Keeper.Document().Offer(req.Kind, req.Service, fleet.RoleServe)
 	if sel == nil {
 		return g.reject(as, &ErrUnknownModel{Model: req.Service, Kind: req.Kind})
 	}
--- a/pkg/sidecar/attempt.go
+++ b/pkg/sidecar/attempt.go
@@ -9,29 +9,10 @@
 
 	"github.com/hopwell/hopwell/pkg/fleet"
 	"github.com/hopwell/hopwell/pkg/trace"
+	"github.com/hopwell/hopwell/pkg/wire"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
-// Reasons of a refusal, as gateways see them.
-const (
-	// ReasonLeaving says that the instance gets no new work.
-	ReasonLeaving = "leaving"
-	// ReasonBehind says that the sidecar's configuration is older than the gateway's.
-	ReasonBehind = "behind"
-	// ReasonSelector says that no selector gives the runner this work.
-	ReasonSelector = "selector"
-	// ReasonLate says that the prefill would miss its deadline.
-	ReasonLate = "late"
-	// ReasonFull says that no stream fits.
-	ReasonFull = "full"
-	// ReasonFenced says that the attempt was fenced or began before.
-	ReasonFenced = "fenced"
-	// ReasonStarting says that the sidecar has not yet heard from its engine.
-	ReasonStarting = "starting"
-	// ReasonBad says that the order makes no sense.
-	ReasonBad = "bad"
-)
-
 // Codes of a Failed report besides those of the engine.
 const (
 	CodeLapsed    = "lapsed"
@@ -105,7 +86,7 @@
 	case string(fleet.RoleServe):
 		return a.call()
 	}
-	return a.refuse(&wirepb.Refused{Reason: ReasonBad})
+	return a.refuse(&wirepb.Refused{Reason: wire.ReasonBad})
 }
 
 func (s *Sidecar) newAttempt(st stream, open *wirepb.Open) *attempt {
@@ -128,16 +109,16 @@
 		return &wirepb.Refused{Reason: reason, Revision: rules.Doc.Revision}
 	}
 	if !s.ready.Load() || !s.Ready() {
-		return no(ReasonStarting)
+		return no(wire.ReasonStarting)
 	}
 	if s.leaving.Load() {
-		return no(ReasonLeaving)
+		return no(wire.ReasonLeaving)
 	}
 	if open.Revision > rules.Doc.Revision {
-		return no(ReasonBehind)
+		return no(wire.ReasonBehind)
 	}
 	if !s.granted(rules, open) {
-		return no(ReasonSelector)
+		return no(wire.ReasonSelector)
 	}
 	return nil
 }
--- a/pkg/sidecar/call.go
+++ b/pkg/sidecar/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/hopwell/hopwell/pkg/engine"
 	"github.com/hopwell/hopwell/pkg/trace"
+	"github.com/hopwell/hopwell/pkg/wire"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
@@ -24,7 +25,7 @@
 // admission and its start the gateway may still claim the request's key.
 func (a *attempt) call() error {
 	if !a.s.takeSlot() {
-		return a.refuse(&wirepb.Refused{Reason: ReasonFull, RetryAfterUs: callRetry.Microseconds()})
+		return a.refuse(&wirepb.Refused{Reason: wire.ReasonFull, RetryAfterUs: callRetry.Microseconds()})
 	}
 	give := sync.OnceFunc(a.s.giveSlot)
 	defer give()
--- a/pkg/sidecar/decode.go
+++ b/pkg/sidecar/decode.go
@@ -8,6 +8,7 @@
 	"github.com/hopwell/hopwell/pkg/admission"
 	"github.com/hopwell/hopwell/pkg/engine"
 	"github.com/hopwell/hopwell/pkg/trace"
+	"github.com/hopwell/hopwell/pkg/wire"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
@@ -24,7 +25,7 @@
 	if err != nil {
 		var full *admission.ErrFull
 		errors.As(err, &full)
-		return a.refuse(&wirepb.Refused{Reason: ReasonFull, RetryAfterUs: full.RetryAfter.Microseconds()})
+		return a.refuse(&wirepb.Refused{Reason: wire.ReasonFull, RetryAfterUs: full.RetryAfter.Microseconds()})
 	}
 	defer a.s.unreserve(a.key)
 	if err := a.admit(wait); err != nil {
@@ -53,7 +54,7 @@
 	tokens := int64(a.open.PromptTokens) + int64(a.open.MaxTokens)
 	st := admission.Stream{
 		ID: a.key, Bytes: tokens * s.kvToken, Tokens: int(a.open.MaxTokens - a.open.ResumeOffset),
-		PerToken: time.Duration(a.open.PerTokenUs) * time.Microsecond, Paid: a.open.Paid,
+		PerToken: time.Duration(a.open.PerTokenUs) * time.Microsecond,
 	}
 	if s.opt.Admission == AdmitFIFO {
 		s.ledger.Book(st)
--- a/pkg/sidecar/metrics.go
+++ b/pkg/sidecar/metrics.go
@@ -15,7 +15,7 @@
 	decoded   *metrics.Counter
 }
 
-func newMeters(string) *meters {
+func newMeters() *meters {
 	set := metrics.NewSet()
 	return &meters{
 		set:       set,
@@ -25,7 +25,7 @@
 	}
 }
 
-// refused counts a refusal; the reasons are the Reason constants.
+// refused counts a refusal; the reasons are those of package wire.
 func (m *meters) refused(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`hopwell_sidecar_refused_total{reason=%q}`, reason)).Inc()
 }
--- a/pkg/sidecar/prefill.go
+++ b/pkg/sidecar/prefill.go
@@ -10,6 +10,7 @@
 	"github.com/hopwell/hopwell/pkg/prefix"
 	"github.com/hopwell/hopwell/pkg/route"
 	"github.com/hopwell/hopwell/pkg/trace"
+	"github.com/hopwell/hopwell/pkg/wire"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
@@ -31,7 +32,7 @@
 	wait, err := a.s.enqueue(a, hashes, turn)
 	var late *admission.ErrLate
 	if errors.As(err, &late) {
-		return a.refuse(&wirepb.Refused{Reason: ReasonLate, RetryAfterUs: late.RetryAfter.Microseconds()})
+		return a.refuse(&wirepb.Refused{Reason: wire.ReasonLate, RetryAfterUs: late.RetryAfter.Microseconds()})
 	}
 	defer a.s.dequeue(a.key)
 	if err := a.admit(wait); err != nil {
@@ -40,7 +41,7 @@
 	select {
 	case run := <-turn:
 		if !run {
-			return a.refuse(&wirepb.Refused{Reason: ReasonLate, RetryAfterUs: gaveWayRetry.Microseconds()})
+			return a.refuse(&wirepb.Refused{Reason: wire.ReasonLate, RetryAfterUs: gaveWayRetry.Microseconds()})
 		}
 	case <-a.ctx.Done():
 		return a.fail(a.cause(), false)
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -89,7 +89,7 @@
 		Node:     n,
 		opt:      o,
 		log:      logs.For(logs.LayerSidecar),
-		met:      newMeters(n.Self.Name),
+		met:      newMeters(),
 		queue:    &admission.Queue{Rate: o.PrefillRate, Slots: prefillSlots, Margin: 1.05},
 		ledger:   admission.NewLedger(0, 0),
 		speed:    admission.NewSpeed(o.PrefillRate),
--- a/pkg/sidecar/stall.go
+++ b/pkg/sidecar/stall.go
@@ -20,7 +20,6 @@
 		w.cut.Store(true)
 		cancel()
 	})
-	context.AfterFunc(parent, cancel)
 	return ctx, w
 }
 
