--- a/cmd/hopwelld/cmds/root.go
+++ b/cmd/hopwelld/cmds/root.go
@@ -28,7 +28,7 @@
 	root := &cobra.Command{
 		Use:           "hopwelld",
 		Short:         "Run a process of hopwell",
-		Long:          "hopwelld runs one process of hopwell, a router for language-model serving:\na gateway, the sidecar of a runner, or a whole demo fleet on loopback.",
+		Long:          "hopwelld runs one process of hopwell, a router for language-model serving:\na gateway, the sidecar of a runner, an ingress before engines that admit by\nthemselves, or a whole demo fleet on loopback.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		PersistentPreRunE: func(*cobra.Command, []string) error {
@@ -36,7 +36,7 @@
 		},
 	}
 	root.PersistentFlags().StringVar(&layers, "log", "", "layers to log, separated by commas: gateway, sidecar, fleet, http, wire")
-	root.AddCommand(newGateway(), newSidecar(), newDemo(), newConfig())
+	root.AddCommand(newGateway(), newSidecar(), newIngress(), newDemo(), newConfig())
 	root.AddCommand(clidocs.New(root))
 	return root
 }
--- /dev/null
+++ b/pkg/config/ingress.go
@@ -0,0 +1,94 @@
+package config
+
+import (
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/hopwell/hopwell/pkg/fleet"
+)
+
+// IngressListen gives the addresses that an ingress listens on.
+type IngressListen struct {
+	// Callers is the public address, Health that of the page for the balancer.
+	Callers string `yaml:"callers"`
+	Health  string `yaml:"health"`
+	// Metrics and Peers belong on the operators' network only.
+	Metrics string `yaml:"metrics"`
+	Peers   string `yaml:"peers"`
+}
+
+// RetryBudget bounds the requests that go to a second runner.
+type RetryBudget struct {
+	Share  float64        `yaml:"share"`
+	Slack  float64        `yaml:"slack"`
+	Window fleet.Duration `yaml:"window"`
+}
+
+// IngressLimits bounds what an ingress takes on.
+type IngressLimits struct {
+	OpenRequests int            `yaml:"open_requests"`
+	MemoryMB     int            `yaml:"memory_mb"`
+	HeaderTime   fleet.Duration `yaml:"header_time"`
+	IdleTime     fleet.Duration `yaml:"idle_time"`
+}
+
+// Ingress is the settings file of `hopwelld ingress`.
+type Ingress struct {
+	Instance    Instance       `yaml:"instance"`
+	Store       string         `yaml:"store"`
+	Listen      IngressListen  `yaml:"listen"`
+	RetryBudget RetryBudget    `yaml:"retry_budget"`
+	Lease       fleet.Duration `yaml:"lease"`
+	Limits      IngressLimits  `yaml:"limits"`
+	Drain       Drain          `yaml:"drain"`
+}
+
+// LoadIngress reads and checks an ingress's settings file.
+func LoadIngress(file string) (*Ingress, error) {
+	data, err := read(file)
+	if err != nil {
+		return nil, err
+	}
+	return ParseIngress(file, data)
+}
+
+// ParseIngress reads and checks an ingress's settings; file is for errors.
+func ParseIngress(file string, data []byte) (*Ingress, error) {
+	var c Ingress
+	must(yaml.Unmarshal([]byte(IngressDefault), &c))
+	c.Instance, c.Store, c.Listen = Instance{}, "", IngressListen{}
+	if err := decode(file, data, &c); err != nil {
+		return nil, err
+	}
+	return &c, place(file, data, c.check())
+}
+
+// check returns the first fault of an ingress's settings.
+func (c *Ingress) check() *fault {
+	return first(
+		c.Instance.check(),
+		checkAddress("store", c.Store),
+		checkAddress("listen.callers", c.Listen.Callers),
+		checkAddress("listen.health", c.Listen.Health),
+		checkAddress("listen.metrics", c.Listen.Metrics),
+		checkAddress("listen.peers", c.Listen.Peers),
+		c.RetryBudget.check(),
+		checkDuration("lease", c.Lease, minLease, maxLease),
+		checkCount("limits.open_requests", c.Limits.OpenRequests),
+		checkCount("limits.memory_mb", c.Limits.MemoryMB),
+		checkDuration("limits.header_time", c.Limits.HeaderTime, time.Second, time.Hour),
+		checkDuration("limits.idle_time", c.Limits.IdleTime, time.Second, time.Hour),
+		c.Drain.check(),
+	)
+}
+
+func (b *RetryBudget) check() *fault {
+	if b.Share < 0 || b.Share > 1 {
+		return &fault{"retry_budget.share", "a number from 0 to 1"}
+	}
+	if b.Slack < 0 {
+		return &fault{"retry_budget.slack", "a number of 0 or more"}
+	}
+	return checkDuration("retry_budget.window", b.Window, time.Second, time.Hour)
+}
--- /dev/null
+++ b/pkg/enginepool/engine.go
@@ -0,0 +1,119 @@
+package enginepool
+
+import (
+	"math"
+	"time"
+)
+
+// Job is a generation's need of a decode runner's memory.
+type Job struct {
+	// ID is the request's.
+	ID string
+	// Prompt is the length of the prompt, in tokens.
+	Prompt int
+	// Out is how many tokens the answer is expected to have, MaxOut the most.
+	Out, MaxOut int
+}
+
+// size is the memory that the job is expected to take at its end, in tokens.
+func (j Job) size() int { return j.Prompt + j.Out }
+
+// booking is a job on a decode runner.
+type booking struct {
+	job Job
+	// made is how many tokens of the answer have been seen.
+	made int
+	// begun is when the first token came; zero before.
+	begun time.Time
+}
+
+// Load is a booking as other gateways need to know it.
+type Load struct {
+	// Runner is the runner's ID.
+	Runner string
+	// Now is the memory that it takes now, Left what its answer may still take,
+	// both in tokens.
+	Now, Left int
+}
+
+// engine is the model of one decode runner: what is booked there by this
+// gateway, and what others say is booked by them.
+type engine struct {
+	id       string
+	capacity int
+	slots    int
+	mine     map[string]*booking
+	// others are the bookings of other gateways, by gateway.
+	others map[string][]Load
+	// refusedUntil is until when the runner is not asked again after it has
+	// refused a reservation.
+	refusedUntil time.Time
+	refusals     int
+}
+
+// remaining estimates how many tokens an answer still has: what is left of the
+// guess, or, once that is exceeded, a part of what was made.
+func (b *booking) remaining() int {
+	left := b.job.Out - b.made
+	if least := b.made / overrunPart; left < least {
+		left = least
+	}
+	return max(0, min(left, b.job.MaxOut-b.made))
+}
+
+// overrunPart is the part of an answer longer than guessed that is still
+// expected.
+const overrunPart = 4
+
+// part is one stay in memory: tokens now, tokens still to come.
+type part struct{ now, left float64 }
+
+// parts lists all stays in the runner's memory.
+func (e *engine) parts() []part {
+	out := make([]part, 0, len(e.mine)+8)
+	for _, b := range e.mine {
+		out = append(out, part{float64(b.job.Prompt + b.made), float64(b.remaining())})
+	}
+	for _, list := range e.others {
+		for _, l := range list {
+			out = append(out, part{float64(l.Now), float64(l.Left)})
+		}
+	}
+	return out
+}
+
+// peak returns the most memory that the runner's stays will take together if
+// one more is added: all answers grow at the same pace, and each goes when it is
+// complete. Candidates for the maximum are the moments just before an end.
+func (e *engine) peak(add part) float64 {
+	all := append(e.parts(), add)
+	most := 0.0
+	for _, at := range all {
+		sum := 0.0
+		for _, p := range all {
+			if p.left >= at.left {
+				sum += p.now + at.left
+			}
+		}
+		most = math.Max(most, sum)
+	}
+	return most
+}
+
+// running returns how many requests are booked.
+func (e *engine) running() int {
+	n := len(e.mine)
+	for _, list := range e.others {
+		n += len(list)
+	}
+	return n
+}
+
+// room returns how much memory is left at the peak with a job added, in tokens;
+// below 0 there is none.
+func (e *engine) room(j Job) float64 {
+	if e.running() >= e.slots {
+		return -1
+	}
+	return float64(e.capacity) - e.peak(part{float64(j.Prompt), float64(j.Out)})
+}
--- /dev/null
+++ b/pkg/enginepool/pool.go
@@ -0,0 +1,233 @@
+// Package enginepool decides where the generations of a service run: it books
+// memory on decode runners before a prompt is read, orders what waits for it,
+// and picks the prefill runner. It does no I/O; a booking is confirmed by the
+// caller with a reservation at the runner itself.
+package enginepool
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+// Spec is what all engines of a service have in common.
+type Spec struct {
+	// Memory is an engine's KV cache, in tokens, Slots its largest batch.
+	Memory, Slots int
+}
+
+// Options are a pool's settings.
+type Options struct {
+	// Fill is the part of the memory that is booked.
+	Fill float64
+	// Refused is how long a runner that refused a reservation is left alone.
+	Refused time.Duration
+}
+
+// DefaultOptions are those that were measured best; docs/POLICY.md.
+func DefaultOptions() Options {
+	return Options{Fill: 0.97, Refused: 60 * time.Millisecond}
+}
+
+// Pool is the engines of one service as this gateway sees them.
+type Pool struct {
+	service   string
+	directory *runners.Directory
+	options   Options
+
+	mu      sync.Mutex
+	spec    Spec
+	engines map[string]*engine
+	readers map[string]*reader
+	waiting []*Waiter
+	serial  uint64
+	// rate is the mean of this gateway's ends of generations a second.
+	ends rateMeter
+	// others are the loads of other gateways, by gateway.
+	others map[string]Peer
+}
+
+// Peer is what another gateway said of its bookings.
+type Peer struct {
+	Loads []Load
+	// Reading is the tokens that it has under way at prefill runners, by runner.
+	Reading map[string]int
+	// Waiting is how many jobs wait there.
+	Waiting int
+	At      time.Time
+}
+
+// peerAge is how long what a gateway said is believed.
+const peerAge = 1500 * time.Millisecond
+
+// New returns an empty pool of a service.
+func New(service string, d *runners.Directory, o Options) *Pool {
+	return &Pool{service: service, directory: d, options: o, engines: map[string]*engine{}, readers: map[string]*reader{}, others: map[string]Peer{}}
+}
+
+// Configure sets what the engines have in common.
+func (p *Pool) Configure(s Spec) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.spec = s
+	for _, e := range p.engines {
+		e.capacity, e.slots = p.capacity(), s.Slots
+	}
+}
+
+func (p *Pool) capacity() int { return int(p.options.Fill * float64(p.spec.Memory)) }
+
+// ErrNoRunner says that no runner of a stage is known to take work.
+type ErrNoRunner struct {
+	Service string
+	Stage   runners.Stage
+}
+
+// Error implements error.
+func (e *ErrNoRunner) Error() string {
+	return fmt.Sprintf("no runner: service=%s stage=%s", e.Service, e.Stage)
+}
+
+// engine returns the model of a runner. The lock is held.
+func (p *Pool) engine(id string) *engine {
+	e := p.engines[id]
+	if e == nil {
+		e = &engine{id: id, capacity: p.capacity(), slots: p.spec.Slots, mine: map[string]*booking{}, others: map[string][]Load{}}
+		p.engines[id] = e
+	}
+	return e
+}
+
+// place books a job on the decode runner with the most room, nil for none. The
+// lock is held. Runners in avoid are not taken.
+func (p *Pool) place(j Job, avoid map[string]bool, now time.Time) *runners.State {
+	var best *runners.State
+	var most float64
+	for _, s := range runners.Healthy(p.directory.Usable(p.service, runners.Decode, now), now) {
+		e := p.engine(s.ID)
+		if avoid[s.ID] || now.Before(e.refusedUntil) {
+			continue
+		}
+		if room := e.room(j); room >= 0 && (best == nil || room > most) {
+			best, most = s, room
+		}
+	}
+	if best != nil {
+		p.engine(best.ID).mine[j.ID] = &booking{job: j}
+	}
+	return best
+}
+
+// Room returns how many decode runners take work and the most memory that is
+// left at one of them.
+func (p *Pool) Room(now time.Time) (engines int, most float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.directory.Usable(p.service, runners.Decode, now) {
+		engines++
+		most = max(most, p.engine(s.ID).room(Job{}))
+	}
+	return engines, most
+}
+
+// Refused takes a booking back because the runner had no room after all, and
+// leaves the runner alone for a moment.
+func (p *Pool) Refused(runner, id string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.engine(runner)
+	delete(e.mine, id)
+	e.refusedUntil = now.Add(p.options.Refused)
+	e.refusals++
+}
+
+// Made books that an answer has so many tokens now.
+func (p *Pool) Made(runner, id string, tokens int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.engine(runner).mine[id]
+	if b == nil {
+		return
+	}
+	if b.begun.IsZero() {
+		b.begun = now
+	}
+	b.made = tokens
+}
+
+// End takes a booking back: the generation is over.
+func (p *Pool) End(runner, id string, now time.Time) {
+	p.mu.Lock()
+	e := p.engine(runner)
+	if _, ok := e.mine[id]; ok {
+		delete(e.mine, id)
+		p.ends.add(now)
+	}
+	p.mu.Unlock()
+	p.Dispatch(now)
+}
+
+// Hear books what another gateway said.
+func (p *Pool) Hear(gateway string, said Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.others[gateway] = said
+	p.spread(gateway, said.Loads)
+}
+
+// spread puts a gateway's loads into the models. The lock is held.
+func (p *Pool) spread(gateway string, loads []Load) {
+	for _, e := range p.engines {
+		delete(e.others, gateway)
+	}
+	for _, l := range loads {
+		e := p.engine(l.Runner)
+		e.others[gateway] = append(e.others[gateway], l)
+	}
+}
+
+// Sweep forgets what is too old to be believed, and runners that are gone.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for gateway, said := range p.others {
+		if now.Sub(said.At) > peerAge {
+			p.spread(gateway, nil)
+			delete(p.others, gateway)
+		}
+	}
+	known := map[string]bool{}
+	for _, s := range p.directory.All(p.service) {
+		known[s.ID] = true
+	}
+	for id, e := range p.engines {
+		if !known[id] && len(e.mine) == 0 && len(e.others) == 0 {
+			delete(p.engines, id)
+		}
+	}
+	for id, r := range p.readers {
+		if !known[id] && len(r.jobs) == 0 {
+			delete(p.readers, id)
+		}
+	}
+}
+
+// Say returns what other gateways should know.
+func (p *Pool) Say(now time.Time) Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := Peer{Reading: map[string]int{}, Waiting: len(p.waiting), At: now}
+	for id, e := range p.engines {
+		for _, b := range e.mine {
+			out.Loads = append(out.Loads, Load{Runner: id, Now: b.job.Prompt + b.made, Left: b.remaining()})
+		}
+	}
+	for id, r := range p.readers {
+		if n := r.backlog(); n > 0 {
+			out.Reading[id] = n
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/enginepool/prefill.go
@@ -0,0 +1,121 @@
+package enginepool
+
+import (
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+// reader is the model of one prefill runner.
+type reader struct {
+	jobs map[string]reading
+	// pace is what the runner reads, in tokens a second; learned.
+	pace float64
+	// mistrusted is until when it is the last choice: its handles lapsed.
+	mistrusted time.Time
+}
+
+// reading is a prompt on a prefill runner.
+type reading struct {
+	tokens int
+	since  time.Time
+	ahead  int
+}
+
+const (
+	// firstPace is assumed before anything was learned, in tokens a second.
+	firstPace = 30000
+	// paceWeight is the weight of the newest measurement.
+	paceWeight = 0.2
+	// otherZone is how much longer a prompt may wait for a runner in the zone
+	// of its decode runner.
+	otherZone = 25 * time.Millisecond
+	// mistrust is how long a runner whose handles lapsed is the last choice.
+	mistrust = 3 * time.Second
+)
+
+func (r *reader) backlog() int {
+	n := 0
+	for _, j := range r.jobs {
+		n += j.tokens
+	}
+	return n
+}
+
+// reader returns the model of a prefill runner. The lock is held.
+func (p *Pool) reader(id string) *reader {
+	r := p.readers[id]
+	if r == nil {
+		r = &reader{jobs: map[string]reading{}, pace: firstPace}
+		p.readers[id] = r
+	}
+	return r
+}
+
+// BeginPrefill books a prompt on the prefill runner that will have read it
+// first. Runners in avoid are not taken. It fails with *ErrNoRunner.
+func (p *Pool) BeginPrefill(id string, tokens int, zone string, avoid map[string]bool, now time.Time) (*runners.State, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *runners.State
+	var least time.Duration
+	for _, s := range runners.Healthy(p.directory.Usable(p.service, runners.Prefill, now), now) {
+		if avoid[s.ID] {
+			continue
+		}
+		cost := p.readCost(s, tokens, zone, now)
+		if best == nil || cost < least {
+			best, least = s, cost
+		}
+	}
+	if best == nil {
+		return nil, &ErrNoRunner{Service: p.service, Stage: runners.Prefill}
+	}
+	r := p.reader(best.ID)
+	r.jobs[id] = reading{tokens: tokens, since: now, ahead: p.backlog(best.ID)}
+	return best, nil
+}
+
+// readCost estimates when a runner will have read a prompt.
+func (p *Pool) readCost(s *runners.State, tokens int, zone string, now time.Time) time.Duration {
+	r := p.reader(s.ID)
+	cost := time.Duration(float64(p.backlog(s.ID)+tokens) / r.pace * float64(time.Second))
+	if s.Zone != zone {
+		cost += otherZone
+	}
+	if now.Before(r.mistrusted) {
+		cost += time.Second
+	}
+	return cost
+}
+
+// backlog returns the tokens that wait at a runner. The lock is held.
+func (p *Pool) backlog(id string) int {
+	n := p.reader(id).backlog()
+	for _, o := range p.others {
+		n += o.Reading[id]
+	}
+	return n
+}
+
+// EndPrefill takes a prompt off its runner and learns the pace if it was read.
+func (p *Pool) EndPrefill(runner, id string, read bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.reader(runner)
+	j, ok := r.jobs[id]
+	delete(r.jobs, id)
+	took := now.Sub(j.since).Seconds()
+	if !ok || !read || took <= 0 {
+		return
+	}
+	r.pace += (float64(j.tokens+j.ahead)/took - r.pace) * paceWeight
+}
+
+// Mistrust makes a prefill runner the last choice for a while: what it had read
+// could not be fetched.
+func (p *Pool) Mistrust(runner string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reader(runner).mistrusted = now.Add(mistrust)
+}
--- /dev/null
+++ b/pkg/ingress/answers.go
@@ -0,0 +1,173 @@
+package ingress
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/request"
+)
+
+const (
+	// shortWait is after what time a client may come back when another gateway
+	// can serve it.
+	shortWait = 50 * time.Millisecond
+	// maxDiscard bounds what is read of a body that is too large, so that the
+	// client reads the answer before the connection ends, in bytes.
+	maxDiscard = 64 << 20
+	// discardTime bounds the time for that.
+	discardTime = 5 * time.Second
+)
+
+// refuse answers that the request has not run and won't, and when to come back.
+func (x *exchange) refuse(err error, after time.Duration) {
+	after += time.Duration(rand.Int64N(int64(after)/4 + 1))
+	x.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	x.own(http.StatusServiceUnavailable, err, decisionlog.F("retry_after", after))
+}
+
+// fail answers that the request failed and may have run.
+func (x *exchange) fail(err error) {
+	status := http.StatusBadGateway
+	var timed *ErrTime
+	if errors.As(err, &timed) {
+		status = http.StatusGatewayTimeout
+	}
+	x.own(status, err)
+}
+
+// own writes an answer of hopwell's own.
+func (x *exchange) own(status int, err error, more ...decisionlog.Field) {
+	h := x.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if x.g.drain.begun() {
+		h.Set("Connection", "close")
+	}
+	x.w.WriteHeader(status)
+	_, _ = fmt.Fprintln(x.w, err)
+	x.finish(status, err, more...)
+}
+
+// reject ends a request that was not accepted.
+func (x *exchange) reject(err error) {
+	var noRoute *ErrNoRoute
+	var bad *ErrBadCall
+	var body *ErrBody
+	switch {
+	case errors.As(err, &noRoute):
+		x.own(http.StatusNotFound, err)
+	case errors.As(err, &bad):
+		x.own(http.StatusBadRequest, err)
+	case errors.As(err, &body) && body.TooLarge:
+		x.w.Header().Set("Connection", "close")
+		x.own(http.StatusRequestEntityTooLarge, err)
+	case errors.As(err, &body):
+		x.w.Header().Set("Connection", "close")
+		x.own(http.StatusRequestTimeout, err)
+	default:
+		x.refuse(err, shortWait)
+	}
+}
+
+// discard reads the rest of a body that was answered already.
+func discard(w http.ResponseWriter, body io.Reader) {
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(discardTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxDiscard))
+}
+
+// giveUp ends a request after tries: by its outcome, with the promise that it has
+// not run only if that is so.
+func (x *exchange) giveUp(life *request.Life, last error, after time.Duration) {
+	outcome := life.GiveUp()
+	if gone, ok := last.(errGone); ok {
+		x.finish(0, gone)
+		return
+	}
+	err := &ErrGivenUp{Outcome: outcome, Sends: x.sends, Last: last}
+	if outcome == request.NotRun {
+		x.refuse(err, after)
+		return
+	}
+	x.fail(err)
+}
+
+// finish records the request's end.
+func (x *exchange) finish(status int, err error, more ...decisionlog.Field) {
+	took := time.Since(x.arrived)
+	route, kind := "none", decisionlog.KindDone
+	if x.route != nil {
+		route = x.route.Name
+	}
+	if err != nil {
+		kind = decisionlog.KindFailed
+	}
+	x.g.metrics.answered(x, status, took)
+	fields := []decisionlog.Field{decisionlog.F("request", x.id()), decisionlog.F("route", route), decisionlog.F("service", x.service),
+		decisionlog.F("version", x.version), decisionlog.F("status", status), decisionlog.F("outcome", outcome(status, err)),
+		decisionlog.F("took", took), decisionlog.F("sends", x.sends), decisionlog.F("returning", x.rank == enginepool.Returning)}
+	fields = append(append(fields, x.fields...), more...)
+	if err != nil {
+		fields = append(fields, decisionlog.F("error", err))
+	}
+	x.g.options.Log.Write(kind, "request_end", fields...)
+}
+
+// outcome names what the client was told.
+func outcome(status int, err error) string {
+	if _, gone := err.(errGone); gone {
+		return "client_gone"
+	}
+	var broken *ErrBroken
+	switch {
+	case errors.As(err, &broken):
+		return "broken_off"
+	case status == http.StatusServiceUnavailable && err != nil:
+		return "not_run"
+	case status >= http.StatusInternalServerError:
+		return "unknown"
+	case status >= http.StatusBadRequest:
+		return "rejected"
+	}
+	return "done"
+}
+
+func (x *exchange) id() string {
+	if x.call == nil {
+		return ""
+	}
+	return x.call.ID
+}
+
+// step records a step of the request.
+func (x *exchange) step(event string, fields ...decisionlog.Field) {
+	x.g.options.Log.Write(decisionlog.KindStep, event, append([]decisionlog.Field{
+		decisionlog.F("request", x.id()), decisionlog.F("at", time.Since(x.arrived))}, fields...)...)
+}
+
+// trouble records a step that went wrong.
+func (x *exchange) trouble(event string, runner string, err error, fields ...decisionlog.Field) {
+	x.g.options.Log.Write(decisionlog.KindFailed, event, append([]decisionlog.Field{
+		decisionlog.F("request", x.id()), decisionlog.F("at", time.Since(x.arrived)), decisionlog.F("runner", runner), decisionlog.F("error", err)}, fields...)...)
+}
+
+// copyHeader puts a runner's headers into the client's answer.
+func (x *exchange) copyHeader(a *Answer) {
+	h := x.w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	if x.g.drain.begun() {
+		h.Set("Connection", "close")
+	}
+}
--- /dev/null
+++ b/pkg/ingress/errors.go
@@ -0,0 +1,143 @@
+package ingress
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/request"
+)
+
+// ErrDeclined says that a runner answered that it does not do what it was asked.
+type ErrDeclined struct {
+	Runner string
+	Status int
+	// Elsewhere says that the runner is not the one that was meant.
+	Elsewhere bool
+}
+
+// Error implements error.
+func (e *ErrDeclined) Error() string {
+	return fmt.Sprintf("declined: runner=%s status=%d elsewhere=%t", e.Runner, e.Status, e.Elsewhere)
+}
+
+// ErrBadCall says that a request lacks what every request must have.
+type ErrBadCall struct {
+	Field, Expected string
+}
+
+// Error implements error.
+func (e *ErrBadCall) Error() string {
+	return fmt.Sprintf("bad request: field=%s expected=%q", e.Field, e.Expected)
+}
+
+// ErrNoRoute says that no route takes a request.
+type ErrNoRoute struct {
+	Host, Path string
+	Version    uint64
+}
+
+// Error implements error.
+func (e *ErrNoRoute) Error() string {
+	return fmt.Sprintf("no route: host=%s path=%s version=%d", e.Host, e.Path, e.Version)
+}
+
+// ErrNotReady says that the process can't serve: it knows no routes yet, or
+// stops.
+type ErrNotReady struct {
+	Why string
+}
+
+// Error implements error.
+func (e *ErrNotReady) Error() string { return "not ready: why=" + e.Why }
+
+// ErrBody says that a request's body did not come whole, or is too large.
+type ErrBody struct {
+	Limit int64
+	// TooLarge tells the one from the other.
+	TooLarge bool
+	Err      error
+}
+
+// Error implements error.
+func (e *ErrBody) Error() string {
+	return fmt.Sprintf("bad body: limit=%d too_large=%t cause=%v", e.Limit, e.TooLarge, e.Err)
+}
+
+// ErrBusy says that a request was refused since a limit of the process is
+// reached.
+type ErrBusy struct {
+	What  string
+	Limit int
+}
+
+// Error implements error.
+func (e *ErrBusy) Error() string { return fmt.Sprintf("busy: what=%s limit=%d", e.What, e.Limit) }
+
+// ErrTime says that a request's time was over.
+type ErrTime struct {
+	After time.Duration
+	// Whose is "client" or "route".
+	Whose string
+}
+
+// Error implements error.
+func (e *ErrTime) Error() string {
+	return fmt.Sprintf("out of time: after=%s whose=%s", e.After, e.Whose)
+}
+
+// ErrGivenUp says that a request was tried and could not be answered.
+type ErrGivenUp struct {
+	Outcome request.Outcome
+	Sends   int
+	// Last is the last try's failure.
+	Last error
+}
+
+// Error implements error.
+func (e *ErrGivenUp) Error() string {
+	return fmt.Sprintf("given up: outcome=%s sends=%d last=%v", e.Outcome, e.Sends, e.Last)
+}
+
+// Unwrap returns the last try's failure.
+func (e *ErrGivenUp) Unwrap() error { return e.Last }
+
+// ErrAnswer says that a runner's answer can't be passed on.
+type ErrAnswer struct {
+	Runner string
+	Status int
+	Why    string
+}
+
+// Error implements error.
+func (e *ErrAnswer) Error() string {
+	return fmt.Sprintf("unusable answer: runner=%s status=%d why=%s", e.Runner, e.Status, e.Why)
+}
+
+// ErrBudget says that no further send is allowed now.
+type ErrBudget struct {
+	Service string
+}
+
+// Error implements error.
+func (e *ErrBudget) Error() string { return "retry budget spent: service=" + e.Service }
+
+// ErrBroken says that an answer broke off after a part of it had been passed on.
+type ErrBroken struct {
+	Runner string
+	After  string
+	Err    error
+}
+
+// Error implements error.
+func (e *ErrBroken) Error() string {
+	return fmt.Sprintf("broken off: runner=%s after=%s cause=%v", e.Runner, e.After, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrBroken) Unwrap() error { return e.Err }
+
+// errGone says that the client left.
+type errGone struct{}
+
+// Error implements error.
+func (errGone) Error() string { return "client gone" }
--- /dev/null
+++ b/pkg/ingress/forward.go
@@ -0,0 +1,219 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/request"
+	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/upstream"
+)
+
+const (
+	// maxHeld bounds the answers that are held back until they are whole, in
+	// bytes; longer ones are passed on as they come.
+	maxHeld = 256 << 10
+	// maxRefused bounds the sends of a request that runners turned away.
+	maxRefused = 3
+	// serviceWait is when a client may come back whom no plain runner took.
+	serviceWait = 300 * time.Millisecond
+)
+
+// verdict is what became of one send.
+type verdict int
+
+const (
+	// answered: the client has its answer, or has a part of one.
+	answered verdict = iota
+	// notRun: the runner has not run the request.
+	notRun
+	// mayHaveRun: it has, or it may have.
+	mayHaveRun
+)
+
+// forward serves a request by a plain service.
+func (x *exchange) forward() {
+	life := request.NewLife(x.call.ID, x.route.Repeatable())
+	budget := x.g.budget(x.service)
+	budget.Request(x.arrived)
+	avoid := map[string]bool{}
+	var last error
+	runs, refusals := 0, 0
+	for runs < max(1, x.route.MaxAttempts) && refusals <= maxRefused {
+		if last = firstOf(x.over(), last); x.over() != nil {
+			break
+		}
+		n, err := life.Begin()
+		if err != nil {
+			break
+		}
+		runner := x.g.choose(x.service, avoid)
+		if runner == nil {
+			last = firstOf(last, &enginepool.ErrNoRunner{Service: x.service})
+			break
+		}
+		if x.sends > 0 && !budget.Spend(time.Now()) {
+			last = &ErrBudget{Service: x.service}
+			break
+		}
+		final := runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
+		var v verdict
+		if v, err = x.sendPlain(life, n, runner, final); v == answered {
+			return
+		}
+		avoid[runner.ID] = true
+		last = err
+		if v == notRun {
+			refusals++
+			continue
+		}
+		runs++
+	}
+	x.giveUp(life, firstOf(x.over(), last), serviceWait)
+}
+
+// firstOf returns the first error that is one.
+func firstOf(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// choose returns the plain runner with the least work, in the own zone first;
+// nil if none is left.
+func (g *Ingress) choose(service string, avoid map[string]bool) *runners.State {
+	now := time.Now()
+	var best *runners.State
+	var least float64
+	for _, s := range runners.Healthy(g.Directory.Usable(service, "", now), now) {
+		if avoid[s.ID] {
+			continue
+		}
+		cost := (float64(s.Outstanding()) + 1) * (s.Latency().Seconds() + plainGuess) * (1 + failureCost*s.Failures())
+		if s.Zone != g.options.Zone {
+			cost *= otherZoneCost
+		}
+		if best == nil || cost < least {
+			best, least = s, cost
+		}
+	}
+	return best
+}
+
+const (
+	// plainGuess is added to the mean time of a runner's answers, in seconds.
+	plainGuess = 0.01
+	// otherZoneCost is how much dearer a runner in another zone is.
+	otherZoneCost = 1.3
+	// failureCost is how much dearer a runner is that fails all requests.
+	failureCost = 4
+)
+
+// sendPlain makes one try. A failure that the runner itself answered goes back
+// if the try is the final one.
+func (x *exchange) sendPlain(life *request.Life, n int, runner *runners.State, final bool) (verdict, error) {
+	began := time.Now()
+	if err := life.Send(n); err != nil {
+		return mayHaveRun, err
+	}
+	runner.Enter()
+	defer runner.Leave()
+	x.sends++
+	ctx, cancel := context.WithCancel(x.ctx)
+	defer cancel()
+	answer, err := x.g.options.Engines.Send(ctx, runner, x.call, Order{Left: x.left(), Priority: x.route.Priority})
+	if err != nil {
+		return x.sendFailed(life, n, runner, err)
+	}
+	defer answer.Body.Close()
+	if answer.NotRun || answer.Elsewhere {
+		life.Withdraw(n)
+		x.declined(runner, answer)
+		return notRun, &ErrDeclined{Runner: runner.ID, Status: answer.Status, Elsewhere: answer.Elsewhere}
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		runner.Failed(time.Now())
+		if !final {
+			x.trouble("answer_failed", runner.ID, &ErrAnswer{Runner: runner.ID, Status: answer.Status, Why: "runner failed"})
+			return mayHaveRun, &ErrAnswer{Runner: runner.ID, Status: answer.Status, Why: "runner failed"}
+		}
+	}
+	if answer.OK() && !answer.Whole {
+		runner.Failed(time.Now())
+		return mayHaveRun, &ErrAnswer{Runner: runner.ID, Status: answer.Status, Why: "not signed, or encoded"}
+	}
+	v, err := x.passOn(life, n, answer, runner)
+	if err == nil && answer.Status < http.StatusInternalServerError {
+		runner.Answered(time.Since(began))
+	}
+	return v, err
+}
+
+// sendFailed books a send without an answer.
+func (x *exchange) sendFailed(life *request.Life, n int, runner *runners.State, err error) (verdict, error) {
+	if gone := x.over(); gone != nil {
+		return mayHaveRun, gone
+	}
+	x.trouble("send_failed", runner.ID, err, decisionlog.F("address", runner.Address))
+	var dial *upstream.ErrDial
+	if errors.As(err, &dial) {
+		life.Withdraw(n)
+		runner.Unreachable(time.Now())
+		x.sends--
+		return notRun, err
+	}
+	runner.Failed(time.Now())
+	return mayHaveRun, err
+}
+
+// declined books a runner's refusal.
+func (x *exchange) declined(runner *runners.State, a *Answer) {
+	if a.Elsewhere {
+		runner.Deny()
+	}
+	x.g.metrics.declined(a.Status)
+	x.step("declined", decisionlog.F("runner", runner.ID), decisionlog.F("status", a.Status), decisionlog.F("elsewhere", a.Elsewhere))
+}
+
+// passOn gives an answer to the client: whole if it is short, as it comes if it
+// is long.
+func (x *exchange) passOn(life *request.Life, n int, a *Answer, runner *runners.State) (verdict, error) {
+	var held bytes.Buffer
+	size, err := io.Copy(&held, io.LimitReader(a.Body, maxHeld))
+	if err != nil {
+		runner.Failed(time.Now())
+		x.trouble("answer_broken", runner.ID, err)
+		return mayHaveRun, firstOf(x.over(), &ErrAnswer{Runner: runner.ID, Status: a.Status, Why: "broken off: " + err.Error()})
+	}
+	x.copyHeader(a)
+	if size < maxHeld {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	}
+	x.w.WriteHeader(a.Status)
+	_, err = x.w.Write(held.Bytes())
+	if err == nil && size == maxHeld {
+		_, err = io.Copy(x.w, a.Body)
+	}
+	if err != nil {
+		x.finish(a.Status, &ErrBroken{Runner: runner.ID, Err: err})
+		panic(http.ErrAbortHandler)
+	}
+	x.end(life, n)
+	x.finish(a.Status, nil, decisionlog.F("runner", runner.ID))
+	return answered, nil
+}
+
+// end books the request's whole answer.
+func (x *exchange) end(life *request.Life, n int) {
+	_ = life.End(n, 0)
+}
--- /dev/null
+++ b/pkg/ingress/generate.go
@@ -0,0 +1,358 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/request"
+	"github.com/hopwell/hopwell/pkg/retrybudget"
+	"github.com/hopwell/hopwell/pkg/routetable"
+	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/upstream"
+)
+
+const (
+	// freshPart is the part of its latency target that a new request may wait
+	// for room before it is told to come back.
+	freshPart = 0.22
+	// leastPatience and the two factors give how long clients wait for a
+	// stream's first event: the longest of the three.
+	leastPatience = 2 * time.Second
+	latencyFactor = 4
+	gapFactor     = 8
+	// serveTime is what is left of that for the prefill and the first event.
+	serveTime = 500 * time.Millisecond
+	// holdCall bounds a call that reserves memory.
+	holdCall = 400 * time.Millisecond
+	// prefillCall bounds a prefill.
+	prefillCall = 1500 * time.Millisecond
+	// freeCall bounds the giving back of what is not needed.
+	freeCall = time.Second
+	// defaultOut is expected of answers whose length nobody guesses, in tokens.
+	defaultOut = 512
+	// shortestReturn and longestReturn are when refused requests come back, and
+	// returnPart bounds it by the time that the client has left.
+	shortestReturn = 1200 * time.Millisecond
+	longestReturn  = 3800 * time.Millisecond
+	returnPart     = 0.3
+	// maxPrefills bounds the prefills of one try.
+	maxPrefills = 2
+)
+
+// generation is a request to model engines while it is served.
+type generation struct {
+	*exchange
+	pool   *enginepool.Pool
+	budget *retrybudget.Budget
+	life   *request.Life
+	engine *routetable.Engine
+	job    enginepool.Job
+	// unread are the prefill runners whose work was of no use.
+	unread map[string]bool
+	// unfit are the decode runners that failed the request.
+	unfit map[string]bool
+	relay relay
+}
+
+// place is room on a decode runner.
+type place struct {
+	runner *runners.State
+	hold   string
+}
+
+// generate serves a request by engines: room for the decode first, then the
+// prefill, then the decode.
+func (x *exchange) generate() {
+	x.rank = enginepool.Fresh
+	if x.g.returning(x.route, x.call.Patience) {
+		x.rank = enginepool.Returning
+	}
+	s := &generation{
+		exchange: x, pool: x.g.pool(x.service), budget: x.g.budget(x.service),
+		life: request.NewLife(x.call.ID, x.route.Repeatable()), engine: x.g.engine(x.service),
+		unread: map[string]bool{}, unfit: map[string]bool{},
+	}
+	s.relay = relay{s: s, last: x.call.After}
+	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, MaxOut: x.call.MaxOut, Out: s.expectedOut()}
+	s.budget.Request(x.arrived)
+	s.run()
+}
+
+// expectedOut estimates the answer's length, in tokens.
+func (s *generation) expectedOut() int {
+	out := s.call.Hint
+	if out <= 0 {
+		out = defaultOut
+	}
+	if s.call.MaxOut > 0 {
+		out = min(out, s.call.MaxOut)
+	}
+	return out
+}
+
+// run makes tries until the request is answered or given up.
+func (s *generation) run() {
+	var last error
+	runs, refusals := 0, 0
+	for runs < max(1, s.route.MaxAttempts) && refusals <= maxRefused {
+		if s.over() != nil {
+			break
+		}
+		n, err := s.life.Begin()
+		if err != nil {
+			break
+		}
+		if s.sends > 0 && !s.budget.Spend(time.Now()) {
+			last = &ErrBudget{Service: s.service}
+			break
+		}
+		v, err := s.try(n)
+		if v == answered {
+			return
+		}
+		last = err
+		var noRoom *enginepool.ErrNoRoom
+		if errors.As(err, &noRoom) {
+			break
+		}
+		if v == notRun {
+			refusals++
+		} else {
+			runs++
+		}
+		s.rank = enginepool.Begun
+	}
+	s.end(firstOf(s.over(), last))
+}
+
+// end gives the request up.
+func (s *generation) end(last error) {
+	if s.relay.begun {
+		s.finish(http.StatusOK, &ErrBroken{Runner: s.relay.runner, After: s.relay.last, Err: last})
+		s.g.metrics.broken.Inc()
+		panic(http.ErrAbortHandler)
+	}
+	s.giveUp(s.life, last, s.comeBack())
+}
+
+// comeBack returns when a refused client should ask again: not all at once, and
+// well before its time is over.
+func (s *generation) comeBack() time.Duration {
+	longest := min(longestReturn, time.Duration(float64(s.left())*returnPart))
+	if longest <= shortestReturn {
+		return max(longest/2, shortWait)
+	}
+	return shortestReturn + time.Duration(rand.Int64N(int64(longest-shortestReturn)))
+}
+
+// try makes one try: room, prefill, decode.
+func (s *generation) try(n int) (verdict, error) {
+	room, err := s.reserve()
+	if err != nil {
+		return notRun, err
+	}
+	defer func() { s.pool.End(room.runner.ID, s.job.ID, time.Now()) }()
+	var source Source
+	var reader *runners.State
+	if !s.relay.begun && s.call.After == "" {
+		source, reader, err = s.prefill(room)
+	}
+	if err != nil {
+		s.drop(room)
+		return notRun, err
+	}
+	return s.decode(n, room, source, reader)
+}
+
+// reserve waits for room on a decode runner and has it reserved there.
+func (s *generation) reserve() (*place, error) {
+	began := time.Now()
+	ctx, cancel := context.WithDeadline(s.ctx, s.latest())
+	defer cancel()
+	w := s.pool.Join(s.job, s.rank)
+	for id := range s.unfit {
+		w.Avoid(id)
+	}
+	for {
+		runner, err := s.pool.Wait(ctx, w)
+		if err != nil {
+			return nil, firstOf(s.over(), err)
+		}
+		hold, err := s.hold(ctx, runner)
+		if err == nil {
+			s.g.metrics.wait.UpdateDuration(began)
+			s.fields = append(s.fields, decisionlog.F("decode", runner.ID), decisionlog.F("room_after", time.Since(s.arrived)))
+			return &place{runner, hold}, nil
+		}
+		s.pool.Refused(runner.ID, s.job.ID, time.Now())
+		s.step("hold_refused", decisionlog.F("runner", runner.ID), decisionlog.F("error", err))
+		s.blame(runner, err)
+	}
+}
+
+// blame books a call that a runner failed.
+func (s *generation) blame(runner *runners.State, err error) {
+	if s.ctx.Err() != nil {
+		return
+	}
+	var dial *upstream.ErrDial
+	var declined *ErrDeclined
+	switch {
+	case errors.As(err, &dial):
+		runner.Unreachable(time.Now())
+	case errors.As(err, &declined):
+		if declined.Elsewhere {
+			runner.Deny()
+		}
+	default:
+		runner.Failed(time.Now())
+	}
+}
+
+// latest returns until when the request may wait for room.
+func (s *generation) latest() time.Time {
+	switch s.rank {
+	case enginepool.Fresh:
+		return s.arrived.Add(time.Duration(freshPart * float64(s.route.Latency)))
+	default:
+		patience := max(leastPatience, latencyFactor*s.route.Latency, gapFactor*s.route.Gap)
+		return s.arrived.Add(patience - serveTime)
+	}
+}
+
+func (s *generation) hold(ctx context.Context, runner *runners.State) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, holdCall)
+	defer cancel()
+	return s.g.options.Engines.Hold(ctx, runner, s.job.Prompt+s.job.Out, s.engine.HoldFor)
+}
+
+// drop gives a reservation back, after the request's end too.
+func (s *generation) drop(p *place) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), freeCall)
+		defer cancel()
+		_ = s.g.options.Engines.Drop(ctx, p.runner, p.hold)
+	}()
+}
+
+// prefill has the prompt read by the runner that will have done so first. With
+// no prefill runner left the decode runner reads it itself: the source is empty.
+func (s *generation) prefill(room *place) (Source, *runners.State, error) {
+	for tries := 0; ; tries++ {
+		reader, err := s.pool.BeginPrefill(s.job.ID, s.job.Prompt, room.runner.Zone, s.unread, time.Now())
+		if err != nil {
+			s.step("no_prefill_runner", decisionlog.F("error", err))
+			return Source{}, nil, nil
+		}
+		if (tries > 0 || len(s.unread) > 0) && !s.budget.Spend(time.Now()) {
+			s.pool.EndPrefill(reader.ID, s.job.ID, false, time.Now())
+			return Source{}, nil, nil
+		}
+		began := time.Now()
+		source, err := s.read(reader)
+		s.pool.EndPrefill(reader.ID, s.job.ID, err == nil, time.Now())
+		if err == nil {
+			s.g.metrics.prefill.UpdateDuration(began)
+			s.g.metrics.read.Add(source.Tokens)
+			s.fields = append(s.fields, decisionlog.F("prefill", reader.ID), decisionlog.F("prefill_after", time.Since(s.arrived)))
+			return source, reader, nil
+		}
+		if gone := s.over(); gone != nil {
+			return Source{}, nil, gone
+		}
+		s.trouble("prefill_failed", reader.ID, err)
+		s.blame(reader, err)
+		s.unread[reader.ID] = true
+		if tries+1 >= maxPrefills {
+			return Source{}, nil, nil
+		}
+	}
+}
+
+func (s *generation) read(reader *runners.State) (Source, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, prefillCall)
+	defer cancel()
+	return s.g.options.Engines.Prefill(ctx, reader, s.call, Order{Left: s.left(), Priority: s.route.Priority})
+}
+
+// decode has the answer made and passes it on.
+func (s *generation) decode(n int, room *place, source Source, reader *runners.State) (verdict, error) {
+	if err := s.life.Send(n); err != nil {
+		return mayHaveRun, err
+	}
+	runner := room.runner
+	order := Order{Left: s.left(), Hold: room.hold, Priority: s.route.Priority}
+	if reader != nil {
+		order.Source = s.g.options.Engines.Fetch(reader, source)
+	}
+	if s.relay.begun {
+		order.After = s.relay.last
+		s.g.metrics.resumed.Inc()
+	}
+	s.sends++
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	answer, err := s.g.options.Engines.Send(ctx, runner, s.call, order)
+	if err != nil {
+		s.free(reader, source)
+		s.unfit[runner.ID] = true
+		return s.sendFailed(s.life, n, runner, err)
+	}
+	defer answer.Body.Close()
+	if answer.NotRun || answer.Elsewhere {
+		s.life.Withdraw(n)
+		s.declined(runner, answer)
+		s.useless(reader, source)
+		return notRun, &ErrDeclined{Runner: runner.ID, Status: answer.Status, Elsewhere: answer.Elsewhere}
+	}
+	return s.take(n, runner, answer)
+}
+
+// useless books a prompt whose KV cache could not be fetched.
+func (s *generation) useless(reader *runners.State, source Source) {
+	if reader == nil {
+		return
+	}
+	s.g.metrics.wasted.Add(source.Tokens)
+	s.pool.Mistrust(reader.ID, time.Now())
+	s.unread[reader.ID] = true
+}
+
+// free gives a KV cache up that nobody will fetch.
+func (s *generation) free(reader *runners.State, source Source) {
+	if reader == nil {
+		return
+	}
+	s.g.metrics.wasted.Add(source.Tokens)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), freeCall)
+		defer cancel()
+		_ = s.g.options.Engines.Free(ctx, reader, source)
+	}()
+}
+
+// take passes a decode's answer on, or finds that it can't be.
+func (s *generation) take(n int, runner *runners.State, answer *Answer) (verdict, error) {
+	bad := &ErrAnswer{Runner: runner.ID, Status: answer.Status, Why: "runner failed"}
+	if answer.OK() && answer.Whole {
+		return s.relay.pass(n, runner, answer)
+	}
+	s.unfit[runner.ID] = true
+	if answer.OK() {
+		bad.Why = "not signed, or encoded"
+		runner.Failed(time.Now())
+		return mayHaveRun, bad
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		runner.Failed(time.Now())
+	}
+	if s.relay.begun || s.route.Repeatable() && s.life.Attempts() < s.route.MaxAttempts {
+		return mayHaveRun, bad
+	}
+	return s.passOn(s.life, n, answer, runner)
+}
--- /dev/null
+++ b/pkg/ingress/metrics.go
@@ -0,0 +1,66 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meters are the ingress's metrics.
+type meters struct {
+	set        *metrics.Set
+	firstEvent *metrics.Histogram
+	wait       *metrics.Histogram
+	prefill    *metrics.Histogram
+	read       *metrics.Counter
+	wasted     *metrics.Counter
+	resumed    *metrics.Counter
+	broken     *metrics.Counter
+}
+
+func newMeters() *meters {
+	set := metrics.NewSet()
+	return &meters{
+		set:        set,
+		firstEvent: set.NewHistogram("hopwell_ingress_first_event_seconds"),
+		wait:       set.NewHistogram("hopwell_ingress_room_wait_seconds"),
+		prefill:    set.NewHistogram("hopwell_ingress_prefill_seconds"),
+		read:       set.NewCounter("hopwell_ingress_prefilled_tokens_total"),
+		wasted:     set.NewCounter("hopwell_ingress_wasted_prefill_tokens_total"),
+		resumed:    set.NewCounter("hopwell_ingress_resumed_streams_total"),
+		broken:     set.NewCounter("hopwell_ingress_broken_streams_total"),
+	}
+}
+
+// answered counts a request by what the client was told.
+func (m *meters) answered(x *exchange, status int, took time.Duration) {
+	kind := "none"
+	if x.route != nil {
+		kind = string(x.route.Kind)
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`hopwell_ingress_requests_total{kind=%q,status="%d"}`, kind, status)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`hopwell_ingress_request_seconds{kind=%q}`, kind)).Update(took.Seconds())
+}
+
+// declined counts runners' refusals.
+func (m *meters) declined(status int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`hopwell_ingress_declined_total{status="%d"}`, status)).Inc()
+}
+
+// WriteMetrics writes the metrics in the Prometheus text format.
+func (g *Ingress) WriteMetrics(w io.Writer) {
+	fmt.Fprintf(w, "hopwell_ingress_open_requests %d\n", g.open.Load())
+	fmt.Fprintf(w, "hopwell_ingress_body_bytes %d\n", g.bodies.Load())
+	fmt.Fprintf(w, "hopwell_ingress_runners %d\n", g.Directory.Len())
+	if t := g.table.Load(); t != nil {
+		fmt.Fprintf(w, "hopwell_ingress_config_version %d\n", t.Config.Version)
+	}
+	for name, p := range g.Pools() {
+		here, all := p.Waiting()
+		fmt.Fprintf(w, "hopwell_ingress_waiting{service=%q,where=\"here\"} %d\n", name, here)
+		fmt.Fprintf(w, "hopwell_ingress_waiting{service=%q,where=\"all\"} %d\n", name, all)
+	}
+	g.metrics.set.WritePrometheus(w)
+}
--- /dev/null
+++ b/pkg/process/ingress.go
@@ -0,0 +1,216 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hopwell/hopwell/pkg/config"
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/httpd"
+	"github.com/hopwell/hopwell/pkg/ingress"
+	"github.com/hopwell/hopwell/pkg/retrybudget"
+	"github.com/hopwell/hopwell/pkg/upstream"
+	"github.com/hopwell/hopwell/platform"
+)
+
+const (
+	// connectTime bounds the opening of a connection to a runner.
+	connectTime = 500 * time.Millisecond
+	// idleTime is how long connections to runners that say nothing are kept.
+	idleTime = 4 * time.Second
+	// maxIdle bounds the idle connections to one runner.
+	maxIdle = 24
+	// sweepEvery is the time between two looks at the idle connections.
+	sweepEvery = time.Second
+	// endMargin is how long before the platform ends the process it ends by
+	// itself.
+	endMargin = 400 * time.Millisecond
+	// lingerAfterWait is how long requests on kept connections are refused
+	// before a process without work ends.
+	lingerAfterWait = 800 * time.Millisecond
+	// memoryPart is the part of its memory that the runtime may use before it
+	// collects garbage all the time; bodyPart that of bodies.
+	memoryPart = 0.7
+	bodyPart   = 0.3
+	// firstGateways is by how many gateways the retry budget is shared before
+	// any others are known.
+	firstGateways = 8
+	// logClose bounds the wait for the last lines of the log.
+	logClose = 200 * time.Millisecond
+)
+
+// Ingress is one running ingress process.
+type Ingress struct {
+	Ingress *ingress.Ingress
+
+	settings *config.Ingress
+	log      *decisionlog.Log
+	client   *upstream.Client
+	feed     *feed
+	servers  []*http.Server
+	ports    IngressPorts
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	stop     sync.Once
+	stopped  chan struct{}
+}
+
+// IngressPorts are the addresses that an ingress listens on.
+type IngressPorts struct {
+	Callers, Health, Metrics string
+}
+
+// StartIngress starts an ingress.
+func StartIngress(c *config.Ingress) (*Ingress, error) {
+	memory := int64(c.Limits.MemoryMB) << 20
+	debug.SetMemoryLimit(int64(memoryPart * float64(memory)))
+	log := decisionlog.New(c.Instance.Name, os.Stdout)
+	client := upstream.New(upstream.Options{ConnectTimeout: connectTime, Idle: idleTime, MaxIdle: maxIdle, Opened: countOpened})
+	runners := &platform.Runners{Client: client}
+	p := &Ingress{settings: c, log: log, client: client, stopped: make(chan struct{})}
+	p.Ingress = ingress.New(ingress.Options{
+		Zone: c.Instance.Domain, Engines: runners, Reader: runners, Log: log,
+		Budget:   retrybudget.Limits{Share: c.RetryBudget.Share, Slack: c.RetryBudget.Slack, Window: c.RetryBudget.Window.D()},
+		Gateways: firstGateways, MaxOpen: c.Limits.OpenRequests, MaxBodies: int64(bodyPart * float64(memory)),
+		Pool: enginepool.DefaultOptions(),
+	})
+	if err := p.listen(); err != nil {
+		p.closePorts()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.feed = newFeed(p.Ingress, log, platform.NewStore(c.Store), c.Store)
+	p.done.Go(func() { p.feed.run(ctx) })
+	p.done.Go(func() { p.Ingress.Run(ctx) })
+	p.done.Go(func() { p.sweep(ctx) })
+	log.Write(decisionlog.KindProcess, "start", decisionlog.F("pid", os.Getpid()), decisionlog.F("callers", p.ports.Callers),
+		decisionlog.F("store", c.Store), decisionlog.F("zone", c.Instance.Domain))
+	return p, nil
+}
+
+var opened = metrics.GetOrCreateCounter("hopwell_ingress_connections_opened_total")
+
+func countOpened(string) { opened.Inc() }
+
+// listen opens the ports and serves on them.
+func (p *Ingress) listen() error {
+	l := p.settings.Listen
+	health := http.HandlerFunc(p.health)
+	figures := http.HandlerFunc(p.figures)
+	for _, port := range []struct {
+		address string
+		handler http.Handler
+		bound   *string
+	}{{l.Callers, p.Ingress, &p.ports.Callers}, {l.Health, health, &p.ports.Health}, {l.Metrics, figures, &p.ports.Metrics}} {
+		listener, err := net.Listen("tcp", port.address)
+		if err != nil {
+			return &httpd.ErrListen{Address: port.address, Err: err}
+		}
+		*port.bound = listener.Addr().String()
+		server := &http.Server{
+			Handler: port.handler, ReadHeaderTimeout: p.settings.Limits.HeaderTime.D(), IdleTimeout: p.settings.Limits.IdleTime.D(),
+			ErrorLog: quiet(),
+		}
+		p.servers = append(p.servers, server)
+		p.done.Go(func() { _ = server.Serve(listener) })
+	}
+	return nil
+}
+
+func (p *Ingress) health(w http.ResponseWriter, _ *http.Request) {
+	if !p.Ingress.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (p *Ingress) figures(w http.ResponseWriter, _ *http.Request) {
+	p.Ingress.WriteMetrics(w)
+	metrics.WritePrometheus(w, true)
+}
+
+func (p *Ingress) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			p.client.Sweep(now)
+		}
+	}
+}
+
+// Ports returns where the process listens.
+func (p *Ingress) Ports() IngressPorts { return p.ports }
+
+// Reload takes over new settings. What can't change while the process runs is
+// kept; settings with a fault are refused, and the last good ones stay.
+func (p *Ingress) Reload(file string) error {
+	c, err := config.LoadIngress(file)
+	if err != nil {
+		p.log.Write(decisionlog.KindProcess, "reload_refused", decisionlog.F("error", err))
+		return err
+	}
+	p.feed.use(platform.NewStore(c.Store), c.Store)
+	p.log.Write(decisionlog.KindProcess, "reload", decisionlog.F("store", c.Store))
+	return nil
+}
+
+// Stop carries out the planned stop: the balancer is told first, what comes
+// meanwhile is served, and then only what runs.
+func (p *Ingress) Stop() {
+	p.stop.Do(func() {
+		p.finish()
+		p.Close()
+		close(p.stopped)
+	})
+}
+
+func (p *Ingress) finish() {
+	began := time.Now()
+	wait := p.settings.Drain.BalancerWait.D()
+	p.log.Write(decisionlog.KindProcess, "stop", decisionlog.F("open", p.Ingress.Open()))
+	p.Ingress.StartDrain(wait)
+	end := began.Add(p.settings.Drain.Longest.D() - endMargin)
+	for now := began; now.Before(end); now = time.Now() {
+		if now.Sub(began) > wait+lingerAfterWait && p.Ingress.Open() == 0 {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	p.log.Write(decisionlog.KindProcess, "stopped", decisionlog.F("open", p.Ingress.Open()), decisionlog.F("took", time.Since(began)))
+}
+
+// Stopped is closed when the planned stop is over.
+func (p *Ingress) Stopped() <-chan struct{} { return p.stopped }
+
+// Close ends the process at once.
+func (p *Ingress) Close() {
+	p.cancel()
+	p.closePorts()
+	p.done.Wait()
+	p.client.Forget("")
+	p.log.Close(logClose)
+}
+
+func (p *Ingress) closePorts() {
+	for _, s := range p.servers {
+		_ = s.Close()
+	}
+}
+
+// String names the process for people.
+func (p *Ingress) String() string { return fmt.Sprintf("ingress callers=%s", p.ports.Callers) }
--- /dev/null
+++ b/pkg/runners/health.go
@@ -0,0 +1,98 @@
+package runners
+
+import "time"
+
+const (
+	// failureWeight is the weight of the newest outcome in the failure rate.
+	failureWeight = 0.25
+	// ejectAbove is the failure rate from which a runner is left out.
+	ejectAbove = 0.6
+	// firstRest is how long a runner is left out the first time; it doubles up
+	// to longestRest.
+	firstRest   = 500 * time.Millisecond
+	longestRest = 4 * time.Second
+)
+
+// health is what the outcomes of requests tell of a runner.
+type health struct {
+	failures float64
+	rest     time.Duration
+	until    time.Time
+	// latency is the mean time of an answer, in seconds; 0 is unknown.
+	latency float64
+}
+
+// Failed books a request that the runner failed, or did not answer.
+func (s *State) Failed(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := &s.health
+	h.failures += (1 - h.failures) * failureWeight
+	if h.failures < ejectAbove || now.Before(h.until) {
+		return
+	}
+	h.rest = min(max(2*h.rest, firstRest), longestRest)
+	h.until = now.Add(h.rest)
+}
+
+// Unreachable books that no connection came up: the runner rests at once.
+func (s *State) Unreachable(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := &s.health
+	h.failures = max(h.failures, ejectAbove)
+	h.rest = min(max(2*h.rest, firstRest), longestRest)
+	h.until = now.Add(h.rest)
+}
+
+// Answered books a whole answer and how long it took.
+func (s *State) Answered(took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := &s.health
+	h.failures -= h.failures * failureWeight
+	if h.failures < ejectAbove/2 {
+		h.rest = 0
+	}
+	if h.latency == 0 {
+		h.latency = took.Seconds()
+		return
+	}
+	h.latency += (took.Seconds() - h.latency) * failureWeight
+}
+
+// Resting reports whether the runner is left out for its failures.
+func (s *State) Resting(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.health.until)
+}
+
+// Failures returns the share of failed requests, the newest counting most.
+func (s *State) Failures() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health.failures
+}
+
+// Latency returns the mean time of an answer; 0 is unknown.
+func (s *State) Latency() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.health.latency * float64(time.Second))
+}
+
+// Healthy leaves out the resting runners, unless that leaves fewer than half:
+// failures that all have in common are not those of a runner.
+func Healthy(list []*State, now time.Time) []*State {
+	out := make([]*State, 0, len(list))
+	for _, s := range list {
+		if !s.Resting(now) {
+			out = append(out, s)
+		}
+	}
+	if 2*len(out) < len(list) {
+		return list
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/runners/runners.go
@@ -0,0 +1,252 @@
+// Package runners keeps what a process believes of the runners: where they are,
+// what they serve, and whether they still take work. Beliefs come from the
+// platform's store and from the answers of the runners themselves.
+package runners
+
+import (
+	"sync"
+	"time"
+)
+
+// Stage is the part that a model engine plays.
+type Stage string
+
+// The stages. A plain runner has none.
+const (
+	Prefill Stage = "prefill"
+	Decode  Stage = "decode"
+)
+
+// Runner is one incarnation of a runner. It does not change.
+type Runner struct {
+	// ID is unique among all incarnations.
+	ID      string
+	Service string
+	// Address is IP:PORT.
+	Address string
+	Zone    string
+	Stage   Stage
+	// Slots is the number of requests that it works on at once.
+	Slots int
+	// Leaving says that it takes no more work.
+	Leaving bool
+}
+
+// goneGrace is how long a runner whose entry has gone may still be chosen. An
+// entry goes also when its runner could not renew it.
+const goneGrace = 1200 * time.Millisecond
+
+// State is a runner with what this process knows of it.
+type State struct {
+	Runner
+	*knowledge
+}
+
+// knowledge is what stays when a runner's entry changes.
+type knowledge struct {
+	mu sync.Mutex
+	// goneAt is when its entry went; zero while it is there.
+	goneAt time.Time
+	// denied is set when the runner itself said that it is another one, or
+	// leaving.
+	denied bool
+	health health
+	// outstanding counts this process's requests at it.
+	outstanding int
+}
+
+// Usable reports whether new work may be sent to the runner.
+func (s *State) Usable(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usable(now)
+}
+
+func (s *State) usable(now time.Time) bool {
+	if s.denied || s.Leaving {
+		return false
+	}
+	return s.goneAt.IsZero() || now.Sub(s.goneAt) < goneGrace
+}
+
+// Deny books that the runner itself refused for good.
+func (s *State) Deny() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.denied = true
+}
+
+// Enter books a request that is sent to the runner, Leave its end.
+func (s *State) Enter() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outstanding++
+}
+
+// Leave books the end of a request.
+func (s *State) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outstanding--
+}
+
+// Outstanding returns this process's requests at the runner.
+func (s *State) Outstanding() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outstanding
+}
+
+// Directory is the set of all known runners.
+type Directory struct {
+	mu  sync.RWMutex
+	all map[string]*State
+	// services lists the runners of each service in no order.
+	services map[string][]*State
+	// Changed is called, without locks, after a change; nil for none.
+	Changed func(what Change)
+}
+
+// Change says how a belief about a runner has changed.
+type Change struct {
+	Runner Runner
+	// What is "new", "changed", "leaving" or "gone".
+	What string
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{all: map[string]*State{}, services: map[string][]*State{}}
+}
+
+// Put books an entry as it stands in the store. A runner that was leaving stays
+// so.
+func (d *Directory) Put(r Runner) {
+	d.mu.Lock()
+	old := d.all[r.ID]
+	s := &State{Runner: r, knowledge: &knowledge{}}
+	what := "new"
+	if old != nil {
+		r.Leaving = r.Leaving || old.Leaving
+		old.back()
+		if old.Runner == r {
+			d.mu.Unlock()
+			return
+		}
+		s = &State{Runner: r, knowledge: old.knowledge}
+		what = "changed"
+		if r.Leaving && !old.Leaving {
+			what = "leaving"
+		}
+	}
+	d.all[r.ID] = s
+	d.index()
+	d.mu.Unlock()
+	d.tell(Change{r, what})
+}
+
+// back books that a runner's entry is there again.
+func (s *knowledge) back() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.goneAt = time.Time{}
+}
+
+// Gone books that an entry is no longer in the store.
+func (d *Directory) Gone(id string, now time.Time) {
+	d.mu.RLock()
+	s := d.all[id]
+	d.mu.RUnlock()
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	first := s.goneAt.IsZero()
+	if first {
+		s.goneAt = now
+	}
+	s.mu.Unlock()
+	if first {
+		d.tell(Change{s.Runner, "gone"})
+	}
+}
+
+// Keep books a whole reading of the store: what is not among the IDs has gone.
+func (d *Directory) Keep(ids map[string]bool, now time.Time) {
+	d.mu.RLock()
+	var missing []string
+	for id := range d.all {
+		if !ids[id] {
+			missing = append(missing, id)
+		}
+	}
+	d.mu.RUnlock()
+	for _, id := range missing {
+		d.Gone(id, now)
+	}
+}
+
+// forgetAfter is how long a runner whose entry has gone is remembered.
+const forgetAfter = 30 * time.Second
+
+// Sweep forgets runners that have been gone for long.
+func (d *Directory) Sweep(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := false
+	for id, s := range d.all {
+		s.mu.Lock()
+		old := !s.goneAt.IsZero() && now.Sub(s.goneAt) > forgetAfter
+		s.mu.Unlock()
+		if old {
+			delete(d.all, id)
+			changed = true
+		}
+	}
+	if changed {
+		d.index()
+	}
+}
+
+// index makes the lists of the services anew. The lock is held.
+func (d *Directory) index() {
+	next := map[string][]*State{}
+	for _, s := range d.all {
+		next[s.Service] = append(next[s.Service], s)
+	}
+	d.services = next
+}
+
+func (d *Directory) tell(c Change) {
+	if d.Changed != nil {
+		d.Changed(c)
+	}
+}
+
+// Usable returns the runners of a service and stage that may get new work.
+func (d *Directory) Usable(service string, stage Stage, now time.Time) []*State {
+	d.mu.RLock()
+	list := d.services[service]
+	d.mu.RUnlock()
+	out := make([]*State, 0, len(list))
+	for _, s := range list {
+		if s.Stage == stage && s.Usable(now) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// All returns all runners of a service, those that take no work too.
+func (d *Directory) All(service string) []*State {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.services[service]
+}
+
+// Len returns the number of known runners.
+func (d *Directory) Len() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return len(d.all)
+}
--- /dev/null
+++ b/pkg/upstream/upstream.go
@@ -0,0 +1,394 @@
+// Package upstream sends single HTTP/1.1 requests to runners and returns their
+// answers as they come. It parses with net/http and keeps what that package's
+// own client hides: whether bytes of a request went out, answers that belong to
+// an earlier request, and how long a runner keeps an idle connection. It never
+// sends a request twice.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// readBuffer is the size of a connection's read buffer, in bytes.
+	readBuffer = 4096
+	// maxSurplus bounds the answers of earlier requests that are skipped.
+	maxSurplus = 2
+	// maxInterim bounds the 1xx answers before a final one.
+	maxInterim = 5
+	// inlineBody is the longest body that is written before the answer is
+	// read; longer ones are written beside the reading, in bytes.
+	inlineBody = 32 << 10
+	// idleMargin is how much earlier than the runner an idle connection is
+	// given up.
+	idleMargin = time.Second
+)
+
+// ErrDial says that no connection came up: nothing was sent.
+type ErrDial struct {
+	Address string
+	Err     error
+}
+
+// Error implements error.
+func (e *ErrDial) Error() string {
+	return fmt.Sprintf("can't connect: address=%s cause=%v", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrDial) Unwrap() error { return e.Err }
+
+// ErrExchange says that a request went out, in part at least, and no whole
+// answer of its own came back.
+type ErrExchange struct {
+	Address string
+	// Reused says that the connection had served other requests before.
+	Reused bool
+	Err    error
+}
+
+// Error implements error.
+func (e *ErrExchange) Error() string {
+	return fmt.Sprintf("no answer: address=%s reused=%t cause=%v", e.Address, e.Reused, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrExchange) Unwrap() error { return e.Err }
+
+// ErrSurplus says that only answers of other requests came.
+type ErrSurplus struct {
+	Answers int
+}
+
+// Error implements error.
+func (e *ErrSurplus) Error() string {
+	return fmt.Sprintf("answers of other requests: count=%d", e.Answers)
+}
+
+// Request is one request to a runner.
+type Request struct {
+	Method string
+	// Target is the path and query, sent as it is.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Own reports whether an answer is that of this request; nil takes any.
+	Own func(*http.Response) bool
+}
+
+// Options are a client's settings.
+type Options struct {
+	// ConnectTimeout bounds the opening of a connection.
+	ConnectTimeout time.Duration
+	// Idle is how long a connection is kept when the runner says nothing.
+	Idle time.Duration
+	// MaxIdle bounds the idle connections to one address.
+	MaxIdle int
+	// Dial opens connections; nil dials TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Opened is called for each new connection; nil for none.
+	Opened func(address string)
+}
+
+// Client sends requests over kept connections. It is safe for concurrent use.
+type Client struct {
+	options Options
+	mu      sync.Mutex
+	idle    map[string][]*conn
+}
+
+// New returns a client.
+func New(o Options) *Client {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
+	return &Client{options: o, idle: map[string][]*conn{}}
+}
+
+// conn is one connection.
+type conn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	uses    int
+	// until is when the runner may close it while it is idle.
+	until time.Time
+}
+
+// Response is an answer whose body is read by the caller. Close ends the
+// exchange; before the body's end it closes the connection, by which runners
+// know that nobody waits any more.
+type Response struct {
+	*http.Response
+	done func(whole bool)
+	once sync.Once
+}
+
+// Do sends a request and returns the head of its answer. It fails with *ErrDial
+// when nothing was sent and with *ErrExchange otherwise. The end of the context
+// closes the connection, also while the body is read.
+func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
+	k, err := c.take(ctx, address)
+	if err != nil {
+		return nil, &ErrDial{Address: address, Err: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = k.Close() })
+	wrote, err := k.write(r)
+	if err == nil {
+		var res *http.Response
+		var surplus int
+		if res, surplus, err = k.read(r); err == nil {
+			return c.respond(k, res, stop, wrote, surplus), nil
+		}
+	}
+	stop()
+	_ = k.Close()
+	if ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
+	return nil, &ErrExchange{Address: address, Reused: k.uses > 1, Err: err}
+}
+
+// respond wraps an answer so that its connection is kept or closed at its end.
+func (c *Client) respond(k *conn, res *http.Response, stop func() bool, wrote <-chan error, surplus int) *Response {
+	out := &Response{Response: res}
+	out.done = func(whole bool) {
+		alive := stop()
+		if whole && alive && surplus == 0 && !res.Close && written(wrote) && k.reader.Buffered() == 0 {
+			c.put(k, keepAlive(res.Header))
+			return
+		}
+		_ = k.Close()
+	}
+	return out
+}
+
+// written reports whether the body has been written whole.
+func written(wrote <-chan error) bool {
+	select {
+	case err := <-wrote:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// Read reads the body. The connection is handed back at its end.
+func (r *Response) Read(p []byte) (int, error) {
+	n, err := r.Body.Read(p)
+	if err != nil {
+		r.finish(errors.Is(err, io.EOF))
+	}
+	return n, err
+}
+
+// Close ends the exchange.
+func (r *Response) Close() error {
+	r.finish(false)
+	return nil
+}
+
+func (r *Response) finish(whole bool) {
+	r.once.Do(func() { r.done(whole) })
+}
+
+// take returns an idle connection that is surely open, or a new one.
+func (c *Client) take(ctx context.Context, address string) (*conn, error) {
+	for {
+		k := c.pop(address)
+		if k == nil {
+			break
+		}
+		if time.Now().Before(k.until) && k.quiet() {
+			k.uses++
+			return k, nil
+		}
+		_ = k.Close()
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.options.ConnectTimeout)
+	defer cancel()
+	raw, err := c.options.Dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if c.options.Opened != nil {
+		c.options.Opened(address)
+	}
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), uses: 1}, nil
+}
+
+func (c *Client) pop(address string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	k := list[len(list)-1]
+	c.idle[address] = list[:len(list)-1]
+	return k
+}
+
+// put keeps a connection for the next request.
+func (c *Client) put(k *conn, keep time.Duration) {
+	if keep < 0 {
+		keep = c.options.Idle
+	}
+	keep -= idleMargin
+	if keep <= 0 {
+		_ = k.Close()
+		return
+	}
+	k.until = time.Now().Add(keep)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[k.address]
+	if len(list) >= c.options.MaxIdle {
+		_ = k.Close()
+		return
+	}
+	c.idle[k.address] = append(list, k)
+}
+
+// Forget closes the idle connections to an address, or to all if it is empty.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a, list := range c.idle {
+		if address != "" && a != address {
+			continue
+		}
+		for _, k := range list {
+			_ = k.Close()
+		}
+		delete(c.idle, a)
+	}
+}
+
+// Sweep closes idle connections whose time is over.
+func (c *Client) Sweep(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a, list := range c.idle {
+		kept := list[:0]
+		for _, k := range list {
+			if now.Before(k.until) {
+				kept = append(kept, k)
+				continue
+			}
+			_ = k.Close()
+		}
+		if len(kept) == 0 {
+			delete(c.idle, a)
+			continue
+		}
+		c.idle[a] = kept
+	}
+}
+
+// quiet reports whether an idle connection is open and has nothing to read.
+func (k *conn) quiet() bool {
+	if k.reader.Buffered() > 0 {
+		return false
+	}
+	return open(k.Conn)
+}
+
+// write sends a request. The channel gets the result of the body's writing.
+func (k *conn) write(r *Request) (<-chan error, error) {
+	wrote := make(chan error, 1)
+	head := appendHead(make([]byte, 0, 1024), r)
+	if len(r.Body) <= inlineBody {
+		_, err := k.Write(append(head, r.Body...))
+		wrote <- err
+		return wrote, err
+	}
+	if _, err := k.Write(head); err != nil {
+		return nil, err
+	}
+	go func() {
+		_, err := k.Write(r.Body)
+		wrote <- err
+	}()
+	return wrote, nil
+}
+
+// appendHead writes the request line and the headers.
+func appendHead(b []byte, r *Request) []byte {
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+	for name, values := range r.Header {
+		for _, v := range values {
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	if len(r.Body) > 0 || takesBody(r.Method) {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
+func takesBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// read returns the request's own answer and how many others came before it.
+func (k *conn) read(r *Request) (*http.Response, int, error) {
+	like := &http.Request{Method: r.Method}
+	for surplus, interim := 0, 0; ; {
+		res, err := http.ReadResponse(k.reader, like)
+		if err != nil {
+			return nil, surplus, err
+		}
+		if res.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterim || res.StatusCode == http.StatusSwitchingProtocols {
+				return nil, surplus, &ErrSurplus{Answers: interim}
+			}
+			continue
+		}
+		if r.Own == nil || r.Own(res) {
+			return res, surplus, nil
+		}
+		if surplus++; surplus > maxSurplus || res.Close {
+			return nil, surplus, &ErrSurplus{Answers: surplus}
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			return nil, surplus, err
+		}
+	}
+}
+
+// keepAlive returns the time that a runner keeps an idle connection, below 0 if
+// it does not say.
+func keepAlive(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil && n >= 0 {
+			return time.Duration(n) * time.Second
+		}
+	}
+	return -1
+}
