peers: gateways tell each other what they have booked

Cause: five gateways that each saw a fifth of the bookings filled the same decode runners; engines put requests back and read them again. Change: datagrams between gateways, found through a key under a lease in the store; the pool counts the others' bookings and prefills.

--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -79,6 +79,7 @@
 	}
 	s.relay = relay{s: s, last: x.call.After}
 	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, MaxOut: x.call.MaxOut, Out: s.expectedOut()}
+	s.fields = append(s.fields, decisionlog.F("prompt", s.job.Prompt), decisionlog.F("out", s.job.Out), decisionlog.F("max_out", s.job.MaxOut))
 	s.budget.Request(x.arrived)
 	s.run()
 }
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -116,6 +116,32 @@
 	return out
 }
 
+// Say returns what other gateways should know of the engines, by service.
+func (g *Ingress) Say() map[string]enginepool.Peer {
+	now := time.Now()
+	out := map[string]enginepool.Peer{}
+	for service, p := range g.Pools() {
+		out[service] = p.Say(now)
+	}
+	return out
+}
+
+// Hear takes what another gateway told of the engines of a service. Services
+// that the own configuration doesn't know are left.
+func (g *Ingress) Hear(gateway, service string, said enginepool.Peer) {
+	if p := g.Pools()[service]; p != nil {
+		p.Hear(gateway, said)
+	}
+}
+
+// Version returns the version of the configuration in force, 0 before the first.
+func (g *Ingress) Version() uint64 {
+	if t := g.table.Load(); t != nil {
+		return t.Config.Version
+	}
+	return 0
+}
+
 // budget returns the retry budget of a service.
 func (g *Ingress) budget(service string) *retrybudget.Budget {
 	g.mu.Lock()
--- /dev/null
+++ b/pkg/peers/convert.go
@@ -0,0 +1,58 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
+)
+
+// encode puts what is to be told into a message.
+func encode(said map[string]enginepool.Peer) *wirepb.GatewayState {
+	state := &wirepb.GatewayState{}
+	for service, p := range said {
+		pool := &wirepb.GatewayPool{Service: service, Waiting: uint32(p.Waiting)}
+		engines := map[string]*wirepb.EngineLoad{}
+		engine := func(runner string) *wirepb.EngineLoad {
+			e := engines[runner]
+			if e == nil {
+				e = &wirepb.EngineLoad{Runner: runner}
+				engines[runner] = e
+				pool.Engines = append(pool.Engines, e)
+			}
+			return e
+		}
+		for _, l := range p.Loads {
+			e := engine(l.Runner)
+			e.Now = append(e.Now, uint32(l.Now))
+			e.Left = append(e.Left, uint32(l.Left))
+		}
+		for runner, tokens := range p.Reading {
+			engine(runner).Reading = uint32(tokens)
+		}
+		state.Pools = append(state.Pools, pool)
+	}
+	return state
+}
+
+// decode takes what was told out of a message, by service. Loads whose two lists
+// differ in length are left out.
+func decode(s *wirepb.GatewayState, now time.Time) map[string]enginepool.Peer {
+	out := map[string]enginepool.Peer{}
+	for _, pool := range s.Pools {
+		p := enginepool.Peer{Reading: map[string]int{}, Waiting: int(pool.Waiting), At: now}
+		for _, e := range pool.Engines {
+			if e.Reading > 0 {
+				p.Reading[e.Runner] = int(e.Reading)
+			}
+			if len(e.Now) != len(e.Left) {
+				continue
+			}
+			for i := range e.Now {
+				p.Loads = append(p.Loads, enginepool.Load{Runner: e.Runner, Now: int(e.Now[i]), Left: int(e.Left[i])})
+			}
+		}
+		out[pool.Service] = p
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/process/announce.go
@@ -0,0 +1,90 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/store"
+)
+
+const (
+	// gatewayPrefix is above the keys by which gateways find each other.
+	gatewayPrefix = "hopwell/gateways/"
+	// announceTTL is how long such a key outlives its gateway.
+	announceTTL = 20 * time.Second
+	// announceEvery is the time between two renewals.
+	announceEvery = 6 * time.Second
+	// announceRetry is the time between failed tries.
+	announceRetry = time.Second
+	// announceCall bounds one call.
+	announceCall = 1500 * time.Millisecond
+)
+
+// announce keeps this gateway's address in the store, for gateways that start
+// later, until the context ends.
+func (p *Ingress) announce(ctx context.Context) {
+	var lease store.LeaseID
+	for ctx.Err() == nil {
+		var err error
+		if lease == 0 {
+			lease, err = p.enroll(ctx)
+		} else {
+			err = p.renew(ctx, lease)
+		}
+		pause := announceEvery
+		var over *store.ErrNoLease
+		if err != nil {
+			pause = announceRetry
+			if errors.As(err, &over) {
+				lease = 0
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	p.withdraw(lease)
+}
+
+// enroll writes the address and meets those that are there already.
+func (p *Ingress) enroll(ctx context.Context) (store.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, announceCall)
+	defer cancel()
+	s := p.feed.current()
+	lease, _, err := s.Grant(ctx, announceTTL)
+	if err != nil {
+		return 0, err
+	}
+	key := gatewayPrefix + p.settings.Instance.Name
+	if _, err = s.Commit(ctx, store.Change{Put: []store.Put{{Key: key, Value: []byte(p.ports.Peers), Lease: lease}}}); err != nil {
+		return 0, err
+	}
+	items, at, err := s.Range(ctx, gatewayPrefix)
+	if err != nil {
+		return lease, err
+	}
+	for _, i := range items {
+		p.peers.Meet(i.Key[len(gatewayPrefix):], string(i.Value))
+	}
+	p.log.Write(decisionlog.KindBelief, "gateways_read", decisionlog.F("gateways", len(items)), decisionlog.F("at", at))
+	return lease, nil
+}
+
+func (p *Ingress) renew(ctx context.Context, lease store.LeaseID) error {
+	ctx, cancel := context.WithTimeout(ctx, announceCall)
+	defer cancel()
+	return p.feed.current().Renew(ctx, lease)
+}
+
+// withdraw takes the address back at the process's end.
+func (p *Ingress) withdraw(lease store.LeaseID) {
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), announceRetry)
+	defer cancel()
+	_ = p.feed.current().End(ctx, lease)
+}
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -55,6 +55,13 @@
 	f.restart = make(chan struct{})
 }
 
+// current returns the store that is followed now.
+func (f *feed) current() store.Store {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store
+}
+
 // run follows the store until the context ends.
 func (f *feed) run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/httpd"
 	"github.com/hopwell/hopwell/pkg/ingress"
+	"github.com/hopwell/hopwell/pkg/peers"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
 	"github.com/hopwell/hopwell/pkg/upstream"
 	"github.com/hopwell/hopwell/platform"
@@ -44,6 +45,9 @@
 	// firstGateways is by how many gateways the retry budget is shared before
 	// any others are known.
 	firstGateways = 8
+	// leastGateways is the least number of gateways that the retry budget is
+	// shared by: some may not be known yet.
+	leastGateways = 4
 	// logClose bounds the wait for the last lines of the log.
 	logClose = 200 * time.Millisecond
 )
@@ -56,6 +60,7 @@
 	log      *decisionlog.Log
 	client   *upstream.Client
 	feed     *feed
+	peers    *peers.Exchange
 	servers  []*http.Server
 	ports    IngressPorts
 	cancel   context.CancelFunc
@@ -66,7 +71,7 @@
 
 // IngressPorts are the addresses that an ingress listens on.
 type IngressPorts struct {
-	Callers, Health, Metrics string
+	Callers, Health, Metrics, Peers string
 }
 
 // StartIngress starts an ingress.
@@ -87,11 +92,17 @@
 		p.closePorts()
 		return nil, err
 	}
+	if err := p.meet(); err != nil {
+		p.closePorts()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.feed = newFeed(p.Ingress, log, platform.NewStore(c.Store), c.Store)
 	p.done.Go(func() { p.feed.run(ctx) })
 	p.done.Go(func() { p.Ingress.Run(ctx) })
+	p.done.Go(func() { p.peers.Run(ctx) })
+	p.done.Go(func() { p.announce(ctx) })
 	p.done.Go(func() { p.sweep(ctx) })
 	log.Write(decisionlog.KindProcess, "start", decisionlog.F("pid", os.Getpid()), decisionlog.F("callers", p.ports.Callers),
 		decisionlog.F("store", c.Store), decisionlog.F("zone", c.Instance.Domain))
@@ -127,6 +138,24 @@
 	return nil
 }
 
+// meet opens the port on which the other gateways are heard.
+func (p *Ingress) meet() error {
+	address := p.settings.Listen.Peers
+	conn, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return &httpd.ErrListen{Address: address, Err: err}
+	}
+	p.ports.Peers = conn.LocalAddr().String()
+	p.peers = peers.New(peers.Options{
+		Name: p.settings.Instance.Name, Address: p.ports.Peers, Conn: conn,
+		Say: p.Ingress.Say, Hear: p.Ingress.Hear, Version: p.Ingress.Version,
+		Changed: func(name, what string, known int) {
+			p.log.Write(decisionlog.KindBelief, "gateway_"+what, decisionlog.F("gateway", name), decisionlog.F("known", known))
+		},
+	})
+	return nil
+}
+
 func (p *Ingress) health(w http.ResponseWriter, _ *http.Request) {
 	if !p.Ingress.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -149,6 +178,7 @@
 			return
 		case now := <-tick.C:
 			p.client.Sweep(now)
+			p.Ingress.Gateways(max(p.peers.Known()+1, leastGateways))
 		}
 	}
 }
