enginepool: learn how long answers are; hold only the prompt

Change: the logarithm of the length is learned as a line of that of the guess; what an answer still has is its mean above what it has made; reservations cover the prompt and 64 tokens.

--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -11,12 +11,12 @@
 	ID string
 	// Prompt is the length of the prompt, in tokens.
 	Prompt int
-	// Out is how many tokens the answer is expected to have, MaxOut the most.
-	Out, MaxOut int
+	// Length is the belief about the answer's.
+	Length Belief
 }
 
 // size is the memory that the job is expected to take at its end, in tokens.
-func (j Job) size() int { return j.Prompt + j.Out }
+func (j Job) size() int { return j.Prompt + int(j.Length.Expected(0)) }
 
 // booking is a job on a decode runner.
 type booking struct {
@@ -51,20 +51,11 @@
 	refusals     int
 }
 
-// remaining estimates how many tokens an answer still has: what is left of the
-// guess, or, once that is exceeded, a part of what was made.
+// remaining estimates how many tokens an answer still has.
 func (b *booking) remaining() int {
-	left := b.job.Out - b.made
-	if least := b.made / overrunPart; left < least {
-		left = least
-	}
-	return max(0, min(left, b.job.MaxOut-b.made))
+	return max(0, int(b.job.Length.Expected(b.made))-b.made)
 }
 
-// overrunPart is the part of an answer longer than guessed that is still
-// expected.
-const overrunPart = 4
-
 // part is one stay in memory: tokens now, tokens still to come.
 type part struct{ now, left float64 }
 
@@ -115,5 +106,5 @@
 	if e.running() >= e.slots {
 		return -1
 	}
-	return float64(e.capacity) - e.peak(part{float64(j.Prompt), float64(j.Out)})
+	return float64(e.capacity) - e.peak(part{float64(j.Prompt), j.Length.Expected(0)})
 }
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -28,7 +28,7 @@
 
 // DefaultOptions are those that were measured best; docs/POLICY.md.
 func DefaultOptions() Options {
-	return Options{Fill: 0.97, Refused: 60 * time.Millisecond}
+	return Options{Fill: 0.95, Refused: 60 * time.Millisecond}
 }
 
 // Pool is the engines of one service as this gateway sees them.
@@ -47,6 +47,8 @@
 	ends rateMeter
 	// others are the loads of other gateways, by gateway.
 	others map[string]Peer
+	// Lengths learns from the answers.
+	Lengths *Lengths
 }
 
 // Peer is what another gateway said of its bookings.
@@ -64,7 +66,7 @@
 
 // New returns an empty pool of a service.
 func New(service string, d *runners.Directory, o Options) *Pool {
-	return &Pool{service: service, directory: d, options: o, engines: map[string]*engine{}, readers: map[string]*reader{}, others: map[string]Peer{}}
+	return &Pool{service: service, directory: d, options: o, engines: map[string]*engine{}, readers: map[string]*reader{}, others: map[string]Peer{}, Lengths: NewLengths()}
 }
 
 // Configure sets what the engines have in common.
@@ -127,7 +129,7 @@
 	defer p.mu.Unlock()
 	for _, s := range p.directory.Usable(p.service, runners.Decode, now) {
 		engines++
-		most = max(most, p.engine(s.ID).room(Job{}))
+		most = max(most, p.engine(s.ID).room(Job{Length: Belief{median: 1, spread: leastSpread}}))
 	}
 	return engines, most
 }
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -31,6 +31,9 @@
 	holdCall = 400 * time.Millisecond
 	// prefillCall bounds a prefill.
 	prefillCall = 1500 * time.Millisecond
+	// holdAhead is how many tokens of the answer are reserved with the prompt:
+	// the rest is booked by the pool alone.
+	holdAhead = 64
 	// freeCall bounds the giving back of what is not needed.
 	freeCall = time.Second
 	// defaultOut is expected of answers whose length nobody guesses, in tokens.
@@ -78,22 +81,21 @@
 		unread: map[string]bool{}, unfit: map[string]bool{},
 	}
 	s.relay = relay{s: s, last: x.call.After}
-	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, MaxOut: x.call.MaxOut, Out: s.expectedOut()}
-	s.fields = append(s.fields, decisionlog.F("prompt", s.job.Prompt), decisionlog.F("out", s.job.Out), decisionlog.F("max_out", s.job.MaxOut))
+	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, Length: s.pool.Lengths.Belief(s.guess(), x.call.MaxOut)}
+	s.fields = append(s.fields, decisionlog.F("prompt", s.job.Prompt), decisionlog.F("guess", s.guess()), decisionlog.F("expected", s.job.Length.Expected(0)))
 	s.budget.Request(x.arrived)
 	s.run()
 }
 
-// expectedOut estimates the answer's length, in tokens.
-func (s *generation) expectedOut() int {
-	out := s.call.Hint
-	if out <= 0 {
-		out = defaultOut
+// guess returns the client's guess of the answer's length, in tokens.
+func (s *generation) guess() int {
+	if s.call.Hint > 0 {
+		return s.call.Hint
 	}
 	if s.call.MaxOut > 0 {
-		out = min(out, s.call.MaxOut)
+		return min(defaultOut, s.call.MaxOut)
 	}
-	return out
+	return defaultOut
 }
 
 // run makes tries until the request is answered or given up.
@@ -229,7 +231,7 @@
 func (s *generation) hold(ctx context.Context, runner *runners.State) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, holdCall)
 	defer cancel()
-	return s.g.options.Engines.Hold(ctx, runner, s.job.Prompt+s.job.Out, s.engine.HoldFor)
+	return s.g.options.Engines.Hold(ctx, runner, s.job.Prompt+holdAhead, s.engine.HoldFor)
 }
 
 // drop gives a reservation back, after the request's end too.
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -68,6 +68,7 @@
 		r.head(a)
 	}
 	runner.Answered(time.Since(began))
+	r.s.pool.Lengths.Learn(r.s.guess(), r.events*r.s.engine.TokensPerEvent)
 	r.s.exchange.end(r.s.life, n)
 	r.s.finish(a.Status, nil, decisionlog.F("runner", runner.ID), decisionlog.F("events", r.events))
 	return answered, nil
