--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -28,7 +28,7 @@
 
 // DefaultOptions are those that were measured best; docs/POLICY.md.
 func DefaultOptions() Options {
-	return Options{Fill: 0.95, Refused: 60 * time.Millisecond}
+	return Options{Fill: 0.98, Refused: 60 * time.Millisecond}
 }
 
 // Pool is the engines of one service as this gateway sees them.
