staging, store: one holder gives the engines their parts before the load

Cause: decode memory binds (a request waits for room while prefill runners idle). Change: the first gateway by name takes the right to order, a key under a lease whose revision is the fence, waits the lease out, and orders engines to decode until a third prefills; afterwards it changes parts only when they are wrong by more than one for 4 s. Others try for the right only when what is wanted stays undone.

--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -102,6 +102,19 @@
 	return len(x.members)
 }
 
+// Rank returns how many living gateways come before this one by name.
+func (x *Exchange) Rank() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n := 0
+	for name, m := range x.members {
+		if m.alive && name < x.options.Name {
+			n++
+		}
+	}
+	return n
+}
+
 // Addresses returns where the remembered gateways hear, those with the newest
 // configuration first.
 func (x *Exchange) Addresses() []string {
--- a/pkg/process/announce.go
+++ b/pkg/process/announce.go
@@ -18,6 +18,8 @@
 	announceEvery = 6 * time.Second
 	// announceRetry is the time between failed tries.
 	announceRetry = time.Second
+	// withdrawCall bounds the last call.
+	withdrawCall = 100 * time.Millisecond
 	// announceCall bounds one call.
 	announceCall = 1500 * time.Millisecond
 )
@@ -84,7 +86,7 @@
 	if lease == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), announceRetry)
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawCall)
 	defer cancel()
 	_ = p.feed.current().End(ctx, lease)
 }
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -19,6 +19,8 @@
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/peers"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
+	"github.com/hopwell/hopwell/pkg/staging"
+	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/pkg/upstream"
 	"github.com/hopwell/hopwell/platform"
 )
@@ -103,6 +105,7 @@
 	p.done.Go(func() { p.Ingress.Run(ctx) })
 	p.done.Go(func() { p.peers.Run(ctx) })
 	p.done.Go(func() { p.announce(ctx) })
+	p.done.Go(func() { p.stager(runners).run(ctx) })
 	p.done.Go(func() { p.sweep(ctx) })
 	log.Write(decisionlog.KindProcess, "start", decisionlog.F("pid", os.Getpid()), decisionlog.F("callers", p.ports.Callers),
 		decisionlog.F("store", c.Store), decisionlog.F("zone", c.Instance.Domain))
@@ -138,6 +141,15 @@
 	return nil
 }
 
+// stager returns what gives the engines their parts.
+func (p *Ingress) stager(r *platform.Runners) *stager {
+	lease := p.settings.Lease.D()
+	return &stager{
+		ingress: p.Ingress, runners: r, log: p.log, policy: staging.DefaultPolicy(), wait: lease, rank: p.peers.Rank,
+		lock: &store.Lock{Store: p.feed.current(), Key: orderKey, Holder: p.settings.Instance.Name, TTL: lease},
+	}
+}
+
 // meet opens the port on which the other gateways are heard.
 func (p *Ingress) meet() error {
 	address := p.settings.Listen.Peers
--- /dev/null
+++ b/pkg/process/stager.go
@@ -0,0 +1,219 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/ingress"
+	"github.com/hopwell/hopwell/pkg/routetable"
+	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/staging"
+	"github.com/hopwell/hopwell/pkg/store"
+	"github.com/hopwell/hopwell/platform"
+)
+
+const (
+	// orderKey is the key of the right to give orders.
+	orderKey = "hopwell/orders"
+	// stagerLook is the time between two looks at the engines' parts.
+	stagerLook = 300 * time.Millisecond
+	// orderCall bounds a call of the stager.
+	orderCall = time.Second
+	// settleFor is how long the set of engines must have been the same before
+	// their parts are planned for the first time.
+	settleFor = 500 * time.Millisecond
+	// meetFor is how long a process gets to know the others before it may come
+	// first, and startFor how long after its start it tries without need.
+	meetFor  = 600 * time.Millisecond
+	startFor = 3 * time.Second
+	// renewals is how often the right is renewed in its time.
+	renewals = 3
+	// holdBack is how long a process does not try for the right after it found
+	// it held.
+	holdBack = 4 * time.Second
+)
+
+// stager gives engines their parts. Only the process that holds the right in the
+// store gives orders, and only after the lease of an earlier holder would have
+// run out, so that a holder that is paused can't order at the same time.
+type stager struct {
+	ingress *ingress.Ingress
+	runners *platform.Runners
+	log     *decisionlog.Log
+	policy  staging.Policy
+	lock    *store.Lock
+	// wait is how long a new holder waits before its first order.
+	wait time.Duration
+	// rank returns this process's place among those that try, 0 first.
+	rank func() int
+
+	began   time.Time
+	renewed time.Time
+	engines int
+	stable  time.Time
+	wrong   time.Time
+	last    time.Time
+	retry   time.Time
+	planned bool
+	firstAt time.Time
+}
+
+// run looks at the engines' parts until the context ends.
+func (s *stager) run(ctx context.Context) {
+	s.began = time.Now()
+	tick := time.NewTicker(stagerLook)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.lock.Yield(ctx)
+			return
+		case now := <-tick.C:
+			s.look(ctx, now)
+		}
+	}
+}
+
+// look keeps the right, if this process has it or comes first, and orders what
+// is wanted and not so. Others try for the right only when what is wanted has
+// not been done for so long that the holder must be gone.
+func (s *stager) look(ctx context.Context, now time.Time) {
+	changes := s.plan(now)
+	if len(changes) == 0 {
+		s.wrong = time.Time{}
+	} else if s.wrong.IsZero() {
+		s.wrong = now
+	}
+	fence, since, held := s.lock.Held(now)
+	if !held {
+		if s.mayTry(now) {
+			s.win(ctx, now)
+		}
+		return
+	}
+	if now.Sub(s.renewed) > s.wait/renewals {
+		s.renew(ctx, now)
+	}
+	if len(changes) == 0 || now.Sub(since) < s.wait || now.Sub(s.wrong) < s.patience() {
+		return
+	}
+	for _, c := range changes {
+		s.order(ctx, c, fence)
+	}
+	s.planned, s.last, s.wrong = true, now, time.Time{}
+}
+
+// mayTry reports whether this process should try for the right.
+func (s *stager) mayTry(now time.Time) bool {
+	if s.ingress.Table() == nil || now.Before(s.retry) {
+		return false
+	}
+	if now.Sub(s.began) > startFor {
+		return !s.wrong.IsZero() && now.Sub(s.wrong) > s.restage()+s.wait
+	}
+	return now.Sub(s.began) > meetFor && s.rank() == 0
+}
+
+// patience is how long parts must be wrong before they are changed.
+func (s *stager) patience() time.Duration {
+	if s.early(time.Now()) {
+		return 0
+	}
+	return s.policy.Patience
+}
+
+// restage returns the longest time that a change of parts takes.
+func (s *stager) restage() time.Duration {
+	longest := time.Duration(0)
+	for _, service := range s.ingress.Table().Config.Services {
+		if service.Engine != nil {
+			longest = max(longest, service.Engine.Restage)
+		}
+	}
+	return longest
+}
+
+// plan returns the changes of all services with engines. The first plan is made
+// exact; later ones leave small differences, and come seldom.
+func (s *stager) plan(now time.Time) []staging.Change {
+	table := s.ingress.Table()
+	if table == nil || !s.settled(table.Config.Services, now) {
+		return nil
+	}
+	if !s.last.IsZero() && now.Sub(s.last) < s.policy.Pause {
+		return nil
+	}
+	var out []staging.Change
+	for name, service := range table.Config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		prefill := s.ingress.Directory.Usable(name, runners.Prefill, now)
+		decode := s.ingress.Directory.Usable(name, runners.Decode, now)
+		out = append(out, s.policy.Plan(prefill, decode, s.early(now))...)
+	}
+	return out
+}
+
+// early reports whether the process has seen engines for a short time only:
+// before the load, parts are set exactly.
+func (s *stager) early(now time.Time) bool {
+	return !s.planned && now.Sub(s.firstAt) < earlyFor
+}
+
+// earlyFor is how long after the first engines parts are set exactly.
+const earlyFor = 6 * time.Second
+
+// settled reports whether the set of engines has been the same for a while.
+func (s *stager) settled(services map[string]routetable.Service, now time.Time) bool {
+	n := 0
+	for name, service := range services {
+		if service.Engine != nil {
+			n += len(s.ingress.Directory.Usable(name, runners.Prefill, now)) + len(s.ingress.Directory.Usable(name, runners.Decode, now))
+		}
+	}
+	if n != s.engines {
+		s.engines, s.stable = n, now
+	}
+	if n > 0 && s.firstAt.IsZero() {
+		s.firstAt = now
+	}
+	return n > 0 && now.Sub(s.stable) >= settleFor
+}
+
+func (s *stager) win(ctx context.Context, now time.Time) {
+	call, cancel := context.WithTimeout(ctx, orderCall)
+	defer cancel()
+	err := s.lock.Win(call)
+	var held *store.ErrHeld
+	if errors.As(err, &held) {
+		s.retry = now.Add(holdBack)
+	} else if err != nil {
+		s.retry = now.Add(orderCall)
+	}
+	fence, _, _ := s.lock.Held(now)
+	s.log.Write(decisionlog.KindBelief, "order_right", decisionlog.F("won", err == nil), decisionlog.F("fence", fence), decisionlog.F("error", err))
+}
+
+func (s *stager) renew(ctx context.Context, now time.Time) {
+	call, cancel := context.WithTimeout(ctx, orderCall)
+	defer cancel()
+	s.renewed = now
+	if err := s.lock.Renew(call); err != nil {
+		s.log.Write(decisionlog.KindProcess, "order_right_not_renewed", decisionlog.F("error", err))
+	}
+}
+
+// order gives one engine its part.
+func (s *stager) order(ctx context.Context, c staging.Change, fence uint64) {
+	call, cancel := context.WithTimeout(ctx, orderCall)
+	defer cancel()
+	sequence, err := s.runners.Sequence(call, c.Runner)
+	if err == nil {
+		err = s.runners.Restage(call, c.Runner, platform.StageOrder{Stage: c.Stage, Holder: s.lock.Holder, Fence: fence, Sequence: sequence})
+	}
+	s.log.Write(decisionlog.KindBelief, "restage", decisionlog.F("runner", c.Runner.ID), decisionlog.F("zone", c.Runner.Zone),
+		decisionlog.F("stage", string(c.Stage)), decisionlog.F("fence", fence), decisionlog.F("sequence", sequence), decisionlog.F("error", err))
+}
--- /dev/null
+++ b/pkg/staging/staging.go
@@ -0,0 +1,77 @@
+// Package staging decides which engines of a service should prefill and which
+// decode. It does no I/O.
+package staging
+
+import (
+	"math"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+// Policy says what the engines' parts should be.
+type Policy struct {
+	// Share is the part of the engines that should prefill.
+	Share float64
+	// Least is the least number of prefill engines.
+	Least int
+	// Patience is how long the parts must be wrong before one is changed.
+	Patience time.Duration
+	// Pause is the least time between two changes beyond those that were found
+	// needed together.
+	Pause time.Duration
+}
+
+// DefaultPolicy is the one that was measured best; docs/POLICY.md.
+func DefaultPolicy() Policy {
+	return Policy{Share: 0.33, Least: 2, Patience: 4 * time.Second, Pause: 15 * time.Second}
+}
+
+// Change is an engine's new part.
+type Change struct {
+	Runner *runners.State
+	Stage  runners.Stage
+}
+
+// Wanted returns how many of a number of engines should prefill.
+func (p Policy) Wanted(engines int) int {
+	if engines < 2*p.Least {
+		return min(p.Least, engines/2)
+	}
+	return max(p.Least, int(math.Round(p.Share*float64(engines))))
+}
+
+// Plan returns the changes that lead to the wanted parts. Engines are taken from
+// the zones that have most of the part that is too many. A difference of one
+// engine is left unless exact is set.
+func (p Policy) Plan(prefill, decode []*runners.State, exact bool) []Change {
+	more := p.Wanted(len(prefill)+len(decode)) - len(prefill)
+	if !exact && more <= 1 && more >= -1 && len(prefill) >= p.Least {
+		return nil
+	}
+	if more > 0 {
+		return take(decode, min(more, len(decode)-1), runners.Prefill)
+	}
+	return take(prefill, min(-more, len(prefill)-1), runners.Decode)
+}
+
+// take picks engines for a new part, one at a time from the zone with the most.
+func take(from []*runners.State, n int, stage runners.Stage) []Change {
+	left := append([]*runners.State{}, from...)
+	var out []Change
+	for range max(0, n) {
+		zones := map[string]int{}
+		for _, s := range left {
+			zones[s.Zone]++
+		}
+		best := 0
+		for i, s := range left {
+			if z, b := zones[s.Zone], zones[left[best].Zone]; z > b || z == b && s.ID < left[best].ID {
+				best = i
+			}
+		}
+		out = append(out, Change{Runner: left[best], Stage: stage})
+		left = append(left[:best], left[best+1:]...)
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/store/lock.go
@@ -0,0 +1,104 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Lock is the right of one process at a time to do something, kept in the store
+// as a key under a lease. The revision at which the key was made is the fence:
+// it is higher than that of every earlier holder.
+type Lock struct {
+	Store Store
+	Key   string
+	// Holder names the process in the key.
+	Holder string
+	// TTL is how long the right outlives its last renewal.
+	TTL time.Duration
+
+	mu    sync.Mutex
+	lease LeaseID
+	fence uint64
+	// since is when the right was won, until when it is surely still held: both
+	// reckoned from before the call that gave it.
+	since, until time.Time
+}
+
+// ErrHeld says that another process has the right.
+type ErrHeld struct {
+	Key, Holder string
+}
+
+// Error implements error.
+func (e *ErrHeld) Error() string { return "held by another: key=" + e.Key + " holder=" + e.Holder }
+
+// lockMargin is the part of the time of a lease that is not relied on.
+const lockMargin = 5
+
+// Held returns the fence and since when the right has been held; false if it is
+// not surely held now.
+func (l *Lock) Held(now time.Time) (fence uint64, since time.Time, held bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fence, l.since, l.lease != 0 && now.Before(l.until)
+}
+
+// Win tries to get the right. It fails with *ErrHeld when another has it.
+func (l *Lock) Win(ctx context.Context) error {
+	began := time.Now()
+	lease, ttl, err := l.Store.Grant(ctx, l.TTL)
+	if err != nil {
+		return err
+	}
+	revision, err := l.Store.Commit(ctx, Change{
+		If: []Expect{{Key: l.Key}}, Put: []Put{{Key: l.Key, Value: []byte(l.Holder), Lease: lease}},
+	})
+	if err != nil {
+		// The key may have been made all the same: without its lease it goes.
+		_ = l.Store.End(ctx, lease)
+		var conflict *ErrConflict
+		if errors.As(err, &conflict) && len(conflict.Items) > 0 {
+			return &ErrHeld{Key: l.Key, Holder: string(conflict.Items[0].Value)}
+		}
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lease, l.fence, l.since, l.until = lease, revision, began, began.Add(ttl-ttl/lockMargin)
+	return nil
+}
+
+// Renew keeps the right. When the lease is over the right is lost at once.
+func (l *Lock) Renew(ctx context.Context) error {
+	l.mu.Lock()
+	lease := l.lease
+	l.mu.Unlock()
+	if lease == 0 {
+		return &ErrNoLease{}
+	}
+	began := time.Now()
+	err := l.Store.Renew(ctx, lease)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var over *ErrNoLease
+	if errors.As(err, &over) {
+		l.lease = 0
+	}
+	if err == nil && l.lease == lease {
+		l.until = began.Add(l.TTL - l.TTL/lockMargin)
+	}
+	return err
+}
+
+// Yield gives the right up.
+func (l *Lock) Yield(ctx context.Context) {
+	l.mu.Lock()
+	lease := l.lease
+	l.lease = 0
+	l.mu.Unlock()
+	if lease != 0 {
+		_ = l.Store.End(ctx, lease)
+	}
+}
