ingress: a prefill without an answer is taken for lost sooner

Cause: a lost answer of a prefill (answer_lost) was waited for 1.5 s, longer than the client waits for its first event. Change: the limit follows the expected time: 300 ms and twice what is expected.

--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -53,8 +53,9 @@
 }
 
 // BeginPrefill books a prompt on the prefill runner that will have read it
-// first. Runners in avoid are not taken. It fails with *ErrNoRunner.
-func (p *Pool) BeginPrefill(id string, tokens int, zone string, avoid map[string]bool, now time.Time) (*runners.State, error) {
+// first, and returns how long that will take. Runners in avoid are not taken. It
+// fails with *ErrNoRunner.
+func (p *Pool) BeginPrefill(id string, tokens int, zone string, avoid map[string]bool, now time.Time) (*runners.State, time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *runners.State
@@ -69,11 +70,11 @@
 		}
 	}
 	if best == nil {
-		return nil, &ErrNoRunner{Service: p.service, Stage: runners.Prefill}
+		return nil, 0, &ErrNoRunner{Service: p.service, Stage: runners.Prefill}
 	}
 	r := p.reader(best.ID)
 	r.jobs[id] = reading{tokens: tokens, since: now, ahead: p.backlog(best.ID)}
-	return best, nil
+	return best, least, nil
 }
 
 // readCost estimates when a runner will have read a prompt.
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -29,8 +29,10 @@
 	serveTime = 500 * time.Millisecond
 	// holdCall bounds a call that reserves memory.
 	holdCall = 400 * time.Millisecond
-	// prefillCall bounds a prefill.
-	prefillCall = 1500 * time.Millisecond
+	// A prefill whose answer has not come after prefillLate and prefillFactor
+	// times the expected time is taken for lost.
+	prefillLate   = 300 * time.Millisecond
+	prefillFactor = 2
 	// holdAhead is how many tokens of the answer are reserved with the prompt:
 	// the rest is booked by the pool alone.
 	holdAhead = 64
@@ -247,7 +249,7 @@
 // no prefill runner left the decode runner reads it itself: the source is empty.
 func (s *generation) prefill(room *place) (Source, *runners.State, error) {
 	for tries := 0; ; tries++ {
-		reader, err := s.pool.BeginPrefill(s.job.ID, s.job.Prompt, room.runner.Zone, s.unread, time.Now())
+		reader, expected, err := s.pool.BeginPrefill(s.job.ID, s.job.Prompt, room.runner.Zone, s.unread, time.Now())
 		if err != nil {
 			s.step("no_prefill_runner", decisionlog.F("error", err))
 			return Source{}, nil, nil
@@ -257,7 +259,7 @@
 			return Source{}, nil, nil
 		}
 		began := time.Now()
-		source, err := s.read(reader)
+		source, err := s.read(reader, prefillLate+prefillFactor*expected)
 		s.pool.EndPrefill(reader.ID, s.job.ID, err == nil, time.Now())
 		if err == nil {
 			s.g.metrics.prefill.UpdateDuration(began)
@@ -277,8 +279,8 @@
 	}
 }
 
-func (s *generation) read(reader *runners.State) (Source, error) {
-	ctx, cancel := context.WithTimeout(s.ctx, prefillCall)
+func (s *generation) read(reader *runners.State, limit time.Duration) (Source, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, limit)
 	defer cancel()
 	return s.g.options.Engines.Prefill(ctx, reader, s.call, Order{Left: s.left(), Priority: s.route.Priority})
 }
