store, ingress: a silent store is asked again sooner

Change: a call to a store that is not sure to answer is bounded by 400 ms and more with each failure; who asks a process without routes comes back after 1.2 s.

--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -18,6 +18,9 @@
 	// shortWait is after what time a client may come back when another gateway
 	// can serve it.
 	shortWait = 50 * time.Millisecond
+	// startWait is after what time a client may come back to a process that
+	// knows no routes yet.
+	startWait = 1200 * time.Millisecond
 	// maxDiscard bounds what is read of a body that is too large, so that the
 	// client reads the answer before the connection ends, in bytes.
 	maxDiscard = 64 << 20
@@ -59,7 +62,10 @@
 	var noRoute *ErrNoRoute
 	var bad *ErrBadCall
 	var body *ErrBody
+	var unready *ErrNotReady
 	switch {
+	case errors.As(err, &unready) && !x.g.drain.begun():
+		x.refuse(err, startWait)
 	case errors.As(err, &noRoute):
 		x.own(http.StatusNotFound, err)
 	case errors.As(err, &bad):
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -91,7 +91,10 @@
 func (g *Ingress) Table() *routetable.Table { return g.table.Load() }
 
 // Ready reports whether new connections should come here.
-func (g *Ingress) Ready() bool { return g.table.Load() != nil && !g.drain.begun() }
+func (g *Ingress) Ready() bool { return g.informed() && !g.drain.begun() }
+
+// informed reports whether routes and runners are known.
+func (g *Ingress) informed() bool { return g.table.Load() != nil && g.Directory.Len() > 0 }
 
 // pool returns the engines of a service.
 func (g *Ingress) pool(service string) *enginepool.Pool {
@@ -261,8 +264,8 @@
 // accept finds the route and reads the body.
 func (x *exchange) accept(r *http.Request) error {
 	table := x.g.table.Load()
-	if table == nil {
-		return &ErrNotReady{Why: "no configuration yet"}
+	if !x.g.informed() {
+		return &ErrNotReady{Why: "no routes or no runners known yet"}
 	}
 	call, err := x.g.options.Reader.Read(r)
 	x.call = call
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -13,11 +13,18 @@
 	watchWait = 2 * time.Second
 	// callMargin is how much longer than asked a call may take.
 	callMargin = 700 * time.Millisecond
-	// rangeTime bounds a whole reading.
-	rangeTime = 2500 * time.Millisecond
+	// probeTime bounds the first call after a failed one, and the first of all;
+	// each that fails gives the next one more, up to longestProbe. It is short,
+	// since a call to a store that is silent is never answered, also when the
+	// store is back.
+	probeTime    = 400 * time.Millisecond
+	longestProbe = 2500 * time.Millisecond
+	// probeWait is how long a watch waits that is to find out whether the store
+	// answers.
+	probeWait = time.Millisecond
 	// firstPause and longestPause are the times between failed calls.
 	firstPause   = 100 * time.Millisecond
-	longestPause = 600 * time.Millisecond
+	longestPause = 400 * time.Millisecond
 )
 
 // Follower keeps up with a prefix of a store.
@@ -35,65 +42,94 @@
 	Regained func(after time.Duration)
 }
 
+// position is how far a follower has come.
+type position struct {
+	at    uint64
+	known bool
+	// lost is when the store stopped to answer; zero while it does.
+	lost time.Time
+	// limit bounds the next call, pause is the time before it.
+	limit, pause time.Duration
+}
+
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	var at uint64
-	known := false
-	var lostAt time.Time
-	pause := firstPause
+	p := position{limit: probeTime, pause: firstPause}
+	sure := false
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, at, known)
-		if err == nil {
-			at, known, pause = next, true, firstPause
-			if !lostAt.IsZero() {
-				f.Regained(time.Since(lostAt))
-				lostAt = time.Time{}
-			}
-			rest(ctx, f.Gather)
-			continue
-		}
+		next, err := f.step(ctx, &p, sure)
 		if ctx.Err() != nil {
 			return
 		}
-		var compacted *ErrCompacted
-		if errors.As(err, &compacted) {
-			known = false
+		if sure = err == nil; sure {
+			f.answered(&p, next)
+			rest(ctx, f.Gather)
 			continue
 		}
-		if lostAt.IsZero() {
-			lostAt = time.Now()
-			f.Lost(err)
-		}
-		rest(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
-		pause = min(2*pause, longestPause)
+		f.failed(ctx, &p, err)
 	}
 }
 
-// step reads the whole prefix, or waits for its next changes.
-func (f *Follower) step(ctx context.Context, at uint64, known bool) (uint64, error) {
-	if !known {
-		ctx, cancel := context.WithTimeout(ctx, rangeTime)
-		defer cancel()
-		items, next, err := f.Store.Range(ctx, f.Prefix)
-		if err != nil {
-			return 0, err
-		}
-		if next < at {
-			return 0, &ErrUnavailable{Call: "range", Err: &ErrOld{Have: at, Got: next}}
-		}
-		f.Reset(items, next)
-		return next, nil
+// answered books an answer of the store.
+func (f *Follower) answered(p *position, next uint64) {
+	p.at, p.known, p.limit, p.pause = next, true, probeTime, firstPause
+	if !p.lost.IsZero() {
+		f.Regained(time.Since(p.lost))
+		p.lost = time.Time{}
+	}
+}
+
+// failed books a call without an answer, and pauses.
+func (f *Follower) failed(ctx context.Context, p *position, err error) {
+	var compacted *ErrCompacted
+	if errors.As(err, &compacted) {
+		p.known = false
+		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callMargin)
+	if p.lost.IsZero() {
+		p.lost = time.Now()
+		f.Lost(err)
+	}
+	rest(ctx, p.pause/2+time.Duration(rand.Int64N(int64(p.pause))))
+	p.pause = min(2*p.pause, longestPause)
+	p.limit = min(3*p.limit/2, longestProbe)
+}
+
+// step reads the whole prefix, or waits for its next changes. When the store is
+// not sure to answer, it only asks for those that are there.
+func (f *Follower) step(ctx context.Context, p *position, sure bool) (uint64, error) {
+	if !p.known {
+		return f.read(ctx, p)
+	}
+	wait, limit := watchWait, watchWait+callMargin
+	if !sure {
+		wait, limit = probeWait, p.limit
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	events, next, err := f.Store.Watch(ctx, f.Prefix, at, watchWait)
+	events, next, err := f.Store.Watch(ctx, f.Prefix, p.at, wait)
 	if err != nil {
 		return 0, err
 	}
 	if len(events) > 0 {
 		f.Apply(events, next)
 	}
-	return max(at, next), nil
+	return max(p.at, next), nil
+}
+
+// read reads the whole prefix.
+func (f *Follower) read(ctx context.Context, p *position) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.limit)
+	defer cancel()
+	items, next, err := f.Store.Range(ctx, f.Prefix)
+	if err != nil {
+		return 0, err
+	}
+	if next < p.at {
+		return 0, &ErrUnavailable{Call: "range", Err: &ErrOld{Have: p.at, Got: next}}
+	}
+	f.Reset(items, next)
+	return next, nil
 }
 
 // ErrOld says that an answer is older than what is known.
