--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -112,7 +112,11 @@
 		if avoid[s.ID] || now.Before(e.refusedUntil) {
 			continue
 		}
-		if room := e.room(j); room >= 0 && (best == nil || room > most) {
+		room := e.room(j)
+		if room < 0 {
+			continue
+		}
+		if room -= failureCost * s.Failures(now) * float64(e.capacity); best == nil || room > most {
 			best, most = s, room
 		}
 	}
@@ -122,6 +126,10 @@
 	return best
 }
 
+// failureCost is the part of its memory by which a runner that fails all
+// requests is less liked than another.
+const failureCost = 3
+
 // Room returns how many decode runners take work and the most memory that is
 // left at one of them.
 func (p *Pool) Room(now time.Time) (engines int, most float64) {
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -30,6 +30,8 @@
 	// otherZone is how much longer a prompt may wait for a runner in the zone
 	// of its decode runner.
 	otherZone = 25 * time.Millisecond
+	// lostPrefill is what a prefill costs that is lost.
+	lostPrefill = 1500 * time.Millisecond
 	// mistrust is how long a runner whose handles lapsed is the last choice.
 	mistrust = 3 * time.Second
 )
@@ -72,24 +74,31 @@
 	if best == nil {
 		return nil, 0, &ErrNoRunner{Service: p.service, Stage: runners.Prefill}
 	}
-	r := p.reader(best.ID)
-	r.jobs[id] = reading{tokens: tokens, since: now, ahead: p.backlog(best.ID)}
-	return best, least, nil
+	expected := p.readTime(best.ID, tokens)
+	p.reader(best.ID).jobs[id] = reading{tokens: tokens, since: now, ahead: p.backlog(best.ID)}
+	return best, expected, nil
 }
 
 // readCost estimates when a runner will have read a prompt.
 func (p *Pool) readCost(s *runners.State, tokens int, zone string, now time.Time) time.Duration {
 	r := p.reader(s.ID)
-	cost := time.Duration(float64(p.backlog(s.ID)+tokens) / r.pace * float64(time.Second))
+	cost := p.readTime(s.ID, tokens)
 	if s.Zone != zone {
 		cost += otherZone
 	}
 	if now.Before(r.mistrusted) {
 		cost += time.Second
 	}
+	cost += time.Duration(s.Failures(now) * float64(lostPrefill))
 	return cost
 }
 
+// readTime estimates how long a runner takes to read what waits there and a
+// prompt more. The lock is held.
+func (p *Pool) readTime(id string, tokens int) time.Duration {
+	return time.Duration(float64(p.backlog(id)+tokens) / p.reader(id).pace * float64(time.Second))
+}
+
 // backlog returns the tokens that wait at a runner. The lock is held.
 func (p *Pool) backlog(id string) int {
 	n := p.reader(id).backlog()
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -99,7 +99,7 @@
 		if avoid[s.ID] {
 			continue
 		}
-		cost := (float64(s.Outstanding()) + 1) * (s.Latency().Seconds() + plainGuess) * (1 + failureCost*s.Failures())
+		cost := (float64(s.Outstanding()) + 1) * (s.Latency().Seconds() + plainGuess) * (1 + failureCost*s.Failures(now))
 		if s.Zone != g.options.Zone {
 			cost *= otherZoneCost
 		}
--- a/pkg/runners/health.go
+++ b/pkg/runners/health.go
@@ -1,6 +1,9 @@
 package runners
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// failureWeight is the weight of the newest outcome in the failure rate.
@@ -11,23 +14,37 @@
 	// to longestRest.
 	firstRest   = 500 * time.Millisecond
 	longestRest = 4 * time.Second
+	// forgiveIn is the time in which a failure rate without new outcomes falls
+	// to a third.
+	forgiveIn = 4 * time.Second
 )
 
 // health is what the outcomes of requests tell of a runner.
 type health struct {
+	// failures is the rate as it was at the time seen.
 	failures float64
+	seen     time.Time
 	rest     time.Duration
 	until    time.Time
 	// latency is the mean time of an answer, in seconds; 0 is unknown.
 	latency float64
 }
 
+// rate returns the failure rate as it is now.
+func (h *health) rate(now time.Time) float64 {
+	if h.seen.IsZero() {
+		return 0
+	}
+	return h.failures * math.Exp(-now.Sub(h.seen).Seconds()/forgiveIn.Seconds())
+}
+
 // Failed books a request that the runner failed, or did not answer.
 func (s *State) Failed(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := &s.health
-	h.failures += (1 - h.failures) * failureWeight
+	h.failures = h.rate(now) + (1-h.rate(now))*failureWeight
+	h.seen = now
 	if h.failures < ejectAbove || now.Before(h.until) {
 		return
 	}
@@ -40,7 +57,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := &s.health
-	h.failures = max(h.failures, ejectAbove)
+	h.failures = max(h.rate(now), ejectAbove)
+	h.seen = now
 	h.rest = min(max(2*h.rest, firstRest), longestRest)
 	h.until = now.Add(h.rest)
 }
@@ -50,7 +68,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := &s.health
-	h.failures -= h.failures * failureWeight
+	now := time.Now()
+	h.failures = h.rate(now) * (1 - failureWeight)
+	h.seen = now
 	if h.failures < ejectAbove/2 {
 		h.rest = 0
 	}
@@ -68,11 +88,12 @@
 	return now.Before(s.health.until)
 }
 
-// Failures returns the share of failed requests, the newest counting most.
-func (s *State) Failures() float64 {
+// Failures returns the share of failed requests, the newest counting most; it
+// falls with time.
+func (s *State) Failures(now time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.health.failures
+	return s.health.rate(now)
 }
 
 // Latency returns the mean time of an answer; 0 is unknown.
