--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -36,6 +36,9 @@
 	// holdAhead is how many tokens of the answer are reserved with the prompt:
 	// the rest is booked by the pool alone.
 	holdAhead = 64
+	// overflowAfter is the expected time of a prefill above which the decode
+	// runner reads the prompt itself.
+	overflowAfter = 900 * time.Millisecond
 	// freeCall bounds the giving back of what is not needed.
 	freeCall = time.Second
 	// defaultOut is expected of answers whose length nobody guesses, in tokens.
@@ -254,6 +257,11 @@
 			s.step("no_prefill_runner", decisionlog.F("error", err))
 			return Source{}, nil, nil
 		}
+		if expected > overflowAfter {
+			s.pool.EndPrefill(reader.ID, s.job.ID, false, time.Now())
+			s.step("prefill_overflow", decisionlog.F("expected", expected))
+			return Source{}, nil, nil
+		}
 		if (tries > 0 || len(s.unread) > 0) && !s.budget.Spend(time.Now()) {
 			s.pool.EndPrefill(reader.ID, s.job.ID, false, time.Now())
 			return Source{}, nil, nil
