--- a/cmd/hopwelld/cmds/ingress.go
+++ b/cmd/hopwelld/cmds/ingress.go
@@ -31,7 +31,7 @@
 			if err != nil {
 				return err
 			}
-			p, err := process.StartIngress(c)
+			p, err := process.StartIngress(c, os.Stdout)
 			if err != nil {
 				return err
 			}
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -76,11 +77,11 @@
 	Callers, Health, Metrics, Peers string
 }
 
-// StartIngress starts an ingress.
-func StartIngress(c *config.Ingress) (*Ingress, error) {
+// StartIngress starts an ingress. Decisions are logged to out.
+func StartIngress(c *config.Ingress, out io.Writer) (*Ingress, error) {
 	memory := int64(c.Limits.MemoryMB) << 20
 	debug.SetMemoryLimit(int64(memoryPart * float64(memory)))
-	log := decisionlog.New(c.Instance.Name, os.Stdout)
+	log := decisionlog.New(c.Instance.Name, out)
 	client := upstream.New(upstream.Options{ConnectTimeout: connectTime, Idle: idleTime, MaxIdle: maxIdle, Opened: countOpened})
 	runners := &platform.Runners{Client: client}
 	p := &Ingress{settings: c, log: log, client: client, stopped: make(chan struct{})}
