ingress, retrybudget: a prefill that was turned away counts in the budget

Change: each prefill that is turned away is charged for, counts as a failure of its runner, and the next is only made while the budget is not overdrawn.

--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -62,6 +62,8 @@
 	job    enginepool.Job
 	// unread are the prefill runners whose work was of no use.
 	unread map[string]bool
+	// charged is set when the last prefill was turned away and charged for.
+	charged bool
 	// unfit are the decode runners that failed the request.
 	unfit map[string]bool
 	relay relay
@@ -262,7 +264,7 @@
 			s.step("prefill_overflow", decisionlog.F("expected", expected))
 			return Source{}, nil, nil
 		}
-		if (tries > 0 || len(s.unread) > 0) && !s.budget.Spend(time.Now()) {
+		if (tries > 0 || len(s.unread) > 0) && !s.readAgain() {
 			s.pool.EndPrefill(reader.ID, s.job.ID, false, time.Now())
 			return Source{}, nil, nil
 		}
@@ -279,14 +281,37 @@
 			return Source{}, nil, gone
 		}
 		s.trouble("prefill_failed", reader.ID, err)
-		s.blame(reader, err)
-		s.unread[reader.ID] = true
+		s.refusedPrefill(reader, err)
 		if tries+1 >= maxPrefills {
 			return Source{}, nil, nil
 		}
 	}
 }
 
+// readAgain reports whether one more prefill is allowed. Where the last one was
+// turned away it has been charged for, and the next is the first that counts as
+// none.
+func (s *generation) readAgain() bool {
+	if s.charged {
+		s.charged = false
+		return s.budget.Left(time.Now()) >= 0
+	}
+	return s.budget.Spend(time.Now())
+}
+
+// refusedPrefill books a prefill that a runner did not do. One that the runner
+// turned away counts in the budget, also when it was the first.
+func (s *generation) refusedPrefill(reader *runners.State, err error) {
+	s.unread[reader.ID] = true
+	s.blame(reader, err)
+	var declined *ErrDeclined
+	if errors.As(err, &declined) {
+		reader.Failed(time.Now())
+		s.budget.Charge(time.Now())
+		s.charged = true
+	}
+}
+
 func (s *generation) read(reader *runners.State, limit time.Duration) (Source, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, limit)
 	defer cancel()
--- a/pkg/retrybudget/retrybudget.go
+++ b/pkg/retrybudget/retrybudget.go
@@ -67,6 +67,13 @@
 	return true
 }
 
+// Charge books an extra send that was made already, whether any is left or not.
+func (b *Budget) Charge(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.extras[b.bucket(now)]++
+}
+
 // Left returns how many extra sends are left.
 func (b *Budget) Left(now time.Time) float64 {
 	b.mu.Lock()
