--- /dev/null
+++ b/pkg/decisionlog/decisionlog_test.go
@@ -0,0 +1,75 @@
+package decisionlog
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// stuck is a writer that takes nothing until it is freed.
+type stuck struct {
+	free chan struct{}
+	mu   sync.Mutex
+	out  bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.free
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.out.Write(p)
+}
+
+// A reader of the log that takes nothing holds nobody up, and lines of failed
+// requests are kept longer than others.
+func TestAStuckReaderHoldsNobodyUp(t *testing.T) {
+	g := NewWithT(t)
+	w := &stuck{free: make(chan struct{})}
+	l := New("p", w)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		filler := strings.Repeat("x", 4000)
+		for range 20000 {
+			l.Write(KindDone, "request_end", F("request", filler))
+		}
+		l.Write(KindFailed, "request_end", F("request", "the one that failed"))
+	}()
+	g.Eventually(done, "30s").Should(BeClosed())
+	l.mu.Lock()
+	size := l.buffer.Len()
+	l.mu.Unlock()
+	g.Expect(size).To(BeNumerically("<=", bufferBytes+8192))
+	close(w.free)
+	l.Close(10 * time.Second)
+	g.Expect(w.out.String()).To(ContainSubstring("the one that failed"))
+	g.Expect(w.out.String()).To(MatchRegexp(`event=lines_left_out kind=done count=\d+`))
+}
+
+func TestLinesOfAKindAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	l := New("p", &out)
+	l.since = time.Now().Add(time.Hour)
+	for i := range 3 * rates[KindStep] {
+		l.Write(KindStep, "s", F("n", i))
+	}
+	l.Close(10 * time.Second)
+	g.Expect(strings.Count(out.String(), "event=s ")).To(Equal(rates[KindStep]))
+	g.Expect(out.String()).To(ContainSubstring(fmt.Sprintf("kind=step count=%d", 2*rates[KindStep])))
+}
+
+func TestValuesAreOnOneLine(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	l := New("p", &out)
+	l.Write(KindFailed, "e", F("text", "two\nlines = \"x\""), F("empty", ""), F("took", 1500*time.Microsecond), F("none", nil))
+	l.Close(10 * time.Second)
+	g.Expect(strings.Count(out.String(), "\n")).To(Equal(1))
+	g.Expect(out.String()).To(ContainSubstring(`text="two\nlines = \"x\"" empty="" took=1.5ms none=none`))
+}
--- /dev/null
+++ b/pkg/enginepool/enginepool_test.go
@@ -0,0 +1,218 @@
+package enginepool
+
+import (
+	"context"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+// pool returns a pool of one service with decode runners d0.. and prefill
+// runners p0.. in two zones.
+func pool(decode, prefill, memory int) (*Pool, *runners.Directory) {
+	d := runners.NewDirectory()
+	for i := range decode {
+		d.Put(runners.Runner{ID: "d" + string(rune('0'+i)), Service: "llm", Zone: "z" + string(rune('0'+i%2)), Stage: runners.Decode})
+	}
+	for i := range prefill {
+		d.Put(runners.Runner{ID: "p" + string(rune('0'+i)), Service: "llm", Zone: "z" + string(rune('0'+i%2)), Stage: runners.Prefill})
+	}
+	p := New("llm", d, Options{Fill: 1, Refused: 50 * time.Millisecond})
+	p.Configure(Spec{Memory: memory, Slots: 64})
+	return p, d
+}
+
+// exact is a belief without doubt.
+func exact(tokens int) Belief { return Belief{median: float64(tokens), spread: leastSpread} }
+
+func job(id string, prompt, out int) Job { return Job{ID: id, Prompt: prompt, Length: exact(out)} }
+
+func wait(p *Pool, j Job, rank Rank, limit time.Duration) (*runners.State, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return p.Wait(ctx, p.Join(j, rank))
+}
+
+func TestWaitTakesTheRunnerWithTheMostRoom(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(2, 0, 10000)
+	first, err := wait(p, job("a", 1000, 100), Fresh, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	second, err := wait(p, job("b", 1000, 100), Fresh, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(second.ID).NotTo(Equal(first.ID))
+}
+
+func TestWaitCountsWhatOtherGatewaysBooked(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(2, 0, 10000)
+	p.Hear("other", Peer{At: time.Now(), Loads: []Load{{Runner: "d0", Now: 9900, Left: 50}}})
+	for _, id := range []string{"a", "b"} {
+		s, err := wait(p, job(id, 1000, 100), Fresh, time.Second)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.ID).To(Equal("d1"))
+	}
+}
+
+func TestWhatOthersBookedIsForgottenWithAge(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 0, 10000)
+	now := time.Now()
+	p.Hear("other", Peer{At: now, Loads: []Load{{Runner: "d0", Now: 9900, Left: 50}}})
+	p.Sweep(now.Add(peerAge / 2))
+	_, err := wait(p, job("a", 1000, 100), Fresh, 0)
+	var none *ErrNoRoom
+	g.Expect(err).To(BeAssignableToTypeOf(none))
+	p.Sweep(now.Add(2 * peerAge))
+	_, err = wait(p, job("a", 1000, 100), Fresh, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func TestRefusedRunnersAreLeftAloneForAMoment(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 0, 10000)
+	now := time.Now()
+	s, err := wait(p, job("a", 1000, 100), Fresh, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	p.Refused(s.ID, "a", now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g.Expect(p.place(job("b", 1, 1), nil, now)).To(BeNil())
+	g.Expect(p.place(job("b", 1, 1), nil, now.Add(time.Second))).NotTo(BeNil())
+}
+
+func TestReturningGoBeforeFresh(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 0, 1000)
+	s, err := wait(p, job("first", 900, 50), Fresh, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	fresh, back := p.Join(job("fresh", 900, 50), Fresh), p.Join(job("back", 900, 50), Returning)
+	p.enqueue(fresh)
+	p.enqueue(back)
+	p.End(s.ID, "first", time.Now())
+	g.Expect(back.granted).To(Receive())
+	g.Expect(fresh.granted).NotTo(Receive())
+}
+
+func TestNothingLargerPassesWhatWaitsFirst(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 0, 1000)
+	_, err := wait(p, job("first", 400, 50), Fresh, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	large, larger, small := p.Join(job("large", 700, 50), Fresh), p.Join(job("larger", 800, 50), Fresh), p.Join(job("small", 100, 50), Fresh)
+	for _, w := range []*Waiter{large, larger, small} {
+		p.enqueue(w)
+	}
+	p.Dispatch(time.Now())
+	g.Expect(small.granted).To(Receive())
+	g.Expect(large.granted).NotTo(Receive())
+	g.Expect(larger.granted).NotTo(Receive())
+}
+
+func TestAWaiterThatLeavesTakesNothingWithIt(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 0, 1000)
+	s, _ := wait(p, job("first", 900, 50), Fresh, time.Second)
+	_, err := wait(p, job("second", 900, 50), Fresh, 0)
+	g.Expect(err).To(HaveOccurred())
+	p.End(s.ID, "first", time.Now())
+	_, err = wait(p, job("third", 900, 50), Fresh, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+// The peak is that of a simulation in small steps, never below it.
+func TestPeakIsThatOfASimulation(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		n := rapid.IntRange(0, 8).Draw(t, "n")
+		e := &engine{mine: map[string]*booking{}, others: map[string][]Load{}}
+		for range n {
+			e.others["o"] = append(e.others["o"], Load{Now: rapid.IntRange(1, 500).Draw(t, "now"), Left: rapid.IntRange(0, 200).Draw(t, "left")})
+		}
+		add := part{float64(rapid.IntRange(1, 500).Draw(t, "prompt")), float64(rapid.IntRange(0, 200).Draw(t, "out"))}
+		most := 0.0
+		for at := 0; at <= 200; at++ {
+			sum := 0.0
+			for _, p := range append(e.parts(), add) {
+				if p.left >= float64(at) {
+					sum += p.now + float64(at)
+				}
+			}
+			most = math.Max(most, sum)
+		}
+		g.Expect(e.peak(add)).To(BeNumerically("~", most, 0.001))
+	})
+}
+
+func TestPrefillTakesTheShortestWait(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(0, 2, 1000)
+	now := time.Now()
+	p.Hear("other", Peer{At: now, Reading: map[string]int{"p0": 50000}})
+	s, expected, err := p.BeginPrefill("a", 3000, "z0", nil, now)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.ID).To(Equal("p1"))
+	g.Expect(expected).To(BeNumerically("~", 100*time.Millisecond, time.Millisecond))
+}
+
+func TestPrefillLeavesRunnersWhoseHandlesLapse(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(0, 2, 1000)
+	now := time.Now()
+	p.Mistrust("p0", now)
+	s, _, err := p.BeginPrefill("a", 3000, "z0", nil, now)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.ID).To(Equal("p1"))
+	_, _, err = p.BeginPrefill("b", 3000, "z0", map[string]bool{"p0": true, "p1": true}, now)
+	var none *ErrNoRunner
+	g.Expect(err).To(BeAssignableToTypeOf(none))
+}
+
+func TestPrefillLearnsThePace(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(0, 1, 1000)
+	now := time.Now()
+	for range 60 {
+		_, _, err := p.BeginPrefill("a", 3000, "z0", nil, now)
+		g.Expect(err).NotTo(HaveOccurred())
+		now = now.Add(300 * time.Millisecond)
+		p.EndPrefill("p0", "a", true, now)
+	}
+	g.Expect(p.readers["p0"].pace).To(BeNumerically("~", 10000, 200))
+}
+
+func TestLengthsLearnTheErrorOfGuesses(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLengths()
+	before := l.Belief(500, 0).Expected(0)
+	for i := range 400 {
+		guess := 200 + 10*(i%80)
+		l.Learn(guess, 2*guess)
+	}
+	after := l.Belief(500, 0)
+	g.Expect(before).To(BeNumerically("~", 550, 60))
+	g.Expect(after.Expected(0)).To(BeNumerically("~", 1000, 50))
+}
+
+// What is expected is never below what was made, never above the most, and does
+// not fall as an answer grows.
+func TestExpectedGrowsWithWhatWasMade(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		most := rapid.IntRange(100, 4000).Draw(t, "most")
+		b := Belief{median: rapid.Float64Range(1, 4000).Draw(t, "median"), spread: rapid.Float64Range(leastSpread, 1).Draw(t, "spread"), most: float64(most)}
+		last := 0.0
+		for made := 0; made <= most; made += 1 + most/37 {
+			v := b.Expected(made)
+			g.Expect(v).To(BeNumerically(">=", math.Max(last, float64(made))-0.01*float64(most)))
+			g.Expect(v).To(BeNumerically("<=", float64(most)))
+			last = v
+		}
+	})
+}
--- /dev/null
+++ b/pkg/retrybudget/retrybudget_test.go
@@ -0,0 +1,84 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+var limits = Limits{Share: 0.2, Slack: 50, Window: 10 * time.Second}
+
+// However requests and retries fall, gateways that share a budget stay within it
+// in every window.
+func TestGatewaysTogetherStayWithinTheBudget(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		n := rapid.IntRange(1, 6).Draw(t, "gateways")
+		now := time.Now()
+		budgets := make([]*Budget, n)
+		for i := range budgets {
+			budgets[i] = New(limits, n)
+		}
+		type event struct {
+			at    time.Time
+			extra bool
+		}
+		var all []event
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, n-1).Draw(t, "which")]
+			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0:
+				b.Request(now)
+				all = append(all, event{now, false})
+			default:
+				if b.Spend(now) {
+					all = append(all, event{now, true})
+				}
+			}
+		}
+		for i := range all {
+			extras, requests, before := 0, 0, 0
+			for j := range all {
+				since := all[j].at.Sub(all[i].at)
+				switch {
+				case since >= 0 && since < limits.Window && all[j].extra:
+					extras++
+				case since >= 0 && since < limits.Window:
+					requests++
+				case since < 0 && since >= -limits.Window && !all[j].extra:
+					before++
+				}
+			}
+			g.Expect(float64(extras)).To(BeNumerically("<=", limits.Share*float64(max(requests, before))+limits.Slack))
+		}
+	})
+}
+
+func TestAChargeCountsThoughNothingIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b := New(Limits{Slack: 10, Window: time.Second}, 1)
+	for range 20 {
+		b.Charge(now)
+	}
+	g.Expect(b.Spend(now)).To(BeFalse())
+	g.Expect(b.Left(now)).To(BeNumerically("<", 0))
+	g.Expect(b.Spend(now.Add(3 * time.Second))).To(BeTrue())
+}
+
+func TestMoreGatewaysShareTheSlack(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b := New(Limits{Slack: 10, Window: time.Second}, 1)
+	b.Share(10)
+	spent := 0
+	for b.Spend(now) {
+		spent++
+	}
+	g.Expect(spent).To(Equal(0))
+}
--- /dev/null
+++ b/pkg/runners/runners_test.go
@@ -0,0 +1,111 @@
+package runners
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+func ids(list []*State) []string {
+	out := []string{}
+	for _, s := range list {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
+func TestLeavingIsNeverTakenBack(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		d := NewDirectory()
+		now := time.Now()
+		left := false
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			leaving := rapid.Bool().Draw(t, "leaving")
+			if rapid.IntRange(0, 5).Draw(t, "gone") == 0 {
+				d.Gone("r", now)
+			} else {
+				d.Put(Runner{ID: "r", Service: "s", Slots: rapid.IntRange(1, 3).Draw(t, "slots"), Leaving: leaving})
+				left = left || leaving
+			}
+			if left {
+				g.Expect(d.Usable("s", "", now)).To(BeEmpty())
+			}
+		}
+	})
+}
+
+func TestAnEntryThatComesBackIsUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDirectory()
+	now := time.Now()
+	r := Runner{ID: "r", Service: "s"}
+	d.Put(r)
+	d.Gone("r", now)
+	g.Expect(ids(d.Usable("s", "", now.Add(goneGrace/2)))).To(Equal([]string{"r"}))
+	g.Expect(d.Usable("s", "", now.Add(2*goneGrace))).To(BeEmpty())
+	d.Put(r)
+	g.Expect(ids(d.Usable("s", "", now.Add(2*goneGrace)))).To(Equal([]string{"r"}))
+}
+
+func TestAWholeReadingTellsWhatHasGone(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDirectory()
+	now := time.Now()
+	var told []string
+	d.Changed = func(c Change) { told = append(told, c.What+" "+c.Runner.ID) }
+	d.Put(Runner{ID: "a", Service: "s"})
+	d.Put(Runner{ID: "b", Service: "s"})
+	d.Keep(map[string]bool{"b": true}, now)
+	d.Keep(map[string]bool{"b": true}, now)
+	g.Expect(told).To(Equal([]string{"new a", "new b", "gone a"}))
+	d.Sweep(now.Add(2 * forgetAfter))
+	g.Expect(d.Len()).To(Equal(1))
+}
+
+func TestWhatIsKnownStaysWhenTheEntryChanges(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDirectory()
+	d.Put(Runner{ID: "r", Service: "s", Stage: Prefill})
+	old := d.Usable("s", Prefill, time.Now())[0]
+	old.Enter()
+	d.Put(Runner{ID: "r", Service: "s", Stage: Decode})
+	now := d.Usable("s", Decode, time.Now())[0]
+	g.Expect(now.Outstanding()).To(Equal(1))
+	old.Leave()
+	g.Expect(now.Outstanding()).To(BeZero())
+}
+
+func TestAFailingRunnerRestsAndComesBack(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDirectory()
+	for _, id := range []string{"a", "b", "c"} {
+		d.Put(Runner{ID: id, Service: "s"})
+	}
+	now := time.Now()
+	all := d.Usable("s", "", now)
+	bad := all[0]
+	for range 6 {
+		bad.Failed(now)
+	}
+	g.Expect(ids(Healthy(all, now))).NotTo(ContainElement(bad.ID))
+	g.Expect(ids(Healthy(all, now.Add(longestRest+time.Second)))).To(ContainElement(bad.ID))
+	g.Expect(bad.Failures(now.Add(20 * time.Second))).To(BeNumerically("<", 0.01))
+}
+
+func TestFailuresInCommonLeaveTheRunnersIn(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDirectory()
+	for _, id := range []string{"a", "b", "c"} {
+		d.Put(Runner{ID: id, Service: "s"})
+	}
+	now := time.Now()
+	all := d.Usable("s", "", now)
+	all[0].Unreachable(now)
+	all[1].Unreachable(now)
+	g.Expect(Healthy(all, now)).To(HaveLen(3))
+}
--- a/pkg/store/lock.go
+++ b/pkg/store/lock.go
@@ -53,7 +53,7 @@
 		return err
 	}
 	revision, err := l.Store.Commit(ctx, Change{
-		If: []Expect{{Key: l.Key}}, Put: []Put{{Key: l.Key, Value: []byte(l.Holder), Lease: lease}},
+		If: []Condition{{Key: l.Key}}, Put: []Put{{Key: l.Key, Value: []byte(l.Holder), Lease: lease}},
 	})
 	if err != nil {
 		// The key may have been made all the same: without its lease it goes.
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -34,16 +34,16 @@
 	Lease LeaseID
 }
 
-// Expect is a condition: the key's last change has this revision, or it does not
+// Condition is one that must hold for a change: the key's last change has this revision, or it does not
 // exist if that is 0.
-type Expect struct {
+type Condition struct {
 	Key      string
 	Revision uint64
 }
 
 // Change is all done or not at all.
 type Change struct {
-	If     []Expect
+	If     []Condition
 	Put    []Put
 	Remove []string
 }
--- /dev/null
+++ b/pkg/store/store_test.go
@@ -0,0 +1,227 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// script is a store whose answers are given one by one.
+type script struct {
+	ranges  func() ([]Item, uint64, error)
+	watches func(after uint64, wait time.Duration) ([]Event, uint64, error)
+	commit  func(Change) (uint64, error)
+	renew   func() error
+	granted int
+	ended   []LeaseID
+}
+
+func (s *script) Range(ctx context.Context, _ string) ([]Item, uint64, error) {
+	if s.ranges == nil {
+		<-ctx.Done()
+		return nil, 0, &ErrUnavailable{Err: ctx.Err()}
+	}
+	return s.ranges()
+}
+
+func (s *script) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]Event, uint64, error) {
+	if s.watches == nil {
+		<-ctx.Done()
+		return nil, 0, &ErrUnavailable{Err: ctx.Err()}
+	}
+	return s.watches(after, wait)
+}
+
+func (s *script) Commit(_ context.Context, c Change) (uint64, error) { return s.commit(c) }
+
+func (s *script) Grant(context.Context, time.Duration) (LeaseID, time.Duration, error) {
+	s.granted++
+	return LeaseID(s.granted), 3 * time.Second, nil
+}
+
+func (s *script) Renew(context.Context, LeaseID) error { return s.renew() }
+
+func (s *script) End(_ context.Context, id LeaseID) error {
+	s.ended = append(s.ended, id)
+	return nil
+}
+
+// seen is what a follower told.
+type seen struct {
+	resets, applies []uint64
+	lost, regained  int
+}
+
+func (s *seen) follower(store Store) *Follower {
+	return &Follower{
+		Store: store, Prefix: "p/",
+		Reset:    func(_ []Item, at uint64) { s.resets = append(s.resets, at) },
+		Apply:    func(_ []Event, at uint64) { s.applies = append(s.applies, at) },
+		Lost:     func(error) { s.lost++ },
+		Regained: func(time.Duration) { s.regained++ },
+	}
+}
+
+func run(t *testing.T, f *Follower, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	f.Run(ctx)
+}
+
+func TestFollowerGoesOnFromWhereItWas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var asked []uint64
+		s := &script{ranges: func() ([]Item, uint64, error) { return nil, 7, nil }}
+		s.watches = func(after uint64, wait time.Duration) ([]Event, uint64, error) {
+			asked = append(asked, after)
+			time.Sleep(wait)
+			return []Event{{}}, after + 1, nil
+		}
+		var got seen
+		run(t, got.follower(s), 7*time.Second)
+		g.Expect(got.resets).To(Equal([]uint64{7}))
+		g.Expect(asked).To(Equal([]uint64{7, 8, 9, 10}))
+		g.Expect(got.lost).To(BeZero())
+	})
+}
+
+func TestFollowerReadsAnewWhenHistoryIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		at := uint64(5)
+		s := &script{ranges: func() ([]Item, uint64, error) { at += 10; return nil, at, nil }}
+		s.watches = func(after uint64, _ time.Duration) ([]Event, uint64, error) {
+			time.Sleep(time.Second)
+			return nil, 0, &ErrCompacted{After: after}
+		}
+		var got seen
+		run(t, got.follower(s), 2500*time.Millisecond)
+		g.Expect(got.resets).To(Equal([]uint64{15, 25, 35}))
+	})
+}
+
+func TestFollowerNeverTakesAnOlderReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		at := []uint64{50, 20, 60}
+		s := &script{ranges: func() ([]Item, uint64, error) { next := at[0]; at = at[1:]; return nil, next, nil }}
+		s.watches = func(after uint64, wait time.Duration) ([]Event, uint64, error) {
+			if after == 50 {
+				return nil, 0, &ErrCompacted{After: after}
+			}
+			time.Sleep(wait)
+			return nil, after, nil
+		}
+		var got seen
+		run(t, got.follower(s), 5*time.Second)
+		g.Expect(got.resets).To(Equal([]uint64{50, 60}))
+	})
+}
+
+// A store that is silent and then back is learned from within the time of one
+// probe, not of a whole watch.
+func TestFollowerAsksASilentStoreAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		began := time.Now()
+		back := began.Add(4 * time.Second)
+		s := &script{}
+		silent := func(ctx context.Context) error { <-ctx.Done(); return &ErrUnavailable{Err: ctx.Err()} }
+		store := &hanging{script: s, silent: func() bool { return time.Now().Before(back) }, hang: silent}
+		s.ranges = func() ([]Item, uint64, error) { return nil, 1, nil }
+		s.watches = func(after uint64, wait time.Duration) ([]Event, uint64, error) {
+			time.Sleep(wait)
+			return nil, after, nil
+		}
+		var got seen
+		f := got.follower(store)
+		var at time.Time
+		f.Reset = func([]Item, uint64) { at = time.Now() }
+		run(t, f, 10*time.Second)
+		g.Expect(at.Sub(back)).To(BeNumerically("<=", longestProbe+longestPause))
+		g.Expect(got.lost).To(Equal(1))
+		g.Expect(got.regained).To(Equal(1))
+	})
+}
+
+// hanging is a store that does not answer at times.
+type hanging struct {
+	*script
+	silent func() bool
+	hang   func(ctx context.Context) error
+}
+
+func (h *hanging) Range(ctx context.Context, prefix string) ([]Item, uint64, error) {
+	if h.silent() {
+		return nil, 0, h.hang(ctx)
+	}
+	return h.script.Range(ctx, prefix)
+}
+
+func newLock(s Store) *Lock { return &Lock{Store: s, Key: "k", Holder: "me", TTL: 3 * time.Second} }
+
+func TestLockIsNotHeldLongerThanItsLeaseSurelyIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &script{commit: func(Change) (uint64, error) { time.Sleep(time.Second); return 9, nil }}
+		l := newLock(s)
+		g.Expect(l.Win(t.Context())).To(Succeed())
+		fence, _, held := l.Held(time.Now())
+		g.Expect(held).To(BeTrue())
+		g.Expect(fence).To(Equal(uint64(9)))
+		time.Sleep(1500 * time.Millisecond)
+		_, _, held = l.Held(time.Now())
+		g.Expect(held).To(BeFalse(), "2.5 s after the grant was asked for")
+	})
+}
+
+func TestLockThatAnotherHoldsIsNotWon(t *testing.T) {
+	g := NewWithT(t)
+	s := &script{commit: func(c Change) (uint64, error) {
+		g.Expect(c.If).To(Equal([]Condition{{Key: "k"}}))
+		return 0, &ErrConflict{Items: []Item{{Key: "k", Value: []byte("other")}}}
+	}}
+	l := newLock(s)
+	err := l.Win(t.Context())
+	var held *ErrHeld
+	g.Expect(errors.As(err, &held)).To(BeTrue())
+	g.Expect(held.Holder).To(Equal("other"))
+	g.Expect(s.ended).To(Equal([]LeaseID{1}))
+	_, _, mine := l.Held(time.Now())
+	g.Expect(mine).To(BeFalse())
+}
+
+// A commit without an answer may be done all the same; its lease is ended, so
+// that the key does not stay, and the right does not count as won.
+func TestLockWhoseAnswerIsLostIsGivenBack(t *testing.T) {
+	g := NewWithT(t)
+	s := &script{commit: func(Change) (uint64, error) { return 0, &ErrUnavailable{Call: "commit"} }}
+	l := newLock(s)
+	g.Expect(l.Win(t.Context())).NotTo(Succeed())
+	g.Expect(s.ended).To(Equal([]LeaseID{1}))
+	_, _, held := l.Held(time.Now())
+	g.Expect(held).To(BeFalse())
+}
+
+func TestLockIsLostWithItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &script{commit: func(Change) (uint64, error) { return 9, nil }, renew: func() error { return nil }}
+		l := newLock(s)
+		g.Expect(l.Win(t.Context())).To(Succeed())
+		time.Sleep(2 * time.Second)
+		g.Expect(l.Renew(t.Context())).To(Succeed())
+		time.Sleep(2 * time.Second)
+		_, _, held := l.Held(time.Now())
+		g.Expect(held).To(BeTrue())
+		s.renew = func() error { return &ErrNoLease{ID: 1} }
+		g.Expect(l.Renew(t.Context())).NotTo(Succeed())
+		_, _, held = l.Held(time.Now())
+		g.Expect(held).To(BeFalse())
+	})
+}
