--- a/cmd/hopwell/cmds/ops.go
+++ b/cmd/hopwell/cmds/ops.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/hopwell/hopwell/pkg/config"
+	"github.com/hopwell/hopwell/platform"
 )
 
 func newDrain(o *options) *cobra.Command {
@@ -32,13 +33,20 @@
 	cmd := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a settings file",
-		Long:  "Check a settings file of a gateway or a sidecar. What is wrong is reported with\nline, column, field and what was expected, with exit code 2.",
+		Long:  "Check a settings file of a gateway, a sidecar or an ingress, or a template of one.\nWhat is wrong is reported with line, column, field and what was expected, with\nexit code 2.",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			data, err := readFile(cmd, args[0])
 			if err != nil {
 				return err
 			}
+			if platform.IsTemplate(string(data)) {
+				text, err := platform.FillExample(string(data))
+				if err != nil {
+					return &errInput{What: err.Error(), Expected: "a field that the platform fills"}
+				}
+				data = []byte(text)
+			}
 			if kind == "" {
 				kind = config.Kind(data)
 			}
@@ -47,16 +55,18 @@
 				_, err = config.ParseGateway(args[0], data)
 			case "sidecar":
 				_, err = config.ParseSidecar(args[0], data)
+			case "ingress":
+				_, err = config.ParseIngress(args[0], data)
 			default:
-				err = &errInput{What: "role=" + kind, Expected: "gateway or sidecar"}
+				err = &errInput{What: "role=" + kind, Expected: "gateway, sidecar or ingress"}
 			}
 			if err != nil {
 				return err
 			}
-			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: good settings of a %s\n", args[0], kind)
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: good settings, role=%s\n", args[0], kind)
 			return err
 		},
 	}
-	cmd.Flags().StringVar(&kind, "role", "", "gateway or sidecar (default told by the file's keys)")
+	cmd.Flags().StringVar(&kind, "role", "", "gateway, sidecar or ingress (default told by the file's keys)")
 	return cmd
 }
--- a/cmd/hopwell/cmds/why.go
+++ b/cmd/hopwell/cmds/why.go
@@ -80,12 +80,15 @@
 func newTimeline(o *options) *cobra.Command {
 	var f trace.Filter
 	var since time.Duration
+	var fromLogs bool
 	cmd := &cobra.Command{
-		Use:   "timeline",
+		Use:   "timeline [LOG-FILE...]",
 		Short: "Show the events of all processes in causal order",
-		Long:  "Show the events of all processes in causal order, which is that of the messages\nbetween them: clocks of instances may differ. -o chrome writes a file for a\nbrowser's trace viewer.",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
+		Long:  "Show the events of all processes in causal order, which is that of the messages\nbetween them: clocks of instances may differ. -o chrome writes a file for a\nbrowser's trace viewer. With --from-logs the events are those in log files of\n`hopwelld ingress`, or in standard input, in the order of their clocks.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if fromLogs {
+				return o.timelineOfLogs(cmd, args, f)
+			}
 			if since > 0 {
 				f.Since = time.Now().Add(-since)
 			}
@@ -96,15 +99,28 @@
 			if len(silent) > 0 {
 				fmt.Fprintf(cmd.ErrOrStderr(), "silent processes: %s\n", strings.Join(silent, ", "))
 			}
-			out := cmd.OutOrStdout()
-			if o.format == formatChrome {
-				return trace.WriteChrome(out, events)
-			}
-			return o.show(out, events, func(w io.Writer) { _ = trace.WriteText(w, events) })
+			return o.draw(cmd.OutOrStdout(), events)
 		},
 	}
+	cmd.Flags().BoolVar(&fromLogs, "from-logs", false, "read log files instead of asking the processes")
 	cmd.Flags().StringVar(&f.Request, "request", "", "only events of this request")
 	cmd.Flags().StringVar(&f.Instance, "instance", "", "only events of or about this instance")
 	cmd.Flags().DurationVar(&since, "since", 0, "only events of this last time")
 	return cmd
 }
+
+// draw writes events in the format that was asked for.
+func (o *options) draw(out io.Writer, events []trace.Event) error {
+	if o.format == formatChrome {
+		return trace.WriteChrome(out, events)
+	}
+	return o.show(out, events, func(w io.Writer) { _ = trace.WriteText(w, events) })
+}
+
+func (o *options) timelineOfLogs(cmd *cobra.Command, files []string, f trace.Filter) error {
+	lines, err := readLogs(cmd.InOrStdin(), files)
+	if err != nil {
+		return err
+	}
+	return o.draw(cmd.OutOrStdout(), logEvents(lines, f))
+}
--- /dev/null
+++ b/pkg/config/ingress_test.go
@@ -0,0 +1,66 @@
+package config_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/config"
+	"github.com/hopwell/hopwell/platform"
+)
+
+// filled returns the deploy template as the platform fills it.
+func filled(t *testing.T) string {
+	data, err := os.ReadFile("../../deploy/ingress.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := platform.FillExample(string(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func TestTheDeployTemplateIsReadWhole(t *testing.T) {
+	g := NewWithT(t)
+	text := filled(t)
+	g.Expect(text).NotTo(ContainSubstring("{{"))
+	c, err := config.ParseIngress("deploy/ingress.yaml", []byte(text))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Instance.Domain).To(Equal("bkk-bangna"))
+	g.Expect(c.RetryBudget.Slack).To(Equal(58.0))
+	g.Expect(c.Listen.Peers).To(Equal("10.1.0.38:7395"))
+}
+
+func TestTheIngressDefaultsAreGood(t *testing.T) {
+	g := NewWithT(t)
+	_, err := config.ParseIngress("default", []byte(config.IngressDefault))
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func TestWhatIsWrongInIngressSettingsIsNamedWithItsPlace(t *testing.T) {
+	for _, c := range []struct {
+		from, to, field string
+		line            int
+	}{
+		{"store: 10.200.1.7:8142", "store: nowhere", "store", 7},
+		{"  slack: 58", "  slack: -1", "retry_budget.slack", 15},
+		{"  share: 0.2", "  share: 1.5", "retry_budget.share", 14},
+		{"  window: 10s", "  window: 10", "window", 16},
+		{"lease: 3000ms", "lease: 1ms", "lease", 17},
+		{"  memory_mb: 134", "  memory_mb: 0", "limits.memory_mb", 19},
+		{"  peers: 10.1.0.38:7395", "  peers: 10.1.0.38:99999", "listen.peers", 12},
+		{"lease: 3000ms", "leese: 3000ms", "leese", 17},
+	} {
+		g := NewWithT(t)
+		text := strings.Replace(filled(t), c.from, c.to, 1)
+		g.Expect(text).To(ContainSubstring(c.to))
+		_, err := config.ParseIngress("f.yaml", []byte(text))
+		g.Expect(err).To(BeAssignableToTypeOf(&config.ErrSettings{}), c.to)
+		g.Expect(err.(*config.ErrSettings).Field).To(Equal(c.field))
+		g.Expect(err.(*config.ErrSettings).Line).To(Equal(c.line), c.to)
+	}
+}
--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -87,7 +87,8 @@
 	return &s, place(file, data, s.check())
 }
 
-// Kind tells from a file's keys whether it is for "gateway" or "sidecar".
+// Kind tells from a file's keys whether it is for "gateway", "sidecar" or
+// "ingress".
 func Kind(data []byte) string {
 	var keys map[string]any
 	if yaml.Unmarshal(data, &keys) != nil {
@@ -98,6 +99,11 @@
 			return "sidecar"
 		}
 	}
+	for _, k := range []string{"store", "retry_budget"} {
+		if _, ok := keys[k]; ok {
+			return "ingress"
+		}
+	}
 	return "gateway"
 }
 
--- /dev/null
+++ b/pkg/decisionlog/parse.go
@@ -0,0 +1,111 @@
+package decisionlog
+
+import (
+	"bufio"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Line is one line of a log that was read back.
+type Line struct {
+	Time    time.Time
+	Process string
+	Kind    string
+	Event   string
+	// Pairs are the other keys and values in their order.
+	Pairs []Pair
+}
+
+// Pair is one key and its value.
+type Pair struct {
+	Key, Value string
+}
+
+// Get returns the value of a key, empty if there is none.
+func (l *Line) Get(key string) string {
+	for _, p := range l.Pairs {
+		if p.Key == key {
+			return p.Value
+		}
+	}
+	return ""
+}
+
+// String writes the line for people.
+func (l *Line) String() string {
+	var b strings.Builder
+	b.WriteString(l.Time.Format("15:04:05.000") + " " + l.Process + " " + l.Event)
+	for _, p := range l.Pairs {
+		b.WriteString(" " + p.Key + "=" + string(appendText(nil, p.Value)))
+	}
+	return b.String()
+}
+
+// maxLine bounds one line that is read, in bytes.
+const maxLine = 1 << 20
+
+// Read returns the decisions in a text, whatever stands before them on a line
+// and whatever else the text holds, in the order of their times.
+func Read(r io.Reader) ([]Line, error) {
+	var out []Line
+	scan := bufio.NewScanner(r)
+	scan.Buffer(nil, maxLine)
+	for scan.Scan() {
+		if l, ok := Parse(scan.Text()); ok {
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return out, scan.Err()
+}
+
+// Parse reads one line, false if it is no decision.
+func Parse(text string) (Line, bool) {
+	at := strings.Index(text, "time=")
+	if at < 0 {
+		return Line{}, false
+	}
+	var l Line
+	for rest := text[at:]; rest != ""; {
+		var p Pair
+		p, rest = nextPair(rest)
+		switch p.Key {
+		case "time":
+			t, err := time.Parse("2006-01-02T15:04:05.000Z", p.Value)
+			if err != nil {
+				return Line{}, false
+			}
+			l.Time = t
+		case "process":
+			l.Process = p.Value
+		case "kind":
+			l.Kind = p.Value
+		case "event":
+			l.Event = p.Value
+		case "":
+		default:
+			l.Pairs = append(l.Pairs, p)
+		}
+	}
+	return l, l.Event != "" && l.Process != ""
+}
+
+// nextPair takes the first key and value off a text.
+func nextPair(text string) (Pair, string) {
+	text = strings.TrimLeft(text, " ")
+	key, rest, ok := strings.Cut(text, "=")
+	if !ok {
+		return Pair{}, ""
+	}
+	if quoted, err := strconv.QuotedPrefix(rest); err == nil {
+		value, err := strconv.Unquote(quoted)
+		if err == nil {
+			return Pair{key, value}, rest[len(quoted):]
+		}
+	}
+	value, rest, _ := strings.Cut(rest, " ")
+	return Pair{key, value}, rest
+}
--- a/pkg/peers/convert.go
+++ b/pkg/peers/convert.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
@@ -56,3 +58,6 @@
 	}
 	return out
 }
+
+// unmarshal reads one datagram.
+func unmarshal(data []byte, into *wirepb.GatewayState) error { return proto.Unmarshal(data, into) }
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -223,7 +223,7 @@
 			continue
 		}
 		var state wirepb.GatewayState
-		if proto.Unmarshal(buffer[:n], &state) == nil {
+		if unmarshal(buffer[:n], &state) == nil {
 			x.hear(&state, from, time.Now())
 		}
 	}
--- /dev/null
+++ b/pkg/upstream/upstream_test.go
@@ -0,0 +1,275 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// server takes connections and lets each test say what happens on them.
+type server struct {
+	address string
+	mu      sync.Mutex
+	opened  int
+}
+
+// serve starts a server; handle is called for each connection with its number,
+// from 1.
+func serve(t *testing.T, handle func(n int, c net.Conn, in *bufio.Reader)) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &server{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.opened++
+			n := s.opened
+			s.mu.Unlock()
+			go func() {
+				defer c.Close()
+				handle(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *server) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opened
+}
+
+func client() *Client {
+	return New(Options{ConnectTimeout: 5 * time.Second, Idle: time.Minute, MaxIdle: 4})
+}
+
+// ask sends one request and reads its answer.
+func ask(c *Client, address, id string) (string, error) {
+	res, err := c.Do(context.Background(), address, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {id}},
+		Own: func(r *http.Response) bool { return r.Header.Get("Id") == id }})
+	if err != nil {
+		return "", err
+	}
+	defer res.Close()
+	data, err := io.ReadAll(res)
+	return string(data), err
+}
+
+// answer reads a request and writes an answer to it.
+func answer(c net.Conn, in *bufio.Reader, header string) bool {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: 2\r\n\r\nok", r.Header.Get("Id"), header)
+	return true
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for answer(c, in, "") {
+		}
+	})
+	k := client()
+	for i := range 5 {
+		g.Expect(ask(k, s.address, fmt.Sprint(i))).To(Equal("ok"))
+	}
+	g.Expect(s.count()).To(Equal(1))
+}
+
+func TestAConnectionIsGivenUpBeforeTheRunnerForgetsIt(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for answer(c, in, "Keep-Alive: timeout=1\r\n") {
+		}
+	})
+	k := client()
+	for i := range 3 {
+		g.Expect(ask(k, s.address, fmt.Sprint(i))).To(Equal("ok"))
+	}
+	g.Expect(s.count()).To(Equal(3))
+}
+
+func TestAnIdleConnectionThatWasClosedIsNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	closed := make(chan struct{}, 2)
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		answer(c, in, "")
+		_ = c.Close()
+		closed <- struct{}{}
+	})
+	k := client()
+	g.Expect(ask(k, s.address, "1")).To(Equal("ok"))
+	<-closed
+	g.Eventually(func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return open(k.idle[s.address][0].Conn)
+	}).Should(BeFalse())
+	g.Expect(ask(k, s.address, "2")).To(Equal("ok"))
+	g.Expect(s.count()).To(Equal(2))
+}
+
+// A second answer to an earlier request, in the place of the next one, is not
+// taken for it; the right one behind it is, and the connection ends.
+func TestASurplusAnswerIsNotTaken(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(n int, c net.Conn, in *bufio.Reader) {
+		answer(c, in, "")
+		if n == 1 {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nfirst")
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 6\r\n\r\nsecond")
+			_, _ = io.Copy(io.Discard, in)
+		}
+	})
+	k := client()
+	g.Expect(ask(k, s.address, "1")).To(Equal("ok"))
+	g.Expect(ask(k, s.address, "2")).To(Equal("second"))
+	g.Expect(ask(k, s.address, "3")).To(Equal("ok"))
+	g.Expect(s.count()).To(Equal(2))
+}
+
+func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(n int, c net.Conn, in *bufio.Reader) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nokrubbish", r.Header.Get("Id"))
+		_, _ = io.Copy(io.Discard, in)
+	})
+	k := client()
+	for i := range 2 {
+		g.Expect(ask(k, s.address, fmt.Sprint(i))).To(Equal("ok"))
+	}
+	g.Expect(s.count()).To(Equal(2))
+}
+
+// A request is never sent twice, also on a kept connection that is closed under
+// it, also when it may be repeated.
+func TestNothingIsSentTwice(t *testing.T) {
+	g := NewWithT(t)
+	var mu sync.Mutex
+	got := 0
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		answer(c, in, "")
+		if _, err := http.ReadRequest(in); err == nil {
+			mu.Lock()
+			got++
+			mu.Unlock()
+		}
+	})
+	k := client()
+	g.Expect(ask(k, s.address, "1")).To(Equal("ok"))
+	_, err := ask(k, s.address, "2")
+	var exchange *ErrExchange
+	g.Expect(errors.As(err, &exchange)).To(BeTrue())
+	g.Expect(exchange.Reused).To(BeTrue())
+	mu.Lock()
+	defer mu.Unlock()
+	g.Expect(got).To(Equal(1))
+	g.Expect(s.count()).To(Equal(1))
+}
+
+func TestNoConnectionMeansNothingWasSent(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	address := l.Addr().String()
+	_ = l.Close()
+	_, err = ask(client(), address, "1")
+	var dial *ErrDial
+	g.Expect(errors.As(err, &dial)).To(BeTrue())
+}
+
+func TestAnAnswerThatIsResetIsNotWhole(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart of")
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	_, err := ask(client(), s.address, "1")
+	g.Expect(err).To(HaveOccurred())
+}
+
+func TestAnAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall of it")
+	})
+	g.Expect(ask(client(), s.address, "1")).To(Equal("all of it"))
+}
+
+// A runner that answers before it has read a long body does not get the next
+// request in the place of the rest.
+func TestAnEarlyAnswerEndsTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nId: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+		_, _ = io.Copy(io.Discard, in)
+	})
+	k := client()
+	res, err := k.Do(context.Background(), s.address, &Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{"Id": {"1"}}, Body: []byte(strings.Repeat("x", 64<<20))})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, _ = io.ReadAll(res)
+	g.Expect(res.Close()).To(Succeed())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	g.Expect(k.idle[s.address]).To(BeEmpty())
+}
+
+func TestTheEndOfTheContextClosesTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	gone := make(chan struct{})
+	s := serve(t, func(_ int, _ net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, in)
+		close(gone)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for s.count() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err := client().Do(ctx, s.address, &Request{Method: "GET", Target: "/", Host: "h"})
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(gone, "20s").Should(BeClosed())
+}
