--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -45,9 +45,9 @@
 	defaultOut = 512
 	// shortestReturn and longestReturn are when refused requests come back, and
 	// returnPart bounds it by the time that the client has left.
-	shortestReturn = 1200 * time.Millisecond
-	longestReturn  = 3800 * time.Millisecond
-	returnPart     = 0.3
+	shortestReturn = 3000 * time.Millisecond
+	longestReturn  = 4600 * time.Millisecond
+	returnPart     = 0.33
 	// maxPrefills bounds the prefills of one try.
 	maxPrefills = 2
 )
