ingress, runners: nothing is sent to a runner that left after it was chosen

Change: leaving is shared by all states of a runner, and is looked at before the decode is sent; the prompt is then decoded elsewhere.

--- a/pkg/ingress/errors.go
+++ b/pkg/ingress/errors.go
@@ -136,6 +136,14 @@
 // Unwrap returns the cause.
 func (e *ErrBroken) Unwrap() error { return e.Err }
 
+// ErrLeft says that a runner stopped to take work after room was reserved on it.
+type ErrLeft struct {
+	Runner string
+}
+
+// Error implements error.
+func (e *ErrLeft) Error() string { return "runner takes no more work: runner=" + e.Runner }
+
 // errGone says that the client left.
 type errGone struct{}
 
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -320,10 +320,15 @@
 
 // decode has the answer made and passes it on.
 func (s *generation) decode(n int, room *place, source Source, reader *runners.State) (verdict, error) {
+	runner := room.runner
+	if !runner.Usable(time.Now()) {
+		s.free(reader, source)
+		s.unfit[runner.ID] = true
+		return notRun, &ErrLeft{Runner: runner.ID}
+	}
 	if err := s.life.Send(n); err != nil {
 		return mayHaveRun, err
 	}
-	runner := room.runner
 	order := Order{Left: s.left(), Hold: room.hold, Priority: s.route.Priority}
 	if reader != nil {
 		order.Source = s.g.options.Engines.Fetch(reader, source)
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -50,7 +50,10 @@
 	// denied is set when the runner itself said that it is another one, or
 	// leaving.
 	denied bool
-	health health
+	// leaving is set when its entry says that it takes no more work, also in
+	// states that were handed out before.
+	leaving bool
+	health  health
 	// outstanding counts this process's requests at it.
 	outstanding int
 }
@@ -63,7 +66,7 @@
 }
 
 func (s *State) usable(now time.Time) bool {
-	if s.denied || s.Leaving {
+	if s.denied || s.leaving {
 		return false
 	}
 	return s.goneAt.IsZero() || now.Sub(s.goneAt) < goneGrace
@@ -124,7 +127,7 @@
 func (d *Directory) Put(r Runner) {
 	d.mu.Lock()
 	old := d.all[r.ID]
-	s := &State{Runner: r, knowledge: &knowledge{}}
+	s := &State{Runner: r, knowledge: &knowledge{leaving: r.Leaving}}
 	what := "new"
 	if old != nil {
 		r.Leaving = r.Leaving || old.Leaving
@@ -134,6 +137,7 @@
 			return
 		}
 		s = &State{Runner: r, knowledge: old.knowledge}
+		s.leave(r.Leaving)
 		what = "changed"
 		if r.Leaving && !old.Leaving {
 			what = "leaving"
@@ -152,6 +156,13 @@
 	s.goneAt = time.Time{}
 }
 
+// leave books what a new entry says.
+func (s *knowledge) leave(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
 // Gone books that an entry is no longer in the store.
 func (d *Directory) Gone(id string, now time.Time) {
 	d.mu.RLock()
--- a/pkg/runners/runners_test.go
+++ b/pkg/runners/runners_test.go
@@ -80,6 +80,16 @@
 	g.Expect(now.Outstanding()).To(BeZero())
 }
 
+func TestAStateThatWasHandedOutSeesItsRunnerLeave(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDirectory()
+	d.Put(Runner{ID: "r", Service: "s"})
+	now := time.Now()
+	held := d.Usable("s", "", now)[0]
+	d.Put(Runner{ID: "r", Service: "s", Leaving: true})
+	g.Expect(held.Usable(now)).To(BeFalse())
+}
+
 func TestAFailingRunnerRestsAndComesBack(t *testing.T) {
 	g := NewWithT(t)
 	d := NewDirectory()
