--- a/pkg/decisionlog/story.go
+++ b/pkg/decisionlog/story.go
@@ -52,7 +52,8 @@
 	return s, nil
 }
 
-// context picks the beliefs about the request's processes and runners.
+// context picks the beliefs about the request's processes and runners; of the
+// configurations only the one that the request was served by.
 func (s *Story) context(lines []Line) {
 	var processes, runners []string
 	for i := range s.Lines {
@@ -63,12 +64,16 @@
 			}
 		}
 	}
-	end := s.Lines[len(s.Lines)-1].Time
+	last := &s.Lines[len(s.Lines)-1]
+	end, version := last.Time, last.Get("version")
 	for i := range lines {
 		l := &lines[i]
 		if l.Time.After(end) || l.Time.Before(end.Add(-contextBefore)) || !slices.Contains(processes, l.Process) {
 			continue
 		}
+		if l.Event == "config" && l.Get("version") != version {
+			continue
+		}
 		about := l.Get("runner")
 		if l.Kind == KindProcess || l.Kind == KindBelief && (about == "" || slices.Contains(runners, about)) {
 			s.Context = append(s.Context, *l)
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -142,6 +142,10 @@
 
 // end gives the request up.
 func (s *generation) end(last error) {
+	if gone, ok := last.(errGone); ok {
+		s.finish(0, gone)
+		return
+	}
 	if s.relay.begun {
 		s.finish(http.StatusOK, &ErrBroken{Runner: s.relay.runner, After: s.relay.last, Err: last})
 		s.g.metrics.broken.Inc()
@@ -193,7 +197,9 @@
 		if err != nil {
 			return nil, firstOf(s.over(), err)
 		}
-		hold, err := s.hold(ctx, runner)
+		// A hold that was asked for in time is waited for beyond it: one that is
+		// cut off says nothing about the runner.
+		hold, err := s.hold(runner)
 		if err == nil {
 			s.g.metrics.wait.UpdateDuration(began)
 			s.fields = append(s.fields, decisionlog.F("decode", runner.ID), decisionlog.F("room_after", time.Since(s.arrived)))
@@ -202,6 +208,9 @@
 		s.pool.Refused(runner.ID, s.job.ID, time.Now())
 		s.step("hold_refused", decisionlog.F("runner", runner.ID), decisionlog.F("error", err))
 		s.blame(runner, err)
+		if ctx.Err() != nil {
+			return nil, firstOf(s.over(), &enginepool.ErrNoRoom{ID: s.job.ID, Waited: time.Since(began)})
+		}
 	}
 }
 
@@ -235,8 +244,8 @@
 	}
 }
 
-func (s *generation) hold(ctx context.Context, runner *runners.State) (string, error) {
-	ctx, cancel := context.WithTimeout(ctx, holdCall)
+func (s *generation) hold(runner *runners.State) (string, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, holdCall)
 	defer cancel()
 	return s.g.options.Engines.Hold(ctx, runner, s.job.Prompt+holdAhead, s.engine.HoldFor)
 }
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -33,6 +33,10 @@
 	idleTime = 4 * time.Second
 	// maxIdle bounds the idle connections to one runner.
 	maxIdle = 24
+	// leastIdle is kept to each runner however many gateways there are.
+	leastIdle = 2
+	// connectionShare leaves a part of a runner's connections for busy ones.
+	connectionShare = 2
 	// sweepEvery is the time between two looks at the idle connections.
 	sweepEvery = time.Second
 	// endMargin is how long before the platform ends the process it ends by
@@ -191,11 +195,29 @@
 			return
 		case now := <-tick.C:
 			p.client.Sweep(now)
-			p.Ingress.Gateways(max(p.peers.Known()+1, leastGateways))
+			gateways := max(p.peers.Known()+1, leastGateways)
+			p.Ingress.Gateways(gateways)
+			p.client.Limit(p.idleShare(gateways))
 		}
 	}
 }
 
+// idleShare returns how many idle connections to one runner are this gateway's
+// share of what a runner takes from all.
+func (p *Ingress) idleShare(gateways int) int {
+	share := maxIdle
+	table := p.Ingress.Table()
+	if table == nil {
+		return share
+	}
+	for _, s := range table.Config.Services {
+		if s.MaxConnections > 0 {
+			share = min(share, s.MaxConnections/(connectionShare*gateways))
+		}
+	}
+	return max(share, leastIdle)
+}
+
 // Ports returns where the process listens.
 func (p *Ingress) Ports() IngressPorts { return p.ports }
 
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -106,6 +106,7 @@
 	options Options
 	mu      sync.Mutex
 	idle    map[string][]*conn
+	maxIdle int
 }
 
 // New returns a client.
@@ -113,7 +114,7 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
-	return &Client{options: o, idle: map[string][]*conn{}}
+	return &Client{options: o, idle: map[string][]*conn{}, maxIdle: o.MaxIdle}
 }
 
 // conn is one connection.
@@ -254,13 +255,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[k.address]
-	if len(list) >= c.options.MaxIdle {
+	if len(list) >= c.maxIdle {
 		_ = k.Close()
 		return
 	}
 	c.idle[k.address] = append(list, k)
 }
 
+// Limit bounds the idle connections to one address from now on.
+func (c *Client) Limit(idle int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxIdle = idle
+}
+
 // Forget closes the idle connections to an address, or to all if it is empty.
 func (c *Client) Forget(address string) {
 	c.mu.Lock()
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -97,6 +97,20 @@
 	g.Expect(s.count()).To(Equal(1))
 }
 
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for answer(c, in, "") {
+		}
+	})
+	k := client()
+	k.Limit(0)
+	for i := range 3 {
+		g.Expect(ask(k, s.address, fmt.Sprint(i))).To(Equal("ok"))
+	}
+	g.Expect(s.count()).To(Equal(3))
+}
+
 func TestAConnectionIsGivenUpBeforeTheRunnerForgetsIt(t *testing.T) {
 	g := NewWithT(t)
 	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
