--- a/pkg/decisionlog/story.go
+++ b/pkg/decisionlog/story.go
@@ -37,7 +37,7 @@
 	s := &Story{ID: id}
 	leftOut := 0
 	for i := range lines {
-		if lines[i].Get("request") == id {
+		if id != "" && lines[i].Get("request") == id {
 			s.Lines = append(s.Lines, lines[i])
 		}
 		if lines[i].Event == "lines_left_out" {
--- a/pkg/decisionlog/story_test.go
+++ b/pkg/decisionlog/story_test.go
@@ -61,6 +61,8 @@
 	var none *ErrNoRequest
 	g.Expect(errors.As(err, &none)).To(BeTrue())
 	g.Expect(none.Lines).To(Equal(6))
+	_, err = Tell(lines, "")
+	g.Expect(errors.As(err, &none)).To(BeTrue())
 }
 
 func FuzzParse(f *testing.F) {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -263,12 +263,12 @@
 
 // accept finds the route and reads the body.
 func (x *exchange) accept(r *http.Request) error {
+	call, err := x.g.options.Reader.Read(r)
+	x.call = call
 	table := x.g.table.Load()
 	if !x.g.informed() {
 		return &ErrNotReady{Why: "no routes or no runners known yet"}
 	}
-	call, err := x.g.options.Reader.Read(r)
-	x.call = call
 	if err != nil {
 		return err
 	}
