ingress, upstream, standin: one file for each concept

No change of behaviour: reserving, prefilling and the exchange leave generate.go and ingress.go, the pool of connections leaves upstream.go.

--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -13,7 +13,6 @@
 	"github.com/hopwell/hopwell/pkg/retrybudget"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runners"
-	"github.com/hopwell/hopwell/pkg/upstream"
 )
 
 const (
@@ -69,12 +68,6 @@
 	relay relay
 }
 
-// place is room on a decode runner.
-type place struct {
-	runner *runners.State
-	hold   string
-}
-
 // generate serves a request by engines: room for the decode first, then the
 // prefill, then the decode.
 func (x *exchange) generate() {
@@ -183,150 +176,6 @@
 	return s.decode(n, room, source, reader)
 }
 
-// reserve waits for room on a decode runner and has it reserved there.
-func (s *generation) reserve() (*place, error) {
-	began := time.Now()
-	ctx, cancel := context.WithDeadline(s.ctx, s.latest())
-	defer cancel()
-	w := s.pool.Join(s.job, s.rank)
-	for id := range s.unfit {
-		w.Avoid(id)
-	}
-	for {
-		runner, err := s.pool.Wait(ctx, w)
-		if err != nil {
-			return nil, firstOf(s.over(), err)
-		}
-		// A hold that was asked for in time is waited for beyond it: one that is
-		// cut off says nothing about the runner.
-		hold, err := s.hold(runner)
-		if err == nil {
-			s.g.metrics.wait.UpdateDuration(began)
-			s.fields = append(s.fields, decisionlog.F("decode", runner.ID), decisionlog.F("room_after", time.Since(s.arrived)))
-			return &place{runner, hold}, nil
-		}
-		s.pool.Refused(runner.ID, s.job.ID, time.Now())
-		s.step("hold_refused", decisionlog.F("runner", runner.ID), decisionlog.F("error", err))
-		s.blame(runner, err)
-		if ctx.Err() != nil {
-			return nil, firstOf(s.over(), &enginepool.ErrNoRoom{ID: s.job.ID, Waited: time.Since(began)})
-		}
-	}
-}
-
-// blame books a call that a runner failed.
-func (s *generation) blame(runner *runners.State, err error) {
-	if s.ctx.Err() != nil {
-		return
-	}
-	var dial *upstream.ErrDial
-	var declined *ErrDeclined
-	switch {
-	case errors.As(err, &dial):
-		runner.Unreachable(time.Now())
-	case errors.As(err, &declined):
-		if declined.Elsewhere {
-			runner.Deny()
-		}
-	default:
-		runner.Failed(time.Now())
-	}
-}
-
-// latest returns until when the request may wait for room.
-func (s *generation) latest() time.Time {
-	switch s.rank {
-	case enginepool.Fresh:
-		return s.arrived.Add(time.Duration(freshPart * float64(s.route.Latency)))
-	default:
-		patience := max(leastPatience, latencyFactor*s.route.Latency, gapFactor*s.route.Gap)
-		return s.arrived.Add(patience - serveTime)
-	}
-}
-
-func (s *generation) hold(runner *runners.State) (string, error) {
-	ctx, cancel := context.WithTimeout(s.ctx, holdCall)
-	defer cancel()
-	return s.g.options.Engines.Hold(ctx, runner, s.job.Prompt+holdAhead, s.engine.HoldFor)
-}
-
-// drop gives a reservation back, after the request's end too.
-func (s *generation) drop(p *place) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), freeCall)
-		defer cancel()
-		_ = s.g.options.Engines.Drop(ctx, p.runner, p.hold)
-	}()
-}
-
-// prefill has the prompt read by the runner that will have done so first. With
-// no prefill runner left the decode runner reads it itself: the source is empty.
-func (s *generation) prefill(room *place) (Source, *runners.State, error) {
-	for tries := 0; ; tries++ {
-		reader, expected, err := s.pool.BeginPrefill(s.job.ID, s.job.Prompt, room.runner.Zone, s.unread, time.Now())
-		if err != nil {
-			s.step("no_prefill_runner", decisionlog.F("error", err))
-			return Source{}, nil, nil
-		}
-		if expected > overflowAfter {
-			s.pool.EndPrefill(reader.ID, s.job.ID, false, time.Now())
-			s.step("prefill_overflow", decisionlog.F("expected", expected))
-			return Source{}, nil, nil
-		}
-		if (tries > 0 || len(s.unread) > 0) && !s.readAgain() {
-			s.pool.EndPrefill(reader.ID, s.job.ID, false, time.Now())
-			return Source{}, nil, nil
-		}
-		began := time.Now()
-		source, err := s.read(reader, prefillLate+prefillFactor*expected)
-		s.pool.EndPrefill(reader.ID, s.job.ID, err == nil, time.Now())
-		if err == nil {
-			s.g.metrics.prefill.UpdateDuration(began)
-			s.g.metrics.read.Add(source.Tokens)
-			s.fields = append(s.fields, decisionlog.F("prefill", reader.ID), decisionlog.F("prefill_after", time.Since(s.arrived)))
-			return source, reader, nil
-		}
-		if gone := s.over(); gone != nil {
-			return Source{}, nil, gone
-		}
-		s.trouble("prefill_failed", reader.ID, err)
-		s.refusedPrefill(reader, err)
-		if tries+1 >= maxPrefills {
-			return Source{}, nil, nil
-		}
-	}
-}
-
-// readAgain reports whether one more prefill is allowed. Where the last one was
-// turned away it has been charged for, and the next is the first that counts as
-// none.
-func (s *generation) readAgain() bool {
-	if s.charged {
-		s.charged = false
-		return s.budget.Left(time.Now()) >= 0
-	}
-	return s.budget.Spend(time.Now())
-}
-
-// refusedPrefill books a prefill that a runner did not do. One that the runner
-// turned away counts in the budget, also when it was the first.
-func (s *generation) refusedPrefill(reader *runners.State, err error) {
-	s.unread[reader.ID] = true
-	s.blame(reader, err)
-	var declined *ErrDeclined
-	if errors.As(err, &declined) {
-		reader.Failed(time.Now())
-		s.budget.Charge(time.Now())
-		s.charged = true
-	}
-}
-
-func (s *generation) read(reader *runners.State, limit time.Duration) (Source, error) {
-	ctx, cancel := context.WithTimeout(s.ctx, limit)
-	defer cancel()
-	return s.g.options.Engines.Prefill(ctx, reader, s.call, Order{Left: s.left(), Priority: s.route.Priority})
-}
-
 // decode has the answer made and passes it on.
 func (s *generation) decode(n int, room *place, source Source, reader *runners.State) (verdict, error) {
 	runner := room.runner
@@ -365,29 +214,6 @@
 	return s.take(n, runner, answer)
 }
 
-// useless books a prompt whose KV cache could not be fetched.
-func (s *generation) useless(reader *runners.State, source Source) {
-	if reader == nil {
-		return
-	}
-	s.g.metrics.wasted.Add(source.Tokens)
-	s.pool.Mistrust(reader.ID, time.Now())
-	s.unread[reader.ID] = true
-}
-
-// free gives a KV cache up that nobody will fetch.
-func (s *generation) free(reader *runners.State, source Source) {
-	if reader == nil {
-		return
-	}
-	s.g.metrics.wasted.Add(source.Tokens)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), freeCall)
-		defer cancel()
-		_ = s.g.options.Engines.Free(ctx, reader, source)
-	}()
-}
-
 // take passes a decode's answer on, or finds that it can't be.
 func (s *generation) take(n int, runner *runners.State, answer *Answer) (verdict, error) {
 	bad := &ErrAnswer{Runner: runner.ID, Status: answer.Status, Why: "runner failed"}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -5,9 +5,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -211,26 +208,6 @@
 	}
 }
 
-// exchange is one request while it is served.
-type exchange struct {
-	g       *Ingress
-	w       http.ResponseWriter
-	call    *Call
-	route   *routetable.Route
-	service string
-	arrived time.Time
-	// version is that of the table that the request is served by.
-	version uint64
-	// sends counts the sends to runners, prefills not.
-	sends int
-	// bodyBytes is what the body takes of the memory for bodies.
-	bodyBytes int64
-	rank      enginepool.Rank
-	ctx       context.Context
-	// fields are what the final line tells besides the outcome.
-	fields []decisionlog.Field
-}
-
 // ServeHTTP implements http.Handler.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{g: g, w: w, arrived: time.Now()}
@@ -260,102 +237,3 @@
 func (g *Ingress) engine(service string) *routetable.Engine {
 	return g.table.Load().Config.Services[service].Engine
 }
-
-// accept finds the route and reads the body.
-func (x *exchange) accept(r *http.Request) error {
-	call, err := x.g.options.Reader.Read(r)
-	x.call = call
-	table := x.g.table.Load()
-	if !x.g.informed() {
-		return &ErrNotReady{Why: "no routes or no runners known yet"}
-	}
-	if err != nil {
-		return err
-	}
-	x.version = table.Config.Version
-	x.route = table.Match(call.Host, call.Path)
-	if x.route == nil {
-		return &ErrNoRoute{Host: call.Host, Path: call.Path, Version: x.version}
-	}
-	x.service = x.route.Pick(rand.Float64())
-	if x.g.drain.refuses(x.arrived) {
-		return &ErrNotReady{Why: "stopping"}
-	}
-	return x.readBody(r, table.Config.Limits.BodyBytes)
-}
-
-// readBody reads the body whole, since it may be sent more than once.
-func (x *exchange) readBody(r *http.Request, limit int64) error {
-	if r.ContentLength > limit {
-		return &ErrBody{Limit: limit, TooLarge: true}
-	}
-	if r.ContentLength == 0 {
-		return nil
-	}
-	share := r.ContentLength
-	if share < 0 {
-		share = 64 << 10
-	}
-	if !x.book(share) {
-		return &ErrBusy{What: "bytes of bodies", Limit: int(x.g.options.MaxBodies)}
-	}
-	var err error
-	if r.ContentLength > 0 {
-		x.call.Body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, x.call.Body)
-	} else {
-		x.call.Body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
-	}
-	if err != nil {
-		return &ErrBody{Limit: limit, Err: err}
-	}
-	if int64(len(x.call.Body)) > limit {
-		return &ErrBody{Limit: limit, TooLarge: true}
-	}
-	x.book(int64(len(x.call.Body)) - share)
-	return nil
-}
-
-// book takes memory for a body.
-func (x *exchange) book(n int64) bool {
-	if x.g.bodies.Add(n) > x.g.options.MaxBodies && n > 0 {
-		x.g.bodies.Add(-n)
-		return false
-	}
-	x.bodyBytes += n
-	return true
-}
-
-// bound gives the request's context its end: that of the client's patience or of
-// the route's time, whichever is first.
-func (x *exchange) bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	limit, whose := x.route.Timeout, "route"
-	if x.call.Patience > 0 && (limit <= 0 || x.call.Patience < limit) {
-		limit, whose = x.call.Patience, "client"
-	}
-	if limit <= 0 {
-		return context.WithCancel(ctx)
-	}
-	return context.WithDeadlineCause(ctx, x.arrived.Add(limit), &ErrTime{After: limit, Whose: whose})
-}
-
-// left returns the time that the request still has.
-func (x *exchange) left() time.Duration {
-	end, ok := x.ctx.Deadline()
-	if !ok {
-		return 0
-	}
-	return max(time.Until(end), time.Millisecond)
-}
-
-// over returns why the request must end now, nil if it need not.
-func (x *exchange) over() error {
-	if x.ctx.Err() == nil {
-		return nil
-	}
-	var timed *ErrTime
-	if errors.As(context.Cause(x.ctx), &timed) {
-		return timed
-	}
-	return errGone{}
-}
--- /dev/null
+++ b/pkg/ingress/prefill.go
@@ -0,0 +1,101 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+// prefill has the prompt read by the runner that will have done so first. With
+// no prefill runner left the decode runner reads it itself: the source is empty.
+func (s *generation) prefill(room *place) (Source, *runners.State, error) {
+	for tries := 0; ; tries++ {
+		reader, expected, err := s.pool.BeginPrefill(s.job.ID, s.job.Prompt, room.runner.Zone, s.unread, time.Now())
+		if err != nil {
+			s.step("no_prefill_runner", decisionlog.F("error", err))
+			return Source{}, nil, nil
+		}
+		if expected > overflowAfter {
+			s.pool.EndPrefill(reader.ID, s.job.ID, false, time.Now())
+			s.step("prefill_overflow", decisionlog.F("expected", expected))
+			return Source{}, nil, nil
+		}
+		if (tries > 0 || len(s.unread) > 0) && !s.readAgain() {
+			s.pool.EndPrefill(reader.ID, s.job.ID, false, time.Now())
+			return Source{}, nil, nil
+		}
+		began := time.Now()
+		source, err := s.read(reader, prefillLate+prefillFactor*expected)
+		s.pool.EndPrefill(reader.ID, s.job.ID, err == nil, time.Now())
+		if err == nil {
+			s.g.metrics.prefill.UpdateDuration(began)
+			s.g.metrics.read.Add(source.Tokens)
+			s.fields = append(s.fields, decisionlog.F("prefill", reader.ID), decisionlog.F("prefill_after", time.Since(s.arrived)))
+			return source, reader, nil
+		}
+		if gone := s.over(); gone != nil {
+			return Source{}, nil, gone
+		}
+		s.trouble("prefill_failed", reader.ID, err)
+		s.refusedPrefill(reader, err)
+		if tries+1 >= maxPrefills {
+			return Source{}, nil, nil
+		}
+	}
+}
+
+// readAgain reports whether one more prefill is allowed. Where the last one was
+// turned away it has been charged for, and the next is the first that counts as
+// none.
+func (s *generation) readAgain() bool {
+	if s.charged {
+		s.charged = false
+		return s.budget.Left(time.Now()) >= 0
+	}
+	return s.budget.Spend(time.Now())
+}
+
+// refusedPrefill books a prefill that a runner did not do. One that the runner
+// turned away counts in the budget, also when it was the first.
+func (s *generation) refusedPrefill(reader *runners.State, err error) {
+	s.unread[reader.ID] = true
+	s.blame(reader, err)
+	var declined *ErrDeclined
+	if errors.As(err, &declined) {
+		reader.Failed(time.Now())
+		s.budget.Charge(time.Now())
+		s.charged = true
+	}
+}
+
+func (s *generation) read(reader *runners.State, limit time.Duration) (Source, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, limit)
+	defer cancel()
+	return s.g.options.Engines.Prefill(ctx, reader, s.call, Order{Left: s.left(), Priority: s.route.Priority})
+}
+
+// useless books a prompt whose KV cache could not be fetched.
+func (s *generation) useless(reader *runners.State, source Source) {
+	if reader == nil {
+		return
+	}
+	s.g.metrics.wasted.Add(source.Tokens)
+	s.pool.Mistrust(reader.ID, time.Now())
+	s.unread[reader.ID] = true
+}
+
+// free gives a KV cache up that nobody will fetch.
+func (s *generation) free(reader *runners.State, source Source) {
+	if reader == nil {
+		return
+	}
+	s.g.metrics.wasted.Add(source.Tokens)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), freeCall)
+		defer cancel()
+		_ = s.g.options.Engines.Free(ctx, reader, source)
+	}()
+}
--- /dev/null
+++ b/pkg/ingress/reserve.go
@@ -0,0 +1,94 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/upstream"
+)
+
+// place is room on a decode runner.
+type place struct {
+	runner *runners.State
+	hold   string
+}
+
+// reserve waits for room on a decode runner and has it reserved there.
+func (s *generation) reserve() (*place, error) {
+	began := time.Now()
+	ctx, cancel := context.WithDeadline(s.ctx, s.latest())
+	defer cancel()
+	w := s.pool.Join(s.job, s.rank)
+	for id := range s.unfit {
+		w.Avoid(id)
+	}
+	for {
+		runner, err := s.pool.Wait(ctx, w)
+		if err != nil {
+			return nil, firstOf(s.over(), err)
+		}
+		// A hold that was asked for in time is waited for beyond it: one that is
+		// cut off says nothing about the runner.
+		hold, err := s.hold(runner)
+		if err == nil {
+			s.g.metrics.wait.UpdateDuration(began)
+			s.fields = append(s.fields, decisionlog.F("decode", runner.ID), decisionlog.F("room_after", time.Since(s.arrived)))
+			return &place{runner, hold}, nil
+		}
+		s.pool.Refused(runner.ID, s.job.ID, time.Now())
+		s.step("hold_refused", decisionlog.F("runner", runner.ID), decisionlog.F("error", err))
+		s.blame(runner, err)
+		if ctx.Err() != nil {
+			return nil, firstOf(s.over(), &enginepool.ErrNoRoom{ID: s.job.ID, Waited: time.Since(began)})
+		}
+	}
+}
+
+// blame books a call that a runner failed.
+func (s *generation) blame(runner *runners.State, err error) {
+	if s.ctx.Err() != nil {
+		return
+	}
+	var dial *upstream.ErrDial
+	var declined *ErrDeclined
+	switch {
+	case errors.As(err, &dial):
+		runner.Unreachable(time.Now())
+	case errors.As(err, &declined):
+		if declined.Elsewhere {
+			runner.Deny()
+		}
+	default:
+		runner.Failed(time.Now())
+	}
+}
+
+// latest returns until when the request may wait for room.
+func (s *generation) latest() time.Time {
+	switch s.rank {
+	case enginepool.Fresh:
+		return s.arrived.Add(time.Duration(freshPart * float64(s.route.Latency)))
+	default:
+		patience := max(leastPatience, latencyFactor*s.route.Latency, gapFactor*s.route.Gap)
+		return s.arrived.Add(patience - serveTime)
+	}
+}
+
+func (s *generation) hold(runner *runners.State) (string, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, holdCall)
+	defer cancel()
+	return s.g.options.Engines.Hold(ctx, runner, s.job.Prompt+holdAhead, s.engine.HoldFor)
+}
+
+// drop gives a reservation back, after the request's end too.
+func (s *generation) drop(p *place) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), freeCall)
+		defer cancel()
+		_ = s.g.options.Engines.Drop(ctx, p.runner, p.hold)
+	}()
+}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -6,7 +6,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -14,7 +13,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -117,16 +115,6 @@
 	return &Client{options: o, idle: map[string][]*conn{}, maxIdle: o.MaxIdle}
 }
 
-// conn is one connection.
-type conn struct {
-	net.Conn
-	address string
-	reader  *bufio.Reader
-	uses    int
-	// until is when the runner may close it while it is idle.
-	until time.Time
-}
-
 // Response is an answer whose body is read by the caller. Close ends the
 // exchange; before the body's end it closes the connection, by which runners
 // know that nobody waits any more.
@@ -204,115 +192,6 @@
 	r.once.Do(func() { r.done(whole) })
 }
 
-// take returns an idle connection that is surely open, or a new one.
-func (c *Client) take(ctx context.Context, address string) (*conn, error) {
-	for {
-		k := c.pop(address)
-		if k == nil {
-			break
-		}
-		if time.Now().Before(k.until) && k.quiet() {
-			k.uses++
-			return k, nil
-		}
-		_ = k.Close()
-	}
-	ctx, cancel := context.WithTimeout(ctx, c.options.ConnectTimeout)
-	defer cancel()
-	raw, err := c.options.Dial(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	if c.options.Opened != nil {
-		c.options.Opened(address)
-	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), uses: 1}, nil
-}
-
-func (c *Client) pop(address string) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	k := list[len(list)-1]
-	c.idle[address] = list[:len(list)-1]
-	return k
-}
-
-// put keeps a connection for the next request.
-func (c *Client) put(k *conn, keep time.Duration) {
-	if keep < 0 {
-		keep = c.options.Idle
-	}
-	keep -= idleMargin
-	if keep <= 0 {
-		_ = k.Close()
-		return
-	}
-	k.until = time.Now().Add(keep)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[k.address]
-	if len(list) >= c.maxIdle {
-		_ = k.Close()
-		return
-	}
-	c.idle[k.address] = append(list, k)
-}
-
-// Limit bounds the idle connections to one address from now on.
-func (c *Client) Limit(idle int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.maxIdle = idle
-}
-
-// Forget closes the idle connections to an address, or to all if it is empty.
-func (c *Client) Forget(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for a, list := range c.idle {
-		if address != "" && a != address {
-			continue
-		}
-		for _, k := range list {
-			_ = k.Close()
-		}
-		delete(c.idle, a)
-	}
-}
-
-// Sweep closes idle connections whose time is over.
-func (c *Client) Sweep(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for a, list := range c.idle {
-		kept := list[:0]
-		for _, k := range list {
-			if now.Before(k.until) {
-				kept = append(kept, k)
-				continue
-			}
-			_ = k.Close()
-		}
-		if len(kept) == 0 {
-			delete(c.idle, a)
-			continue
-		}
-		c.idle[a] = kept
-	}
-}
-
-// quiet reports whether an idle connection is open and has nothing to read.
-func (k *conn) quiet() bool {
-	if k.reader.Buffered() > 0 {
-		return false
-	}
-	return open(k.Conn)
-}
-
 // write sends a request. The channel gets the result of the body's writing.
 func (k *conn) write(r *Request) (<-chan error, error) {
 	wrote := make(chan error, 1)
@@ -385,18 +264,3 @@
 		}
 	}
 }
-
-// keepAlive returns the time that a runner keeps an idle connection, below 0 if
-// it does not say.
-func keepAlive(h http.Header) time.Duration {
-	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if n, err := strconv.Atoi(value); err == nil && n >= 0 {
-			return time.Duration(n) * time.Second
-		}
-	}
-	return -1
-}
