httpapi: a body that is not UTF-8 is refused

Cause: encoding/json replaces invalid UTF-8 in silence, and a completion was made of another prompt than the caller's. Change: 400 with the field.

--- a/pkg/httpapi/api.go
+++ b/pkg/httpapi/api.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 
@@ -176,6 +177,9 @@
 
 // decodeJSON reads a body and says where it is wrong.
 func decodeJSON(body []byte, into any) error {
+	if !utf8.Valid(body) {
+		return badRequest("body", "is not UTF-8")
+	}
 	err := json.Unmarshal(body, into)
 	var syntax *json.SyntaxError
 	var kind *json.UnmarshalTypeError
--- a/pkg/httpapi/api_test.go
+++ b/pkg/httpapi/api_test.go
@@ -66,6 +66,7 @@
 		Entry("a negative length", `{"model":"m","prompt":"x","max_tokens":-1}`, 400, "invalid_value", "max_tokens"),
 		Entry("an unknown model", `{"model":"m","prompt":"x"}`, 404, "model_not_found", ""),
 		Entry("a prompt that is too long", `{"model":"m","prompt":"`+strings.Repeat("x", 5000)+`"}`, 400, "context_length_exceeded", ""),
+		Entry("a body that is not UTF-8", "{\"model\":\"m\",\"prompt\":\"a\xffb\"}", 400, "invalid_value", "body"),
 		Entry("a body that is too large", strings.Repeat(" ", MaxBody+1), 413, "body_too_large", ""),
 		Entry("headers that are too large", `{"model":"m","prompt":"x"}`, 431, "header_too_large", "", "X", strings.Repeat("x", 70000)),
 		Entry("a bad mark", `{"model":"m","prompt":"x"}`, 400, "invalid_value", HeaderRepeatable, HeaderRepeatable, "perhaps"),
