--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -216,3 +216,27 @@
 		}
 	})
 }
+
+func TestWhatIsLateGoesBehindWhatCanStillBeInTime(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 0, 1000)
+	s, err := wait(p, job("first", 900, 50), Fresh, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	now := time.Now()
+	late, fresh, back := p.Join(job("late", 900, 50), Returning), p.Join(job("fresh", 900, 50), Fresh), p.Join(job("back", 900, 50), Returning)
+	late.LateFrom(now)
+	back.LateFrom(now.Add(time.Hour))
+	for _, w := range []*Waiter{late, fresh, back} {
+		p.enqueue(w)
+	}
+	for _, w := range []*Waiter{back, fresh, late} {
+		now = now.Add(time.Second)
+		p.End(s.ID, "first", now)
+		p.mu.Lock()
+		for id := range p.engine(s.ID).mine {
+			delete(p.engine(s.ID).mine, id)
+		}
+		p.mu.Unlock()
+		g.Expect(w.granted).To(Receive())
+	}
+}
--- a/pkg/enginepool/queue.go
+++ b/pkg/enginepool/queue.go
@@ -21,6 +21,8 @@
 	Returning
 	// Fresh requests are asked for the first time.
 	Fresh
+	// Late requests can't be in time any more.
+	Late
 )
 
 // Waiter is a job that waits for room on a decode runner.
@@ -31,8 +33,13 @@
 	avoid  map[string]bool
 	// granted takes the runner on which the job was booked.
 	granted chan *runners.State
+	// lateAt is from when the job can't be in time; zero for never.
+	lateAt time.Time
 }
 
+// LateFrom ranks a job last from a moment on. It must be called before Wait.
+func (w *Waiter) LateFrom(at time.Time) { w.lateAt = at }
+
 // ErrNoRoom says that a job found no room on a decode runner in its time.
 type ErrNoRoom struct {
 	ID     string
@@ -118,6 +125,7 @@
 func (p *Pool) Dispatch(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.demote(now)
 	left := p.waiting[:0]
 	stuck := 0
 	for _, w := range p.waiting {
@@ -139,6 +147,20 @@
 	p.waiting = left
 }
 
+// demote ranks those last that have become late. The lock is held.
+func (p *Pool) demote(now time.Time) {
+	changed := false
+	for _, w := range p.waiting {
+		if w.rank != Late && !w.lateAt.IsZero() && now.After(w.lateAt) {
+			w.rank = Late
+			changed = true
+		}
+	}
+	if changed {
+		slices.SortStableFunc(p.waiting, before)
+	}
+}
+
 // Waiting returns how many jobs wait here, and at all gateways that were heard.
 func (p *Pool) Waiting() (here, all int) {
 	p.mu.Lock()
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -26,6 +26,9 @@
 	for id := range s.unfit {
 		w.Avoid(id)
 	}
+	if s.rank == enginepool.Returning {
+		w.LateFrom(s.arrived.Add(s.route.Latency - serveTime))
+	}
 	for {
 		runner, err := s.pool.Wait(ctx, w)
 		if err != nil {
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -10,7 +10,7 @@
 const (
 	// watchWait is how long a watch waits for a change. It is short, since a
 	// connection that was cut off silently shows only by its end.
-	watchWait = 2 * time.Second
+	watchWait = 3 * time.Second
 	// callMargin is how much longer than asked a call may take.
 	callMargin = 700 * time.Millisecond
 	// probeTime bounds the first call after a failed one, and the first of all;
