--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -48,7 +48,6 @@
 	// refusedUntil is until when the runner is not asked again after it has
 	// refused a reservation.
 	refusedUntil time.Time
-	refusals     int
 }
 
 // remaining estimates how many tokens an answer still has.
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -43,8 +43,6 @@
 	readers map[string]*reader
 	waiting []*Waiter
 	serial  uint64
-	// rate is the mean of this gateway's ends of generations a second.
-	ends rateMeter
 	// others are the loads of other gateways, by gateway.
 	others map[string]Peer
 	// Lengths learns from the answers.
@@ -130,18 +128,6 @@
 // requests is less liked than another.
 const failureCost = 3
 
-// Room returns how many decode runners take work and the most memory that is
-// left at one of them.
-func (p *Pool) Room(now time.Time) (engines int, most float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, s := range p.directory.Usable(p.service, runners.Decode, now) {
-		engines++
-		most = max(most, p.engine(s.ID).room(Job{Length: Belief{median: 1, spread: leastSpread}}))
-	}
-	return engines, most
-}
-
 // Refused takes a booking back because the runner had no room after all, and
 // leaves the runner alone for a moment.
 func (p *Pool) Refused(runner, id string, now time.Time) {
@@ -150,7 +136,6 @@
 	e := p.engine(runner)
 	delete(e.mine, id)
 	e.refusedUntil = now.Add(p.options.Refused)
-	e.refusals++
 }
 
 // Made books that an answer has so many tokens now.
@@ -171,10 +156,7 @@
 func (p *Pool) End(runner, id string, now time.Time) {
 	p.mu.Lock()
 	e := p.engine(runner)
-	if _, ok := e.mine[id]; ok {
-		delete(e.mine, id)
-		p.ends.add(now)
-	}
+	delete(e.mine, id)
 	p.mu.Unlock()
 	p.Dispatch(now)
 }
--- a/pkg/enginepool/queue.go
+++ b/pkg/enginepool/queue.go
@@ -44,9 +44,8 @@
 type ErrNoRoom struct {
 	ID     string
 	Waited time.Duration
-	// Ahead is how many jobs were before it, RetryAfter when to come back.
-	Ahead      int
-	RetryAfter time.Duration
+	// Ahead is how many jobs were before it.
+	Ahead int
 }
 
 // Error implements error.
@@ -171,25 +170,3 @@
 	}
 	return len(p.waiting), all
 }
-
-// rateMeter estimates events a second over the last seconds.
-type rateMeter struct {
-	rate float64
-	last time.Time
-}
-
-// rateMemory is the time over which a rate is averaged.
-const rateMemory = 2 * time.Second
-
-func (m *rateMeter) add(now time.Time) {
-	if m.last.IsZero() {
-		m.last = now
-		return
-	}
-	gap := now.Sub(m.last).Seconds()
-	m.last = now
-	weight := min(1, gap/rateMemory.Seconds())
-	if gap > 0 {
-		m.rate += (1/gap - m.rate) * weight
-	}
-}
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -50,8 +50,6 @@
 	// Header is what goes back to the client.
 	Header http.Header
 	Body   io.ReadCloser
-	// Length is the body's, -1 if it is not known before its end.
-	Length int64
 	// NotRun is the runner's word that it has not run the call and won't.
 	NotRun bool
 	// Elsewhere says that another runner has the address now, or that the
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -45,7 +45,6 @@
 	r.runner = runner.ID
 	began := time.Now()
 	in := bufio.NewReaderSize(a.Body, eventBuffer)
-	seen := 0
 	for {
 		event, err := readEvent(in)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
@@ -54,7 +53,6 @@
 		if err != nil {
 			return r.broke(runner, err)
 		}
-		seen++
 		r.s.pool.Made(runner.ID, r.s.job.ID, (r.events+1)*max(1, r.s.engine.TokensPerEvent), time.Now())
 		if err := r.write(a, event); err != nil {
 			return mayHaveRun, errGone{}
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -76,8 +76,6 @@
 	Slots int
 	// Memory is what one engine's KV cache holds, in tokens.
 	Memory int
-	// TokenBytes is the KV cache of one token.
-	TokenBytes float64
 	// HandleFor is how long a prompt's KV cache is kept for a decode.
 	HandleFor time.Duration
 	// HoldFor bounds a hold.
