ingress: a request is served by one table from its beginning to its end

Cause: whether a service has engines was looked up again while a request was served; a configuration that takes the service away in between would have ended the request in a nil pointer. Change: the request keeps the table that it was matched with.

--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -21,7 +21,9 @@
 	route   *routetable.Route
 	service string
 	arrived time.Time
-	// version is that of the table that the request is served by.
+	// table is the one that the request is served by, whatever comes into force
+	// meanwhile, and version its version.
+	table   *routetable.Table
 	version uint64
 	// sends counts the sends to runners, prefills not.
 	sends int
@@ -44,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	x.version = table.Config.Version
+	x.table, x.version = table, table.Config.Version
 	x.route = table.Match(call.Host, call.Path)
 	if x.route == nil {
 		return &ErrNoRoute{Host: call.Host, Path: call.Path, Version: x.version}
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -70,14 +70,14 @@
 
 // generate serves a request by engines: room for the decode first, then the
 // prefill, then the decode.
-func (x *exchange) generate() {
+func (x *exchange) generate(engine *routetable.Engine) {
 	x.rank = enginepool.Fresh
 	if x.g.returning(x.route, x.call.Patience) {
 		x.rank = enginepool.Returning
 	}
 	s := &generation{
 		exchange: x, pool: x.g.pool(x.service), budget: x.g.budget(x.service),
-		life: request.NewLife(x.call.ID, x.route.Repeatable()), engine: x.g.engine(x.service),
+		life: request.NewLife(x.call.ID, x.route.Repeatable()), engine: engine,
 		unread: map[string]bool{}, unfit: map[string]bool{},
 	}
 	s.relay = relay{s: s, last: x.call.After}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -226,14 +226,9 @@
 	ctx, cancel := x.bound(r.Context())
 	defer cancel()
 	x.ctx = ctx
-	if x.route.Kind == routetable.Stream && g.engine(x.service) != nil {
-		x.generate()
+	if engine := x.table.Config.Services[x.service].Engine; engine != nil && x.route.Kind == routetable.Stream {
+		x.generate(engine)
 		return
 	}
 	x.forward()
 }
-
-// engine returns what a service says of its engines, nil for a plain one.
-func (g *Ingress) engine(service string) *routetable.Engine {
-	return g.table.Load().Config.Services[service].Engine
-}
