runners, peers: gateways tell each other which runners fail requests

Cause: each gateway learned a runner's failures from its own requests only.

Change: outcomes are counted per runner and fade within 4 s; every fourth datagram tells those of runners that somebody saw fail. The own failure rate is joined with them, outcomes from other failure domains at half weight.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -134,6 +134,14 @@
 	}
 }
 
+// TellOutcomes returns what other gateways should know of failing runners.
+func (g *Ingress) TellOutcomes() []runners.Outcome { return g.Directory.Tell(time.Now()) }
+
+// HearOutcomes takes what another gateway told of failing runners.
+func (g *Ingress) HearOutcomes(gateway string, sameDomain bool, told []runners.Outcome) {
+	g.Directory.Hear(gateway, sameDomain, told, time.Now())
+}
+
 // Version returns the version of the configuration in force, 0 before the first.
 func (g *Ingress) Version() uint64 {
 	if t := g.table.Load(); t != nil {
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -31,6 +31,7 @@
 		source, err := s.read(reader, prefillLate+prefillFactor*expected)
 		s.pool.EndPrefill(reader.ID, s.job.ID, err == nil, time.Now())
 		if err == nil {
+			reader.Succeeded(time.Now())
 			s.g.metrics.prefill.UpdateDuration(began)
 			s.g.metrics.read.Add(source.Tokens)
 			s.fields = append(s.fields, decisionlog.F("prefill", reader.ID), decisionlog.F("prefill_after", time.Since(s.arrived)))
--- a/pkg/peers/convert.go
+++ b/pkg/peers/convert.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
@@ -59,5 +60,24 @@
 	return out
 }
 
+// outcomeUnit is what outcomes are counted in on the wire.
+const outcomeUnit = 1.0 / 16
+
+func encodeOutcomes(told []runners.Outcome) []*wirepb.RunnerOutcome {
+	out := make([]*wirepb.RunnerOutcome, 0, len(told))
+	for _, o := range told {
+		out = append(out, &wirepb.RunnerOutcome{Runner: o.Runner, Failed: uint32(o.Failed / outcomeUnit), Total: uint32(o.Total / outcomeUnit)})
+	}
+	return out
+}
+
+func decodeOutcomes(told []*wirepb.RunnerOutcome) []runners.Outcome {
+	out := make([]runners.Outcome, 0, len(told))
+	for _, o := range told {
+		out = append(out, runners.Outcome{Runner: o.Runner, Failed: float64(o.Failed) * outcomeUnit, Total: float64(o.Total) * outcomeUnit})
+	}
+	return out
+}
+
 // unmarshal reads one datagram.
 func unmarshal(data []byte, into *wirepb.GatewayState) error { return proto.Unmarshal(data, into) }
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
@@ -31,6 +32,8 @@
 	maxDatagram = 16 << 10
 	// namedPeers is how many others a datagram names.
 	namedPeers = 4
+	// outcomesEvery is in how many tellings runners' outcomes stand once.
+	outcomesEvery = 4
 	// quietEvery is how often a gateway without any load tells so.
 	quietEvery = 8
 )
@@ -44,6 +47,12 @@
 	Say func() map[string]enginepool.Peer
 	// Hear takes what another gateway told of a service.
 	Hear func(gateway, service string, said enginepool.Peer)
+	// Domain is this gateway's failure domain. Outcomes returns what is to be
+	// told of runners that fail requests, HearOutcomes takes what another
+	// gateway told of them.
+	Domain       string
+	Outcomes     func() []runners.Outcome
+	HearOutcomes func(gateway string, sameDomain bool, told []runners.Outcome)
 	// Version returns the version of the configuration in force.
 	Version func() uint64
 	// Changed is called when a gateway is heard for the first time, again, or
@@ -179,6 +188,10 @@
 	x.sequence++
 	state := encode(said)
 	state.Name, state.Address = x.options.Name, x.options.Address
+	state.Domain = x.options.Domain
+	if x.sequence%outcomesEvery == 0 {
+		state.Outcomes = encodeOutcomes(x.options.Outcomes())
+	}
 	state.Incarnation, state.Sequence, state.ConfigVersion = x.incarnation, x.sequence, x.options.Version()
 	list := x.sorted()
 	for i := range min(namedPeers, len(list)) {
@@ -255,6 +268,9 @@
 	if first {
 		x.options.Changed(s.Name, "heard", known)
 	}
+	if len(s.Outcomes) > 0 {
+		x.options.HearOutcomes(s.Name, s.Domain == x.options.Domain, decodeOutcomes(s.Outcomes))
+	}
 	for service, said := range decode(s, now) {
 		x.options.Hear(s.Name, service, said)
 	}
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/spectest"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
@@ -37,7 +38,7 @@
 	}
 	w := &gateway{address: conn.LocalAddr().String(), heard: map[string]enginepool.Peer{}}
 	w.Exchange = New(Options{
-		Name: name, Address: w.address, Conn: conn, Version: func() uint64 { return uint64(load) },
+		Name: name, Address: w.address, Conn: conn, Outcomes: func() []runners.Outcome { return nil }, Version: func() uint64 { return uint64(load) },
 		Say: func() map[string]enginepool.Peer {
 			return map[string]enginepool.Peer{"llm": {Loads: []enginepool.Load{{Runner: name + "-runner", Now: load, Left: 1}}}}
 		},
@@ -149,3 +150,28 @@
 		decode(&s, time.Now())
 	})
 }
+
+// What a gateway saw of a failing runner reaches the others, with its failure
+// domain.
+func TestOutcomesTravelBetweenGateways(t *testing.T) {
+	g := NewWithT(t)
+	told := []runners.Outcome{{Runner: "r", Failed: 1.5, Total: 4}}
+	state := encode(map[string]enginepool.Peer{})
+	state.Outcomes = encodeOutcomes(told)
+	g.Expect(decodeOutcomes(state.Outcomes)).To(Equal(told))
+
+	var from string
+	var near bool
+	var heard []runners.Outcome
+	x := New(Options{
+		Name: "a", Domain: "east", Hear: func(string, string, enginepool.Peer) {}, Changed: func(string, string, int) {},
+		HearOutcomes: func(gateway string, sameDomain bool, list []runners.Outcome) {
+			from, near, heard = gateway, sameDomain, list
+		},
+	})
+	state.Name, state.Address, state.Incarnation, state.Sequence, state.Domain = "b", "127.0.0.1:1", 1, 1, "east"
+	x.hear(state, nil, time.Now())
+	g.Expect(from).To(Equal("b"))
+	g.Expect(near).To(BeTrue())
+	g.Expect(heard).To(Equal(told))
+}
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -165,6 +165,7 @@
 	p.ports.Peers = conn.LocalAddr().String()
 	p.peers = peers.New(peers.Options{
 		Name: p.settings.Instance.Name, Address: p.ports.Peers, Conn: conn,
+		Domain: p.settings.Instance.Domain, Outcomes: p.Ingress.TellOutcomes, HearOutcomes: p.Ingress.HearOutcomes,
 		Say: p.Ingress.Say, Hear: p.Ingress.Hear, Version: p.Ingress.Version,
 		Changed: func(name, what string, known int) {
 			p.log.Write(decisionlog.KindBelief, "gateway_"+what, decisionlog.F("gateway", name), decisionlog.F("known", known))
--- a/pkg/runners/health.go
+++ b/pkg/runners/health.go
@@ -42,6 +42,7 @@
 func (s *State) Failed(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.own.count(now, true)
 	h := &s.health
 	h.failures = h.rate(now) + (1-h.rate(now))*failureWeight
 	h.seen = now
@@ -56,6 +57,7 @@
 func (s *State) Unreachable(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.own.count(now, true)
 	h := &s.health
 	h.failures = max(h.rate(now), ejectAbove)
 	h.seen = now
@@ -69,6 +71,7 @@
 	defer s.mu.Unlock()
 	h := &s.health
 	now := time.Now()
+	s.own.count(now, false)
 	h.failures = h.rate(now) * (1 - failureWeight)
 	h.seen = now
 	if h.failures < ejectAbove/2 {
@@ -88,12 +91,12 @@
 	return now.Before(s.health.until)
 }
 
-// Failures returns the share of failed requests, the newest counting most; it
-// falls with time.
+// Failures returns the share of failed requests, the newest counting most, with
+// what other gateways told; it falls with time.
 func (s *State) Failures(now time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.health.rate(now)
+	return s.pooled(now)
 }
 
 // Latency returns the mean time of an answer; 0 is unknown.
--- /dev/null
+++ b/pkg/runners/outcomes_test.go
@@ -0,0 +1,101 @@
+package runners
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+func directoryOf(ids ...string) *Directory {
+	d := NewDirectory()
+	for _, id := range ids {
+		d.Put(Runner{ID: id, Service: "s"})
+	}
+	return d
+}
+
+// A gateway that never used a runner believes the others that it fails.
+func TestAGatewayLearnsOfFailuresFromOthers(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	a, b := directoryOf("bad", "good"), directoryOf("bad", "good")
+	for range 4 {
+		a.all["bad"].Failed(now)
+		a.all["good"].Succeeded(now)
+	}
+	told := a.Tell(now)
+	g.Expect(told).To(HaveLen(1), "nothing is told of a runner that nobody saw fail")
+	b.Hear("a", true, told, now)
+	g.Expect(b.all["bad"].Failures(now)).To(BeNumerically(">", 0.6))
+	g.Expect(b.all["good"].Failures(now)).To(BeZero())
+	g.Expect(b.all["bad"].Failures(now.Add(hearFor+time.Second))).To(BeZero(), "what was heard is believed for a while")
+}
+
+// A gateway that was unlucky once is corrected by many that were not.
+func TestOutcomesOfOthersCorrectTheOwn(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	a := directoryOf("r")
+	a.all["r"].Failed(now)
+	alone := a.all["r"].Failures(now)
+	a.Hear("b", true, []Outcome{{Runner: "r", Failed: 0, Total: 20}}, now)
+	g.Expect(a.all["r"].Failures(now)).To(BeNumerically("<", alone/3))
+}
+
+// Once one gateway suspects a runner, those that it serves well tell so.
+func TestSuccessesAreToldOfARunnerThatOthersSuspect(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	d := directoryOf("r")
+	d.all["r"].Succeeded(now)
+	g.Expect(d.Tell(now)).To(BeEmpty())
+	d.Hear("b", true, []Outcome{{Runner: "r", Failed: 1, Total: 1}}, now)
+	g.Expect(d.Tell(now)).To(Equal([]Outcome{{Runner: "r", Failed: 0, Total: 1}}))
+}
+
+// A runner may fail the callers of one failure domain only.
+func TestTheOwnDomainsOutcomesCountMore(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	near, far := directoryOf("r"), directoryOf("r")
+	bad, good := []Outcome{{Runner: "r", Failed: 10, Total: 10}}, []Outcome{{Runner: "r", Total: 10}}
+	near.Hear("a", true, bad, now)
+	near.Hear("b", false, good, now)
+	far.Hear("a", false, bad, now)
+	far.Hear("b", true, good, now)
+	g.Expect(near.all["r"].Failures(now)).To(BeNumerically(">", 0.5))
+	g.Expect(far.all["r"].Failures(now)).To(BeNumerically("<", 0.35))
+}
+
+// Whatever happens and is heard, the rate is a share, and hearing of failures
+// only never lowers it.
+func TestTheFailureRateIsAShare(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		now := time.Now()
+		d := directoryOf("r")
+		s := d.all["r"]
+		for range rapid.IntRange(0, 20).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				s.Failed(now)
+			case 1:
+				s.Succeeded(now)
+			case 2:
+				s.Unreachable(now)
+			case 3:
+				n := rapid.Float64Range(-1, 10).Draw(t, "failed")
+				d.Hear("g", rapid.Bool().Draw(t, "near"), []Outcome{{Runner: "r", Failed: n, Total: rapid.Float64Range(0, 10).Draw(t, "total")}}, now)
+			}
+			g.Expect(s.Failures(now)).To(And(BeNumerically(">=", 0), BeNumerically("<=", 1)))
+		}
+		before := s.Failures(now)
+		d.Hear("h", true, []Outcome{{Runner: "r", Failed: 5, Total: 5}}, now)
+		g.Expect(s.Failures(now)).To(BeNumerically(">=", before))
+	})
+}
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -54,6 +54,10 @@
 	// states that were handed out before.
 	leaving bool
 	health  health
+	// own counts this gateway's outcomes, others those that other gateways
+	// told, by gateway.
+	own    tally
+	others map[string]heard
 	// outstanding counts this process's requests at it.
 	outstanding int
 }
