ingress: the answer of a prefill is waited for longer at runners that lose none

Change: where the runner's failure rate, with what other gateways told, is below 0.04, a prefill is taken for lost 700 ms later.

--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -29,9 +29,13 @@
 	// holdCall bounds a call that reserves memory.
 	holdCall = 400 * time.Millisecond
 	// A prefill whose answer has not come after prefillLate and prefillFactor
-	// times the expected time is taken for lost.
+	// times the expected time is taken for lost; where the runner has failed
+	// next to nothing lately, after trustedLate instead.
 	prefillLate   = 300 * time.Millisecond
+	trustedLate   = 1000 * time.Millisecond
 	prefillFactor = 2
+	// trustBelow is the failure rate below which a runner is trusted.
+	trustBelow = 0.04
 	// holdAhead is how many tokens of the answer are reserved with the prompt:
 	// the rest is booked by the pool alone.
 	holdAhead = 64
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -28,7 +28,7 @@
 			return Source{}, nil, nil
 		}
 		began := time.Now()
-		source, err := s.read(reader, prefillLate+prefillFactor*expected)
+		source, err := s.read(reader, patience(reader, expected))
 		s.pool.EndPrefill(reader.ID, s.job.ID, err == nil, time.Now())
 		if err == nil {
 			reader.Succeeded(time.Now())
@@ -48,6 +48,16 @@
 	}
 }
 
+// patience returns how long a prefill's answer is waited for. A runner that loses
+// no answers is slow rather than silent: what it reads is not thrown away.
+func patience(reader *runners.State, expected time.Duration) time.Duration {
+	late := prefillLate
+	if reader.Failures(time.Now()) < trustBelow {
+		late = trustedLate
+	}
+	return late + prefillFactor*expected
+}
+
 // readAgain reports whether one more prefill is allowed. Where the last one was
 // turned away it has been charged for, and the next is the first that counts as
 // none.
--- /dev/null
+++ b/pkg/ingress/prefill_test.go
@@ -0,0 +1,22 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+// A runner that loses answers is given up sooner than one that is only slow.
+func TestAPrefillIsWaitedForLongerAtARunnerThatLosesNothing(t *testing.T) {
+	g := NewWithT(t)
+	d := runners.NewDirectory()
+	d.Put(runners.Runner{ID: "r", Service: "s", Stage: runners.Prefill})
+	r := d.All("s")[0]
+	trusted := patience(r, time.Second)
+	r.Failed(time.Now())
+	g.Expect(patience(r, time.Second)).To(Equal(prefillLate + prefillFactor*time.Second))
+	g.Expect(trusted).To(BeNumerically(">", patience(r, time.Second)))
+}
