enginepool: a gateway compares a random sample of the decode runners with room

Cause: what other gateways book is heard some 100 ms late.

Change: of the runners with room a gateway compares a random sample only, the smaller the more gateways there are for each runner, two at least. A prefill counts as done once its cache was taken, a lapsed one as the runner's failure, so that other gateways hear of runners whose caches lapse.

--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -5,7 +5,10 @@
 package enginepool
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +27,8 @@
 	Fill float64
 	// Refused is how long a runner that refused a reservation is left alone.
 	Refused time.Duration
+	// Pick returns a random number from 0 to n-1; nil takes math/rand's.
+	Pick func(n int) int
 }
 
 // DefaultOptions are those that were measured best; docs/POLICY.md.
@@ -64,6 +69,9 @@
 
 // New returns an empty pool of a service.
 func New(service string, d *runners.Directory, o Options) *Pool {
+	if o.Pick == nil {
+		o.Pick = rand.IntN
+	}
 	return &Pool{service: service, directory: d, options: o, engines: map[string]*engine{}, readers: map[string]*reader{}, others: map[string]Peer{}, Lengths: NewLengths()}
 }
 
@@ -100,30 +108,61 @@
 	return e
 }
 
-// place books a job on the decode runner with the most room, nil for none. The
-// lock is held. Runners in avoid are not taken.
+// place books a job on a decode runner, nil for none. The lock is held. Runners
+// in avoid are not taken.
 func (p *Pool) place(j Job, avoid map[string]bool, now time.Time) *runners.State {
-	var best *runners.State
-	var most float64
+	fit := p.fitting(j, avoid, now)
+	if len(fit) == 0 {
+		return nil
+	}
+	best := slices.MaxFunc(p.sample(fit), func(a, b candidate) int { return cmp.Compare(a.room, b.room) })
+	p.engine(best.runner.ID).mine[j.ID] = &booking{job: j}
+	return best.runner
+}
+
+// candidate is a decode runner with room for a job, in tokens; room is less
+// where the runner fails requests.
+type candidate struct {
+	runner *runners.State
+	room   float64
+}
+
+// fitting returns the runners with room for a job. The lock is held.
+func (p *Pool) fitting(j Job, avoid map[string]bool, now time.Time) []candidate {
+	var out []candidate
 	for _, s := range runners.Healthy(p.directory.Usable(p.service, runners.Decode, now), now) {
 		e := p.engine(s.ID)
 		if avoid[s.ID] || now.Before(e.refusedUntil) {
 			continue
 		}
-		room := e.room(j)
-		if room < 0 {
-			continue
-		}
-		if room -= failureCost * s.Failures(now) * float64(e.capacity); best == nil || room > most {
-			best, most = s, room
+		if room := e.room(j); room >= 0 {
+			out = append(out, candidate{s, room - failureCost*s.Failures(now)*float64(e.capacity)})
 		}
 	}
-	if best != nil {
-		p.engine(best.ID).mine[j.ID] = &booking{job: j}
+	return out
+}
+
+// sample shuffles the candidates and returns as many of them as one gateway
+// should compare. What other gateways book is heard late: were all to take the
+// runner with the most room, they would meet there. The more gateways there are
+// for each runner, the fewer are compared, two at least.
+func (p *Pool) sample(fit []candidate) []candidate {
+	n := max(leastSample, sampleFactor*len(fit)/(len(p.others)+1))
+	for i := range min(n, len(fit)) {
+		k := i + p.options.Pick(len(fit)-i)
+		fit[i], fit[k] = fit[k], fit[i]
 	}
-	return best
+	return fit[:min(n, len(fit))]
 }
 
+const (
+	// leastSample is the least number of runners that are compared.
+	leastSample = 2
+	// sampleFactor is how many runners each gateway compares when there are as
+	// many gateways as runners.
+	sampleFactor = 2
+)
+
 // failureCost is the part of its memory by which a runner that fails all
 // requests is less liked than another.
 const failureCost = 3
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -215,6 +215,9 @@
 		s.useless(reader, source)
 		return notRun, &ErrDeclined{Runner: runner.ID, Status: answer.Status, Elsewhere: answer.Elsewhere}
 	}
+	if reader != nil {
+		reader.Succeeded(time.Now())
+	}
 	return s.take(n, runner, answer)
 }
 
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -31,7 +31,6 @@
 		source, err := s.read(reader, patience(reader, expected))
 		s.pool.EndPrefill(reader.ID, s.job.ID, err == nil, time.Now())
 		if err == nil {
-			reader.Succeeded(time.Now())
 			s.g.metrics.prefill.UpdateDuration(began)
 			s.g.metrics.read.Add(source.Tokens)
 			s.fields = append(s.fields, decisionlog.F("prefill", reader.ID), decisionlog.F("prefill_after", time.Since(s.arrived)))
@@ -95,6 +94,7 @@
 	}
 	s.g.metrics.wasted.Add(source.Tokens)
 	s.pool.Mistrust(reader.ID, time.Now())
+	reader.Failed(time.Now())
 	s.unread[reader.ID] = true
 }
 
