--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -38,7 +38,7 @@
 	trustBelow = 0.04
 	// holdAhead is how many tokens of the answer are reserved with the prompt:
 	// the rest is booked by the pool alone.
-	holdAhead = 64
+	holdAhead = 256
 	// overflowAfter is the expected time of a prefill above which the decode
 	// runner reads the prompt itself.
 	overflowAfter = 900 * time.Millisecond
