runners, peers: what a runner denies is told to other gateways, and ends with its stage

Read on the way: a runner that denied its stage once was never used again by that gateway, whatever its stage became.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -179,7 +179,7 @@
 // declined books a runner's refusal.
 func (x *exchange) declined(runner *runners.State, a *Answer) {
 	if a.Elsewhere {
-		runner.Deny()
+		runner.Deny(time.Now())
 	}
 	x.g.metrics.declined(a.Status)
 	x.step("declined", decisionlog.F("runner", runner.ID), decisionlog.F("status", a.Status), decisionlog.F("elsewhere", a.Elsewhere))
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -63,7 +63,7 @@
 		runner.Unreachable(time.Now())
 	case errors.As(err, &declined):
 		if declined.Elsewhere {
-			runner.Deny()
+			runner.Deny(time.Now())
 		}
 	default:
 		runner.Failed(time.Now())
--- a/pkg/peers/convert.go
+++ b/pkg/peers/convert.go
@@ -66,7 +66,11 @@
 func encodeOutcomes(told []runners.Outcome) []*wirepb.RunnerOutcome {
 	out := make([]*wirepb.RunnerOutcome, 0, len(told))
 	for _, o := range told {
-		out = append(out, &wirepb.RunnerOutcome{Runner: o.Runner, Failed: uint32(o.Failed / outcomeUnit), Total: uint32(o.Total / outcomeUnit)})
+		m := &wirepb.RunnerOutcome{Runner: o.Runner, Failed: uint32(o.Failed / outcomeUnit), Total: uint32(o.Total / outcomeUnit)}
+		if o.Denied {
+			m.Denied, m.Stage = true, string(o.Stage)
+		}
+		out = append(out, m)
 	}
 	return out
 }
@@ -74,7 +78,10 @@
 func decodeOutcomes(told []*wirepb.RunnerOutcome) []runners.Outcome {
 	out := make([]runners.Outcome, 0, len(told))
 	for _, o := range told {
-		out = append(out, runners.Outcome{Runner: o.Runner, Failed: float64(o.Failed) * outcomeUnit, Total: float64(o.Total) * outcomeUnit})
+		out = append(out, runners.Outcome{
+			Runner: o.Runner, Failed: float64(o.Failed) * outcomeUnit, Total: float64(o.Total) * outcomeUnit,
+			Denied: o.Denied, Stage: runners.Stage(o.Stage),
+		})
 	}
 	return out
 }
--- a/pkg/runners/outcomes.go
+++ b/pkg/runners/outcomes.go
@@ -53,6 +53,10 @@
 	// Runner is the runner's ID.
 	Runner        string
 	Failed, Total float64
+	// Denied says that the runner told the gateway that it is not the one that
+	// was meant, or not in the stage Stage.
+	Denied bool
+	Stage  Stage
 }
 
 // heard is what another gateway told of a runner.
@@ -103,8 +107,8 @@
 }
 
 // Tell returns this gateway's outcomes at the runners that failed requests
-// lately, here or elsewhere, so that other gateways need not find out by
-// themselves. What was heard from others is not told on.
+// lately, here or elsewhere, and the runners that denied what their entries say,
+// so that other gateways need not find out by themselves. What was heard from others is not told on.
 func (d *Directory) Tell(now time.Time) []Outcome {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
@@ -112,8 +116,9 @@
 	for id, s := range d.all {
 		s.mu.Lock()
 		t := s.own.faded(now)
-		if t.total >= tellFrom && s.suspect(now) {
-			out = append(out, Outcome{Runner: id, Failed: t.failed, Total: t.total})
+		denied := s.denied && now.Sub(s.deniedAt) <= hearFor
+		if denied || t.total >= tellFrom && s.suspect(now) {
+			out = append(out, Outcome{Runner: id, Failed: t.failed, Total: t.total, Denied: denied, Stage: s.Stage})
 		}
 		s.mu.Unlock()
 	}
@@ -135,6 +140,7 @@
 			s.others = map[string]heard{}
 		}
 		s.others[gateway] = heard{tally{o.Failed, o.Total, now}, sameDomain}
+		s.denied = s.denied || o.Denied && o.Stage == s.Stage
 		s.mu.Unlock()
 	}
 }
--- a/pkg/runners/outcomes_test.go
+++ b/pkg/runners/outcomes_test.go
@@ -99,3 +99,37 @@
 		g.Expect(s.Failures(now)).To(BeNumerically(">=", before))
 	})
 }
+
+// A runner that refused in one stage is used again in another; before, the
+// refusal stayed for the life of the process.
+func TestADenialEndsWithTheStage(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	d := NewDirectory()
+	d.Put(Runner{ID: "r", Service: "s", Stage: Decode})
+	d.all["r"].Deny(now)
+	g.Expect(d.Usable("s", Decode, now)).To(BeEmpty())
+	d.Put(Runner{ID: "r", Service: "s", Stage: Decode, Slots: 2})
+	g.Expect(d.Usable("s", Decode, now)).To(BeEmpty(), "another entry in the same stage")
+	d.Put(Runner{ID: "r", Service: "s", Stage: Prefill})
+	g.Expect(d.Usable("s", Prefill, now)).To(HaveLen(1))
+}
+
+// A denial is believed by other gateways, unless they know of another stage.
+func TestADenialIsHeard(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	a, same, newer := NewDirectory(), NewDirectory(), NewDirectory()
+	a.Put(Runner{ID: "r", Service: "s", Stage: Decode})
+	same.Put(Runner{ID: "r", Service: "s", Stage: Decode})
+	newer.Put(Runner{ID: "r", Service: "s", Stage: Prefill})
+	a.all["r"].Deny(now)
+	told := a.Tell(now)
+	g.Expect(told).To(Equal([]Outcome{{Runner: "r", Denied: true, Stage: Decode}}))
+	same.Hear("a", true, told, now)
+	newer.Hear("a", true, told, now)
+	g.Expect(same.Usable("s", Decode, now)).To(BeEmpty())
+	g.Expect(newer.Usable("s", Prefill, now)).To(HaveLen(1))
+	g.Expect(same.Tell(now)).To(BeEmpty(), "what was heard is not told on")
+	g.Expect(a.Tell(now.Add(hearFor + time.Second))).To(BeEmpty())
+}
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -47,9 +47,10 @@
 	mu sync.Mutex
 	// goneAt is when its entry went; zero while it is there.
 	goneAt time.Time
-	// denied is set when the runner itself said that it is another one, or
-	// leaving.
-	denied bool
+	// denied is set when the runner itself said that it is another one, or that
+	// it has another stage; deniedAt is when it told this gateway.
+	denied   bool
+	deniedAt time.Time
 	// leaving is set when its entry says that it takes no more work, also in
 	// states that were handed out before.
 	leaving bool
@@ -76,11 +77,12 @@
 	return s.goneAt.IsZero() || now.Sub(s.goneAt) < goneGrace
 }
 
-// Deny books that the runner itself refused for good.
-func (s *State) Deny() {
+// Deny books that the runner itself refused, as the one or in the stage that its
+// entry says.
+func (s *State) Deny(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.denied = true
+	s.denied, s.deniedAt = true, now
 }
 
 // Enter books a request that is sent to the runner, Leave its end.
@@ -141,7 +143,7 @@
 			return
 		}
 		s = &State{Runner: r, knowledge: old.knowledge}
-		s.leave(r.Leaving)
+		s.update(old.Runner, r)
 		what = "changed"
 		if r.Leaving && !old.Leaving {
 			what = "leaving"
@@ -160,11 +162,14 @@
 	s.goneAt = time.Time{}
 }
 
-// leave books what a new entry says.
-func (s *knowledge) leave(leaving bool) {
+// update books what a new entry says. A refusal in another stage is over.
+func (s *knowledge) update(old, now Runner) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leaving = leaving
+	s.leaving = now.Leaving
+	if old.Stage != now.Stage {
+		s.denied, s.deniedAt = false, time.Time{}
+	}
 }
 
 // Gone books that an entry is no longer in the store.
