process, platform: one watch of the whole store in place of two

Change: one follower without a prefix, which takes the configuration and the runners' entries out of what it hears; changes come together for 200 ms (before, 50 and 250).

--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -15,13 +15,9 @@
 	"github.com/hopwell/hopwell/platform"
 )
 
-const (
-	// gatherRunners is how long changes of runners are let come together, so
-	// that one call brings several.
-	gatherRunners = 250 * time.Millisecond
-	// gatherConfig is the same for configurations.
-	gatherConfig = 50 * time.Millisecond
-)
+// gather is how long changes are let come together, so that one call brings
+// several.
+const gather = 200 * time.Millisecond
 
 // feed keeps an ingress's beliefs up with the store.
 type feed struct {
@@ -76,48 +72,62 @@
 			case <-round.Done():
 			}
 		}()
-		var both sync.WaitGroup
-		both.Go(func() { f.follower(s, platform.ConfigKey, gatherConfig, f.configs, f.changedConfigs).Run(round) })
-		both.Go(func() {
-			f.follower(s, platform.RunnerPrefix, gatherRunners, f.allRunners, f.changedRunners).Run(round)
-		})
-		both.Wait()
+		f.follower(s).Run(round)
 		cancel()
 	}
 }
 
-func (f *feed) follower(s store.Store, prefix string, gather time.Duration, reset func([]store.Item, uint64), apply func([]store.Event, uint64)) *store.Follower {
-	what := decisionlog.F("prefix", prefix)
+// follower follows the whole store: one watch costs half of two, and the few keys
+// besides the configuration and the runners change seldom.
+func (f *feed) follower(s store.Store) *store.Follower {
 	return &store.Follower{
-		Store: s, Prefix: prefix, Gather: gather, Reset: reset, Apply: apply,
+		Store: s, Gather: gather, Reset: f.reset, Apply: f.apply,
 		Lost: func(err error) {
-			f.log.Write(decisionlog.KindProcess, "store_lost", what, decisionlog.F("error", err))
+			f.log.Write(decisionlog.KindProcess, "store_lost", decisionlog.F("error", err))
 		},
 		Regained: func(after time.Duration) {
-			f.log.Write(decisionlog.KindProcess, "store_regained", what, decisionlog.F("after", after))
+			f.log.Write(decisionlog.KindProcess, "store_regained", decisionlog.F("after", after))
 		},
 	}
 }
 
-func (f *feed) configs(items []store.Item, at uint64) {
+// reset takes a whole reading of the store: runners that are not in it have gone.
+func (f *feed) reset(items []store.Item, at uint64) {
+	ids := map[string]bool{}
 	for _, i := range items {
-		f.config(i, at)
+		if id, ok := platform.RunnerID(i.Key); ok {
+			ids[id] = true
+		}
+		f.item(i, at)
 	}
+	f.ingress.Directory.Keep(ids, time.Now())
+	f.log.Write(decisionlog.KindBelief, "runners_read", decisionlog.F("runners", len(ids)), decisionlog.F("at", at))
 }
 
-func (f *feed) changedConfigs(events []store.Event, at uint64) {
+// apply takes single changes.
+func (f *feed) apply(events []store.Event, at uint64) {
 	for _, e := range events {
+		if id, ok := platform.RunnerID(e.Key); ok && e.Gone {
+			f.ingress.Directory.Gone(id, time.Now())
+			continue
+		}
 		if !e.Gone {
-			f.config(e.Item, at)
+			f.item(e.Item, at)
 		}
 	}
 }
 
+// item takes what stands under one key.
+func (f *feed) item(i store.Item, at uint64) {
+	if i.Key == platform.ConfigKey {
+		f.config(i, at)
+	} else if _, ok := platform.RunnerID(i.Key); ok {
+		f.runner(i)
+	}
+}
+
 // config puts a configuration into force. One that can't be read is left.
 func (f *feed) config(i store.Item, at uint64) {
-	if i.Key != platform.ConfigKey {
-		return
-	}
 	c, err := platform.DecodeConfig(i.Value)
 	var table *routetable.Table
 	if err == nil {
@@ -132,26 +142,6 @@
 		decisionlog.F("at", at), decisionlog.F("routes", len(c.Routes)), decisionlog.F("used", used))
 }
 
-func (f *feed) allRunners(items []store.Item, at uint64) {
-	ids := make(map[string]bool, len(items))
-	for _, i := range items {
-		ids[platform.RunnerID(i.Key)] = true
-		f.runner(i)
-	}
-	f.ingress.Directory.Keep(ids, time.Now())
-	f.log.Write(decisionlog.KindBelief, "runners_read", decisionlog.F("runners", len(items)), decisionlog.F("at", at))
-}
-
-func (f *feed) changedRunners(events []store.Event, _ uint64) {
-	for _, e := range events {
-		if e.Gone {
-			f.ingress.Directory.Gone(platform.RunnerID(e.Key), time.Now())
-			continue
-		}
-		f.runner(e.Item)
-	}
-}
-
 func (f *feed) runner(i store.Item) {
 	r, err := platform.DecodeRunner(i.Key, i.Value)
 	if err != nil {
