staging: engines that prefill are a share and a margin by the root of their number

Cause: a third of the engines was measured best for 12 and 18. Of 55 and 47 a third is too many: the more engines share the load, the smaller are its peaks. Memory of the engines that decode is what binds there in bursts.

Change: 0.19 of the number and 0.5 of its root: 4 of 12, 6 of 18, 12 of 47, 14 of 55.

--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -240,3 +242,34 @@
 		g.Expect(w.granted).To(Receive())
 	}
 }
+
+// What other gateways book is heard late. If all took the emptiest runner they
+// would meet there, so with many gateways the choice spreads; alone, a gateway
+// takes the emptiest.
+func TestManyGatewaysDoNotMeetOnTheEmptiestRunner(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	chosen := func(gateways int) map[string]bool {
+		p, _ := pool(8, 0, 10000)
+		p.options.Pick = random.IntN
+		for i := range gateways - 1 {
+			p.Hear(fmt.Sprint("g", i), Peer{At: time.Now()})
+		}
+		var loads []Load
+		for i := range 7 {
+			loads = append(loads, Load{Runner: fmt.Sprint("d", i+1), Now: 100 * (i + 1)})
+		}
+		p.Hear("g0", Peer{At: time.Now(), Loads: loads})
+		seen := map[string]bool{}
+		for range 50 {
+			p.mu.Lock()
+			s := p.place(job("a", 100, 10), nil, time.Now())
+			delete(p.engine(s.ID).mine, "a")
+			p.mu.Unlock()
+			seen[s.ID] = true
+		}
+		return seen
+	}
+	g.Expect(chosen(2)).To(HaveLen(1))
+	g.Expect(len(chosen(30))).To(BeNumerically(">=", 5))
+}
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -5,10 +5,8 @@
 package enginepool
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -115,19 +113,13 @@
 	if len(fit) == 0 {
 		return nil
 	}
-	best := slices.MaxFunc(p.sample(fit), func(a, b candidate) int { return cmp.Compare(a.room, b.room) })
-	p.engine(best.runner.ID).mine[j.ID] = &booking{job: j}
-	return best.runner
+	best := p.pick(fit)
+	p.engine(best.ID).mine[j.ID] = &booking{job: j}
+	return best
 }
 
-// candidate is a decode runner with room for a job, in tokens; room is less
-// where the runner fails requests.
-type candidate struct {
-	runner *runners.State
-	room   float64
-}
-
-// fitting returns the runners with room for a job. The lock is held.
+// fitting returns the runners with room for a job; less where the runner fails
+// requests. The lock is held.
 func (p *Pool) fitting(j Job, avoid map[string]bool, now time.Time) []candidate {
 	var out []candidate
 	for _, s := range runners.Healthy(p.directory.Usable(p.service, runners.Decode, now), now) {
@@ -142,27 +134,6 @@
 	return out
 }
 
-// sample shuffles the candidates and returns as many of them as one gateway
-// should compare. What other gateways book is heard late: were all to take the
-// runner with the most room, they would meet there. The more gateways there are
-// for each runner, the fewer are compared, two at least.
-func (p *Pool) sample(fit []candidate) []candidate {
-	n := max(leastSample, sampleFactor*len(fit)/(len(p.others)+1))
-	for i := range min(n, len(fit)) {
-		k := i + p.options.Pick(len(fit)-i)
-		fit[i], fit[k] = fit[k], fit[i]
-	}
-	return fit[:min(n, len(fit))]
-}
-
-const (
-	// leastSample is the least number of runners that are compared.
-	leastSample = 2
-	// sampleFactor is how many runners each gateway compares when there are as
-	// many gateways as runners.
-	sampleFactor = 2
-)
-
 // failureCost is the part of its memory by which a runner that fails all
 // requests is less liked than another.
 const failureCost = 3
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -54,26 +54,22 @@
 	return r
 }
 
-// BeginPrefill books a prompt on the prefill runner that will have read it
-// first, and returns how long that will take. Runners in avoid are not taken. It
+// BeginPrefill books a prompt on the prefill runner that will have read it first,
+// and returns how long that will take. Runners in avoid are not taken. It
 // fails with *ErrNoRunner.
 func (p *Pool) BeginPrefill(id string, tokens int, zone string, avoid map[string]bool, now time.Time) (*runners.State, time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best *runners.State
-	var least time.Duration
+	var fit []candidate
 	for _, s := range runners.Healthy(p.directory.Usable(p.service, runners.Prefill, now), now) {
-		if avoid[s.ID] {
-			continue
-		}
-		cost := p.readCost(s, tokens, zone, now)
-		if best == nil || cost < least {
-			best, least = s, cost
+		if !avoid[s.ID] {
+			fit = append(fit, candidate{s, -p.readCost(s, tokens, zone, now).Seconds()})
 		}
 	}
-	if best == nil {
+	if len(fit) == 0 {
 		return nil, 0, &ErrNoRunner{Service: p.service, Stage: runners.Prefill}
 	}
+	best := bestOf(fit)
 	expected := p.readTime(best.ID, tokens)
 	p.reader(best.ID).jobs[id] = reading{tokens: tokens, since: now, ahead: p.backlog(best.ID)}
 	return best, expected, nil
--- a/pkg/staging/staging.go
+++ b/pkg/staging/staging.go
@@ -11,8 +11,10 @@
 
 // Policy says what the engines' parts should be.
 type Policy struct {
-	// Share is the part of the engines that should prefill.
-	Share float64
+	// Share is the part of the engines that should prefill for the mean load,
+	// and Margin how many more for its peaks, times the root of the number of
+	// engines: the more engines share the load, the smaller its peaks are.
+	Share, Margin float64
 	// Least is the least number of prefill engines.
 	Least int
 	// Patience is how long the parts must be wrong before one is changed.
@@ -24,7 +26,7 @@
 
 // DefaultPolicy is the one that was measured best; docs/POLICY.md.
 func DefaultPolicy() Policy {
-	return Policy{Share: 0.33, Least: 2, Patience: 4 * time.Second, Pause: 15 * time.Second}
+	return Policy{Share: 0.19, Margin: 0.5, Least: 2, Patience: 4 * time.Second, Pause: 15 * time.Second}
 }
 
 // Change is an engine's new part.
@@ -38,7 +40,8 @@
 	if engines < 2*p.Least {
 		return min(p.Least, engines/2)
 	}
-	return max(p.Least, int(math.Round(p.Share*float64(engines))))
+	n := float64(engines)
+	return max(p.Least, int(math.Round(p.Share*n+p.Margin*math.Sqrt(n))))
 }
 
 // Plan returns the changes that lead to the wanted parts. Engines are taken from
--- a/pkg/staging/staging_test.go
+++ b/pkg/staging/staging_test.go
@@ -72,3 +72,13 @@
 	}
 	g.Expect(zones).To(HaveLen(3))
 }
+
+// The more engines share the load, the smaller a part of them prefills: 4 of 12
+// and 6 of 18 were measured best, and 0.20 to 0.28 of 47 and 55.
+func TestLargePoolsNeedASmallerPartForTheirPeaks(t *testing.T) {
+	g := NewWithT(t)
+	p := DefaultPolicy()
+	for engines, wanted := range map[int]int{3: 1, 4: 2, 12: 4, 18: 6, 47: 12, 55: 14} {
+		g.Expect(p.Wanted(engines)).To(Equal(wanted), "of %d engines", engines)
+	}
+}
