--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -16,14 +16,14 @@
 )
 
 // pool returns a pool of one service with decode runners d0.. and prefill
-// runners p0.. in two zones.
+// runners p0.. in two domains.
 func pool(decode, prefill, memory int) (*Pool, *runners.Directory) {
 	d := runners.NewDirectory()
 	for i := range decode {
-		d.Put(runners.Runner{ID: "d" + string(rune('0'+i)), Service: "llm", Zone: "z" + string(rune('0'+i%2)), Stage: runners.Decode})
+		d.Put(runners.Runner{ID: "d" + string(rune('0'+i)), Service: "llm", Domain: "z" + string(rune('0'+i%2)), Stage: runners.Decode})
 	}
 	for i := range prefill {
-		d.Put(runners.Runner{ID: "p" + string(rune('0'+i)), Service: "llm", Zone: "z" + string(rune('0'+i%2)), Stage: runners.Prefill})
+		d.Put(runners.Runner{ID: "p" + string(rune('0'+i)), Service: "llm", Domain: "z" + string(rune('0'+i%2)), Stage: runners.Prefill})
 	}
 	p := New("llm", d, Options{Fill: 1, Refused: 50 * time.Millisecond})
 	p.Configure(Spec{Memory: memory, Slots: 64})
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -27,9 +27,9 @@
 	firstPace = 30000
 	// paceWeight is the weight of the newest measurement.
 	paceWeight = 0.2
-	// otherZone is how much longer a prompt may wait for a runner in the zone
+	// otherDomain is how much longer a prompt may wait for a runner in the domain
 	// of its decode runner.
-	otherZone = 25 * time.Millisecond
+	otherDomain = 25 * time.Millisecond
 	// lostPrefill is what a prefill costs that is lost.
 	lostPrefill = 1500 * time.Millisecond
 	// mistrust is how long a runner whose handles lapsed is the last choice.
@@ -57,13 +57,13 @@
 // BeginPrefill books a prompt on the prefill runner that will have read it first,
 // and returns how long that will take. Runners in avoid are not taken. It
 // fails with *ErrNoRunner.
-func (p *Pool) BeginPrefill(id string, tokens int, zone string, avoid map[string]bool, now time.Time) (*runners.State, time.Duration, error) {
+func (p *Pool) BeginPrefill(id string, tokens int, domain string, avoid map[string]bool, now time.Time) (*runners.State, time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var fit []candidate
 	for _, s := range runners.Healthy(p.directory.Usable(p.service, runners.Prefill, now), now) {
 		if !avoid[s.ID] {
-			fit = append(fit, candidate{s, -p.readCost(s, tokens, zone, now).Seconds()})
+			fit = append(fit, candidate{s, -p.readCost(s, tokens, domain, now).Seconds()})
 		}
 	}
 	if len(fit) == 0 {
@@ -76,11 +76,11 @@
 }
 
 // readCost estimates when a runner will have read a prompt.
-func (p *Pool) readCost(s *runners.State, tokens int, zone string, now time.Time) time.Duration {
+func (p *Pool) readCost(s *runners.State, tokens int, domain string, now time.Time) time.Duration {
 	r := p.reader(s.ID)
 	cost := p.readTime(s.ID, tokens)
-	if s.Zone != zone {
-		cost += otherZone
+	if s.Domain != domain {
+		cost += otherDomain
 	}
 	if now.Before(r.mistrusted) {
 		cost += time.Second
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -89,7 +89,7 @@
 	return nil
 }
 
-// choose returns the plain runner with the least work, in the own zone first;
+// choose returns the plain runner with the least work, in the own domain first;
 // nil if none is left.
 func (g *Ingress) choose(service string, avoid map[string]bool) *runners.State {
 	now := time.Now()
@@ -100,8 +100,8 @@
 			continue
 		}
 		cost := (float64(s.Outstanding()) + 1) * (s.Latency().Seconds() + plainGuess) * (1 + failureCost*s.Failures(now))
-		if s.Zone != g.options.Zone {
-			cost *= otherZoneCost
+		if s.Domain != g.options.Domain {
+			cost *= otherDomainCost
 		}
 		if best == nil || cost < least {
 			best, least = s, cost
@@ -113,8 +113,8 @@
 const (
 	// plainGuess is added to the mean time of a runner's answers, in seconds.
 	plainGuess = 0.01
-	// otherZoneCost is how much dearer a runner in another zone is.
-	otherZoneCost = 1.3
+	// otherDomainCost is how much dearer a runner in another domain is.
+	otherDomainCost = 1.3
 	// failureCost is how much dearer a runner is that fails all requests.
 	failureCost = 4
 )
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -19,8 +19,8 @@
 
 // Options are an ingress's settings.
 type Options struct {
-	// Zone is the failure domain of the process.
-	Zone    string
+	// Domain is the failure domain of the process.
+	Domain  string
 	Engines Engines
 	Reader  Reader
 	Log     *decisionlog.Log
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -13,7 +13,7 @@
 // no prefill runner left the decode runner reads it itself: the source is empty.
 func (s *generation) prefill(room *place) (Source, *runners.State, error) {
 	for tries := 0; ; tries++ {
-		reader, expected, err := s.pool.BeginPrefill(s.job.ID, s.job.Prompt, room.runner.Zone, s.unread, time.Now())
+		reader, expected, err := s.pool.BeginPrefill(s.job.ID, s.job.Prompt, room.runner.Domain, s.unread, time.Now())
 		if err != nil {
 			s.step("no_prefill_runner", decisionlog.F("error", err))
 			return Source{}, nil, nil
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -34,7 +34,7 @@
 	f := &feed{ingress: g, log: l, store: s, address: address, restart: make(chan struct{})}
 	g.Directory.Changed = func(c runners.Change) {
 		l.Write(decisionlog.KindBelief, "runner_"+c.What, decisionlog.F("runner", c.Runner.ID), decisionlog.F("service", c.Runner.Service),
-			decisionlog.F("address", c.Runner.Address), decisionlog.F("zone", c.Runner.Zone), decisionlog.F("stage", string(c.Runner.Stage)))
+			decisionlog.F("address", c.Runner.Address), decisionlog.F("domain", c.Runner.Domain), decisionlog.F("stage", string(c.Runner.Stage)))
 	}
 	return f
 }
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -90,7 +90,7 @@
 	runners := &platform.Runners{Client: client}
 	p := &Ingress{settings: c, log: log, client: client, stopped: make(chan struct{})}
 	p.Ingress = ingress.New(ingress.Options{
-		Zone: c.Instance.Domain, Engines: runners, Reader: runners, Log: log,
+		Domain: c.Instance.Domain, Engines: runners, Reader: runners, Log: log,
 		Budget:   retrybudget.Limits{Share: c.RetryBudget.Share, Slack: c.RetryBudget.Slack, Window: c.RetryBudget.Window.D()},
 		Gateways: firstGateways, MaxOpen: c.Limits.OpenRequests, MaxBodies: int64(bodyPart * float64(memory)),
 		Pool: enginepool.DefaultOptions(),
@@ -113,7 +113,7 @@
 	p.done.Go(func() { p.stager(runners).run(ctx) })
 	p.done.Go(func() { p.sweep(ctx) })
 	log.Write(decisionlog.KindProcess, "start", decisionlog.F("pid", os.Getpid()), decisionlog.F("callers", p.ports.Callers),
-		decisionlog.F("store", c.Store), decisionlog.F("zone", c.Instance.Domain))
+		decisionlog.F("store", c.Store), decisionlog.F("domain", c.Instance.Domain))
 	return p, nil
 }
 
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -214,6 +214,6 @@
 	if err == nil {
 		err = s.runners.Restage(call, c.Runner, platform.StageOrder{Stage: c.Stage, Holder: s.lock.Holder, Fence: fence, Sequence: sequence})
 	}
-	s.log.Write(decisionlog.KindBelief, "restage", decisionlog.F("runner", c.Runner.ID), decisionlog.F("zone", c.Runner.Zone),
+	s.log.Write(decisionlog.KindBelief, "restage", decisionlog.F("runner", c.Runner.ID), decisionlog.F("domain", c.Runner.Domain),
 		decisionlog.F("stage", string(c.Stage)), decisionlog.F("fence", fence), decisionlog.F("sequence", sequence), decisionlog.F("error", err))
 }
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -24,7 +24,7 @@
 	Service string
 	// Address is IP:PORT.
 	Address string
-	Zone    string
+	Domain  string
 	Stage   Stage
 	// Slots is the number of requests that it works on at once.
 	Slots int
--- a/pkg/staging/staging.go
+++ b/pkg/staging/staging.go
@@ -45,7 +45,7 @@
 }
 
 // Plan returns the changes that lead to the wanted parts. Engines are taken from
-// the zones that have most of the part that is too many. A difference of one
+// the domains that have most of the part that is too many. A difference of one
 // engine is left unless exact is set.
 func (p Policy) Plan(prefill, decode []*runners.State, exact bool) []Change {
 	more := p.Wanted(len(prefill)+len(decode)) - len(prefill)
@@ -58,18 +58,18 @@
 	return take(prefill, min(-more, len(prefill)-1), runners.Decode)
 }
 
-// take picks engines for a new part, one at a time from the zone with the most.
+// take picks engines for a new part, one at a time from the domain with the most.
 func take(from []*runners.State, n int, stage runners.Stage) []Change {
 	left := append([]*runners.State{}, from...)
 	var out []Change
 	for range max(0, n) {
-		zones := map[string]int{}
+		domains := map[string]int{}
 		for _, s := range left {
-			zones[s.Zone]++
+			domains[s.Domain]++
 		}
 		best := 0
 		for i, s := range left {
-			if z, b := zones[s.Zone], zones[left[best].Zone]; z > b || z == b && s.ID < left[best].ID {
+			if z, b := domains[s.Domain], domains[left[best].Domain]; z > b || z == b && s.ID < left[best].ID {
 				best = i
 			}
 		}
--- a/pkg/staging/staging_test.go
+++ b/pkg/staging/staging_test.go
@@ -19,7 +19,7 @@
 		if i >= prefill {
 			stage = runners.Decode
 		}
-		dir.Put(runners.Runner{ID: fmt.Sprintf("e%02d", i), Service: "s", Zone: fmt.Sprintf("z%d", i%3), Stage: stage})
+		dir.Put(runners.Runner{ID: fmt.Sprintf("e%02d", i), Service: "s", Domain: fmt.Sprintf("z%d", i%3), Stage: stage})
 	}
 	now := time.Now()
 	return dir.Usable("s", runners.Prefill, now), dir.Usable("s", runners.Decode, now)
@@ -63,14 +63,14 @@
 	g.Expect(p.Plan(prefill, decode, false)).NotTo(BeEmpty())
 }
 
-func TestEnginesAreTakenFromTheFullestZones(t *testing.T) {
+func TestEnginesAreTakenFromTheFullestDomains(t *testing.T) {
 	g := NewWithT(t)
 	prefill, decode := engines(7, 5)
-	zones := map[string]int{}
+	domains := map[string]int{}
 	for _, c := range DefaultPolicy().Plan(prefill, decode, true) {
-		zones[c.Runner.Zone]++
+		domains[c.Runner.Domain]++
 	}
-	g.Expect(zones).To(HaveLen(3))
+	g.Expect(domains).To(HaveLen(3))
 }
 
 // The more engines share the load, the smaller a part of them prefills: 4 of 12
