process, ingress, retrybudget: a reload takes over the retry budget and the drain

Only the store's address was taken over; new bounds were in force after a restart alone. A window of another length is counted anew, what was spent under the old limits counts on.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -162,6 +162,16 @@
 	return b
 }
 
+// LimitRetries changes the retry budget of all services.
+func (g *Ingress) LimitRetries(l retrybudget.Limits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.options.Budget = l
+	for _, b := range g.budgets {
+		b.Limit(l)
+	}
+}
+
 // Gateways sets how many gateways share the retry budget.
 func (g *Ingress) Gateways(n int) {
 	g.mu.Lock()
--- a/pkg/process/announce.go
+++ b/pkg/process/announce.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return 0, err
 	}
-	key := gatewayPrefix + p.settings.Instance.Name
+	key := gatewayPrefix + p.settings.Load().Instance.Name
 	if _, err = s.Commit(ctx, store.Change{Put: []store.Put{{Key: key, Value: []byte(p.ports.Peers), Lease: lease}}}); err != nil {
 		return 0, err
 	}
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -63,7 +63,8 @@
 type Ingress struct {
 	Ingress *ingress.Ingress
 
-	settings *config.Ingress
+	// settings are those that were good last; a reload replaces them.
+	settings atomic.Pointer[config.Ingress]
 	log      *decisionlog.Log
 	client   *upstream.Client
 	feed     *feed
@@ -88,10 +89,11 @@
 	log := decisionlog.New(c.Instance.Name, out)
 	client := upstream.New(upstream.Options{ConnectTimeout: connectTime, Idle: idleTime, MaxIdle: maxIdle, Opened: countOpened})
 	runners := &platform.Runners{Client: client}
-	p := &Ingress{settings: c, log: log, client: client, stopped: make(chan struct{})}
+	p := &Ingress{log: log, client: client, stopped: make(chan struct{})}
+	p.settings.Store(c)
 	p.Ingress = ingress.New(ingress.Options{
 		Domain: c.Instance.Domain, Engines: runners, Reader: runners, Log: log,
-		Budget:   retrybudget.Limits{Share: c.RetryBudget.Share, Slack: c.RetryBudget.Slack, Window: c.RetryBudget.Window.D()},
+		Budget:   budgetLimits(c),
 		Gateways: firstGateways, MaxOpen: c.Limits.OpenRequests, MaxBodies: int64(bodyPart * float64(memory)),
 		Pool: enginepool.DefaultOptions(),
 	})
@@ -117,13 +119,19 @@
 	return p, nil
 }
 
+// budgetLimits returns the retry budget of the settings.
+func budgetLimits(c *config.Ingress) retrybudget.Limits {
+	return retrybudget.Limits{Share: c.RetryBudget.Share, Slack: c.RetryBudget.Slack, Window: c.RetryBudget.Window.D()}
+}
+
 var opened = metrics.GetOrCreateCounter("hopwell_ingress_connections_opened_total")
 
 func countOpened(string) { opened.Inc() }
 
 // listen opens the ports and serves on them.
 func (p *Ingress) listen() error {
-	l := p.settings.Listen
+	settings := p.settings.Load()
+	l := settings.Listen
 	health := http.HandlerFunc(p.health)
 	figures := http.HandlerFunc(p.figures)
 	for _, port := range []struct {
@@ -137,7 +145,7 @@
 		}
 		*port.bound = listener.Addr().String()
 		server := &http.Server{
-			Handler: port.handler, ReadHeaderTimeout: p.settings.Limits.HeaderTime.D(), IdleTimeout: p.settings.Limits.IdleTime.D(),
+			Handler: port.handler, ReadHeaderTimeout: settings.Limits.HeaderTime.D(), IdleTimeout: settings.Limits.IdleTime.D(),
 			ErrorLog: quiet(),
 		}
 		p.servers = append(p.servers, server)
@@ -148,24 +156,24 @@
 
 // stager returns what gives the engines their parts.
 func (p *Ingress) stager(r *platform.Runners) *stager {
-	lease := p.settings.Lease.D()
+	lease := p.settings.Load().Lease.D()
 	return &stager{
 		ingress: p.Ingress, runners: r, log: p.log, policy: staging.DefaultPolicy(), wait: lease, rank: p.peers.Rank,
-		lock: &store.Lock{Store: p.feed.current(), Key: orderKey, Holder: p.settings.Instance.Name, TTL: lease},
+		lock: &store.Lock{Store: p.feed.current(), Key: orderKey, Holder: p.settings.Load().Instance.Name, TTL: lease},
 	}
 }
 
 // meet opens the port on which the other gateways are heard.
 func (p *Ingress) meet() error {
-	address := p.settings.Listen.Peers
+	instance, address := p.settings.Load().Instance, p.settings.Load().Listen.Peers
 	conn, err := net.ListenPacket("udp4", address)
 	if err != nil {
 		return &httpd.ErrListen{Address: address, Err: err}
 	}
 	p.ports.Peers = conn.LocalAddr().String()
 	p.peers = peers.New(peers.Options{
-		Name: p.settings.Instance.Name, Address: p.ports.Peers, Conn: conn,
-		Domain: p.settings.Instance.Domain, Outcomes: p.Ingress.TellOutcomes, HearOutcomes: p.Ingress.HearOutcomes,
+		Name: instance.Name, Address: p.ports.Peers, Conn: conn,
+		Domain: instance.Domain, Outcomes: p.Ingress.TellOutcomes, HearOutcomes: p.Ingress.HearOutcomes,
 		Say: p.Ingress.Say, Hear: p.Ingress.Hear, Version: p.Ingress.Version,
 		Changed: func(name, what string, known int) {
 			p.log.Write(decisionlog.KindBelief, "gateway_"+what, decisionlog.F("gateway", name), decisionlog.F("known", known))
@@ -222,16 +230,21 @@
 // Ports returns where the process listens.
 func (p *Ingress) Ports() IngressPorts { return p.ports }
 
-// Reload takes over new settings. What can't change while the process runs is
-// kept; settings with a fault are refused, and the last good ones stay.
+// Reload takes over new settings: the store's address, the retry budget and the
+// drain. The rest can't change while the process runs and is kept. Settings with a
+// fault are refused, and the last good ones stay.
 func (p *Ingress) Reload(file string) error {
 	c, err := config.LoadIngress(file)
 	if err != nil {
 		p.log.Write(decisionlog.KindProcess, "reload_refused", decisionlog.F("error", err))
 		return err
 	}
+	p.settings.Store(c)
 	p.feed.use(platform.NewStore(c.Store), c.Store)
-	p.log.Write(decisionlog.KindProcess, "reload", decisionlog.F("store", c.Store))
+	p.Ingress.LimitRetries(budgetLimits(c))
+	p.log.Write(decisionlog.KindProcess, "reload", decisionlog.F("store", c.Store),
+		decisionlog.F("retry_share", c.RetryBudget.Share), decisionlog.F("retry_slack", c.RetryBudget.Slack),
+		decisionlog.F("drain", c.Drain.Longest.D()))
 	return nil
 }
 
@@ -247,10 +260,11 @@
 
 func (p *Ingress) finish() {
 	began := time.Now()
-	wait := p.settings.Drain.BalancerWait.D()
+	settings := p.settings.Load().Drain
+	wait := settings.BalancerWait.D()
 	p.log.Write(decisionlog.KindProcess, "stop", decisionlog.F("open", p.Ingress.Open()))
 	p.Ingress.StartDrain(wait)
-	end := began.Add(p.settings.Drain.Longest.D() - endMargin)
+	end := began.Add(settings.Longest.D() - endMargin)
 	for now := began; now.Before(end); now = time.Now() {
 		if now.Sub(began) > wait+lingerAfterWait && p.Ingress.Open() == 0 {
 			break
@@ -277,6 +291,3 @@
 		_ = s.Close()
 	}
 }
-
-// String names the process for people.
-func (p *Ingress) String() string { return fmt.Sprintf("ingress callers=%s", p.ports.Callers) }
--- a/pkg/retrybudget/retrybudget.go
+++ b/pkg/retrybudget/retrybudget.go
@@ -48,6 +48,18 @@
 	b.gateways = max(1, gateways)
 }
 
+// Limit changes the limits. What was counted stays; with a window of another
+// length it is counted anew from now.
+func (b *Budget) Limit(l Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.Window != b.limits.Window {
+		b.requests, b.extras = [buckets + 1]float64{}, [buckets + 1]float64{}
+		b.at, b.start = 0, time.Now()
+	}
+	b.limits = l
+}
+
 // Request books a new request.
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
--- a/pkg/retrybudget/retrybudget_test.go
+++ b/pkg/retrybudget/retrybudget_test.go
@@ -82,3 +82,17 @@
 	}
 	g.Expect(spent).To(Equal(0))
 }
+
+// New limits count what was spent under the old ones.
+func TestNewLimitsCountWhatWasSpent(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b := New(Limits{Slack: 10, Window: 10 * time.Second}, 1)
+	for range 5 {
+		g.Expect(b.Spend(now)).To(BeTrue())
+	}
+	b.Limit(Limits{Slack: 5, Window: 10 * time.Second})
+	g.Expect(b.Spend(now)).To(BeFalse())
+	b.Limit(Limits{Slack: 20, Window: 10 * time.Second})
+	g.Expect(b.Spend(now)).To(BeTrue())
+}
