enginepool: a gateway compares a random sample of the prefill runners

Change: the best of a sample, of at least four; with as few gateways as on today's sites all are compared, as before.

--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -273,3 +273,32 @@
 	g.Expect(chosen(2)).To(HaveLen(1))
 	g.Expect(len(chosen(30))).To(BeNumerically(">=", 5))
 }
+
+// The same holds for prompts: few gateways take the prefill runner that will have
+// read first, many spread.
+func TestManyGatewaysDoNotMeetOnTheFirstPrefillRunner(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	chosen := func(gateways int) map[string]bool {
+		p, _ := pool(0, 8, 10000)
+		p.options.Pick = random.IntN
+		reading := map[string]int{}
+		for i := range 7 {
+			reading[fmt.Sprint("p", i+1)] = 1000 * (i + 1)
+		}
+		for i := range gateways - 1 {
+			p.Hear(fmt.Sprint("g", i), Peer{At: time.Now()})
+		}
+		p.Hear("g0", Peer{At: time.Now(), Reading: reading})
+		seen := map[string]bool{}
+		for range 50 {
+			s, _, err := p.BeginPrefill("a", 100, "z0", nil, time.Now())
+			g.Expect(err).NotTo(HaveOccurred())
+			p.EndPrefill(s.ID, "a", false, time.Now())
+			seen[s.ID] = true
+		}
+		return seen
+	}
+	g.Expect(chosen(2)).To(HaveLen(1))
+	g.Expect(len(chosen(30))).To(BeNumerically(">=", 3))
+}
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -113,7 +113,7 @@
 	if len(fit) == 0 {
 		return nil
 	}
-	best := p.pick(fit)
+	best := p.pick(fit, decodeSampling)
 	p.engine(best.ID).mine[j.ID] = &booking{job: j}
 	return best
 }
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -69,7 +69,7 @@
 	if len(fit) == 0 {
 		return nil, 0, &ErrNoRunner{Service: p.service, Stage: runners.Prefill}
 	}
-	best := bestOf(fit)
+	best := p.pick(fit, prefillSampling)
 	expected := p.readTime(best.ID, tokens)
 	p.reader(best.ID).jobs[id] = reading{tokens: tokens, since: now, ahead: p.backlog(best.ID)}
 	return best, expected, nil
