--- /dev/null
+++ b/pkg/fake/engine_steps.go
@@ -0,0 +1,131 @@
+package fake
+
+import (
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/engine"
+)
+
+// run computes prefill chunks and decode steps until Close.
+func (e *Engine) run() {
+	for {
+		d := e.plan()
+		if d == 0 {
+			select {
+			case <-e.wake:
+			case <-e.stop:
+				return
+			}
+			continue
+		}
+		select {
+		case <-time.After(d):
+		case <-e.stop:
+			return
+		}
+		e.advance()
+	}
+}
+
+// plan returns the time of the next step, or 0 when there is no work.
+func (e *Engine) plan() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var d time.Duration
+	if j := e.first(); j != nil {
+		d += e.chunkTime(j)
+	}
+	if n := len(e.running); n > 0 {
+		d += e.spec.StepBase + time.Duration(n)*e.spec.StepSlope
+	}
+	return d
+}
+
+// first returns the most urgent prefill. The caller holds the lock.
+func (e *Engine) first() *prefillJob {
+	var best *prefillJob
+	for _, j := range e.jobs {
+		if best == nil || j.order.Priority > best.order.Priority {
+			best = j
+		}
+	}
+	return best
+}
+
+func (e *Engine) chunkTime(j *prefillJob) time.Duration {
+	n := max(1, min(j.left, chunkTokens))
+	return time.Duration(float64(n) / e.spec.PrefillRate * float64(time.Second))
+}
+
+// advance books one step of work.
+func (e *Engine) advance() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return
+	}
+	if j := e.first(); j != nil {
+		n := min(j.left, chunkTokens)
+		j.left -= n
+		j.done += n
+		e.stats.Prefilled += int64(n)
+		if j.left == 0 {
+			e.dropJob(j)
+			e.cache.add(j.blocks)
+			j.finished <- nil
+		}
+	}
+	for _, d := range append([]*decodeJob(nil), e.running...) {
+		e.emit(d)
+	}
+	e.reports = append(e.reports, loadReport{time.Now(), e.loadNow()})
+	e.trim()
+}
+
+// emit generates the next token of a stream. The caller holds the lock.
+func (e *Engine) emit(d *decodeJob) {
+	t := engine.Token{Offset: d.next, Text: TokenText(d.order.Prompt, d.next)}
+	d.next++
+	e.stats.Decoded++
+	if d.next >= d.order.MaxTokens {
+		t.Final, t.Reason = true, "length"
+		e.dropDecode(d)
+	}
+	d.tokens <- t
+}
+
+// trim forgets load reports older than needed. The caller holds the lock.
+func (e *Engine) trim() {
+	old := time.Now().Add(-e.spec.ReportLag)
+	for len(e.reports) > 1 && e.reports[1].at.Before(old) {
+		e.reports = e.reports[1:]
+	}
+}
+
+func (e *Engine) kick() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) dropJob(j *prefillJob) {
+	for i, x := range e.jobs {
+		if x == j {
+			e.jobs = append(e.jobs[:i:i], e.jobs[i+1:]...)
+			return
+		}
+	}
+}
+
+// dropDecode frees a stream's memory. The caller holds the lock.
+func (e *Engine) dropDecode(d *decodeJob) bool {
+	for i, x := range e.running {
+		if x == d {
+			e.running = append(e.running[:i:i], e.running[i+1:]...)
+			e.kvUsed -= d.bytes
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/fleettest/judge_runs.go
@@ -0,0 +1,119 @@
+package fleettest
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/fake"
+	"github.com/hopwell/hopwell/pkg/request"
+	"github.com/hopwell/hopwell/pkg/trace"
+)
+
+// judgeAnswers checks what each caller got.
+func judgeAnswers(r *Record) []Violation {
+	var out []Violation
+	for _, c := range r.Calls {
+		if c.Answers > 1 {
+			out = append(out, Violation{NothingTwice, c.ID + " was answered twice"})
+		}
+		if c.Request == nil {
+			continue
+		}
+		whole := fake.Answer(c.Request.Prompt, c.Request.MaxTokens)
+		if !strings.HasPrefix(whole, c.Text) {
+			out = append(out, Violation{WholeOwnAnswer, fmt.Sprintf("%s got text that is not its own, or twice: %s", c.ID, difference(whole, c.Text))})
+		}
+		if !c.Lost && c.Result.Outcome == request.Done && c.Text != whole {
+			out = append(out, Violation{WholeOwnAnswer, fmt.Sprintf("%s was told done with %d of %d bytes", c.ID, len(c.Text), len(whole))})
+		}
+	}
+	return out
+}
+
+// difference shows where two texts part.
+func difference(want, got string) string {
+	i := 0
+	for i < len(want) && i < len(got) && want[i] == got[i] {
+		i++
+	}
+	return fmt.Sprintf("from byte %d want %.24q got %.24q", i, want[i:], got[i:])
+}
+
+// judgeRuns compares outcomes with what runners recorded.
+func (f *Fleet) judgeRuns(r *Record) []Violation {
+	var out []Violation
+	began := map[string]string{}
+	for name, e := range f.Engines {
+		for work := range e.Began() {
+			began[requestOf(work)] = name
+		}
+	}
+	for _, c := range r.Calls {
+		if c.Service != nil {
+			out = append(out, f.judgeOrder(r, c)...)
+			continue
+		}
+		if at, ran := began[c.ID]; ran && !c.Lost && c.Result.Outcome == request.NotRun {
+			out = append(out, Violation{NotRunIsTrue, fmt.Sprintf("%s was told not run but began on %s", c.ID, at)})
+		}
+	}
+	return out
+}
+
+// runs counts how often an order ran on all services.
+func (f *Fleet) runs(body string) int {
+	n := 0
+	for _, s := range f.Calls {
+		n += s.Runs(body)
+	}
+	return n
+}
+
+func (f *Fleet) judgeOrder(r *Record, c *Call) []Violation {
+	var out []Violation
+	runs := f.runs(string(c.Service.Body))
+	if runs > 1 {
+		out = append(out, Violation{AtMostOnce, fmt.Sprintf("%s ran %d times", c.Service.Body, runs)})
+	}
+	// Another call with the same key may be the one that ran.
+	only := true
+	for _, o := range r.Calls {
+		only = only && (o == c || o.Service == nil || o.Service.Key != c.Service.Key)
+	}
+	if only && runs > 0 && !c.Lost && c.Result.Outcome == request.NotRun {
+		out = append(out, Violation{NotRunIsTrue, c.ID + " was told not run but ran"})
+	}
+	if runs == 0 && !c.Lost && c.Result.Outcome == request.Done {
+		out = append(out, Violation{WholeOwnAnswer, c.ID + " was told done but never ran"})
+	}
+	return out
+}
+
+// judgeLeaving checks that no work began on an instance that is leaving.
+func (f *Fleet) judgeLeaving(r *Record) []Violation {
+	var out []Violation
+	for _, p := range f.Processes() {
+		since, ok := r.Left[p.Entry.Name]
+		if !ok || p.Sidecar == nil {
+			continue
+		}
+		for _, e := range p.Node.Log.Events(trace.Filter{}) {
+			if e.Type == trace.Started && e.Wall.After(since.Add(leaveBound)) && !admittedBefore(p, e, since.Add(leaveBound)) {
+				out = append(out, Violation{LeavingGetsNothing, fmt.Sprintf("%s began on %s %s after it was leaving", e.Request, p.Entry.Name, e.Wall.Sub(since))})
+			}
+		}
+	}
+	return out
+}
+
+// admittedBefore reports whether the work of an event had its admission before
+// a time: it then is no new work.
+func admittedBefore(p *Process, started trace.Event, by time.Time) bool {
+	for _, e := range p.Node.Log.Events(trace.Filter{Request: started.Request}) {
+		if e.Type == trace.Admitted && e.Attempt == started.Attempt && e.Wall.Before(by) {
+			return true
+		}
+	}
+	return false
+}
