--- a/pkg/runners/outcomes.go
+++ b/pkg/runners/outcomes.go
@@ -128,19 +128,33 @@
 // Hear books what another gateway told; it replaces what that gateway told of
 // the same runners before. Runners that are not known here are left.
 func (d *Directory) Hear(gateway string, sameDomain bool, told []Outcome, now time.Time) {
+	var denied []Runner
 	d.mu.RLock()
-	defer d.mu.RUnlock()
 	for _, o := range told {
 		s := d.all[o.Runner]
 		if s == nil || o.Failed < 0 || o.Failed > o.Total {
 			continue
 		}
-		s.mu.Lock()
-		if s.others == nil {
-			s.others = map[string]heard{}
+		if s.hear(gateway, heard{tally{o.Failed, o.Total, now}, sameDomain}, o) {
+			denied = append(denied, s.Runner)
 		}
-		s.others[gateway] = heard{tally{o.Failed, o.Total, now}, sameDomain}
-		s.denied = s.denied || o.Denied && o.Stage == s.Stage
-		s.mu.Unlock()
 	}
+	d.mu.RUnlock()
+	for _, r := range denied {
+		d.tell(Change{r, "denied"})
+	}
+}
+
+// hear books what one gateway told, and reports whether the runner is denied
+// since.
+func (s *State) hear(gateway string, h heard, o Outcome) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.others == nil {
+		s.others = map[string]heard{}
+	}
+	s.others[gateway] = h
+	first := o.Denied && o.Stage == s.Stage && !s.denied
+	s.denied = s.denied || first
+	return first
 }
--- a/pkg/runners/outcomes_test.go
+++ b/pkg/runners/outcomes_test.go
@@ -126,8 +126,12 @@
 	a.all["r"].Deny(now)
 	told := a.Tell(now)
 	g.Expect(told).To(Equal([]Outcome{{Runner: "r", Denied: true, Stage: Decode}}))
+	var changes []string
+	same.Changed = func(c Change) { changes = append(changes, c.What) }
+	same.Hear("a", true, told, now)
 	same.Hear("a", true, told, now)
 	newer.Hear("a", true, told, now)
+	g.Expect(changes).To(Equal([]string{"denied"}), "a line once")
 	g.Expect(same.Usable("s", Decode, now)).To(BeEmpty())
 	g.Expect(newer.Usable("s", Prefill, now)).To(HaveLen(1))
 	g.Expect(same.Tell(now)).To(BeEmpty(), "what was heard is not told on")
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -119,7 +119,8 @@
 // Change says how a belief about a runner has changed.
 type Change struct {
 	Runner Runner
-	// What is "new", "changed", "leaving" or "gone".
+	// What is "new", "changed", "leaving", "gone", or "denied" when another
+	// gateway told that the runner refused as another one or in another stage.
 	What string
 }
 
