--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -106,8 +106,9 @@
 	return e
 }
 
-// place books a job on a decode runner, nil for none. The lock is held. Runners
-// in avoid are not taken.
+// place books a job on the decode runner with the most room of those that are
+// compared (see pick), nil for none. The lock is held. Runners in avoid are not
+// taken.
 func (p *Pool) place(j Job, avoid map[string]bool, now time.Time) *runners.State {
 	fit := p.fitting(j, avoid, now)
 	if len(fit) == 0 {
@@ -118,8 +119,8 @@
 	return best
 }
 
-// fitting returns the runners with room for a job; less where the runner fails
-// requests. The lock is held.
+// fitting returns the runners with room for a job; their merit is that room, in
+// tokens, less where the runner fails requests. The lock is held.
 func (p *Pool) fitting(j Job, avoid map[string]bool, now time.Time) []candidate {
 	var out []candidate
 	for _, s := range runners.Healthy(p.directory.Usable(p.service, runners.Decode, now), now) {
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -54,9 +54,9 @@
 	return r
 }
 
-// BeginPrefill books a prompt on the prefill runner that will have read it first,
-// and returns how long that will take. Runners in avoid are not taken. It
-// fails with *ErrNoRunner.
+// BeginPrefill books a prompt on the prefill runner that will have read it first
+// of those that are compared (see pick), and returns how long that will take.
+// Runners in avoid are not taken. It fails with *ErrNoRunner.
 func (p *Pool) BeginPrefill(id string, tokens int, domain string, avoid map[string]bool, now time.Time) (*runners.State, time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/runners/outcomes_test.go
+++ b/pkg/runners/outcomes_test.go
@@ -137,3 +137,15 @@
 	g.Expect(same.Tell(now)).To(BeEmpty(), "what was heard is not told on")
 	g.Expect(a.Tell(now.Add(hearFor + time.Second))).To(BeEmpty())
 }
+
+// Gateways come and go over a runner's life; what they told does not pile up.
+func TestWhatIsNoLongerBelievedIsForgotten(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	d := directoryOf("r")
+	d.Hear("old", true, []Outcome{{Runner: "r", Failed: 1, Total: 1}}, now)
+	now = now.Add(hearFor)
+	d.Hear("new", true, []Outcome{{Runner: "r", Failed: 1, Total: 1}}, now)
+	d.Sweep(now.Add(time.Second))
+	g.Expect(d.all["r"].others).To(And(HaveLen(1), HaveKey("new")))
+}
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -4,6 +4,7 @@
 package runners
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -210,7 +211,8 @@
 // forgetAfter is how long a runner whose entry has gone is remembered.
 const forgetAfter = 30 * time.Second
 
-// Sweep forgets runners that have been gone for long.
+// Sweep forgets runners that have been gone for long, and what other gateways told
+// of the rest and is no longer believed.
 func (d *Directory) Sweep(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -218,6 +220,7 @@
 	for id, s := range d.all {
 		s.mu.Lock()
 		old := !s.goneAt.IsZero() && now.Sub(s.goneAt) > forgetAfter
+		maps.DeleteFunc(s.others, func(_ string, h heard) bool { return now.Sub(h.at) > hearFor })
 		s.mu.Unlock()
 		if old {
 			delete(d.all, id)
