ingress: a request that may be repeated is tried at a resting runner before it is given up

No runner was left for the second attempt, and the client got a 502 in place of an answer, or of the runner's own 500.

Change: where no healthy runner is left, one that rests is chosen for a request that may be repeated. One that must not be repeated is still refused, since it has not run.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -54,7 +54,7 @@
 		if err != nil {
 			break
 		}
-		runner := x.g.choose(x.service, avoid)
+		runner := x.g.choose(x.service, avoid, x.route.Repeatable())
 		if runner == nil {
 			last = firstOf(last, &enginepool.ErrNoRunner{Service: x.service})
 			break
@@ -90,12 +90,24 @@
 }
 
 // choose returns the plain runner with the least work, in the own domain first;
-// nil if none is left.
-func (g *Ingress) choose(service string, avoid map[string]bool) *runners.State {
+// nil if none is left. Where no healthy one is left, one that rests is chosen for
+// a request that may be repeated.
+func (g *Ingress) choose(service string, avoid map[string]bool, repeatable bool) *runners.State {
 	now := time.Now()
+	usable := g.Directory.Usable(service, "", now)
+	best := g.leastWork(runners.Healthy(usable, now), avoid, now)
+	if best == nil && repeatable {
+		best = g.leastWork(usable, avoid, now)
+	}
+	return best
+}
+
+// leastWork returns the plain runner of a list that is expected to answer first,
+// nil if all are to be avoided.
+func (g *Ingress) leastWork(list []*runners.State, avoid map[string]bool, now time.Time) *runners.State {
 	var best *runners.State
 	var least float64
-	for _, s := range runners.Healthy(g.Directory.Usable(service, "", now), now) {
+	for _, s := range list {
 		if avoid[s.ID] {
 			continue
 		}
--- /dev/null
+++ b/pkg/ingress/forward_test.go
@@ -0,0 +1,44 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+// plain returns an ingress that knows two plain runners, "a" healthy and "b" at
+// rest for its failures.
+func plain() *Ingress {
+	g := New(Options{Domain: "d"})
+	for _, id := range []string{"a", "b"} {
+		g.Directory.Put(runners.Runner{ID: id, Service: "s", Domain: "d"})
+	}
+	for _, s := range g.Directory.All("s") {
+		if s.ID == "b" {
+			s.Unreachable(time.Now())
+		}
+	}
+	return g
+}
+
+// A repeatable request whose only healthy runner failed is tried at one that
+// rests, rather than given up: its answer is lost either way.
+func TestARestingRunnerIsTheLastChoiceOfWhatMayBeRepeated(t *testing.T) {
+	g := NewWithT(t)
+	in := plain()
+	g.Expect(in.choose("s", nil, true).ID).To(Equal("a"))
+	g.Expect(in.choose("s", map[string]bool{"a": true}, true).ID).To(Equal("b"))
+	g.Expect(in.choose("s", map[string]bool{"a": true, "b": true}, true)).To(BeNil())
+}
+
+// What must not be repeated is not risked there: it has not run yet, and its
+// client may come back.
+func TestARestingRunnerIsNoChoiceForWhatMustNotBeRepeated(t *testing.T) {
+	g := NewWithT(t)
+	in := plain()
+	g.Expect(in.choose("s", nil, false).ID).To(Equal("a"))
+	g.Expect(in.choose("s", map[string]bool{"a": true}, false)).To(BeNil())
+}
