upstream: the test of a context's end waits until the request was read

It ended the context once the server had accepted the connection; if that came before the request was written, the server read none and never told that the connection was gone. The context now ends after the request was read, while the answer is waited for, which is what the test is about; its assertions stay. 300 runs with the race detector pass.

--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -268,19 +268,18 @@
 
 func TestTheEndOfTheContextClosesTheConnection(t *testing.T) {
 	g := NewWithT(t)
-	gone := make(chan struct{})
+	read, gone := make(chan struct{}), make(chan struct{})
 	s := serve(t, func(_ int, _ net.Conn, in *bufio.Reader) {
 		if _, err := http.ReadRequest(in); err != nil {
 			return
 		}
+		close(read)
 		_, _ = io.Copy(io.Discard, in)
 		close(gone)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
-		for s.count() == 0 {
-			time.Sleep(time.Millisecond)
-		}
+		<-read
 		cancel()
 	}()
 	_, err := client().Do(ctx, s.address, &Request{Method: "GET", Target: "/", Host: "h"})
