--- a/cmd/hopwell/cmds/logs.go
+++ b/cmd/hopwell/cmds/logs.go
@@ -23,7 +23,7 @@
 			if err != nil {
 				return err
 			}
-			story, err := decisionlog.Tell(lines, args[0])
+			story, err := decisionlog.Explain(lines, args[0])
 			if err != nil {
 				return err
 			}
--- a/pkg/admission/ledger.go
+++ b/pkg/admission/ledger.go
@@ -20,7 +20,7 @@
 	started bool
 }
 
-// Ledger books the memory and the batch of one decode engine. A reservation is
+// Ledger records the memory and the batch of one decode engine. A reservation is
 // for the moment when its KV cache will have been computed, so that a slot
 // which frees until then need not stand empty.
 type Ledger struct {
@@ -33,12 +33,12 @@
 	streams map[string]*Stream
 }
 
-// NewLedger books for an engine with these limits.
+// NewLedger records for an engine with these limits.
 func NewLedger(bytes int64, batch int) *Ledger {
 	return &Ledger{Bytes: bytes, Batch: batch, streams: map[string]*Stream{}}
 }
 
-// Reserve books a stream whose KV cache will be there after need and whose start
+// Reserve records a stream whose KV cache will be there after need and whose start
 // may wait for slack beyond that. It returns how long it will wait, or *ErrFull
 // when the engine will have no room in time.
 func (l *Ledger) Reserve(now time.Time, need, slack time.Duration, s Stream) (time.Duration, error) {
@@ -71,7 +71,7 @@
 	return out
 }
 
-// Book books a stream without asking whether it fits; it waits for its room
+// Book records a stream without asking whether it fits; it waits for its room
 // when it starts.
 func (l *Ledger) Book(s Stream) { l.streams[s.ID] = &s }
 
@@ -182,7 +182,7 @@
 	return true
 }
 
-// Progress books generated tokens.
+// Progress records generated tokens.
 func (l *Ledger) Progress(id string, tokens int) {
 	if s, ok := l.streams[id]; ok {
 		s.Tokens = max(0, s.Tokens-tokens)
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -223,7 +223,7 @@
 	return j
 }
 
-// Stuck books that the engine has no room for a running job, or that it has
+// Stuck records that the engine has no room for a running job, or that it has
 // again.
 func (q *Queue) Stuck(now time.Time, id string, stuck bool) {
 	q.advance(now)
--- a/pkg/admission/usage.go
+++ b/pkg/admission/usage.go
@@ -14,7 +14,7 @@
 	at  time.Time
 }
 
-// Add books work.
+// Add records work.
 func (u *Usage) Add(now time.Time, work time.Duration) {
 	u.sum = u.decayed(now) + work
 	u.at = now
--- a/pkg/decisionlog/decisionlog.go
+++ b/pkg/decisionlog/decisionlog.go
@@ -20,8 +20,8 @@
 	KindFailed = "failed"
 	// KindProcess is for start, stop, reload and dependencies.
 	KindProcess = "process"
-	// KindBelief is for changes of what the process believes.
-	KindBelief = "belief"
+	// KindState is for changes of what the process believes.
+	KindState = "state"
 	// KindDone is for requests that were answered.
 	KindDone = "done"
 	// KindStep is for the steps of a request.
@@ -39,7 +39,7 @@
 )
 
 // rates bounds the lines of a kind in each second.
-var rates = map[string]int{KindFailed: 400, KindProcess: 200, KindBelief: 200, KindDone: 100, KindStep: 100}
+var rates = map[string]int{KindFailed: 400, KindProcess: 200, KindState: 200, KindDone: 100, KindStep: 100}
 
 // Field is one key and its value.
 type Field struct {
@@ -81,7 +81,7 @@
 	if now.Sub(l.since) >= rateWindow {
 		l.since = now
 		clear(l.counts)
-		l.tellDropped(now)
+		l.writeDropped(now)
 	}
 	if l.counts[kind]++; l.counts[kind] > rates[kind] || l.buffer.Len() > l.room(kind) {
 		l.dropped[kind]++
@@ -99,8 +99,8 @@
 	return bufferBytes - reservedBytes
 }
 
-// tellDropped writes how many lines were left out.
-func (l *Log) tellDropped(now time.Time) {
+// writeDropped writes how many lines were left out.
+func (l *Log) writeDropped(now time.Time) {
 	if l.buffer.Len() > bufferBytes {
 		return
 	}
@@ -186,7 +186,7 @@
 // Close writes what waits, at most for the given time.
 func (l *Log) Close(wait time.Duration) {
 	l.mu.Lock()
-	l.tellDropped(time.Now())
+	l.writeDropped(time.Now())
 	l.closed = true
 	l.mu.Unlock()
 	l.signal()
--- a/pkg/decisionlog/story.go
+++ b/pkg/decisionlog/story.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// Story is one request's way over all processes, with what the processes
+// Explanation is one request's way over all processes, with what the processes
 // believed that bears on it.
-type Story struct {
+type Explanation struct {
 	ID string
 	// Lines are the request's own, Context those of beliefs and dependencies.
 	Lines, Context []Line
@@ -32,9 +32,9 @@
 	return fmt.Sprintf("no line about the request: id=%s lines=%d left_out=%d", e.ID, e.Lines, e.LeftOut)
 }
 
-// Tell finds a request's story. It fails with *ErrNoRequest.
-func Tell(lines []Line, id string) (*Story, error) {
-	s := &Story{ID: id}
+// Explain finds a request's story. It fails with *ErrNoRequest.
+func Explain(lines []Line, id string) (*Explanation, error) {
+	s := &Explanation{ID: id}
 	leftOut := 0
 	for i := range lines {
 		if id != "" && lines[i].Get("request") == id {
@@ -54,7 +54,7 @@
 
 // context picks the beliefs about the request's processes and runners; of the
 // configurations only the one that the request was served by.
-func (s *Story) context(lines []Line) {
+func (s *Explanation) context(lines []Line) {
 	var processes, runners []string
 	for i := range s.Lines {
 		processes = append(processes, s.Lines[i].Process)
@@ -75,14 +75,14 @@
 			continue
 		}
 		about := l.Get("runner")
-		if l.Kind == KindProcess || l.Kind == KindBelief && (about == "" || slices.Contains(runners, about)) {
+		if l.Kind == KindProcess || l.Kind == KindState && (about == "" || slices.Contains(runners, about)) {
 			s.Context = append(s.Context, *l)
 		}
 	}
 }
 
 // conclude puts the end and its cause into words.
-func (s *Story) conclude() {
+func (s *Explanation) conclude() {
 	last := &s.Lines[len(s.Lines)-1]
 	if last.Event != "request_end" {
 		s.Outcome = "not ended in this log"
@@ -107,7 +107,7 @@
 }
 
 // Write writes the story for people.
-func (s *Story) Write(w io.Writer) {
+func (s *Explanation) Write(w io.Writer) {
 	fmt.Fprintf(w, "request %s\noutcome %s\ncause   %s\n\nway:\n", s.ID, s.Outcome, s.Cause)
 	for i := range s.Lines {
 		fmt.Fprintln(w, "  "+s.Lines[i].String())
--- a/pkg/decisionlog/story_test.go
+++ b/pkg/decisionlog/story_test.go
@@ -40,9 +40,9 @@
 const sample = `
 noise without any decision
   1.0 b time=2026-12-02T10:00:01.000Z process=b kind=failed event=send_failed request=r1 at=5.0ms runner=i-1 error="no answer: cause=EOF"
-  0.5 b time=2026-12-02T10:00:00.500Z process=b kind=belief event=runner_leaving runner=i-1 service=s
-  0.4 c time=2026-12-02T10:00:00.400Z process=c kind=belief event=runner_leaving runner=i-1 service=s
-  0.6 b time=2026-12-02T10:00:00.600Z process=b kind=belief event=runner_leaving runner=i-9 service=s
+  0.5 b time=2026-12-02T10:00:00.500Z process=b kind=state event=runner_leaving runner=i-1 service=s
+  0.4 c time=2026-12-02T10:00:00.400Z process=c kind=state event=runner_leaving runner=i-1 service=s
+  0.6 b time=2026-12-02T10:00:00.600Z process=b kind=state event=runner_leaving runner=i-9 service=s
   1.1 b time=2026-12-02T10:00:01.100Z process=b kind=failed event=request_end request=r1 status=502 outcome=unknown took=9.0ms error="given up"
   1.2 b time=2026-12-02T10:00:01.200Z process=b kind=done event=request_end request=r2 status=200 outcome=done took=9.0ms
 `
@@ -51,17 +51,17 @@
 	g := NewWithT(t)
 	lines, err := Read(strings.NewReader(sample))
 	g.Expect(err).NotTo(HaveOccurred())
-	s, err := Tell(lines, "r1")
+	s, err := Explain(lines, "r1")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.Lines).To(HaveLen(2))
 	g.Expect(s.Context).To(HaveLen(1))
 	g.Expect(s.Outcome).To(Equal("unknown, status 502, after 9.0ms"))
 	g.Expect(s.Cause).To(And(ContainSubstring("given up"), ContainSubstring("send_failed at i-1"), ContainSubstring("runner_leaving")))
-	_, err = Tell(lines, "r3")
+	_, err = Explain(lines, "r3")
 	var none *ErrNoRequest
 	g.Expect(errors.As(err, &none)).To(BeTrue())
 	g.Expect(none.Lines).To(Equal(6))
-	_, err = Tell(lines, "")
+	_, err = Explain(lines, "")
 	g.Expect(errors.As(err, &none)).To(BeTrue())
 }
 
--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -11,15 +11,15 @@
 	ID string
 	// Prompt is the length of the prompt, in tokens.
 	Prompt int
-	// Length is the belief about the answer's.
-	Length Belief
+	// Length is the estimate of the answer's.
+	Length Estimate
 }
 
 // size is the memory that the job is expected to take at its end, in tokens.
 func (j Job) size() int { return j.Prompt + int(j.Length.Expected(0)) }
 
-// booking is a job on a decode runner.
-type booking struct {
+// reservation is a job on a decode runner.
+type reservation struct {
 	job Job
 	// made is how many tokens of the answer have been seen.
 	made int
@@ -27,7 +27,7 @@
 	begun time.Time
 }
 
-// Load is a booking as other gateways need to know it.
+// Load is a reservation as other gateways need to know it.
 type Load struct {
 	// Runner is the runner's ID.
 	Runner string
@@ -36,14 +36,14 @@
 	Now, Left int
 }
 
-// engine is the model of one decode runner: what is booked there by this
-// gateway, and what others say is booked by them.
+// engine is the model of one decode runner: the reservations of this gateway, and
+// those that other gateways reported.
 type engine struct {
 	id       string
 	capacity int
 	slots    int
-	mine     map[string]*booking
-	// others are the bookings of other gateways, by gateway.
+	own      map[string]*reservation
+	// others are the reservations of other gateways, by gateway.
 	others map[string][]Load
 	// refusedUntil is until when the runner is not asked again after it has
 	// refused a reservation.
@@ -51,7 +51,7 @@
 }
 
 // remaining estimates how many tokens an answer still has.
-func (b *booking) remaining() int {
+func (b *reservation) remaining() int {
 	return max(0, int(b.job.Length.Expected(b.made))-b.made)
 }
 
@@ -60,8 +60,8 @@
 
 // parts lists all stays in the runner's memory.
 func (e *engine) parts() []part {
-	out := make([]part, 0, len(e.mine)+8)
-	for _, b := range e.mine {
+	out := make([]part, 0, len(e.own)+8)
+	for _, b := range e.own {
 		out = append(out, part{float64(b.job.Prompt + b.made), float64(b.remaining())})
 	}
 	for _, list := range e.others {
@@ -90,9 +90,9 @@
 	return most
 }
 
-// running returns how many requests are booked.
+// running returns how many requests are reserved for.
 func (e *engine) running() int {
-	n := len(e.mine)
+	n := len(e.own)
 	for _, list := range e.others {
 		n += len(list)
 	}
--- a/pkg/enginepool/enginepool_bench_test.go
+++ b/pkg/enginepool/enginepool_bench_test.go
@@ -24,12 +24,12 @@
 			for i := range 10 * n {
 				loads = append(loads, Load{Runner: fmt.Sprintf("d%d", i%n), Now: 2500, Left: 100 + i%500})
 			}
-			p.Hear("other", Peer{At: now, Loads: loads})
+			p.ReceiveSnapshot("other", Snapshot{At: now, Loads: loads})
 			j := job("a", 3000, 800)
 			for b.Loop() {
 				p.mu.Lock()
 				if s := p.place(j, nil, now); s != nil {
-					delete(p.engine(s.ID).mine, "a")
+					delete(p.engine(s.ID).own, "a")
 				}
 				p.mu.Unlock()
 			}
--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -31,7 +31,7 @@
 }
 
 // exact is a belief without doubt.
-func exact(tokens int) Belief { return Belief{median: float64(tokens), spread: leastSpread} }
+func exact(tokens int) Estimate { return Estimate{median: float64(tokens), spread: leastSpread} }
 
 func job(id string, prompt, out int) Job { return Job{ID: id, Prompt: prompt, Length: exact(out)} }
 
@@ -54,7 +54,7 @@
 func TestWaitCountsWhatOtherGatewaysBooked(t *testing.T) {
 	g := NewWithT(t)
 	p, _ := pool(2, 0, 10000)
-	p.Hear("other", Peer{At: time.Now(), Loads: []Load{{Runner: "d0", Now: 9900, Left: 50}}})
+	p.ReceiveSnapshot("other", Snapshot{At: time.Now(), Loads: []Load{{Runner: "d0", Now: 9900, Left: 50}}})
 	for _, id := range []string{"a", "b"} {
 		s, err := wait(p, job(id, 1000, 100), Fresh, time.Second)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -66,7 +66,7 @@
 	g := NewWithT(t)
 	p, _ := pool(1, 0, 10000)
 	now := time.Now()
-	p.Hear("other", Peer{At: now, Loads: []Load{{Runner: "d0", Now: 9900, Left: 50}}})
+	p.ReceiveSnapshot("other", Snapshot{At: now, Loads: []Load{{Runner: "d0", Now: 9900, Left: 50}}})
 	p.Sweep(now.Add(peerAge / 2))
 	_, err := wait(p, job("a", 1000, 100), Fresh, 0)
 	var none *ErrNoRoom
@@ -133,7 +133,7 @@
 	spectest.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
 		n := rapid.IntRange(0, 8).Draw(t, "n")
-		e := &engine{mine: map[string]*booking{}, others: map[string][]Load{}}
+		e := &engine{own: map[string]*reservation{}, others: map[string][]Load{}}
 		for range n {
 			e.others["o"] = append(e.others["o"], Load{Now: rapid.IntRange(1, 500).Draw(t, "now"), Left: rapid.IntRange(0, 200).Draw(t, "left")})
 		}
@@ -156,7 +156,7 @@
 	g := NewWithT(t)
 	p, _ := pool(0, 2, 1000)
 	now := time.Now()
-	p.Hear("other", Peer{At: now, Reading: map[string]int{"p0": 50000}})
+	p.ReceiveSnapshot("other", Snapshot{At: now, Reading: map[string]int{"p0": 50000}})
 	s, expected, err := p.BeginPrefill("a", 3000, "z0", nil, now)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.ID).To(Equal("p1"))
@@ -167,7 +167,7 @@
 	g := NewWithT(t)
 	p, _ := pool(0, 2, 1000)
 	now := time.Now()
-	p.Mistrust("p0", now)
+	p.Penalize("p0", now)
 	s, _, err := p.BeginPrefill("a", 3000, "z0", nil, now)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.ID).To(Equal("p1"))
@@ -192,12 +192,12 @@
 func TestLengthsLearnTheErrorOfGuesses(t *testing.T) {
 	g := NewWithT(t)
 	l := NewLengths()
-	before := l.Belief(500, 0).Expected(0)
+	before := l.Estimate(500, 0).Expected(0)
 	for i := range 400 {
 		guess := 200 + 10*(i%80)
 		l.Learn(guess, 2*guess)
 	}
-	after := l.Belief(500, 0)
+	after := l.Estimate(500, 0)
 	g.Expect(before).To(BeNumerically("~", 550, 60))
 	g.Expect(after.Expected(0)).To(BeNumerically("~", 1000, 50))
 }
@@ -208,7 +208,7 @@
 	spectest.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
 		most := rapid.IntRange(100, 4000).Draw(t, "most")
-		b := Belief{median: rapid.Float64Range(1, 4000).Draw(t, "median"), spread: rapid.Float64Range(leastSpread, 1).Draw(t, "spread"), most: float64(most)}
+		b := Estimate{median: rapid.Float64Range(1, 4000).Draw(t, "median"), spread: rapid.Float64Range(leastSpread, 1).Draw(t, "spread"), most: float64(most)}
 		last := 0.0
 		for made := 0; made <= most; made += 1 + most/37 {
 			v := b.Expected(made)
@@ -235,8 +235,8 @@
 		now = now.Add(time.Second)
 		p.End(s.ID, "first", now)
 		p.mu.Lock()
-		for id := range p.engine(s.ID).mine {
-			delete(p.engine(s.ID).mine, id)
+		for id := range p.engine(s.ID).own {
+			delete(p.engine(s.ID).own, id)
 		}
 		p.mu.Unlock()
 		g.Expect(w.granted).To(Receive())
@@ -253,18 +253,18 @@
 		p, _ := pool(8, 0, 10000)
 		p.options.Pick = random.IntN
 		for i := range gateways - 1 {
-			p.Hear(fmt.Sprint("g", i), Peer{At: time.Now()})
+			p.ReceiveSnapshot(fmt.Sprint("g", i), Snapshot{At: time.Now()})
 		}
 		var loads []Load
 		for i := range 7 {
 			loads = append(loads, Load{Runner: fmt.Sprint("d", i+1), Now: 100 * (i + 1)})
 		}
-		p.Hear("g0", Peer{At: time.Now(), Loads: loads})
+		p.ReceiveSnapshot("g0", Snapshot{At: time.Now(), Loads: loads})
 		seen := map[string]bool{}
 		for range 50 {
 			p.mu.Lock()
 			s := p.place(job("a", 100, 10), nil, time.Now())
-			delete(p.engine(s.ID).mine, "a")
+			delete(p.engine(s.ID).own, "a")
 			p.mu.Unlock()
 			seen[s.ID] = true
 		}
@@ -287,9 +287,9 @@
 			reading[fmt.Sprint("p", i+1)] = 1000 * (i + 1)
 		}
 		for i := range gateways - 1 {
-			p.Hear(fmt.Sprint("g", i), Peer{At: time.Now()})
+			p.ReceiveSnapshot(fmt.Sprint("g", i), Snapshot{At: time.Now()})
 		}
-		p.Hear("g0", Peer{At: time.Now(), Reading: reading})
+		p.ReceiveSnapshot("g0", Snapshot{At: time.Now(), Reading: reading})
 		seen := map[string]bool{}
 		for range 50 {
 			s, _, err := p.BeginPrefill("a", 100, "z0", nil, time.Now())
--- a/pkg/enginepool/length.go
+++ b/pkg/enginepool/length.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// priorWeight is how many answers the first belief about guesses counts as.
+	// priorWeight is how many answers the first estimate of guesses counts as.
 	priorWeight = 12
-	// priorSpread is the first belief about the spread of the logarithm of the
+	// priorSpread is the first estimate of the spread of the logarithm of the
 	// answer's length around the estimate.
 	priorSpread = 0.45
 	// forget is the weight that older answers keep with each new one.
@@ -43,7 +43,8 @@
 	return l
 }
 
-// line returns the belief: intercept, slope and spread. The lock is held.
+// line returns the estimated line: intercept, slope and spread. The caller holds the
+// lock.
 func (l *Lengths) line() (a, b, spread float64) {
 	det := l.n*l.xx - l.x*l.x
 	if det <= 0 {
@@ -54,7 +55,7 @@
 	return a, b, max(leastSpread, math.Sqrt(l.ee/l.n))
 }
 
-// Learn books an answer's guess and its length, in tokens.
+// Learn records an answer's guess and its length, in tokens.
 func (l *Lengths) Learn(guess, length int) {
 	if guess <= 0 || length <= 0 {
 		return
@@ -75,20 +76,20 @@
 	l.ee += err * err
 }
 
-// Belief is what is known of one answer's length before it begins.
-type Belief struct {
+// Estimate is what is known of one answer's length before it begins.
+type Estimate struct {
 	// median is the length that is exceeded as often as not, spread that of the
 	// logarithm around it; most is the longest possible.
 	median, spread, most float64
 }
 
-// Belief returns what a guess says of a length of at most most tokens; 0 for no
+// Estimate returns what a guess says of a length of at most most tokens; 0 for no
 // bound.
-func (l *Lengths) Belief(guess, most int) Belief {
+func (l *Lengths) Estimate(guess, most int) Estimate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a, b, spread := l.line()
-	out := Belief{median: math.Exp(a + b*math.Log(max(1, float64(guess)))), spread: spread, most: float64(most)}
+	out := Estimate{median: math.Exp(a + b*math.Log(max(1, float64(guess)))), spread: spread, most: float64(most)}
 	if most > 0 {
 		out.median = min(out.median, out.most)
 	}
@@ -97,7 +98,7 @@
 
 // Expected returns the mean length, in tokens, of an answer that has made tokens
 // and goes on: that of the part of a log-normal distribution above made.
-func (b Belief) Expected(made int) float64 {
+func (b Estimate) Expected(made int) float64 {
 	above := func(shift float64) float64 {
 		if made <= 0 {
 			return 1
@@ -114,10 +115,10 @@
 }
 
 // tailFactor is how much longer than it is an answer is expected to get that is
-// far above all belief.
+// far above the estimate.
 const tailFactor = 1.1
 
-func (b Belief) bounded(v float64) float64 {
+func (b Estimate) bounded(v float64) float64 {
 	if b.most > 0 {
 		return min(v, b.most)
 	}
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -1,6 +1,6 @@
-// Package enginepool decides where the generations of a service run: it books
+// Package enginepool decides where the generations of a service run: it reserves
 // memory on decode runners before a prompt is read, orders what waits for it,
-// and picks the prefill runner. It does no I/O; a booking is confirmed by the
+// and picks the prefill runner. It does no I/O; a reservation is confirmed by the
 // caller with a reservation at the runner itself.
 package enginepool
 
@@ -21,9 +21,9 @@
 
 // Options are a pool's settings.
 type Options struct {
-	// Fill is the part of the memory that is booked.
+	// Fill is the part of the memory that is reserved.
 	Fill float64
-	// Refused is how long a runner that refused a reservation is left alone.
+	// Refused is how long a runner that refused a reservation is skipped.
 	Refused time.Duration
 	// Pick returns a random number from 0 to n-1; nil takes math/rand's.
 	Pick func(n int) int
@@ -47,13 +47,13 @@
 	waiting []*Waiter
 	serial  uint64
 	// others are the loads of other gateways, by gateway.
-	others map[string]Peer
+	others map[string]Snapshot
 	// Lengths learns from the answers.
 	Lengths *Lengths
 }
 
-// Peer is what another gateway said of its bookings.
-type Peer struct {
+// Snapshot is a gateway's reservations, as it reports them to the others.
+type Snapshot struct {
 	Loads []Load
 	// Reading is the tokens that it has under way at prefill runners, by runner.
 	Reading map[string]int
@@ -62,7 +62,7 @@
 	At      time.Time
 }
 
-// peerAge is how long what a gateway said is believed.
+// peerAge is how long the snapshot of another gateway is used.
 const peerAge = 1500 * time.Millisecond
 
 // New returns an empty pool of a service.
@@ -70,7 +70,7 @@
 	if o.Pick == nil {
 		o.Pick = rand.IntN
 	}
-	return &Pool{service: service, directory: d, options: o, engines: map[string]*engine{}, readers: map[string]*reader{}, others: map[string]Peer{}, Lengths: NewLengths()}
+	return &Pool{service: service, directory: d, options: o, engines: map[string]*engine{}, readers: map[string]*reader{}, others: map[string]Snapshot{}, Lengths: NewLengths()}
 }
 
 // Configure sets what the engines have in common.
@@ -96,18 +96,18 @@
 	return fmt.Sprintf("no runner: service=%s stage=%s", e.Service, e.Stage)
 }
 
-// engine returns the model of a runner. The lock is held.
+// engine returns the model of a runner. The caller holds the lock.
 func (p *Pool) engine(id string) *engine {
 	e := p.engines[id]
 	if e == nil {
-		e = &engine{id: id, capacity: p.capacity(), slots: p.spec.Slots, mine: map[string]*booking{}, others: map[string][]Load{}}
+		e = &engine{id: id, capacity: p.capacity(), slots: p.spec.Slots, own: map[string]*reservation{}, others: map[string][]Load{}}
 		p.engines[id] = e
 	}
 	return e
 }
 
-// place books a job on the decode runner with the most room of those that are
-// compared (see pick), nil for none. The lock is held. Runners in avoid are not
+// place reserves memory for a job on the decode runner with the most room of those that are
+// compared (see pick), nil for none. The caller holds the lock. Runners in avoid are not
 // taken.
 func (p *Pool) place(j Job, avoid map[string]bool, now time.Time) *runners.State {
 	fit := p.fitting(j, avoid, now)
@@ -115,12 +115,12 @@
 		return nil
 	}
 	best := p.pick(fit, decodeSampling)
-	p.engine(best.ID).mine[j.ID] = &booking{job: j}
+	p.engine(best.ID).own[j.ID] = &reservation{job: j}
 	return best
 }
 
 // fitting returns the runners with room for a job; their merit is that room, in
-// tokens, less where the runner fails requests. The lock is held.
+// tokens, less where the runner fails requests. The caller holds the lock.
 func (p *Pool) fitting(j Job, avoid map[string]bool, now time.Time) []candidate {
 	var out []candidate
 	for _, s := range runners.Healthy(p.directory.Usable(p.service, runners.Decode, now), now) {
@@ -136,24 +136,24 @@
 }
 
 // failureCost is the part of its memory by which a runner that fails all
-// requests is less liked than another.
+// requests ranks below another; measured, docs/POLICY.md.
 const failureCost = 3
 
-// Refused takes a booking back because the runner had no room after all, and
-// leaves the runner alone for a moment.
+// Refused takes a reservation back because the runner had no room after all, and
+// skips the runner for a moment.
 func (p *Pool) Refused(runner, id string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.engine(runner)
-	delete(e.mine, id)
+	delete(e.own, id)
 	e.refusedUntil = now.Add(p.options.Refused)
 }
 
-// Made books that an answer has so many tokens now.
+// Made records that an answer has so many tokens now.
 func (p *Pool) Made(runner, id string, tokens int, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := p.engine(runner).mine[id]
+	b := p.engine(runner).own[id]
 	if b == nil {
 		return
 	}
@@ -163,24 +163,24 @@
 	b.made = tokens
 }
 
-// End takes a booking back: the generation is over.
+// End takes a reservation back: the generation is over.
 func (p *Pool) End(runner, id string, now time.Time) {
 	p.mu.Lock()
 	e := p.engine(runner)
-	delete(e.mine, id)
+	delete(e.own, id)
 	p.mu.Unlock()
 	p.Dispatch(now)
 }
 
-// Hear books what another gateway said.
-func (p *Pool) Hear(gateway string, said Peer) {
+// ReceiveSnapshot takes over what another gateway reported.
+func (p *Pool) ReceiveSnapshot(gateway string, snapshot Snapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.others[gateway] = said
-	p.spread(gateway, said.Loads)
+	p.others[gateway] = snapshot
+	p.spread(gateway, snapshot.Loads)
 }
 
-// spread puts a gateway's loads into the models. The lock is held.
+// spread puts a gateway's loads into the models. The caller holds the lock.
 func (p *Pool) spread(gateway string, loads []Load) {
 	for _, e := range p.engines {
 		delete(e.others, gateway)
@@ -191,12 +191,12 @@
 	}
 }
 
-// Sweep forgets what is too old to be believed, and runners that are gone.
+// Sweep drops snapshots that are too old, and runners that are gone.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for gateway, said := range p.others {
-		if now.Sub(said.At) > peerAge {
+	for gateway, snapshot := range p.others {
+		if now.Sub(snapshot.At) > peerAge {
 			p.spread(gateway, nil)
 			delete(p.others, gateway)
 		}
@@ -206,7 +206,7 @@
 		known[s.ID] = true
 	}
 	for id, e := range p.engines {
-		if !known[id] && len(e.mine) == 0 && len(e.others) == 0 {
+		if !known[id] && len(e.own) == 0 && len(e.others) == 0 {
 			delete(p.engines, id)
 		}
 	}
@@ -217,13 +217,13 @@
 	}
 }
 
-// Say returns what other gateways should know.
-func (p *Pool) Say(now time.Time) Peer {
+// Snapshot returns this gateway's reservations for the other gateways.
+func (p *Pool) Snapshot(now time.Time) Snapshot {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := Peer{Reading: map[string]int{}, Waiting: len(p.waiting), At: now}
+	out := Snapshot{Reading: map[string]int{}, Waiting: len(p.waiting), At: now}
 	for id, e := range p.engines {
-		for _, b := range e.mine {
+		for _, b := range e.own {
 			out.Loads = append(out.Loads, Load{Runner: id, Now: b.job.Prompt + b.made, Left: b.remaining()})
 		}
 	}
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -11,8 +11,8 @@
 	jobs map[string]reading
 	// pace is what the runner reads, in tokens a second; learned.
 	pace float64
-	// mistrusted is until when it is the last choice: its handles lapsed.
-	mistrusted time.Time
+	// penalizedUntil is until when it is the last choice: its handles lapsed.
+	penalizedUntil time.Time
 }
 
 // reading is a prompt on a prefill runner.
@@ -32,8 +32,8 @@
 	otherDomain = 25 * time.Millisecond
 	// lostPrefill is what a prefill costs that is lost.
 	lostPrefill = 1500 * time.Millisecond
-	// mistrust is how long a runner whose handles lapsed is the last choice.
-	mistrust = 3 * time.Second
+	// penaltyTime is how long a runner whose handles lapsed is the last choice.
+	penaltyTime = 3 * time.Second
 )
 
 func (r *reader) backlog() int {
@@ -44,7 +44,7 @@
 	return n
 }
 
-// reader returns the model of a prefill runner. The lock is held.
+// reader returns the model of a prefill runner. The caller holds the lock.
 func (p *Pool) reader(id string) *reader {
 	r := p.readers[id]
 	if r == nil {
@@ -54,7 +54,7 @@
 	return r
 }
 
-// BeginPrefill books a prompt on the prefill runner that will have read it first
+// BeginPrefill assigns a prompt to the prefill runner that will have read it first
 // of those that are compared (see pick), and returns how long that will take.
 // Runners in avoid are not taken. It fails with *ErrNoRunner.
 func (p *Pool) BeginPrefill(id string, tokens int, domain string, avoid map[string]bool, now time.Time) (*runners.State, time.Duration, error) {
@@ -82,7 +82,7 @@
 	if s.Domain != domain {
 		cost += otherDomain
 	}
-	if now.Before(r.mistrusted) {
+	if now.Before(r.penalizedUntil) {
 		cost += time.Second
 	}
 	cost += time.Duration(s.Failures(now) * float64(lostPrefill))
@@ -90,12 +90,12 @@
 }
 
 // readTime estimates how long a runner takes to read what waits there and a
-// prompt more. The lock is held.
+// prompt more. The caller holds the lock.
 func (p *Pool) readTime(id string, tokens int) time.Duration {
 	return time.Duration(float64(p.backlog(id)+tokens) / p.reader(id).pace * float64(time.Second))
 }
 
-// backlog returns the tokens that wait at a runner. The lock is held.
+// backlog returns the tokens that wait at a runner. The caller holds the lock.
 func (p *Pool) backlog(id string) int {
 	n := p.reader(id).backlog()
 	for _, o := range p.others {
@@ -118,10 +118,10 @@
 	r.pace += (float64(j.tokens+j.ahead)/took - r.pace) * paceWeight
 }
 
-// Mistrust makes a prefill runner the last choice for a while: what it had read
+// Penalize makes a prefill runner the last choice for a while: what it had read
 // could not be fetched.
-func (p *Pool) Mistrust(runner string, now time.Time) {
+func (p *Pool) Penalize(runner string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reader(runner).mistrusted = now.Add(mistrust)
+	p.reader(runner).penalizedUntil = now.Add(penaltyTime)
 }
--- a/pkg/enginepool/queue.go
+++ b/pkg/enginepool/queue.go
@@ -31,7 +31,7 @@
 	rank   Rank
 	serial uint64
 	avoid  map[string]bool
-	// granted takes the runner on which the job was booked.
+	// granted receives the runner on which memory is reserved.
 	granted chan *runners.State
 	// lateAt is from when the job can't be in time; zero for never.
 	lateAt time.Time
@@ -65,8 +65,8 @@
 // Avoid keeps a job away from a runner that failed it.
 func (w *Waiter) Avoid(runner string) { w.avoid[runner] = true }
 
-// Wait returns the decode runner on which the job has been booked, once there is
-// room. It fails with *ErrNoRoom at the end of the context.
+// Wait returns the decode runner on which memory is reserved for the job, once there
+// is room. It fails with *ErrNoRoom at the end of the context.
 func (p *Pool) Wait(ctx context.Context, w *Waiter) (*runners.State, error) {
 	began := time.Now()
 	p.enqueue(w)
@@ -118,7 +118,7 @@
 	}
 }
 
-// Dispatch books those that wait, in order, where there is room. What does not
+// Dispatch reserves for those that wait, in order, where there is room. What does not
 // fit does not hold up what does, but for the first one's sake nothing larger
 // passes it.
 func (p *Pool) Dispatch(now time.Time) {
@@ -146,7 +146,7 @@
 	p.waiting = left
 }
 
-// demote ranks those last that have become late. The lock is held.
+// demote ranks those last that have become late. The caller holds the lock.
 func (p *Pool) demote(now time.Time) {
 	changed := false
 	for _, w := range p.waiting {
@@ -160,7 +160,7 @@
 	}
 }
 
-// Waiting returns how many jobs wait here, and at all gateways that were heard.
+// Waiting returns how many jobs wait here, and at all gateways that reported.
 func (p *Pool) Waiting() (here, all int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/enginepool/sample.go
+++ b/pkg/enginepool/sample.go
@@ -27,9 +27,9 @@
 }
 
 // pick returns the best runner of a random sample of the candidates, of which
-// there is at least one; it changes their order. What other gateways book is
-// heard late: were all to take the best of all, they would meet there. The more
-// gateways there are for each runner, the fewer are compared. The lock is held.
+// there is at least one; it changes their order. Reservations of other gateways
+// are known late: were all to take the best of all, they would meet there. The more
+// gateways there are for each runner, the fewer are compared. The caller holds the lock.
 func (p *Pool) pick(from []candidate, s sampling) *runners.State {
 	n := min(len(from), max(s.least, s.factor*len(from)/(len(p.others)+1)))
 	for i := range n {
--- a/pkg/fake/engine.go
+++ b/pkg/fake/engine.go
@@ -223,7 +223,7 @@
 	return maps.Clone(e.began)
 }
 
-// beginWork books that work came. The caller holds the lock.
+// beginWork records that work came. The caller holds the lock.
 func (e *Engine) beginWork(id string) {
 	if _, ok := e.began[id]; !ok {
 		e.began[id] = time.Now()
--- a/pkg/fake/engine_steps.go
+++ b/pkg/fake/engine_steps.go
@@ -57,7 +57,7 @@
 	return time.Duration(float64(n) / e.spec.PrefillRate * float64(time.Second))
 }
 
-// advance books one step of work.
+// advance records one step of work.
 func (e *Engine) advance() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/fake/fabric.go
+++ b/pkg/fake/fabric.go
@@ -90,7 +90,7 @@
 	return sleep(ctx, d)
 }
 
-// imported books an export as used.
+// imported records an export as used.
 func (e *Engine) imported(handle string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -69,29 +69,29 @@
 	It("takes no new work to an instance that a plausible list does not show", func() {
 		m := fleet.NewMembership()
 		m.Observe(list("a", "b", "c"), now)
-		m.Heard("a", 1, false, now)
+		m.Seen("a", 1, false, now)
 		m.Observe(list("b", "c"), now.Add(fleet.MissingGrace))
 		Expect(leaving(m, "a")).To(BeTrue())
 	})
 	It("keeps what answers when the list comes back empty", func() {
 		m := fleet.NewMembership()
 		m.Observe(list("a", "b", "c"), now)
-		m.Heard("a", 1, false, now.Add(20*time.Second))
+		m.Seen("a", 1, false, now.Add(20*time.Second))
 		m.Observe(nil, now.Add(21*time.Second))
 		Expect(leaving(m, "a")).To(BeFalse())
 	})
 	It("ignores the word of a process that was replaced", func() {
 		m := fleet.NewMembership()
 		m.Observe(list("a"), now)
-		Expect(m.Heard("a", 7, false, now)).To(BeTrue())
-		Expect(m.Heard("a", 6, false, now)).To(BeFalse())
+		Expect(m.Seen("a", 7, false, now)).To(BeTrue())
+		Expect(m.Seen("a", 6, false, now)).To(BeFalse())
 	})
 	It("takes a new process on an instance that was leaving", func() {
 		m := fleet.NewMembership()
 		m.Observe(list("a"), now)
-		m.Heard("a", 1, true, now)
+		m.Seen("a", 1, true, now)
 		Expect(leaving(m, "a")).To(BeTrue())
-		m.Heard("a", 2, false, now)
+		m.Seen("a", 2, false, now)
 		Expect(leaving(m, "a")).To(BeFalse())
 	})
 })
@@ -115,7 +115,7 @@
 				}
 				m.Observe(all, now)
 			},
-			"hear": func(t *rapid.T) { m.Heard(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), 1, false, now) },
+			"hear": func(t *rapid.T) { m.Seen(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), 1, false, now) },
 			"time": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
 			},
--- a/pkg/fleet/membership.go
+++ b/pkg/fleet/membership.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// list books one entry. Leaving never turns back for the same process.
+// list records one entry. Leaving never turns back for the same process.
 func (m *Membership) list(in platform.Instance, now time.Time) {
 	x, ok := m.members[in.Name]
 	if !ok {
@@ -79,7 +79,7 @@
 	}
 }
 
-// miss books that the list did not show a member. An implausible list counts
+// miss records that the list did not show a member. An implausible list counts
 // only against instances that do not answer either.
 func (m *Membership) miss(name string, x *member, plausible bool, now time.Time) {
 	if now.Sub(x.heard) < HeardGrace && !plausible {
@@ -110,11 +110,11 @@
 	return true
 }
 
-// Heard books an answer from an instance. An older epoch than the newest one
+// Seen records an answer from an instance. An older epoch than the newest one
 // heard is a process that was replaced; Heard then returns false and the answer
 // must not be used. A newer epoch is a new process, for which an earlier notice
 // of leaving does not hold.
-func (m *Membership) Heard(name string, epoch uint64, leaving bool, now time.Time) bool {
+func (m *Membership) Seen(name string, epoch uint64, leaving bool, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	x, ok := m.members[name]
--- a/pkg/fleettest/chaos.go
+++ b/pkg/fleettest/chaos.go
@@ -202,7 +202,7 @@
 
 func pick(all []*Process, n int) *Process { return all[n%len(all)] }
 
-// cutOff books a process that others can't reach any more.
+// cutOff records a process that others can't reach any more.
 func (c *Chaos) cutOff(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -84,7 +84,7 @@
 	return r.source.member
 }
 
-// turnedAway books a refusal or failure of a runner, after which another one is
+// turnedAway records a refusal or failure of a runner, after which another one is
 // asked, and returns the error. A sidecar whose configuration is older than
 // ours gets it and may be asked again.
 func (r *run) turnedAway(ctx context.Context, g fleet.Grant, err error) error {
--- a/pkg/gateway/branch.go
+++ b/pkg/gateway/branch.go
@@ -116,7 +116,7 @@
 	return 0, 1, float64(o.KvBytes)
 }
 
-// lost books a runner that can't be reached. Never says that the attempt cannot
+// lost records a runner that can't be reached. Never says that the attempt cannot
 // have begun there.
 func (b *branch) lost(err error, never bool) *ErrBroken {
 	b.runner.Failed(time.Now(), b.g.Jitter())
@@ -257,7 +257,7 @@
 	}
 }
 
-// finished books that the sidecar's last report came, so that no cancel is due.
+// finished records that the sidecar's last report came, so that no cancel is due.
 func (b *branch) finished() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/gateway/convert.go
+++ b/pkg/gateway/convert.go
@@ -24,7 +24,7 @@
 // known is ignored, and a newer configuration than ours is fetched.
 func (g *Gateway) heardLoad(r *route.Runner, m *fleet.Member, l *wirepb.Load) {
 	now := time.Now()
-	if !g.Members.Heard(m.Name, l.Epoch, l.Leaving, now) {
+	if !g.Members.Seen(m.Name, l.Epoch, l.Leaving, now) {
 		return
 	}
 	r.Reported(toReport(l), now)
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -64,7 +64,7 @@
 // maxChoices bounds the choices remembered for one request.
 const maxChoices = 16
 
-// chosen books one answer of the policy.
+// chosen records one answer of the policy.
 func (x *explanations) chosen(id string, c *route.Choice) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -74,7 +74,7 @@
 	}
 }
 
-// finished books a request's outcome.
+// finished records a request's outcome.
 func (x *explanations) finished(id string, r *Result) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -31,7 +31,7 @@
 	return l
 }
 
-// Enter books a request, or fails with *ErrLimit.
+// Enter records a request, or fails with *ErrLimit.
 func (l *limits) Enter(workspace string) error {
 	if !l.enterGateway() {
 		return &ErrLimit{What: "gateway", Limit: l.maxOpen}
@@ -43,7 +43,7 @@
 	return nil
 }
 
-// Leave books a request's end.
+// Leave records a request's end.
 func (l *limits) Leave(workspace string) {
 	l.shard(workspace).leave(workspace)
 	l.leaveGateway()
@@ -110,7 +110,7 @@
 
 func newRetryBudget() *retryBudget { return &retryBudget{saved: retrySaved} }
 
-// earn books a new request.
+// earn records a new request.
 func (b *retryBudget) earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -135,7 +135,7 @@
 	return &ErrBroken{Instance: from.member.Name, Code: engine.CodeMoved}
 }
 
-// decodeLost books a decode runner that broke off.
+// decodeLost records a decode runner that broke off.
 func (a *attempt) decodeLost(err error) error {
 	a.excluded[a.decode.member.Name] = true
 	if a.source != nil && a.source.role == fleet.RolePrefill {
--- a/pkg/gossip/keeper.go
+++ b/pkg/gossip/keeper.go
@@ -58,7 +58,7 @@
 	return true, nil
 }
 
-// Confirm books that the present document was compared with the key-value
+// Confirm records that the present document was compared with the key-value
 // service or a peer at that time.
 func (k *Keeper) Confirm(now time.Time) {
 	k.mu.Lock()
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -70,7 +70,7 @@
 	if share < 0 {
 		share = 64 << 10
 	}
-	if !x.book(share) {
+	if !x.takeMemory(share) {
 		return &ErrBusy{What: "bytes of bodies", Limit: int(x.g.options.MaxBodies)}
 	}
 	var err error
@@ -86,12 +86,12 @@
 	if int64(len(x.call.Body)) > limit {
 		return &ErrBody{Limit: limit, TooLarge: true}
 	}
-	x.book(int64(len(x.call.Body)) - share)
+	x.takeMemory(int64(len(x.call.Body)) - share)
 	return nil
 }
 
-// book takes memory for a body.
-func (x *exchange) book(n int64) bool {
+// takeMemory takes memory for a body.
+func (x *exchange) takeMemory(n int64) bool {
 	if x.g.bodies.Add(n) > x.g.options.MaxBodies && n > 0 {
 		x.g.bodies.Add(-n)
 		return false
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -171,7 +171,7 @@
 	return v, err
 }
 
-// sendFailed books a send without an answer.
+// sendFailed records a send without an answer.
 func (x *exchange) sendFailed(life *request.Life, n int, runner *runners.State, err error) (verdict, error) {
 	if gone := x.over(); gone != nil {
 		return mayHaveRun, gone
@@ -188,10 +188,10 @@
 	return mayHaveRun, err
 }
 
-// declined books a runner's refusal.
+// declined records a runner's refusal.
 func (x *exchange) declined(runner *runners.State, a *Answer) {
 	if a.Elsewhere {
-		runner.Deny(time.Now())
+		runner.MarkUnusable(time.Now())
 	}
 	x.g.metrics.declined(a.Status)
 	x.step("declined", decisionlog.F("runner", runner.ID), decisionlog.F("status", a.Status), decisionlog.F("elsewhere", a.Elsewhere))
@@ -225,7 +225,7 @@
 	return answered, nil
 }
 
-// end books the request's whole answer.
+// end records the request's whole answer.
 func (x *exchange) end(life *request.Life, n int) {
 	_ = life.End(n, 0)
 }
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -85,7 +85,7 @@
 		unread: map[string]bool{}, unfit: map[string]bool{},
 	}
 	s.relay = relay{s: s, last: x.call.After}
-	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, Length: s.pool.Lengths.Belief(s.guess(), x.call.MaxOut)}
+	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, Length: s.pool.Lengths.Estimate(s.guess(), x.call.MaxOut)}
 	s.fields = append(s.fields, decisionlog.F("prompt", s.job.Prompt), decisionlog.F("guess", s.guess()), decisionlog.F("expected", s.job.Length.Expected(0)))
 	s.budget.Request(x.arrived)
 	s.run()
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -116,30 +116,39 @@
 	return out
 }
 
-// Say returns what other gateways should know of the engines, by service.
-func (g *Ingress) Say() map[string]enginepool.Peer {
+// Snapshots returns what other gateways should know of the engines, by service.
+func (g *Ingress) Snapshots() map[string]enginepool.Snapshot {
 	now := time.Now()
-	out := map[string]enginepool.Peer{}
+	out := map[string]enginepool.Snapshot{}
 	for service, p := range g.Pools() {
-		out[service] = p.Say(now)
+		out[service] = p.Snapshot(now)
 	}
 	return out
 }
 
-// Hear takes what another gateway told of the engines of a service. Services
+// ReceiveSnapshot takes what another gateway told of the engines of a service. Services
 // that the own configuration doesn't know are left.
-func (g *Ingress) Hear(gateway, service string, said enginepool.Peer) {
+func (g *Ingress) ReceiveSnapshot(gateway, service string, snapshot enginepool.Snapshot) {
 	if p := g.Pools()[service]; p != nil {
-		p.Hear(gateway, said)
+		p.ReceiveSnapshot(gateway, snapshot)
 	}
 }
 
-// TellOutcomes returns what other gateways should know of failing runners.
-func (g *Ingress) TellOutcomes() []runners.Outcome { return g.Directory.Tell(time.Now()) }
+// Outcomes returns what other gateways should know of failing runners.
+func (g *Ingress) Outcomes() []runners.Outcome { return g.Directory.Outcomes(time.Now()) }
 
-// HearOutcomes takes what another gateway told of failing runners.
-func (g *Ingress) HearOutcomes(gateway string, sameDomain bool, told []runners.Outcome) {
-	g.Directory.Hear(gateway, sameDomain, told, time.Now())
+// StageChanges returns the engines on their way to another stage.
+func (g *Ingress) StageChanges() []runners.StageChange { return g.Directory.StageChanges(time.Now()) }
+
+// ReceiveStageChanges takes what another gateway reported of engines on their way
+// to another stage.
+func (g *Ingress) ReceiveStageChanges(changes []runners.StageChange) {
+	g.Directory.ReceiveStageChanges(changes, time.Now())
+}
+
+// ReceiveOutcomes takes what another gateway told of failing runners.
+func (g *Ingress) ReceiveOutcomes(gateway string, sameDomain bool, told []runners.Outcome) {
+	g.Directory.ReceiveOutcomes(gateway, sameDomain, told, time.Now())
 }
 
 // Version returns the version of the configuration in force, 0 before the first.
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -68,11 +68,11 @@
 	return s.budget.Spend(time.Now())
 }
 
-// refusedPrefill books a prefill that a runner did not do. One that the runner
+// refusedPrefill records a prefill that a runner did not do. One that the runner
 // turned away counts in the budget, also when it was the first.
 func (s *generation) refusedPrefill(reader *runners.State, err error) {
 	s.unread[reader.ID] = true
-	s.blame(reader, err)
+	s.recordFailure(reader, err)
 	var declined *ErrDeclined
 	if errors.As(err, &declined) {
 		reader.Failed(time.Now())
@@ -87,13 +87,13 @@
 	return s.g.options.Engines.Prefill(ctx, reader, s.call, Order{Left: s.left(), Priority: s.route.Priority})
 }
 
-// useless books a prompt whose KV cache could not be fetched.
+// useless records a prompt whose KV cache could not be fetched.
 func (s *generation) useless(reader *runners.State, source Source) {
 	if reader == nil {
 		return
 	}
 	s.g.metrics.wasted.Add(source.Tokens)
-	s.pool.Mistrust(reader.ID, time.Now())
+	s.pool.Penalize(reader.ID, time.Now())
 	reader.Failed(time.Now())
 	s.unread[reader.ID] = true
 }
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -72,7 +72,7 @@
 	return answered, nil
 }
 
-// broke books a stream that ended before its end.
+// broke records a stream that ended before its end.
 func (r *relay) broke(runner *runners.State, err error) (verdict, error) {
 	r.s.unfit[runner.ID] = true
 	if gone := r.s.over(); gone != nil {
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -44,15 +44,15 @@
 		}
 		s.pool.Refused(runner.ID, s.job.ID, time.Now())
 		s.step("hold_refused", decisionlog.F("runner", runner.ID), decisionlog.F("error", err))
-		s.blame(runner, err)
+		s.recordFailure(runner, err)
 		if ctx.Err() != nil {
 			return nil, firstOf(s.over(), &enginepool.ErrNoRoom{ID: s.job.ID, Waited: time.Since(began)})
 		}
 	}
 }
 
-// blame books a call that a runner failed.
-func (s *generation) blame(runner *runners.State, err error) {
+// recordFailure records a call that a runner failed.
+func (s *generation) recordFailure(runner *runners.State, err error) {
 	if s.ctx.Err() != nil {
 		return
 	}
@@ -63,7 +63,7 @@
 		runner.Unreachable(time.Now())
 	case errors.As(err, &declined):
 		if declined.Elsewhere {
-			runner.Deny(time.Now())
+			runner.MarkUnusable(time.Now())
 		}
 	default:
 		runner.Failed(time.Now())
--- a/pkg/peers/convert.go
+++ b/pkg/peers/convert.go
@@ -10,10 +10,10 @@
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
-// encode puts what is to be told into a message.
-func encode(said map[string]enginepool.Peer) *wirepb.GatewayState {
+// encode puts snapshots into a message.
+func encode(snapshots map[string]enginepool.Snapshot) *wirepb.GatewayState {
 	state := &wirepb.GatewayState{}
-	for service, p := range said {
+	for service, p := range snapshots {
 		pool := &wirepb.GatewayPool{Service: service, Waiting: uint32(p.Waiting)}
 		engines := map[string]*wirepb.EngineLoad{}
 		engine := func(runner string) *wirepb.EngineLoad {
@@ -38,12 +38,12 @@
 	return state
 }
 
-// decode takes what was told out of a message, by service. Loads whose two lists
+// decode takes snapshots out of a message, by service. Loads whose two lists
 // differ in length are left out.
-func decode(s *wirepb.GatewayState, now time.Time) map[string]enginepool.Peer {
-	out := map[string]enginepool.Peer{}
+func decode(s *wirepb.GatewayState, now time.Time) map[string]enginepool.Snapshot {
+	out := map[string]enginepool.Snapshot{}
 	for _, pool := range s.Pools {
-		p := enginepool.Peer{Reading: map[string]int{}, Waiting: int(pool.Waiting), At: now}
+		p := enginepool.Snapshot{Reading: map[string]int{}, Waiting: int(pool.Waiting), At: now}
 		for _, e := range pool.Engines {
 			if e.Reading > 0 {
 				p.Reading[e.Runner] = int(e.Reading)
@@ -63,24 +63,24 @@
 // outcomeUnit is what outcomes are counted in on the wire.
 const outcomeUnit = 1.0 / 16
 
-func encodeOutcomes(told []runners.Outcome) []*wirepb.RunnerOutcome {
-	out := make([]*wirepb.RunnerOutcome, 0, len(told))
-	for _, o := range told {
+func encodeOutcomes(reported []runners.Outcome) []*wirepb.RunnerOutcome {
+	out := make([]*wirepb.RunnerOutcome, 0, len(reported))
+	for _, o := range reported {
 		m := &wirepb.RunnerOutcome{Runner: o.Runner, Failed: uint32(o.Failed / outcomeUnit), Total: uint32(o.Total / outcomeUnit)}
-		if o.Denied {
-			m.Denied, m.Stage = true, string(o.Stage)
+		if o.Unusable {
+			m.Unusable, m.Stage = true, string(o.Stage)
 		}
 		out = append(out, m)
 	}
 	return out
 }
 
-func decodeOutcomes(told []*wirepb.RunnerOutcome) []runners.Outcome {
-	out := make([]runners.Outcome, 0, len(told))
-	for _, o := range told {
+func decodeOutcomes(reported []*wirepb.RunnerOutcome) []runners.Outcome {
+	out := make([]runners.Outcome, 0, len(reported))
+	for _, o := range reported {
 		out = append(out, runners.Outcome{
 			Runner: o.Runner, Failed: float64(o.Failed) * outcomeUnit, Total: float64(o.Total) * outcomeUnit,
-			Denied: o.Denied, Stage: runners.Stage(o.Stage),
+			Unusable: o.Unusable, Stage: runners.Stage(o.Stage),
 		})
 	}
 	return out
@@ -88,3 +88,19 @@
 
 // unmarshal reads one datagram.
 func unmarshal(data []byte, into *wirepb.GatewayState) error { return proto.Unmarshal(data, into) }
+
+func encodeStageChanges(changes []runners.StageChange) []*wirepb.StageChange {
+	out := make([]*wirepb.StageChange, 0, len(changes))
+	for _, c := range changes {
+		out = append(out, &wirepb.StageChange{Runner: c.Runner, Stage: string(c.To), RemainingMs: uint32(c.Left.Milliseconds())})
+	}
+	return out
+}
+
+func decodeStageChanges(changes []*wirepb.StageChange) []runners.StageChange {
+	out := make([]runners.StageChange, 0, len(changes))
+	for _, c := range changes {
+		out = append(out, runners.StageChange{Runner: c.Runner, To: runners.Stage(c.Stage), Left: time.Duration(c.RemainingMs) * time.Millisecond})
+	}
+	return out
+}
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -1,7 +1,7 @@
-// Package peers lets gateways tell each other what they have booked on the
-// engines, so that all of them choose as one would. It sends small datagrams: a
-// lost one is made up for by the next. Who the others are comes from the store
-// once and from the datagrams after that; nothing is agreed on.
+// Package peers exchanges between gateways what they have reserved on the engines,
+// so that all of them choose as one would. It sends small datagrams: a lost one is
+// made up for by the next. The other gateways' addresses come from the store once
+// and from the datagrams after that; nothing is agreed on.
 package peers
 
 import (
@@ -19,22 +19,22 @@
 )
 
 const (
-	// period is the time between two tellings.
+	// period is the time between two rounds of datagrams.
 	period = 60 * time.Millisecond
-	// maxFanout bounds the datagrams of one telling; of more peers, each
-	// telling reaches the next ones in turn.
+	// maxFanout bounds the datagrams of one round; of more peers, each round
+	// reaches the next ones in turn.
 	maxFanout = 16
-	// rememberFor is how long a silent peer is remembered and told.
+	// rememberFor is how long a silent peer is kept and sent to.
 	rememberFor = 60 * time.Second
-	// aliveFor is how long a peer counts as alive after it was heard.
+	// aliveFor is how long a peer counts as alive after its last datagram.
 	aliveFor = 1500 * time.Millisecond
 	// maxDatagram bounds a datagram, in bytes.
 	maxDatagram = 16 << 10
 	// namedPeers is how many others a datagram names.
 	namedPeers = 4
-	// outcomesEvery is in how many tellings runners' outcomes stand once.
+	// outcomesEvery is how many rounds pass between reports of runners' outcomes.
 	outcomesEvery = 4
-	// quietEvery is how often a gateway without any load tells so.
+	// quietEvery is how many rounds pass between reports of a gateway without load.
 	quietEvery = 8
 )
 
@@ -43,20 +43,22 @@
 	// Name and Address are this gateway's; Address is IP:PORT.
 	Name, Address string
 	Conn          net.PacketConn
-	// Say returns what is to be told, by service.
-	Say func() map[string]enginepool.Peer
-	// Hear takes what another gateway told of a service.
-	Hear func(gateway, service string, said enginepool.Peer)
-	// Domain is this gateway's failure domain. Outcomes returns what is to be
-	// told of runners that fail requests, HearOutcomes takes what another
-	// gateway told of them.
-	Domain       string
-	Outcomes     func() []runners.Outcome
-	HearOutcomes func(gateway string, sameDomain bool, told []runners.Outcome)
+	// Snapshots returns this gateway's reservations, by service.
+	Snapshots func() map[string]enginepool.Snapshot
+	// ReceiveSnapshot takes another gateway's reservations for a service.
+	ReceiveSnapshot func(gateway, service string, snapshot enginepool.Snapshot)
+	// Domain is this gateway's failure domain. Outcomes returns the outcomes at
+	// runners that fail requests, ReceiveOutcomes takes those of another gateway.
+	Domain          string
+	Outcomes        func() []runners.Outcome
+	ReceiveOutcomes func(gateway string, sameDomain bool, outcomes []runners.Outcome)
+	// StageChanges returns the engines on their way to another stage,
+	// ReceiveStageChanges takes those that another gateway reported.
+	StageChanges        func() []runners.StageChange
+	ReceiveStageChanges func(changes []runners.StageChange)
 	// Version returns the version of the configuration in force.
 	Version func() uint64
-	// Changed is called when a gateway is heard for the first time, again, or
-	// not any more.
+	// Changed is called when a gateway becomes alive or silent.
 	Changed func(name, what string, known int)
 }
 
@@ -67,11 +69,11 @@
 	// incarnation and sequence are those of the newest datagram.
 	incarnation, sequence uint64
 	version               uint64
-	heard                 time.Time
+	lastSeen              time.Time
 	alive                 bool
 }
 
-// Exchange tells and hears. It is safe for concurrent use.
+// Exchange sends and receives reports. It is safe for concurrent use.
 type Exchange struct {
 	options     Options
 	incarnation uint64
@@ -88,8 +90,8 @@
 	return &Exchange{options: o, incarnation: uint64(time.Now().UnixNano()), members: map[string]*member{}}
 }
 
-// Meet books that a gateway is said to hear at an address.
-func (x *Exchange) Meet(name, address string) {
+// Add records the address of another gateway.
+func (x *Exchange) Add(name, address string) {
 	if name == x.options.Name {
 		return
 	}
@@ -100,7 +102,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.members[name] == nil {
-		x.members[name] = &member{name: name, address: at, heard: time.Now()}
+		x.members[name] = &member{name: name, address: at, lastSeen: time.Now()}
 	}
 }
 
@@ -124,7 +126,7 @@
 	return n
 }
 
-// Addresses returns where the remembered gateways hear, those with the newest
+// Addresses returns the addresses of the known gateways, those with the newest
 // configuration first.
 func (x *Exchange) Addresses() []string {
 	x.mu.Lock()
@@ -138,7 +140,7 @@
 	return out
 }
 
-// sorted returns the members by name. The lock is held.
+// sorted returns the members by name. The caller holds the lock.
 func (x *Exchange) sorted() []*member {
 	list := make([]*member, 0, len(x.members))
 	for _, m := range x.members {
@@ -153,7 +155,7 @@
 	return list
 }
 
-// Run tells and hears until the context ends.
+// Run sends and receives until the context ends.
 func (x *Exchange) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = x.options.Conn.Close() })
 	defer stop()
@@ -167,17 +169,17 @@
 			reading.Wait()
 			return
 		case now := <-tick.C:
-			x.tell(now)
+			x.send(now)
 			x.sweep(now)
 		}
 	}
 }
 
-// tell sends one round of datagrams.
-func (x *Exchange) tell(now time.Time) {
-	said := x.options.Say()
+// send sends one round of datagrams.
+func (x *Exchange) send(now time.Time) {
+	snapshots, changes := x.options.Snapshots(), x.options.StageChanges()
 	x.mu.Lock()
-	if quiet(said) {
+	if len(changes) == 0 && quiet(snapshots) {
 		if x.silent++; x.silent > 1 && x.silent%quietEvery != 0 {
 			x.mu.Unlock()
 			return
@@ -186,9 +188,10 @@
 		x.silent = 0
 	}
 	x.sequence++
-	state := encode(said)
+	state := encode(snapshots)
 	state.Name, state.Address = x.options.Name, x.options.Address
 	state.Domain = x.options.Domain
+	state.StageChanges = encodeStageChanges(changes)
 	if x.sequence%outcomesEvery == 0 {
 		state.Outcomes = encodeOutcomes(x.options.Outcomes())
 	}
@@ -213,9 +216,9 @@
 	}
 }
 
-// quiet reports whether there is nothing to tell.
-func quiet(said map[string]enginepool.Peer) bool {
-	for _, p := range said {
+// quiet reports whether there is nothing to report.
+func quiet(snapshots map[string]enginepool.Snapshot) bool {
+	for _, p := range snapshots {
 		if len(p.Loads) > 0 || len(p.Reading) > 0 || p.Waiting > 0 {
 			return false
 		}
@@ -223,7 +226,7 @@
 	return true
 }
 
-// read hears until the socket closes.
+// read receives until the socket closes.
 func (x *Exchange) read(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
@@ -237,19 +240,19 @@
 		}
 		var state wirepb.GatewayState
 		if unmarshal(buffer[:n], &state) == nil {
-			x.hear(&state, from, time.Now())
+			x.receive(&state, from, time.Now())
 		}
 	}
 }
 
-// hear takes one datagram. One that is older than another is left.
-func (x *Exchange) hear(s *wirepb.GatewayState, from net.Addr, now time.Time) {
+// receive takes one datagram. One that is older than another is dropped.
+func (x *Exchange) receive(s *wirepb.GatewayState, from net.Addr, now time.Time) {
 	if s.Name == "" || s.Name == x.options.Name {
 		return
 	}
-	x.Meet(s.Name, s.Address)
+	x.Add(s.Name, s.Address)
 	for _, p := range s.Peers {
-		x.Meet(p.Name, p.Address)
+		x.Add(p.Name, p.Address)
 	}
 	x.mu.Lock()
 	m := x.members[s.Name]
@@ -260,19 +263,22 @@
 	if at, ok := from.(*net.UDPAddr); ok {
 		m.address = at
 	}
-	m.incarnation, m.sequence, m.version, m.heard = s.Incarnation, s.Sequence, s.ConfigVersion, now
+	m.incarnation, m.sequence, m.version, m.lastSeen = s.Incarnation, s.Sequence, s.ConfigVersion, now
 	first := !m.alive
 	m.alive = true
 	known := len(x.members)
 	x.mu.Unlock()
 	if first {
-		x.options.Changed(s.Name, "heard", known)
+		x.options.Changed(s.Name, "alive", known)
 	}
 	if len(s.Outcomes) > 0 {
-		x.options.HearOutcomes(s.Name, s.Domain == x.options.Domain, decodeOutcomes(s.Outcomes))
+		x.options.ReceiveOutcomes(s.Name, s.Domain == x.options.Domain, decodeOutcomes(s.Outcomes))
 	}
-	for service, said := range decode(s, now) {
-		x.options.Hear(s.Name, service, said)
+	if len(s.StageChanges) > 0 {
+		x.options.ReceiveStageChanges(decodeStageChanges(s.StageChanges))
+	}
+	for service, snapshot := range decode(s, now) {
+		x.options.ReceiveSnapshot(s.Name, service, snapshot)
 	}
 }
 
@@ -281,7 +287,7 @@
 	var silent []string
 	x.mu.Lock()
 	for name, m := range x.members {
-		quiet := now.Sub(m.heard)
+		quiet := now.Sub(m.lastSeen)
 		if m.alive && quiet > aliveFor {
 			m.alive = false
 			silent = append(silent, name)
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -16,18 +16,18 @@
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
-// gateway is one exchange with what it heard.
+// gateway is one exchange with the snapshots that it received.
 type gateway struct {
 	*Exchange
-	address string
-	mu      sync.Mutex
-	heard   map[string]enginepool.Peer
+	address  string
+	mu       sync.Mutex
+	received map[string]enginepool.Snapshot
 }
 
-func (w *gateway) from(name string) (enginepool.Peer, bool) {
+func (w *gateway) from(name string) (enginepool.Snapshot, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p, ok := w.heard[name]
+	p, ok := w.received[name]
 	return p, ok
 }
 
@@ -36,16 +36,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &gateway{address: conn.LocalAddr().String(), heard: map[string]enginepool.Peer{}}
+	w := &gateway{address: conn.LocalAddr().String(), received: map[string]enginepool.Snapshot{}}
 	w.Exchange = New(Options{
-		Name: name, Address: w.address, Conn: conn, Outcomes: func() []runners.Outcome { return nil }, Version: func() uint64 { return uint64(load) },
-		Say: func() map[string]enginepool.Peer {
-			return map[string]enginepool.Peer{"llm": {Loads: []enginepool.Load{{Runner: name + "-runner", Now: load, Left: 1}}}}
+		Name: name, Address: w.address, Conn: conn, Outcomes: func() []runners.Outcome { return nil }, StageChanges: func() []runners.StageChange { return nil }, Version: func() uint64 { return uint64(load) },
+		Snapshots: func() map[string]enginepool.Snapshot {
+			return map[string]enginepool.Snapshot{"llm": {Loads: []enginepool.Load{{Runner: name + "-runner", Now: load, Left: 1}}}}
 		},
-		Hear: func(from, _ string, said enginepool.Peer) {
+		ReceiveSnapshot: func(from, _ string, snapshots enginepool.Snapshot) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			w.heard[from] = said
+			w.received[from] = snapshots
 		},
 		Changed: func(string, string, int) {},
 	})
@@ -63,8 +63,8 @@
 func TestGatewaysFindEachOtherThroughOthers(t *testing.T) {
 	g := NewWithT(t)
 	a, b, c := start(t, "a", 10), start(t, "b", 20), start(t, "c", 30)
-	b.Meet("a", a.address)
-	c.Meet("b", b.address)
+	b.Add("a", a.address)
+	c.Add("b", b.address)
 	for _, pair := range []struct {
 		at   *gateway
 		from string
@@ -89,7 +89,7 @@
 	a := start(t, "a", 1)
 	from := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
 	say := func(incarnation, sequence uint64, load uint32) {
-		a.hear(&wirepb.GatewayState{Name: "z", Address: "127.0.0.1:1", Incarnation: incarnation, Sequence: sequence,
+		a.receive(&wirepb.GatewayState{Name: "z", Address: "127.0.0.1:1", Incarnation: incarnation, Sequence: sequence,
 			Pools: []*wirepb.GatewayPool{{Service: "llm", Engines: []*wirepb.EngineLoad{{Runner: "r", Now: []uint32{load}, Left: []uint32{0}}}}}}, from, time.Now())
 	}
 	now := func() int { p, _ := a.from("z"); return p.Loads[0].Now }
@@ -105,7 +105,7 @@
 func TestSilentPeersAreForgottenLate(t *testing.T) {
 	g := NewWithT(t)
 	a := start(t, "a", 1)
-	a.Meet("z", "127.0.0.1:1")
+	a.Add("z", "127.0.0.1:1")
 	now := time.Now()
 	a.sweep(now.Add(2 * aliveFor))
 	g.Expect(a.Known()).To(Equal(1))
@@ -117,7 +117,7 @@
 	spectest.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
 		now := time.Now()
-		p := enginepool.Peer{Reading: map[string]int{}, Waiting: rapid.IntRange(0, 9).Draw(t, "waiting"), At: now}
+		p := enginepool.Snapshot{Reading: map[string]int{}, Waiting: rapid.IntRange(0, 9).Draw(t, "waiting"), At: now}
 		byRunner := map[string]int{}
 		for range rapid.IntRange(0, 9).Draw(t, "loads") {
 			l := enginepool.Load{Runner: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "runner"), Now: rapid.IntRange(0, 9999).Draw(t, "now"), Left: rapid.IntRange(0, 999).Draw(t, "left")}
@@ -127,7 +127,7 @@
 		if n := rapid.IntRange(0, 999).Draw(t, "reading"); n > 0 {
 			p.Reading["x"] = n
 		}
-		back := decode(encode(map[string]enginepool.Peer{"llm": p}), now)["llm"]
+		back := decode(encode(map[string]enginepool.Snapshot{"llm": p}), now)["llm"]
 		g.Expect(back.Waiting).To(Equal(p.Waiting))
 		g.Expect(back.Reading).To(Equal(p.Reading))
 		for _, l := range back.Loads {
@@ -155,23 +155,37 @@
 // domain.
 func TestOutcomesTravelBetweenGateways(t *testing.T) {
 	g := NewWithT(t)
-	told := []runners.Outcome{{Runner: "r", Failed: 1.5, Total: 4}}
-	state := encode(map[string]enginepool.Peer{})
-	state.Outcomes = encodeOutcomes(told)
-	g.Expect(decodeOutcomes(state.Outcomes)).To(Equal(told))
+	reported := []runners.Outcome{{Runner: "r", Failed: 1.5, Total: 4}}
+	state := encode(map[string]enginepool.Snapshot{})
+	state.Outcomes = encodeOutcomes(reported)
+	g.Expect(decodeOutcomes(state.Outcomes)).To(Equal(reported))
 
 	var from string
 	var near bool
 	var heard []runners.Outcome
 	x := New(Options{
-		Name: "a", Domain: "east", Hear: func(string, string, enginepool.Peer) {}, Changed: func(string, string, int) {},
-		HearOutcomes: func(gateway string, sameDomain bool, list []runners.Outcome) {
+		Name: "a", Domain: "east", ReceiveSnapshot: func(string, string, enginepool.Snapshot) {}, Changed: func(string, string, int) {},
+		ReceiveOutcomes: func(gateway string, sameDomain bool, list []runners.Outcome) {
 			from, near, heard = gateway, sameDomain, list
 		},
 	})
 	state.Name, state.Address, state.Incarnation, state.Sequence, state.Domain = "b", "127.0.0.1:1", 1, 1, "east"
-	x.hear(state, nil, time.Now())
+	x.receive(state, nil, time.Now())
 	g.Expect(from).To(Equal("b"))
 	g.Expect(near).To(BeTrue())
-	g.Expect(heard).To(Equal(told))
+	g.Expect(heard).To(Equal(reported))
+}
+
+// An order to an engine is reported at once, also by a gateway without load.
+func TestStageChangesTravelBetweenGateways(t *testing.T) {
+	g := NewWithT(t)
+	changes := []runners.StageChange{{Runner: "e", To: runners.Prefill, Left: 1500 * time.Millisecond}}
+	var received []runners.StageChange
+	x := New(Options{
+		Name: "a", ReceiveSnapshot: func(string, string, enginepool.Snapshot) {}, Changed: func(string, string, int) {},
+		ReceiveStageChanges: func(list []runners.StageChange) { received = list },
+	})
+	state := &wirepb.GatewayState{Name: "b", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1, StageChanges: encodeStageChanges(changes)}
+	x.receive(state, nil, time.Now())
+	g.Expect(received).To(Equal(changes))
 }
--- a/pkg/process/announce.go
+++ b/pkg/process/announce.go
@@ -69,9 +69,9 @@
 		return lease, err
 	}
 	for _, i := range items {
-		p.peers.Meet(i.Key[len(gatewayPrefix):], string(i.Value))
+		p.peers.Add(i.Key[len(gatewayPrefix):], string(i.Value))
 	}
-	p.log.Write(decisionlog.KindBelief, "gateways_read", decisionlog.F("gateways", len(items)), decisionlog.F("at", at))
+	p.log.Write(decisionlog.KindState, "gateways_read", decisionlog.F("gateways", len(items)), decisionlog.F("at", at))
 	return lease, nil
 }
 
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -33,7 +33,7 @@
 func newFeed(g *ingress.Ingress, l *decisionlog.Log, s store.Store, address string) *feed {
 	f := &feed{ingress: g, log: l, store: s, address: address, restart: make(chan struct{})}
 	g.Directory.Changed = func(c runners.Change) {
-		l.Write(decisionlog.KindBelief, "runner_"+c.What, decisionlog.F("runner", c.Runner.ID), decisionlog.F("service", c.Runner.Service),
+		l.Write(decisionlog.KindState, "runner_"+c.What, decisionlog.F("runner", c.Runner.ID), decisionlog.F("service", c.Runner.Service),
 			decisionlog.F("address", c.Runner.Address), decisionlog.F("domain", c.Runner.Domain), decisionlog.F("stage", string(c.Runner.Stage)))
 	}
 	return f
@@ -101,7 +101,7 @@
 		f.item(i, at)
 	}
 	f.ingress.Directory.Keep(ids, time.Now())
-	f.log.Write(decisionlog.KindBelief, "runners_read", decisionlog.F("runners", len(ids)), decisionlog.F("at", at))
+	f.log.Write(decisionlog.KindState, "runners_read", decisionlog.F("runners", len(ids)), decisionlog.F("at", at))
 }
 
 // apply takes single changes.
@@ -138,7 +138,7 @@
 		return
 	}
 	used := f.ingress.Use(table)
-	f.log.Write(decisionlog.KindBelief, "config", decisionlog.F("version", c.Version), decisionlog.F("revision", i.Revision),
+	f.log.Write(decisionlog.KindState, "config", decisionlog.F("version", c.Version), decisionlog.F("revision", i.Revision),
 		decisionlog.F("at", at), decisionlog.F("routes", len(c.Routes)), decisionlog.F("used", used))
 }
 
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -173,10 +173,11 @@
 	p.ports.Peers = conn.LocalAddr().String()
 	p.peers = peers.New(peers.Options{
 		Name: instance.Name, Address: p.ports.Peers, Conn: conn,
-		Domain: instance.Domain, Outcomes: p.Ingress.TellOutcomes, HearOutcomes: p.Ingress.HearOutcomes,
-		Say: p.Ingress.Say, Hear: p.Ingress.Hear, Version: p.Ingress.Version,
+		Domain: instance.Domain, Outcomes: p.Ingress.Outcomes, ReceiveOutcomes: p.Ingress.ReceiveOutcomes,
+		StageChanges: p.Ingress.StageChanges, ReceiveStageChanges: p.Ingress.ReceiveStageChanges,
+		Snapshots: p.Ingress.Snapshots, ReceiveSnapshot: p.Ingress.ReceiveSnapshot, Version: p.Ingress.Version,
 		Changed: func(name, what string, known int) {
-			p.log.Write(decisionlog.KindBelief, "gateway_"+what, decisionlog.F("gateway", name), decisionlog.F("known", known))
+			p.log.Write(decisionlog.KindState, "gateway_"+what, decisionlog.F("gateway", name), decisionlog.F("known", known))
 		},
 	})
 	return nil
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/routetable"
-	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/staging"
 	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/platform"
@@ -30,6 +30,12 @@
 	startFor = 3 * time.Second
 	// renewals is how often the right is renewed in its time.
 	renewals = 3
+	// unansweredOrder is how long an engine whose answer to an order was lost gets
+	// no new work: it may carry the order out some seconds later, or never.
+	unansweredOrder = 6 * time.Second
+	// longestRun bounds how long an engine finishes what it runs, where no route
+	// has a limit.
+	longestRun = 15 * time.Second
 	// holdBack is how long a process does not try for the right after it found
 	// it held.
 	holdBack = 4 * time.Second
@@ -111,7 +117,7 @@
 		return false
 	}
 	if now.Sub(s.began) > startFor {
-		return !s.wrong.IsZero() && now.Sub(s.wrong) > s.restage()+s.wait
+		return !s.wrong.IsZero() && now.Sub(s.wrong) > s.restageTime()+s.wait
 	}
 	return now.Sub(s.began) > meetFor && s.rank() == 0
 }
@@ -124,8 +130,8 @@
 	return s.policy.Patience
 }
 
-// restage returns the longest time that a change of parts takes.
-func (s *stager) restage() time.Duration {
+// restageTime returns the longest time that a change of stage takes.
+func (s *stager) restageTime() time.Duration {
 	longest := time.Duration(0)
 	for _, service := range s.ingress.Table().Config.Services {
 		if service.Engine != nil {
@@ -135,6 +141,17 @@
 	return longest
 }
 
+// changeLimit returns how long an engine of a service may take to change its stage:
+// it finishes what it runs, which takes as long as a route allows, and restarts.
+func (s *stager) changeLimit(service string) time.Duration {
+	table := s.ingress.Table()
+	run := table.LongestTimeout(service)
+	if run == 0 {
+		run = longestRun
+	}
+	return run + s.restageTime()
+}
+
 // plan returns the changes of all services with engines. The first plan is made
 // exact; later ones leave small differences, and come seldom.
 func (s *stager) plan(now time.Time) []staging.Change {
@@ -150,9 +167,7 @@
 		if service.Engine == nil {
 			continue
 		}
-		prefill := s.ingress.Directory.Usable(name, runners.Prefill, now)
-		decode := s.ingress.Directory.Usable(name, runners.Decode, now)
-		out = append(out, s.policy.Plan(prefill, decode, s.early(now))...)
+		out = append(out, s.policy.Plan(s.ingress.Directory.Present(name, now), s.early(now), now)...)
 	}
 	return out
 }
@@ -171,7 +186,7 @@
 	n := 0
 	for name, service := range services {
 		if service.Engine != nil {
-			n += len(s.ingress.Directory.Usable(name, runners.Prefill, now)) + len(s.ingress.Directory.Usable(name, runners.Decode, now))
+			n += len(s.ingress.Directory.Present(name, now))
 		}
 	}
 	if n != s.engines {
@@ -183,6 +198,24 @@
 	return n > 0 && now.Sub(s.stable) >= settleFor
 }
 
+// restage sends one order. What its answer says of the engine's way to the stage is
+// recorded: taken, refused, or unknown.
+func (s *stager) restage(ctx context.Context, c staging.Change, fence uint64, sequence int) error {
+	c.Runner.BeginStageChange(c.Stage, s.changeLimit(c.Runner.Service), time.Now())
+	err := s.runners.Restage(ctx, c.Runner, platform.StageOrder{Stage: c.Stage, Holder: s.lock.Holder, Fence: fence, Sequence: sequence})
+	var declined *ingress.ErrDeclined
+	switch {
+	case err == nil:
+	case errors.As(err, &declined) && declined.Status != http.StatusConflict:
+		c.Runner.EndStageChange()
+	default:
+		// No answer, or another order is under way.
+		c.Runner.BeginStageChange(c.Stage, unansweredOrder, time.Now())
+	}
+	return err
+}
+
+// win tries to get the right to give orders.
 func (s *stager) win(ctx context.Context, now time.Time) {
 	call, cancel := context.WithTimeout(ctx, orderCall)
 	defer cancel()
@@ -194,7 +227,7 @@
 		s.retry = now.Add(orderCall)
 	}
 	fence, _, _ := s.lock.Held(now)
-	s.log.Write(decisionlog.KindBelief, "order_right", decisionlog.F("won", err == nil), decisionlog.F("fence", fence), decisionlog.F("error", err))
+	s.log.Write(decisionlog.KindState, "order_right", decisionlog.F("won", err == nil), decisionlog.F("fence", fence), decisionlog.F("error", err))
 }
 
 func (s *stager) renew(ctx context.Context, now time.Time) {
@@ -206,14 +239,15 @@
 	}
 }
 
-// order gives one engine its part.
+// order gives one engine its stage. The engine gets no new work from before the
+// order is sent; other gateways learn of it once the engine has not refused it.
 func (s *stager) order(ctx context.Context, c staging.Change, fence uint64) {
 	call, cancel := context.WithTimeout(ctx, orderCall)
 	defer cancel()
 	sequence, err := s.runners.Sequence(call, c.Runner)
 	if err == nil {
-		err = s.runners.Restage(call, c.Runner, platform.StageOrder{Stage: c.Stage, Holder: s.lock.Holder, Fence: fence, Sequence: sequence})
+		err = s.restage(call, c, fence, sequence)
 	}
-	s.log.Write(decisionlog.KindBelief, "restage", decisionlog.F("runner", c.Runner.ID), decisionlog.F("domain", c.Runner.Domain),
+	s.log.Write(decisionlog.KindState, "restage", decisionlog.F("runner", c.Runner.ID), decisionlog.F("domain", c.Runner.Domain),
 		decisionlog.F("stage", string(c.Stage)), decisionlog.F("fence", fence), decisionlog.F("sequence", sequence), decisionlog.F("error", err))
 }
--- a/pkg/request/life.go
+++ b/pkg/request/life.go
@@ -94,7 +94,7 @@
 	return len(l.attempts), nil
 }
 
-// Send books that an order to run is about to be written. It must be called
+// Send records that an order to run is about to be written. It must be called
 // before the first byte of the order goes out, and the order must not go out
 // when it fails.
 func (l *Life) Send(n int) error {
@@ -124,7 +124,7 @@
 	}
 }
 
-// NeverRan books a runner's word that an attempt has not begun and never will.
+// NeverRan records a runner's word that an attempt has not begun and never will.
 func (l *Life) NeverRan(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/retrybudget/retrybudget.go
+++ b/pkg/retrybudget/retrybudget.go
@@ -60,7 +60,7 @@
 	b.limits = l
 }
 
-// Request books a new request.
+// Request records a new request.
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -79,7 +79,7 @@
 	return true
 }
 
-// Charge books an extra send that was made already, whether any is left or not.
+// Charge records an extra send that was made already, whether any is left or not.
 func (b *Budget) Charge(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/route/prefixes.go
+++ b/pkg/route/prefixes.go
@@ -60,14 +60,14 @@
 
 func (p *Prefixes) shard(block uint64) *prefixShard { return &p.shards[block%prefixShards] }
 
-// Add books that a runner got a prompt with these blocks.
+// Add records that a runner got a prompt with these blocks.
 func (p *Prefixes) Add(blocks []uint64, runner int) {
 	for _, b := range blocks {
 		p.update(b, func(h *holderSet) { h.add(int32(runner)) })
 	}
 }
 
-// Evicted books that a runner dropped a block.
+// Evicted records that a runner dropped a block.
 func (p *Prefixes) Evicted(block uint64, runner int) {
 	p.update(block, func(h *holderSet) { h.remove(int32(runner)) })
 }
--- a/pkg/route/tracker.go
+++ b/pkg/route/tracker.go
@@ -147,7 +147,7 @@
 	return now.Sub(r.at)
 }
 
-// Sent books work that this gateway sent after the newest report.
+// Sent records work that this gateway sent after the newest report.
 func (r *Runner) Sent(tokens int, streams int, bytes float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -157,14 +157,14 @@
 	r.sentBytes += bytes
 }
 
-// Returned books the end of an attempt.
+// Returned records the end of an attempt.
 func (r *Runner) Returned() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.inFlight--
 }
 
-// Failed books that the runner could not be reached or broke off, and keeps new
+// Failed records that the runner could not be reached or broke off, and keeps new
 // work away from it for a time. The jitter is in [0, 1).
 func (r *Runner) Failed(now time.Time, jitter float64) {
 	r.mu.Lock()
@@ -179,7 +179,7 @@
 	return wait/2 + time.Duration(jitter*float64(wait/2))
 }
 
-// Stalled books that a transfer out of the runner made no progress, and keeps
+// Stalled records that a transfer out of the runner made no progress, and keeps
 // new prefills away from it for a time.
 func (r *Runner) Stalled(now time.Time, jitter float64) {
 	r.mu.Lock()
@@ -191,7 +191,7 @@
 	r.stalls++
 }
 
-// Moved books that a transfer out of the runner was completed.
+// Moved records that a transfer out of the runner was completed.
 func (r *Runner) Moved() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -166,6 +166,21 @@
 	return nil
 }
 
+// LongestTimeout returns the longest time that a route to a service lets a request
+// take, 0 if no route bounds it.
+func (t *Table) LongestTimeout(service string) time.Duration {
+	longest := time.Duration(0)
+	for i := range t.Config.Routes {
+		r := &t.Config.Routes[i]
+		for _, target := range r.Targets {
+			if target.Service == service {
+				longest = max(longest, r.Timeout)
+			}
+		}
+	}
+	return longest
+}
+
 // Match returns the route of a host and path, nil for none.
 func (t *Table) Match(host, path string) *Route {
 	if h, _, ok := strings.Cut(host, ":"); ok {
--- a/pkg/runners/health.go
+++ b/pkg/runners/health.go
@@ -38,7 +38,7 @@
 	return h.failures * math.Exp(-now.Sub(h.seen).Seconds()/forgiveIn.Seconds())
 }
 
-// Failed books a request that the runner failed, or did not answer.
+// Failed records a request that the runner failed, or did not answer.
 func (s *State) Failed(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -53,7 +53,7 @@
 	h.until = now.Add(h.rest)
 }
 
-// Unreachable books that no connection came up: the runner rests at once.
+// Unreachable records that no connection came up: the runner rests at once.
 func (s *State) Unreachable(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -65,7 +65,7 @@
 	h.until = now.Add(h.rest)
 }
 
-// Answered books a whole answer and how long it took.
+// Answered records a whole answer and how long it took.
 func (s *State) Answered(took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -92,7 +92,7 @@
 }
 
 // Failures returns the share of failed requests, the newest counting most, with
-// what other gateways told; it falls with time.
+// what other gateways reported; it falls with time.
 func (s *State) Failures(now time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/runners/outcomes.go
+++ b/pkg/runners/outcomes.go
@@ -8,18 +8,18 @@
 const (
 	// fadeIn is the time in which a counted outcome falls to a third.
 	fadeIn = 4 * time.Second
-	// hearFor is how long what another gateway told is believed.
-	hearFor = 3 * time.Second
+	// reportTTL is how long what another gateway reported is believed.
+	reportTTL = 3 * time.Second
 	// ownWeight is how many outcomes of others the own failure rate counts for,
 	// beside the own outcomes behind it.
 	ownWeight = 2
 	// otherDomainWeight is what an outcome counts that was seen from another
 	// failure domain: a runner may fail the callers of one domain only.
 	otherDomainWeight = 0.5
-	// suspectFrom is the number of failures from which a runner is told about,
-	// and tellFrom the number of outcomes.
+	// suspectFrom is the number of failures from which a runner is reported about,
+	// and reportFrom the number of outcomes.
 	suspectFrom = 0.1
-	tellFrom    = 0.2
+	reportFrom  = 0.2
 )
 
 // tally counts outcomes; each fades with time.
@@ -53,19 +53,19 @@
 	// Runner is the runner's ID.
 	Runner        string
 	Failed, Total float64
-	// Denied says that the runner told the gateway that it is not the one that
+	// Unusable says that the runner reported the gateway that it is not the one that
 	// was meant, or not in the stage Stage.
-	Denied bool
-	Stage  Stage
+	Unusable bool
+	Stage    Stage
 }
 
-// heard is what another gateway told of a runner.
-type heard struct {
+// heard is what another gateway reported of a runner.
+type report struct {
 	tally
 	sameDomain bool
 }
 
-// Succeeded books a call other than a request that the runner carried out.
+// Succeeded records a call other than a request that the runner carried out.
 func (s *State) Succeeded(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,7 +78,7 @@
 	weight := ownWeight + k.own.faded(now).total
 	failed, total := weight*k.health.rate(now), weight
 	for _, h := range k.others {
-		if now.Sub(h.at) > hearFor {
+		if now.Sub(h.at) > reportTTL {
 			continue
 		}
 		w := otherDomainWeight
@@ -93,68 +93,68 @@
 }
 
 // suspect reports whether this gateway or another saw the runner fail lately.
-// The lock is held.
+// The caller holds the lock.
 func (k *knowledge) suspect(now time.Time) bool {
 	if k.own.faded(now).failed >= suspectFrom {
 		return true
 	}
 	for _, h := range k.others {
-		if now.Sub(h.at) <= hearFor && h.failed >= suspectFrom {
+		if now.Sub(h.at) <= reportTTL && h.failed >= suspectFrom {
 			return true
 		}
 	}
 	return false
 }
 
-// Tell returns this gateway's outcomes at the runners that failed requests
-// lately, here or elsewhere, and the runners that denied what their entries say,
-// so that other gateways need not find out by themselves. What was heard from others is not told on.
-func (d *Directory) Tell(now time.Time) []Outcome {
+// Outcomes returns this gateway's outcomes at the runners that failed requests
+// lately, here or elsewhere, and the runners that unusable what their entries say,
+// so that other gateways need not find out by themselves. What was heard from others is not reported on.
+func (d *Directory) Outcomes(now time.Time) []Outcome {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	var out []Outcome
 	for id, s := range d.all {
 		s.mu.Lock()
 		t := s.own.faded(now)
-		denied := s.denied && now.Sub(s.deniedAt) <= hearFor
-		if denied || t.total >= tellFrom && s.suspect(now) {
-			out = append(out, Outcome{Runner: id, Failed: t.failed, Total: t.total, Denied: denied, Stage: s.Stage})
+		unusable := s.unusable && now.Sub(s.unusableSince) <= reportTTL
+		if unusable || t.total >= reportFrom && s.suspect(now) {
+			out = append(out, Outcome{Runner: id, Failed: t.failed, Total: t.total, Unusable: unusable, Stage: s.Stage})
 		}
 		s.mu.Unlock()
 	}
 	return out
 }
 
-// Hear books what another gateway told; it replaces what that gateway told of
+// ReceiveOutcomes records what another gateway reported; it replaces what that gateway reported of
 // the same runners before. Runners that are not known here are left.
-func (d *Directory) Hear(gateway string, sameDomain bool, told []Outcome, now time.Time) {
-	var denied []Runner
+func (d *Directory) ReceiveOutcomes(gateway string, sameDomain bool, reported []Outcome, now time.Time) {
+	var unusable []Runner
 	d.mu.RLock()
-	for _, o := range told {
+	for _, o := range reported {
 		s := d.all[o.Runner]
 		if s == nil || o.Failed < 0 || o.Failed > o.Total {
 			continue
 		}
-		if s.hear(gateway, heard{tally{o.Failed, o.Total, now}, sameDomain}, o) {
-			denied = append(denied, s.Runner)
+		if s.receive(gateway, report{tally{o.Failed, o.Total, now}, sameDomain}, o) {
+			unusable = append(unusable, s.Runner)
 		}
 	}
 	d.mu.RUnlock()
-	for _, r := range denied {
-		d.tell(Change{r, "denied"})
+	for _, r := range unusable {
+		d.notify(Change{r, "unusable"})
 	}
 }
 
-// hear books what one gateway told, and reports whether the runner is denied
+// receive records what one gateway reported, and reports whether the runner is unusable
 // since.
-func (s *State) hear(gateway string, h heard, o Outcome) bool {
+func (s *State) receive(gateway string, h report, o Outcome) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.others == nil {
-		s.others = map[string]heard{}
+		s.others = map[string]report{}
 	}
 	s.others[gateway] = h
-	first := o.Denied && o.Stage == s.Stage && !s.denied
-	s.denied = s.denied || first
+	first := o.Unusable && o.Stage == s.Stage && !s.unusable
+	s.unusable = s.unusable || first
 	return first
 }
--- a/pkg/runners/outcomes_test.go
+++ b/pkg/runners/outcomes_test.go
@@ -27,12 +27,12 @@
 		a.all["bad"].Failed(now)
 		a.all["good"].Succeeded(now)
 	}
-	told := a.Tell(now)
-	g.Expect(told).To(HaveLen(1), "nothing is told of a runner that nobody saw fail")
-	b.Hear("a", true, told, now)
+	reported := a.Outcomes(now)
+	g.Expect(reported).To(HaveLen(1), "nothing is reported of a runner that nobody saw fail")
+	b.ReceiveOutcomes("a", true, reported, now)
 	g.Expect(b.all["bad"].Failures(now)).To(BeNumerically(">", 0.6))
 	g.Expect(b.all["good"].Failures(now)).To(BeZero())
-	g.Expect(b.all["bad"].Failures(now.Add(hearFor+time.Second))).To(BeZero(), "what was heard is believed for a while")
+	g.Expect(b.all["bad"].Failures(now.Add(reportTTL+time.Second))).To(BeZero(), "what was heard is believed for a while")
 }
 
 // A gateway that was unlucky once is corrected by many that were not.
@@ -42,7 +42,7 @@
 	a := directoryOf("r")
 	a.all["r"].Failed(now)
 	alone := a.all["r"].Failures(now)
-	a.Hear("b", true, []Outcome{{Runner: "r", Failed: 0, Total: 20}}, now)
+	a.ReceiveOutcomes("b", true, []Outcome{{Runner: "r", Failed: 0, Total: 20}}, now)
 	g.Expect(a.all["r"].Failures(now)).To(BeNumerically("<", alone/3))
 }
 
@@ -52,9 +52,9 @@
 	now := time.Now()
 	d := directoryOf("r")
 	d.all["r"].Succeeded(now)
-	g.Expect(d.Tell(now)).To(BeEmpty())
-	d.Hear("b", true, []Outcome{{Runner: "r", Failed: 1, Total: 1}}, now)
-	g.Expect(d.Tell(now)).To(Equal([]Outcome{{Runner: "r", Failed: 0, Total: 1}}))
+	g.Expect(d.Outcomes(now)).To(BeEmpty())
+	d.ReceiveOutcomes("b", true, []Outcome{{Runner: "r", Failed: 1, Total: 1}}, now)
+	g.Expect(d.Outcomes(now)).To(Equal([]Outcome{{Runner: "r", Failed: 0, Total: 1}}))
 }
 
 // A runner may fail the callers of one failure domain only.
@@ -63,10 +63,10 @@
 	now := time.Now()
 	near, far := directoryOf("r"), directoryOf("r")
 	bad, good := []Outcome{{Runner: "r", Failed: 10, Total: 10}}, []Outcome{{Runner: "r", Total: 10}}
-	near.Hear("a", true, bad, now)
-	near.Hear("b", false, good, now)
-	far.Hear("a", false, bad, now)
-	far.Hear("b", true, good, now)
+	near.ReceiveOutcomes("a", true, bad, now)
+	near.ReceiveOutcomes("b", false, good, now)
+	far.ReceiveOutcomes("a", false, bad, now)
+	far.ReceiveOutcomes("b", true, good, now)
 	g.Expect(near.all["r"].Failures(now)).To(BeNumerically(">", 0.5))
 	g.Expect(far.all["r"].Failures(now)).To(BeNumerically("<", 0.35))
 }
@@ -90,12 +90,12 @@
 				s.Unreachable(now)
 			case 3:
 				n := rapid.Float64Range(-1, 10).Draw(t, "failed")
-				d.Hear("g", rapid.Bool().Draw(t, "near"), []Outcome{{Runner: "r", Failed: n, Total: rapid.Float64Range(0, 10).Draw(t, "total")}}, now)
+				d.ReceiveOutcomes("g", rapid.Bool().Draw(t, "near"), []Outcome{{Runner: "r", Failed: n, Total: rapid.Float64Range(0, 10).Draw(t, "total")}}, now)
 			}
 			g.Expect(s.Failures(now)).To(And(BeNumerically(">=", 0), BeNumerically("<=", 1)))
 		}
 		before := s.Failures(now)
-		d.Hear("h", true, []Outcome{{Runner: "r", Failed: 5, Total: 5}}, now)
+		d.ReceiveOutcomes("h", true, []Outcome{{Runner: "r", Failed: 5, Total: 5}}, now)
 		g.Expect(s.Failures(now)).To(BeNumerically(">=", before))
 	})
 }
@@ -107,7 +107,7 @@
 	now := time.Now()
 	d := NewDirectory()
 	d.Put(Runner{ID: "r", Service: "s", Stage: Decode})
-	d.all["r"].Deny(now)
+	d.all["r"].MarkUnusable(now)
 	g.Expect(d.Usable("s", Decode, now)).To(BeEmpty())
 	d.Put(Runner{ID: "r", Service: "s", Stage: Decode, Slots: 2})
 	g.Expect(d.Usable("s", Decode, now)).To(BeEmpty(), "another entry in the same stage")
@@ -123,29 +123,29 @@
 	a.Put(Runner{ID: "r", Service: "s", Stage: Decode})
 	same.Put(Runner{ID: "r", Service: "s", Stage: Decode})
 	newer.Put(Runner{ID: "r", Service: "s", Stage: Prefill})
-	a.all["r"].Deny(now)
-	told := a.Tell(now)
-	g.Expect(told).To(Equal([]Outcome{{Runner: "r", Denied: true, Stage: Decode}}))
+	a.all["r"].MarkUnusable(now)
+	reported := a.Outcomes(now)
+	g.Expect(reported).To(Equal([]Outcome{{Runner: "r", Unusable: true, Stage: Decode}}))
 	var changes []string
 	same.Changed = func(c Change) { changes = append(changes, c.What) }
-	same.Hear("a", true, told, now)
-	same.Hear("a", true, told, now)
-	newer.Hear("a", true, told, now)
-	g.Expect(changes).To(Equal([]string{"denied"}), "a line once")
+	same.ReceiveOutcomes("a", true, reported, now)
+	same.ReceiveOutcomes("a", true, reported, now)
+	newer.ReceiveOutcomes("a", true, reported, now)
+	g.Expect(changes).To(Equal([]string{"unusable"}), "a line once")
 	g.Expect(same.Usable("s", Decode, now)).To(BeEmpty())
 	g.Expect(newer.Usable("s", Prefill, now)).To(HaveLen(1))
-	g.Expect(same.Tell(now)).To(BeEmpty(), "what was heard is not told on")
-	g.Expect(a.Tell(now.Add(hearFor + time.Second))).To(BeEmpty())
+	g.Expect(same.Outcomes(now)).To(BeEmpty(), "what was heard is not reported on")
+	g.Expect(a.Outcomes(now.Add(reportTTL + time.Second))).To(BeEmpty())
 }
 
-// Gateways come and go over a runner's life; what they told does not pile up.
+// Gateways come and go over a runner's life; what they reported does not pile up.
 func TestWhatIsNoLongerBelievedIsForgotten(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
 	d := directoryOf("r")
-	d.Hear("old", true, []Outcome{{Runner: "r", Failed: 1, Total: 1}}, now)
-	now = now.Add(hearFor)
-	d.Hear("new", true, []Outcome{{Runner: "r", Failed: 1, Total: 1}}, now)
+	d.ReceiveOutcomes("old", true, []Outcome{{Runner: "r", Failed: 1, Total: 1}}, now)
+	now = now.Add(reportTTL)
+	d.ReceiveOutcomes("new", true, []Outcome{{Runner: "r", Failed: 1, Total: 1}}, now)
 	d.Sweep(now.Add(time.Second))
 	g.Expect(d.all["r"].others).To(And(HaveLen(1), HaveKey("new")))
 }
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -1,6 +1,6 @@
-// Package runners keeps what a process believes of the runners: where they are,
-// what they serve, and whether they still take work. Beliefs come from the
-// platform's store and from the answers of the runners themselves.
+// Package runners keeps what a process knows of the runners: where they are, what
+// they serve, and whether they still take work. It learns from the platform's store,
+// from the answers of the runners themselves, and from other gateways.
 package runners
 
 import (
@@ -48,18 +48,20 @@
 	mu sync.Mutex
 	// goneAt is when its entry went; zero while it is there.
 	goneAt time.Time
-	// denied is set when the runner itself said that it is another one, or that
-	// it has another stage; deniedAt is when it told this gateway.
-	denied   bool
-	deniedAt time.Time
+	// unusable is set when the runner answered that it is another one, or that it
+	// has another stage; unusableSince is when it answered this gateway so.
+	unusable      bool
+	unusableSince time.Time
 	// leaving is set when its entry says that it takes no more work, also in
 	// states that were handed out before.
 	leaving bool
-	health  health
+	// change is the stage change that the engine was ordered to make.
+	change pendingChange
+	health health
 	// own counts this gateway's outcomes, others those that other gateways
-	// told, by gateway.
+	// reported, by gateway.
 	own    tally
-	others map[string]heard
+	others map[string]report
 	// outstanding counts this process's requests at it.
 	outstanding int
 }
@@ -72,28 +74,33 @@
 }
 
 func (s *State) usable(now time.Time) bool {
-	if s.denied || s.leaving {
+	return !s.change.active(now) && s.present(now)
+}
+
+// present reports whether the runner is there and stays. The caller holds the lock.
+func (s *State) present(now time.Time) bool {
+	if s.unusable || s.leaving {
 		return false
 	}
 	return s.goneAt.IsZero() || now.Sub(s.goneAt) < goneGrace
 }
 
-// Deny books that the runner itself refused, as the one or in the stage that its
+// MarkUnusable records that the runner itself refused, as the one or in the stage that its
 // entry says.
-func (s *State) Deny(now time.Time) {
+func (s *State) MarkUnusable(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.denied, s.deniedAt = true, now
+	s.unusable, s.unusableSince = true, now
 }
 
-// Enter books a request that is sent to the runner, Leave its end.
+// Enter records a request that is sent to the runner, Leave its end.
 func (s *State) Enter() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outstanding++
 }
 
-// Leave books the end of a request.
+// Leave records the end of a request.
 func (s *State) Leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -117,11 +124,12 @@
 	Changed func(what Change)
 }
 
-// Change says how a belief about a runner has changed.
+// Change says what was learned about a runner.
 type Change struct {
 	Runner Runner
-	// What is "new", "changed", "leaving", "gone", or "denied" when another
-	// gateway told that the runner refused as another one or in another stage.
+	// What is "new", "changed", "leaving" or "gone"; "unusable" when another gateway
+	// reported that the runner refused as another one or in another stage;
+	// "stage_change" when another gateway reported that it was ordered to one.
 	What string
 }
 
@@ -130,7 +138,7 @@
 	return &Directory{all: map[string]*State{}, services: map[string][]*State{}}
 }
 
-// Put books an entry as it stands in the store. A runner that was leaving stays
+// Put records an entry as it stands in the store. A runner that was leaving stays
 // so.
 func (d *Directory) Put(r Runner) {
 	d.mu.Lock()
@@ -154,27 +162,29 @@
 	d.all[r.ID] = s
 	d.index()
 	d.mu.Unlock()
-	d.tell(Change{r, what})
+	d.notify(Change{r, what})
 }
 
-// back books that a runner's entry is there again.
+// back records that a runner's entry is there again.
 func (s *knowledge) back() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.goneAt = time.Time{}
 }
 
-// update books what a new entry says. A refusal in another stage is over.
+// update records what a new entry says. With another stage, refusals in the old one
+// and the change to the new one are over.
 func (s *knowledge) update(old, now Runner) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = now.Leaving
 	if old.Stage != now.Stage {
-		s.denied, s.deniedAt = false, time.Time{}
+		s.unusable, s.unusableSince = false, time.Time{}
+		s.change = pendingChange{}
 	}
 }
 
-// Gone books that an entry is no longer in the store.
+// Gone records that an entry is no longer in the store.
 func (d *Directory) Gone(id string, now time.Time) {
 	d.mu.RLock()
 	s := d.all[id]
@@ -189,11 +199,11 @@
 	}
 	s.mu.Unlock()
 	if first {
-		d.tell(Change{s.Runner, "gone"})
+		d.notify(Change{s.Runner, "gone"})
 	}
 }
 
-// Keep books a whole reading of the store: what is not among the IDs has gone.
+// Keep records a whole reading of the store: what is not among the IDs has gone.
 func (d *Directory) Keep(ids map[string]bool, now time.Time) {
 	d.mu.RLock()
 	var missing []string
@@ -211,7 +221,7 @@
 // forgetAfter is how long a runner whose entry has gone is remembered.
 const forgetAfter = 30 * time.Second
 
-// Sweep forgets runners that have been gone for long, and what other gateways told
+// Sweep forgets runners that have been gone for long, and what other gateways reported
 // of the rest and is no longer believed.
 func (d *Directory) Sweep(now time.Time) {
 	d.mu.Lock()
@@ -220,7 +230,7 @@
 	for id, s := range d.all {
 		s.mu.Lock()
 		old := !s.goneAt.IsZero() && now.Sub(s.goneAt) > forgetAfter
-		maps.DeleteFunc(s.others, func(_ string, h heard) bool { return now.Sub(h.at) > hearFor })
+		maps.DeleteFunc(s.others, func(_ string, h report) bool { return now.Sub(h.at) > reportTTL })
 		s.mu.Unlock()
 		if old {
 			delete(d.all, id)
@@ -232,7 +242,7 @@
 	}
 }
 
-// index makes the lists of the services anew. The lock is held.
+// index makes the lists of the services anew. The caller holds the lock.
 func (d *Directory) index() {
 	next := map[string][]*State{}
 	for _, s := range d.all {
@@ -241,7 +251,7 @@
 	d.services = next
 }
 
-func (d *Directory) tell(c Change) {
+func (d *Directory) notify(c Change) {
 	if d.Changed != nil {
 		d.Changed(c)
 	}
@@ -261,6 +271,23 @@
 	return out
 }
 
+// Present returns the runners of a service that are there and stay, those on their
+// way to another stage too.
+func (d *Directory) Present(service string, now time.Time) []*State {
+	d.mu.RLock()
+	list := d.services[service]
+	d.mu.RUnlock()
+	out := make([]*State, 0, len(list))
+	for _, s := range list {
+		s.mu.Lock()
+		if s.present(now) {
+			out = append(out, s)
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
 // All returns all runners of a service, those that take no work too.
 func (d *Directory) All(service string) []*State {
 	d.mu.RLock()
--- a/pkg/runners/runners_test.go
+++ b/pkg/runners/runners_test.go
@@ -56,13 +56,13 @@
 	g := NewWithT(t)
 	d := NewDirectory()
 	now := time.Now()
-	var told []string
-	d.Changed = func(c Change) { told = append(told, c.What+" "+c.Runner.ID) }
+	var reported []string
+	d.Changed = func(c Change) { reported = append(reported, c.What+" "+c.Runner.ID) }
 	d.Put(Runner{ID: "a", Service: "s"})
 	d.Put(Runner{ID: "b", Service: "s"})
 	d.Keep(map[string]bool{"b": true}, now)
 	d.Keep(map[string]bool{"b": true}, now)
-	g.Expect(told).To(Equal([]string{"new a", "new b", "gone a"}))
+	g.Expect(reported).To(Equal([]string{"new a", "new b", "gone a"}))
 	d.Sweep(now.Add(2 * forgetAfter))
 	g.Expect(d.Len()).To(Equal(1))
 }
--- /dev/null
+++ b/pkg/runners/stagechange.go
@@ -0,0 +1,89 @@
+package runners
+
+import "time"
+
+// StageChange is an engine on its way to another stage. From the order until its
+// entry shows the stage it finishes what it runs and refuses everything else, so
+// it gets no new work.
+type StageChange struct {
+	// Runner is the engine's ID.
+	Runner string
+	To     Stage
+	// Left is how much longer the change may take. After that the order counts
+	// as lost, and the engine gets work of its old stage again.
+	Left time.Duration
+}
+
+// pendingChange is a stage change of one runner; the zero value is none.
+type pendingChange struct {
+	to    Stage
+	until time.Time
+}
+
+func (c pendingChange) active(now time.Time) bool { return now.Before(c.until) }
+
+// BeginStageChange records that the engine was ordered to another stage, which it
+// will have reached within the limit or not at all.
+func (s *State) BeginStageChange(to Stage, limit time.Duration, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.change = pendingChange{to: to, until: now.Add(limit)}
+}
+
+// EndStageChange records that the engine refused the order.
+func (s *State) EndStageChange() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.change = pendingChange{}
+}
+
+// Changing returns the stage that the engine is on its way to, false for none.
+func (s *State) Changing(now time.Time) (Stage, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.change.to, s.change.active(now)
+}
+
+// StageChanges returns the engines on their way to another stage, those that other
+// gateways reported too: the one that gave the order may be gone.
+func (d *Directory) StageChanges(now time.Time) []StageChange {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var out []StageChange
+	for id, s := range d.all {
+		s.mu.Lock()
+		if s.change.active(now) {
+			out = append(out, StageChange{Runner: id, To: s.change.to, Left: s.change.until.Sub(now)})
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// ReceiveStageChanges records what another gateway reported. A change that is known
+// already keeps its limit, so that gateways can't prolong it for each other.
+func (d *Directory) ReceiveStageChanges(changes []StageChange, now time.Time) {
+	var begun []Runner
+	d.mu.RLock()
+	for _, c := range changes {
+		if s := d.all[c.Runner]; s != nil && s.receiveChange(c, now) {
+			begun = append(begun, s.Runner)
+		}
+	}
+	d.mu.RUnlock()
+	for _, r := range begun {
+		d.notify(Change{r, "stage_change"})
+	}
+}
+
+// receiveChange records a reported change, false if it is known or over.
+func (s *State) receiveChange(c StageChange, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.change.active(now) && s.change.to == c.To
+	if known || s.Stage == c.To || c.Left <= 0 {
+		return false
+	}
+	s.change = pendingChange{to: c.To, until: now.Add(c.Left)}
+	return true
+}
--- /dev/null
+++ b/pkg/runners/stagechange_test.go
@@ -0,0 +1,65 @@
+package runners
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func engineDirectory(id string, stage Stage) *Directory {
+	d := NewDirectory()
+	d.Put(Runner{ID: id, Service: "s", Stage: stage})
+	return d
+}
+
+// An engine on its way to another stage refuses what has not begun: it gets no new
+// work here, nor at a gateway that was reported, until its entry shows the stage.
+func TestAnEngineOnItsWayGetsNoNewWork(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	a, b := engineDirectory("e", Decode), engineDirectory("e", Decode)
+	a.all["e"].BeginStageChange(Prefill, 10*time.Second, now)
+	b.ReceiveStageChanges(a.StageChanges(now), now)
+	for _, d := range []*Directory{a, b} {
+		g.Expect(d.Usable("s", Decode, now)).To(BeEmpty())
+		g.Expect(d.Present("s", now)).To(HaveLen(1))
+		d.Put(Runner{ID: "e", Service: "s", Stage: Prefill})
+		g.Expect(d.Usable("s", Prefill, now)).To(HaveLen(1))
+		g.Expect(d.StageChanges(now)).To(BeEmpty())
+	}
+}
+
+// A lost order must not take an engine out for good, also when gateways go on
+// reporting it to each other.
+func TestALostOrderTakesAnEngineOutForItsLimitOnly(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	a, b := engineDirectory("e", Decode), engineDirectory("e", Decode)
+	a.all["e"].BeginStageChange(Prefill, time.Second, now)
+	for range 40 {
+		b.ReceiveStageChanges(a.StageChanges(now), now.Add(20*time.Millisecond))
+		a.ReceiveStageChanges(b.StageChanges(now), now.Add(20*time.Millisecond))
+		now = now.Add(50 * time.Millisecond)
+	}
+	g.Expect(a.Usable("s", Decode, now)).To(HaveLen(1))
+	g.Expect(b.Usable("s", Decode, now)).To(HaveLen(1))
+}
+
+// A report that is older than the engine's entry changes nothing.
+func TestALateReportOfAChangeThatIsDoneIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	d := engineDirectory("e", Prefill)
+	d.ReceiveStageChanges([]StageChange{{Runner: "e", To: Prefill, Left: time.Second}, {Runner: "unknown", To: Decode, Left: time.Second}}, now)
+	g.Expect(d.Usable("s", Prefill, now)).To(HaveLen(1))
+}
+
+func TestARefusedOrderLeavesTheEngineAsItWas(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	d := engineDirectory("e", Decode)
+	d.all["e"].BeginStageChange(Prefill, time.Second, now)
+	d.all["e"].EndStageChange()
+	g.Expect(d.Usable("s", Decode, now)).To(HaveLen(1))
+}
--- a/pkg/sidecar/attempt.go
+++ b/pkg/sidecar/attempt.go
@@ -206,7 +206,7 @@
 	return a.send(&wirepb.Report{Load: a.s.load(), Body: &wirepb.Report_Failed{Failed: f}})
 }
 
-// track books an open attempt.
+// track records an open attempt.
 func (s *Sidecar) track(a *attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/sidecar/decode.go
+++ b/pkg/sidecar/decode.go
@@ -46,7 +46,7 @@
 	return a.generate(start)
 }
 
-// reserve books a stream with the ledger and returns how long its start will
+// reserve records a stream with the ledger and returns how long its start will
 // wait for its slot.
 func (s *Sidecar) reserve(a *attempt) (time.Duration, error) {
 	s.mu.Lock()
--- a/pkg/sidecar/fences.go
+++ b/pkg/sidecar/fences.go
@@ -45,7 +45,7 @@
 	return v, ok
 }
 
-// begin books that an attempt is about to begin, and reports whether it may: a
+// begin records that an attempt is about to begin, and reports whether it may: a
 // fenced one may not, and neither may one that began before.
 func (f *fences) begin(key string) bool {
 	f.mu.Lock()
--- a/pkg/sidecar/prefill.go
+++ b/pkg/sidecar/prefill.go
@@ -174,7 +174,7 @@
 	}
 }
 
-// stuck books that the engine has no memory for a prefill, which lets others go
+// stuck records that the engine has no memory for a prefill, which lets others go
 // before it, or that it is tried again.
 func (s *Sidecar) stuck(key string, stuck bool) {
 	s.mu.Lock()
--- a/pkg/sidecar/relay.go
+++ b/pkg/sidecar/relay.go
@@ -43,7 +43,7 @@
 	}}})
 }
 
-// progress books a token and learns the step time from its distance to the last.
+// progress records a token and learns the step time from its distance to the last.
 func (s *Sidecar) progress(key string, took time.Duration) {
 	s.met.decoded.Inc()
 	s.mu.Lock()
--- a/pkg/staging/staging.go
+++ b/pkg/staging/staging.go
@@ -44,25 +44,37 @@
 	return max(p.Least, int(math.Round(p.Share*n+p.Margin*math.Sqrt(n))))
 }
 
-// Plan returns the changes that lead to the wanted parts. Engines are taken from
-// the domains that have most of the part that is too many. A difference of one
-// engine is left unless exact is set.
-func (p Policy) Plan(prefill, decode []*runners.State, exact bool) []Change {
-	more := p.Wanted(len(prefill)+len(decode)) - len(prefill)
-	if !exact && more <= 1 && more >= -1 && len(prefill) >= p.Least {
+// Plan returns the changes that lead to the wanted stages. Engines on their way to
+// another stage count as having reached it, and get no other order. Engines are
+// taken from the domains that have most of the stage that is too many. A difference
+// of one engine is left unless exact is set.
+func (p Policy) Plan(engines []*runners.State, exact bool, now time.Time) []Change {
+	counts := map[runners.Stage]int{}
+	free := map[runners.Stage][]*runners.State{}
+	for _, s := range engines {
+		if to, changing := s.Changing(now); changing {
+			counts[to]++
+			continue
+		}
+		counts[s.Stage]++
+		free[s.Stage] = append(free[s.Stage], s)
+	}
+	prefill, decode := counts[runners.Prefill], counts[runners.Decode]
+	more := p.Wanted(prefill+decode) - prefill
+	if !exact && more <= 1 && more >= -1 && prefill >= p.Least {
 		return nil
 	}
 	if more > 0 {
-		return take(decode, min(more, len(decode)-1), runners.Prefill)
+		return take(free[runners.Decode], min(more, decode-1), runners.Prefill)
 	}
-	return take(prefill, min(-more, len(prefill)-1), runners.Decode)
+	return take(free[runners.Prefill], min(-more, prefill-1), runners.Decode)
 }
 
 // take picks engines for a new part, one at a time from the domain with the most.
 func take(from []*runners.State, n int, stage runners.Stage) []Change {
 	left := append([]*runners.State{}, from...)
 	var out []Change
-	for range max(0, n) {
+	for range min(max(0, n), len(left)) {
 		domains := map[string]int{}
 		for _, s := range left {
 			domains[s.Domain]++
--- a/pkg/staging/staging_test.go
+++ b/pkg/staging/staging_test.go
@@ -12,7 +12,7 @@
 	"github.com/hopwell/hopwell/pkg/spectest"
 )
 
-func engines(prefill, decode int) (p, d []*runners.State) {
+func engines(prefill, decode int) []*runners.State {
 	dir := runners.NewDirectory()
 	for i := range prefill + decode {
 		stage := runners.Prefill
@@ -21,8 +21,7 @@
 		}
 		dir.Put(runners.Runner{ID: fmt.Sprintf("e%02d", i), Service: "s", Domain: fmt.Sprintf("z%d", i%3), Stage: stage})
 	}
-	now := time.Now()
-	return dir.Usable("s", runners.Prefill, now), dir.Usable("s", runners.Decode, now)
+	return dir.Present("s", time.Now())
 }
 
 // Whatever the parts are, an exact plan leads to those that are wanted, takes no
@@ -31,10 +30,11 @@
 	spectest.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
 		p := DefaultPolicy()
-		prefill, decode := engines(rapid.IntRange(1, 20).Draw(t, "prefill"), rapid.IntRange(1, 20).Draw(t, "decode"))
-		changes := p.Plan(prefill, decode, true)
+		prefill, decode := rapid.IntRange(1, 20).Draw(t, "prefill"), rapid.IntRange(1, 20).Draw(t, "decode")
+		all, now := engines(prefill, decode), time.Now()
+		changes := p.Plan(all, true, now)
 		seen := map[string]bool{}
-		after := len(prefill)
+		after := prefill
 		for _, c := range changes {
 			g.Expect(seen[c.Runner.ID]).To(BeFalse())
 			seen[c.Runner.ID] = true
@@ -44,8 +44,10 @@
 			} else {
 				after--
 			}
+			c.Runner.BeginStageChange(c.Stage, time.Minute, now)
 		}
-		total := len(prefill) + len(decode)
+		total := prefill + decode
+		g.Expect(p.Plan(all, true, now)).To(BeEmpty(), "engines on their way count as having arrived")
 		g.Expect(after).To(And(BeNumerically(">=", 1), BeNumerically("<", total)))
 		if total >= 2*p.Least {
 			g.Expect(after).To(Equal(p.Wanted(total)))
@@ -56,23 +58,34 @@
 func TestASmallDifferenceIsLeftOnceThereIsLoad(t *testing.T) {
 	g := NewWithT(t)
 	p := DefaultPolicy()
-	prefill, decode := engines(5, 7)
-	g.Expect(p.Plan(prefill, decode, false)).To(BeEmpty())
-	g.Expect(p.Plan(prefill, decode, true)).To(HaveLen(1))
-	prefill, decode = engines(1, 9)
-	g.Expect(p.Plan(prefill, decode, false)).NotTo(BeEmpty())
+	now := time.Now()
+	g.Expect(p.Plan(engines(5, 7), false, now)).To(BeEmpty())
+	g.Expect(p.Plan(engines(5, 7), true, now)).To(HaveLen(1))
+	g.Expect(p.Plan(engines(1, 9), false, now)).NotTo(BeEmpty())
 }
 
 func TestEnginesAreTakenFromTheFullestDomains(t *testing.T) {
 	g := NewWithT(t)
-	prefill, decode := engines(7, 5)
 	domains := map[string]int{}
-	for _, c := range DefaultPolicy().Plan(prefill, decode, true) {
+	for _, c := range DefaultPolicy().Plan(engines(7, 5), true, time.Now()) {
 		domains[c.Runner.Domain]++
 	}
 	g.Expect(domains).To(HaveLen(3))
 }
 
+// An engine that was ordered to change gets no second order, and one whose order was
+// lost is planned for again.
+func TestAnEngineOnItsWayGetsNoSecondOrder(t *testing.T) {
+	g := NewWithT(t)
+	p, now := DefaultPolicy(), time.Now()
+	all := engines(1, 5)
+	first := p.Plan(all, true, now)
+	g.Expect(first).To(HaveLen(1))
+	first[0].Runner.BeginStageChange(first[0].Stage, time.Second, now)
+	g.Expect(p.Plan(all, true, now)).To(BeEmpty())
+	g.Expect(p.Plan(all, true, now.Add(2*time.Second))).To(HaveLen(1))
+}
+
 // The more engines share the load, the smaller a part of them prefills: 4 of 12
 // and 6 of 18 were measured best, and 0.20 to 0.28 of 47 and 55.
 func TestLargePoolsNeedASmallerPartForTheirPeaks(t *testing.T) {
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// answered books an answer of the store.
+// answered records an answer of the store.
 func (f *Follower) answered(p *position, next uint64) {
 	p.at, p.known, p.limit, p.pause = next, true, probeTime, firstPause
 	if !p.lost.IsZero() {
@@ -79,7 +79,7 @@
 	}
 }
 
-// failed books a call without an answer, and pauses.
+// failed records a call without an answer, and pauses.
 func (f *Follower) failed(ctx context.Context, p *position, err error) {
 	var compacted *ErrCompacted
 	if errors.As(err, &compacted) {
