losses, hopwell: a table of what requests lost by window and cause, from the logs

hopwell losses [--worst N] [--at T] [-o svg|json] LOGS: generations and lookups by cause (gateway lost, engine lost, no room, returned, resumed, late first event, long pause, ...), prompt tokens in vain by reason, engines' stages, memory and queue; the lost requests of a window with moment and reason. The ingress writes what it lacked: target, gap, longest pause, cause, the begin of a decode, wasted prompts, and the state of the engines once a second.

--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -119,9 +119,12 @@
 	fields := []decisionlog.Field{decisionlog.F("request", x.id()), decisionlog.F("route", route), decisionlog.F("service", x.service),
 		decisionlog.F("version", x.version), decisionlog.F("status", status), decisionlog.F("outcome", outcome(status, err)),
 		decisionlog.F("took", took), decisionlog.F("sends", x.sends), decisionlog.F("returning", x.rank == enginepool.Returning)}
+	if x.route != nil {
+		fields = append(fields, decisionlog.F("target", x.route.Latency))
+	}
 	fields = append(append(fields, x.fields...), more...)
 	if err != nil {
-		fields = append(fields, decisionlog.F("error", err))
+		fields = append(fields, decisionlog.F("cause", cause(err)), decisionlog.F("error", err))
 	}
 	x.g.options.Log.Write(kind, "request_end", fields...)
 }
@@ -145,6 +148,32 @@
 	return "done"
 }
 
+// cause names why a request was not answered, for tools that read the log.
+func cause(err error) string {
+	var (
+		timed  *ErrTime
+		broken *ErrBroken
+		room   *enginepool.ErrNoRoom
+		budget *ErrBudget
+		given  *ErrGivenUp
+	)
+	switch {
+	case errors.Is(err, errGone{}):
+		return "client_gone"
+	case errors.As(err, &broken):
+		return "broken"
+	case errors.As(err, &timed):
+		return "timeout"
+	case errors.As(err, &budget):
+		return "retry_budget"
+	case errors.As(err, &room):
+		return "no_room"
+	case errors.As(err, &given) && given.Outcome != request.NotRun:
+		return "answer_lost"
+	}
+	return "refused"
+}
+
 func (x *exchange) id() string {
 	if x.call == nil {
 		return ""
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -86,7 +86,10 @@
 	}
 	s.relay = relay{s: s, last: x.call.After}
 	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, Length: s.pool.Lengths.Estimate(s.guess(), x.call.MaxOut)}
-	s.fields = append(s.fields, decisionlog.F("prompt", s.job.Prompt), decisionlog.F("guess", s.guess()), decisionlog.F("expected", s.job.Length.Expected(0)))
+	s.fields = append(s.fields, decisionlog.F("gap", s.route.Gap), decisionlog.F("prompt", s.job.Prompt), decisionlog.F("guess", s.guess()), decisionlog.F("expected", s.job.Length.Expected(0)))
+	if x.call.After != "" {
+		s.fields = append(s.fields, decisionlog.F("resumed_by", "client"))
+	}
 	s.budget.Request(x.arrived)
 	s.run()
 }
@@ -184,7 +187,7 @@
 func (s *generation) decode(n int, room *place, source Source, reader *runners.State) (verdict, error) {
 	runner := room.runner
 	if !runner.Usable(time.Now()) {
-		s.free(reader, source)
+		s.free(reader, source, "runner_left")
 		s.unfit[runner.ID] = true
 		return notRun, &ErrLeft{Runner: runner.ID}
 	}
@@ -198,13 +201,16 @@
 	if s.relay.begun {
 		order.After = s.relay.last
 		s.g.metrics.resumed.Inc()
+		s.fields = append(s.fields, decisionlog.F("resumed_by", "gateway"))
 	}
+	s.step("decode_begin", decisionlog.F("service", s.service), decisionlog.F("runner", runner.ID))
+	s.readAnew(runner)
 	s.sends++
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	answer, err := s.g.options.Engines.Send(ctx, runner, s.call, order)
 	if err != nil {
-		s.free(reader, source)
+		s.free(reader, source, "decode_failed")
 		s.unfit[runner.ID] = true
 		return s.sendFailed(s.life, n, runner, err)
 	}
@@ -221,6 +227,17 @@
 	return s.take(n, runner, answer)
 }
 
+// readAnew records a prompt that the decode runner has to read although a runner read
+// it before: that of a resumed stream.
+func (s *generation) readAnew(runner *runners.State) {
+	switch {
+	case s.relay.begun:
+		s.wasted("resumed_by_gateway", runner, s.job.Prompt)
+	case s.call.After != "":
+		s.wasted("resumed_by_client", runner, s.job.Prompt)
+	}
+}
+
 // take passes a decode's answer on, or finds that it can't be.
 func (s *generation) take(n int, runner *runners.State, answer *Answer) (verdict, error) {
 	bad := &ErrAnswer{Runner: runner.ID, Status: answer.Status, Why: "runner failed"}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -204,19 +204,23 @@
 // returnMargin is how much less time than others a returning client has.
 const returnMargin = 150 * time.Millisecond
 
-// pulse is the time between two looks at what waits.
-const pulse = 20 * time.Millisecond
+const (
+	// pulse is the time between two looks at what waits.
+	pulse = 20 * time.Millisecond
+	// beatsPerSweep is how many of them pass between two sweeps: one second.
+	beatsPerSweep = 50
+)
 
 // Run keeps the pools going until the context ends.
 func (g *Ingress) Run(ctx context.Context) {
 	tick := time.NewTicker(pulse)
 	defer tick.Stop()
-	for n := 0; ; n++ {
+	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			g.beat(now, n%50 == 0)
+			g.beat(now, n%beatsPerSweep == 0)
 		}
 	}
 }
@@ -232,6 +236,18 @@
 	}
 	if sweep {
 		g.Directory.Sweep(now)
+		g.logPools(now)
+	}
+}
+
+// logPools writes the state of the engines of each service, for tools that read the
+// log.
+func (g *Ingress) logPools(now time.Time) {
+	for service, p := range g.Pools() {
+		s := p.Status(now)
+		g.options.Log.Write(decisionlog.KindState, "pool", decisionlog.F("service", service),
+			decisionlog.F("prefill", s.Prefill), decisionlog.F("decode", s.Decode), decisionlog.F("changing", s.Changing),
+			decisionlog.F("reserved", s.Reserved), decisionlog.F("waiting", s.Waiting), decisionlog.F("reading", s.Reading))
 	}
 }
 
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -40,6 +40,10 @@
 			return Source{}, nil, gone
 		}
 		s.trouble("prefill_failed", reader.ID, err)
+		var declined *ErrDeclined
+		if !errors.As(err, &declined) {
+			s.wasted("prefill_lost", reader, s.job.Prompt)
+		}
 		s.refusedPrefill(reader, err)
 		if tries+1 >= maxPrefills {
 			return Source{}, nil, nil
@@ -92,18 +96,27 @@
 	if reader == nil {
 		return
 	}
-	s.g.metrics.wasted.Add(source.Tokens)
+	s.wasted("kv_cache_gone", reader, source.Tokens)
 	s.pool.Penalize(reader.ID, time.Now())
 	reader.Failed(time.Now())
 	s.unread[reader.ID] = true
 }
 
+// wasted records a prompt that was computed in vain, or must be computed again.
+func (s *generation) wasted(reason string, runner *runners.State, tokens int) {
+	s.g.metrics.wasted.Add(tokens)
+	s.trouble("prompt_wasted", runner.ID, nil, decisionlog.F("reason", reason), decisionlog.F("tokens", tokens))
+}
+
 // free gives a KV cache up that nobody will fetch.
-func (s *generation) free(reader *runners.State, source Source) {
+func (s *generation) free(reader *runners.State, source Source, reason string) {
 	if reader == nil {
 		return
 	}
-	s.g.metrics.wasted.Add(source.Tokens)
+	if s.over() != nil {
+		reason = "client_gone"
+	}
+	s.wasted(reason, reader, source.Tokens)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), freeCall)
 		defer cancel()
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -38,6 +38,10 @@
 	last   string
 	runner string
 	events int
+	// written is when the last event was written, pause the longest time between
+	// two of them.
+	written time.Time
+	pause   time.Duration
 }
 
 // pass passes the events of an answer on until its end.
@@ -68,7 +72,7 @@
 	runner.Answered(time.Since(began))
 	r.s.pool.Lengths.Learn(r.s.guess(), r.events*r.s.engine.TokensPerEvent)
 	r.s.exchange.end(r.s.life, n)
-	r.s.finish(a.Status, nil, decisionlog.F("runner", runner.ID), decisionlog.F("events", r.events))
+	r.s.finish(a.Status, nil, decisionlog.F("runner", runner.ID), decisionlog.F("events", r.events), decisionlog.F("pause", r.pause))
 	return answered, nil
 }
 
@@ -107,6 +111,11 @@
 	if err := http.NewResponseController(r.s.w).Flush(); err != nil {
 		return err
 	}
+	now := time.Now()
+	if r.events > 0 {
+		r.pause = max(r.pause, now.Sub(r.written))
+	}
+	r.written = now
 	r.events++
 	if id != "" {
 		r.last = id
--- /dev/null
+++ b/pkg/losses/losses_test.go
@@ -0,0 +1,102 @@
+package losses
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+const generation = " service=llm target=900.0ms gap=300.0ms prompt=3000 "
+
+// sample is the logs of two gateways, of which one lost power.
+const sample = `
+time=2026-12-02T10:00:01.000Z process=a kind=done event=request_end request=g1 status=200 took=1000.0ms first_event=200.0ms pause=60.0ms returning=false` + generation + `
+time=2026-12-02T10:00:01.100Z process=a kind=done event=request_end request=g2 status=200 took=1000.0ms first_event=950.0ms pause=60.0ms returning=false` + generation + `
+time=2026-12-02T10:00:01.200Z process=a kind=done event=request_end request=g3 status=200 took=1000.0ms first_event=200.0ms pause=400.0ms returning=false` + generation + `
+time=2026-12-02T10:00:01.300Z process=a kind=failed event=request_end request=g4 status=503 took=198.0ms cause=no_room error="no room" returning=false` + generation + `
+time=2026-12-02T10:00:01.400Z process=b kind=step event=decode_begin request=g5 at=200.0ms service=llm runner=e1
+time=2026-12-02T10:00:02.500Z process=a kind=done event=request_end request=g6 status=200 took=100.0ms first_event=90.0ms resumed_by=client returning=true` + generation + `
+time=2026-12-02T10:00:02.600Z process=a kind=done event=request_end request=g7 status=200 took=100.0ms first_event=90.0ms returning=true` + generation + `
+time=2026-12-02T10:00:02.500Z process=a kind=failed event=prompt_wasted request=g6 runner=e1 reason=resumed_by_client tokens=3000
+time=2026-12-02T10:00:02.600Z process=a kind=done event=request_end request=l1 status=500 took=80.0ms service=app target=300.0ms
+time=2026-12-02T10:00:02.700Z process=a kind=failed event=request_end request=l2 status=502 took=80.0ms service=app target=300.0ms cause=answer_lost error=lost
+time=2026-12-02T10:00:02.700Z process=a kind=failed event=request_end request=n1 status=404 took=0.0ms service="" cause=refused error="no route"
+time=2026-12-02T10:00:02.000Z process=a kind=state event=pool service=llm prefill=3 decode=6 changing=0 reserved=0.500 waiting=2 reading=100
+time=2026-12-02T10:00:02.200Z process=b kind=state event=pool service=llm prefill=3 decode=6 changing=0 reserved=0.700 waiting=4 reading=x
+`
+
+func report(t *testing.T, text string) *Report {
+	lines, err := decisionlog.Read(strings.NewReader(text))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	start := time.Date(2026, 12, 2, 10, 0, 0, 0, time.UTC)
+	return New(lines).Report(start, 2*time.Second)
+}
+
+func TestEachRequestHasOneCause(t *testing.T) {
+	g := NewWithT(t)
+	r := report(t, sample)
+	g.Expect(r.Windows).To(HaveLen(2))
+	first, second := r.Windows[0], r.Windows[1]
+	g.Expect(first.Generations).To(Equal(Count{Total: 5, Lost: map[Cause]int{LateFirst: 1, LongPause: 1, NoRoom: 1, GatewayLost: 1}}))
+	g.Expect(first.Generations.InTime()).To(Equal(1))
+	g.Expect(second.Generations.Lost).To(Equal(map[Cause]int{Resumed: 1, Returned: 1}))
+	g.Expect(second.Lookups.Lost).To(Equal(map[Cause]int{ServiceFailed: 1, AnswerLost: 1}))
+	g.Expect(second.Wasted).To(Equal(map[string]int{"resumed_by_client": 3000}))
+	g.Expect(second.Engines.Reserved).To(BeNumerically("~", 0.6, 1e-9))
+	g.Expect(second.Engines.Waiting).To(BeNumerically("~", 3, 1e-9))
+}
+
+func TestTheWorstWindowSaysWhichRequestsWhenAndWhy(t *testing.T) {
+	g := NewWithT(t)
+	r := report(t, sample)
+	worst := r.Worst(1)[0]
+	g.Expect(worst.From).To(Equal(2 * time.Second))
+	var out strings.Builder
+	g.Expect(r.WriteLost(&out, r.Windows[0])).To(Succeed())
+	g.Expect(out.String()).To(And(ContainSubstring("g5"), ContainSubstring("gateway_lost"), ContainSubstring("decoding at e1"), ContainSubstring("1.102")))
+	g.Expect(out.String()).NotTo(ContainSubstring("g1"))
+}
+
+// A field that can't be read is said, not taken for 0 in silence.
+func TestFieldsThatCannotBeReadAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	r := report(t, sample)
+	var out strings.Builder
+	g.Expect(r.Write(&out)).To(Succeed())
+	g.Expect(out.String()).To(ContainSubstring("1 fields could not be read"))
+	g.Expect(out.String()).To(MatchRegexp(`all\s+7\s+1\s+0.14`))
+}
+
+func TestAReportIsDrawn(t *testing.T) {
+	g := NewWithT(t)
+	var out strings.Builder
+	g.Expect(report(t, sample).WriteSVG(&out)).To(Succeed())
+	g.Expect(out.String()).To(And(ContainSubstring("<svg"), ContainSubstring(string(GatewayLost)), ContainSubstring("</svg>")))
+	g.Expect(report(t, "nothing").WriteSVG(&out)).To(Succeed())
+}
+
+// Whatever lines hold, no request is counted twice and none is lost from the sums.
+func TestEveryRequestIsCountedOnce(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		var text strings.Builder
+		n := rapid.IntRange(0, 30).Draw(t, "requests")
+		for i := range n {
+			at := time.Date(2026, 12, 2, 10, 0, 1, i*int(50*time.Millisecond), time.UTC).Format("2006-01-02T15:04:05.000Z")
+			status := rapid.SampledFrom([]string{"200", "500", "503", "0", "x"}).Draw(t, "status")
+			cause := rapid.SampledFrom([]string{"", "no_room", "broken", "client_gone", "odd"}).Draw(t, "cause")
+			text.WriteString("time=" + at + " process=a kind=done event=request_end request=r" + string(rune('a'+i)) + " service=s took=5.0ms status=" + status + " cause=" + cause + "\n")
+		}
+		lines, err := decisionlog.Read(strings.NewReader(text.String()))
+		g.Expect(err).NotTo(HaveOccurred())
+		total := New(lines).Report(time.Time{}, 300*time.Millisecond).Total()
+		g.Expect(total.Lookups.Total).To(Equal(n))
+		g.Expect(total.Lookups.InTime()).To(And(BeNumerically(">=", 0), BeNumerically("<=", n)))
+	})
+}
--- /dev/null
+++ b/pkg/losses/plot.go
@@ -0,0 +1,152 @@
+package losses
+
+import (
+	"fmt"
+	"image/color"
+	"io"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	// plotWidth and plotHeight are the size of the picture, panelHeight that of
+	// the part for generations; the rest is for the engines' state.
+	plotWidth   = 26 * vg.Centimeter
+	plotHeight  = 18 * vg.Centimeter
+	panelHeight = 11 * vg.Centimeter
+	// barFill is the part of a window's width that its bar takes.
+	barFill = 0.8
+)
+
+// ErrPlot says that a report can't be drawn.
+type ErrPlot struct {
+	Part string
+	Err  error
+}
+
+// Error implements error.
+func (e *ErrPlot) Error() string { return fmt.Sprintf("can't draw: part=%s cause=%v", e.Part, e.Err) }
+
+// Unwrap returns the cause.
+func (e *ErrPlot) Unwrap() error { return e.Err }
+
+// WriteSVG draws the generations by cause in bars over time, and below them the
+// engines' reserved memory and waiting requests.
+func (r *Report) WriteSVG(w io.Writer) error {
+	bars, err := r.bars()
+	if err != nil {
+		return err
+	}
+	engines, err := r.lines()
+	if err != nil {
+		return err
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	whole := draw.New(canvas)
+	bars.Draw(draw.Crop(whole, 0, 0, plotHeight-panelHeight, 0))
+	engines.Draw(draw.Crop(whole, 0, 0, 0, -panelHeight))
+	_, err = canvas.WriteTo(w)
+	return err
+}
+
+// shade returns one of n colours that are told apart.
+func shade(i, n int) color.Color {
+	palette := []color.RGBA{
+		{0x4c, 0x78, 0xa8, 0xff}, {0xe4, 0x57, 0x56, 0xff}, {0xf5, 0x8b, 0x1f, 0xff}, {0xb7, 0x9a, 0x20, 0xff}, {0x72, 0xb7, 0xb2, 0xff},
+		{0x9d, 0x75, 0x5d, 0xff}, {0xee, 0xca, 0x3b, 0xff}, {0xb2, 0x79, 0xa2, 0xff}, {0xff, 0x9d, 0xa6, 0xff}, {0x59, 0x59, 0x59, 0xff},
+		{0x83, 0xbc, 0xb6, 0xff}, {0xd6, 0xa5, 0xc9, 0xff}, {0xbb, 0xbb, 0xbb, 0xff},
+	}
+	return palette[i%min(n, len(palette))]
+}
+
+// bars draws how many generations of each window were in time, and what was lost.
+func (r *Report) bars() (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = "Generations by the time of their arrival"
+	p.Y.Label.Text = "generations"
+	p.Legend.Top = true
+	width := (plotWidth - 2*vg.Centimeter) / vg.Length(max(1, len(r.Windows))) * barFill
+	var below *plotter.BarChart
+	parts := append([]Cause{InTime}, Causes...)
+	for i, cause := range parts {
+		values := make(plotter.Values, len(r.Windows))
+		sum := 0.0
+		for n := range r.Windows {
+			values[n] = r.Windows[n].Generations.of(cause)
+			sum += values[n]
+		}
+		if sum == 0 {
+			continue
+		}
+		bar, err := plotter.NewBarChart(values, width)
+		if err != nil {
+			return nil, &ErrPlot{Part: string(cause), Err: err}
+		}
+		bar.Color, bar.LineStyle.Width = shade(i, len(parts)), 0
+		if below != nil {
+			bar.StackOn(below)
+		}
+		below = bar
+		p.Add(bar)
+		p.Legend.Add(string(cause), bar)
+	}
+	p.X.Tick.Marker = r.ticks()
+	return p, nil
+}
+
+// of returns how many requests ended so.
+func (c Count) of(cause Cause) float64 {
+	if cause == InTime {
+		return float64(c.InTime())
+	}
+	return float64(c.Lost[cause])
+}
+
+// lines draws the engines' state.
+func (r *Report) lines() (*plot.Plot, error) {
+	p := plot.New()
+	p.X.Label.Text = "seconds from " + r.Start.Format("15:04:05")
+	p.Y.Label.Text = "engines; reserved memory x 10"
+	p.Legend.Top = true
+	series := []struct {
+		name  string
+		value func(*Engines) float64
+	}{
+		{"reserved x 10", func(e *Engines) float64 { return 10 * e.Reserved }},
+		{"prefill engines", func(e *Engines) float64 { return e.Prefill }},
+		{"decode engines", func(e *Engines) float64 { return e.Decode }},
+		{"waiting", func(e *Engines) float64 { return e.Waiting }},
+	}
+	for i, s := range series {
+		points := make(plotter.XYs, len(r.Windows))
+		for n := range r.Windows {
+			points[n] = plotter.XY{X: float64(n), Y: s.value(&r.Windows[n].Engines)}
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, &ErrPlot{Part: s.name, Err: err}
+		}
+		line.Color = shade(i, len(series))
+		p.Add(line)
+		p.Legend.Add(s.name, line)
+	}
+	p.X.Tick.Marker = r.ticks()
+	return p, nil
+}
+
+// ticksWanted is about how many labels the time axis has.
+const ticksWanted = 12
+
+// ticks labels windows by their second.
+func (r *Report) ticks() plot.ConstantTicks {
+	var out plot.ConstantTicks
+	step := max(1, len(r.Windows)/ticksWanted)
+	for n := 0; n < len(r.Windows); n += step {
+		out = append(out, plot.Tick{Value: float64(n), Label: fmt.Sprintf("%.0f", r.Windows[n].From.Seconds())})
+	}
+	return out
+}
