ingress, platform: a resumed stream goes on where its prompt is still kept

Change: when a client resumes, the gateway asks the engines which prompts they keep (GET kv-list, at most every 300 ms each, shared by the requests that need it), prefers that engine with a reservation for what is missing alone, and names it to fetch from where another engine has the room.

--- a/pkg/enginepool/enginepool_bench_test.go
+++ b/pkg/enginepool/enginepool_bench_test.go
@@ -28,7 +28,7 @@
 			j := job("a", 3000, 800)
 			for b.Loop() {
 				p.mu.Lock()
-				if s := p.place(j, nil, now); s != nil {
+				if s := p.place(&Waiter{job: j}, now); s != nil {
 					delete(p.engine(s.ID).own, "a")
 				}
 				p.mu.Unlock()
--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -85,8 +85,8 @@
 	p.Refused(s.ID, "a", now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g.Expect(p.place(job("b", 1, 1), nil, now)).To(BeNil())
-	g.Expect(p.place(job("b", 1, 1), nil, now.Add(time.Second))).NotTo(BeNil())
+	g.Expect(p.place(&Waiter{job: job("b", 1, 1)}, now)).To(BeNil())
+	g.Expect(p.place(&Waiter{job: job("b", 1, 1)}, now.Add(time.Second))).NotTo(BeNil())
 }
 
 func TestReturningGoBeforeFresh(t *testing.T) {
@@ -263,7 +263,7 @@
 		seen := map[string]bool{}
 		for range 50 {
 			p.mu.Lock()
-			s := p.place(job("a", 100, 10), nil, time.Now())
+			s := p.place(&Waiter{job: job("a", 100, 10)}, time.Now())
 			delete(p.engine(s.ID).own, "a")
 			p.mu.Unlock()
 			seen[s.ID] = true
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -106,19 +106,32 @@
 	return e
 }
 
-// place reserves memory for a job on the decode runner with the most room of those that are
-// compared (see pick), nil for none. The caller holds the lock. Runners in avoid are not
-// taken.
-func (p *Pool) place(j Job, avoid map[string]bool, now time.Time) *runners.State {
-	fit := p.fitting(j, avoid, now)
+// place reserves memory for a job on the runner that it prefers, or else on the decode
+// runner with the most room of those that are compared (see pick); nil for none. The
+// caller holds the lock.
+func (p *Pool) place(w *Waiter, now time.Time) *runners.State {
+	fit := p.fitting(w.job, w.avoid, now)
 	if len(fit) == 0 {
 		return nil
 	}
-	best := p.pick(fit, decodeSampling)
-	p.engine(best.ID).own[j.ID] = &reservation{job: j}
+	best := named(fit, w.prefer)
+	if best == nil {
+		best = p.pick(fit, decodeSampling)
+	}
+	p.engine(best.ID).own[w.job.ID] = &reservation{job: w.job}
 	return best
 }
 
+// named returns the candidate with an ID, nil if it is not among them.
+func named(list []candidate, id string) *runners.State {
+	for _, c := range list {
+		if c.runner.ID == id {
+			return c.runner
+		}
+	}
+	return nil
+}
+
 // fitting returns the runners with room for a job; their merit is that room, in
 // tokens, less where the runner fails requests. The caller holds the lock.
 func (p *Pool) fitting(j Job, avoid map[string]bool, now time.Time) []candidate {
--- a/pkg/enginepool/queue.go
+++ b/pkg/enginepool/queue.go
@@ -31,6 +31,8 @@
 	rank   Rank
 	serial uint64
 	avoid  map[string]bool
+	// prefer is the runner that is taken if it has room; may be empty.
+	prefer string
 	// granted receives the runner on which memory is reserved.
 	granted chan *runners.State
 	// lateAt is from when the job can't be in time; zero for never.
@@ -65,6 +67,9 @@
 // Avoid keeps a job away from a runner that failed it.
 func (w *Waiter) Avoid(runner string) { w.avoid[runner] = true }
 
+// Prefer takes a runner if it has room, whatever room others have.
+func (w *Waiter) Prefer(runner string) { w.prefer = runner }
+
 // Wait returns the decode runner on which memory is reserved for the job, once there
 // is room. It fails with *ErrNoRoom at the end of the context.
 func (p *Pool) Wait(ctx context.Context, w *Waiter) (*runners.State, error) {
@@ -132,7 +137,7 @@
 			left = append(left, w)
 			continue
 		}
-		s := p.place(w.job, w.avoid, now)
+		s := p.place(w, now)
 		if s == nil {
 			if stuck == 0 {
 				stuck = w.job.size()
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -26,6 +26,9 @@
 	// Prompt, MaxOut and Hint are, in tokens, the length of the prompt, the
 	// longest answer and the client's guess of its length; 0 if not given.
 	Prompt, MaxOut, Hint int
+	// PromptID names the prompt's own last part: the same in all tries of a client;
+	// empty if not given.
+	PromptID string
 	// After is the last event that the client has, when it resumes a stream.
 	After string
 }
@@ -36,6 +39,9 @@
 	Left time.Duration
 	// Source names the KV cache that a decode goes on from; empty for none.
 	Source string
+	// CacheFrom is a runner that keeps the prompt in its KV cache, from which the
+	// decode runner fetches it; nil for none.
+	CacheFrom *runners.State
 	// Hold names the reservation that the call uses; empty for none.
 	Hold string
 	// After resumes a stream behind an event; empty takes the call's own.
@@ -83,6 +89,9 @@
 	Hold(ctx context.Context, r *runners.State, tokens int, ttl time.Duration) (string, error)
 	// Drop gives a reservation back.
 	Drop(ctx context.Context, r *runners.State, hold string) error
+	// Kept returns the prompts that a runner keeps in its KV cache: tokens by
+	// Call.PromptID.
+	Kept(ctx context.Context, r *runners.State) (map[string]int, error)
 	// Fetch names a KV cache so that another runner can fetch it.
 	Fetch(r *runners.State, s Source) string
 }
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -67,6 +67,10 @@
 	unread map[string]bool
 	// charged is set when the last prefill was turned away and charged for.
 	charged bool
+	// keeper is the runner that keeps most of the prompt in its KV cache, and kept how
+	// many tokens, when a client resumes a stream; nil for none.
+	keeper *runners.State
+	kept   int
 	// unfit are the decode runners that failed the request.
 	unfit map[string]bool
 	relay relay
@@ -89,11 +93,21 @@
 	s.fields = append(s.fields, decisionlog.F("gap", s.route.Gap), decisionlog.F("prompt", s.job.Prompt), decisionlog.F("guess", s.guess()), decisionlog.F("expected", s.job.Length.Expected(0)))
 	if x.call.After != "" {
 		s.fields = append(s.fields, decisionlog.F("resumed_by", "client"))
+		s.findKept()
 	}
 	s.budget.Request(x.arrived)
 	s.run()
 }
 
+// findKept asks the engines which of them keeps the prompt of a stream that the client
+// resumes, so that it need not be computed again.
+func (s *generation) findKept() {
+	s.keeper, s.kept = s.g.kept.find(s.ctx, s.g.Directory.Present(s.service, time.Now()), s.call.PromptID)
+	if s.keeper != nil {
+		s.fields = append(s.fields, decisionlog.F("kept_at", s.keeper.ID), decisionlog.F("kept", s.kept))
+	}
+}
+
 // guess returns the client's guess of the answer's length, in tokens.
 func (s *generation) guess() int {
 	if s.call.Hint > 0 {
@@ -197,6 +211,8 @@
 	order := Order{Left: s.left(), Hold: room.hold, Priority: s.route.Priority}
 	if reader != nil {
 		order.Source = s.g.options.Engines.Fetch(reader, source)
+	} else if s.keeper != nil && s.keeper.ID != runner.ID {
+		order.CacheFrom = s.keeper
 	}
 	if s.relay.begun {
 		order.After = s.relay.last
@@ -234,7 +250,7 @@
 	case s.relay.begun:
 		s.wasted("resumed_by_gateway", runner, s.job.Prompt)
 	case s.call.After != "":
-		s.wasted("resumed_by_client", runner, s.job.Prompt)
+		s.wasted("resumed_by_client", runner, max(0, s.job.Prompt-s.kept))
 	}
 }
 
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -44,6 +44,7 @@
 	table     atomic.Pointer[routetable.Table]
 	metrics   *meters
 	drain     drain
+	kept      *keptPrompts
 	open      atomic.Int64
 	bodies    atomic.Int64
 
@@ -59,7 +60,7 @@
 // New returns an ingress that knows no routes yet.
 func New(o Options) *Ingress {
 	return &Ingress{
-		options: o, Directory: runners.NewDirectory(), metrics: newMeters(), gateways: o.Gateways,
+		options: o, kept: newKeptPrompts(o.Engines, o.Log), Directory: runners.NewDirectory(), metrics: newMeters(), gateways: o.Gateways,
 		pools: map[string]*enginepool.Pool{}, budgets: map[string]*retrybudget.Budget{}, patience: map[string]time.Duration{},
 	}
 }
@@ -236,6 +237,7 @@
 	}
 	if sweep {
 		g.Directory.Sweep(now)
+		g.kept.sweep(now)
 		g.logPools(now)
 	}
 }
--- /dev/null
+++ b/pkg/ingress/kept.go
@@ -0,0 +1,102 @@
+package ingress
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+const (
+	// keptFor is how long an engine's list of kept prompts is used: parts that
+	// nobody uses give way within some hundred milliseconds under load.
+	keptFor = 300 * time.Millisecond
+	// keptCall bounds the call for a list. An engine answers in a few milliseconds;
+	// one that does not is of no use for the resumption either.
+	keptCall = 120 * time.Millisecond
+)
+
+// keptPrompts knows which engines keep a prompt in their KV cache. It asks them when
+// a stream is resumed: the gateway that passed it on before may be gone, with all it
+// knew.
+type keptPrompts struct {
+	engines Engines
+	log     *decisionlog.Log
+
+	mu    sync.Mutex
+	lists map[string]*keptList
+}
+
+// keptList is one engine's answer, or the call for it that is under way.
+type keptList struct {
+	asked time.Time
+	// done is closed with the call's end; tokens is by prompt ID.
+	done   chan struct{}
+	tokens map[string]int
+}
+
+func newKeptPrompts(e Engines, l *decisionlog.Log) *keptPrompts {
+	return &keptPrompts{engines: e, log: l, lists: map[string]*keptList{}}
+}
+
+// find returns the engine of a list that keeps most of a prompt, and how many tokens;
+// nil if none does.
+func (k *keptPrompts) find(ctx context.Context, list []*runners.State, prompt string) (*runners.State, int) {
+	if prompt == "" {
+		return nil, 0
+	}
+	calls := make([]*keptList, len(list))
+	for i, s := range list {
+		calls[i] = k.ask(ctx, s)
+	}
+	var best *runners.State
+	most := 0
+	for i, c := range calls {
+		select {
+		case <-c.done:
+		case <-ctx.Done():
+			return nil, 0
+		}
+		if n := c.tokens[prompt]; n > most {
+			best, most = list[i], n
+		}
+	}
+	return best, most
+}
+
+// ask returns an engine's list that is new enough, or a call for it. Requests that
+// need it at the same time share the call.
+func (k *keptPrompts) ask(ctx context.Context, s *runners.State) *keptList {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if l := k.lists[s.ID]; l != nil && now.Sub(l.asked) < keptFor {
+		return l
+	}
+	l := &keptList{asked: now, done: make(chan struct{})}
+	k.lists[s.ID] = l
+	go func() {
+		defer close(l.done)
+		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), keptCall)
+		defer cancel()
+		tokens, err := k.engines.Kept(call, s)
+		if err != nil {
+			k.log.Write(decisionlog.KindFailed, "kept_prompts_unknown", decisionlog.F("runner", s.ID), decisionlog.F("error", err))
+		}
+		l.tokens = tokens
+	}()
+	return l
+}
+
+// sweep drops lists that are too old to be used.
+func (k *keptPrompts) sweep(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for id, l := range k.lists {
+		if now.Sub(l.asked) > keptFor {
+			delete(k.lists, id)
+		}
+	}
+}
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -26,6 +26,9 @@
 	for id := range s.unfit {
 		w.Avoid(id)
 	}
+	if s.keeper != nil {
+		w.Prefer(s.keeper.ID)
+	}
 	if s.rank == enginepool.Returning {
 		w.LateFrom(s.arrived.Add(s.route.Latency - serveTime))
 	}
@@ -84,7 +87,15 @@
 func (s *generation) hold(runner *runners.State) (string, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, holdCall)
 	defer cancel()
-	return s.g.options.Engines.Hold(ctx, runner, s.job.Prompt+holdAhead, s.engine.HoldFor)
+	return s.g.options.Engines.Hold(ctx, runner, s.missing(runner)+holdAhead, s.engine.HoldFor)
+}
+
+// missing returns how many tokens of the prompt a runner does not have in its KV cache.
+func (s *generation) missing(runner *runners.State) int {
+	if s.keeper != nil && s.keeper.ID == runner.ID {
+		return max(0, s.job.Prompt-s.kept)
+	}
+	return s.job.Prompt
 }
 
 // drop gives a reservation back, after the request's end too.
