process, ingress: stages are set exactly only while engines are idle; holds last until the first event is due

Holds lasted 2 s, also those whose answer was lost and that nobody can give back.

Change: exact plans without patience depend on idle engines, not on the process's age. A hold lasts as long as the route's target for the first event.

--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -87,7 +87,17 @@
 func (s *generation) hold(runner *runners.State) (string, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, holdCall)
 	defer cancel()
-	return s.g.options.Engines.Hold(ctx, runner, s.missing(runner)+holdAhead, s.engine.HoldFor)
+	return s.g.options.Engines.Hold(ctx, runner, s.missing(runner)+holdAhead, s.holdFor())
+}
+
+// holdFor returns how long a reservation lasts: it is used before the first event is
+// due, or that is late anyway. One whose answer was lost can't be given back, and
+// keeps the memory for that long.
+func (s *generation) holdFor() time.Duration {
+	if s.route.Latency > 0 {
+		return min(s.engine.HoldFor, s.route.Latency)
+	}
+	return s.engine.HoldFor
 }
 
 // missing returns how many tokens of the prompt a runner does not have in its KV cache.
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -62,8 +62,6 @@
 	wrong   time.Time
 	last    time.Time
 	retry   time.Time
-	planned bool
-	firstAt time.Time
 }
 
 // run looks at the engines' parts until the context ends.
@@ -102,13 +100,13 @@
 	if now.Sub(s.renewed) > s.wait/renewals {
 		s.renew(ctx, now)
 	}
-	if len(changes) == 0 || now.Sub(since) < s.wait || now.Sub(s.wrong) < s.patience() {
+	if len(changes) == 0 || now.Sub(since) < s.wait || now.Sub(s.wrong) < s.patience(changes, now) {
 		return
 	}
 	for _, c := range changes {
 		s.order(ctx, c, fence)
 	}
-	s.planned, s.last, s.wrong = true, now, time.Time{}
+	s.last, s.wrong = now, time.Time{}
 }
 
 // mayTry reports whether this process should try for the right.
@@ -122,12 +120,14 @@
 	return now.Sub(s.began) > meetFor && s.rank() == 0
 }
 
-// patience is how long parts must be wrong before they are changed.
-func (s *stager) patience() time.Duration {
-	if s.early(time.Now()) {
-		return 0
+// patience is how long the stages must be wrong before one is changed.
+func (s *stager) patience(changes []staging.Change, now time.Time) time.Duration {
+	for _, c := range changes {
+		if !s.idle(c.Runner.Service, now) {
+			return s.policy.Patience
+		}
 	}
-	return s.policy.Patience
+	return 0
 }
 
 // restageTime returns the longest time that a change of stage takes.
@@ -167,20 +167,23 @@
 		if service.Engine == nil {
 			continue
 		}
-		out = append(out, s.policy.Plan(s.ingress.Directory.Present(name, now), s.early(now), now)...)
+		out = append(out, s.policy.Plan(s.ingress.Directory.Present(name, now), s.idle(name, now), now)...)
 	}
 	return out
 }
 
-// early reports whether the process has seen engines for a short time only:
-// before the load, parts are set exactly.
-func (s *stager) early(now time.Time) bool {
-	return !s.planned && now.Sub(s.firstAt) < earlyFor
+// idle reports whether a service's engines have nothing to do, as before the first
+// load: stages are set exactly then, and at once. A change under load costs an engine
+// for as long as it finishes its work and restarts.
+func (s *stager) idle(service string, now time.Time) bool {
+	pool := s.ingress.Pools()[service]
+	if pool == nil {
+		return true
+	}
+	status := pool.Status(now)
+	return status.Reserved == 0 && status.Reading == 0 && status.Waiting == 0
 }
 
-// earlyFor is how long after the first engines parts are set exactly.
-const earlyFor = 6 * time.Second
-
 // settled reports whether the set of engines has been the same for a while.
 func (s *stager) settled(services map[string]routetable.Service, now time.Time) bool {
 	n := 0
@@ -192,9 +195,6 @@
 	if n != s.engines {
 		s.engines, s.stable = n, now
 	}
-	if n > 0 && s.firstAt.IsZero() {
-		s.firstAt = now
-	}
 	return n > 0 && now.Sub(s.stable) >= settleFor
 }
 
