process, staging: the right to order is taken when it is free; under load stages change as far as the difference is not tolerated

Cause: with the holder gone, nobody took the right before stages had been wrong for a change's time and a lease; and a difference of two was taken back by two changes under load, each at the cost of an engine for some 16 s.

Change: the watch of the store shows when the right is free, and the first gateway by name takes it then. Under load only what exceeds the tolerated difference of one is changed.

--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -27,6 +27,8 @@
 	mu      sync.Mutex
 	store   store.Store
 	address string
+	// orders is called when the right to give orders is seen to be taken or free.
+	orders func(free bool)
 	restart chan struct{}
 }
 
@@ -94,19 +96,26 @@
 // reset takes a whole reading of the store: runners that are not in it have gone.
 func (f *feed) reset(items []store.Item, at uint64) {
 	ids := map[string]bool{}
+	free := true
 	for _, i := range items {
+		free = free && i.Key != orderKey
 		if id, ok := platform.RunnerID(i.Key); ok {
 			ids[id] = true
 		}
 		f.item(i, at)
 	}
 	f.ingress.Directory.Keep(ids, time.Now())
+	f.orders(free)
 	f.log.Write(decisionlog.KindState, "runners_read", decisionlog.F("runners", len(ids)), decisionlog.F("at", at))
 }
 
 // apply takes single changes.
 func (f *feed) apply(events []store.Event, at uint64) {
 	for _, e := range events {
+		if e.Key == orderKey {
+			f.orders(e.Gone)
+			continue
+		}
 		if id, ok := platform.RunnerID(e.Key); ok && e.Gone {
 			f.ingress.Directory.Gone(id, time.Now())
 			continue
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -108,11 +108,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.feed = newFeed(p.Ingress, log, platform.NewStore(c.Store), c.Store)
+	orders := p.stager(runners)
+	p.feed.orders = orders.free.Store
 	p.done.Go(func() { p.feed.run(ctx) })
 	p.done.Go(func() { p.Ingress.Run(ctx) })
 	p.done.Go(func() { p.peers.Run(ctx) })
 	p.done.Go(func() { p.announce(ctx) })
-	p.done.Go(func() { p.stager(runners).run(ctx) })
+	p.done.Go(func() { orders.run(ctx) })
 	p.done.Go(func() { p.sweep(ctx) })
 	log.Write(decisionlog.KindProcess, "start", decisionlog.F("pid", os.Getpid()), decisionlog.F("callers", p.ports.Callers),
 		decisionlog.F("store", c.Store), decisionlog.F("domain", c.Instance.Domain))
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
@@ -54,6 +55,8 @@
 	wait time.Duration
 	// rank returns this process's place among those that try, 0 first.
 	rank func() int
+	// free is set while the store is known to hold nobody's right.
+	free atomic.Bool
 
 	began   time.Time
 	renewed time.Time
@@ -80,9 +83,8 @@
 	}
 }
 
-// look keeps the right, if this process has it or comes first, and orders what
-// is wanted and not so. Others try for the right only when what is wanted has
-// not been done for so long that the holder must be gone.
+// look keeps the right, if this process has it or may try for it, and orders what is
+// wanted and not so.
 func (s *stager) look(ctx context.Context, now time.Time) {
 	changes := s.plan(now)
 	if len(changes) == 0 {
@@ -109,15 +111,20 @@
 	s.last, s.wrong = now, time.Time{}
 }
 
-// mayTry reports whether this process should try for the right.
+// mayTry reports whether this process should try for the right: the first by name takes
+// it as soon as it is free, so that it is held before it is needed; the others only when
+// what is wanted has stayed undone for so long that the first can't do it.
 func (s *stager) mayTry(now time.Time) bool {
 	if s.ingress.Table() == nil || now.Before(s.retry) {
 		return false
 	}
-	if now.Sub(s.began) > startFor {
-		return !s.wrong.IsZero() && now.Sub(s.wrong) > s.restageTime()+s.wait
+	if now.Sub(s.began) < meetFor {
+		return false
+	}
+	if s.rank() == 0 && (s.free.Load() || now.Sub(s.began) < startFor) {
+		return true
 	}
-	return now.Sub(s.began) > meetFor && s.rank() == 0
+	return !s.wrong.IsZero() && now.Sub(s.wrong) > s.restageTime()+s.wait
 }
 
 // patience is how long the stages must be wrong before one is changed.
--- a/pkg/staging/staging.go
+++ b/pkg/staging/staging.go
@@ -61,8 +61,8 @@
 	}
 	prefill, decode := counts[runners.Prefill], counts[runners.Decode]
 	more := p.Wanted(prefill+decode) - prefill
-	if !exact && more <= 1 && more >= -1 && prefill >= p.Least {
-		return nil
+	if !exact {
+		more = p.beyond(more, prefill)
 	}
 	if more > 0 {
 		return take(free[runners.Decode], min(more, decode-1), runners.Prefill)
@@ -70,6 +70,22 @@
 	return take(free[runners.Prefill], min(-more, prefill-1), runners.Decode)
 }
 
+// tolerated is by how many engines the stages may differ from the wanted ones.
+const tolerated = 1
+
+// beyond returns the part of a difference that is not tolerated: a change under load
+// takes an engine out for a while, and what is lost often comes back. The least number
+// of prefill engines is kept in any case.
+func (p Policy) beyond(more, prefill int) int {
+	switch {
+	case more > 0:
+		return max(more-tolerated, min(more, p.Least-prefill), 0)
+	case more < 0:
+		return min(more+tolerated, 0)
+	}
+	return 0
+}
+
 // take picks engines for a new part, one at a time from the domain with the most.
 func take(from []*runners.State, n int, stage runners.Stage) []Change {
 	left := append([]*runners.State{}, from...)
--- a/pkg/staging/staging_test.go
+++ b/pkg/staging/staging_test.go
@@ -73,6 +73,17 @@
 	g.Expect(domains).To(HaveLen(3))
 }
 
+// Under load a difference is taken back as far as it is not tolerated, and no further.
+func TestUnderLoadStagesChangeNoFurtherThanTolerated(t *testing.T) {
+	g := NewWithT(t)
+	p, now := DefaultPolicy(), time.Now()
+	g.Expect(p.Wanted(12)).To(Equal(4))
+	g.Expect(p.Plan(engines(2, 10), false, now)).To(HaveLen(1))
+	g.Expect(p.Plan(engines(7, 5), false, now)).To(HaveLen(2))
+	g.Expect(p.Wanted(4)).To(Equal(p.Least))
+	g.Expect(p.Plan(engines(1, 3), false, now)).To(HaveLen(1), "the least number is kept")
+}
+
 // An engine that was ordered to change gets no second order, and one whose order was
 // lost is planned for again.
 func TestAnEngineOnItsWayGetsNoSecondOrder(t *testing.T) {
