enginepool: engines of the own failure domain rank above others

Change: a decode engine in the gateway's domain ranks above another by a tenth of its memory; a prompt waits up to 60 ms longer for a prefill engine in the decode engine's domain.

--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -25,6 +25,8 @@
 	Fill float64
 	// Refused is how long a runner that refused a reservation is skipped.
 	Refused time.Duration
+	// Domain is the gateway's failure domain, empty for none.
+	Domain string
 	// Pick returns a random number from 0 to n-1; nil takes math/rand's.
 	Pick func(n int) int
 }
@@ -142,7 +144,11 @@
 			continue
 		}
 		if room := e.room(j); room >= 0 {
-			out = append(out, candidate{s, room - failureCost*s.Failures(now)*float64(e.capacity)})
+			merit := room - failureCost*s.Failures(now)*float64(e.capacity)
+			if s.Domain == p.options.Domain {
+				merit += sameDomainBonus * float64(e.capacity)
+			}
+			out = append(out, candidate{s, merit})
 		}
 	}
 	return out
@@ -152,6 +158,10 @@
 // requests ranks below another; measured, docs/POLICY.md.
 const failureCost = 3
 
+// sameDomainBonus is the part of its memory by which a runner in the gateway's failure
+// domain ranks above another: its answers cross no domain.
+const sameDomainBonus = 0.1
+
 // Refused takes a reservation back because the runner had no room after all, and
 // skips the runner for a moment.
 func (p *Pool) Refused(runner, id string, now time.Time) {
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -29,7 +29,7 @@
 	paceWeight = 0.2
 	// otherDomain is how much longer a prompt may wait for a runner in the domain
 	// of its decode runner.
-	otherDomain = 25 * time.Millisecond
+	otherDomain = 60 * time.Millisecond
 	// lostPrefill is what a prefill costs that is lost.
 	lostPrefill = 1500 * time.Millisecond
 	// penaltyTime is how long a runner whose handles lapsed is the last choice.
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -95,7 +95,7 @@
 		Domain: c.Instance.Domain, Engines: runners, Reader: runners, Log: log,
 		Budget:   budgetLimits(c),
 		Gateways: firstGateways, MaxOpen: c.Limits.OpenRequests, MaxBodies: int64(bodyPart * float64(memory)),
-		Pool: enginepool.DefaultOptions(),
+		Pool: poolOptions(c),
 	})
 	if err := p.listen(); err != nil {
 		p.closePorts()
@@ -121,6 +121,13 @@
 	return p, nil
 }
 
+// poolOptions returns the settings of the choice of engines.
+func poolOptions(c *config.Ingress) enginepool.Options {
+	o := enginepool.DefaultOptions()
+	o.Domain = c.Instance.Domain
+	return o
+}
+
 // budgetLimits returns the retry budget of the settings.
 func budgetLimits(c *config.Ingress) retrybudget.Limits {
 	return retrybudget.Limits{Share: c.RetryBudget.Share, Slack: c.RetryBudget.Slack, Window: c.RetryBudget.Window.D()}
