--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -27,15 +27,18 @@
 	begun time.Time
 }
 
-// Load is a reservation as other gateways need to know it.
+// Load is a reservation as other gateways need to know it: the memory that it takes
+// now, and what its answer may still take, in tokens.
 type Load struct {
-	// Runner is the runner's ID.
-	Runner string
-	// Now is the memory that it takes now, Left what its answer may still take,
-	// both in tokens.
 	Now, Left int
 }
 
+// peerLoads is another gateway's reservations at one engine, as they were at a time.
+type peerLoads struct {
+	loads []Load
+	at    time.Time
+}
+
 // engine is the model of one decode runner: the reservations of this gateway, and
 // those that other gateways reported.
 type engine struct {
@@ -44,7 +47,13 @@
 	slots    int
 	own      map[string]*reservation
 	// others are the reservations of other gateways, by gateway.
-	others map[string][]Load
+	others map[string]peerLoads
+	// reading is the prompt tokens that other gateways have under way there, by
+	// gateway.
+	reading map[string]int
+	// changed is the pool's revision at the last change of own reservations or
+	// prefills.
+	changed uint64
 	// refusedUntil is until when the runner is not asked again after it has
 	// refused a reservation.
 	refusedUntil time.Time
@@ -58,25 +67,27 @@
 // part is one stay in memory: tokens now, tokens still to come.
 type part struct{ now, left float64 }
 
-// parts lists all stays in the runner's memory.
-func (e *engine) parts() []part {
+// parts lists all stays in the runner's memory. Those of other gateways have grown
+// since they were reported, at the given rate in tokens a second.
+func (e *engine) parts(now time.Time, rate float64) []part {
 	out := make([]part, 0, len(e.own)+8)
 	for _, b := range e.own {
 		out = append(out, part{float64(b.job.Prompt + b.made), float64(b.remaining())})
 	}
-	for _, list := range e.others {
-		for _, l := range list {
-			out = append(out, part{float64(l.Now), float64(l.Left)})
+	for _, reported := range e.others {
+		grown := max(0, rate*now.Sub(reported.at).Seconds())
+		for _, l := range reported.loads {
+			made := min(grown, float64(l.Left))
+			out = append(out, part{float64(l.Now) + made, float64(l.Left) - made})
 		}
 	}
 	return out
 }
 
-// peak returns the most memory that the runner's stays will take together if
-// one more is added: all answers grow at the same pace, and each goes when it is
+// peak returns the most memory that stays will take together if one more is added: all answers grow at the same pace, and each goes when it is
 // complete. Candidates for the maximum are the moments just before an end.
-func (e *engine) peak(add part) float64 {
-	all := append(e.parts(), add)
+func peak(stays []part, add part) float64 {
+	all := append(stays, add)
 	most := 0.0
 	for _, at := range all {
 		sum := 0.0
@@ -93,17 +104,17 @@
 // running returns how many requests are reserved for.
 func (e *engine) running() int {
 	n := len(e.own)
-	for _, list := range e.others {
-		n += len(list)
+	for _, reported := range e.others {
+		n += len(reported.loads)
 	}
 	return n
 }
 
 // room returns how much memory is left at the peak with a job added, in tokens;
 // below 0 there is none.
-func (e *engine) room(j Job) float64 {
+func (e *engine) room(j Job, now time.Time, rate float64) float64 {
 	if e.running() >= e.slots {
 		return -1
 	}
-	return float64(e.capacity) - e.peak(part{float64(j.Prompt), j.Length.Expected(0)})
+	return float64(e.capacity) - peak(e.parts(now, rate), part{float64(j.Prompt), j.Length.Expected(0)})
 }
--- a/pkg/enginepool/enginepool_bench_test.go
+++ b/pkg/enginepool/enginepool_bench_test.go
@@ -20,11 +20,13 @@
 			p := New("llm", d, Options{Fill: 1})
 			p.Configure(Spec{Memory: 37745, Slots: 64})
 			now := time.Now()
-			var loads []Load
+			loads := make([]EngineLoad, n)
 			for i := range 10 * n {
-				loads = append(loads, Load{Runner: fmt.Sprintf("d%d", i%n), Now: 2500, Left: 100 + i%500})
+				e := &loads[i%n]
+				e.Runner = fmt.Sprintf("d%d", i%n)
+				e.Loads = append(e.Loads, Load{Now: 2500, Left: 100 + i%500})
 			}
-			p.ReceiveSnapshot("other", Snapshot{At: now, Loads: loads})
+			p.ReceiveSnapshot("other", Snapshot{Full: true, Engines: loads}, now)
 			j := job("a", 3000, 800)
 			for b.Loop() {
 				p.mu.Lock()
--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,7 +55,7 @@
 func TestWaitCountsWhatOtherGatewaysBooked(t *testing.T) {
 	g := NewWithT(t)
 	p, _ := pool(2, 0, 10000)
-	p.ReceiveSnapshot("other", Snapshot{At: time.Now(), Loads: []Load{{Runner: "d0", Now: 9900, Left: 50}}})
+	p.ReceiveSnapshot("other", oneLoad("d0", 9900, 50), time.Now())
 	for _, id := range []string{"a", "b"} {
 		s, err := wait(p, job(id, 1000, 100), Fresh, time.Second)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -62,16 +63,20 @@
 	}
 }
 
-func TestWhatOthersBookedIsForgottenWithAge(t *testing.T) {
+// oneLoad is another gateway's report of one reservation.
+func oneLoad(runner string, now, left int) Snapshot {
+	return Snapshot{Full: true, Engines: []EngineLoad{{Runner: runner, Loads: []Load{{Now: now, Left: left}}}}}
+}
+
+func TestWhatASilentGatewayReservedIsDropped(t *testing.T) {
 	g := NewWithT(t)
 	p, _ := pool(1, 0, 10000)
 	now := time.Now()
-	p.ReceiveSnapshot("other", Snapshot{At: now, Loads: []Load{{Runner: "d0", Now: 9900, Left: 50}}})
-	p.Sweep(now.Add(peerAge / 2))
+	p.ReceiveSnapshot("other", oneLoad("d0", 9900, 50), now)
 	_, err := wait(p, job("a", 1000, 100), Fresh, 0)
 	var none *ErrNoRoom
 	g.Expect(err).To(BeAssignableToTypeOf(none))
-	p.Sweep(now.Add(2 * peerAge))
+	p.DropGateway("other")
 	_, err = wait(p, job("a", 1000, 100), Fresh, time.Second)
 	g.Expect(err).NotTo(HaveOccurred())
 }
@@ -133,22 +138,22 @@
 	spectest.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
 		n := rapid.IntRange(0, 8).Draw(t, "n")
-		e := &engine{own: map[string]*reservation{}, others: map[string][]Load{}}
+		var stays []part
 		for range n {
-			e.others["o"] = append(e.others["o"], Load{Now: rapid.IntRange(1, 500).Draw(t, "now"), Left: rapid.IntRange(0, 200).Draw(t, "left")})
+			stays = append(stays, part{float64(rapid.IntRange(1, 500).Draw(t, "now")), float64(rapid.IntRange(0, 200).Draw(t, "left"))})
 		}
 		add := part{float64(rapid.IntRange(1, 500).Draw(t, "prompt")), float64(rapid.IntRange(0, 200).Draw(t, "out"))}
 		most := 0.0
 		for at := 0; at <= 200; at++ {
 			sum := 0.0
-			for _, p := range append(e.parts(), add) {
+			for _, p := range append(slices.Clone(stays), add) {
 				if p.left >= float64(at) {
 					sum += p.now + float64(at)
 				}
 			}
 			most = math.Max(most, sum)
 		}
-		g.Expect(e.peak(add)).To(BeNumerically("~", most, 0.001))
+		g.Expect(peak(stays, add)).To(BeNumerically("~", most, 0.001))
 	})
 }
 
@@ -156,7 +161,7 @@
 	g := NewWithT(t)
 	p, _ := pool(0, 2, 1000)
 	now := time.Now()
-	p.ReceiveSnapshot("other", Snapshot{At: now, Reading: map[string]int{"p0": 50000}})
+	p.ReceiveSnapshot("other", Snapshot{Engines: []EngineLoad{{Runner: "p0", Reading: 50000}}}, now)
 	s, expected, err := p.BeginPrefill("a", 3000, "z0", nil, now)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.ID).To(Equal("p1"))
@@ -253,13 +258,13 @@
 		p, _ := pool(8, 0, 10000)
 		p.options.Pick = random.IntN
 		for i := range gateways - 1 {
-			p.ReceiveSnapshot(fmt.Sprint("g", i), Snapshot{At: time.Now()})
+			p.ReceiveSnapshot(fmt.Sprint("g", i), Snapshot{Full: true}, time.Now())
 		}
-		var loads []Load
+		var loads []EngineLoad
 		for i := range 7 {
-			loads = append(loads, Load{Runner: fmt.Sprint("d", i+1), Now: 100 * (i + 1)})
+			loads = append(loads, EngineLoad{Runner: fmt.Sprint("d", i+1), Loads: []Load{{Now: 100 * (i + 1)}}})
 		}
-		p.ReceiveSnapshot("g0", Snapshot{At: time.Now(), Loads: loads})
+		p.ReceiveSnapshot("g0", Snapshot{Full: true, Engines: loads}, time.Now())
 		seen := map[string]bool{}
 		for range 50 {
 			p.mu.Lock()
@@ -282,14 +287,14 @@
 	chosen := func(gateways int) map[string]bool {
 		p, _ := pool(0, 8, 10000)
 		p.options.Pick = random.IntN
-		reading := map[string]int{}
+		var reading []EngineLoad
 		for i := range 7 {
-			reading[fmt.Sprint("p", i+1)] = 1000 * (i + 1)
+			reading = append(reading, EngineLoad{Runner: fmt.Sprint("p", i+1), Reading: 1000 * (i + 1)})
 		}
 		for i := range gateways - 1 {
-			p.ReceiveSnapshot(fmt.Sprint("g", i), Snapshot{At: time.Now()})
+			p.ReceiveSnapshot(fmt.Sprint("g", i), Snapshot{Full: true}, time.Now())
 		}
-		p.ReceiveSnapshot("g0", Snapshot{At: time.Now(), Reading: reading})
+		p.ReceiveSnapshot("g0", Snapshot{Full: true, Engines: reading}, time.Now())
 		seen := map[string]bool{}
 		for range 50 {
 			s, _, err := p.BeginPrefill("a", 100, "z0", nil, time.Now())
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -25,6 +25,12 @@
 	Fill float64
 	// Refused is how long a runner that refused a reservation is skipped.
 	Refused time.Duration
+	// Uses reports whether this gateway uses a runner, where gateways share them out
+	// among themselves; nil for all.
+	Uses func(runner string) bool
+	// Changed is called, with the pool locked, after a change that other gateways
+	// should learn of at once; nil for none.
+	Changed func()
 	// Domain is the gateway's failure domain, empty for none.
 	Domain string
 	// Pick returns a random number from 0 to n-1; nil takes math/rand's.
@@ -48,31 +54,22 @@
 	readers map[string]*reader
 	waiting []*Waiter
 	serial  uint64
-	// others are the loads of other gateways, by gateway.
-	others map[string]Snapshot
+	// others are the gateways that reported, with the jobs that wait there.
+	others map[string]int
+	// revision counts the changes of own reservations and prefills.
+	revision uint64
+	// rate is the tokens a second of one answer; learned.
+	rate float64
 	// Lengths learns from the answers.
 	Lengths *Lengths
 }
 
-// Snapshot is a gateway's reservations, as it reports them to the others.
-type Snapshot struct {
-	Loads []Load
-	// Reading is the tokens that it has under way at prefill runners, by runner.
-	Reading map[string]int
-	// Waiting is how many jobs wait there.
-	Waiting int
-	At      time.Time
-}
-
-// peerAge is how long the snapshot of another gateway is used.
-const peerAge = 1500 * time.Millisecond
-
 // New returns an empty pool of a service.
 func New(service string, d *runners.Directory, o Options) *Pool {
 	if o.Pick == nil {
 		o.Pick = rand.IntN
 	}
-	return &Pool{service: service, directory: d, options: o, engines: map[string]*engine{}, readers: map[string]*reader{}, others: map[string]Snapshot{}, Lengths: NewLengths()}
+	return &Pool{service: service, directory: d, options: o, engines: map[string]*engine{}, readers: map[string]*reader{}, others: map[string]int{}, rate: firstRate, Lengths: NewLengths()}
 }
 
 // Configure sets what the engines have in common.
@@ -102,7 +99,7 @@
 func (p *Pool) engine(id string) *engine {
 	e := p.engines[id]
 	if e == nil {
-		e = &engine{id: id, capacity: p.capacity(), slots: p.spec.Slots, own: map[string]*reservation{}, others: map[string][]Load{}}
+		e = &engine{id: id, capacity: p.capacity(), slots: p.spec.Slots, own: map[string]*reservation{}, others: map[string]peerLoads{}, reading: map[string]int{}}
 		p.engines[id] = e
 	}
 	return e
@@ -120,10 +117,34 @@
 	if best == nil {
 		best = p.pick(fit, decodeSampling)
 	}
-	p.engine(best.ID).own[w.job.ID] = &reservation{job: w.job}
+	e := p.engine(best.ID)
+	e.own[w.job.ID] = &reservation{job: w.job}
+	p.change(e)
 	return best
 }
 
+// leastUsed is how many runners of a stage a gateway needs at least to choose from;
+// with fewer in its share it uses all.
+const leastUsed = 4
+
+// usable returns the healthy runners of a stage that this gateway uses.
+func (p *Pool) usable(stage runners.Stage, now time.Time) []*runners.State {
+	all := runners.Healthy(p.directory.Usable(p.service, stage, now), now)
+	if p.options.Uses == nil {
+		return all
+	}
+	used := make([]*runners.State, 0, len(all))
+	for _, s := range all {
+		if p.options.Uses(s.ID) {
+			used = append(used, s)
+		}
+	}
+	if len(used) < leastUsed {
+		return all
+	}
+	return used
+}
+
 // named returns the candidate with an ID, nil if it is not among them.
 func named(list []candidate, id string) *runners.State {
 	for _, c := range list {
@@ -138,12 +159,12 @@
 // tokens, less where the runner fails requests. The caller holds the lock.
 func (p *Pool) fitting(j Job, avoid map[string]bool, now time.Time) []candidate {
 	var out []candidate
-	for _, s := range runners.Healthy(p.directory.Usable(p.service, runners.Decode, now), now) {
+	for _, s := range p.usable(runners.Decode, now) {
 		e := p.engine(s.ID)
 		if avoid[s.ID] || now.Before(e.refusedUntil) {
 			continue
 		}
-		if room := e.room(j); room >= 0 {
+		if room := e.room(j, now, p.rate); room >= 0 {
 			merit := room - failureCost*s.Failures(now)*float64(e.capacity)
 			if s.Domain == p.options.Domain {
 				merit += sameDomainBonus * float64(e.capacity)
@@ -169,6 +190,7 @@
 	defer p.mu.Unlock()
 	e := p.engine(runner)
 	delete(e.own, id)
+	p.change(e)
 	e.refusedUntil = now.Add(p.options.Refused)
 }
 
@@ -190,40 +212,37 @@
 func (p *Pool) End(runner, id string, now time.Time) {
 	p.mu.Lock()
 	e := p.engine(runner)
-	delete(e.own, id)
+	if b := e.own[id]; b != nil {
+		p.learnRate(b, now)
+		delete(e.own, id)
+		p.change(e)
+	}
 	p.mu.Unlock()
 	p.Dispatch(now)
 }
 
-// ReceiveSnapshot takes over what another gateway reported.
-func (p *Pool) ReceiveSnapshot(gateway string, snapshot Snapshot) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.others[gateway] = snapshot
-	p.spread(gateway, snapshot.Loads)
-}
+const (
+	// firstRate is an answer's tokens a second before any was seen.
+	firstRate = 150
+	// rateWeight is the weight of the newest answer in the learned rate, and
+	// leastLearned the tokens from which an answer counts.
+	rateWeight   = 0.1
+	leastLearned = 50
+)
 
-// spread puts a gateway's loads into the models. The caller holds the lock.
-func (p *Pool) spread(gateway string, loads []Load) {
-	for _, e := range p.engines {
-		delete(e.others, gateway)
-	}
-	for _, l := range loads {
-		e := p.engine(l.Runner)
-		e.others[gateway] = append(e.others[gateway], l)
+// learnRate learns from an answer how fast answers grow. The caller holds the lock.
+func (p *Pool) learnRate(b *reservation, now time.Time) {
+	took := now.Sub(b.begun).Seconds()
+	if b.begun.IsZero() || b.made < leastLearned || took <= 0 {
+		return
 	}
+	p.rate += (float64(b.made)/took - p.rate) * rateWeight
 }
 
-// Sweep drops snapshots that are too old, and runners that are gone.
+// Sweep drops runners that are gone.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for gateway, snapshot := range p.others {
-		if now.Sub(snapshot.At) > peerAge {
-			p.spread(gateway, nil)
-			delete(p.others, gateway)
-		}
-	}
 	known := map[string]bool{}
 	for _, s := range p.directory.All(p.service) {
 		known[s.ID] = true
@@ -239,21 +258,3 @@
 		}
 	}
 }
-
-// Snapshot returns this gateway's reservations for the other gateways.
-func (p *Pool) Snapshot(now time.Time) Snapshot {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := Snapshot{Reading: map[string]int{}, Waiting: len(p.waiting), At: now}
-	for id, e := range p.engines {
-		for _, b := range e.own {
-			out.Loads = append(out.Loads, Load{Runner: id, Now: b.job.Prompt + b.made, Left: b.remaining()})
-		}
-	}
-	for id, r := range p.readers {
-		if n := r.backlog(); n > 0 {
-			out.Reading[id] = n
-		}
-	}
-	return out
-}
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -61,7 +61,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var fit []candidate
-	for _, s := range runners.Healthy(p.directory.Usable(p.service, runners.Prefill, now), now) {
+	for _, s := range p.usable(runners.Prefill, now) {
 		if !avoid[s.ID] {
 			fit = append(fit, candidate{s, -p.readCost(s, tokens, domain, now).Seconds()})
 		}
@@ -72,6 +72,7 @@
 	best := p.pick(fit, prefillSampling)
 	expected := p.readTime(best.ID, tokens)
 	p.reader(best.ID).jobs[id] = reading{tokens: tokens, since: now, ahead: p.backlog(best.ID)}
+	p.change(p.engine(best.ID))
 	return best, expected, nil
 }
 
@@ -98,12 +99,21 @@
 // backlog returns the tokens that wait at a runner. The caller holds the lock.
 func (p *Pool) backlog(id string) int {
 	n := p.reader(id).backlog()
-	for _, o := range p.others {
-		n += o.Reading[id]
+	for _, tokens := range p.engine(id).reading {
+		n += tokens
 	}
 	return n
 }
 
+// ownReading returns the tokens that this gateway has under way at a runner. The
+// caller holds the lock.
+func (p *Pool) ownReading(id string) int {
+	if r := p.readers[id]; r != nil {
+		return r.backlog()
+	}
+	return 0
+}
+
 // EndPrefill takes a prompt off its runner and learns the pace if it was read.
 func (p *Pool) EndPrefill(runner, id string, read bool, now time.Time) {
 	p.mu.Lock()
@@ -111,6 +121,7 @@
 	r := p.reader(runner)
 	j, ok := r.jobs[id]
 	delete(r.jobs, id)
+	p.change(p.engine(runner))
 	took := now.Sub(j.since).Seconds()
 	if !ok || !read || took <= 0 {
 		return
--- a/pkg/enginepool/queue.go
+++ b/pkg/enginepool/queue.go
@@ -170,8 +170,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all = len(p.waiting)
-	for _, o := range p.others {
-		all += o.Waiting
+	for _, n := range p.others {
+		all += n
 	}
 	return len(p.waiting), all
 }
--- /dev/null
+++ b/pkg/enginepool/snapshot_test.go
@@ -0,0 +1,86 @@
+package enginepool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+// Whatever a gateway does, one that gets all its changes knows what one that gets
+// everything knows.
+func TestChangesAddUpToEverything(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		p, _ := pool(3, 2, 100000)
+		changes, _ := pool(3, 2, 100000)
+		now, since := time.Now(), uint64(0)
+		runnersOf := map[string]string{}
+		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			id := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "job"))
+			switch rapid.SampledFrom([]string{"place", "end", "read", "send"}).Draw(t, "step") {
+			case "place":
+				p.mu.Lock()
+				if runnersOf[id] == "" {
+					runnersOf[id] = p.place(&Waiter{job: job(id, 100+i, 50)}, now).ID
+				}
+				p.mu.Unlock()
+			case "end":
+				if r := runnersOf[id]; r != "" {
+					p.End(r, id, now)
+					delete(runnersOf, id)
+				}
+			case "read":
+				s, _, err := p.BeginPrefill("r"+id, 500, "z0", nil, now)
+				g.Expect(err).NotTo(HaveOccurred())
+				if rapid.Bool().Draw(t, "ends") {
+					p.EndPrefill(s.ID, "r"+id, false, now)
+				}
+			case "send":
+				var s Snapshot
+				s, since = p.Snapshot(since)
+				changes.ReceiveSnapshot("a", s, now)
+			}
+		}
+		s, _ := p.Snapshot(since)
+		changes.ReceiveSnapshot("a", s, now)
+		whole, _ := pool(3, 2, 100000)
+		all, _ := p.Snapshot(0)
+		whole.ReceiveSnapshot("a", all, now)
+		for _, id := range []string{"d0", "d1", "d2", "p0", "p1"} {
+			g.Expect(changes.engine(id).running()).To(Equal(whole.engine(id).running()), id)
+			g.Expect(changes.engine(id).used(now, 0)).To(Equal(whole.engine(id).used(now, 0)), id)
+			g.Expect(changes.backlog(id)).To(Equal(whole.backlog(id)), id)
+		}
+	})
+}
+
+// Between two reports the answers of other gateways go on: memory that they take grows,
+// but not beyond what they were expected to take.
+func TestReportedAnswersGrowUntilTheNextReport(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 0, 10000)
+	now := time.Now()
+	p.ReceiveSnapshot("other", oneLoad("d0", 1000, 300), now)
+	e := p.engine("d0")
+	g.Expect(e.used(now, 100)).To(BeNumerically("~", 0.1, 1e-9))
+	g.Expect(e.used(now.Add(time.Second), 100)).To(BeNumerically("~", 0.11, 1e-9))
+	g.Expect(e.used(now.Add(time.Minute), 100)).To(BeNumerically("~", 0.13, 1e-9))
+}
+
+// A gateway chooses among its share of the runners, and among all where its share has
+// hardly any.
+func TestAGatewayUsesItsShare(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(8, 0, 10000)
+	share := map[string]bool{"d0": true, "d2": true, "d4": true, "d6": true}
+	p.options.Uses = func(runner string) bool { return share[runner] }
+	g.Expect(p.usable(runners.Decode, time.Now())).To(HaveLen(4))
+	delete(share, "d0")
+	g.Expect(p.usable(runners.Decode, time.Now())).To(HaveLen(8))
+}
--- a/pkg/enginepool/status.go
+++ b/pkg/enginepool/status.go
@@ -23,8 +23,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := Status{Waiting: len(p.waiting)}
-	for _, o := range p.others {
-		s.Waiting += o.Waiting
+	for _, n := range p.others {
+		s.Waiting += n
 	}
 	for _, r := range p.directory.Present(p.service, now) {
 		_, changing := r.Changing(now)
@@ -36,7 +36,7 @@
 			s.Reading += p.backlog(r.ID)
 		case r.Stage == runners.Decode:
 			s.Decode++
-			s.Reserved += p.engine(r.ID).used()
+			s.Reserved += p.engine(r.ID).used(now, p.rate)
 		}
 	}
 	s.Reserved /= float64(max(1, s.Decode))
@@ -44,9 +44,9 @@
 }
 
 // used returns the share of the memory that is reserved now.
-func (e *engine) used() float64 {
+func (e *engine) used(now time.Time, rate float64) float64 {
 	sum := 0.0
-	for _, p := range e.parts() {
+	for _, p := range e.parts(now, rate) {
 		sum += p.now
 	}
 	return sum / float64(max(1, e.capacity))
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -117,21 +117,28 @@
 	return out
 }
 
-// Snapshots returns what other gateways should know of the engines, by service.
-func (g *Ingress) Snapshots() map[string]enginepool.Snapshot {
-	now := time.Now()
-	out := map[string]enginepool.Snapshot{}
+// Snapshots returns what changed in this gateway's reservations after the given
+// revisions, by service, and the revisions reached; everything for nil.
+func (g *Ingress) Snapshots(since map[string]uint64) (map[string]enginepool.Snapshot, map[string]uint64) {
+	out, reached := map[string]enginepool.Snapshot{}, map[string]uint64{}
 	for service, p := range g.Pools() {
-		out[service] = p.Snapshot(now)
+		out[service], reached[service] = p.Snapshot(since[service])
 	}
-	return out
+	return out, reached
 }
 
-// ReceiveSnapshot takes what another gateway told of the engines of a service. Services
-// that the own configuration doesn't know are left.
+// ReceiveSnapshot takes another gateway's reservations for a service. Services that the
+// own configuration doesn't know are left.
 func (g *Ingress) ReceiveSnapshot(gateway, service string, snapshot enginepool.Snapshot) {
 	if p := g.Pools()[service]; p != nil {
-		p.ReceiveSnapshot(gateway, snapshot)
+		p.ReceiveSnapshot(gateway, snapshot, time.Now())
+	}
+}
+
+// DropGateway drops what a gateway that has fallen silent had reserved.
+func (g *Ingress) DropGateway(gateway string) {
+	for _, p := range g.Pools() {
+		p.DropGateway(gateway)
 	}
 }
 
--- a/pkg/peers/convert.go
+++ b/pkg/peers/convert.go
@@ -13,47 +13,35 @@
 // encode puts snapshots into a message.
 func encode(snapshots map[string]enginepool.Snapshot) *wirepb.GatewayState {
 	state := &wirepb.GatewayState{}
-	for service, p := range snapshots {
-		pool := &wirepb.GatewayPool{Service: service, Waiting: uint32(p.Waiting)}
-		engines := map[string]*wirepb.EngineLoad{}
-		engine := func(runner string) *wirepb.EngineLoad {
-			e := engines[runner]
-			if e == nil {
-				e = &wirepb.EngineLoad{Runner: runner}
-				engines[runner] = e
-				pool.Engines = append(pool.Engines, e)
+	for service, s := range snapshots {
+		pool := &wirepb.GatewayPool{Service: service, Waiting: uint32(s.Waiting), Full: s.Full}
+		for _, l := range s.Engines {
+			e := &wirepb.EngineLoad{Runner: l.Runner, Reading: uint32(l.Reading)}
+			for _, r := range l.Loads {
+				e.Now = append(e.Now, uint32(r.Now))
+				e.Left = append(e.Left, uint32(r.Left))
 			}
-			return e
-		}
-		for _, l := range p.Loads {
-			e := engine(l.Runner)
-			e.Now = append(e.Now, uint32(l.Now))
-			e.Left = append(e.Left, uint32(l.Left))
-		}
-		for runner, tokens := range p.Reading {
-			engine(runner).Reading = uint32(tokens)
+			pool.Engines = append(pool.Engines, e)
 		}
 		state.Pools = append(state.Pools, pool)
 	}
 	return state
 }
 
-// decode takes snapshots out of a message, by service. Loads whose two lists
-// differ in length are left out.
-func decode(s *wirepb.GatewayState, now time.Time) map[string]enginepool.Snapshot {
+// decode takes snapshots out of a message, by service. Loads whose two lists differ in
+// length are left out.
+func decode(s *wirepb.GatewayState) map[string]enginepool.Snapshot {
 	out := map[string]enginepool.Snapshot{}
 	for _, pool := range s.Pools {
-		p := enginepool.Snapshot{Reading: map[string]int{}, Waiting: int(pool.Waiting), At: now}
+		p := enginepool.Snapshot{Full: pool.Full, Waiting: int(pool.Waiting)}
 		for _, e := range pool.Engines {
-			if e.Reading > 0 {
-				p.Reading[e.Runner] = int(e.Reading)
-			}
-			if len(e.Now) != len(e.Left) {
-				continue
-			}
-			for i := range e.Now {
-				p.Loads = append(p.Loads, enginepool.Load{Runner: e.Runner, Now: int(e.Now[i]), Left: int(e.Left[i])})
+			load := enginepool.EngineLoad{Runner: e.Runner, Reading: int(e.Reading)}
+			for i := range min(len(e.Now), len(e.Left)) {
+				if len(e.Now) == len(e.Left) {
+					load.Loads = append(load.Loads, enginepool.Load{Now: int(e.Now[i]), Left: int(e.Left[i])})
+				}
 			}
+			p.Engines = append(p.Engines, load)
 		}
 		out[pool.Service] = p
 	}
--- /dev/null
+++ b/pkg/peers/members.go
@@ -0,0 +1,136 @@
+package peers
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/subset"
+)
+
+// member is another gateway.
+type member struct {
+	name    string
+	address *net.UDPAddr
+	// incarnation and sequence are those of the newest datagram.
+	incarnation, sequence uint64
+	version               uint64
+	lastSeen              time.Time
+	alive                 bool
+	domain                string
+	// sent counts the datagrams to it; lastSent and lastFull are when the last one,
+	// and the last one with everything, was sent. wantFull is set when it lacks
+	// something; missing when something of its own was lost.
+	sent               uint64
+	lastSent, lastFull time.Time
+	wantFull, missing  bool
+}
+
+// Add records the address of another gateway.
+func (x *Exchange) Add(name, address string) error {
+	if name == x.options.Name {
+		return nil
+	}
+	at, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return &ErrAddress{Gateway: name, Address: address, Err: err}
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.members[name] == nil {
+		x.members[name] = &member{name: name, address: at, lastSeen: time.Now(), wantFull: true}
+	}
+	return nil
+}
+
+// Known returns how many other gateways are remembered, the silent ones too.
+func (x *Exchange) Known() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.members)
+}
+
+// Rank returns how many living gateways come before this one by name.
+func (x *Exchange) Rank() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n := 0
+	for name, m := range x.members {
+		if m.alive && name < x.options.Name {
+			n++
+		}
+	}
+	return n
+}
+
+// Addresses returns the addresses of the known gateways, those with the newest
+// configuration first.
+func (x *Exchange) Addresses() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	list := x.sorted()
+	slices.SortStableFunc(list, func(a, b *member) int { return int(b.version) - int(a.version) })
+	out := make([]string, 0, len(list))
+	for _, m := range list {
+		out = append(out, m.address.String())
+	}
+	return out
+}
+
+// Uses reports whether this gateway uses an engine; see package subset.
+func (x *Exchange) Uses(engine string) bool { return x.subset.Load().Uses(engine) }
+
+// sorted returns the members by name. The caller holds the lock.
+func (x *Exchange) sorted() []*member {
+	list := make([]*member, 0, len(x.members))
+	for _, m := range x.members {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b *member) int { return strings.Compare(a.name, b.name) })
+	return list
+}
+
+// regroup makes the subsets anew after a gateway has come or gone. The caller holds
+// the lock.
+func (x *Exchange) regroup() {
+	var others []string
+	for _, m := range x.sorted() {
+		if m.alive {
+			others = append(others, m.name)
+		}
+	}
+	x.subset.Store(subset.New(x.options.Name, others))
+}
+
+// heartbeat returns the time between two datagrams to a gateway without news: it grows
+// with the number of gateways, so that what all cost together does not.
+func (x *Exchange) heartbeat() time.Duration {
+	return max(leastHeartbeat, time.Duration(len(x.members))*heartbeatShare)
+}
+
+// sweep notes which gateways have fallen silent, and drops those that were silent for
+// long.
+func (x *Exchange) sweep(now time.Time) {
+	var silent []string
+	x.mu.Lock()
+	aliveFor := max(leastAlive, heartbeatsAlive*x.heartbeat())
+	for name, m := range x.members {
+		quiet := now.Sub(m.lastSeen)
+		if m.alive && quiet > aliveFor {
+			m.alive = false
+			silent = append(silent, name)
+		}
+		if quiet > rememberFor {
+			delete(x.members, name)
+		}
+	}
+	if len(silent) > 0 {
+		x.regroup()
+	}
+	known := len(x.members)
+	x.mu.Unlock()
+	for _, name := range silent {
+		x.options.Changed(name, Silent, known)
+	}
+}
--- a/pkg/peers/peers_bench_test.go
+++ b/pkg/peers/peers_bench_test.go
@@ -9,13 +9,16 @@
 	"github.com/hopwell/hopwell/pkg/enginepool"
 )
 
-// BenchmarkDatagram tells what one telling costs, and its size.
+// BenchmarkDatagram tells what one datagram costs, and its size: a change at one
+// engine, and everything.
 func BenchmarkDatagram(b *testing.B) {
-	for _, size := range []struct{ runners, streams int }{{12, 20}, {18, 30}, {64, 140}} {
+	for _, size := range []struct{ runners, streams int }{{1, 2}, {12, 20}, {18, 30}, {64, 140}} {
 		b.Run(fmt.Sprintf("runners=%d,streams=%d", size.runners, size.streams), func(b *testing.B) {
-			p := enginepool.Snapshot{Reading: map[string]int{}}
+			p := enginepool.Snapshot{Full: true, Engines: make([]enginepool.EngineLoad, size.runners)}
 			for i := range size.streams {
-				p.Loads = append(p.Loads, enginepool.Load{Runner: fmt.Sprintf("i-%010d", i%size.runners), Now: 4000, Left: 400})
+				e := &p.Engines[i%size.runners]
+				e.Runner = fmt.Sprintf("i-%010d", i%size.runners)
+				e.Loads = append(e.Loads, enginepool.Load{Now: 4000, Left: 400})
 			}
 			bytes := 0
 			for b.Loop() {
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/spectest"
+	"github.com/hopwell/hopwell/pkg/subset"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
@@ -22,6 +24,8 @@
 	address  string
 	mu       sync.Mutex
 	received map[string]enginepool.Snapshot
+	// asked says for each call whether everything was asked for.
+	asked []bool
 }
 
 func (w *gateway) from(name string) (enginepool.Snapshot, bool) {
@@ -31,24 +35,39 @@
 	return p, ok
 }
 
-func start(t *testing.T, name string, load int) *gateway {
+// newGateway returns an exchange with one reservation of the given size at a runner of
+// its own.
+func newGateway(t *testing.T, name string, load int) *gateway {
 	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := &gateway{address: conn.LocalAddr().String(), received: map[string]enginepool.Snapshot{}}
 	w.Exchange = New(Options{
-		Name: name, Address: w.address, Conn: conn, Outcomes: func() []runners.Outcome { return nil }, StageChanges: func() []runners.StageChange { return nil }, Version: func() uint64 { return uint64(load) },
-		Snapshots: func() map[string]enginepool.Snapshot {
-			return map[string]enginepool.Snapshot{"llm": {Loads: []enginepool.Load{{Runner: name + "-runner", Now: load, Left: 1}}}}
+		Name: name, Address: w.address, Conn: conn, Version: func() uint64 { return uint64(load) },
+		Outcomes: func() []runners.Outcome { return nil }, StageChanges: func() []runners.StageChange { return nil },
+		Snapshots: func(since map[string]uint64) (map[string]enginepool.Snapshot, map[string]uint64) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.asked = append(w.asked, since == nil)
+			return map[string]enginepool.Snapshot{"llm": oneLoad(name+"-runner", load, 1)}, map[string]uint64{"llm": 1}
 		},
-		ReceiveSnapshot: func(from, _ string, snapshots enginepool.Snapshot) {
+		ReceiveSnapshot: func(from, _ string, snapshot enginepool.Snapshot) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			w.received[from] = snapshots
+			w.received[from] = snapshot
 		},
-		Changed: func(string, string, int) {},
+		Changed: func(string, string, int) {}, Failed: func(err error) { t.Log(err) },
 	})
+	return w
+}
+
+func oneLoad(runner string, now, left int) enginepool.Snapshot {
+	return enginepool.Snapshot{Full: true, Engines: []enginepool.EngineLoad{{Runner: runner, Loads: []enginepool.Load{{Now: now, Left: left}}}}}
+}
+
+func start(t *testing.T, name string, load int) *gateway {
+	w := newGateway(t, name, load)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -59,12 +78,12 @@
 	return w
 }
 
-// Three gateways of which each knows one other hear all of each other.
+// Three gateways of which each knows one other learn of all.
 func TestGatewaysFindEachOtherThroughOthers(t *testing.T) {
 	g := NewWithT(t)
 	a, b, c := start(t, "a", 10), start(t, "b", 20), start(t, "c", 30)
-	b.Add("a", a.address)
-	c.Add("b", b.address)
+	g.Expect(b.Add("a", a.address)).To(Succeed())
+	g.Expect(c.Add("b", b.address)).To(Succeed())
 	for _, pair := range []struct {
 		at   *gateway
 		from string
@@ -72,10 +91,10 @@
 	}{{a, "b", 20}, {a, "c", 30}, {b, "a", 10}, {b, "c", 30}, {c, "a", 10}, {c, "b", 20}} {
 		g.Eventually(func() int {
 			p, ok := pair.at.from(pair.from)
-			if !ok || len(p.Loads) == 0 {
+			if !ok || len(p.Engines) == 0 {
 				return 0
 			}
-			return p.Loads[0].Now
+			return p.Engines[0].Loads[0].Now
 		}, "20s").Should(Equal(pair.load))
 	}
 	g.Expect(a.Known()).To(Equal(2))
@@ -92,7 +111,7 @@
 		a.receive(&wirepb.GatewayState{Name: "z", Address: "127.0.0.1:1", Incarnation: incarnation, Sequence: sequence,
 			Pools: []*wirepb.GatewayPool{{Service: "llm", Engines: []*wirepb.EngineLoad{{Runner: "r", Now: []uint32{load}, Left: []uint32{0}}}}}}, from, time.Now())
 	}
-	now := func() int { p, _ := a.from("z"); return p.Loads[0].Now }
+	now := func() int { p, _ := a.from("z"); return p.Engines[0].Loads[0].Now }
 	say(5, 2, 100)
 	say(5, 1, 50)
 	g.Expect(now()).To(Equal(100))
@@ -105,38 +124,86 @@
 func TestSilentPeersAreForgottenLate(t *testing.T) {
 	g := NewWithT(t)
 	a := start(t, "a", 1)
-	a.Add("z", "127.0.0.1:1")
+	g.Expect(a.Add("z", "127.0.0.1:1")).To(Succeed())
 	now := time.Now()
-	a.sweep(now.Add(2 * aliveFor))
+	a.sweep(now.Add(2 * leastAlive))
 	g.Expect(a.Known()).To(Equal(1))
 	a.sweep(now.Add(2 * rememberFor))
 	g.Expect(a.Known()).To(Equal(0))
 }
 
-func TestWhatIsToldIsWhatIsHeard(t *testing.T) {
+func TestWhatIsSentIsWhatIsReceived(t *testing.T) {
 	spectest.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
-		now := time.Now()
-		p := enginepool.Snapshot{Reading: map[string]int{}, Waiting: rapid.IntRange(0, 9).Draw(t, "waiting"), At: now}
-		byRunner := map[string]int{}
-		for range rapid.IntRange(0, 9).Draw(t, "loads") {
-			l := enginepool.Load{Runner: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "runner"), Now: rapid.IntRange(0, 9999).Draw(t, "now"), Left: rapid.IntRange(0, 999).Draw(t, "left")}
-			p.Loads = append(p.Loads, l)
-			byRunner[l.Runner] += l.Now*1000 + l.Left
-		}
-		if n := rapid.IntRange(0, 999).Draw(t, "reading"); n > 0 {
-			p.Reading["x"] = n
+		s := enginepool.Snapshot{Full: rapid.Bool().Draw(t, "full"), Waiting: rapid.IntRange(0, 9).Draw(t, "waiting")}
+		for i := range rapid.IntRange(0, 4).Draw(t, "engines") {
+			e := enginepool.EngineLoad{Runner: string(rune('a' + i)), Reading: rapid.IntRange(0, 999).Draw(t, "reading")}
+			for range rapid.IntRange(0, 3).Draw(t, "loads") {
+				e.Loads = append(e.Loads, enginepool.Load{Now: rapid.IntRange(0, 9999).Draw(t, "now"), Left: rapid.IntRange(0, 999).Draw(t, "left")})
+			}
+			s.Engines = append(s.Engines, e)
 		}
-		back := decode(encode(map[string]enginepool.Snapshot{"llm": p}), now)["llm"]
-		g.Expect(back.Waiting).To(Equal(p.Waiting))
-		g.Expect(back.Reading).To(Equal(p.Reading))
-		for _, l := range back.Loads {
-			byRunner[l.Runner] -= l.Now*1000 + l.Left
+		g.Expect(decode(encode(map[string]enginepool.Snapshot{"llm": s}))["llm"]).To(Equal(s))
+	})
+}
+
+// A change goes out at once, in a datagram with what changed alone.
+func TestAChangeIsSentAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	a, b := start(t, "a", 10), start(t, "b", 20)
+	g.Expect(b.Add("a", a.address)).To(Succeed())
+	g.Eventually(func() bool { _, ok := a.from("b"); return ok }, "20s").Should(BeTrue())
+	a.mu.Lock()
+	clear(a.received)
+	a.mu.Unlock()
+	b.Notify()
+	g.Eventually(func() bool { _, ok := a.from("b"); return ok }, "20s").Should(BeTrue())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g.Expect(b.asked).To(ContainElement(false))
+}
+
+// Whoever finds a gap in what it received asks for everything, until it comes.
+func TestWhatIsLostIsAskedFor(t *testing.T) {
+	g := NewWithT(t)
+	a := newGateway(t, "a", 1)
+	from := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
+	receive := func(sequence uint64, whole bool) bool {
+		s := &wirepb.GatewayState{Name: "z", Incarnation: 5, Sequence: sequence}
+		if whole {
+			s.Address = "127.0.0.1:1"
 		}
-		for _, n := range byRunner {
-			g.Expect(n).To(BeZero())
+		a.receive(s, from, time.Now())
+		return a.members["z"].missing
+	}
+	g.Expect(receive(1, true)).To(BeFalse())
+	g.Expect(receive(2, false)).To(BeFalse())
+	g.Expect(receive(4, false)).To(BeTrue())
+	g.Expect(receive(5, false)).To(BeTrue())
+	g.Expect(receive(6, true)).To(BeFalse())
+	a.receive(&wirepb.GatewayState{Name: "z", Incarnation: 5, Sequence: 7, WantFull: true}, from, time.Now())
+	g.Expect(a.members["z"].wantFull).To(BeTrue())
+}
+
+// Where gateways are many, a change goes to the few that use the engine, and all of a
+// gateway's heartbeats together stay the same.
+func TestTheCostStaysFlatWithManyGateways(t *testing.T) {
+	g := NewWithT(t)
+	a := newGateway(t, "a", 1)
+	for i := range 400 {
+		name := fmt.Sprintf("g%03d", i)
+		g.Expect(a.Add(name, fmt.Sprintf("127.0.0.1:%d", 1000+i))).To(Succeed())
+		a.members[name].alive = true
+	}
+	a.regroup()
+	receivers := 0
+	for name := range a.members {
+		if len(a.partFor(name, map[string]enginepool.Snapshot{"llm": {Engines: []enginepool.EngineLoad{{Runner: "e"}}}})) > 0 {
+			receivers++
 		}
-	})
+	}
+	g.Expect(receivers).To(And(BeNumerically(">=", subset.Users-1), BeNumerically("<=", subset.Users)))
+	g.Expect(float64(len(a.members)) / a.heartbeat().Seconds()).To(BeNumerically("<", 34))
 }
 
 // No datagram makes a gateway fail.
@@ -147,7 +214,7 @@
 		if unmarshal(data, &s) != nil {
 			return
 		}
-		decode(&s, time.Now())
+		decode(&s)
 	})
 }
 
@@ -156,7 +223,7 @@
 func TestOutcomesTravelBetweenGateways(t *testing.T) {
 	g := NewWithT(t)
 	reported := []runners.Outcome{{Runner: "r", Failed: 1.5, Total: 4}}
-	state := encode(map[string]enginepool.Snapshot{})
+	state := encode(nil)
 	state.Outcomes = encodeOutcomes(reported)
 	g.Expect(decodeOutcomes(state.Outcomes)).To(Equal(reported))
 
@@ -164,7 +231,7 @@
 	var near bool
 	var heard []runners.Outcome
 	x := New(Options{
-		Name: "a", Domain: "east", ReceiveSnapshot: func(string, string, enginepool.Snapshot) {}, Changed: func(string, string, int) {},
+		Name: "a", Domain: "east", Failed: func(error) {}, ReceiveSnapshot: func(string, string, enginepool.Snapshot) {}, Changed: func(string, string, int) {},
 		ReceiveOutcomes: func(gateway string, sameDomain bool, list []runners.Outcome) {
 			from, near, heard = gateway, sameDomain, list
 		},
@@ -182,7 +249,7 @@
 	changes := []runners.StageChange{{Runner: "e", To: runners.Prefill, Left: 1500 * time.Millisecond}}
 	var received []runners.StageChange
 	x := New(Options{
-		Name: "a", ReceiveSnapshot: func(string, string, enginepool.Snapshot) {}, Changed: func(string, string, int) {},
+		Name: "a", Failed: func(error) {}, ReceiveSnapshot: func(string, string, enginepool.Snapshot) {}, Changed: func(string, string, int) {},
 		ReceiveStageChanges: func(list []runners.StageChange) { received = list },
 	})
 	state := &wirepb.GatewayState{Name: "b", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1, StageChanges: encodeStageChanges(changes)}
--- /dev/null
+++ b/pkg/peers/receive.go
@@ -0,0 +1,96 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
+)
+
+// read receives until the socket closes.
+func (x *Exchange) read(ctx context.Context) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := x.options.Conn.ReadFrom(buffer)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			x.options.Failed(&ErrDatagram{Err: err})
+			time.Sleep(period)
+			continue
+		}
+		var state wirepb.GatewayState
+		if err := unmarshal(buffer[:n], &state); err != nil {
+			x.options.Failed(&ErrDatagram{Gateway: from.String(), Bytes: n, Err: err})
+			continue
+		}
+		x.receive(&state, from, time.Now())
+	}
+}
+
+// receive takes one datagram. One that is older than another is dropped.
+func (x *Exchange) receive(s *wirepb.GatewayState, from net.Addr, now time.Time) {
+	if s.Name == "" || s.Name == x.options.Name {
+		return
+	}
+	x.introduce(s, from)
+	x.mu.Lock()
+	m := x.members[s.Name]
+	if m == nil || s.Incarnation < m.incarnation || s.Incarnation == m.incarnation && s.Sequence <= m.sequence {
+		x.mu.Unlock()
+		return
+	}
+	first := x.note(m, s, from, now)
+	known, sameDomain := len(x.members), m.domain == x.options.Domain
+	x.mu.Unlock()
+	if first {
+		x.options.Changed(s.Name, Alive, known)
+	}
+	if len(s.Outcomes) > 0 {
+		x.options.ReceiveOutcomes(s.Name, sameDomain, decodeOutcomes(s.Outcomes))
+	}
+	if len(s.StageChanges) > 0 {
+		x.options.ReceiveStageChanges(decodeStageChanges(s.StageChanges))
+	}
+	for service, snapshot := range decode(s) {
+		x.options.ReceiveSnapshot(s.Name, service, snapshot)
+	}
+}
+
+// introduce adds the gateways that a datagram names.
+func (x *Exchange) introduce(s *wirepb.GatewayState, from net.Addr) {
+	address := s.Address
+	if address == "" && from != nil {
+		address = from.String()
+	}
+	for _, p := range append(s.Peers, &wirepb.GatewayPeer{Name: s.Name, Address: address}) {
+		if err := x.Add(p.Name, p.Address); err != nil {
+			x.options.Failed(err)
+		}
+	}
+}
+
+// note records a datagram's head, and reports whether its gateway was not alive before.
+// A gap in the sequence is something lost: everything is asked for. The caller holds the
+// lock.
+func (x *Exchange) note(m *member, s *wirepb.GatewayState, from net.Addr, now time.Time) bool {
+	if at, ok := from.(*net.UDPAddr); ok {
+		m.address = at
+	}
+	whole := s.Address != ""
+	lost := s.Incarnation != m.incarnation || s.Sequence != m.sequence+1
+	m.missing = !whole && (m.missing || lost)
+	m.wantFull = m.wantFull || s.WantFull || s.Incarnation != m.incarnation
+	if whole {
+		m.domain, m.version = s.Domain, s.ConfigVersion
+	}
+	m.incarnation, m.sequence, m.lastSeen = s.Incarnation, s.Sequence, now
+	if m.alive {
+		return false
+	}
+	m.alive = true
+	x.regroup()
+	return true
+}
--- a/pkg/process/announce.go
+++ b/pkg/process/announce.go
@@ -69,7 +69,9 @@
 		return lease, err
 	}
 	for _, i := range items {
-		p.peers.Add(i.Key[len(gatewayPrefix):], string(i.Value))
+		if err := p.peers.Add(i.Key[len(gatewayPrefix):], string(i.Value)); err != nil {
+			p.log.Write(decisionlog.KindProcess, "gateway_refused", decisionlog.F("error", err))
+		}
 	}
 	p.log.Write(decisionlog.KindState, "gateways_read", decisionlog.F("gateways", len(items)), decisionlog.F("at", at))
 	return lease, nil
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -28,7 +28,7 @@
 	store   store.Store
 	address string
 	// orders is called when the right to give orders is seen to be taken or free.
-	orders func(free bool)
+	orders  func(free bool)
 	restart chan struct{}
 }
 
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -95,13 +95,12 @@
 		Domain: c.Instance.Domain, Engines: runners, Reader: runners, Log: log,
 		Budget:   budgetLimits(c),
 		Gateways: firstGateways, MaxOpen: c.Limits.OpenRequests, MaxBodies: int64(bodyPart * float64(memory)),
-		Pool: poolOptions(c),
+		Pool: p.poolOptions(c),
 	})
-	if err := p.listen(); err != nil {
-		p.closePorts()
+	if err := p.meet(); err != nil {
 		return nil, err
 	}
-	if err := p.meet(); err != nil {
+	if err := p.listen(); err != nil {
 		p.closePorts()
 		return nil, err
 	}
@@ -122,9 +121,11 @@
 }
 
 // poolOptions returns the settings of the choice of engines.
-func poolOptions(c *config.Ingress) enginepool.Options {
+func (p *Ingress) poolOptions(c *config.Ingress) enginepool.Options {
 	o := enginepool.DefaultOptions()
 	o.Domain = c.Instance.Domain
+	o.Uses = func(runner string) bool { return p.peers.Uses(runner) }
+	o.Changed = func() { p.peers.Notify() }
 	return o
 }
 
@@ -172,7 +173,7 @@
 	}
 }
 
-// meet opens the port on which the other gateways are heard.
+// meet opens the port for datagrams between gateways.
 func (p *Ingress) meet() error {
 	instance, address := p.settings.Load().Instance, p.settings.Load().Listen.Peers
 	conn, err := net.ListenPacket("udp4", address)
@@ -185,7 +186,11 @@
 		Domain: instance.Domain, Outcomes: p.Ingress.Outcomes, ReceiveOutcomes: p.Ingress.ReceiveOutcomes,
 		StageChanges: p.Ingress.StageChanges, ReceiveStageChanges: p.Ingress.ReceiveStageChanges,
 		Snapshots: p.Ingress.Snapshots, ReceiveSnapshot: p.Ingress.ReceiveSnapshot, Version: p.Ingress.Version,
+		Failed: func(err error) { p.log.Write(decisionlog.KindProcess, "datagram_failed", decisionlog.F("error", err)) },
 		Changed: func(name, what string, known int) {
+			if what == peers.Silent {
+				p.Ingress.DropGateway(name)
+			}
 			p.log.Write(decisionlog.KindState, "gateway_"+what, decisionlog.F("gateway", name), decisionlog.F("known", known))
 		},
 	})
--- /dev/null
+++ b/pkg/subset/subset_test.go
@@ -0,0 +1,97 @@
+package subset
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+func names(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("g%03d", i)
+	}
+	return out
+}
+
+// view returns the view of the i-th of some gateways.
+func view(all []string, i int) *Subset {
+	return New(all[i], slices.Delete(slices.Clone(all), i, i+1))
+}
+
+func TestFewGatewaysUseAllEngines(t *testing.T) {
+	g := NewWithT(t)
+	s := view(names(Users), 0)
+	g.Expect(s.Uses("e")).To(BeTrue())
+	g.Expect(s.Of("e")).To(HaveLen(Users))
+}
+
+// All gateways agree on who uses an engine, in whatever order they learned of each
+// other.
+func TestGatewaysAgree(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		all := names(rapid.IntRange(Users+1, 60).Draw(t, "gateways"))
+		engine := rapid.StringMatching(`i-[0-9a-f]{4}`).Draw(t, "engine")
+		users := 0
+		for i := range all {
+			s := view(all, i)
+			g.Expect(s.Of(engine)).To(Equal(view(all, 0).Of(engine)))
+			if s.Uses(engine) {
+				users++
+			}
+		}
+		g.Expect(users).To(Equal(Users))
+	})
+}
+
+// A gateway that goes changes only the engines that it used, each by one user.
+func TestALossChangesLittle(t *testing.T) {
+	g := NewWithT(t)
+	all := names(100)
+	before, after := view(all, 0), view(all[:99], 0)
+	for i := range 200 {
+		engine := fmt.Sprintf("e%d", i)
+		kept := 0
+		for _, name := range before.Of(engine) {
+			if slices.Contains(after.Of(engine), name) {
+				kept++
+			}
+		}
+		if slices.Contains(before.Of(engine), all[99]) {
+			g.Expect(kept).To(Equal(Users - 1))
+		} else {
+			g.Expect(kept).To(Equal(Users))
+		}
+	}
+}
+
+// Engines spread evenly: no gateway has far more or fewer than its share.
+func TestEnginesSpread(t *testing.T) {
+	g := NewWithT(t)
+	all := names(420)
+	counts := map[string]int{}
+	s := view(all, 0)
+	const engines = 730
+	for i := range engines {
+		for _, name := range s.Of(fmt.Sprintf("e%d", i)) {
+			counts[name]++
+		}
+	}
+	share := float64(engines*Users) / 420
+	for _, name := range all {
+		g.Expect(float64(counts[name])).To(And(BeNumerically(">", share/2), BeNumerically("<", share*2)), name)
+	}
+}
+
+func BenchmarkUses(b *testing.B) {
+	s := view(names(420), 0)
+	for b.Loop() {
+		s.Uses("e")
+	}
+}
