process, config: a gateway that starts while the store is silent learns from other gateways

Cause: a process that starts in an outage of the store answered 503 until the store was back, although its peers knew the configuration and the runners.

Versions never go back, states older than 10 minutes are refused, and the store's own word replaces it all.

--- a/pkg/config/ingress.go
+++ b/pkg/config/ingress.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -35,8 +36,12 @@
 
 // Ingress is the settings file of `hopwelld ingress`.
 type Ingress struct {
-	Instance    Instance       `yaml:"instance"`
-	Store       string         `yaml:"store"`
+	Instance Instance `yaml:"instance"`
+	Store    string   `yaml:"store"`
+	// Seeds are addresses of other gateways, which a process asks that starts while
+	// the store does not answer. Only the hosts count: all listen for each other on
+	// the same port.
+	Seeds       []string       `yaml:"seeds"`
 	Listen      IngressListen  `yaml:"listen"`
 	RetryBudget RetryBudget    `yaml:"retry_budget"`
 	Lease       fleet.Duration `yaml:"lease"`
@@ -57,7 +62,7 @@
 func ParseIngress(file string, data []byte) (*Ingress, error) {
 	var c Ingress
 	must(yaml.Unmarshal([]byte(IngressDefault), &c))
-	c.Instance, c.Store, c.Listen = Instance{}, "", IngressListen{}
+	c.Instance, c.Store, c.Listen, c.Seeds = Instance{}, "", IngressListen{}, nil
 	if err := decode(file, data, &c); err != nil {
 		return nil, err
 	}
@@ -69,6 +74,7 @@
 	return first(
 		c.Instance.check(),
 		checkAddress("store", c.Store),
+		c.checkSeeds(),
 		checkAddress("listen.callers", c.Listen.Callers),
 		checkAddress("listen.health", c.Listen.Health),
 		checkAddress("listen.metrics", c.Listen.Metrics),
@@ -83,6 +89,15 @@
 	)
 }
 
+func (c *Ingress) checkSeeds() *fault {
+	for i, seed := range c.Seeds {
+		if f := checkAddress(fmt.Sprintf("seeds[%d]", i), seed); f != nil {
+			return f
+		}
+	}
+	return nil
+}
+
 func (b *RetryBudget) check() *fault {
 	if b.Share < 0 || b.Share > 1 {
 		return &fault{"retry_budget.share", "a number from 0 to 1"}
--- a/pkg/config/ingress_test.go
+++ b/pkg/config/ingress_test.go
@@ -47,13 +47,14 @@
 		line            int
 	}{
 		{"store: 10.200.1.7:8142", "store: nowhere", "store", 7},
-		{"  slack: 58", "  slack: -1", "retry_budget.slack", 15},
-		{"  share: 0.2", "  share: 1.5", "retry_budget.share", 14},
-		{"  window: 10s", "  window: 10", "window", 16},
-		{"lease: 3000ms", "lease: 1ms", "lease", 17},
-		{"  memory_mb: 134", "  memory_mb: 0", "limits.memory_mb", 19},
-		{"  peers: 10.1.0.38:7395", "  peers: 10.1.0.38:99999", "listen.peers", 12},
-		{"lease: 3000ms", "leese: 3000ms", "leese", 17},
+		{"seeds: [10.1.0.38:8144", "seeds: [nowhere", "seeds[0]", 8},
+		{"  slack: 58", "  slack: -1", "retry_budget.slack", 16},
+		{"  share: 0.2", "  share: 1.5", "retry_budget.share", 15},
+		{"  window: 10s", "  window: 10", "window", 17},
+		{"lease: 3000ms", "lease: 1ms", "lease", 18},
+		{"  memory_mb: 134", "  memory_mb: 0", "limits.memory_mb", 20},
+		{"  peers: 10.1.0.38:7395", "  peers: 10.1.0.38:99999", "listen.peers", 13},
+		{"lease: 3000ms", "leese: 3000ms", "leese", 18},
 	} {
 		g := NewWithT(t)
 		text := strings.Replace(filled(t), c.from, c.to, 1)
--- a/pkg/process/announce.go
+++ b/pkg/process/announce.go
@@ -69,14 +69,19 @@
 		return lease, err
 	}
 	for _, i := range items {
-		if err := p.peers.Add(i.Key[len(gatewayPrefix):], string(i.Value)); err != nil {
-			p.log.Write(decisionlog.KindProcess, "gateway_refused", decisionlog.F("error", err))
-		}
+		p.addPeer(i.Key[len(gatewayPrefix):], string(i.Value))
 	}
 	p.log.Write(decisionlog.KindState, "gateways_read", decisionlog.F("gateways", len(items)), decisionlog.F("at", at))
 	return lease, nil
 }
 
+// addPeer takes over another gateway's address.
+func (p *Ingress) addPeer(name, address string) {
+	if err := p.peers.Add(name, address); err != nil {
+		p.log.Write(decisionlog.KindProcess, "gateway_refused", decisionlog.F("error", err))
+	}
+}
+
 func (p *Ingress) renew(ctx context.Context, lease store.LeaseID) error {
 	ctx, cancel := context.WithTimeout(ctx, announceCall)
 	defer cancel()
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -23,6 +23,8 @@
 type feed struct {
 	ingress *ingress.Ingress
 	log     *decisionlog.Log
+	// copy is what the store held last.
+	copy copyOfStore
 
 	mu      sync.Mutex
 	store   store.Store
@@ -85,9 +87,11 @@
 	return &store.Follower{
 		Store: s, Gather: gather, Reset: f.reset, Apply: f.apply,
 		Lost: func(err error) {
+			f.copy.answers(false)
 			f.log.Write(decisionlog.KindProcess, "store_lost", decisionlog.F("error", err))
 		},
 		Regained: func(after time.Duration) {
+			f.copy.answers(true)
 			f.log.Write(decisionlog.KindProcess, "store_regained", decisionlog.F("after", after))
 		},
 	}
@@ -95,6 +99,7 @@
 
 // reset takes a whole reading of the store: runners that are not in it have gone.
 func (f *feed) reset(items []store.Item, at uint64) {
+	f.copy.replace(items, at)
 	ids := map[string]bool{}
 	free := true
 	for _, i := range items {
@@ -109,8 +114,19 @@
 	f.log.Write(decisionlog.KindState, "runners_read", decisionlog.F("runners", len(ids)), decisionlog.F("at", at))
 }
 
+// learn takes what another gateway knew of the store. Whether anybody has the right to
+// give orders can't be learned so.
+func (f *feed) learn(s sharedState) {
+	f.copy.replace(s.Items, s.At)
+	f.copy.answers(false)
+	for _, i := range s.Items {
+		f.item(i, s.At)
+	}
+}
+
 // apply takes single changes.
 func (f *feed) apply(events []store.Event, at uint64) {
+	f.copy.apply(events, at)
 	for _, e := range events {
 		if e.Key == orderKey {
 			f.orders(e.Gone)
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -97,6 +97,7 @@
 		Gateways: firstGateways, MaxOpen: c.Limits.OpenRequests, MaxBodies: int64(bodyPart * float64(memory)),
 		Pool: p.poolOptions(c),
 	})
+	p.feed = newFeed(p.Ingress, log, platform.NewStore(c.Store), c.Store)
 	if err := p.meet(); err != nil {
 		return nil, err
 	}
@@ -106,13 +107,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
-	p.feed = newFeed(p.Ingress, log, platform.NewStore(c.Store), c.Store)
 	orders := p.stager(runners)
 	p.feed.orders = orders.free.Store
 	p.done.Go(func() { p.feed.run(ctx) })
 	p.done.Go(func() { p.Ingress.Run(ctx) })
 	p.done.Go(func() { p.peers.Run(ctx) })
 	p.done.Go(func() { p.announce(ctx) })
+	p.done.Go(func() { p.learnFromPeers(ctx) })
 	p.done.Go(func() { orders.run(ctx) })
 	p.done.Go(func() { p.sweep(ctx) })
 	log.Write(decisionlog.KindProcess, "start", decisionlog.F("pid", os.Getpid()), decisionlog.F("callers", p.ports.Callers),
@@ -149,21 +150,30 @@
 		handler http.Handler
 		bound   *string
 	}{{l.Callers, p.Ingress, &p.ports.Callers}, {l.Health, health, &p.ports.Health}, {l.Metrics, figures, &p.ports.Metrics}} {
-		listener, err := net.Listen("tcp", port.address)
-		if err != nil {
-			return &httpd.ErrListen{Address: port.address, Err: err}
-		}
-		*port.bound = listener.Addr().String()
-		server := &http.Server{
-			Handler: port.handler, ReadHeaderTimeout: settings.Limits.HeaderTime.D(), IdleTimeout: settings.Limits.IdleTime.D(),
-			ErrorLog: quiet(),
+		if err := p.serve(port.address, port.handler, port.bound); err != nil {
+			return err
 		}
-		p.servers = append(p.servers, server)
-		p.done.Go(func() { _ = server.Serve(listener) })
 	}
 	return nil
 }
 
+// serve starts an HTTP server on an address; bound takes the one that it listens on,
+// nil for nobody.
+func (p *Ingress) serve(address string, handler http.Handler, bound *string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return &httpd.ErrListen{Address: address, Err: err}
+	}
+	if bound != nil {
+		*bound = listener.Addr().String()
+	}
+	limits := p.settings.Load().Limits
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: limits.HeaderTime.D(), IdleTimeout: limits.IdleTime.D(), ErrorLog: quiet()}
+	p.servers = append(p.servers, server)
+	p.done.Go(func() { _ = server.Serve(listener) })
+	return nil
+}
+
 // stager returns what gives the engines their parts.
 func (p *Ingress) stager(r *platform.Runners) *stager {
 	lease := p.settings.Load().Lease.D()
@@ -181,6 +191,10 @@
 		return &httpd.ErrListen{Address: address, Err: err}
 	}
 	p.ports.Peers = conn.LocalAddr().String()
+	if err := p.serve(p.ports.Peers, http.HandlerFunc(p.serveState), nil); err != nil {
+		_ = conn.Close()
+		return err
+	}
 	p.peers = peers.New(peers.Options{
 		Name: instance.Name, Address: p.ports.Peers, Conn: conn,
 		Domain: instance.Domain, Outcomes: p.Ingress.Outcomes, ReceiveOutcomes: p.Ingress.ReceiveOutcomes,
--- /dev/null
+++ b/pkg/process/state.go
@@ -0,0 +1,219 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/store"
+	"github.com/hopwell/hopwell/platform"
+)
+
+const (
+	// statePath is where a gateway hands out what it knows of the store.
+	statePath = "/state"
+	// stateCall bounds the call for it, stateRetry is the time between two rounds.
+	stateCall  = 300 * time.Millisecond
+	stateRetry = 200 * time.Millisecond
+	// maxState bounds such an answer, in bytes: some thousand runners and routes.
+	maxState = 8 << 20
+	// maxStateAge is how old a state may be: about the longest outage after which a
+	// gateway's runners are more likely gone than not, where 100 of 730 are replaced
+	// a day.
+	maxStateAge = 10 * time.Minute
+)
+
+// sharedState is what a gateway knows of the store, for gateways that start while the
+// store does not answer.
+type sharedState struct {
+	// At is the store's revision that the items reach, AgeMs how long ago the store
+	// answered last.
+	At    uint64       `json:"at"`
+	AgeMs int64        `json:"age_ms"`
+	Items []store.Item `json:"items"`
+}
+
+// ErrState says that a gateway's state can't be used.
+type ErrState struct {
+	Address string
+	Why     string
+	Err     error
+}
+
+// Error implements error.
+func (e *ErrState) Error() string {
+	return fmt.Sprintf("no state from a gateway: address=%s why=%q cause=%v", e.Address, e.Why, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrState) Unwrap() error { return e.Err }
+
+// copyOfStore keeps the items of the store that a gateway needs.
+type copyOfStore struct {
+	mu    sync.Mutex
+	items map[string]store.Item
+	at    uint64
+	// lost is when the store stopped to answer; zero while it does.
+	lost time.Time
+}
+
+// shared reports whether an item is one that a starting gateway needs.
+func shared(key string) bool {
+	_, runner := platform.RunnerID(key)
+	return runner || key == platform.ConfigKey || strings.HasPrefix(key, gatewayPrefix)
+}
+
+// replace takes over a whole reading.
+func (c *copyOfStore) replace(items []store.Item, at uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.items, c.at = map[string]store.Item{}, at
+	for _, i := range items {
+		if shared(i.Key) {
+			c.items[i.Key] = i
+		}
+	}
+}
+
+// apply takes over changes.
+func (c *copyOfStore) apply(events []store.Event, at uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at = at
+	for _, e := range events {
+		if e.Gone {
+			delete(c.items, e.Key)
+		} else if shared(e.Key) {
+			c.items[e.Key] = e.Item
+		}
+	}
+}
+
+// answers records whether the store answers.
+func (c *copyOfStore) answers(yes bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost = time.Time{}
+	if !yes {
+		c.lost = time.Now()
+	}
+}
+
+// unknown reports whether the store has not answered and nothing is known of it.
+func (c *copyOfStore) unknown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.items) == 0 && !c.lost.IsZero()
+}
+
+// state returns the copy, false while there is none.
+func (c *copyOfStore) state(now time.Time) (sharedState, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := sharedState{At: c.at}
+	if !c.lost.IsZero() {
+		s.AgeMs = now.Sub(c.lost).Milliseconds()
+	}
+	for _, i := range c.items {
+		s.Items = append(s.Items, i)
+	}
+	return s, len(s.Items) > 0
+}
+
+// serveState hands out what this gateway knows of the store.
+func (p *Ingress) serveState(w http.ResponseWriter, _ *http.Request) {
+	s, known := p.feed.copy.state(time.Now())
+	if !known {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(s); err != nil {
+		p.log.Write(decisionlog.KindProcess, "state_not_sent", decisionlog.F("error", err))
+	}
+}
+
+// learnFromPeers asks other gateways for what they know of the store, as long as the
+// store does not answer and nothing is known yet. What the store says later replaces it.
+func (p *Ingress) learnFromPeers(ctx context.Context) {
+	client := &http.Client{Timeout: stateCall}
+	tick := time.NewTicker(stateRetry)
+	defer tick.Stop()
+	for p.Ingress.Table() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if p.feed.copy.unknown() {
+			p.askPeers(ctx, client)
+		}
+	}
+}
+
+// askPeers takes the state of the first gateway that has one.
+func (p *Ingress) askPeers(ctx context.Context, client *http.Client) {
+	for _, address := range append(p.peers.Addresses(), p.seeds()...) {
+		s, err := fetchState(ctx, client, address)
+		if err != nil {
+			p.log.Write(decisionlog.KindProcess, "state_not_learned", decisionlog.F("error", err))
+			continue
+		}
+		p.log.Write(decisionlog.KindState, "state_learned", decisionlog.F("gateway", address), decisionlog.F("at", s.At),
+			decisionlog.F("age", time.Duration(s.AgeMs)*time.Millisecond), decisionlog.F("items", len(s.Items)))
+		p.feed.learn(s)
+		for _, i := range s.Items {
+			if name, ok := strings.CutPrefix(i.Key, gatewayPrefix); ok {
+				p.addPeer(name, string(i.Value))
+			}
+		}
+		return
+	}
+}
+
+// seeds returns where gateways may be that the settings name: their hosts, at the own
+// port, since all gateways listen alike.
+func (p *Ingress) seeds() []string {
+	_, port, err := net.SplitHostPort(p.ports.Peers)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, seed := range p.settings.Load().Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil && net.JoinHostPort(host, port) != p.ports.Peers {
+			out = append(out, net.JoinHostPort(host, port))
+		}
+	}
+	return out
+}
+
+// fetchState asks one gateway. One whose state is too old is refused.
+func fetchState(ctx context.Context, client *http.Client, address string) (sharedState, error) {
+	var s sharedState
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statePath, nil)
+	if err != nil {
+		return s, &ErrState{Address: address, Why: "bad address", Err: err}
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return s, &ErrState{Address: address, Why: "no answer", Err: err}
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return s, &ErrState{Address: address, Why: "it knows nothing itself: " + res.Status}
+	}
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxState)).Decode(&s); err != nil {
+		return s, &ErrState{Address: address, Why: "not readable", Err: err}
+	}
+	if age := time.Duration(s.AgeMs) * time.Millisecond; age < 0 || age > maxStateAge {
+		return s, &ErrState{Address: address, Why: "too old: " + age.String()}
+	}
+	return s, nil
+}
