enginepool, runners: a choice looks at a bounded number of runners

Cause: a choice among 730 runners of one service took 0.92 ms: all were locked, listed and weighed. Random samples by the number of gateways were there because what others reserved was known late.

Change: the runners of a stage that a gateway uses are kept while the set stays the same; a choice looks at 32 of them in random order, compares the first 16 with room, and leaves runners whose memory is full before working out the peak. A runner that a job prefers is looked at in any case.

--- /dev/null
+++ b/pkg/enginepool/choice.go
@@ -0,0 +1,84 @@
+package enginepool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+const (
+	// maxLooked bounds the runners that one choice looks at, and compared how many
+	// that can take a job are compared: the cost of a choice does not grow with the
+	// number of runners. Comparing more was worth nothing; docs/QUITO.md.
+	maxLooked = 32
+	compared  = 16
+	// leastUsed is how many runners of a stage a gateway needs at least to choose
+	// from; with fewer in its share it uses all.
+	leastUsed = 4
+	// shareFor is how long a gateway's share is used while the runners stay the same:
+	// it changes with the set of gateways.
+	shareFor = 200 * time.Millisecond
+)
+
+// candidate is a runner that can take a job; the one with the most merit is the best.
+type candidate struct {
+	runner *runners.State
+	merit  float64
+}
+
+// best returns the candidate with the most merit; there is at least one.
+func best(list []candidate) *runners.State {
+	return slices.MaxFunc(list, func(a, b candidate) int { return cmp.Compare(a.merit, b.merit) }).runner
+}
+
+// share is the runners of a stage that this gateway uses.
+type share struct {
+	list       []*runners.State
+	generation uint64
+	at         time.Time
+}
+
+// shareOf returns the runners of a stage that this gateway uses, those that take no work
+// too. The caller holds the lock.
+func (p *Pool) shareOf(stage runners.Stage, now time.Time) []*runners.State {
+	s, generation := p.shares[stage], p.directory.Generation()
+	if s.list != nil && s.generation == generation && now.Sub(s.at) < shareFor {
+		return s.list
+	}
+	all := p.directory.Stage(p.service, stage)
+	used := all
+	if p.options.Uses != nil {
+		used = nil
+		for _, r := range all {
+			if p.options.Uses(r.ID) {
+				used = append(used, r)
+			}
+		}
+		if len(used) < leastUsed {
+			used = all
+		}
+	}
+	p.shares[stage] = share{list: used, generation: generation, at: now}
+	return used
+}
+
+// look returns up to maxLooked healthy runners of a stage that this gateway uses, in
+// random order. The caller holds the lock.
+func (p *Pool) look(stage runners.Stage, now time.Time) []*runners.State {
+	from := p.shareOf(stage, now)
+	order := slices.Clone(from)
+	out := make([]*runners.State, 0, min(len(from), maxLooked))
+	for i := range order {
+		k := i + p.options.Pick(len(order)-i)
+		order[i], order[k] = order[k], order[i]
+		if order[i].Usable(now) {
+			out = append(out, order[i])
+		}
+		if len(out) == maxLooked {
+			break
+		}
+	}
+	return runners.Healthy(out, now)
+}
--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -116,5 +116,13 @@
 	if e.running() >= e.slots {
 		return -1
 	}
-	return float64(e.capacity) - peak(e.parts(now, rate), part{float64(j.Prompt), j.Length.Expected(0)})
+	stays := e.parts(now, rate)
+	taken := float64(j.Prompt)
+	for _, s := range stays {
+		taken += s.now
+	}
+	if left := float64(e.capacity) - taken; left < 0 {
+		return left
+	}
+	return float64(e.capacity) - peak(stays, part{float64(j.Prompt), j.Length.Expected(0)})
 }
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -52,6 +52,7 @@
 	spec    Spec
 	engines map[string]*engine
 	readers map[string]*reader
+	shares  map[runners.Stage]share
 	waiting []*Waiter
 	serial  uint64
 	// others are the gateways that reported, with the jobs that wait there.
@@ -69,7 +70,7 @@
 	if o.Pick == nil {
 		o.Pick = rand.IntN
 	}
-	return &Pool{service: service, directory: d, options: o, engines: map[string]*engine{}, readers: map[string]*reader{}, others: map[string]int{}, rate: firstRate, Lengths: NewLengths()}
+	return &Pool{service: service, directory: d, options: o, engines: map[string]*engine{}, readers: map[string]*reader{}, shares: map[runners.Stage]share{}, others: map[string]int{}, rate: firstRate, Lengths: NewLengths()}
 }
 
 // Configure sets what the engines have in common.
@@ -106,73 +107,69 @@
 }
 
 // place reserves memory for a job on the runner that it prefers, or else on the decode
-// runner with the most room of those that are compared (see pick); nil for none. The
-// caller holds the lock.
+// runner with the most room of those that are compared; nil for none. The caller holds
+// the lock.
 func (p *Pool) place(w *Waiter, now time.Time) *runners.State {
-	fit := p.fitting(w.job, w.avoid, now)
-	if len(fit) == 0 {
-		return nil
-	}
-	best := named(fit, w.prefer)
-	if best == nil {
-		best = p.pick(fit, decodeSampling)
+	runner := p.preferred(w, now)
+	if runner == nil {
+		fit := p.fitting(w, now)
+		if len(fit) == 0 {
+			return nil
+		}
+		runner = best(fit)
 	}
-	e := p.engine(best.ID)
+	e := p.engine(runner.ID)
 	e.own[w.job.ID] = &reservation{job: w.job}
 	p.change(e)
-	return best
+	return runner
 }
 
-// leastUsed is how many runners of a stage a gateway needs at least to choose from;
-// with fewer in its share it uses all.
-const leastUsed = 4
-
-// usable returns the healthy runners of a stage that this gateway uses.
-func (p *Pool) usable(stage runners.Stage, now time.Time) []*runners.State {
-	all := runners.Healthy(p.directory.Usable(p.service, stage, now), now)
-	if p.options.Uses == nil {
-		return all
+// preferred returns the runner that a job prefers, nil if it has no room. The caller
+// holds the lock.
+func (p *Pool) preferred(w *Waiter, now time.Time) *runners.State {
+	if w.prefer == "" {
+		return nil
 	}
-	used := make([]*runners.State, 0, len(all))
-	for _, s := range all {
-		if p.options.Uses(s.ID) {
-			used = append(used, s)
-		}
+	s := p.directory.Find(w.prefer)
+	if s == nil || s.Stage != runners.Decode || !s.Usable(now) || s.Resting(now) {
+		return nil
 	}
-	if len(used) < leastUsed {
-		return all
+	if _, fits := p.merit(s, w, now); !fits {
+		return nil
 	}
-	return used
+	return s
 }
 
-// named returns the candidate with an ID, nil if it is not among them.
-func named(list []candidate, id string) *runners.State {
-	for _, c := range list {
-		if c.runner.ID == id {
-			return c.runner
+// fitting returns runners with room for a job. The caller holds the lock.
+func (p *Pool) fitting(w *Waiter, now time.Time) []candidate {
+	var out []candidate
+	for _, s := range p.look(runners.Decode, now) {
+		if merit, fits := p.merit(s, w, now); fits {
+			out = append(out, candidate{s, merit})
+		}
+		if len(out) == compared {
+			break
 		}
 	}
-	return nil
+	return out
 }
 
-// fitting returns the runners with room for a job; their merit is that room, in
+// merit returns how good a runner is for a job, false if it has no room: the room in
 // tokens, less where the runner fails requests. The caller holds the lock.
-func (p *Pool) fitting(j Job, avoid map[string]bool, now time.Time) []candidate {
-	var out []candidate
-	for _, s := range p.usable(runners.Decode, now) {
-		e := p.engine(s.ID)
-		if avoid[s.ID] || now.Before(e.refusedUntil) {
-			continue
-		}
-		if room := e.room(j, now, p.rate); room >= 0 {
-			merit := room - failureCost*s.Failures(now)*float64(e.capacity)
-			if s.Domain == p.options.Domain {
-				merit += sameDomainBonus * float64(e.capacity)
-			}
-			out = append(out, candidate{s, merit})
-		}
+func (p *Pool) merit(s *runners.State, w *Waiter, now time.Time) (float64, bool) {
+	e := p.engine(s.ID)
+	if w.avoid[s.ID] || now.Before(e.refusedUntil) {
+		return 0, false
 	}
-	return out
+	room := e.room(w.job, now, p.rate)
+	if room < 0 {
+		return 0, false
+	}
+	merit := room - failureCost*s.Failures(now)*float64(e.capacity)
+	if s.Domain == p.options.Domain {
+		merit += sameDomainBonus * float64(e.capacity)
+	}
+	return merit, true
 }
 
 // failureCost is the part of its memory by which a runner that fails all
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -55,25 +55,25 @@
 }
 
 // BeginPrefill assigns a prompt to the prefill runner that will have read it first
-// of those that are compared (see pick), and returns how long that will take.
+// of those that are compared, and returns how long that will take.
 // Runners in avoid are not taken. It fails with *ErrNoRunner.
 func (p *Pool) BeginPrefill(id string, tokens int, domain string, avoid map[string]bool, now time.Time) (*runners.State, time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var fit []candidate
-	for _, s := range p.usable(runners.Prefill, now) {
-		if !avoid[s.ID] {
+	for _, s := range p.look(runners.Prefill, now) {
+		if !avoid[s.ID] && len(fit) < compared {
 			fit = append(fit, candidate{s, -p.readCost(s, tokens, domain, now).Seconds()})
 		}
 	}
 	if len(fit) == 0 {
 		return nil, 0, &ErrNoRunner{Service: p.service, Stage: runners.Prefill}
 	}
-	best := p.pick(fit, prefillSampling)
-	expected := p.readTime(best.ID, tokens)
-	p.reader(best.ID).jobs[id] = reading{tokens: tokens, since: now, ahead: p.backlog(best.ID)}
-	p.change(p.engine(best.ID))
-	return best, expected, nil
+	chosen := best(fit)
+	expected := p.readTime(chosen.ID, tokens)
+	p.reader(chosen.ID).jobs[id] = reading{tokens: tokens, since: now, ahead: p.backlog(chosen.ID)}
+	p.change(p.engine(chosen.ID))
+	return chosen, expected, nil
 }
 
 // readCost estimates when a runner will have read a prompt.
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -6,6 +6,7 @@
 import (
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -114,12 +115,22 @@
 	return s.outstanding
 }
 
+// stageKey names the runners of one service and stage.
+type stageKey struct {
+	service string
+	stage   Stage
+}
+
 // Directory is the set of all known runners.
 type Directory struct {
 	mu  sync.RWMutex
 	all map[string]*State
-	// services lists the runners of each service in no order.
+	// services lists the runners of each service, stages those of each service and
+	// stage; in no order. Lists are replaced, not changed.
 	services map[string][]*State
+	stages   map[stageKey][]*State
+	// generation counts the changes of the lists.
+	generation atomic.Uint64
 	// Changed is called, without locks, after a change; nil for none.
 	Changed func(what Change)
 }
@@ -244,11 +255,14 @@
 
 // index makes the lists of the services anew. The caller holds the lock.
 func (d *Directory) index() {
-	next := map[string][]*State{}
+	services, stages := map[string][]*State{}, map[stageKey][]*State{}
 	for _, s := range d.all {
-		next[s.Service] = append(next[s.Service], s)
+		services[s.Service] = append(services[s.Service], s)
+		key := stageKey{s.Service, s.Stage}
+		stages[key] = append(stages[key], s)
 	}
-	d.services = next
+	d.services, d.stages = services, stages
+	d.generation.Add(1)
 }
 
 func (d *Directory) notify(c Change) {
@@ -260,17 +274,35 @@
 // Usable returns the runners of a service and stage that may get new work.
 func (d *Directory) Usable(service string, stage Stage, now time.Time) []*State {
 	d.mu.RLock()
-	list := d.services[service]
+	list := d.stages[stageKey{service, stage}]
 	d.mu.RUnlock()
 	out := make([]*State, 0, len(list))
 	for _, s := range list {
-		if s.Stage == stage && s.Usable(now) {
+		if s.Usable(now) {
 			out = append(out, s)
 		}
 	}
 	return out
 }
 
+// Stage returns all runners of a service and stage, those that take no work too. The
+// list must not be changed.
+func (d *Directory) Stage(service string, stage Stage) []*State {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.stages[stageKey{service, stage}]
+}
+
+// Generation returns a number that rises when a runner comes, changes or goes.
+func (d *Directory) Generation() uint64 { return d.generation.Load() }
+
+// Find returns the runner with an ID, nil for none.
+func (d *Directory) Find(id string) *State {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.all[id]
+}
+
 // Present returns the runners of a service that are there and stay, those on their
 // way to another stage too.
 func (d *Directory) Present(service string, now time.Time) []*State {
