runners: a late refusal in the old stage does not block the new one

Cause: a request that was sent while an engine still had its old stage was refused (421) after its entry showed the new one. The refusal was recorded on what all states of the engine share, so it took the engine out of its new stage, here and at all gateways that it was reported to, until its stage changed again: never.

Change: a refusal belongs to the stage that was meant, and counts for 10 s. Two tests that failed before.

--- a/pkg/runners/outcomes.go
+++ b/pkg/runners/outcomes.go
@@ -8,7 +8,7 @@
 const (
 	// fadeIn is the time in which a counted outcome falls to a third.
 	fadeIn = 4 * time.Second
-	// reportTTL is how long what another gateway reported is believed.
+	// reportTTL is how long what another gateway reported is used.
 	reportTTL = 3 * time.Second
 	// ownWeight is how many outcomes of others the own failure rate counts for,
 	// beside the own outcomes behind it.
@@ -53,13 +53,13 @@
 	// Runner is the runner's ID.
 	Runner        string
 	Failed, Total float64
-	// Unusable says that the runner reported the gateway that it is not the one that
+	// Unusable says that the runner answered the gateway that it is not the one that
 	// was meant, or not in the stage Stage.
 	Unusable bool
 	Stage    Stage
 }
 
-// heard is what another gateway reported of a runner.
+// report is what another gateway reported of a runner.
 type report struct {
 	tally
 	sameDomain bool
@@ -106,9 +106,9 @@
 	return false
 }
 
-// Outcomes returns this gateway's outcomes at the runners that failed requests
-// lately, here or elsewhere, and the runners that unusable what their entries say,
-// so that other gateways need not find out by themselves. What was heard from others is not reported on.
+// Outcomes returns this gateway's outcomes at the runners that failed requests lately,
+// here or elsewhere, and the runners that refused as what their entries say, so that
+// other gateways need not find out by themselves. Reports of others are not passed on.
 func (d *Directory) Outcomes(now time.Time) []Outcome {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
@@ -116,7 +116,7 @@
 	for id, s := range d.all {
 		s.mu.Lock()
 		t := s.own.faded(now)
-		unusable := s.unusable && now.Sub(s.unusableSince) <= reportTTL
+		unusable := s.refusal.own && s.refusal.active(s.Stage, now) && now.Sub(s.refusal.at) <= reportTTL
 		if unusable || t.total >= reportFrom && s.suspect(now) {
 			out = append(out, Outcome{Runner: id, Failed: t.failed, Total: t.total, Unusable: unusable, Stage: s.Stage})
 		}
@@ -125,8 +125,8 @@
 	return out
 }
 
-// ReceiveOutcomes records what another gateway reported; it replaces what that gateway reported of
-// the same runners before. Runners that are not known here are left.
+// ReceiveOutcomes records what another gateway reported; it replaces what that gateway
+// reported of the same runners before. Runners that are not known here are left.
 func (d *Directory) ReceiveOutcomes(gateway string, sameDomain bool, reported []Outcome, now time.Time) {
 	var unusable []Runner
 	d.mu.RLock()
@@ -154,7 +154,9 @@
 		s.others = map[string]report{}
 	}
 	s.others[gateway] = h
-	first := o.Unusable && o.Stage == s.Stage && !s.unusable
-	s.unusable = s.unusable || first
-	return first
+	if !o.Unusable || o.Stage != s.Stage || s.refusal.active(s.Stage, h.at) {
+		return false
+	}
+	s.refusal = refusal{stage: o.Stage, at: h.at}
+	return true
 }
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -49,10 +49,8 @@
 	mu sync.Mutex
 	// goneAt is when its entry went; zero while it is there.
 	goneAt time.Time
-	// unusable is set when the runner answered that it is another one, or that it
-	// has another stage; unusableSince is when it answered this gateway so.
-	unusable      bool
-	unusableSince time.Time
+	// refusal is the runner's answer that it is another one, or has another stage.
+	refusal refusal
 	// leaving is set when its entry says that it takes no more work, also in
 	// states that were handed out before.
 	leaving bool
@@ -67,6 +65,24 @@
 	outstanding int
 }
 
+// unusableFor is how long a runner gets no work that answered that it is another one, or
+// has another stage, than its entry says. The entry of one that is gone lapses within
+// three heartbeats, and that of one that changes its stage shows it within one.
+const unusableFor = 10 * time.Second
+
+// refusal is a runner's answer that it is not what was meant; the zero value is none.
+type refusal struct {
+	// stage is the one that was meant: the answer says nothing against another.
+	stage Stage
+	at    time.Time
+	// own says that this gateway had the answer; others reported it otherwise.
+	own bool
+}
+
+func (r refusal) active(stage Stage, now time.Time) bool {
+	return !r.at.IsZero() && r.stage == stage && now.Sub(r.at) < unusableFor
+}
+
 // Usable reports whether new work may be sent to the runner.
 func (s *State) Usable(now time.Time) bool {
 	s.mu.Lock()
@@ -80,18 +96,18 @@
 
 // present reports whether the runner is there and stays. The caller holds the lock.
 func (s *State) present(now time.Time) bool {
-	if s.unusable || s.leaving {
+	if s.leaving || s.refusal.active(s.Stage, now) {
 		return false
 	}
 	return s.goneAt.IsZero() || now.Sub(s.goneAt) < goneGrace
 }
 
-// MarkUnusable records that the runner itself refused, as the one or in the stage that its
-// entry says.
+// MarkUnusable records that the runner itself refused, as the one or in the stage that
+// this state says. A later state of it may have another stage.
 func (s *State) MarkUnusable(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.unusable, s.unusableSince = true, now
+	s.refusal = refusal{stage: s.Stage, at: now, own: true}
 }
 
 // Enter records a request that is sent to the runner, Leave its end.
@@ -183,14 +199,12 @@
 	s.goneAt = time.Time{}
 }
 
-// update records what a new entry says. With another stage, refusals in the old one
-// and the change to the new one are over.
+// update records what a new entry says. With another stage the change to it is over.
 func (s *knowledge) update(old, now Runner) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = now.Leaving
 	if old.Stage != now.Stage {
-		s.unusable, s.unusableSince = false, time.Time{}
 		s.change = pendingChange{}
 	}
 }
--- a/pkg/runners/stagechange_test.go
+++ b/pkg/runners/stagechange_test.go
@@ -63,3 +63,27 @@
 	d.all["e"].EndStageChange()
 	g.Expect(d.Usable("s", Decode, now)).To(HaveLen(1))
 }
+
+// A request that was sent while the engine had its old stage may be refused after the
+// entry shows the new one: that says nothing against the new stage, here or elsewhere.
+func TestALateRefusalInTheOldStageDoesNotBlockTheNew(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	d := engineDirectory("e", Decode)
+	old := d.all["e"]
+	d.Put(Runner{ID: "e", Service: "s", Stage: Prefill})
+	old.MarkUnusable(now)
+	g.Expect(d.Usable("s", Prefill, now)).To(HaveLen(1))
+	g.Expect(d.Outcomes(now)).To(BeEmpty())
+}
+
+// A refusal takes a runner out for a while, not for good: its entry may have been right
+// all the time.
+func TestARefusalInTheEntrysStageIsTriedAgainLater(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	d := engineDirectory("e", Decode)
+	d.all["e"].MarkUnusable(now)
+	g.Expect(d.Usable("s", Decode, now.Add(unusableFor/2))).To(BeEmpty())
+	g.Expect(d.Usable("s", Decode, now.Add(unusableFor))).To(HaveLen(1))
+}
