process: a change of stage stands in the store until it is done

Change: the holder of the right writes each change under a lease as long as it may take; gateways learn it from their watch or first reading.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -154,6 +154,13 @@
 	g.Directory.ReceiveStageChanges(changes, time.Now())
 }
 
+// EndStageChange ends a change of stage that has taken as long as it may.
+func (g *Ingress) EndStageChange(runner string) {
+	if s := g.Directory.Find(runner); s != nil {
+		s.EndStageChange()
+	}
+}
+
 // ReceiveOutcomes takes what another gateway told of failing runners.
 func (g *Ingress) ReceiveOutcomes(gateway string, sameDomain bool, told []runners.Outcome) {
 	g.Directory.ReceiveOutcomes(gateway, sameDomain, told, time.Now())
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log"
+	"strings"
 	"sync"
 	"time"
 
@@ -109,6 +110,9 @@
 		}
 		f.item(i, at)
 	}
+	for _, i := range items {
+		f.changeItem(i)
+	}
 	f.ingress.Directory.Keep(ids, time.Now())
 	f.orders(free)
 	f.log.Write(decisionlog.KindState, "runners_read", decisionlog.F("runners", len(ids)), decisionlog.F("at", at))
@@ -132,12 +136,17 @@
 			f.orders(e.Gone)
 			continue
 		}
+		if id, ok := strings.CutPrefix(e.Key, changePrefix); ok && e.Gone {
+			f.ingress.EndStageChange(id)
+			continue
+		}
 		if id, ok := platform.RunnerID(e.Key); ok && e.Gone {
 			f.ingress.Directory.Gone(id, time.Now())
 			continue
 		}
 		if !e.Gone {
 			f.item(e.Item, at)
+			f.changeItem(e.Item)
 		}
 	}
 }
@@ -151,6 +160,17 @@
 	}
 }
 
+// changeFor bounds a change of stage that the store tells of: how long it has been under
+// way is not known. The key goes with its lease before that.
+const changeFor = 20 * time.Second
+
+// changeItem takes a change of stage that is under way; its engine must be known.
+func (f *feed) changeItem(i store.Item) {
+	if id, ok := strings.CutPrefix(i.Key, changePrefix); ok {
+		f.ingress.ReceiveStageChanges([]runners.StageChange{{Runner: id, To: runners.Stage(i.Value), Left: changeFor}})
+	}
+}
+
 // config puts a configuration into force. One that can't be read is left.
 func (f *feed) config(i store.Item, at uint64) {
 	c, err := platform.DecodeConfig(i.Value)
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// orderKey is the key of the right to give orders.
-	orderKey = "hopwell/orders"
+	// orderKey is the key of the right to give orders; changePrefix is above the keys
+	// of engines on their way to another stage.
+	orderKey     = "hopwell/orders"
+	changePrefix = "hopwell/changes/"
 	// stagerLook is the time between two looks at the engines' parts.
 	stagerLook = 300 * time.Millisecond
 	// orderCall bounds a call of the stager.
@@ -108,6 +110,11 @@
 	for _, c := range changes {
 		s.order(ctx, c, fence)
 	}
+	for _, c := range changes {
+		if _, pending := c.Runner.Changing(time.Now()); pending {
+			s.record(ctx, c)
+		}
+	}
 	s.last, s.wrong = now, time.Time{}
 }
 
@@ -205,6 +212,21 @@
 	return n > 0 && now.Sub(s.stable) >= settleFor
 }
 
+// record writes the change to the store, for gateways that start before it is done: the
+// lease of the key is as long as the change may take.
+func (s *stager) record(ctx context.Context, c staging.Change) {
+	ctx, cancel := context.WithTimeout(ctx, orderCall)
+	defer cancel()
+	lease, _, err := s.lock.Store.Grant(ctx, s.changeLimit(c.Runner.Service))
+	if err == nil {
+		put := store.Put{Key: changePrefix + c.Runner.ID, Value: []byte(c.Stage), Lease: lease}
+		_, err = s.lock.Store.Commit(ctx, store.Change{Put: []store.Put{put}})
+	}
+	if err != nil {
+		s.log.Write(decisionlog.KindProcess, "restage_not_recorded", decisionlog.F("runner", c.Runner.ID), decisionlog.F("error", err))
+	}
+}
+
 // restage sends one order. What its answer says of the engine's way to the stage is
 // recorded: taken, refused, or unknown.
 func (s *stager) restage(ctx context.Context, c staging.Change, fence uint64, sequence int) error {
--- a/pkg/runners/stagechange.go
+++ b/pkg/runners/stagechange.go
@@ -30,7 +30,7 @@
 	s.change = pendingChange{to: to, until: now.Add(limit)}
 }
 
-// EndStageChange records that the engine refused the order.
+// EndStageChange records that the engine refused the order, or took too long.
 func (s *State) EndStageChange() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
