ingress: requests that must not be repeated avoid runners that fail

Cause: a request that may not be repeated is lost with its answer, and was sent to a runner that fails as readily as one that may be.

Change: its failure rate counts 10 times, not 4, in the choice for such requests; with all others at some five times their time the failing one is taken again.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -95,16 +95,19 @@
 func (g *Ingress) choose(service string, avoid map[string]bool, repeatable bool) *runners.State {
 	now := time.Now()
 	usable := g.Directory.Usable(service, "", now)
-	best := g.leastWork(runners.Healthy(usable, now), avoid, now)
-	if best == nil && repeatable {
-		best = g.leastWork(usable, avoid, now)
+	if !repeatable {
+		return g.leastWork(runners.Healthy(usable, now), avoid, onceFailureCost, now)
+	}
+	best := g.leastWork(runners.Healthy(usable, now), avoid, failureCost, now)
+	if best == nil {
+		best = g.leastWork(usable, avoid, failureCost, now)
 	}
 	return best
 }
 
 // leastWork returns the plain runner of a list that is expected to answer first,
 // nil if all are to be avoided.
-func (g *Ingress) leastWork(list []*runners.State, avoid map[string]bool, now time.Time) *runners.State {
+func (g *Ingress) leastWork(list []*runners.State, avoid map[string]bool, failureCost float64, now time.Time) *runners.State {
 	var best *runners.State
 	var least float64
 	for _, s := range list {
@@ -127,8 +130,11 @@
 	plainGuess = 0.01
 	// otherDomainCost is how much dearer a runner in another domain is.
 	otherDomainCost = 1.3
-	// failureCost is how much dearer a runner is that fails all requests.
-	failureCost = 4
+	// failureCost is how much dearer a runner is that fails all requests, for one that
+	// may be repeated; onceFailureCost for one that must not, and is lost then. The
+	// others take such requests as long as they answer in some five times the time.
+	failureCost     = 4
+	onceFailureCost = 10
 )
 
 // sendPlain makes one try. A failure that the runner itself answered goes back
--- a/pkg/ingress/forward_test.go
+++ b/pkg/ingress/forward_test.go
@@ -42,3 +42,29 @@
 	g.Expect(in.choose("s", nil, false).ID).To(Equal("a"))
 	g.Expect(in.choose("s", map[string]bool{"a": true}, false)).To(BeNil())
 }
+
+// A request that must not be repeated is lost where its answer is: a runner that fails
+// some answers gets it only when the others have far more work.
+func TestWhatMustNotBeRepeatedAvoidsRunnersThatFail(t *testing.T) {
+	g := NewWithT(t)
+	in := New(Options{})
+	for _, id := range []string{"good", "bad"} {
+		in.Directory.Put(runners.Runner{ID: id, Service: "s"})
+	}
+	good, bad := in.Directory.Find("good"), in.Directory.Find("bad")
+	now := time.Now()
+	for range 3 {
+		good.Answered(50 * time.Millisecond)
+		bad.Answered(50 * time.Millisecond)
+	}
+	bad.Failed(now)
+	for range 2 {
+		good.Enter()
+	}
+	g.Expect(in.choose("s", nil, true).ID).To(Equal("bad"))
+	g.Expect(in.choose("s", nil, false).ID).To(Equal("good"))
+	for range 10 {
+		good.Enter()
+	}
+	g.Expect(in.choose("s", nil, false).ID).To(Equal("bad"), "the other can't carry it all")
+}
