runners: a flapping runner earns its way back

Cause: three good answers made a runner's next rest short again, so one that goes down and up every second got its full share in each of its good phases.

Change: the length of a rest is forgotten only after the runner has done well for 10 s.

--- a/pkg/runners/health.go
+++ b/pkg/runners/health.go
@@ -14,6 +14,10 @@
 	// to longestRest.
 	firstRest   = 500 * time.Millisecond
 	longestRest = 4 * time.Second
+	// steadyFor is how long a runner must have done well since its last rest for the
+	// next to be short again: one that goes down and up every few seconds rests longer
+	// each time, up to longestRest.
+	steadyFor = 10 * time.Second
 	// forgiveIn is the time in which a failure rate without new outcomes falls
 	// to a third.
 	forgiveIn = 4 * time.Second
@@ -66,15 +70,16 @@
 }
 
 // Answered records a whole answer and how long it took.
-func (s *State) Answered(took time.Duration) {
+func (s *State) Answered(took time.Duration) { s.answered(took, time.Now()) }
+
+func (s *State) answered(took time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := &s.health
-	now := time.Now()
 	s.own.count(now, false)
 	h.failures = h.rate(now) * (1 - failureWeight)
 	h.seen = now
-	if h.failures < ejectAbove/2 {
+	if h.failures < ejectAbove/2 && now.Sub(h.until) > steadyFor {
 		h.rest = 0
 	}
 	if h.latency == 0 {
