--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -164,6 +164,8 @@
 		return "broken"
 	case errors.As(err, &timed):
 		return "timeout"
+	case errors.As(err, &given) && given.Outcome == request.NotRun && !errors.As(err, &room):
+		return "refused"
 	case errors.As(err, &budget):
 		return "retry_budget"
 	case errors.As(err, &room):
