ingress, process, peers: a drain goes on serving short requests, and says when to come back

A zone with one gateway lost its requests for some 5 s in every restart: the balancer has nobody else there.

Change: while streams keep a stopping process up, short requests are served until a second before its end, and what then still runs is answered as timed out. A client that is refused where no other gateway is in the failure domain is told to come back when this one is up again, not at once. The port for meeting is looked for again when it is taken for TCP (settings with port 0 only).

--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -21,6 +21,8 @@
 	// startWait is after what time a client may come back to a process that
 	// knows no routes yet.
 	startWait = 1200 * time.Millisecond
+	// restartTime is how long a process that has stopped takes to serve again.
+	restartTime = time.Second
 	// maxDiscard bounds what is read of a body that is too large, so that the
 	// client reads the answer before the connection ends, in bytes.
 	maxDiscard = 64 << 20
@@ -76,11 +78,24 @@
 	case errors.As(err, &body):
 		x.w.Header().Set("Connection", "close")
 		x.own(http.StatusRequestTimeout, err)
+	case errors.As(err, &unready):
+		x.refuse(err, x.drainWait())
 	default:
 		x.refuse(err, shortWait)
 	}
 }
 
+// drainWait returns when a client should come back that this process, which is stopping,
+// refused: at once if there is another gateway for it, otherwise when this one is up again.
+func (x *exchange) drainWait() time.Duration {
+	neighbours := x.g.options.Neighbours
+	if neighbours == nil || neighbours() > 0 {
+		return shortWait
+	}
+	up := x.g.drain.left(x.arrived) + restartTime
+	return max(shortWait, min(up, time.Duration(float64(x.call.Patience)*returnPart)))
+}
+
 // discard reads the rest of a body that was answered already.
 func discard(w http.ResponseWriter, body io.Reader) {
 	control := http.NewResponseController(w)
--- /dev/null
+++ b/pkg/ingress/drain_test.go
@@ -0,0 +1,44 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// While streams keep a stopping process up, short requests are served until shortly before
+// its end; new streams are not.
+func TestADrainTakesShortRequestsAsLongAsStreamsRun(t *testing.T) {
+	g := NewWithT(t)
+	in := New(Options{})
+	in.StartDrain(2*time.Second, 8*time.Second)
+	now := time.Now()
+	d := &in.drain
+	d.streams.Store(1)
+	for _, c := range []struct {
+		after           time.Duration
+		stream, refused bool
+	}{{time.Second, true, false}, {3 * time.Second, true, true}, {3 * time.Second, false, false}, {7500 * time.Millisecond, false, true}} {
+		g.Expect(d.refuses(now.Add(c.after), c.stream)).To(Equal(c.refused), "after %s, stream %t", c.after, c.stream)
+	}
+	d.streams.Store(0)
+	g.Expect(d.refuses(now.Add(3*time.Second), false)).To(BeTrue(), "nothing keeps the process up")
+	g.Expect(d.bound(now.Add(7*time.Second), 4*time.Second)).To(BeNumerically("<", time.Second))
+	g.Expect(d.bound(now, 0)).To(BeNumerically(">", 7*time.Second))
+}
+
+// A refused client comes back at once where another gateway can take it, and when this one
+// is up again where there is none.
+func TestWhoADrainRefusesComesBackWhenSomebodyServes(t *testing.T) {
+	g := NewWithT(t)
+	others := 1
+	in := New(Options{Neighbours: func() int { return others }})
+	in.StartDrain(0, 3*time.Second)
+	x := &exchange{g: in, arrived: time.Now(), call: &Call{Patience: 14 * time.Second}}
+	g.Expect(x.drainWait()).To(Equal(shortWait))
+	others = 0
+	g.Expect(x.drainWait()).To(BeNumerically("~", 3*time.Second+restartTime, 100*time.Millisecond))
+	x.call.Patience = 3 * time.Second
+	g.Expect(x.drainWait()).To(BeNumerically("<=", time.Second))
+}
--- a/pkg/ingress/errors.go
+++ b/pkg/ingress/errors.go
@@ -76,7 +76,7 @@
 // ErrTime says that a request's time was over.
 type ErrTime struct {
 	After time.Duration
-	// Whose is "client" or "route".
+	// Whose is "client", "route" or "drain".
 	Whose string
 }
 
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -52,7 +52,7 @@
 		return &ErrNoRoute{Host: call.Host, Path: call.Path, Version: x.version}
 	}
 	x.service = x.route.Pick(rand.Float64())
-	if x.g.drain.refuses(x.arrived) {
+	if x.g.drain.refuses(x.arrived, x.route.Kind == routetable.Stream) {
 		return &ErrNotReady{Why: "stopping"}
 	}
 	return x.readBody(r, table.Config.Limits.BodyBytes)
@@ -107,6 +107,9 @@
 	if x.call.Patience > 0 && (limit <= 0 || x.call.Patience < limit) {
 		limit, whose = x.call.Patience, "client"
 	}
+	if left := x.g.drain.bound(x.arrived, limit); left != limit {
+		limit, whose = left, "drain"
+	}
 	if limit <= 0 {
 		return context.WithCancel(ctx)
 	}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -32,6 +32,9 @@
 	// of their bodies together.
 	MaxOpen   int
 	MaxBodies int64
+	// Neighbours returns how many other gateways are in the failure domain: the
+	// balancer sends clients to those first. Nil for unknown.
+	Neighbours func() int
 	// Pool tunes the choice of engines.
 	Pool enginepool.Options
 }
@@ -286,6 +289,8 @@
 	defer cancel()
 	x.ctx = ctx
 	if engine := x.table.Config.Services[x.service].Engine; engine != nil && x.route.Kind == routetable.Stream {
+		g.drain.streams.Add(1)
+		defer g.drain.streams.Add(-1)
 		x.generate(engine)
 		return
 	}
--- a/pkg/peers/members.go
+++ b/pkg/peers/members.go
@@ -64,6 +64,19 @@
 	return n
 }
 
+// Neighbours returns how many living gateways are in this one's failure domain.
+func (x *Exchange) Neighbours() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n := 0
+	for _, m := range x.members {
+		if m.alive && m.domain == x.options.Domain {
+			n++
+		}
+	}
+	return n
+}
+
 // Addresses returns the addresses of the known gateways, those with the newest
 // configuration first.
 func (x *Exchange) Addresses() []string {
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -45,6 +45,8 @@
 	// lingerAfterWait is how long requests on kept connections are refused
 	// before a process without work ends.
 	lingerAfterWait = 800 * time.Millisecond
+	// drainLook is the time between two looks at what still runs.
+	drainLook = 20 * time.Millisecond
 	// memoryPart is the part of its memory that the runtime may use before it
 	// collects garbage all the time; bodyPart that of bodies.
 	memoryPart = 0.7
@@ -95,7 +97,7 @@
 		Domain: c.Instance.Domain, Engines: runners, Reader: runners, Log: log,
 		Budget:   budgetLimits(c),
 		Gateways: firstGateways, MaxOpen: c.Limits.OpenRequests, MaxBodies: int64(bodyPart * float64(memory)),
-		Pool: p.poolOptions(c),
+		Pool: p.poolOptions(c), Neighbours: func() int { return p.peers.Neighbours() },
 	})
 	p.feed = newFeed(p.Ingress, log, platform.NewStore(c.Store), c.Store)
 	if err := p.meet(); err != nil {
@@ -183,18 +185,14 @@
 	}
 }
 
-// meet opens the port for datagrams between gateways.
+// meet opens the port on which gateways meet: for datagrams, and over TCP for what they
+// know of the store.
 func (p *Ingress) meet() error {
-	instance, address := p.settings.Load().Instance, p.settings.Load().Listen.Peers
-	conn, err := net.ListenPacket("udp4", address)
+	conn, err := p.openMeeting()
 	if err != nil {
-		return &httpd.ErrListen{Address: address, Err: err}
-	}
-	p.ports.Peers = conn.LocalAddr().String()
-	if err := p.serve(p.ports.Peers, http.HandlerFunc(p.serveState), nil); err != nil {
-		_ = conn.Close()
 		return err
 	}
+	instance := p.settings.Load().Instance
 	p.peers = peers.New(peers.Options{
 		Name: instance.Name, Address: p.ports.Peers, Conn: conn,
 		Domain: instance.Domain, Outcomes: p.Ingress.Outcomes, ReceiveOutcomes: p.Ingress.ReceiveOutcomes,
@@ -211,6 +209,30 @@
 	return nil
 }
 
+// meetingTries is how often a free port is looked for, where the settings leave it open:
+// one that is free for datagrams may be taken for TCP.
+const meetingTries = 20
+
+// openMeeting opens one port for both protocols.
+func (p *Ingress) openMeeting() (net.PacketConn, error) {
+	address := p.settings.Load().Listen.Peers
+	for try := 1; ; try++ {
+		conn, err := net.ListenPacket("udp4", address)
+		if err != nil {
+			return nil, &httpd.ErrListen{Address: address, Err: err}
+		}
+		p.ports.Peers = conn.LocalAddr().String()
+		err = p.serve(p.ports.Peers, http.HandlerFunc(p.serveState), nil)
+		if err == nil {
+			return conn, nil
+		}
+		_ = conn.Close()
+		if p.ports.Peers == address || try == meetingTries {
+			return nil, err
+		}
+	}
+}
+
 func (p *Ingress) health(w http.ResponseWriter, _ *http.Request) {
 	if !p.Ingress.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -292,13 +314,19 @@
 	settings := p.settings.Load().Drain
 	wait := settings.BalancerWait.D()
 	p.log.Write(decisionlog.KindProcess, "stop", decisionlog.F("open", p.Ingress.Open()))
-	p.Ingress.StartDrain(wait)
-	end := began.Add(settings.Longest.D() - endMargin)
+	longest := settings.Longest.D() - endMargin
+	p.Ingress.StartDrain(wait, longest)
+	end := began.Add(longest)
+	// Requests on kept connections are refused for a while after the last one was taken.
+	refusing := began.Add(wait)
 	for now := began; now.Before(end); now = time.Now() {
-		if now.Sub(began) > wait+lingerAfterWait && p.Ingress.Open() == 0 {
+		if p.Ingress.Streams() > 0 && now.After(refusing) {
+			refusing = now
+		}
+		if now.Sub(refusing) > lingerAfterWait && p.Ingress.Open() == 0 {
 			break
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(drainLook)
 	}
 	p.log.Write(decisionlog.KindProcess, "stopped", decisionlog.F("open", p.Ingress.Open()), decisionlog.F("took", time.Since(began)))
 }
