enginepool, ingress: the penalty for lapsed caches goes

A KV cache that could not be fetched counts as its prefill runner's failure all the same; the test sees that now.

--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -168,11 +168,12 @@
 	g.Expect(expected).To(BeNumerically("~", 100*time.Millisecond, time.Millisecond))
 }
 
+// A KV cache that could not be fetched counts as its prefill runner's failure.
 func TestPrefillLeavesRunnersWhoseHandlesLapse(t *testing.T) {
 	g := NewWithT(t)
-	p, _ := pool(0, 2, 1000)
+	p, d := pool(0, 2, 1000)
 	now := time.Now()
-	p.Penalize("p0", now)
+	d.Find("p0").Failed(now)
 	s, _, err := p.BeginPrefill("a", 3000, "z0", nil, now)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.ID).To(Equal("p1"))
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -11,8 +11,6 @@
 	jobs map[string]reading
 	// pace is what the runner reads, in tokens a second; learned.
 	pace float64
-	// penalizedUntil is until when it is the last choice: its handles lapsed.
-	penalizedUntil time.Time
 }
 
 // reading is a prompt on a prefill runner.
@@ -32,8 +30,6 @@
 	otherDomain = 60 * time.Millisecond
 	// lostPrefill is what a prefill costs that is lost.
 	lostPrefill = 1500 * time.Millisecond
-	// penaltyTime is how long a runner whose handles lapsed is the last choice.
-	penaltyTime = 3 * time.Second
 )
 
 func (r *reader) backlog() int {
@@ -78,14 +74,10 @@
 
 // readCost estimates when a runner will have read a prompt.
 func (p *Pool) readCost(s *runners.State, tokens int, domain string, now time.Time) time.Duration {
-	r := p.reader(s.ID)
 	cost := p.readTime(s.ID, tokens)
 	if s.Domain != domain {
 		cost += otherDomain
 	}
-	if now.Before(r.penalizedUntil) {
-		cost += time.Second
-	}
 	cost += time.Duration(s.Failures(now) * float64(lostPrefill))
 	return cost
 }
@@ -128,11 +120,3 @@
 	}
 	r.pace += (float64(j.tokens+j.ahead)/took - r.pace) * paceWeight
 }
-
-// Penalize makes a prefill runner the last choice for a while: what it had read
-// could not be fetched.
-func (p *Pool) Penalize(runner string, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reader(runner).penalizedUntil = now.Add(penaltyTime)
-}
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -97,7 +97,6 @@
 		return
 	}
 	s.wasted("kv_cache_gone", reader, source.Tokens)
-	s.pool.Penalize(reader.ID, time.Now())
 	reader.Failed(time.Now())
 	s.unread[reader.ID] = true
 }
