--- a/cmd/hopwell/cmds/logs.go
+++ b/cmd/hopwell/cmds/logs.go
@@ -49,7 +49,7 @@
 	return decisionlog.Read(io.MultiReader(readers...))
 }
 
-// ErrLogFile says that a log can't be read.
+// ErrLogFile reports that a log can't be read.
 type ErrLogFile struct {
 	File string
 	Err  error
--- a/cmd/hopwell/cmds/root.go
+++ b/cmd/hopwell/cmds/root.go
@@ -69,7 +69,7 @@
 	return defaultURL
 }
 
-// errInput says that an argument is wrong.
+// errInput reports that an argument is wrong.
 type errInput struct {
 	What, Expected string
 }
--- a/pkg/admin/errors.go
+++ b/pkg/admin/errors.go
@@ -7,7 +7,7 @@
 	"strings"
 )
 
-// ErrParam says that a parameter is missing or wrong.
+// ErrParam reports that a parameter is missing or wrong.
 type ErrParam struct {
 	Name, Expected string
 }
--- a/pkg/admission/errors.go
+++ b/pkg/admission/errors.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// ErrLate says that a prefill could not be ready in time.
+// ErrLate reports that a prefill could not be ready in time.
 type ErrLate struct {
 	ID string
 	// RetryAfter is by how much it would be late.
@@ -17,7 +17,7 @@
 	return fmt.Sprintf("prefill would be late: id=%s retry_after=%s", e.ID, e.RetryAfter)
 }
 
-// ErrFull says that a stream finds no room.
+// ErrFull reports that a stream finds no room.
 type ErrFull struct {
 	ID string
 	// RetryAfter is when the next stream ends.
--- a/pkg/claim/errors.go
+++ b/pkg/claim/errors.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// ErrUnsettled says that the key-value service gave no answer, so that the
+// ErrUnsettled reports that the key-value service gave no answer, so that the
 // claim may or may not have been made.
 type ErrUnsettled struct {
 	Shard int
@@ -17,7 +17,7 @@
 // Unwrap returns the cause.
 func (e *ErrUnsettled) Unwrap() error { return e.Err }
 
-// ErrHeld says that another request has the key.
+// ErrHeld reports that another request has the key.
 type ErrHeld struct {
 	Holder string
 }
--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -14,7 +14,7 @@
 	"github.com/hopwell/hopwell/pkg/fleet"
 )
 
-// ErrSettings says what is wrong in a settings file, and where.
+// ErrSettings reports what is wrong in a settings file, and where.
 type ErrSettings struct {
 	File         string
 	Line, Column int
@@ -28,7 +28,7 @@
 	return fmt.Sprintf("bad settings: file=%s line=%d column=%d field=%s expected=%q", e.File, e.Line, e.Column, e.Field, e.Expected)
 }
 
-// ErrFile says that a settings file can't be read.
+// ErrFile reports that a settings file can't be read.
 type ErrFile struct {
 	File string
 	Err  error
@@ -147,7 +147,7 @@
 	return out
 }
 
-// errParser says that the YAML library gave up on a text.
+// errParser reports that the YAML library gave up on a text.
 type errParser struct {
 	Cause any
 }
--- a/pkg/decisionlog/story.go
+++ b/pkg/decisionlog/story.go
@@ -20,7 +20,7 @@
 // contextBefore is how long before a request's end beliefs bear on it.
 const contextBefore = 10 * time.Second
 
-// ErrNoRequest says that a log tells nothing of a request.
+// ErrNoRequest reports that a log tells nothing of a request.
 type ErrNoRequest struct {
 	ID string
 	// Lines is how many decisions were read, LeftOut how many were not written.
--- a/pkg/engine/errors.go
+++ b/pkg/engine/errors.go
@@ -33,7 +33,7 @@
 	return fmt.Sprintf("engine refused: code=%s detail=%q", e.Code, e.Detail)
 }
 
-// ErrUnreachable says that a runner gave no complete answer.
+// ErrUnreachable reports that a runner gave no complete answer.
 type ErrUnreachable struct {
 	// Address is the runner's.
 	Address string
--- a/pkg/engine/http.go
+++ b/pkg/engine/http.go
@@ -152,7 +152,7 @@
 	return err
 }
 
-// errStream says that a decode's answer broke off or can't be read.
+// errStream reports that a decode's answer broke off or can't be read.
 type errStream struct {
 	Err error
 }
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -85,7 +85,7 @@
 
 func (p *Pool) capacity() int { return int(p.options.Fill * float64(p.spec.Memory)) }
 
-// ErrNoRunner says that no runner of a stage is known to take work.
+// ErrNoRunner reports that no runner of a stage is known to take work.
 type ErrNoRunner struct {
 	Service string
 	Stage   runners.Stage
--- a/pkg/enginepool/queue.go
+++ b/pkg/enginepool/queue.go
@@ -42,7 +42,7 @@
 // LateFrom ranks a job last from a moment on. It must be called before Wait.
 func (w *Waiter) LateFrom(at time.Time) { w.lateAt = at }
 
-// ErrNoRoom says that a job found no room on a decode runner in its time.
+// ErrNoRoom reports that a job found no room on a decode runner in its time.
 type ErrNoRoom struct {
 	ID     string
 	Waited time.Duration
--- a/pkg/fleet/errors.go
+++ b/pkg/fleet/errors.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// ErrMatch says that a label expression can't be read.
+// ErrMatch reports that a label expression can't be read.
 type ErrMatch struct {
 	// Text is the whole expression, Part the test that is wrong.
 	Text, Part string
@@ -15,7 +15,7 @@
 	return fmt.Sprintf("bad match expression: text=%q part=%q expected=%q", e.Text, e.Part, e.Expected)
 }
 
-// ErrSelector says that a selector's field is wrong.
+// ErrSelector reports that a selector's field is wrong.
 type ErrSelector struct {
 	Name, Field, Expected string
 }
@@ -25,7 +25,7 @@
 	return fmt.Sprintf("bad selector: name=%q field=%q expected=%q", e.Name, e.Field, e.Expected)
 }
 
-// ErrUnknownSelector says that no selector has that name.
+// ErrUnknownSelector reports that no selector has that name.
 type ErrUnknownSelector struct {
 	Name string
 }
@@ -35,7 +35,7 @@
 	return fmt.Sprintf("no such selector: name=%q", e.Name)
 }
 
-// ErrLabel says that a label is wrong.
+// ErrLabel reports that a label is wrong.
 type ErrLabel struct {
 	Instance, Key, Value, Expected string
 }
@@ -45,7 +45,7 @@
 	return fmt.Sprintf("bad label: instance=%q key=%q value=%q expected=%q", e.Instance, e.Key, e.Value, e.Expected)
 }
 
-// ErrConflict says that somebody else changed the same thing since the
+// ErrConflict reports that somebody else changed the same thing since the
 // operator looked. Both sides are shown.
 type ErrConflict struct {
 	// Base is the revision that the operator saw, Revision the present one.
@@ -64,7 +64,7 @@
 		e.Base, e.Revision, e.Touched, e.By, e.Theirs, e.Mine)
 }
 
-// ErrDocument says that a stored document can't be read.
+// ErrDocument reports that a stored document can't be read.
 type ErrDocument struct {
 	Err error
 }
@@ -75,7 +75,7 @@
 // Unwrap returns the cause.
 func (e *ErrDocument) Unwrap() error { return e.Err }
 
-// ErrDuration says that a text is no duration.
+// ErrDuration reports that a text is no duration.
 type ErrDuration struct {
 	Text string
 }
@@ -88,7 +88,7 @@
 // Expected says what would be right.
 func (e *ErrDuration) Expected() string { return "a number with a unit, as 63ms or 1.4s" }
 
-// ErrNoRunner says that a change would leave a request kind without a runner.
+// ErrNoRunner reports that a change would leave a request kind without a runner.
 type ErrNoRunner struct {
 	Kind, Model string
 	Role        Role
--- a/pkg/gateway/errors.go
+++ b/pkg/gateway/errors.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// ErrLimit says that too many requests are open.
+// ErrLimit reports that too many requests are open.
 type ErrLimit struct {
 	// What is "gateway" or "workspace".
 	What  string
@@ -17,7 +17,7 @@
 	return fmt.Sprintf("too many open requests: of=%s limit=%d", e.What, e.Limit)
 }
 
-// ErrUnknownModel says that no selector offers a model or plain service.
+// ErrUnknownModel reports that no selector offers a model or plain service.
 type ErrUnknownModel struct {
 	Model, Kind string
 }
@@ -27,7 +27,7 @@
 	return fmt.Sprintf("no selector offers it: model=%q kind=%q", e.Model, e.Kind)
 }
 
-// ErrPromptTooLong says that a prompt is over the limit.
+// ErrPromptTooLong reports that a prompt is over the limit.
 type ErrPromptTooLong struct {
 	Tokens, Limit int
 }
@@ -37,7 +37,7 @@
 	return fmt.Sprintf("prompt too long: tokens=%d limit=%d", e.Tokens, e.Limit)
 }
 
-// ErrShed says that capacity does not suffice now; nothing was run.
+// ErrShed reports that capacity does not suffice now; nothing was run.
 type ErrShed struct {
 	Reason     string
 	RetryAfter time.Duration
@@ -48,7 +48,7 @@
 	return fmt.Sprintf("no capacity in time: reason=%s retry_after=%s", e.Reason, e.RetryAfter)
 }
 
-// ErrRefused says that a sidecar did not admit an attempt; it never will run.
+// ErrRefused reports that a sidecar did not admit an attempt; it never will run.
 type ErrRefused struct {
 	Instance, Reason string
 	RetryAfter       time.Duration
@@ -59,7 +59,7 @@
 	return fmt.Sprintf("refused: instance=%s reason=%s", e.Instance, e.Reason)
 }
 
-// ErrBroken says that a stream with a sidecar ended before its time.
+// ErrBroken reports that a stream with a sidecar ended before its time.
 type ErrBroken struct {
 	Instance string
 	// Code is the sidecar's failure code, "lost" when the stream itself broke
@@ -78,7 +78,7 @@
 // Unwrap returns the cause.
 func (e *ErrBroken) Unwrap() error { return e.Err }
 
-// ErrCallerGone says that the caller went away.
+// ErrCallerGone reports that the caller went away.
 type ErrCallerGone struct {
 	Err error
 }
@@ -89,7 +89,7 @@
 // Unwrap returns the cause.
 func (e *ErrCallerGone) Unwrap() error { return e.Err }
 
-// ErrExhausted says that all tries failed.
+// ErrExhausted reports that all tries failed.
 type ErrExhausted struct {
 	Tries int
 	Err   error
@@ -103,7 +103,7 @@
 // Unwrap returns the cause.
 func (e *ErrExhausted) Unwrap() error { return e.Err }
 
-// ErrStale says that the gateway can't confirm its configuration with anybody.
+// ErrStale reports that the gateway can't confirm its configuration with anybody.
 type ErrStale struct{}
 
 // Error implements error.
--- a/pkg/gossip/errors.go
+++ b/pkg/gossip/errors.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// ErrFork says that two different documents carry one revision.
+// ErrFork reports that two different documents carry one revision.
 type ErrFork struct {
 	Revision     uint64
 	Mine, Theirs uint64
@@ -13,7 +13,7 @@
 	return fmt.Sprintf("two documents of one revision: revision=%d mine=%x theirs=%x", e.Revision, e.Mine, e.Theirs)
 }
 
-// ErrUnsettled says that a change may or may not have been accepted, since the
+// ErrUnsettled reports that a change may or may not have been accepted, since the
 // key-value service gave no answer. Repeating it with the same ID is safe.
 type ErrUnsettled struct {
 	ID  string
--- a/pkg/httpapi/errors.go
+++ b/pkg/httpapi/errors.go
@@ -14,7 +14,7 @@
 	"github.com/hopwell/hopwell/pkg/request"
 )
 
-// errRequest says what is wrong with a request itself.
+// errRequest reports what is wrong with a request itself.
 type errRequest struct {
 	Status               int
 	Code, Param, Message string
--- a/pkg/httpd/httpd.go
+++ b/pkg/httpd/httpd.go
@@ -34,7 +34,7 @@
 	maxHandlers = 16384
 )
 
-// ErrListen says that an address can't be served.
+// ErrListen reports that an address can't be served.
 type ErrListen struct {
 	Address string
 	Err     error
--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -144,7 +144,7 @@
 	x.g.options.Log.Write(kind, "request_end", fields...)
 }
 
-// outcome names what the client was told.
+// outcome names how a request ended for its client.
 func outcome(status int, err error) string {
 	if _, gone := err.(errGone); gone {
 		return "client_gone"
--- a/pkg/ingress/errors.go
+++ b/pkg/ingress/errors.go
@@ -7,7 +7,7 @@
 	"github.com/hopwell/hopwell/pkg/request"
 )
 
-// ErrDeclined says that a runner answered that it does not do what it was asked.
+// ErrDeclined reports that a runner answered that it does not do what it was asked.
 type ErrDeclined struct {
 	Runner string
 	Status int
@@ -20,7 +20,7 @@
 	return fmt.Sprintf("declined: runner=%s status=%d elsewhere=%t", e.Runner, e.Status, e.Elsewhere)
 }
 
-// ErrBadCall says that a request lacks what every request must have.
+// ErrBadCall reports that a request lacks what every request must have.
 type ErrBadCall struct {
 	Field, Expected string
 }
@@ -30,7 +30,7 @@
 	return fmt.Sprintf("bad request: field=%s expected=%q", e.Field, e.Expected)
 }
 
-// ErrNoRoute says that no route takes a request.
+// ErrNoRoute reports that no route takes a request.
 type ErrNoRoute struct {
 	Host, Path string
 	Version    uint64
@@ -41,7 +41,7 @@
 	return fmt.Sprintf("no route: host=%s path=%s version=%d", e.Host, e.Path, e.Version)
 }
 
-// ErrNotReady says that the process can't serve: it knows no routes yet, or
+// ErrNotReady reports that the process can't serve: it knows no routes yet, or
 // stops.
 type ErrNotReady struct {
 	Why string
@@ -50,7 +50,7 @@
 // Error implements error.
 func (e *ErrNotReady) Error() string { return "not ready: why=" + e.Why }
 
-// ErrBody says that a request's body did not come whole, or is too large.
+// ErrBody reports that a request's body did not come whole, or is too large.
 type ErrBody struct {
 	Limit int64
 	// TooLarge tells the one from the other.
@@ -63,7 +63,7 @@
 	return fmt.Sprintf("bad body: limit=%d too_large=%t cause=%v", e.Limit, e.TooLarge, e.Err)
 }
 
-// ErrBusy says that a request was refused since a limit of the process is
+// ErrBusy reports that a request was refused since a limit of the process is
 // reached.
 type ErrBusy struct {
 	What  string
@@ -73,7 +73,7 @@
 // Error implements error.
 func (e *ErrBusy) Error() string { return fmt.Sprintf("busy: what=%s limit=%d", e.What, e.Limit) }
 
-// ErrTime says that a request's time was over.
+// ErrTime reports that a request's time was over.
 type ErrTime struct {
 	After time.Duration
 	// Whose is "client", "route" or "drain".
@@ -85,7 +85,7 @@
 	return fmt.Sprintf("out of time: after=%s whose=%s", e.After, e.Whose)
 }
 
-// ErrGivenUp says that a request was tried and could not be answered.
+// ErrGivenUp reports that a request was tried and could not be answered.
 type ErrGivenUp struct {
 	Outcome request.Outcome
 	Sends   int
@@ -101,7 +101,7 @@
 // Unwrap returns the last try's failure.
 func (e *ErrGivenUp) Unwrap() error { return e.Last }
 
-// ErrAnswer says that a runner's answer can't be passed on.
+// ErrAnswer reports that a runner's answer can't be passed on.
 type ErrAnswer struct {
 	Runner string
 	Status int
@@ -113,7 +113,7 @@
 	return fmt.Sprintf("unusable answer: runner=%s status=%d why=%s", e.Runner, e.Status, e.Why)
 }
 
-// ErrBudget says that no further send is allowed now.
+// ErrBudget reports that no further send is allowed now.
 type ErrBudget struct {
 	Service string
 }
@@ -121,7 +121,7 @@
 // Error implements error.
 func (e *ErrBudget) Error() string { return "retry budget spent: service=" + e.Service }
 
-// ErrBroken says that an answer broke off after a part of it had been passed on.
+// ErrBroken reports that an answer broke off after a part of it had been passed on.
 type ErrBroken struct {
 	Runner string
 	After  string
@@ -136,7 +136,7 @@
 // Unwrap returns the cause.
 func (e *ErrBroken) Unwrap() error { return e.Err }
 
-// ErrLeft says that a runner stopped to take work after room was reserved on it.
+// ErrLeft reports that a runner stopped to take work after room was reserved on it.
 type ErrLeft struct {
 	Runner string
 }
@@ -144,7 +144,7 @@
 // Error implements error.
 func (e *ErrLeft) Error() string { return "runner takes no more work: runner=" + e.Runner }
 
-// errGone says that the client left.
+// errGone reports that the client left.
 type errGone struct{}
 
 // Error implements error.
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -17,7 +17,7 @@
 
 const (
 	// freshPart is the part of its latency target that a new request may wait
-	// for room before it is told to come back.
+	// for room before it is refused with a time to come back.
 	freshPart = 0.22
 	// leastPatience and the two factors give how long clients wait for a
 	// stream's first event: the longest of the three.
@@ -37,7 +37,7 @@
 	// trustBelow is the failure rate below which a runner is trusted.
 	trustBelow = 0.04
 	// holdAhead is how many tokens of the answer are reserved with the prompt:
-	// the rest is booked by the pool alone.
+	// the rest is reserved in the pool's model alone.
 	holdAhead = 256
 	// overflowAfter is the expected time of a prefill above which the decode
 	// runner reads the prompt itself.
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -164,9 +164,9 @@
 	}
 }
 
-// ReceiveOutcomes takes what another gateway told of failing runners.
-func (g *Ingress) ReceiveOutcomes(gateway string, sameDomain bool, told []runners.Outcome) {
-	g.Directory.ReceiveOutcomes(gateway, sameDomain, told, time.Now())
+// ReceiveOutcomes takes what another gateway reported of failing runners.
+func (g *Ingress) ReceiveOutcomes(gateway string, sameDomain bool, outcomes []runners.Outcome) {
+	g.Directory.ReceiveOutcomes(gateway, sameDomain, outcomes, time.Now())
 }
 
 // Version returns the version of the configuration in force, 0 before the first.
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// answered counts a request by what the client was told.
+// answered counts a request by the answer that the client got.
 func (m *meters) answered(x *exchange, status int, took time.Duration) {
 	kind := "none"
 	if x.route != nil {
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -19,7 +19,7 @@
 	maxEvent = 1 << 20
 )
 
-// ErrEvent says that a stream holds what is no event.
+// ErrEvent reports that a stream holds what is no event.
 type ErrEvent struct {
 	Bytes int
 	Why   string
--- a/pkg/logs/logs.go
+++ b/pkg/logs/logs.go
@@ -40,7 +40,7 @@
 	return m
 }()
 
-// ErrLayer says that no layer has that name.
+// ErrLayer reports that no layer has that name.
 type ErrLayer struct {
 	Name string
 }
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -83,7 +83,7 @@
 	Waiting, Reading int
 }
 
-// Log is what the logs tell.
+// Log is what was found in the logs.
 type Log struct {
 	Requests []Request
 	Wasted   []Waste
--- a/pkg/losses/plot.go
+++ b/pkg/losses/plot.go
@@ -22,7 +22,7 @@
 	barFill = 0.8
 )
 
-// ErrPlot says that a report can't be drawn.
+// ErrPlot reports that a report can't be drawn.
 type ErrPlot struct {
 	Part string
 	Err  error
--- a/pkg/opclient/opclient.go
+++ b/pkg/opclient/opclient.go
@@ -44,7 +44,7 @@
 // Error implements error.
 func (e *ErrAnswer) Error() string { return e.Conflict.Error }
 
-// ErrNoProcess says that no process answered.
+// ErrNoProcess reports that no process answered.
 type ErrNoProcess struct {
 	Asked int
 	Err   error
@@ -281,7 +281,7 @@
 	return &ErrUnknownInstance{Name: instance}
 }
 
-// ErrUnknownInstance says that the instance list has no such instance.
+// ErrUnknownInstance reports that the instance list has no such instance.
 type ErrUnknownInstance struct {
 	Name string
 }
--- a/pkg/openai/types.go
+++ b/pkg/openai/types.go
@@ -94,7 +94,7 @@
 	return p.Text, nil
 }
 
-// ErrText says that a prompt or a message is not text.
+// ErrText reports that a prompt or a message is not text.
 type ErrText struct{}
 
 // Error implements error.
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -79,7 +79,7 @@
 	Failed func(err error)
 }
 
-// ErrAddress says that a gateway's address can't be used.
+// ErrAddress reports that a gateway's address can't be used.
 type ErrAddress struct {
 	Gateway, Address string
 	Err              error
@@ -93,7 +93,7 @@
 // Unwrap returns the cause.
 func (e *ErrAddress) Unwrap() error { return e.Err }
 
-// ErrDatagram says that a datagram can't be sent or read.
+// ErrDatagram reports that a datagram can't be sent or read.
 type ErrDatagram struct {
 	Gateway string
 	Bytes   int
--- a/pkg/platform/errors.go
+++ b/pkg/platform/errors.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// ErrUnavailable says that the platform gave no answer. A write may have taken
+// ErrUnavailable reports that the platform gave no answer. A write may have taken
 // effect all the same.
 type ErrUnavailable struct {
 	// Service is "kv", "instances" or "weights", Op the call.
@@ -22,7 +22,7 @@
 // Unwrap returns the cause.
 func (e *ErrUnavailable) Unwrap() error { return e.Err }
 
-// ErrConflict says that a compare-and-swap met another version.
+// ErrConflict reports that a compare-and-swap met another version.
 type ErrConflict struct {
 	Key        string
 	Want, Have uint64
@@ -33,7 +33,7 @@
 	return fmt.Sprintf("version conflict: key=%s want=%d have=%d", e.Key, e.Want, e.Have)
 }
 
-// ErrTooLarge says that a value is over MaxValue.
+// ErrTooLarge reports that a value is over MaxValue.
 type ErrTooLarge struct {
 	Key  string
 	Size int
@@ -44,7 +44,7 @@
 	return fmt.Sprintf("value too large: key=%s size=%d limit=%d", e.Key, e.Size, MaxValue)
 }
 
-// ErrThrottled says that the weight store's rate is used up.
+// ErrThrottled reports that the weight store's rate is used up.
 type ErrThrottled struct {
 	RetryAfter time.Duration
 }
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -20,7 +20,7 @@
 // several.
 const gather = 200 * time.Millisecond
 
-// feed keeps an ingress's beliefs up with the store.
+// feed keeps an ingress up to date with the store.
 type feed struct {
 	ingress *ingress.Ingress
 	log     *decisionlog.Log
@@ -160,7 +160,7 @@
 	}
 }
 
-// changeFor bounds a change of stage that the store tells of: how long it has been under
+// changeFor bounds a change of stage that the store holds: how long it has been under
 // way is not known. The key goes with its lease before that.
 const changeFor = 20 * time.Second
 
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -20,12 +20,12 @@
 	// of engines on their way to another stage.
 	orderKey     = "hopwell/orders"
 	changePrefix = "hopwell/changes/"
-	// stagerLook is the time between two looks at the engines' parts.
+	// stagerLook is the time between two looks at the engines' stages.
 	stagerLook = 300 * time.Millisecond
 	// orderCall bounds a call of the stager.
 	orderCall = time.Second
 	// settleFor is how long the set of engines must have been the same before
-	// their parts are planned for the first time.
+	// their stages are planned for the first time.
 	settleFor = 500 * time.Millisecond
 	// meetFor is how long a process gets to know the others before it may come
 	// first, and startFor how long after its start it tries without need.
@@ -44,7 +44,7 @@
 	holdBack = 4 * time.Second
 )
 
-// stager gives engines their parts. Only the process that holds the right in the
+// stager gives engines their stages. Only the process that holds the right in the
 // store gives orders, and only after the lease of an earlier holder would have
 // run out, so that a holder that is paused can't order at the same time.
 type stager struct {
@@ -69,7 +69,7 @@
 	retry   time.Time
 }
 
-// run looks at the engines' parts until the context ends.
+// run looks at the engines' stages until the context ends.
 func (s *stager) run(ctx context.Context) {
 	s.began = time.Now()
 	tick := time.NewTicker(stagerLook)
@@ -227,7 +227,7 @@
 	}
 }
 
-// restage sends one order. What its answer says of the engine's way to the stage is
+// restage sends one order. What its answer means for the engine's change of stage is
 // recorded: taken, refused, or unknown.
 func (s *stager) restage(ctx context.Context, c staging.Change, fence uint64, sequence int) error {
 	c.Runner.BeginStageChange(c.Stage, s.changeLimit(c.Runner.Service), time.Now())
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -40,7 +40,7 @@
 	Items []store.Item `json:"items"`
 }
 
-// ErrState says that a gateway's state can't be used.
+// ErrState reports that a gateway's state can't be used.
 type ErrState struct {
 	Address string
 	Why     string
--- a/pkg/realtest/realtest.go
+++ b/pkg/realtest/realtest.go
@@ -56,7 +56,7 @@
 	return binary, nil
 }
 
-// ErrBuild says that hopwelld did not compile.
+// ErrBuild reports that hopwelld did not compile.
 type ErrBuild struct {
 	Output string
 	Err    error
--- a/pkg/route/errors.go
+++ b/pkg/route/errors.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// ErrNoRunner says that no runner is left that may serve the request.
+// ErrNoRunner reports that no runner is left that may serve the request.
 type ErrNoRunner struct {
 	// Role is "prefill", "decode" or "serve".
 	Role string
@@ -14,7 +14,7 @@
 // Error implements error.
 func (e *ErrNoRunner) Error() string { return fmt.Sprintf("no runner: role=%s", e.Role) }
 
-// ErrLate says that no pair of runners can meet the targets.
+// ErrLate reports that no pair of runners can meet the targets.
 type ErrLate struct {
 	// Estimate is the best first-token time, Target the wanted one, in seconds.
 	Estimate, Target float64
@@ -30,7 +30,7 @@
 	return time.Duration(max(e.Estimate-e.Target, 0) * float64(time.Second))
 }
 
-// ErrPolicy says that no policy has that name.
+// ErrPolicy reports that no policy has that name.
 type ErrPolicy struct {
 	Name string
 }
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -112,7 +112,7 @@
 	Limits   Limits
 }
 
-// ErrRoute says what is wrong with a route.
+// ErrRoute reports what is wrong with a route.
 type ErrRoute struct {
 	Route, Field, Expected string
 }
--- /dev/null
+++ b/pkg/runners/directory.go
@@ -0,0 +1,225 @@
+package runners
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// stageKey names the runners of one service and stage.
+type stageKey struct {
+	service string
+	stage   Stage
+}
+
+// Directory is the set of all known runners.
+type Directory struct {
+	mu  sync.RWMutex
+	all map[string]*State
+	// services lists the runners of each service, stages those of each service and
+	// stage; in no order. Lists are replaced, not changed.
+	services map[string][]*State
+	stages   map[stageKey][]*State
+	// generation counts the changes of the lists.
+	generation atomic.Uint64
+	// Changed is called, without locks, after a change; nil for none.
+	Changed func(what Change)
+}
+
+// Change says what was learned about a runner.
+type Change struct {
+	Runner Runner
+	// What is "new", "changed", "leaving" or "gone"; "unusable" when another gateway
+	// reported that the runner refused as another one or in another stage;
+	// "stage_change" when another gateway reported that it was ordered to one.
+	What string
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{all: map[string]*State{}, services: map[string][]*State{}}
+}
+
+// Put records an entry as it stands in the store. A runner that was leaving stays
+// so.
+func (d *Directory) Put(r Runner) {
+	d.mu.Lock()
+	old := d.all[r.ID]
+	s := &State{Runner: r, knowledge: &knowledge{leaving: r.Leaving}}
+	what := "new"
+	if old != nil {
+		r.Leaving = r.Leaving || old.Leaving
+		old.back()
+		if old.Runner == r {
+			d.mu.Unlock()
+			return
+		}
+		s = &State{Runner: r, knowledge: old.knowledge}
+		s.update(old.Runner, r)
+		what = "changed"
+		if r.Leaving && !old.Leaving {
+			what = "leaving"
+		}
+	}
+	d.all[r.ID] = s
+	d.index()
+	d.mu.Unlock()
+	d.notify(Change{r, what})
+}
+
+// back records that a runner's entry is there again.
+func (s *knowledge) back() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.goneAt = time.Time{}
+}
+
+// update records what a new entry says. With another stage the change to it is over.
+func (s *knowledge) update(old, now Runner) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = now.Leaving
+	if old.Stage != now.Stage {
+		s.change = pendingChange{}
+	}
+}
+
+// Gone records that an entry is no longer in the store.
+func (d *Directory) Gone(id string, now time.Time) {
+	d.mu.RLock()
+	s := d.all[id]
+	d.mu.RUnlock()
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	first := s.goneAt.IsZero()
+	if first {
+		s.goneAt = now
+	}
+	s.mu.Unlock()
+	if first {
+		d.notify(Change{s.Runner, "gone"})
+	}
+}
+
+// Keep records a whole reading of the store: what is not among the IDs has gone.
+func (d *Directory) Keep(ids map[string]bool, now time.Time) {
+	d.mu.RLock()
+	var missing []string
+	for id := range d.all {
+		if !ids[id] {
+			missing = append(missing, id)
+		}
+	}
+	d.mu.RUnlock()
+	for _, id := range missing {
+		d.Gone(id, now)
+	}
+}
+
+// forgetAfter is how long a runner whose entry has gone is remembered.
+const forgetAfter = 30 * time.Second
+
+// Sweep forgets runners that have been gone for long, and what other gateways reported
+// of the rest and is no longer used.
+func (d *Directory) Sweep(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := false
+	for id, s := range d.all {
+		s.mu.Lock()
+		old := !s.goneAt.IsZero() && now.Sub(s.goneAt) > forgetAfter
+		maps.DeleteFunc(s.others, func(_ string, h report) bool { return now.Sub(h.at) > reportTTL })
+		s.mu.Unlock()
+		if old {
+			delete(d.all, id)
+			changed = true
+		}
+	}
+	if changed {
+		d.index()
+	}
+}
+
+// index makes the lists of the services anew. The caller holds the lock.
+func (d *Directory) index() {
+	services, stages := map[string][]*State{}, map[stageKey][]*State{}
+	for _, s := range d.all {
+		services[s.Service] = append(services[s.Service], s)
+		key := stageKey{s.Service, s.Stage}
+		stages[key] = append(stages[key], s)
+	}
+	d.services, d.stages = services, stages
+	d.generation.Add(1)
+}
+
+func (d *Directory) notify(c Change) {
+	if d.Changed != nil {
+		d.Changed(c)
+	}
+}
+
+// Usable returns the runners of a service and stage that may get new work.
+func (d *Directory) Usable(service string, stage Stage, now time.Time) []*State {
+	d.mu.RLock()
+	list := d.stages[stageKey{service, stage}]
+	d.mu.RUnlock()
+	out := make([]*State, 0, len(list))
+	for _, s := range list {
+		if s.Usable(now) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Stage returns all runners of a service and stage, those that take no work too. The
+// list must not be changed.
+func (d *Directory) Stage(service string, stage Stage) []*State {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.stages[stageKey{service, stage}]
+}
+
+// Generation returns a number that rises when a runner comes, changes or goes.
+func (d *Directory) Generation() uint64 { return d.generation.Load() }
+
+// Find returns the runner with an ID, nil for none.
+func (d *Directory) Find(id string) *State {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.all[id]
+}
+
+// Present returns the runners of a service that are there and stay, those on their
+// way to another stage too.
+func (d *Directory) Present(service string, now time.Time) []*State {
+	d.mu.RLock()
+	list := d.services[service]
+	d.mu.RUnlock()
+	out := make([]*State, 0, len(list))
+	for _, s := range list {
+		s.mu.Lock()
+		if s.present(now) {
+			out = append(out, s)
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// All returns all runners of a service, those that take no work too.
+func (d *Directory) All(service string) []*State {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.services[service]
+}
+
+// Len returns the number of known runners.
+func (d *Directory) Len() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return len(d.all)
+}
--- a/pkg/runners/health.go
+++ b/pkg/runners/health.go
@@ -23,7 +23,7 @@
 	forgiveIn = 4 * time.Second
 )
 
-// health is what the outcomes of requests tell of a runner.
+// health is a runner's state by the outcomes of requests.
 type health struct {
 	// failures is the rate as it was at the time seen.
 	failures float64
--- a/pkg/sidecar/errors.go
+++ b/pkg/sidecar/errors.go
@@ -8,7 +8,7 @@
 	"github.com/hopwell/hopwell/pkg/engine"
 )
 
-// ErrOrder says that a gateway's order came out of turn.
+// ErrOrder reports that a gateway's order came out of turn.
 type ErrOrder struct {
 	Want string
 }
--- a/pkg/staging/staging.go
+++ b/pkg/staging/staging.go
@@ -9,7 +9,7 @@
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
-// Policy says what the engines' parts should be.
+// Policy is what the engines' stages should be.
 type Policy struct {
 	// Share is the part of the engines that should prefill for the mean load,
 	// and Margin how many more for its peaks, times the root of the number of
@@ -17,7 +17,7 @@
 	Share, Margin float64
 	// Least is the least number of prefill engines.
 	Least int
-	// Patience is how long the parts must be wrong before one is changed.
+	// Patience is how long the stages must be wrong before one is changed.
 	Patience time.Duration
 	// Pause is the least time between two changes beyond those that were found
 	// needed together.
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -132,7 +132,7 @@
 	return next, nil
 }
 
-// ErrOld says that an answer is older than what is known.
+// ErrOld reports that an answer is older than what is known.
 type ErrOld struct {
 	Have, Got uint64
 }
--- a/pkg/store/lock.go
+++ b/pkg/store/lock.go
@@ -26,7 +26,7 @@
 	since, until time.Time
 }
 
-// ErrHeld says that another process has the right.
+// ErrHeld reports that another process has the right.
 type ErrHeld struct {
 	Key, Holder string
 }
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -71,7 +71,7 @@
 	End(ctx context.Context, id LeaseID) error
 }
 
-// ErrUnavailable says that the store gave no answer, or that it can't serve.
+// ErrUnavailable reports that the store gave no answer, or that it can't serve.
 type ErrUnavailable struct {
 	Call   string
 	Status int
@@ -86,7 +86,7 @@
 // Unwrap returns the cause.
 func (e *ErrUnavailable) Unwrap() error { return e.Err }
 
-// ErrConflict says that a condition of a change does not hold.
+// ErrConflict reports that a condition of a change does not hold.
 type ErrConflict struct {
 	// Items are the keys of the conditions as they are.
 	Items []Item
@@ -95,7 +95,7 @@
 // Error implements error.
 func (e *ErrConflict) Error() string { return fmt.Sprintf("conflict: keys=%d", len(e.Items)) }
 
-// ErrCompacted says that the history that was asked for is gone.
+// ErrCompacted reports that the history that was asked for is gone.
 type ErrCompacted struct {
 	After uint64
 }
@@ -103,7 +103,7 @@
 // Error implements error.
 func (e *ErrCompacted) Error() string { return fmt.Sprintf("history gone: after=%d", e.After) }
 
-// ErrNoLease says that a lease is over.
+// ErrNoLease reports that a lease is over.
 type ErrNoLease struct {
 	ID LeaseID
 }
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -32,7 +32,7 @@
 	idleMargin = time.Second
 )
 
-// ErrDial says that no connection came up: nothing was sent.
+// ErrDial reports that no connection came up: nothing was sent.
 type ErrDial struct {
 	Address string
 	Err     error
@@ -46,7 +46,7 @@
 // Unwrap returns the cause.
 func (e *ErrDial) Unwrap() error { return e.Err }
 
-// ErrExchange says that a request went out, in part at least, and no whole
+// ErrExchange reports that a request went out, in part at least, and no whole
 // answer of its own came back.
 type ErrExchange struct {
 	Address string
@@ -63,7 +63,7 @@
 // Unwrap returns the cause.
 func (e *ErrExchange) Unwrap() error { return e.Err }
 
-// ErrSurplus says that only answers of other requests came.
+// ErrSurplus reports that only answers of other requests came.
 type ErrSurplus struct {
 	Answers int
 }
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -40,7 +40,7 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// ErrPeer says that a peer could not be reached or broke off.
+// ErrPeer reports that a peer could not be reached or broke off.
 type ErrPeer struct {
 	Address string
 	Err     error
