hopwelld, demo: signals are taken from the first moment on; test ports outside the range of outgoing connections

A SIGHUP while the process started was taken by nobody and ended it: signals were asked for only after the start. The ports of tests came from the range that the system gives to outgoing connections, which took one while its process restarted.

Change: signals are asked for before the settings are read; FreePorts takes ports below that range, free for TCP and UDP.

What is left of the window is Go's own start before main.

--- a/cmd/hopwelld/cmds/ingress.go
+++ b/cmd/hopwelld/cmds/ingress.go
@@ -27,6 +27,10 @@
 			if variable != "" {
 				file = os.Getenv(variable)
 			}
+			// From the first moment on: a signal that nobody takes ends the process.
+			signals := make(chan os.Signal, 4)
+			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+			defer signal.Stop(signals)
 			c, err := config.LoadIngress(file)
 			if err != nil {
 				return err
@@ -35,7 +39,7 @@
 			if err != nil {
 				return err
 			}
-			serveIngress(p, file)
+			serveIngress(p, file, signals)
 			return nil
 		},
 	}
@@ -48,9 +52,7 @@
 
 // serveIngress waits for signals and for changes of the settings file until the
 // planned stop is over.
-func serveIngress(p *process.Ingress, file string) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func serveIngress(p *process.Ingress, file string, signals <-chan os.Signal) {
 	look := time.NewTicker(settingsLook)
 	defer look.Stop()
 	seen := stamp(file)
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -252,17 +253,52 @@
 	}
 }
 
-// FreePorts returns n free addresses of loopback, for tests that must know an
-// address before its process starts.
+const (
+	// firstPort and ports are the range that FreePorts takes from: below those that
+	// the system gives to outgoing connections, which would take a port away while
+	// its process restarts.
+	firstPort, ports = 12000, 16000
+	// portTries bounds the ports that are tried for each that is wanted.
+	portTries = 200
+)
+
+// ErrNoPort reports that no free port was found.
+type ErrNoPort struct {
+	Tries int
+	Err   error
+}
+
+// Error implements error.
+func (e *ErrNoPort) Error() string {
+	return fmt.Sprintf("no free port: tries=%d cause=%v", e.Tries, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrNoPort) Unwrap() error { return e.Err }
+
+// FreePorts returns n addresses on loopback whose ports are free for TCP and UDP, for
+// tests that must know an address before its process starts.
 func FreePorts(n int) ([]string, error) {
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	var last error
+	for tries := 0; len(out) < n; tries++ {
+		if tries == n*portTries {
+			return nil, &ErrNoPort{Tries: tries, Err: last}
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			last = err
+			continue
 		}
 		defer l.Close()
-		out = append(out, l.Addr().String())
+		c, err := net.ListenPacket("udp4", address)
+		if err != nil {
+			last = err
+			continue
+		}
+		defer c.Close()
+		out = append(out, address)
 	}
 	return out, nil
 }
