--- a/pkg/fleettest/caller.go
+++ b/pkg/fleettest/caller.go
@@ -67,9 +67,15 @@
 func (f *Fleet) call(ctx context.Context, p *Process, c *Call, do func(context.Context, *sink) gateway.Result) *Call {
 	s := &sink{dead: p.crashed.Load}
 	c.Gateway, c.Began = p.Entry.Name, time.Now()
-	stop := context.AfterFunc(ctx, func() { c.Left = time.Now() })
+	left := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		c.Left = time.Now()
+		close(left)
+	})
 	c.Result = do(ctx, s)
-	stop()
+	if !stop() {
+		<-left
+	}
 	c.Ended, c.Text, c.Lost = time.Now(), s.text.String(), p.crashed.Load()
 	if !c.Lost {
 		c.Answers++
