--- a/pkg/ingress/kept.go
+++ b/pkg/ingress/kept.go
@@ -16,6 +16,10 @@
 	// keptCall bounds the call for a list. An engine answers in a few milliseconds;
 	// one that does not is of no use for the resumption either.
 	keptCall = 120 * time.Millisecond
+	// maxKeptAsked bounds the engines that are asked for one prompt, so that the cost of
+	// a resumption does not grow with the fleet: as many as the largest site that was
+	// measured has. Of more, some are asked, and the prompt may be computed again.
+	maxKeptAsked = 64
 )
 
 // keptPrompts knows which engines keep a prompt in their KV cache. It asks them when
@@ -47,6 +51,7 @@
 	if prompt == "" {
 		return nil, 0
 	}
+	list = list[:min(len(list), maxKeptAsked)]
 	calls := make([]*keptList, len(list))
 	for i, s := range list {
 		calls[i] = k.ask(ctx, s)
--- /dev/null
+++ b/pkg/ingress/kept_test.go
@@ -0,0 +1,61 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+// keepers are engines of which one keeps a prompt; they count the calls.
+type keepers struct {
+	Engines
+	mu     sync.Mutex
+	keeper string
+	calls  map[string]int
+}
+
+func (k *keepers) Kept(_ context.Context, r *runners.State) (map[string]int, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.calls[r.ID]++
+	if r.ID == k.keeper {
+		return map[string]int{"p": 900}, nil
+	}
+	return map[string]int{"other": 100}, nil
+}
+
+func enginesOf(n int) []*runners.State {
+	d := runners.NewDirectory()
+	for i := range n {
+		d.Put(runners.Runner{ID: fmt.Sprint("e", i), Service: "s", Stage: runners.Decode})
+	}
+	return d.Present("s", time.Now())
+}
+
+// Requests that are resumed at the same time share one call to each engine, and the
+// number of engines that are asked is bounded.
+func TestResumptionsShareABoundedNumberOfCalls(t *testing.T) {
+	g := NewWithT(t)
+	engines := enginesOf(3 * maxKeptAsked)
+	k := &keepers{keeper: engines[5].ID, calls: map[string]int{}}
+	log := decisionlog.New("p", io.Discard)
+	defer log.Close(time.Second)
+	kept := newKeptPrompts(k, log)
+	for range 10 {
+		keeper, tokens := kept.find(t.Context(), engines, "p")
+		g.Expect(keeper).To(Equal(engines[5]))
+		g.Expect(tokens).To(Equal(900))
+	}
+	g.Expect(k.calls).To(HaveLen(maxKeptAsked))
+	g.Expect(k.calls[engines[5].ID]).To(BeNumerically("<=", 2), "shared for as long as a list is used")
+	none, _ := kept.find(t.Context(), engines, "")
+	g.Expect(none).To(BeNil())
+}
