--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -6,8 +6,9 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/config"
@@ -260,8 +261,16 @@
 	firstPort, ports = 12000, 16000
 	// portTries bounds the ports that are tried for each that is wanted.
 	portTries = 200
+	// portStride keeps the ports of processes that start one after the other apart.
+	portStride = 397
 )
 
+// lastPort counts the ports handed out, so that none is given twice before its process
+// has taken it; processes begin at different places.
+var lastPort atomic.Uint32
+
+func init() { lastPort.Store(uint32(os.Getpid()) * portStride) }
+
 // ErrNoPort reports that no free port was found.
 type ErrNoPort struct {
 	Tries int
@@ -285,7 +294,7 @@
 		if tries == n*portTries {
 			return nil, &ErrNoPort{Tries: tries, Err: last}
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1)%ports)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			last = err
