process: an order is recorded in the store before it goes out

The holder of the right recorded its orders after it had given all of them. A holder that ended between the first order and the last record left engines that were changing and that no store key named; the gateway that started next sent them requests, which they refused (421). Ruled out: the watch (the recorded engine was known each time).

Change: all orders of a plan are recorded in one commit before the first goes out; the keys of orders that were refused are removed.

--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -107,14 +107,11 @@
 	if len(changes) == 0 || now.Sub(since) < s.wait || now.Sub(s.wrong) < s.patience(changes, now) {
 		return
 	}
+	s.record(ctx, changes)
 	for _, c := range changes {
 		s.order(ctx, c, fence)
 	}
-	for _, c := range changes {
-		if _, pending := c.Runner.Changing(time.Now()); pending {
-			s.record(ctx, c)
-		}
-	}
+	s.forget(ctx, changes)
 	s.last, s.wrong = now, time.Time{}
 }
 
@@ -212,18 +209,44 @@
 	return n > 0 && now.Sub(s.stable) >= settleFor
 }
 
-// record writes the change to the store, for gateways that start before it is done: the
-// lease of the key is as long as the change may take.
-func (s *stager) record(ctx context.Context, c staging.Change) {
+// record writes the changes to the store before their orders go out, for gateways that
+// start before they are done, even if this process ends between two orders. The lease of
+// the keys is as long as a change may take.
+func (s *stager) record(ctx context.Context, changes []staging.Change) {
 	ctx, cancel := context.WithTimeout(ctx, orderCall)
 	defer cancel()
-	lease, _, err := s.lock.Store.Grant(ctx, s.changeLimit(c.Runner.Service))
+	limit := time.Duration(0)
+	for _, c := range changes {
+		limit = max(limit, s.changeLimit(c.Runner.Service))
+	}
+	lease, _, err := s.lock.Store.Grant(ctx, limit)
 	if err == nil {
-		put := store.Put{Key: changePrefix + c.Runner.ID, Value: []byte(c.Stage), Lease: lease}
-		_, err = s.lock.Store.Commit(ctx, store.Change{Put: []store.Put{put}})
+		var puts []store.Put
+		for _, c := range changes {
+			puts = append(puts, store.Put{Key: changePrefix + c.Runner.ID, Value: []byte(c.Stage), Lease: lease})
+		}
+		_, err = s.lock.Store.Commit(ctx, store.Change{Put: puts})
 	}
 	if err != nil {
-		s.log.Write(decisionlog.KindProcess, "restage_not_recorded", decisionlog.F("runner", c.Runner.ID), decisionlog.F("error", err))
+		s.log.Write(decisionlog.KindProcess, "restage_not_recorded", decisionlog.F("orders", len(changes)), decisionlog.F("error", err))
+	}
+}
+
+// forget removes the records of the orders that were refused.
+func (s *stager) forget(ctx context.Context, changes []staging.Change) {
+	var refused []string
+	for _, c := range changes {
+		if _, pending := c.Runner.Changing(time.Now()); !pending {
+			refused = append(refused, changePrefix+c.Runner.ID)
+		}
+	}
+	if len(refused) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderCall)
+	defer cancel()
+	if _, err := s.lock.Store.Commit(ctx, store.Change{Remove: refused}); err != nil {
+		s.log.Write(decisionlog.KindProcess, "restage_not_removed", decisionlog.F("orders", len(refused)), decisionlog.F("error", err))
 	}
 }
 
