gateway: a body over the limit gets its 413, however large

Cause: nbhttp reads a body whole before its handler runs and closes the connection of one over its limit, so that the caller of a 40 MB body read a reset. A larger limit of nbhttp's would hold such bodies in memory.

Change: callers' ports are served by net/http (httpd.ListenCallers), the nearest kin; the handler answers, and the rest of the body is read and thrown away within 64 MB and 5 s, as the ingress does, which shares the code.

--- a/pkg/demo/demo_test.go
+++ b/pkg/demo/demo_test.go
@@ -117,6 +117,16 @@
 		Expect(r.Header.Get("Hopwell-Outcome")).To(Equal("done"))
 	})
 
+	It("answers a body of 40 MB with 413", func() {
+		res, err := http.Post(base+"/v1/completions", "application/json", strings.NewReader(strings.Repeat(" ", 40<<20)))
+		Expect(err).NotTo(HaveOccurred())
+		defer res.Body.Close()
+		Expect(res.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+		text, err := io.ReadAll(res.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(ContainSubstring("body_too_large"))
+	})
+
 	It("frees all engine memory of a caller that goes away", func() {
 		gone, cancel := context.WithCancel(ctx)
 		s, err := client.CreateCompletionStream(gone, openai.CompletionRequest{Model: Model, Prompt: "A long answer", MaxTokens: 20000, Stream: true})
--- a/pkg/httpd/httpd.go
+++ b/pkg/httpd/httpd.go
@@ -1,6 +1,8 @@
-// Package httpd serves HTTP with nbio's nbhttp. Beyond nbhttp it ends the
-// context of a request as soon as its caller's connection closes.
+// Package httpd serves HTTP: with nbio's nbhttp, and with net/http where callers
+// send bodies of any size (ListenCallers).
 //
+// Beyond nbhttp it ends the context of a request as soon as its caller's
+// connection closes.
 // nbhttp tells a handler of a closed connection only after the handler has
 // returned, since it queues the notice behind it. A caller that waits for its
 // first token sends and gets nothing, so write errors don't show its leaving
@@ -50,10 +52,19 @@
 
 // Server is one listening HTTP server.
 type Server struct {
-	engine   *nbhttp.Engine
 	listener net.Listener
 	once     sync.Once
+	stop     func()
+}
+
+// Addr returns the address that is served.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Close stops serving. Running requests are cut off.
+func (s *Server) Close() { s.once.Do(s.stop) }
 
+// sweeper ends the contexts of requests whose connection has closed.
+type sweeper struct {
 	mu       sync.Mutex
 	open     map[*nbio.Conn]context.CancelFunc
 	sweeping bool
@@ -67,8 +78,8 @@
 	if err != nil {
 		return nil, &ErrListen{Address: address, Err: err}
 	}
-	s := &Server{listener: l, open: map[*nbio.Conn]context.CancelFunc{}}
-	s.engine = nbhttp.NewEngine(nbhttp.Config{
+	s := &sweeper{open: map[*nbio.Conn]context.CancelFunc{}}
+	engine := nbhttp.NewEngine(nbhttp.Config{
 		Network:                "tcp",
 		Addrs:                  []string{l.Addr().String()},
 		Listen:                 func(string, string) (net.Listener, error) { return l, nil },
@@ -79,39 +90,31 @@
 		MaxWriteBufferSize:     maxWriteBuffer,
 		MessageHandlerPoolSize: maxHandlers,
 	})
-	s.orderOpens()
-	if err := s.engine.Start(); err != nil {
+	orderOpens(engine)
+	if err := engine.Start(); err != nil {
 		_ = l.Close()
 		return nil, &ErrListen{Address: address, Err: err}
 	}
-	return s, nil
+	return &Server{listener: l, stop: engine.Stop}, nil
 }
 
 // orderOpens makes the order between the opening of a connection and its first
 // data one that Go's memory model knows. nbio has it from epoll alone, which the
 // race detector does not see.
-func (s *Server) orderOpens() {
+func orderOpens(engine *nbhttp.Engine) {
 	pass := func(c *nbio.Conn) {
 		c.Lock()
 		defer c.Unlock()
 	}
-	s.engine.Engine.OnOpen(pass)
-	s.engine.Engine.OnData(func(c *nbio.Conn, data []byte) {
+	engine.Engine.OnOpen(pass)
+	engine.Engine.OnData(func(c *nbio.Conn, data []byte) {
 		pass(c)
 		c.DataHandler()(c, data)
 	})
 }
 
-// Addr returns the address that is served.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
-
-// Close stops serving. Running requests are cut off.
-func (s *Server) Close() {
-	s.once.Do(s.engine.Stop)
-}
-
 // watched gives a handler's requests a context that ends with the connection.
-func (s *Server) watched(h http.Handler) http.Handler {
+func (s *sweeper) watched(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
@@ -139,7 +142,7 @@
 	return nil
 }
 
-func (s *Server) watch(c *nbio.Conn, cancel context.CancelFunc) {
+func (s *sweeper) watch(c *nbio.Conn, cancel context.CancelFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[c] = cancel
@@ -149,7 +152,7 @@
 	}
 }
 
-func (s *Server) unwatch(c *nbio.Conn) {
+func (s *sweeper) unwatch(c *nbio.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, c)
@@ -157,7 +160,7 @@
 
 // sweep ends the contexts of requests whose connection is closed, and comes back
 // as long as there are requests: an idle server has no timer.
-func (s *Server) sweep() {
+func (s *sweeper) sweep() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, cancel := range s.open {
--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -23,11 +22,6 @@
 	startWait = 1200 * time.Millisecond
 	// restartTime is how long a process that has stopped takes to serve again.
 	restartTime = time.Second
-	// maxDiscard bounds what is read of a body that is too large, so that the
-	// client reads the answer before the connection ends, in bytes.
-	maxDiscard = 64 << 20
-	// discardTime bounds the time for that.
-	discardTime = 5 * time.Second
 )
 
 // refuse answers that the request has not run and won't, and when to come back.
@@ -96,14 +90,6 @@
 	return max(shortWait, min(up, time.Duration(float64(x.call.Patience)*returnPart)))
 }
 
-// discard reads the rest of a body that was answered already.
-func discard(w http.ResponseWriter, body io.Reader) {
-	control := http.NewResponseController(w)
-	_ = control.Flush()
-	_ = control.SetReadDeadline(time.Now().Add(discardTime))
-	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxDiscard))
-}
-
 // giveUp ends a request after tries: by its outcome, with the promise that it has
 // not run only if that is so.
 func (x *exchange) giveUp(life *request.Life, last error, after time.Duration) {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -12,6 +12,7 @@
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/httpd"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runners"
@@ -282,7 +283,7 @@
 	defer func() { g.bodies.Add(-x.bodyBytes) }()
 	if err := x.accept(r); err != nil {
 		x.reject(err)
-		discard(w, r.Body)
+		httpd.DiscardBody(w, r.Body)
 		return
 	}
 	ctx, cancel := x.bound(r.Context())
--- a/pkg/process/process.go
+++ b/pkg/process/process.go
@@ -97,7 +97,7 @@
 		Policy: policy, Lease: c.Lease.D(), ReserveFirst: c.Policy == route.NameHopwell,
 		MaxOpen: c.Limits.OpenRequests, MaxPerWorkspace: c.Limits.OpenRequestsPerWorkspace, MaxPrompt: c.Limits.PromptTokens,
 	})
-	if p.callers, err = httpd.Listen(c.Listen.Callers, httpapi.New(p.Gateway), 2*httpapi.MaxBody); err != nil {
+	if p.callers, err = httpd.ListenCallers(c.Listen.Callers, httpapi.New(p.Gateway)); err != nil {
 		p.closePorts()
 		return nil, err
 	}
