demo: what the users run, with load, faults on request and a view

Cause: `hopwelld demo` shows the gateways with sidecars only; a newcomer could not see in one command what the users run.

Change: `hopwelld demo ingress` runs ingresses before the repository's stand-ins of the store, the engines and the plain runners in one process. Clients ask all the time, come back as they are told and resume streams; gateways, runners, stages, memory, queues and outcomes are printed and served as text; runners and gateways are killed, fall silent, fail or leave, the store goes away and the load doubles on request or at random.

--- a/cmd/hopwelld/cmds/demo.go
+++ b/cmd/hopwelld/cmds/demo.go
@@ -37,6 +37,7 @@
 			return nil
 		},
 	}
+	cmd.AddCommand(newIngressDemo())
 	cmd.Flags().StringVar(&o.Platform, "platform", "", "address of the stand-in platform (default a free port)")
 	cmd.Flags().StringSliceVar(&o.Callers, "callers", nil, "addresses of the gateways for callers (default free ports)")
 	cmd.Flags().StringSliceVar(&o.Admin, "admin", nil, "admin addresses of the gateways (default free ports)")
--- /dev/null
+++ b/pkg/ingressdemo/demo_test.go
@@ -0,0 +1,115 @@
+package ingressdemo
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+func TestIngressDemo(t *testing.T) {
+	SetDefaultEventuallyTimeout(30 * time.Second)
+	spectest.Run(t, "ingressdemo")
+}
+
+// start runs a small demo, and a server of its view.
+func start() (*Demo, string) {
+	GinkgoHelper()
+	o := DefaultOptions()
+	o.Rate = 20
+	d, err := Start(context.Background(), o)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(d.Close)
+	s := httptest.NewServer(d.Handler())
+	DeferCleanup(s.Close)
+	return d, s.URL
+}
+
+func get(url string) string {
+	GinkgoHelper()
+	res, err := http.Get(url)
+	Expect(err).NotTo(HaveOccurred())
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
+func post(url string) (int, string) {
+	GinkgoHelper()
+	res, err := http.Post(url, "", nil)
+	Expect(err).NotTo(HaveOccurred())
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return res.StatusCode, string(text)
+}
+
+var _ = Describe("the ingress demo", func() {
+	It("serves its clients, and shows gateways, runners and outcomes", func() {
+		d, url := start()
+		Eventually(func() int { all, _ := d.tally.read(time.Now()); return all[inTime] }).Should(BeNumerically(">", 30))
+		view := get(url)
+		for _, part := range []string{"gateway-3", "engine-6", "plain-2", "prefill", "decode", "MEMORY", "IN TIME"} {
+			Expect(view).To(ContainSubstring(part))
+		}
+		all, _ := d.tally.read(time.Now())
+		Expect(all[lost]).To(BeZero(), view)
+	})
+
+	It("goes on serving after each fault, and what went comes back", func() {
+		d, url := start()
+		for _, f := range Faults {
+			status, text := post(url + "/faults/" + string(f) + "?for=300ms")
+			Expect(status).To(Equal(http.StatusOK), text)
+			Expect(text).To(HavePrefix(string(f) + ": "))
+		}
+		Eventually(func() string { return get(url) }).ShouldNot(Or(ContainSubstring("gone"), ContainSubstring("at fault")))
+		before, _ := d.tally.read(time.Now())
+		Eventually(func() int { all, _ := d.tally.read(time.Now()); return all[inTime] }).Should(BeNumerically(">", before[inTime]+30))
+	})
+
+	It("shows a runner that is gone", func() {
+		_, url := start()
+		status, text := post(url + "/faults/kill?target=engine-2&for=10s")
+		Expect(status).To(Equal(http.StatusOK), text)
+		Expect(get(url)).To(MatchRegexp(`engine-2 +gone`))
+	})
+
+	DescribeTable("refuses faults that it does not know",
+		func(path, why string) {
+			_, url := start()
+			status, text := post(url + path)
+			Expect(status).To(Equal(http.StatusBadRequest))
+			Expect(text).To(ContainSubstring(why))
+		},
+		Entry("of no such kind", "/faults/flood", "expected one of [kill"),
+		Entry("at no such runner", "/faults/kill?target=engine-99", "no such runner is up"),
+		Entry("at no such gateway", "/faults/restart?target=gateway-99", "no such gateway is up"),
+		Entry("of too long a time", "/faults/outage?for=1h", "at most 1m"),
+		Entry("of no time", "/faults/outage?for=soon", "invalid duration"),
+	)
+
+	DescribeTable("refuses sizes that it can't have",
+		func(change func(*Options), option string) {
+			o := DefaultOptions()
+			change(&o)
+			_, err := Start(context.Background(), o)
+			var bad *ErrOption
+			Expect(err).To(BeAssignableToTypeOf(bad))
+			Expect(strings.Contains(err.Error(), "option="+option)).To(BeTrue(), err.Error())
+		},
+		Entry("no gateways", func(o *Options) { o.Gateways = 0 }, "gateways"),
+		Entry("one engine", func(o *Options) { o.Engines = 1 }, "engines"),
+		Entry("no plain runner", func(o *Options) { o.Plain = 0 }, "plain"),
+		Entry("no requests", func(o *Options) { o.Rate = 0 }, "rate"),
+	)
+})
