process: of many gateways six watch the store closely and pass changes on

Cause: each gateway watched the store as closely as any other.

Change: the first six living gateways, in an order by hash that spreads them over the failure domains, wait 200 ms between two watches that bring something; the others 1 s, and get each change of a runner or of the configuration from one relay by datagram. A change is applied by its revision: never an older one over a newer one, whichever way it came. Without requests all wait 1 s. The first change after a calm time comes at once, as does the rest of a first reading. A gateway that the store turns away goes on learning of changes.

New specs: a gateway whose store is silent learns of a runner and a configuration; revisions in any order.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -50,7 +50,9 @@
 	drain     drain
 	kept      *keptPrompts
 	open      atomic.Int64
-	bodies    atomic.Int64
+	// lastArrival is when the newest request came, in nanoseconds of Unix time.
+	lastArrival atomic.Int64
+	bodies      atomic.Int64
 
 	mu       sync.Mutex
 	pools    map[string]*enginepool.Pool
@@ -95,6 +97,11 @@
 // Ready reports whether new connections should come here.
 func (g *Ingress) Ready() bool { return g.informed() && !g.drain.begun() }
 
+// Idle reports whether no request has come for a time and none is served.
+func (g *Ingress) Idle(now time.Time, since time.Duration) bool {
+	return g.open.Load() == 0 && now.Sub(time.Unix(0, g.lastArrival.Load())) >= since
+}
+
 // informed reports whether routes and runners are known.
 func (g *Ingress) informed() bool { return g.table.Load() != nil && g.Directory.Len() > 0 }
 
@@ -274,6 +281,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{g: g, w: w, arrived: time.Now()}
+	g.lastArrival.Store(x.arrived.UnixNano())
 	if g.open.Add(1) > int64(g.options.MaxOpen) {
 		g.open.Add(-1)
 		x.refuse(&ErrBusy{What: "open requests", Limit: g.options.MaxOpen}, shortWait)
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -15,6 +15,7 @@
 
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/pkg/subset"
 )
 
@@ -71,6 +72,8 @@
 	// ReceiveStageChanges takes those that another gateway reported.
 	StageChanges        func() []runners.StageChange
 	ReceiveStageChanges func(changes []runners.StageChange)
+	// ReceiveStoreChanges takes changes of the store that a relay passed on.
+	ReceiveStoreChanges func(changes []store.Event)
 	// Version returns the version of the configuration in force.
 	Version func() uint64
 	// Changed is called when a gateway becomes Alive or Silent.
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -14,6 +14,7 @@
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/spectest"
+	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/pkg/subset"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
@@ -24,6 +25,8 @@
 	address  string
 	mu       sync.Mutex
 	received map[string]enginepool.Snapshot
+	// relayed are the changes of the store that relays passed on.
+	relayed []store.Event
 	// asked says for each call whether everything was asked for.
 	asked []bool
 }
@@ -57,6 +60,11 @@
 			defer w.mu.Unlock()
 			w.received[from] = snapshot
 		},
+		ReceiveStoreChanges: func(changes []store.Event) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.relayed = append(w.relayed, changes...)
+		},
 		Changed: func(string, string, int) {}, Failed: func(err error) { t.Log(err) },
 	})
 	return w
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -54,6 +54,9 @@
 	if len(s.StageChanges) > 0 {
 		x.options.ReceiveStageChanges(decodeStageChanges(s.StageChanges))
 	}
+	if len(s.StoreChanges) > 0 {
+		x.options.ReceiveStoreChanges(decodeStoreChanges(s.StoreChanges))
+	}
 	for service, snapshot := range decode(s) {
 		x.options.ReceiveSnapshot(s.Name, service, snapshot)
 	}
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,9 +17,16 @@
 	"github.com/hopwell/hopwell/platform"
 )
 
-// gather is how long changes are let come together, so that one call brings
-// several.
-const gather = 200 * time.Millisecond
+const (
+	// relayGather is how long a relay lets changes of the store come together, so that
+	// one call brings several; gather is how long other gateways do, which get them
+	// from a relay meanwhile. It keeps a change within the 2 s in which configurations
+	// must be in force, should the relay's datagram be lost.
+	relayGather = 200 * time.Millisecond
+	gather      = time.Second
+	// idleFor is how long no request must have come for changes to be in no hurry.
+	idleFor = 2 * time.Second
+)
 
 // feed keeps an ingress up to date with the store.
 type feed struct {
@@ -27,16 +35,25 @@
 	// copy is what the store held last.
 	copy copyOfStore
 
+	// applying lets changes from the store and from relays go one after the other.
+	applying sync.Mutex
+	// relayed are the revisions of the changes that came from relays and that the own
+	// watch has not reached, by key.
+	relayed map[string]uint64
+
 	mu      sync.Mutex
 	store   store.Store
 	address string
+	// relay reports whether this gateway is a relay, send passes changes on.
+	relay func() bool
+	send  func(changes []store.Event, now time.Time)
 	// orders is called when the right to give orders is seen to be taken or free.
 	orders  func(free bool)
 	restart chan struct{}
 }
 
 func newFeed(g *ingress.Ingress, l *decisionlog.Log, s store.Store, address string) *feed {
-	f := &feed{ingress: g, log: l, store: s, address: address, restart: make(chan struct{})}
+	f := &feed{ingress: g, log: l, store: s, address: address, restart: make(chan struct{}), relayed: map[string]uint64{}}
 	g.Directory.Changed = func(c runners.Change) {
 		l.Write(decisionlog.KindState, "runner_"+c.What, decisionlog.F("runner", c.Runner.ID), decisionlog.F("service", c.Runner.Service),
 			decisionlog.F("address", c.Runner.Address), decisionlog.F("domain", c.Runner.Domain), decisionlog.F("stage", string(c.Runner.Stage)))
@@ -82,11 +99,19 @@
 	}
 }
 
+// gather returns how long changes are let come together now.
+func (f *feed) gather() time.Duration {
+	if !f.relay() || f.ingress.Idle(time.Now(), idleFor) {
+		return gather
+	}
+	return relayGather
+}
+
 // follower follows the whole store: one watch costs half of two, and the few keys
 // besides the configuration and the runners change seldom.
 func (f *feed) follower(s store.Store) *store.Follower {
 	return &store.Follower{
-		Store: s, Gather: gather, Reset: f.reset, Apply: f.apply,
+		Store: s, Gather: f.gather, Reset: f.reset, Apply: f.apply,
 		Lost: func(err error) {
 			f.copy.answers(false)
 			f.log.Write(decisionlog.KindProcess, "store_lost", decisionlog.F("error", err))
@@ -100,6 +125,9 @@
 
 // reset takes a whole reading of the store: runners that are not in it have gone.
 func (f *feed) reset(items []store.Item, at uint64) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	clear(f.relayed)
 	f.copy.replace(items, at)
 	ids := map[string]bool{}
 	free := true
@@ -128,26 +156,83 @@
 	}
 }
 
-// apply takes single changes.
+// apply takes single changes from the store, and passes those on that are news.
 func (f *feed) apply(events []store.Event, at uint64) {
-	f.copy.apply(events, at)
-	for _, e := range events {
-		if e.Key == orderKey {
-			f.orders(e.Gone)
-			continue
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	news := f.news(events)
+	f.copy.apply(news, at)
+	for _, e := range news {
+		f.event(e, at)
+	}
+	for key, revision := range f.relayed {
+		if revision <= at {
+			delete(f.relayed, key)
 		}
-		if id, ok := strings.CutPrefix(e.Key, changePrefix); ok && e.Gone {
-			f.ingress.EndStageChange(id)
-			continue
+	}
+	f.send(slices.DeleteFunc(news, func(e store.Event) bool { return !passedOn(e.Key) }), time.Now())
+}
+
+// news returns the events that no relay has brought, nor a later one of the same key.
+// The caller holds the lock.
+func (f *feed) news(events []store.Event) []store.Event {
+	out := make([]store.Event, 0, len(events))
+	for _, e := range events {
+		if e.Revision > f.relayed[e.Key] {
+			out = append(out, e)
 		}
-		if id, ok := platform.RunnerID(e.Key); ok && e.Gone {
-			f.ingress.Directory.Gone(id, time.Now())
+	}
+	return out
+}
+
+// passedOn reports whether relays pass changes of a key on: runners and the
+// configuration.
+func passedOn(key string) bool {
+	_, runner := platform.RunnerID(key)
+	return runner || key == platform.ConfigKey
+}
+
+// receive takes changes of the store from a relay. The own watch brings them again
+// later, as far as they were lost.
+func (f *feed) receive(events []store.Event) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	at := f.copy.reached()
+	if at == 0 {
+		return
+	}
+	var applied int
+	for _, e := range f.news(events) {
+		if e.Revision <= at || !passedOn(e.Key) {
 			continue
 		}
-		if !e.Gone {
-			f.item(e.Item, at)
-			f.changeItem(e.Item)
-		}
+		f.copy.apply([]store.Event{e}, at)
+		f.event(e, at)
+		f.relayed[e.Key] = e.Revision
+		applied++
+	}
+	if applied > 0 {
+		f.log.Write(decisionlog.KindState, "store_changes_relayed", decisionlog.F("changes", applied), decisionlog.F("at", at))
+	}
+}
+
+// event takes one change.
+func (f *feed) event(e store.Event, at uint64) {
+	if e.Key == orderKey {
+		f.orders(e.Gone)
+		return
+	}
+	if id, ok := strings.CutPrefix(e.Key, changePrefix); ok && e.Gone {
+		f.ingress.EndStageChange(id)
+		return
+	}
+	if id, ok := platform.RunnerID(e.Key); ok && e.Gone {
+		f.ingress.Directory.Gone(id, time.Now())
+		return
+	}
+	if !e.Gone {
+		f.item(e.Item, at)
+		f.changeItem(e.Item)
 	}
 }
 
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// reached returns the revision that the own reading of the store reached, 0 for none.
+func (c *copyOfStore) reached() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at
+}
+
 // answers records whether the store answers.
 func (c *copyOfStore) answers(yes bool) {
 	c.mu.Lock()
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -31,8 +31,10 @@
 type Follower struct {
 	Store  Store
 	Prefix string
-	// Gather is how long changes are let come together between two watches.
-	Gather time.Duration
+	// Gather returns how long changes are let come together after some have come,
+	// before the next watch; nil for not at all. The first change after a calm time
+	// comes at once.
+	Gather func() time.Duration
 	// Reset takes a whole reading, Apply single changes. Both get what the
 	// store holds now or held later than what they got before.
 	Reset func(items []Item, at uint64)
@@ -57,13 +59,15 @@
 	p := position{limit: probeTime, pause: firstPause}
 	sure := false
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, &p, sure)
+		next, changed, err := f.step(ctx, &p, sure)
 		if ctx.Err() != nil {
 			return
 		}
 		if sure = err == nil; sure {
 			f.answered(&p, next)
-			rest(ctx, f.Gather)
+			if changed && f.Gather != nil {
+				rest(ctx, f.Gather())
+			}
 			continue
 		}
 		f.failed(ctx, &p, err)
@@ -96,10 +100,12 @@
 }
 
 // step reads the whole prefix, or waits for its next changes. When the store is
-// not sure to answer, it only asks for those that are there.
-func (f *Follower) step(ctx context.Context, p *position, sure bool) (uint64, error) {
+// not sure to answer, it only asks for those that are there. It returns how far it has
+// come, and whether there was something new.
+func (f *Follower) step(ctx context.Context, p *position, sure bool) (next uint64, changed bool, err error) {
 	if !p.known {
-		return f.read(ctx, p)
+		next, err = f.read(ctx, p)
+		return next, false, err
 	}
 	wait, limit := watchWait, watchWait+callMargin
 	if !sure {
@@ -109,12 +115,12 @@
 	defer cancel()
 	events, next, err := f.Store.Watch(ctx, f.Prefix, p.at, wait)
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	if len(events) > 0 {
 		f.Apply(events, next)
 	}
-	return max(p.at, next), nil
+	return max(p.at, next), len(events) > 0, nil
 }
 
 // read reads the whole prefix.
