ingress: a plain runner that turns requests away gets dearer

Change: refusals count in a rate of their own that fades in a second, and make a runner up to eleven times as dear. They are no failures: a full runner does not rest.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -114,7 +114,7 @@
 		if avoid[s.ID] {
 			continue
 		}
-		cost := (float64(s.Outstanding()) + 1) * (s.Latency().Seconds() + plainGuess) * (1 + failureCost*s.Failures(now))
+		cost := (float64(s.Outstanding()) + 1) * (s.Latency().Seconds() + plainGuess) * (1 + failureCost*s.Failures(now) + refusalCost*s.Refusals(now))
 		if s.Domain != g.options.Domain {
 			cost *= otherDomainCost
 		}
@@ -135,6 +135,9 @@
 	// others take such requests as long as they answer in some five times the time.
 	failureCost     = 4
 	onceFailureCost = 10
+	// refusalCost is how much dearer a runner is that turns all requests away: it would
+	// else attract them, having the least work.
+	refusalCost = 10
 )
 
 // sendPlain makes one try. A failure that the runner itself answered goes back
@@ -198,6 +201,8 @@
 func (x *exchange) declined(runner *runners.State, a *Answer) {
 	if a.Elsewhere {
 		runner.MarkUnusable(time.Now())
+	} else {
+		runner.Declined(time.Now())
 	}
 	x.g.metrics.declined(a.Status)
 	x.step("declined", decisionlog.F("runner", runner.ID), decisionlog.F("status", a.Status), decisionlog.F("elsewhere", a.Elsewhere))
--- a/pkg/runners/health.go
+++ b/pkg/runners/health.go
@@ -23,8 +23,16 @@
 	forgiveIn = 4 * time.Second
 )
 
+// refusalsIn is the time in which a refusal rate without new requests falls to a third:
+// about as long as a full queue takes to empty.
+const refusalsIn = time.Second
+
 // health is a runner's state by the outcomes of requests.
 type health struct {
+	// refusals is the rate of requests that the runner turned away unrun, as it was at
+	// the time refusedAt.
+	refusals  float64
+	refusedAt time.Time
 	// failures is the rate as it was at the time seen.
 	failures float64
 	seen     time.Time
@@ -42,6 +50,31 @@
 	return h.failures * math.Exp(-now.Sub(h.seen).Seconds()/forgiveIn.Seconds())
 }
 
+// refusalRate returns the refusal rate as it is now.
+func (h *health) refusalRate(now time.Time) float64 {
+	if h.refusedAt.IsZero() {
+		return 0
+	}
+	return h.refusals * math.Exp(-now.Sub(h.refusedAt).Seconds()/refusalsIn.Seconds())
+}
+
+// Declined records a request that the runner turned away: it is full, or says so.
+func (s *State) Declined(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := &s.health
+	h.refusals = h.refusalRate(now) + (1-h.refusalRate(now))*failureWeight
+	h.refusedAt = now
+}
+
+// Refusals returns the share of requests that the runner turned away, the newest
+// counting most; it falls with time.
+func (s *State) Refusals(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health.refusalRate(now)
+}
+
 // Failed records a request that the runner failed, or did not answer.
 func (s *State) Failed(now time.Time) {
 	s.mu.Lock()
@@ -79,6 +112,7 @@
 	s.own.count(now, false)
 	h.failures = h.rate(now) * (1 - failureWeight)
 	h.seen = now
+	h.refusals *= 1 - failureWeight
 	if h.failures < ejectAbove/2 && now.Sub(h.until) > steadyFor {
 		h.rest = 0
 	}
--- a/pkg/runners/health_test.go
+++ b/pkg/runners/health_test.go
@@ -41,3 +41,21 @@
 		g.Expect(left).To(Equal([]int{3, 2, 4, 4}[i]), "with %d unreachable", i+1)
 	}
 }
+
+// A runner that turns requests away gets dearer with each, and is forgiven in seconds.
+func TestRefusalsRaiseTheRateAndFade(t *testing.T) {
+	g := NewWithT(t)
+	d := directoryOf("a")
+	r, now := d.all["a"], time.Now()
+	g.Expect(r.Refusals(now)).To(BeZero())
+	last := 0.0
+	for range 5 {
+		r.Declined(now)
+		g.Expect(r.Refusals(now)).To(BeNumerically(">", last))
+		last = r.Refusals(now)
+	}
+	g.Expect(r.Failures(now)).To(BeZero(), "a refusal is no failure")
+	g.Expect(r.Refusals(now.Add(5 * refusalsIn))).To(BeNumerically("<", 0.01))
+	r.answered(time.Millisecond, now)
+	g.Expect(r.Refusals(now)).To(BeNumerically("<", last))
+}
