staging: the number of prefill engines follows what requests need

Cause: the share of engines that prefill was a constant, measured best on the users' sheets: prompts of 3,000 tokens, answers of some 800.

Change: each gateway learns which part of the engines' time prefill takes, from the answers that begin: the prompt by the learned pace, the stay in memory by the expected length and the learned rate. The holder of the right to order uses it where the number that follows differs from the usual one by more than one engine and a tenth of all. The time for which stages must have been wrong runs on during the pause between two orders. The share is in the log ("pool").

Ruled out: learning from answers that are over: short ones are first, 0.38 early on, 0.30 later, on the users' sheets; by those that begin 0.17 to 0.27.

--- /dev/null
+++ b/pkg/enginepool/demand_test.go
@@ -0,0 +1,52 @@
+package enginepool
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// serve lets an engine begin answers to n prompts of a length, which clients guess to
+// be so long.
+func serve(p *Pool, n, prompt, guess int, now time.Time) {
+	for i := range n {
+		id := "job" + string(rune('a'+i%26))
+		e := p.engine("d1")
+		e.own[id] = &reservation{job: Job{ID: id, Prompt: prompt, Length: p.Lengths.Estimate(guess, 0)}}
+		p.Made("d1", id, 1, now)
+		delete(e.own, id)
+	}
+}
+
+func TestTheShareOfPrefillFollowsTheRequests(t *testing.T) {
+	g := NewWithT(t)
+	share := func(prompt, guess int) float64 {
+		p, _ := pool(2, 1, 40000)
+		serve(p, 2*leastAnswers, prompt, guess, time.Now())
+		s, known := p.PrefillShare()
+		g.Expect(known).To(BeTrue())
+		return s
+	}
+	usual := share(3000, 600)
+	g.Expect(share(9000, 150)).To(BeNumerically(">", usual))
+	g.Expect(share(500, 1500)).To(BeNumerically("<", usual))
+	g.Expect(usual).To(And(BeNumerically(">", 0), BeNumerically("<", 1)))
+}
+
+func TestTheShareIsUnknownAtFirstAndFollowsAChange(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(2, 1, 40000)
+	now := time.Now()
+	_, known := p.PrefillShare()
+	g.Expect(known).To(BeFalse())
+	serve(p, leastAnswers-1, 3000, 600, now)
+	_, known = p.PrefillShare()
+	g.Expect(known).To(BeFalse())
+	serve(p, 100, 3000, 600, now)
+	before, _ := p.PrefillShare()
+	serve(p, 20, 9000, 150, now.Add(5*demandFor))
+	after, known := p.PrefillShare()
+	g.Expect(known).To(BeTrue())
+	g.Expect(after).To(BeNumerically(">", 1.5*before), "what is long past hardly counts")
+}
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -63,6 +63,8 @@
 	rate float64
 	// Lengths learns from the answers.
 	Lengths *Lengths
+	// demand learns what they cost.
+	demand demand
 }
 
 // New returns an empty pool of a service.
@@ -201,6 +203,7 @@
 	}
 	if b.begun.IsZero() {
 		b.begun = now
+		p.learnDemand(b.job, now)
 	}
 	b.made = tokens
 }
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -272,9 +272,10 @@
 func (g *Ingress) logPools(now time.Time) {
 	for service, p := range g.Pools() {
 		s := p.Status(now)
+		share, _ := p.PrefillShare()
 		g.options.Log.Write(decisionlog.KindState, "pool", decisionlog.F("service", service),
 			decisionlog.F("prefill", s.Prefill), decisionlog.F("decode", s.Decode), decisionlog.F("changing", s.Changing),
-			decisionlog.F("reserved", s.Reserved), decisionlog.F("waiting", s.Waiting), decisionlog.F("reading", s.Reading))
+			decisionlog.F("reserved", s.Reserved), decisionlog.F("waiting", s.Waiting), decisionlog.F("reading", s.Reading), decisionlog.F("prefill_share", share))
 	}
 }
 
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -104,7 +104,8 @@
 	if now.Sub(s.renewed) > s.wait/renewals {
 		s.renew(ctx, now)
 	}
-	if len(changes) == 0 || now.Sub(since) < s.wait || now.Sub(s.wrong) < s.patience(changes, now) {
+	paused := !s.last.IsZero() && now.Sub(s.last) < s.policy.Pause
+	if len(changes) == 0 || paused || now.Sub(since) < s.wait || now.Sub(s.wrong) < s.patience(changes, now) {
 		return
 	}
 	s.record(ctx, changes)
@@ -163,26 +164,36 @@
 	return run + s.restageTime()
 }
 
-// plan returns the changes of all services with engines. The first plan is made
-// exact; later ones leave small differences, and come seldom.
+// plan returns the changes of all services with engines: exact ones while the engines
+// are idle, otherwise those beyond small differences.
 func (s *stager) plan(now time.Time) []staging.Change {
 	table := s.ingress.Table()
 	if table == nil || !s.settled(table.Config.Services, now) {
 		return nil
 	}
-	if !s.last.IsZero() && now.Sub(s.last) < s.policy.Pause {
-		return nil
-	}
 	var out []staging.Change
 	for name, service := range table.Config.Services {
 		if service.Engine == nil {
 			continue
 		}
-		out = append(out, s.policy.Plan(s.ingress.Directory.Present(name, now), s.idle(name, now), now)...)
+		out = append(out, s.policy.Plan(s.ingress.Directory.Present(name, now), s.learned(name), s.idle(name, now), now)...)
 	}
 	return out
 }
 
+// learned returns the part of the engines' time that prefill takes, 0 for unknown.
+func (s *stager) learned(service string) float64 {
+	pool := s.ingress.Pools()[service]
+	if pool == nil {
+		return 0
+	}
+	share, known := pool.PrefillShare()
+	if !known {
+		return 0
+	}
+	return share
+}
+
 // idle reports whether a service's engines have nothing to do, as before the first
 // load: stages are set exactly then, and at once. A change under load costs an engine
 // for as long as it finishes its work and restarts.
--- a/pkg/staging/staging.go
+++ b/pkg/staging/staging.go
@@ -15,6 +15,9 @@
 	// and Margin how many more for its peaks, times the root of the number of
 	// engines: the more engines share the load, the smaller its peaks are.
 	Share, Margin float64
+	// Load is the part of the engines that should prefill for each part of their time
+	// that prefill takes, where that was learned and says something else than Share.
+	Load float64
 	// Least is the least number of prefill engines.
 	Least int
 	// Patience is how long the stages must be wrong before one is changed.
@@ -26,7 +29,7 @@
 
 // DefaultPolicy is the one that was measured best; docs/POLICY.md.
 func DefaultPolicy() Policy {
-	return Policy{Share: 0.19, Margin: 0.5, Least: 2, Patience: 4 * time.Second, Pause: 15 * time.Second}
+	return Policy{Share: 0.19, Margin: 0.5, Load: 0.8, Least: 2, Patience: 4 * time.Second, Pause: 15 * time.Second}
 }
 
 // Change is an engine's new part.
@@ -35,20 +38,40 @@
 	Stage  runners.Stage
 }
 
-// Wanted returns how many of a number of engines should prefill.
-func (p Policy) Wanted(engines int) int {
+// Wanted returns how many of a number of engines should prefill. The learned part of
+// the engines' time that prefill takes, 0 for unknown, counts where it says something
+// clearly different: engines that change their stage serve nobody meanwhile.
+func (p Policy) Wanted(engines int, learned float64) int {
 	if engines < 2*p.Least {
 		return min(p.Least, engines/2)
 	}
+	usual := p.count(engines, p.Share)
+	if learned == 0 {
+		return usual
+	}
+	count := p.count(engines, p.Load*learned)
+	if band := max(tolerated, engines/clearPart); count >= usual-band && count <= usual+band {
+		return usual
+	}
+	return count
+}
+
+// clearPart is the part of the engines by which a learned number must differ: the parts
+// that were learned on one load at different times differ by less.
+const clearPart = 10
+
+// count returns how many of a number of engines should prefill for a share.
+func (p Policy) count(engines int, share float64) int {
 	n := float64(engines)
-	return max(p.Least, int(math.Round(p.Share*n+p.Margin*math.Sqrt(n))))
+	wanted := int(math.Round(share*n + p.Margin*math.Sqrt(n)))
+	return min(max(p.Least, wanted), engines-1)
 }
 
 // Plan returns the changes that lead to the wanted stages. Engines on their way to
 // another stage count as having reached it, and get no other order. Engines are
 // taken from the domains that have most of the stage that is too many. A difference
-// of one engine is left unless exact is set.
-func (p Policy) Plan(engines []*runners.State, exact bool, now time.Time) []Change {
+// of one engine is left unless exact is set. For learned see Wanted.
+func (p Policy) Plan(engines []*runners.State, learned float64, exact bool, now time.Time) []Change {
 	counts := map[runners.Stage]int{}
 	free := map[runners.Stage][]*runners.State{}
 	for _, s := range engines {
@@ -60,7 +83,7 @@
 		free[s.Stage] = append(free[s.Stage], s)
 	}
 	prefill, decode := counts[runners.Prefill], counts[runners.Decode]
-	more := p.Wanted(prefill+decode) - prefill
+	more := p.Wanted(prefill+decode, learned) - prefill
 	if !exact {
 		more = p.beyond(more, prefill)
 	}
--- a/pkg/staging/staging_test.go
+++ b/pkg/staging/staging_test.go
@@ -32,7 +32,7 @@
 		p := DefaultPolicy()
 		prefill, decode := rapid.IntRange(1, 20).Draw(t, "prefill"), rapid.IntRange(1, 20).Draw(t, "decode")
 		all, now := engines(prefill, decode), time.Now()
-		changes := p.Plan(all, true, now)
+		changes := p.Plan(all, 0, true, now)
 		seen := map[string]bool{}
 		after := prefill
 		for _, c := range changes {
@@ -47,10 +47,10 @@
 			c.Runner.BeginStageChange(c.Stage, time.Minute, now)
 		}
 		total := prefill + decode
-		g.Expect(p.Plan(all, true, now)).To(BeEmpty(), "engines on their way count as having arrived")
+		g.Expect(p.Plan(all, 0, true, now)).To(BeEmpty(), "engines on their way count as having arrived")
 		g.Expect(after).To(And(BeNumerically(">=", 1), BeNumerically("<", total)))
 		if total >= 2*p.Least {
-			g.Expect(after).To(Equal(p.Wanted(total)))
+			g.Expect(after).To(Equal(p.Wanted(total, 0)))
 		}
 	})
 }
@@ -59,15 +59,15 @@
 	g := NewWithT(t)
 	p := DefaultPolicy()
 	now := time.Now()
-	g.Expect(p.Plan(engines(5, 7), false, now)).To(BeEmpty())
-	g.Expect(p.Plan(engines(5, 7), true, now)).To(HaveLen(1))
-	g.Expect(p.Plan(engines(1, 9), false, now)).NotTo(BeEmpty())
+	g.Expect(p.Plan(engines(5, 7), 0, false, now)).To(BeEmpty())
+	g.Expect(p.Plan(engines(5, 7), 0, true, now)).To(HaveLen(1))
+	g.Expect(p.Plan(engines(1, 9), 0, false, now)).NotTo(BeEmpty())
 }
 
 func TestEnginesAreTakenFromTheFullestDomains(t *testing.T) {
 	g := NewWithT(t)
 	domains := map[string]int{}
-	for _, c := range DefaultPolicy().Plan(engines(7, 5), true, time.Now()) {
+	for _, c := range DefaultPolicy().Plan(engines(7, 5), 0, true, time.Now()) {
 		domains[c.Runner.Domain]++
 	}
 	g.Expect(domains).To(HaveLen(3))
@@ -77,11 +77,11 @@
 func TestUnderLoadStagesChangeNoFurtherThanTolerated(t *testing.T) {
 	g := NewWithT(t)
 	p, now := DefaultPolicy(), time.Now()
-	g.Expect(p.Wanted(12)).To(Equal(4))
-	g.Expect(p.Plan(engines(2, 10), false, now)).To(HaveLen(1))
-	g.Expect(p.Plan(engines(7, 5), false, now)).To(HaveLen(2))
-	g.Expect(p.Wanted(4)).To(Equal(p.Least))
-	g.Expect(p.Plan(engines(1, 3), false, now)).To(HaveLen(1), "the least number is kept")
+	g.Expect(p.Wanted(12, 0)).To(Equal(4))
+	g.Expect(p.Plan(engines(2, 10), 0, false, now)).To(HaveLen(1))
+	g.Expect(p.Plan(engines(7, 5), 0, false, now)).To(HaveLen(2))
+	g.Expect(p.Wanted(4, 0)).To(Equal(p.Least))
+	g.Expect(p.Plan(engines(1, 3), 0, false, now)).To(HaveLen(1), "the least number is kept")
 }
 
 // An engine that was ordered to change gets no second order, and one whose order was
@@ -90,11 +90,11 @@
 	g := NewWithT(t)
 	p, now := DefaultPolicy(), time.Now()
 	all := engines(1, 5)
-	first := p.Plan(all, true, now)
+	first := p.Plan(all, 0, true, now)
 	g.Expect(first).To(HaveLen(1))
 	first[0].Runner.BeginStageChange(first[0].Stage, time.Second, now)
-	g.Expect(p.Plan(all, true, now)).To(BeEmpty())
-	g.Expect(p.Plan(all, true, now.Add(2*time.Second))).To(HaveLen(1))
+	g.Expect(p.Plan(all, 0, true, now)).To(BeEmpty())
+	g.Expect(p.Plan(all, 0, true, now.Add(2*time.Second))).To(HaveLen(1))
 }
 
 // The more engines share the load, the smaller a part of them prefills: 4 of 12
@@ -103,6 +103,24 @@
 	g := NewWithT(t)
 	p := DefaultPolicy()
 	for engines, wanted := range map[int]int{3: 1, 4: 2, 12: 4, 18: 6, 47: 12, 55: 14} {
-		g.Expect(p.Wanted(engines)).To(Equal(wanted), "of %d engines", engines)
+		g.Expect(p.Wanted(engines, 0)).To(Equal(wanted), "of %d engines", engines)
 	}
 }
+
+// Prompts that take most of the engines' time get more engines, long answers fewer;
+// what was learned from the usual load changes nothing, whatever the number of engines.
+func TestALearnedShareCountsWhereItIsClearlyDifferent(t *testing.T) {
+	g := NewWithT(t)
+	p := DefaultPolicy()
+	for _, engines := range []int{9, 12, 38, 180} {
+		for _, usual := range []float64{0.2, 0.235, 0.27} {
+			g.Expect(p.Wanted(engines, usual)).To(Equal(p.Wanted(engines, 0)), "%d engines, share %v", engines, usual)
+		}
+		g.Expect(p.Wanted(engines, 0.54)).To(BeNumerically(">", p.Wanted(engines, 0)))
+		g.Expect(p.Wanted(engines, 1)).To(BeNumerically("<", engines))
+		g.Expect(p.Wanted(engines, 0.001)).To(BeNumerically(">=", p.Least))
+	}
+	g.Expect(p.Wanted(9, 0.54)).To(Equal(5))
+	g.Expect(p.Plan(engines(3, 6), 0.54, false, time.Now())).To(HaveLen(1), "under load as far as it is not tolerated")
+	g.Expect(p.Plan(engines(3, 6), 0.54, true, time.Now())).To(HaveLen(2))
+}
