peers: outcomes and stage changes cost the same however many gateways there are

Outcomes of all runners that fail went to all gateways four times a second, and engines on their way to another stage to all of them, from all of them, every 60 ms.

Change: a report names the 32 runners that say most; of more than 24 gateways it goes to a few in turn, the fewer the more there are. A stage change is sent once to all by the gateway that orders it, before the order; a lost datagram is made up for by the store, where it is recorded. The getters that only repeated changes are gone; the specs of the exchange are replaced by ones over sockets.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -156,9 +156,6 @@
 // Outcomes returns what other gateways should know of failing runners.
 func (g *Ingress) Outcomes() []runners.Outcome { return g.Directory.Outcomes(time.Now()) }
 
-// StageChanges returns the engines on their way to another stage.
-func (g *Ingress) StageChanges() []runners.StageChange { return g.Directory.StageChanges(time.Now()) }
-
 // ReceiveStageChanges takes what another gateway reported of engines on their way
 // to another stage.
 func (g *Ingress) ReceiveStageChanges(changes []runners.StageChange) {
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -45,6 +45,11 @@
 	namedPeers = 4
 	// outcomesEvery is how many periods pass between reports of runners' outcomes.
 	outcomesEvery = 4
+	// maxOutcomes bounds the runners that one report names, some 20 bytes each. Of more
+	// than subset.Users gateways each report goes to fewer the more there are, to
+	// leastReceivers at least: each gets as many reports a second whatever their number.
+	maxOutcomes    = 32
+	leastReceivers = 4
 )
 
 // What happens to another gateway.
@@ -68,9 +73,8 @@
 	Domain          string
 	Outcomes        func() []runners.Outcome
 	ReceiveOutcomes func(gateway string, sameDomain bool, outcomes []runners.Outcome)
-	// StageChanges returns the engines on their way to another stage,
-	// ReceiveStageChanges takes those that another gateway reported.
-	StageChanges        func() []runners.StageChange
+	// ReceiveStageChanges takes the engines that another gateway ordered to another
+	// stage.
 	ReceiveStageChanges func(changes []runners.StageChange)
 	// ReceiveStoreChanges takes changes of the store that a relay passed on.
 	ReceiveStoreChanges func(changes []store.Event)
@@ -124,6 +128,8 @@
 	// reached is the revisions up to which changes were sent, by service.
 	reached map[string]uint64
 	periods uint64
+	// turn counts the gateways that outcomes were sent to, in turn.
+	turn int
 }
 
 // New returns an exchange that knows nobody.
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -27,6 +27,8 @@
 	received map[string]enginepool.Snapshot
 	// relayed are the changes of the store that relays passed on.
 	relayed []store.Event
+	// changes are the stage changes that were reported.
+	changes []runners.StageChange
 	// asked says for each call whether everything was asked for.
 	asked []bool
 }
@@ -48,7 +50,12 @@
 	w := &gateway{address: conn.LocalAddr().String(), received: map[string]enginepool.Snapshot{}}
 	w.Exchange = New(Options{
 		Name: name, Address: w.address, Conn: conn, Version: func() uint64 { return uint64(load) },
-		Outcomes: func() []runners.Outcome { return nil }, StageChanges: func() []runners.StageChange { return nil },
+		Outcomes: func() []runners.Outcome { return nil },
+		ReceiveStageChanges: func(changes []runners.StageChange) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.changes = append(w.changes, changes...)
+		},
 		Snapshots: func(since map[string]uint64) (map[string]enginepool.Snapshot, map[string]uint64) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -251,16 +258,53 @@
 	g.Expect(heard).To(Equal(reported))
 }
 
-// An order to an engine is reported at once, also by a gateway without load.
+// An order to an engine is reported at once, to each gateway, also by one without load.
 func TestStageChangesTravelBetweenGateways(t *testing.T) {
 	g := NewWithT(t)
+	a, b, c := start(t, "a", 1), start(t, "b", 1), start(t, "c", 1)
+	g.Expect(b.Add("a", a.address)).To(Succeed())
+	g.Expect(c.Add("a", a.address)).To(Succeed())
+	for _, w := range []*gateway{b, c} {
+		g.Eventually(func() bool { _, ok := a.from(w.options.Name); return ok }, "20s").Should(BeTrue())
+	}
 	changes := []runners.StageChange{{Runner: "e", To: runners.Prefill, Left: 1500 * time.Millisecond}}
-	var received []runners.StageChange
-	x := New(Options{
-		Name: "a", Failed: func(error) {}, ReceiveSnapshot: func(string, string, enginepool.Snapshot) {}, Changed: func(string, string, int) {},
-		ReceiveStageChanges: func(list []runners.StageChange) { received = list },
-	})
-	state := &wirepb.GatewayState{Name: "b", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1, StageChanges: encodeStageChanges(changes)}
-	x.receive(state, nil, time.Now())
-	g.Expect(received).To(Equal(changes))
+	a.SendStageChanges(changes, time.Now())
+	for _, w := range []*gateway{b, c} {
+		g.Eventually(func() []runners.StageChange { w.mu.Lock(); defer w.mu.Unlock(); return w.changes }, "20s").Should(Equal(changes))
+	}
+}
+
+// What a gateway sends of outcomes in a second is bounded whatever fails, and hardly
+// grows with the number of gateways; each gateway gets its turn.
+func TestOutcomesCostTheSameWithManyGateways(t *testing.T) {
+	g := NewWithT(t)
+	a := newGateway(t, "a", 1)
+	var all []runners.Outcome
+	for i := range 3000 {
+		all = append(all, runners.Outcome{Runner: fmt.Sprintf("i-%010d", i), Failed: float64(i % 7), Total: 8, Unusable: i == 1234, Stage: runners.Decode})
+	}
+	reported := worst(all)
+	g.Expect(reported).To(HaveLen(maxOutcomes))
+	g.Expect(reported[0].Unusable).To(BeTrue())
+	g.Expect(reported[1].Failed).To(Equal(6.0))
+	for _, gateways := range []int{10, 24, 100, 400} {
+		for i := len(a.members); i < gateways; i++ {
+			g.Expect(a.Add(fmt.Sprintf("g%03d", i), fmt.Sprintf("127.0.0.1:%d", 1000+i))).To(Succeed())
+		}
+		informed := map[string]bool{}
+		turns := 0
+		for len(informed) < gateways {
+			now := a.outcomeReceivers(true)
+			g.Expect(len(now)).To(BeNumerically("<=", subset.Users))
+			for name := range now {
+				informed[name] = true
+			}
+			turns++
+		}
+		if gateways <= subset.Users {
+			g.Expect(turns).To(Equal(1))
+		}
+	}
+	g.Expect(a.outcomeReceivers(true)).To(HaveLen(leastReceivers))
+	g.Expect(a.outcomeReceivers(false)).To(BeEmpty())
 }
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"net"
 	"slices"
 	"time"
@@ -8,6 +9,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/subset"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
@@ -56,18 +59,18 @@
 }
 
 // sendDue sends everything to gateways that lack something or had nothing like that for
-// long, and heartbeats to those that had nothing for a while. Outcomes and stage changes
-// go out with them.
+// long, and heartbeats to those that had nothing for a while. Outcomes go to some at a
+// time.
 func (x *Exchange) sendDue(now time.Time) {
-	outcomes, changes := x.outcomes(), encodeStageChanges(x.options.StageChanges())
+	outcomes := x.outcomes()
 	var all map[string]enginepool.Snapshot
 	x.mu.Lock()
 	heartbeat := x.heartbeat()
+	informed := x.outcomeReceivers(len(outcomes) > 0)
 	var out []datagram
 	for _, m := range x.members {
 		full := m.wantFull && now.Sub(m.lastFull) >= period || now.Sub(m.lastFull) >= max(fullEvery, heartbeat)
-		news := len(outcomes) > 0 || len(changes) > 0 || m.missing
-		if !full && !news && now.Sub(m.lastSent) < heartbeat {
+		if !full && !m.missing && !informed[m.name] && now.Sub(m.lastSent) < heartbeat {
 			continue
 		}
 		state := &wirepb.GatewayState{}
@@ -77,7 +80,10 @@
 			}
 			state = x.full(m, all, now)
 		}
-		state.Outcomes, state.StageChanges, state.WantFull = outcomes, changes, m.missing
+		state.WantFull = m.missing
+		if informed[m.name] {
+			state.Outcomes = outcomes
+		}
 		out = append(out, x.datagram(m, state, now))
 	}
 	x.mu.Unlock()
@@ -90,7 +96,60 @@
 	if x.periods%outcomesEvery != 0 {
 		return nil
 	}
-	return encodeOutcomes(x.options.Outcomes())
+	return encodeOutcomes(worst(x.options.Outcomes()))
+}
+
+// worst returns the outcomes that say most: of runners that refused, and of those that
+// failed most requests.
+func worst(outcomes []runners.Outcome) []runners.Outcome {
+	if len(outcomes) <= maxOutcomes {
+		return outcomes
+	}
+	slices.SortFunc(outcomes, func(a, b runners.Outcome) int {
+		if a.Unusable != b.Unusable {
+			if a.Unusable {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.Failed, a.Failed)
+	})
+	return outcomes[:maxOutcomes]
+}
+
+// outcomeReceivers returns the gateways that get outcomes now: all where they are few,
+// otherwise the next ones in turn. The caller holds the lock.
+func (x *Exchange) outcomeReceivers(any bool) map[string]bool {
+	out := map[string]bool{}
+	if !any {
+		return out
+	}
+	list := x.sorted()
+	n := len(list)
+	if n > subset.Users {
+		n = max(leastReceivers, subset.Users*subset.Users/n)
+	}
+	for range n {
+		out[list[x.turn%len(list)].name] = true
+		x.turn++
+	}
+	return out
+}
+
+// SendStageChanges tells all gateways of engines that are ordered to another stage, so
+// that none sends them work. A gateway whose datagram is lost learns of it from the
+// store.
+func (x *Exchange) SendStageChanges(changes []runners.StageChange, now time.Time) {
+	encoded := encodeStageChanges(changes)
+	var out []datagram
+	x.mu.Lock()
+	for _, m := range x.members {
+		if m.alive {
+			out = append(out, x.datagram(m, &wirepb.GatewayState{StageChanges: encoded}, now))
+		}
+	}
+	x.mu.Unlock()
+	x.write(out)
 }
 
 // full returns a message with everything that a gateway should know. The caller holds
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -181,8 +181,9 @@
 func (p *Ingress) stager(r *platform.Runners) *stager {
 	lease := p.settings.Load().Lease.D()
 	return &stager{
-		ingress: p.Ingress, runners: r, log: p.log, policy: staging.DefaultPolicy(), wait: lease, rank: p.peers.Rank,
-		lock: &store.Lock{Store: p.feed.current(), Key: orderKey, Holder: p.settings.Load().Instance.Name, TTL: lease},
+		ingress: p.Ingress, calls: r, log: p.log, policy: staging.DefaultPolicy(), wait: lease, rank: p.peers.Rank,
+		report: p.peers.SendStageChanges,
+		lock:   &store.Lock{Store: p.feed.current(), Key: orderKey, Holder: p.settings.Load().Instance.Name, TTL: lease},
 	}
 }
 
@@ -198,8 +199,8 @@
 		Name: instance.Name, Address: p.ports.Peers, Conn: conn,
 		Domain: instance.Domain, Outcomes: p.Ingress.Outcomes, ReceiveOutcomes: p.Ingress.ReceiveOutcomes,
 		ReceiveStoreChanges: p.feed.receive,
-		StageChanges:        p.Ingress.StageChanges, ReceiveStageChanges: p.Ingress.ReceiveStageChanges,
-		Snapshots: p.Ingress.Snapshots, ReceiveSnapshot: p.Ingress.ReceiveSnapshot, Version: p.Ingress.Version,
+		ReceiveStageChanges: p.Ingress.ReceiveStageChanges,
+		Snapshots:           p.Ingress.Snapshots, ReceiveSnapshot: p.Ingress.ReceiveSnapshot, Version: p.Ingress.Version,
 		Failed: func(err error) { p.log.Write(decisionlog.KindProcess, "datagram_failed", decisionlog.F("error", err)) },
 		Changed: func(name, what string, known int) {
 			if what == peers.Silent {
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -10,6 +10,7 @@
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/routetable"
+	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/staging"
 	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/platform"
@@ -49,7 +50,7 @@
 // run out, so that a holder that is paused can't order at the same time.
 type stager struct {
 	ingress *ingress.Ingress
-	runners *platform.Runners
+	calls   *platform.Runners
 	log     *decisionlog.Log
 	policy  staging.Policy
 	lock    *store.Lock
@@ -57,6 +58,8 @@
 	wait time.Duration
 	// rank returns this process's place among those that try, 0 first.
 	rank func() int
+	// report tells the other gateways of stage changes that are about to be ordered.
+	report func(changes []runners.StageChange, now time.Time)
 	// free is set while the store is known to hold nobody's right.
 	free atomic.Bool
 
@@ -109,6 +112,7 @@
 		return
 	}
 	s.record(ctx, changes)
+	s.report(s.announcement(changes), time.Now())
 	for _, c := range changes {
 		s.order(ctx, c, fence)
 	}
@@ -243,6 +247,15 @@
 	}
 }
 
+// announcement is what other gateways need to know of changes.
+func (s *stager) announcement(changes []staging.Change) []runners.StageChange {
+	out := make([]runners.StageChange, 0, len(changes))
+	for _, c := range changes {
+		out = append(out, runners.StageChange{Runner: c.Runner.ID, To: c.Stage, Left: s.changeLimit(c.Runner.Service)})
+	}
+	return out
+}
+
 // forget removes the records of the orders that were refused.
 func (s *stager) forget(ctx context.Context, changes []staging.Change) {
 	var refused []string
@@ -265,7 +278,7 @@
 // recorded: taken, refused, or unknown.
 func (s *stager) restage(ctx context.Context, c staging.Change, fence uint64, sequence int) error {
 	c.Runner.BeginStageChange(c.Stage, s.changeLimit(c.Runner.Service), time.Now())
-	err := s.runners.Restage(ctx, c.Runner, platform.StageOrder{Stage: c.Stage, Holder: s.lock.Holder, Fence: fence, Sequence: sequence})
+	err := s.calls.Restage(ctx, c.Runner, platform.StageOrder{Stage: c.Stage, Holder: s.lock.Holder, Fence: fence, Sequence: sequence})
 	var declined *ingress.ErrDeclined
 	switch {
 	case err == nil:
@@ -307,7 +320,7 @@
 func (s *stager) order(ctx context.Context, c staging.Change, fence uint64) {
 	call, cancel := context.WithTimeout(ctx, orderCall)
 	defer cancel()
-	sequence, err := s.runners.Sequence(call, c.Runner)
+	sequence, err := s.calls.Sequence(call, c.Runner)
 	if err == nil {
 		err = s.restage(call, c, fence, sequence)
 	}
--- a/pkg/runners/stagechange.go
+++ b/pkg/runners/stagechange.go
@@ -44,22 +44,6 @@
 	return s.change.to, s.change.active(now)
 }
 
-// StageChanges returns the engines on their way to another stage, those that other
-// gateways reported too: the one that gave the order may be gone.
-func (d *Directory) StageChanges(now time.Time) []StageChange {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	var out []StageChange
-	for id, s := range d.all {
-		s.mu.Lock()
-		if s.change.active(now) {
-			out = append(out, StageChange{Runner: id, To: s.change.to, Left: s.change.until.Sub(now)})
-		}
-		s.mu.Unlock()
-	}
-	return out
-}
-
 // ReceiveStageChanges records what another gateway reported. A change that is known
 // already keeps its limit, so that gateways can't prolong it for each other.
 func (d *Directory) ReceiveStageChanges(changes []StageChange, now time.Time) {
--- a/pkg/runners/stagechange_test.go
+++ b/pkg/runners/stagechange_test.go
@@ -13,6 +13,17 @@
 	return d
 }
 
+// changesOf is what a gateway would report of the engines on their way.
+func changesOf(d *Directory, now time.Time) []StageChange {
+	var out []StageChange
+	for id, s := range d.all {
+		if to, changing := s.Changing(now); changing {
+			out = append(out, StageChange{Runner: id, To: to, Left: s.change.until.Sub(now)})
+		}
+	}
+	return out
+}
+
 // An engine on its way to another stage refuses what has not begun: it gets no new
 // work here, nor at a gateway that was reported, until its entry shows the stage.
 func TestAnEngineOnItsWayGetsNoNewWork(t *testing.T) {
@@ -20,13 +31,13 @@
 	now := time.Now()
 	a, b := engineDirectory("e", Decode), engineDirectory("e", Decode)
 	a.all["e"].BeginStageChange(Prefill, 10*time.Second, now)
-	b.ReceiveStageChanges(a.StageChanges(now), now)
+	b.ReceiveStageChanges(changesOf(a, now), now)
 	for _, d := range []*Directory{a, b} {
 		g.Expect(d.Usable("s", Decode, now)).To(BeEmpty())
 		g.Expect(d.Present("s", now)).To(HaveLen(1))
 		d.Put(Runner{ID: "e", Service: "s", Stage: Prefill})
 		g.Expect(d.Usable("s", Prefill, now)).To(HaveLen(1))
-		g.Expect(d.StageChanges(now)).To(BeEmpty())
+		g.Expect(changesOf(d, now)).To(BeEmpty())
 	}
 }
 
@@ -38,8 +49,8 @@
 	a, b := engineDirectory("e", Decode), engineDirectory("e", Decode)
 	a.all["e"].BeginStageChange(Prefill, time.Second, now)
 	for range 40 {
-		b.ReceiveStageChanges(a.StageChanges(now), now.Add(20*time.Millisecond))
-		a.ReceiveStageChanges(b.StageChanges(now), now.Add(20*time.Millisecond))
+		b.ReceiveStageChanges(changesOf(a, now), now.Add(20*time.Millisecond))
+		a.ReceiveStageChanges(changesOf(b, now), now.Add(20*time.Millisecond))
 		now = now.Add(50 * time.Millisecond)
 	}
 	g.Expect(a.Usable("s", Decode, now)).To(HaveLen(1))
