Names: report, receive, record and refuse in place of hear, tell, book and deny

In the packages of the gateways and sidecars (gateway, sidecar, admission, claim, fleet, gossip) and in tests.

--- a/pkg/admission/ledger.go
+++ b/pkg/admission/ledger.go
@@ -71,9 +71,9 @@
 	return out
 }
 
-// Book records a stream without asking whether it fits; it waits for its room
+// Add records a stream without asking whether it fits; it waits for its room
 // when it starts.
-func (l *Ledger) Book(s Stream) { l.streams[s.ID] = &s }
+func (l *Ledger) Add(s Stream) { l.streams[s.ID] = &s }
 
 // fits reports whether a stream that begins at a time finds room until its end.
 // The room is tightest at its begin or at the begin of a stream reserved for
@@ -161,7 +161,7 @@
 	return best
 }
 
-// Start reports whether a reserved stream has room now and, if so, books it as
+// Start reports whether a reserved stream has room now and, if so, records it as
 // running. Streams that were due earlier go first.
 func (l *Ledger) Start(id string) bool {
 	s, ok := l.streams[id]
@@ -189,14 +189,14 @@
 	}
 }
 
-// Drop frees a stream's booking and reports whether there was one.
+// Drop frees a stream's reservation and reports whether there was one.
 func (l *Ledger) Drop(id string) bool {
 	_, ok := l.streams[id]
 	delete(l.streams, id)
 	return ok
 }
 
-// Usage returns what is booked: running and reserved streams and their bytes.
+// Usage returns what is recorded: running and reserved streams and their bytes.
 func (l *Ledger) Usage() (running, reserved int, bytes int64) {
 	for _, s := range l.streams {
 		bytes += s.Bytes
--- a/pkg/admission/ledger_test.go
+++ b/pkg/admission/ledger_test.go
@@ -92,7 +92,7 @@
 					t.Fatalf("%d streams with %d bytes run", batch, bytes)
 				}
 				if running, reserved, _ := l.Usage(); running+reserved != len(known) {
-					t.Fatalf("%d+%d booked, %d known", running, reserved, len(known))
+					t.Fatalf("%d+%d recorded, %d known", running, reserved, len(known))
 				}
 			},
 		})
--- a/pkg/claim/shard.go
+++ b/pkg/claim/shard.go
@@ -134,8 +134,8 @@
 		}
 	}
 	next := proto.Clone(s.head).(*wirepb.ClaimHead)
-	results, changed, denied := s.applyAll(next, group)
-	if denied && !fresh {
+	results, changed, refused := s.applyAll(next, group)
+	if refused && !fresh {
 		s.head = nil
 		return s.try(group)
 	}
@@ -150,18 +150,18 @@
 	return results, s.swap(next)
 }
 
-// applyAll carries out a group on a head. Denied says that a key was not given,
+// applyAll carries out a group on a head. Refused says that a key was not given,
 // or was not there to be given back.
-func (s *shard) applyAll(head *wirepb.ClaimHead, group []op) (results []result, changed, denied bool) {
+func (s *shard) applyAll(head *wirepb.ClaimHead, group []op) (results []result, changed, refused bool) {
 	results = make([]result, len(group))
 	for i, o := range group {
 		holder, wrote := s.apply(head, o)
 		results[i].holder = holder
 		changed = changed || wrote
 		idle := o.release && !wrote
-		denied = denied || idle || holder != "" && holder != o.request
+		refused = refused || idle || holder != "" && holder != o.request
 	}
-	return results, changed, denied
+	return results, changed, refused
 }
 
 // apply carries out one operation on a head. An entry whose request is the
--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -31,7 +31,7 @@
 	return p, d
 }
 
-// exact is a belief without doubt.
+// exact is an estimate without spread.
 func exact(tokens int) Estimate { return Estimate{median: float64(tokens), spread: leastSpread} }
 
 func job(id string, prompt, out int) Job { return Job{ID: id, Prompt: prompt, Length: exact(out)} }
@@ -52,7 +52,7 @@
 	g.Expect(second.ID).NotTo(Equal(first.ID))
 }
 
-func TestWaitCountsWhatOtherGatewaysBooked(t *testing.T) {
+func TestWaitCountsWhatOtherGatewaysReserved(t *testing.T) {
 	g := NewWithT(t)
 	p, _ := pool(2, 0, 10000)
 	p.ReceiveSnapshot("other", oneLoad("d0", 9900, 50), time.Now())
--- a/pkg/fleet/membership.go
+++ b/pkg/fleet/membership.go
@@ -12,8 +12,8 @@
 	// MissingGrace is how long an instance that the list does not show any
 	// more, though it still answers, may keep getting work.
 	MissingGrace = 3 * time.Second
-	// HeardGrace is how long an answer counts as a sign of life.
-	HeardGrace = 10 * time.Second
+	// AnswerGrace is how long an answer counts as a sign of life.
+	AnswerGrace = 10 * time.Second
 )
 
 // Membership merges what the instance list shows with what instances
@@ -28,11 +28,12 @@
 // member is an instance with what is known besides its entry.
 type member struct {
 	platform.Instance
-	listed  time.Time
-	heard   time.Time
-	epoch   uint64
-	missing bool
-	told    bool
+	listed time.Time
+	// answered is when it answered last, leaves what it said then of leaving.
+	answered time.Time
+	epoch    uint64
+	missing  bool
+	leaves   bool
 }
 
 // NewMembership returns an empty membership.
@@ -75,14 +76,14 @@
 	}
 	x.Instance, x.listed, x.missing = in, now, false
 	if replaced {
-		x.epoch, x.told = 0, false
+		x.epoch, x.leaves = 0, false
 	}
 }
 
 // miss records that the list did not show a member. An implausible list counts
 // only against instances that do not answer either.
 func (m *Membership) miss(name string, x *member, plausible bool, now time.Time) {
-	if now.Sub(x.heard) < HeardGrace && !plausible {
+	if now.Sub(x.answered) < AnswerGrace && !plausible {
 		return
 	}
 	if now.Sub(x.listed) < MissingGrace {
@@ -92,7 +93,7 @@
 		x.missing = true
 		m.change++
 	}
-	if now.Sub(x.heard) >= HeardGrace && plausible {
+	if now.Sub(x.answered) >= AnswerGrace && plausible {
 		delete(m.members, name)
 		m.change++
 	}
@@ -111,7 +112,7 @@
 }
 
 // Seen records an answer from an instance. An older epoch than the newest one
-// heard is a process that was replaced; Heard then returns false and the answer
+// seen is a process that was replaced; Seen then returns false and the answer
 // must not be used. A newer epoch is a new process, for which an earlier notice
 // of leaving does not hold.
 func (m *Membership) Seen(name string, epoch uint64, leaving bool, now time.Time) bool {
@@ -125,12 +126,12 @@
 		return false
 	}
 	if epoch > x.epoch && x.epoch != 0 {
-		x.told = false
+		x.leaves = false
 		m.change++
 	}
-	x.epoch, x.heard = epoch, now
-	if leaving != x.told {
-		x.told = leaving
+	x.epoch, x.answered = epoch, now
+	if leaving != x.leaves {
+		x.leaves = leaving
 		m.change++
 	}
 	return true
@@ -163,7 +164,7 @@
 	out := make([]platform.Instance, 0, len(m.members))
 	for _, x := range m.members {
 		in := x.Instance
-		in.Leaving = in.Leaving || x.missing || x.told
+		in.Leaving = in.Leaving || x.missing || x.leaves
 		out = append(out, in)
 	}
 	return out
--- a/pkg/gateway/branch.go
+++ b/pkg/gateway/branch.go
@@ -46,10 +46,10 @@
 	err     error
 	quit    chan struct{}
 
-	mu    sync.Mutex
-	heard time.Time
-	over  bool
-	once  sync.Once
+	mu         sync.Mutex
+	lastReport time.Time
+	over       bool
+	once       sync.Once
 }
 
 // open asks a sidecar for admission and waits for its answer. It fails with
@@ -83,7 +83,7 @@
 	b := &branch{
 		g: g, member: m, runner: g.tracker.Get(m.Name, m.Domain, m.Region),
 		request: o.RequestId, attempt: int(o.Attempt), role: fleet.Role(o.Role),
-		cancelCtx: cancel, heard: time.Now(),
+		cancelCtx: cancel, lastReport: time.Now(),
 		reports: make(chan *wirepb.Report, reportBuffer),
 		broken:  make(chan struct{}), quit: make(chan struct{}),
 	}
@@ -164,7 +164,7 @@
 			b.err = err
 			return
 		}
-		b.hear(r)
+		b.note(r)
 		if r.Body == nil {
 			continue
 		}
@@ -175,18 +175,18 @@
 	}
 }
 
-// hear takes over what every report carries.
-func (b *branch) hear(r *wirepb.Report) {
+// note takes over what every report carries.
+func (b *branch) note(r *wirepb.Report) {
 	now := time.Now()
 	b.g.Log.Clock.Meet(r.Clock)
 	b.mu.Lock()
-	b.heard = now
+	b.lastReport = now
 	if r.Load != nil {
 		b.epoch = r.Load.Epoch
 	}
 	b.mu.Unlock()
 	if r.Load != nil {
-		b.g.heardLoad(b.runner, b.member, r.Load)
+		b.g.receiveLoad(b.runner, b.member, r.Load)
 	}
 }
 
@@ -205,7 +205,7 @@
 			return
 		}
 		b.mu.Lock()
-		silent := time.Since(b.heard) > 2*every+openTime/2
+		silent := time.Since(b.lastReport) > 2*every+openTime/2
 		b.mu.Unlock()
 		if silent {
 			b.cancelCtx()
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -156,14 +156,14 @@
 	return nil
 }
 
-// Probing of runners that this gateway has not heard from.
+// Probing of runners whose load this gateway has not received lately.
 const (
 	probeEvery = 500 * time.Millisecond
 	probeAge   = 1500 * time.Millisecond
 	probeBatch = 4
 )
 
-// probe asks the runners that were heard from longest ago for their load, a few
+// probe asks the runners whose load is oldest for their load, a few
 // at a time, so that the cost does not grow with the fleet.
 func (g *Gateway) probe(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -209,5 +209,5 @@
 		r.Failed(time.Now(), g.Jitter())
 		return
 	}
-	g.heardLoad(r, m, l)
+	g.receiveLoad(r, m, l)
 }
--- a/pkg/gateway/convert.go
+++ b/pkg/gateway/convert.go
@@ -20,9 +20,9 @@
 	}
 }
 
-// heardLoad takes over a sidecar's word on itself. One of an earlier epoch than
+// receiveLoad takes over a sidecar's word on itself. One of an earlier epoch than
 // known is ignored, and a newer configuration than ours is fetched.
-func (g *Gateway) heardLoad(r *route.Runner, m *fleet.Member, l *wirepb.Load) {
+func (g *Gateway) receiveLoad(r *route.Runner, m *fleet.Member, l *wirepb.Load) {
 	now := time.Now()
 	if !g.Members.Seen(m.Name, l.Epoch, l.Leaving, now) {
 		return
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -75,7 +75,7 @@
 	return res
 }
 
-// begin checks a request and books it.
+// begin checks a request and records it.
 func (g *Gateway) begin(req *Request, sink Sink) (*run, error) {
 	tokens := max(1, prefix.Tokens(req.Prompt))
 	if tokens > g.opt.MaxPrompt {
--- a/pkg/gossip/agent.go
+++ b/pkg/gossip/agent.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// take offers a document and books the comparison.
+// take offers a document and records the comparison.
 func (a *Agent) take(data []byte) {
 	if _, err := a.keeper.Offer(data); err != nil {
 		a.log.Warn("document refused", err)
--- a/pkg/gossip/keeper_test.go
+++ b/pkg/gossip/keeper_test.go
@@ -45,7 +45,7 @@
 	return d, doc, nil
 }
 
-// TestRevisionsOnlyGrowAndMeet: agents that hear of documents in any order, and
+// TestRevisionsOnlyGrowAndMeet: agents that receive documents in any order, and
 // are cut off from each other, never go back, and agree once they can talk.
 func TestRevisionsOnlyGrowAndMeet(t *testing.T) {
 	spectest.Check(t, func(t *rapid.T) {
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -244,18 +244,18 @@
 
 	var from string
 	var near bool
-	var heard []runners.Outcome
+	var received []runners.Outcome
 	x := New(Options{
 		Name: "a", Domain: "east", Failed: func(error) {}, ReceiveSnapshot: func(string, string, enginepool.Snapshot) {}, Changed: func(string, string, int) {},
 		ReceiveOutcomes: func(gateway string, sameDomain bool, list []runners.Outcome) {
-			from, near, heard = gateway, sameDomain, list
+			from, near, received = gateway, sameDomain, list
 		},
 	})
 	state.Name, state.Address, state.Incarnation, state.Sequence, state.Domain = "b", "127.0.0.1:1", 1, 1, "east"
 	x.receive(state, nil, time.Now())
 	g.Expect(from).To(Equal("b"))
 	g.Expect(near).To(BeTrue())
-	g.Expect(heard).To(Equal(reported))
+	g.Expect(received).To(Equal(reported))
 }
 
 // An order to an engine is reported at once, to each gateway, also by one without load.
--- a/pkg/runners/outcomes_test.go
+++ b/pkg/runners/outcomes_test.go
@@ -32,7 +32,7 @@
 	b.ReceiveOutcomes("a", true, reported, now)
 	g.Expect(b.all["bad"].Failures(now)).To(BeNumerically(">", 0.6))
 	g.Expect(b.all["good"].Failures(now)).To(BeZero())
-	g.Expect(b.all["bad"].Failures(now.Add(reportTTL+time.Second))).To(BeZero(), "what was heard is believed for a while")
+	g.Expect(b.all["bad"].Failures(now.Add(reportTTL+time.Second))).To(BeZero(), "a report is used for a while")
 }
 
 // A gateway that was unlucky once is corrected by many that were not.
@@ -46,7 +46,7 @@
 	g.Expect(a.all["r"].Failures(now)).To(BeNumerically("<", alone/3))
 }
 
-// Once one gateway suspects a runner, those that it serves well tell so.
+// Once one gateway suspects a runner, those that it serves well report so.
 func TestSuccessesAreToldOfARunnerThatOthersSuspect(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
@@ -71,7 +71,7 @@
 	g.Expect(far.all["r"].Failures(now)).To(BeNumerically("<", 0.35))
 }
 
-// Whatever happens and is heard, the rate is a share, and hearing of failures
+// Whatever happens and is reported, the rate is a share, and reports of failures
 // only never lowers it.
 func TestTheFailureRateIsAShare(t *testing.T) {
 	spectest.Check(t, func(t *rapid.T) {
@@ -102,7 +102,7 @@
 
 // A runner that refused in one stage is used again in another; before, the
 // refusal stayed for the life of the process.
-func TestADenialEndsWithTheStage(t *testing.T) {
+func TestARefusalEndsWithTheStage(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
 	d := NewDirectory()
@@ -115,8 +115,8 @@
 	g.Expect(d.Usable("s", Prefill, now)).To(HaveLen(1))
 }
 
-// A denial is believed by other gateways, unless they know of another stage.
-func TestADenialIsHeard(t *testing.T) {
+// A refusal is taken over by other gateways, unless they know of another stage.
+func TestARefusalIsReported(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
 	a, same, newer := NewDirectory(), NewDirectory(), NewDirectory()
@@ -134,7 +134,7 @@
 	g.Expect(changes).To(Equal([]string{"unusable"}), "a line once")
 	g.Expect(same.Usable("s", Decode, now)).To(BeEmpty())
 	g.Expect(newer.Usable("s", Prefill, now)).To(HaveLen(1))
-	g.Expect(same.Outcomes(now)).To(BeEmpty(), "what was heard is not reported on")
+	g.Expect(same.Outcomes(now)).To(BeEmpty(), "what was received is not passed on")
 	g.Expect(a.Outcomes(now.Add(reportTTL + time.Second))).To(BeEmpty())
 }
 
--- a/pkg/sidecar/decode.go
+++ b/pkg/sidecar/decode.go
@@ -57,7 +57,7 @@
 		PerToken: time.Duration(a.open.PerTokenUs) * time.Microsecond,
 	}
 	if s.opt.Admission == AdmitFIFO {
-		s.ledger.Book(st)
+		s.ledger.Add(st)
 		return 0, nil
 	}
 	need := time.Duration(a.open.NeedUs) * time.Microsecond
--- a/pkg/sidecar/load.go
+++ b/pkg/sidecar/load.go
@@ -35,8 +35,8 @@
 	// loadEvery is the least time between two loads that ride on renewals of one
 	// gateway, however many streams it has here.
 	loadEvery = 500 * time.Millisecond
-	// maxTold bounds the gateways that are remembered.
-	maxTold = 4096
+	// maxReported bounds the gateways that are remembered.
+	maxReported = 4096
 )
 
 // renewalLoad returns the load for an answer to a renewal, nil when the gateway
@@ -44,14 +44,14 @@
 func (s *Sidecar) renewalLoad(gateway string) *wirepb.Load {
 	now := time.Now()
 	s.mu.Lock()
-	if now.Sub(s.told[gateway]) < loadEvery {
+	if now.Sub(s.reported[gateway]) < loadEvery {
 		s.mu.Unlock()
 		return nil
 	}
-	if len(s.told) >= maxTold {
-		clear(s.told)
+	if len(s.reported) >= maxReported {
+		clear(s.reported)
 	}
-	s.told[gateway] = now
+	s.reported[gateway] = now
 	s.mu.Unlock()
 	return s.load()
 }
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -70,9 +70,9 @@
 	attempts  map[string]*attempt
 	transfers int
 	calls     int
-	// told is when each gateway last got a load with a renewal.
-	told   map[string]time.Time
-	cached *route.Prefixes
+	// reported is when each gateway last got a load with a renewal.
+	reported map[string]time.Time
+	cached   *route.Prefixes
 
 	fences fences
 }
@@ -96,7 +96,7 @@
 		step:     admission.NewStep(o.StepBase, o.StepSlope),
 		waiting:  map[string]chan bool{},
 		attempts: map[string]*attempt{},
-		told:     map[string]time.Time{},
+		reported: map[string]time.Time{},
 		cached:   route.NewPrefixes(cachedBlocks),
 		fences:   newFences(),
 	}
--- a/pkg/wire/reasons.go
+++ b/pkg/wire/reasons.go
@@ -12,7 +12,7 @@
 	ReasonLate = "late"
 	// ReasonFull says that no stream fits.
 	ReasonFull = "full"
-	// ReasonStarting says that the sidecar has not yet heard from its engine.
+	// ReasonStarting says that the sidecar has not yet had an answer from its engine.
 	ReasonStarting = "starting"
 	// ReasonBad says that the order makes no sense.
 	ReasonBad = "bad"
