ingress: where prefill runners lose answers, the decode runner reads the prompt

Cause: a prefill whose answer is lost costs a second and the prompt, and each request paid for it anew, as long as the best prefill runner failed less than the 0.6 from which it rests.

Change: above a failure rate of 0.1 of the best prefill runner the decode runner reads the prompt itself: one answer may be lost then, not two. The rate fades in seconds, so that prefill is tried again. The log's step is "prefill_local" now, with both reasons.

--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -42,6 +42,10 @@
 	// overflowAfter is the expected time of a prefill above which the decode
 	// runner reads the prompt itself.
 	overflowAfter = 900 * time.Millisecond
+	// localAbove is the failure rate of the best prefill runner above which the decode
+	// runner reads the prompt itself: one answer then may be lost instead of two, and a
+	// lost prefill costs a second. Measured, docs/QUITO.md.
+	localAbove = 0.1
 	// freeCall bounds the giving back of what is not needed.
 	freeCall = time.Second
 	// defaultOut is expected of answers whose length nobody guesses, in tokens.
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -18,9 +18,9 @@
 			s.step("no_prefill_runner", decisionlog.F("error", err))
 			return Source{}, nil, nil
 		}
-		if expected > overflowAfter {
+		if failures := reader.Failures(time.Now()); expected > overflowAfter || failures > localAbove {
 			s.pool.EndPrefill(reader.ID, s.job.ID, false, time.Now())
-			s.step("prefill_overflow", decisionlog.F("expected", expected))
+			s.step("prefill_local", decisionlog.F("expected", expected), decisionlog.F("failures", failures))
 			return Source{}, nil, nil
 		}
 		if (tries > 0 || len(s.unread) > 0) && !s.readAgain() {
