runners, subset: a runner that comes, or a gateway that does, costs no pass over all

Each entry made the lists of all services anew; each gateway that came or went had all engines' users sorted for each engine.

Change: lists are made anew when somebody asks after a change. Whether a gateway uses an engine is found by counting those before it.

--- a/pkg/runners/directory.go
+++ b/pkg/runners/directory.go
@@ -21,6 +21,8 @@
 	// stage; in no order. Lists are replaced, not changed.
 	services map[string][]*State
 	stages   map[stageKey][]*State
+	// stale is set when the lists no longer hold.
+	stale bool
 	// generation counts the changes of the lists.
 	generation atomic.Uint64
 	// Changed is called, without locks, after a change; nil for none.
@@ -63,7 +65,7 @@
 		}
 	}
 	d.all[r.ID] = s
-	d.index()
+	d.change()
 	d.mu.Unlock()
 	d.notify(Change{r, what})
 }
@@ -139,8 +141,32 @@
 		}
 	}
 	if changed {
+		d.change()
+	}
+}
+
+// change notes that the lists of the services no longer hold. They are made anew when
+// somebody asks: many runners that come one after the other cost one list. The caller
+// holds the lock.
+func (d *Directory) change() {
+	d.stale = true
+	d.generation.Add(1)
+}
+
+// lists returns the lists of services and of stages.
+func (d *Directory) lists() (map[string][]*State, map[stageKey][]*State) {
+	d.mu.RLock()
+	services, stages, stale := d.services, d.stages, d.stale
+	d.mu.RUnlock()
+	if !stale {
+		return services, stages
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stale {
 		d.index()
 	}
+	return d.services, d.stages
 }
 
 // index makes the lists of the services anew. The caller holds the lock.
@@ -151,8 +177,7 @@
 		key := stageKey{s.Service, s.Stage}
 		stages[key] = append(stages[key], s)
 	}
-	d.services, d.stages = services, stages
-	d.generation.Add(1)
+	d.services, d.stages, d.stale = services, stages, false
 }
 
 func (d *Directory) notify(c Change) {
@@ -163,9 +188,8 @@
 
 // Usable returns the runners of a service and stage that may get new work.
 func (d *Directory) Usable(service string, stage Stage, now time.Time) []*State {
-	d.mu.RLock()
-	list := d.stages[stageKey{service, stage}]
-	d.mu.RUnlock()
+	_, stages := d.lists()
+	list := stages[stageKey{service, stage}]
 	out := make([]*State, 0, len(list))
 	for _, s := range list {
 		if s.Usable(now) {
@@ -178,9 +202,8 @@
 // Stage returns all runners of a service and stage, those that take no work too. The
 // list must not be changed.
 func (d *Directory) Stage(service string, stage Stage) []*State {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.stages[stageKey{service, stage}]
+	_, stages := d.lists()
+	return stages[stageKey{service, stage}]
 }
 
 // Generation returns a number that rises when a runner comes, changes or goes.
@@ -196,9 +219,8 @@
 // Present returns the runners of a service that are there and stay, those on their
 // way to another stage too.
 func (d *Directory) Present(service string, now time.Time) []*State {
-	d.mu.RLock()
-	list := d.services[service]
-	d.mu.RUnlock()
+	services, _ := d.lists()
+	list := services[service]
 	out := make([]*State, 0, len(list))
 	for _, s := range list {
 		s.mu.Lock()
@@ -212,9 +234,8 @@
 
 // All returns all runners of a service, those that take no work too.
 func (d *Directory) All(service string) []*State {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.services[service]
+	services, _ := d.lists()
+	return services[service]
 }
 
 // Len returns the number of known runners.
--- a/pkg/subset/subset.go
+++ b/pkg/subset/subset.go
@@ -19,9 +19,9 @@
 
 // Subset is the view of one gateway. It is safe for concurrent use.
 type Subset struct {
-	self string
-	// gateways are the names of all, with the own one.
+	// gateways are the names of all, the own one first, and hashes those of the names.
 	gateways []string
+	hashes   []uint64
 
 	mu    sync.Mutex
 	users map[string][]string
@@ -29,15 +29,32 @@
 
 // New returns the view of a gateway that knows others.
 func New(self string, others []string) *Subset {
-	return &Subset{self: self, gateways: append([]string{self}, others...), users: map[string][]string{}}
+	s := &Subset{gateways: append([]string{self}, others...), users: map[string][]string{}}
+	s.hashes = make([]uint64, len(s.gateways))
+	for i, name := range s.gateways {
+		s.hashes[i] = xxhash.Sum64String(name)
+	}
+	return s
 }
 
 // Gateways returns how many gateways there are.
 func (s *Subset) Gateways() int { return len(s.gateways) }
 
-// Uses reports whether this gateway uses an engine.
+// Uses reports whether this gateway uses an engine. It is asked for all engines whenever
+// a gateway comes or goes, and counts those before this one without ordering them.
 func (s *Subset) Uses(engine string) bool {
-	return len(s.gateways) <= Users || slices.Contains(s.Of(engine), s.self)
+	if len(s.gateways) <= Users {
+		return true
+	}
+	hash := xxhash.Sum64String(engine)
+	own := ranked{s.gateways[0], mix(hash ^ s.hashes[0])}
+	before := 0
+	for i := 1; i < len(s.gateways) && before < Users; i++ {
+		if compare(ranked{s.gateways[i], mix(hash ^ s.hashes[i])}, own) < 0 {
+			before++
+		}
+	}
+	return before < Users
 }
 
 // Of returns the gateways that use an engine.
@@ -55,18 +72,34 @@
 	return list
 }
 
+// ranked is a gateway's place in the order of an engine's users.
+type ranked struct {
+	name string
+	hash uint64
+}
+
+func compare(a, b ranked) int {
+	return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name))
+}
+
+// mix spreads the bits of two hashes that were joined: the finalizer of MurmurHash3.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
 // rank picks an engine's users by rendezvous hashing: when a gateway comes or goes,
 // only the engines that it uses change their users, by one each.
 func (s *Subset) rank(engine string) []string {
-	type ranked struct {
-		name string
-		hash uint64
-	}
+	hash := xxhash.Sum64String(engine)
 	all := make([]ranked, len(s.gateways))
 	for i, name := range s.gateways {
-		all[i] = ranked{name, xxhash.Sum64String(engine + "/" + name)}
+		all[i] = ranked{name, mix(hash ^ s.hashes[i])}
 	}
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name)) })
+	slices.SortFunc(all, compare)
 	out := make([]string, Users)
 	for i := range out {
 		out[i] = all[i].name
--- a/pkg/subset/subset_test.go
+++ b/pkg/subset/subset_test.go
@@ -42,6 +42,7 @@
 		for i := range all {
 			s := view(all, i)
 			g.Expect(s.Of(engine)).To(Equal(view(all, 0).Of(engine)))
+			g.Expect(s.Uses(engine)).To(Equal(slices.Contains(s.Of(engine), all[i])))
 			if s.Uses(engine) {
 				users++
 			}
