--- a/pkg/decisionlog/decisionlog.go
+++ b/pkg/decisionlog/decisionlog.go
@@ -20,7 +20,7 @@
 	KindFailed = "failed"
 	// KindProcess is for start, stop, reload and dependencies.
 	KindProcess = "process"
-	// KindState is for changes of what the process believes.
+	// KindState is for changes of what the process knows: configuration, runners, gateways.
 	KindState = "state"
 	// KindDone is for requests that were answered.
 	KindDone = "done"
--- a/pkg/decisionlog/story.go
+++ b/pkg/decisionlog/story.go
@@ -11,13 +11,13 @@
 // believed that bears on it.
 type Explanation struct {
 	ID string
-	// Lines are the request's own, Context those of beliefs and dependencies.
+	// Lines are the request's own, Context those of the state and of dependencies.
 	Lines, Context []Line
 	// Outcome and Cause say how it ended and why, in words.
 	Outcome, Cause string
 }
 
-// contextBefore is how long before a request's end beliefs bear on it.
+// contextBefore is how long before a request's end changes of state bear on it.
 const contextBefore = 10 * time.Second
 
 // ErrNoRequest reports that a log tells nothing of a request.
