--- /dev/null
+++ b/pkg/process/order.go
@@ -0,0 +1,95 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/ingress"
+	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/staging"
+	"github.com/hopwell/hopwell/pkg/store"
+	"github.com/hopwell/hopwell/platform"
+)
+
+// record writes the changes to the store before their orders go out, for gateways that
+// start before they are done, even if this process ends between two orders. The lease of
+// the keys is as long as a change may take.
+func (s *stager) record(ctx context.Context, changes []staging.Change) {
+	ctx, cancel := context.WithTimeout(ctx, orderCall)
+	defer cancel()
+	limit := time.Duration(0)
+	for _, c := range changes {
+		limit = max(limit, s.changeLimit(c.Runner.Service))
+	}
+	lease, _, err := s.lock.Store.Grant(ctx, limit)
+	if err == nil {
+		var puts []store.Put
+		for _, c := range changes {
+			puts = append(puts, store.Put{Key: changePrefix + c.Runner.ID, Value: []byte(c.Stage), Lease: lease})
+		}
+		_, err = s.lock.Store.Commit(ctx, store.Change{Put: puts})
+	}
+	if err != nil {
+		s.log.Write(decisionlog.KindProcess, "restage_not_recorded", decisionlog.F("orders", len(changes)), decisionlog.F("error", err))
+	}
+}
+
+// announcement is what other gateways need to know of changes.
+func (s *stager) announcement(changes []staging.Change) []runners.StageChange {
+	out := make([]runners.StageChange, 0, len(changes))
+	for _, c := range changes {
+		out = append(out, runners.StageChange{Runner: c.Runner.ID, To: c.Stage, Left: s.changeLimit(c.Runner.Service)})
+	}
+	return out
+}
+
+// forget removes the records of the orders that were refused.
+func (s *stager) forget(ctx context.Context, changes []staging.Change) {
+	var refused []string
+	for _, c := range changes {
+		if _, pending := c.Runner.Changing(time.Now()); !pending {
+			refused = append(refused, changePrefix+c.Runner.ID)
+		}
+	}
+	if len(refused) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderCall)
+	defer cancel()
+	if _, err := s.lock.Store.Commit(ctx, store.Change{Remove: refused}); err != nil {
+		s.log.Write(decisionlog.KindProcess, "restage_not_removed", decisionlog.F("orders", len(refused)), decisionlog.F("error", err))
+	}
+}
+
+// restage sends one order. What its answer means for the engine's change of stage is
+// recorded: taken, refused, or unknown.
+func (s *stager) restage(ctx context.Context, c staging.Change, fence uint64, sequence int) error {
+	c.Runner.BeginStageChange(c.Stage, s.changeLimit(c.Runner.Service), time.Now())
+	err := s.calls.Restage(ctx, c.Runner, platform.StageOrder{Stage: c.Stage, Holder: s.lock.Holder, Fence: fence, Sequence: sequence})
+	var declined *ingress.ErrDeclined
+	switch {
+	case err == nil:
+	case errors.As(err, &declined) && declined.Status != http.StatusConflict:
+		c.Runner.EndStageChange()
+	default:
+		// No answer, or another order is under way.
+		c.Runner.BeginStageChange(c.Stage, unansweredOrder, time.Now())
+	}
+	return err
+}
+
+// order gives one engine its stage. The engine gets no new work from before the
+// order is sent; other gateways learn of it once the engine has not refused it.
+func (s *stager) order(ctx context.Context, c staging.Change, fence uint64) {
+	call, cancel := context.WithTimeout(ctx, orderCall)
+	defer cancel()
+	sequence, err := s.calls.Sequence(call, c.Runner)
+	if err == nil {
+		err = s.restage(call, c, fence, sequence)
+	}
+	s.log.Write(decisionlog.KindState, "restage", decisionlog.F("runner", c.Runner.ID), decisionlog.F("domain", c.Runner.Domain),
+		decisionlog.F("stage", string(c.Stage)), decisionlog.F("fence", fence), decisionlog.F("sequence", sequence), decisionlog.F("error", err))
+}
