--- a/pkg/enginepool/status.go
+++ b/pkg/enginepool/status.go
@@ -43,6 +43,18 @@
 	return s
 }
 
+// Load returns the tokens of the longest answer that an engine still has to make, or of
+// the prompts that wait there: how long it takes until it is empty.
+func (p *Pool) Load(runner string, now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most := float64(p.backlog(runner))
+	for _, s := range p.engine(runner).parts(now, p.rate) {
+		most = max(most, s.left)
+	}
+	return most
+}
+
 // used returns the share of the memory that is reserved now.
 func (e *engine) used(now time.Time, rate float64) float64 {
 	sum := 0.0
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -179,22 +179,19 @@
 		if service.Engine == nil {
 			continue
 		}
-		out = append(out, s.policy.Plan(s.ingress.Directory.Present(name, now), s.learned(name), s.idle(name, now), now)...)
+		out = append(out, s.policy.Plan(s.situation(name, now), now)...)
 	}
 	return out
 }
 
-// learned returns the part of the engines' time that prefill takes, 0 for unknown.
-func (s *stager) learned(service string) float64 {
-	pool := s.ingress.Pools()[service]
-	if pool == nil {
-		return 0
+// situation is what the stages of a service's engines are planned for.
+func (s *stager) situation(service string, now time.Time) staging.Situation {
+	out := staging.Situation{Engines: s.ingress.Directory.Present(service, now), Exact: s.idle(service, now)}
+	if pool := s.ingress.Pools()[service]; pool != nil {
+		out.Learned, _ = pool.PrefillShare()
+		out.Load = func(r *runners.State) float64 { return pool.Load(r.ID, now) }
 	}
-	share, known := pool.PrefillShare()
-	if !known {
-		return 0
-	}
-	return share
+	return out
 }
 
 // idle reports whether a service's engines have nothing to do, as before the first
--- a/pkg/staging/staging.go
+++ b/pkg/staging/staging.go
@@ -3,7 +3,9 @@
 package staging
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/runners"
@@ -67,14 +69,35 @@
 	return min(max(p.Least, wanted), engines-1)
 }
 
+// Situation is what a plan is made for.
+type Situation struct {
+	// Engines are those of a service that are there and stay.
+	Engines []*runners.State
+	// Learned is the part of their time that prefill takes, 0 for unknown; see Wanted.
+	Learned float64
+	// Exact asks for the wanted stages; otherwise a small difference is left.
+	Exact bool
+	// Load returns how much an engine has to finish before it changes: the one with the
+	// least serves again first. Nil for the same everywhere.
+	Load func(*runners.State) float64
+}
+
+// load returns an engine's load.
+func (s Situation) load(r *runners.State) float64 {
+	if s.Load == nil {
+		return 0
+	}
+	return s.Load(r)
+}
+
 // Plan returns the changes that lead to the wanted stages. Engines on their way to
 // another stage count as having reached it, and get no other order. Engines are
-// taken from the domains that have most of the stage that is too many. A difference
-// of one engine is left unless exact is set. For learned see Wanted.
-func (p Policy) Plan(engines []*runners.State, learned float64, exact bool, now time.Time) []Change {
+// taken from the domains that have most of the stage that is too many, there those
+// with the least load.
+func (p Policy) Plan(x Situation, now time.Time) []Change {
 	counts := map[runners.Stage]int{}
 	free := map[runners.Stage][]*runners.State{}
-	for _, s := range engines {
+	for _, s := range x.Engines {
 		if to, changing := s.Changing(now); changing {
 			counts[to]++
 			continue
@@ -83,14 +106,14 @@
 		free[s.Stage] = append(free[s.Stage], s)
 	}
 	prefill, decode := counts[runners.Prefill], counts[runners.Decode]
-	more := p.Wanted(prefill+decode, learned) - prefill
-	if !exact {
+	more := p.Wanted(prefill+decode, x.Learned) - prefill
+	if !x.Exact {
 		more = p.beyond(more, prefill)
 	}
 	if more > 0 {
-		return take(free[runners.Decode], min(more, decode-1), runners.Prefill)
+		return x.take(free[runners.Decode], min(more, decode-1), runners.Prefill)
 	}
-	return take(free[runners.Prefill], min(-more, prefill-1), runners.Decode)
+	return x.take(free[runners.Prefill], min(-more, prefill-1), runners.Decode)
 }
 
 // tolerated is by how many engines the stages may differ from the wanted ones.
@@ -110,22 +133,19 @@
 }
 
 // take picks engines for a new part, one at a time from the domain with the most.
-func take(from []*runners.State, n int, stage runners.Stage) []Change {
-	left := append([]*runners.State{}, from...)
+func (s Situation) take(from []*runners.State, n int, stage runners.Stage) []Change {
+	left := slices.Clone(from)
 	var out []Change
 	for range min(max(0, n), len(left)) {
 		domains := map[string]int{}
-		for _, s := range left {
-			domains[s.Domain]++
-		}
-		best := 0
-		for i, s := range left {
-			if z, b := domains[s.Domain], domains[left[best].Domain]; z > b || z == b && s.ID < left[best].ID {
-				best = i
-			}
+		for _, r := range left {
+			domains[r.Domain]++
 		}
-		out = append(out, Change{Runner: left[best], Stage: stage})
-		left = append(left[:best], left[best+1:]...)
+		chosen := slices.MinFunc(left, func(a, b *runners.State) int {
+			return cmp.Or(cmp.Compare(domains[b.Domain], domains[a.Domain]), cmp.Compare(s.load(a), s.load(b)), cmp.Compare(a.ID, b.ID))
+		})
+		out = append(out, Change{Runner: chosen, Stage: stage})
+		left = slices.DeleteFunc(left, func(r *runners.State) bool { return r == chosen })
 	}
 	return out
 }
--- a/pkg/staging/staging_test.go
+++ b/pkg/staging/staging_test.go
@@ -32,7 +32,7 @@
 		p := DefaultPolicy()
 		prefill, decode := rapid.IntRange(1, 20).Draw(t, "prefill"), rapid.IntRange(1, 20).Draw(t, "decode")
 		all, now := engines(prefill, decode), time.Now()
-		changes := p.Plan(all, 0, true, now)
+		changes := p.Plan(Situation{Engines: all, Exact: true}, now)
 		seen := map[string]bool{}
 		after := prefill
 		for _, c := range changes {
@@ -47,7 +47,7 @@
 			c.Runner.BeginStageChange(c.Stage, time.Minute, now)
 		}
 		total := prefill + decode
-		g.Expect(p.Plan(all, 0, true, now)).To(BeEmpty(), "engines on their way count as having arrived")
+		g.Expect(p.Plan(Situation{Engines: all, Exact: true}, now)).To(BeEmpty(), "engines on their way count as having arrived")
 		g.Expect(after).To(And(BeNumerically(">=", 1), BeNumerically("<", total)))
 		if total >= 2*p.Least {
 			g.Expect(after).To(Equal(p.Wanted(total, 0)))
@@ -59,15 +59,15 @@
 	g := NewWithT(t)
 	p := DefaultPolicy()
 	now := time.Now()
-	g.Expect(p.Plan(engines(5, 7), 0, false, now)).To(BeEmpty())
-	g.Expect(p.Plan(engines(5, 7), 0, true, now)).To(HaveLen(1))
-	g.Expect(p.Plan(engines(1, 9), 0, false, now)).NotTo(BeEmpty())
+	g.Expect(p.Plan(Situation{Engines: engines(5, 7), Exact: false}, now)).To(BeEmpty())
+	g.Expect(p.Plan(Situation{Engines: engines(5, 7), Exact: true}, now)).To(HaveLen(1))
+	g.Expect(p.Plan(Situation{Engines: engines(1, 9), Exact: false}, now)).NotTo(BeEmpty())
 }
 
 func TestEnginesAreTakenFromTheFullestDomains(t *testing.T) {
 	g := NewWithT(t)
 	domains := map[string]int{}
-	for _, c := range DefaultPolicy().Plan(engines(7, 5), 0, true, time.Now()) {
+	for _, c := range DefaultPolicy().Plan(Situation{Engines: engines(7, 5), Exact: true}, time.Now()) {
 		domains[c.Runner.Domain]++
 	}
 	g.Expect(domains).To(HaveLen(3))
@@ -78,10 +78,10 @@
 	g := NewWithT(t)
 	p, now := DefaultPolicy(), time.Now()
 	g.Expect(p.Wanted(12, 0)).To(Equal(4))
-	g.Expect(p.Plan(engines(2, 10), 0, false, now)).To(HaveLen(1))
-	g.Expect(p.Plan(engines(7, 5), 0, false, now)).To(HaveLen(2))
+	g.Expect(p.Plan(Situation{Engines: engines(2, 10), Exact: false}, now)).To(HaveLen(1))
+	g.Expect(p.Plan(Situation{Engines: engines(7, 5), Exact: false}, now)).To(HaveLen(2))
 	g.Expect(p.Wanted(4, 0)).To(Equal(p.Least))
-	g.Expect(p.Plan(engines(1, 3), 0, false, now)).To(HaveLen(1), "the least number is kept")
+	g.Expect(p.Plan(Situation{Engines: engines(1, 3), Exact: false}, now)).To(HaveLen(1), "the least number is kept")
 }
 
 // An engine that was ordered to change gets no second order, and one whose order was
@@ -90,11 +90,11 @@
 	g := NewWithT(t)
 	p, now := DefaultPolicy(), time.Now()
 	all := engines(1, 5)
-	first := p.Plan(all, 0, true, now)
+	first := p.Plan(Situation{Engines: all, Exact: true}, now)
 	g.Expect(first).To(HaveLen(1))
 	first[0].Runner.BeginStageChange(first[0].Stage, time.Second, now)
-	g.Expect(p.Plan(all, 0, true, now)).To(BeEmpty())
-	g.Expect(p.Plan(all, 0, true, now.Add(2*time.Second))).To(HaveLen(1))
+	g.Expect(p.Plan(Situation{Engines: all, Exact: true}, now)).To(BeEmpty())
+	g.Expect(p.Plan(Situation{Engines: all, Exact: true}, now.Add(2*time.Second))).To(HaveLen(1))
 }
 
 // The more engines share the load, the smaller a part of them prefills: 4 of 12
@@ -121,6 +121,25 @@
 		g.Expect(p.Wanted(engines, 0.001)).To(BeNumerically(">=", p.Least))
 	}
 	g.Expect(p.Wanted(9, 0.54)).To(Equal(5))
-	g.Expect(p.Plan(engines(3, 6), 0.54, false, time.Now())).To(HaveLen(1), "under load as far as it is not tolerated")
-	g.Expect(p.Plan(engines(3, 6), 0.54, true, time.Now())).To(HaveLen(2))
+	g.Expect(p.Plan(Situation{Engines: engines(3, 6), Learned: 0.54, Exact: false}, time.Now())).To(HaveLen(1), "under load as far as it is not tolerated")
+	g.Expect(p.Plan(Situation{Engines: engines(3, 6), Learned: 0.54, Exact: true}, time.Now())).To(HaveLen(2))
+}
+
+// Of the engines of the fullest domain the one with the least to finish changes.
+func TestTheEngineThatIsEmptiedSoonestChanges(t *testing.T) {
+	g := NewWithT(t)
+	all := engines(0, 9)
+	loads := map[string]float64{}
+	for i, s := range all {
+		loads[s.ID] = float64((i*4 + 3) % 9)
+	}
+	changes := DefaultPolicy().Plan(Situation{Engines: all, Exact: true, Load: func(s *runners.State) float64 { return loads[s.ID] }}, time.Now())
+	g.Expect(changes).To(HaveLen(3))
+	for _, c := range changes {
+		for _, s := range all {
+			if s.Domain == c.Runner.Domain && s != c.Runner {
+				g.Expect(loads[s.ID]).To(BeNumerically(">", loads[c.Runner.ID]))
+			}
+		}
+	}
 }
