peers: a relay sends within an allowance, in place of nothing while idle

Change: back to passing on at any time, within 128 KB a second and 1 MB at once: it binds where thousands of runners register at once, not on the users' sites.

--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -128,6 +128,8 @@
 	// reached is the revisions up to which changes were sent, by service.
 	reached map[string]uint64
 	periods uint64
+	// relayed is what this gateway may send as a relay.
+	relayed allowance
 	// turn counts the gateways that outcomes were sent to, in turn.
 	turn int
 }
--- a/pkg/peers/relay.go
+++ b/pkg/peers/relay.go
@@ -19,8 +19,37 @@
 	// maxRelayed bounds the values of one datagram with changes of the store, in
 	// bytes. A change that is larger is left to the store itself.
 	maxRelayed = 8 << 10
+	// relayRate bounds what a relay sends, in bytes a second, and relayBurst what it may
+	// send at once: some 100 runners that change together, to 40 gateways. When a whole
+	// system starts, thousands of runners register, and nobody waits for them: the own
+	// watches bring what is left out.
+	relayRate  = 128 << 10
+	relayBurst = 1 << 20
+	// datagramHead is what a datagram takes besides its values, in bytes.
+	datagramHead = 80
 )
 
+// allowance is the bytes that a relay may send.
+type allowance struct {
+	left float64
+	at   time.Time
+}
+
+// take takes bytes, false if there are not so many.
+func (a *allowance) take(bytes int, now time.Time) bool {
+	if a.at.IsZero() {
+		a.left = relayBurst
+	} else {
+		a.left = min(relayBurst, a.left+max(0, now.Sub(a.at).Seconds())*relayRate)
+	}
+	a.at = now
+	if float64(bytes) > a.left {
+		return false
+	}
+	a.left -= float64(bytes)
+	return true
+}
+
 // Relay reports whether this gateway is one of those that look at the store often: the
 // first of the living ones in an order that spreads them over the failure domains.
 func (x *Exchange) Relay() bool {
@@ -44,8 +73,9 @@
 	return names
 }
 
-// SendStoreChanges passes changes of the store on. Each gateway that is no relay gets
-// them from one that is; one that gets none looks at the store itself a little later.
+// SendStoreChanges passes changes of the store on, within the allowance. Each gateway
+// that is no relay gets them from one that is; one that gets none looks at the store
+// itself a little later.
 func (x *Exchange) SendStoreChanges(changes []store.Event, now time.Time) {
 	var out []datagram
 	parts := splitStoreChanges(changes)
@@ -55,13 +85,24 @@
 	for i := relays + self; self < relays && i < len(order); i += relays {
 		m := x.members[order[i]]
 		for _, part := range parts {
-			out = append(out, x.datagram(m, &wirepb.GatewayState{StoreChanges: part}, now))
+			if x.relayed.take(changeBytes(part), now) {
+				out = append(out, x.datagram(m, &wirepb.GatewayState{StoreChanges: part}, now))
+			}
 		}
 	}
 	x.mu.Unlock()
 	x.write(out)
 }
 
+// changeBytes returns about how many bytes a datagram with changes takes.
+func changeBytes(changes []*wirepb.StoreChange) int {
+	n := datagramHead
+	for _, c := range changes {
+		n += len(c.Key) + len(c.Value)
+	}
+	return n
+}
+
 // splitStoreChanges encodes changes in parts that fit a datagram, without those that
 // are too large.
 func splitStoreChanges(changes []store.Event) [][]*wirepb.StoreChange {
--- a/pkg/peers/relay_test.go
+++ b/pkg/peers/relay_test.go
@@ -80,3 +80,20 @@
 	want[3].Value = nil
 	g.Expect(back).To(Equal(want))
 }
+
+// Whatever changes, a relay sends no more than its allowance.
+func TestARelaySendsNoMoreThanItsAllowance(t *testing.T) {
+	g := NewWithT(t)
+	var a allowance
+	now := time.Now()
+	g.Expect(a.take(relayBurst, now)).To(BeTrue())
+	g.Expect(a.take(1, now)).To(BeFalse())
+	sent := 0
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		for a.take(5000, now) {
+			sent += 5000
+		}
+	}
+	g.Expect(sent).To(And(BeNumerically("<=", 10*relayRate), BeNumerically(">", 9*relayRate)))
+}
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -44,8 +44,6 @@
 	mu      sync.Mutex
 	store   store.Store
 	address string
-	// idle reports whether no request has come lately: then changes are in no hurry.
-	idle func() bool
 	// relay reports whether this gateway is a relay, send passes changes on.
 	relay func() bool
 	send  func(changes []store.Event, now time.Time)
@@ -56,7 +54,6 @@
 
 func newFeed(g *ingress.Ingress, l *decisionlog.Log, s store.Store, address string) *feed {
 	f := &feed{ingress: g, log: l, store: s, address: address, restart: make(chan struct{}), relayed: map[string]uint64{}}
-	f.idle = func() bool { return g.Idle(time.Now(), idleFor) }
 	g.Directory.Changed = func(c runners.Change) {
 		l.Write(decisionlog.KindState, "runner_"+c.What, decisionlog.F("runner", c.Runner.ID), decisionlog.F("service", c.Runner.Service),
 			decisionlog.F("address", c.Runner.Address), decisionlog.F("domain", c.Runner.Domain), decisionlog.F("stage", string(c.Runner.Stage)))
@@ -104,7 +101,7 @@
 
 // gather returns how long changes are let come together now.
 func (f *feed) gather() time.Duration {
-	if !f.relay() || f.idle() {
+	if !f.relay() || f.ingress.Idle(time.Now(), idleFor) {
 		return gather
 	}
 	return relayGather
@@ -173,9 +170,7 @@
 			delete(f.relayed, key)
 		}
 	}
-	if !f.idle() {
-		f.send(slices.DeleteFunc(news, func(e store.Event) bool { return !passedOn(e.Key) }), time.Now())
-	}
+	f.send(slices.DeleteFunc(news, func(e store.Event) bool { return !passedOn(e.Key) }), time.Now())
 }
 
 // event takes one change.
