--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -119,9 +119,9 @@
 
 // outcomeReceivers returns the gateways that get outcomes now: all where they are few,
 // otherwise the next ones in turn. The caller holds the lock.
-func (x *Exchange) outcomeReceivers(any bool) map[string]bool {
+func (x *Exchange) outcomeReceivers(news bool) map[string]bool {
 	out := map[string]bool{}
-	if !any {
+	if !news {
 		return out
 	}
 	list := x.sorted()
