--- a/pkg/ingressdemo/load.go
+++ b/pkg/ingressdemo/load.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/hopwell/hopwell/platform/standin"
 )
 
 const (
@@ -30,8 +32,6 @@
 	maxTries = 3
 	// failedPause is how long a client waits after a try that got no answer.
 	failedPause = 200 * time.Millisecond
-	// host is that of the stand-in's routes.
-	host = "host.example"
 )
 
 // load begins requests at random moments until the context ends.
@@ -69,8 +69,8 @@
 	tries, gateway int
 	// first is the time to the first byte of an answer; 0 before it.
 	first time.Duration
-	// refused and resumed are set when that has happened on the way.
-	refused, resumed bool
+	// refused is set when a try was turned away.
+	refused bool
 }
 
 func newUser(d *Demo, serial int, random *rand.Rand) *user {
@@ -168,17 +168,11 @@
 	if err != nil {
 		return nil, err
 	}
-	r.Host = host
-	r.Header.Set("X-Request-Id", fmt.Sprintf("%s.%d", u.name, u.tries))
-	r.Header.Set("X-Deadline-Ms", strconv.FormatInt((patience-time.Since(u.began)).Milliseconds(), 10))
-	if u.prompt > 0 {
-		r.Header.Set("X-Token-Count", fmt.Sprintf("%d,%d", u.prompt, mostOut))
-		r.Header.Set("X-Prompt-Prefix", fmt.Sprintf("%s:%d", u.name, u.prompt))
-	}
-	if u.after != "" {
-		r.Header.Set("Last-Event-Id", u.after)
-		u.resumed = true
+	call := standin.Call{
+		ID: fmt.Sprintf("%s.%d", u.name, u.tries), Left: patience - time.Since(u.began),
+		PromptID: u.name, Prompt: u.prompt, MaxOut: mostOut, After: u.after,
 	}
+	call.Write(r)
 	return r, nil
 }
 
--- a/pkg/process/relay_test.go
+++ b/pkg/process/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/store"
+	"github.com/hopwell/hopwell/platform/standin"
 )
 
 // fixture is a feed that has read the store at a revision, and what it passed on.
@@ -31,11 +32,11 @@
 
 // entry is an engine's entry in the store.
 func entry(id, stage string, revision uint64) store.Item {
-	value, err := json.Marshal(map[string]any{"service": "llm", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "stage": stage, "seq": 1})
+	value, err := json.Marshal(standin.NewRunner(id, "llm", "a", stage).Entry("ready"))
 	if err != nil {
 		panic(err)
 	}
-	return store.Item{Key: "servers/" + id, Value: value, Revision: revision}
+	return store.Item{Key: standin.RunnerKey(id), Value: value, Revision: revision}
 }
 
 func (f *fixture) stage(id string) runners.Stage {
@@ -60,7 +61,7 @@
 	f.receive([]store.Event{{Item: entry("e1", "decode", 12)}, {Item: entry("e2", "decode", 13)}})
 	g.Expect(f.stage("e1")).To(Equal(runners.Decode))
 	g.Expect(f.present("e2")).To(BeTrue())
-	f.receive([]store.Event{{Item: store.Item{Key: "servers/e2", Revision: 14}, Gone: true}})
+	f.receive([]store.Event{{Item: store.Item{Key: standin.RunnerKey("e2"), Revision: 14}, Gone: true}})
 	g.Expect(f.present("e2")).To(BeFalse())
 	g.Expect(f.sent).To(BeEmpty(), "what came from a relay is not passed on")
 }
@@ -84,7 +85,7 @@
 func TestARunnerThatIsGoneIsNotBroughtBackByALateRelay(t *testing.T) {
 	g := NewWithT(t)
 	f := newFixture(10, entry("e1", "decode", 5))
-	f.apply([]store.Event{{Item: store.Item{Key: "servers/e1", Revision: 12}, Gone: true}}, 12)
+	f.apply([]store.Event{{Item: store.Item{Key: standin.RunnerKey("e1"), Revision: 12}, Gone: true}}, 12)
 	f.receive([]store.Event{{Item: entry("e1", "decode", 11)}})
 	g.Expect(f.present("e1")).To(BeFalse())
 }
@@ -99,7 +100,7 @@
 		{Item: store.Item{Key: orderKey, Value: []byte("g"), Revision: 14}},
 	}, 14)
 	g.Expect(f.sent).To(HaveLen(1))
-	g.Expect(f.sent[0].Key).To(Equal("servers/e2"))
+	g.Expect(f.sent[0].Key).To(Equal(standin.RunnerKey("e2")))
 }
 
 func TestRelaysAreIgnoredBeforeTheStoreWasRead(t *testing.T) {
