--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/runners"
-	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/pkg/subset"
 )
 
@@ -76,8 +76,8 @@
 	// ReceiveStageChanges takes the engines that another gateway ordered to another
 	// stage.
 	ReceiveStageChanges func(changes []runners.StageChange)
-	// ReceiveStoreChanges takes changes of the store that a relay passed on.
-	ReceiveStoreChanges func(changes []store.Event)
+	// Store is what this gateway knows of the store.
+	Store StoreFeed
 	// Version returns the version of the configuration in force.
 	Version func() uint64
 	// Changed is called when a gateway becomes Alive or Silent.
@@ -128,8 +128,11 @@
 	// reached is the revisions up to which changes were sent, by service.
 	reached map[string]uint64
 	periods uint64
-	// relayed is what this gateway may send as a relay.
-	relayed allowance
+	// sources are the relays of this gateway; subscribers are those that it is a relay
+	// for, relayed is what it may send them.
+	sources     *relay.Sources
+	subscribers relay.Subscribers
+	relayed     allowance
 	// turn counts the gateways that outcomes were sent to, in turn.
 	turn int
 }
@@ -137,6 +140,7 @@
 // New returns an exchange that knows nobody.
 func New(o Options) *Exchange {
 	x := &Exchange{options: o, incarnation: uint64(time.Now().UnixNano()), members: map[string]*member{}, changed: make(chan struct{}, 1), reached: map[string]uint64{}}
+	x.sources = relay.NewSources(o.Name)
 	x.regroup()
 	return x
 }
@@ -172,6 +176,8 @@
 			x.sendChanges(time.Now())
 		case now := <-tick.C:
 			x.sendDue(now)
+			x.subscribe(now)
+			x.SendStoreUpdates(now)
 			x.sweep(now)
 		}
 	}
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -14,7 +14,6 @@
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/spectest"
-	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/pkg/subset"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
@@ -25,8 +24,8 @@
 	address  string
 	mu       sync.Mutex
 	received map[string]enginepool.Snapshot
-	// relayed are the changes of the store that relays passed on.
-	relayed []store.Event
+	// known is what it knows of the store.
+	known *storeKnown
 	// changes are the stage changes that were reported.
 	changes []runners.StageChange
 	// asked says for each call whether everything was asked for.
@@ -47,7 +46,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &gateway{address: conn.LocalAddr().String(), received: map[string]enginepool.Snapshot{}}
+	w := &gateway{address: conn.LocalAddr().String(), received: map[string]enginepool.Snapshot{}, known: &storeKnown{}}
 	w.Exchange = New(Options{
 		Name: name, Address: w.address, Conn: conn, Version: func() uint64 { return uint64(load) },
 		Outcomes: func() []runners.Outcome { return nil },
@@ -67,11 +66,7 @@
 			defer w.mu.Unlock()
 			w.received[from] = snapshot
 		},
-		ReceiveStoreChanges: func(changes []store.Event) {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			w.relayed = append(w.relayed, changes...)
-		},
+		Store:   w.known,
 		Changed: func(string, string, int) {}, Failed: func(err error) { t.Log(err) },
 	})
 	return w
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -54,8 +54,11 @@
 	if len(s.StageChanges) > 0 {
 		x.options.ReceiveStageChanges(decodeStageChanges(s.StageChanges))
 	}
-	if len(s.StoreChanges) > 0 {
-		x.options.ReceiveStoreChanges(decodeStoreChanges(s.StoreChanges))
+	if s.StoreSubscription != nil {
+		x.receiveSubscription(s.Name, s.StoreSubscription.At, now)
+	}
+	if s.StoreUpdate != nil {
+		x.receiveUpdate(s.Name, decodeStoreUpdate(s.StoreUpdate), now)
 	}
 	for service, snapshot := range decode(s) {
 		x.options.ReceiveSnapshot(s.Name, service, snapshot)
--- a/pkg/peers/relay.go
+++ b/pkg/peers/relay.go
@@ -1,24 +1,14 @@
 package peers
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
 const (
-	// relays is how many gateways look at the store often and pass its changes on. The
-	// others look seldom, so that the calls to the store hardly grow with the number
-	// of gateways; with six, the loss of a failure domain leaves some.
-	relays = 6
-	// maxRelayed bounds the values of one datagram with changes of the store, in
-	// bytes. A change that is larger is left to the store itself.
-	maxRelayed = 8 << 10
 	// relayRate bounds what a relay sends, in bytes a second, and relayBurst what it may
 	// send at once: some 100 runners that change together, to 40 gateways. When a whole
 	// system starts, thousands of runners register, and nobody waits for them: the own
@@ -29,6 +19,19 @@
 	datagramHead = 80
 )
 
+// StoreFeed is what a gateway knows of the platform's store.
+type StoreFeed interface {
+	// Reached returns the revision up to which all changes are known, 0 for none.
+	Reached() uint64
+	// Since returns the updates that bring a gateway from a revision to the one reached.
+	Since(at uint64, now time.Time) []relay.Update
+	// Receive takes an update of a relay, and reports whether all changes up to its end
+	// are known now.
+	Receive(u relay.Update) bool
+	// Subscribed says that this gateway has become a relay.
+	Subscribed()
+}
+
 // allowance is the bytes that a relay may send.
 type allowance struct {
 	left float64
@@ -50,83 +53,133 @@
 	return true
 }
 
-// Relay reports whether this gateway is one of those that look at the store often: the
-// first of the living ones in an order that spreads them over the failure domains.
-func (x *Exchange) Relay() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return slices.Index(x.relayOrder(), x.options.Name) < relays
-}
-
-// relayOrder returns the names of the living gateways, with the own one, in an order
-// that is the same at all. The caller holds the lock.
-func (x *Exchange) relayOrder() []string {
+// living returns the names of the living gateways, with the own one. The caller holds
+// the lock.
+func (x *Exchange) living() []string {
 	names := []string{x.options.Name}
 	for name, m := range x.members {
 		if m.alive {
 			names = append(names, name)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-	})
 	return names
 }
 
-// SendStoreChanges passes changes of the store on, within the allowance. Each gateway
-// that is no relay gets them from one that is; one that gets none looks at the store
-// itself a little later.
-func (x *Exchange) SendStoreChanges(changes []store.Event, now time.Time) {
-	var out []datagram
-	parts := splitStoreChanges(changes)
+// Relay reports whether this gateway is one of those that watch the store closely.
+func (x *Exchange) Relay(now time.Time) bool {
 	x.mu.Lock()
-	order := x.relayOrder()
-	self := slices.Index(order, x.options.Name)
-	for i := relays + self; self < relays && i < len(order); i += relays {
-		m := x.members[order[i]]
-		for _, part := range parts {
-			if x.relayed.take(changeBytes(part), now) {
-				out = append(out, x.datagram(m, &wirepb.GatewayState{StoreChanges: part}, now))
+	defer x.mu.Unlock()
+	return x.subscribers.Any(now) || relay.First(x.options.Name, x.living())
+}
+
+// Coverage is how relays keep a gateway up to date with the store.
+type Coverage struct {
+	// FreshUntil is until when what they told can be relied on.
+	FreshUntil time.Time
+	// Heeded says that one answers, whether or not it reaches the store.
+	Heeded bool
+}
+
+// Coverage returns how relays keep this gateway up to date.
+func (x *Exchange) Coverage(now time.Time) Coverage {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return Coverage{FreshUntil: x.sources.FreshUntil(), Heeded: x.sources.Heeded(now)}
+}
+
+// StoreAnswers notes that the store answered this gateway.
+func (x *Exchange) StoreAnswers(now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.sources.StoreAnswers(now)
+}
+
+// SendStoreUpdates tells the subscribed gateways what they lack, and those that were told
+// nothing for a while that there is nothing.
+func (x *Exchange) SendStoreUpdates(now time.Time) {
+	reached := x.options.Store.Reached()
+	x.mu.Lock()
+	out := x.storeUpdates(x.subscribers.Due(reached, now), now)
+	x.mu.Unlock()
+	x.write(out)
+}
+
+// storeUpdates returns updates for gateways that know changes up to the given revisions,
+// within the allowance. The caller holds the lock.
+func (x *Exchange) storeUpdates(due map[string]uint64, now time.Time) []datagram {
+	var out []datagram
+	for name, at := range due {
+		m := x.members[name]
+		if m == nil {
+			continue
+		}
+		for _, u := range x.options.Store.Since(at, now) {
+			if !x.relayed.take(datagramHead+u.Bytes(), now) {
+				break
 			}
+			x.subscribers.Sent(name, u.To, now)
+			out = append(out, x.datagram(m, &wirepb.GatewayState{StoreUpdate: encodeStoreUpdate(u)}, now))
+		}
+	}
+	return out
+}
+
+// subscribe asks the relays that are due for the changes of the store. A gateway that has
+// not read the store waits for its own reading.
+func (x *Exchange) subscribe(now time.Time) {
+	at := x.options.Store.Reached()
+	x.mu.Lock()
+	x.sources.Choose(x.living(), now)
+	var out []datagram
+	for _, name := range x.sources.Due(now) {
+		if m := x.members[name]; m != nil && at > 0 {
+			out = append(out, x.datagram(m, &wirepb.GatewayState{StoreSubscription: &wirepb.StoreSubscription{At: at}}, now))
 		}
 	}
 	x.mu.Unlock()
 	x.write(out)
 }
 
-// changeBytes returns about how many bytes a datagram with changes takes.
-func changeBytes(changes []*wirepb.StoreChange) int {
-	n := datagramHead
-	for _, c := range changes {
-		n += len(c.Key) + len(c.Value)
+// receiveSubscription notes a subscription and answers it.
+func (x *Exchange) receiveSubscription(from string, at uint64, now time.Time) {
+	x.mu.Lock()
+	first := !x.subscribers.Any(now)
+	x.subscribers.Subscribe(from, at, now)
+	var out []datagram
+	if x.options.Store.Reached() > 0 {
+		out = x.storeUpdates(map[string]uint64{from: at}, now)
+	}
+	x.mu.Unlock()
+	x.write(out)
+	if first {
+		x.options.Store.Subscribed()
+	}
+}
+
+// receiveUpdate takes an update of a relay. If changes before it were lost, it is asked
+// again at once.
+func (x *Exchange) receiveUpdate(from string, u relay.Update, now time.Time) {
+	applied := x.options.Store.Receive(u)
+	x.mu.Lock()
+	x.sources.Heard(from, &u, applied, now)
+	x.mu.Unlock()
+	if !applied {
+		x.subscribe(now)
 	}
-	return n
 }
 
-// splitStoreChanges encodes changes in parts that fit a datagram, without those that
-// are too large.
-func splitStoreChanges(changes []store.Event) [][]*wirepb.StoreChange {
-	var out [][]*wirepb.StoreChange
-	size := maxRelayed
-	for _, c := range changes {
-		n := len(c.Key) + len(c.Value)
-		if n > maxRelayed {
-			continue
-		}
-		if size += n; size > maxRelayed {
-			out = append(out, nil)
-			size = n
-		}
-		last := len(out) - 1
-		out[last] = append(out[last], &wirepb.StoreChange{Key: c.Key, Value: c.Value, Revision: c.Revision, Gone: c.Gone})
+func encodeStoreUpdate(u relay.Update) *wirepb.StoreUpdate {
+	out := &wirepb.StoreUpdate{From: u.From, To: u.To, AgeMs: uint32(u.Age.Milliseconds()), More: u.More}
+	for _, c := range u.Changes {
+		out.Changes = append(out.Changes, &wirepb.StoreChange{Key: c.Key, Value: c.Value, Revision: c.Revision, Gone: c.Gone})
 	}
 	return out
 }
 
-func decodeStoreChanges(changes []*wirepb.StoreChange) []store.Event {
-	out := make([]store.Event, 0, len(changes))
-	for _, c := range changes {
-		out = append(out, store.Event{Item: store.Item{Key: c.Key, Value: c.Value, Revision: c.Revision}, Gone: c.Gone})
+func decodeStoreUpdate(u *wirepb.StoreUpdate) relay.Update {
+	out := relay.Update{From: u.From, To: u.To, Age: time.Duration(u.AgeMs) * time.Millisecond, More: u.More}
+	for _, c := range u.Changes {
+		out.Changes = append(out.Changes, store.Event{Item: store.Item{Key: c.Key, Value: c.Value, Revision: c.Revision}, Gone: c.Gone})
 	}
 	return out
 }
--- a/pkg/peers/relay_test.go
+++ b/pkg/peers/relay_test.go
@@ -2,83 +2,142 @@
 
 import (
 	"fmt"
-	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/store"
 )
 
+// storeKnown is a StoreFeed that a test brings forward.
+type storeKnown struct {
+	relay.History
+	mu         sync.Mutex
+	changes    []store.Event
+	subscribed int
+}
+
+func (k *storeKnown) Reached() uint64 {
+	at, _ := k.History.Reached()
+	return at
+}
+
+func (k *storeKnown) Receive(u relay.Update) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at := k.Reached()
+	if at == 0 || u.From > at {
+		return false
+	}
+	for _, c := range u.Changes {
+		if c.Revision > at {
+			k.changes = append(k.changes, c)
+		}
+	}
+	k.Advance(u.To, nil, time.Now().Add(-u.Age))
+	return true
+}
+
+func (k *storeKnown) Subscribed() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.subscribed++
+}
+
+func (k *storeKnown) received() []store.Event {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return append([]store.Event(nil), k.changes...)
+}
+
 func storeChange(key string, revision uint64, size int) store.Event {
-	return store.Event{Item: store.Item{Key: key, Revision: revision, Value: []byte(strings.Repeat("x", size))}}
+	return store.Event{Item: store.Item{Key: key, Revision: revision, Value: make([]byte, size)}}
 }
 
-// Of more gateways than relays, those that are none get each change from one relay.
-func TestRelaysPassChangesOnToEachOtherGatewayOnce(t *testing.T) {
-	g := NewWithT(t)
-	const gateways = 2*relays + 3
+// startFleet starts gateways that know each other, and have read the store at a revision.
+func startFleet(t *testing.T, n int, at uint64) []*gateway {
 	var all []*gateway
-	for i := range gateways {
+	for i := range n {
 		w := start(t, fmt.Sprintf("gateway-%d", i), 1)
-		all = append(all, w)
-		for _, other := range all[:i] {
-			g.Expect(w.Add(other.options.Name, other.address)).To(Succeed())
+		w.known.Restart(at, time.Now())
+		for _, other := range all {
+			if err := w.Add(other.options.Name, other.address); err != nil {
+				t.Fatal(err)
+			}
 		}
+		all = append(all, w)
 	}
-	living := func(w *gateway) int {
-		w.Exchange.mu.Lock()
-		defer w.Exchange.mu.Unlock()
-		return len(w.relayOrder())
+	g := NewWithT(t)
+	for _, w := range all {
+		living := func() int { w.Exchange.mu.Lock(); defer w.Exchange.mu.Unlock(); return len(w.living()) }
+		g.Eventually(living).WithTimeout(20 * time.Second).Should(Equal(n))
 	}
+	return all
+}
+
+// Each gateway that is no relay gets each change once, with nobody but the relays looking
+// at the store.
+func TestSubscribersGetEachChangeOnce(t *testing.T) {
+	g := NewWithT(t)
+	all := startFleet(t, 2*relay.Relays+3, 6)
+	var subscribed []*gateway
+	g.Eventually(func() int {
+		subscribed = nil
+		for _, w := range all {
+			if !w.Relay(time.Now()) && w.Coverage(time.Now()).Heeded {
+				subscribed = append(subscribed, w)
+			}
+		}
+		return len(subscribed)
+	}).WithTimeout(20*time.Second).Should(Equal(len(all)-relay.Relays), "nobody else is subscribed to while all relays answer")
 	for _, w := range all {
-		g.Eventually(func() int { return living(w) }).WithTimeout(20 * time.Second).Should(Equal(gateways))
+		if w.Relay(time.Now()) {
+			w.known.Advance(7, []store.Event{storeChange("servers/a", 7, 10)}, time.Now())
+			w.SendStoreUpdates(time.Now())
+		}
+	}
+	for _, w := range subscribed {
+		g.Eventually(w.known.received).WithTimeout(20*time.Second).Should(HaveLen(1), w.options.Name)
+		g.Expect(w.Coverage(time.Now()).FreshUntil).To(BeTemporally(">", time.Now()))
+	}
+	time.Sleep(2 * relay.Beat)
+	for _, w := range subscribed {
+		g.Expect(w.known.received()).To(HaveLen(1), "known to come once, told by two relays")
 	}
-	count := 0
+}
+
+// A gateway whose update was lost asks for it again, without waiting for the next beat of
+// its relays.
+func TestALostUpdateIsAskedForAgain(t *testing.T) {
+	g := NewWithT(t)
+	all := startFleet(t, relay.Relays+1, 6)
+	at := all[0]
 	for _, w := range all {
-		if w.Relay() {
-			count++
+		if !w.Relay(time.Now()) {
+			at = w
 		}
-		w.SendStoreChanges([]store.Event{storeChange("servers/a", 7, 10)}, time.Now())
 	}
-	g.Expect(count).To(Equal(relays))
+	g.Eventually(func() time.Time { return at.Coverage(time.Now()).FreshUntil }).Should(BeTemporally(">", time.Now()))
 	for _, w := range all {
-		want := 1
-		if w.Relay() {
-			want = 0
+		if w != at {
+			// The relays count the change as sent; it never arrived.
+			w.known.Advance(7, []store.Event{storeChange("servers/a", 7, 10)}, time.Now())
+			w.Exchange.mu.Lock()
+			w.subscribers.Sent(at.options.Name, 7, time.Now())
+			w.Exchange.mu.Unlock()
 		}
-		got := func() int { w.mu.Lock(); defer w.mu.Unlock(); return len(w.relayed) }
-		g.Eventually(got).WithTimeout(20*time.Second).Should(Equal(want), w.options.Name)
-		g.Consistently(got).WithTimeout(50*time.Millisecond).Should(Equal(want), w.options.Name)
 	}
+	g.Eventually(at.known.received).WithTimeout(20 * time.Second).Should(HaveLen(1))
 }
 
 func TestFewGatewaysAreAllRelays(t *testing.T) {
 	g := NewWithT(t)
 	w := newGateway(t, "alone", 1)
 	defer w.options.Conn.Close()
-	g.Expect(w.Relay()).To(BeTrue())
-}
-
-func TestStoreChangesAreSplitToFitDatagrams(t *testing.T) {
-	g := NewWithT(t)
-	changes := []store.Event{storeChange("a", 1, maxRelayed/2), storeChange("b", 2, maxRelayed/2), storeChange("too-large", 3, maxRelayed), storeChange("c", 4, 10)}
-	changes = append(changes, store.Event{Item: store.Item{Key: "d", Revision: 5}, Gone: true})
-	var back []store.Event
-	parts := splitStoreChanges(changes)
-	g.Expect(parts).To(HaveLen(2))
-	for _, part := range parts {
-		size := 0
-		for _, c := range part {
-			size += len(c.Key) + len(c.Value)
-		}
-		g.Expect(size).To(BeNumerically("<=", maxRelayed))
-		back = append(back, decodeStoreChanges(part)...)
-	}
-	want := append(changes[:2:2], changes[3:]...)
-	want[3].Value = nil
-	g.Expect(back).To(Equal(want))
+	g.Expect(w.Relay(time.Now())).To(BeTrue())
 }
 
 // Whatever changes, a relay sends no more than its allowance.
--- a/pkg/process/announce.go
+++ b/pkg/process/announce.go
@@ -51,7 +51,8 @@
 	p.withdraw(lease)
 }
 
-// enroll writes the address and meets those that are there already.
+// enroll writes the address. Those that are there already read it, and this process
+// reads theirs, with the rest of the store.
 func (p *Ingress) enroll(ctx context.Context) (store.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, announceCall)
 	defer cancel()
@@ -64,14 +65,6 @@
 	if _, err = s.Commit(ctx, store.Change{Put: []store.Put{{Key: key, Value: []byte(p.ports.Peers), Lease: lease}}}); err != nil {
 		return 0, err
 	}
-	items, at, err := s.Range(ctx, gatewayPrefix)
-	if err != nil {
-		return lease, err
-	}
-	for _, i := range items {
-		p.addPeer(i.Key[len(gatewayPrefix):], string(i.Value))
-	}
-	p.log.Write(decisionlog.KindState, "gateways_read", decisionlog.F("gateways", len(items)), decisionlog.F("at", at))
 	return lease, nil
 }
 
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -4,13 +4,13 @@
 	"context"
 	"io"
 	"log"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/ingress"
+	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/store"
@@ -32,28 +32,32 @@
 type feed struct {
 	ingress *ingress.Ingress
 	log     *decisionlog.Log
-	// copy is what the store held last.
-	copy copyOfStore
+	// copy is what the store held last, history the latest changes.
+	copy    copyOfStore
+	history relay.History
+	// relays are the gateways that keep each other up to date.
+	relays relays
 
 	// applying lets changes from the store and from relays go one after the other.
 	applying sync.Mutex
-	// relayed are the revisions of the changes that came from relays and that the own
-	// watch has not reached, by key.
-	relayed map[string]uint64
+	// woken holds a value when the store is to be looked at now.
+	woken chan struct{}
 
 	mu      sync.Mutex
 	store   store.Store
 	address string
-	// relay reports whether this gateway is a relay, send passes changes on.
-	relay func() bool
-	send  func(changes []store.Event, now time.Time)
-	// orders is called when the right to give orders is seen to be taken or free.
+	// confirmAt is when the store is asked although relays bring its changes, triedAt
+	// when it was asked last.
+	confirmAt, triedAt time.Time
+	// orders is called when the right to give orders is seen to be taken or free,
+	// gateway for each gateway that the store names.
 	orders  func(free bool)
+	gateway func(name, address string)
 	restart chan struct{}
 }
 
 func newFeed(g *ingress.Ingress, l *decisionlog.Log, s store.Store, address string) *feed {
-	f := &feed{ingress: g, log: l, store: s, address: address, restart: make(chan struct{}), relayed: map[string]uint64{}}
+	f := &feed{ingress: g, log: l, store: s, address: address, restart: make(chan struct{}), woken: make(chan struct{}, 1)}
 	g.Directory.Changed = func(c runners.Change) {
 		l.Write(decisionlog.KindState, "runner_"+c.What, decisionlog.F("runner", c.Runner.ID), decisionlog.F("service", c.Runner.Service),
 			decisionlog.F("address", c.Runner.Address), decisionlog.F("domain", c.Runner.Domain), decisionlog.F("stage", string(c.Runner.Stage)))
@@ -101,7 +105,8 @@
 
 // gather returns how long changes are let come together now.
 func (f *feed) gather() time.Duration {
-	if !f.relay() || f.ingress.Idle(time.Now(), idleFor) {
+	now := time.Now()
+	if !f.relays.Relay(now) || f.ingress.Idle(now, idleFor) {
 		return gather
 	}
 	return relayGather
@@ -111,7 +116,7 @@
 // besides the configuration and the runners change seldom.
 func (f *feed) follower(s store.Store) *store.Follower {
 	return &store.Follower{
-		Store: s, Gather: f.gather, Reset: f.reset, Apply: f.apply,
+		Store: s, Gather: f.gather, Relayed: f.relayed, Reset: f.reset, Apply: f.apply,
 		Lost: func(err error) {
 			f.copy.answers(false)
 			f.log.Write(decisionlog.KindProcess, "store_lost", decisionlog.F("error", err))
@@ -124,10 +129,14 @@
 }
 
 // reset takes a whole reading of the store: runners that are not in it have gone.
-func (f *feed) reset(items []store.Item, at uint64) {
+func (f *feed) reset(items []store.Item, at uint64) error {
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	clear(f.relayed)
+	if have := f.Reached(); at < have {
+		return &store.ErrOld{Have: have, Got: at}
+	}
+	f.answered(time.Now())
+	f.history.Restart(at, time.Now())
 	f.copy.replace(items, at)
 	ids := map[string]bool{}
 	free := true
@@ -144,11 +153,15 @@
 	f.ingress.Directory.Keep(ids, time.Now())
 	f.orders(free)
 	f.log.Write(decisionlog.KindState, "runners_read", decisionlog.F("runners", len(ids)), decisionlog.F("at", at))
+	return nil
 }
 
 // learn takes what another gateway knew of the store. Whether anybody has the right to
 // give orders can't be learned so.
 func (f *feed) learn(s sharedState) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	f.history.Restart(s.At, time.Now().Add(-time.Duration(s.AgeMs)*time.Millisecond))
 	f.copy.replace(s.Items, s.At)
 	f.copy.answers(false)
 	for _, i := range s.Items {
@@ -156,21 +169,13 @@
 	}
 }
 
-// apply takes single changes from the store, and passes those on that are news.
+// apply takes what a watch brought.
 func (f *feed) apply(events []store.Event, at uint64) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	news := f.news(events)
-	f.copy.apply(news, at)
-	for _, e := range news {
-		f.event(e, at)
-	}
-	for key, revision := range f.relayed {
-		if revision <= at {
-			delete(f.relayed, key)
-		}
-	}
-	f.send(slices.DeleteFunc(news, func(e store.Event) bool { return !passedOn(e.Key) }), time.Now())
+	now := time.Now()
+	f.answered(now)
+	f.take(events, at, now)
 }
 
 // event takes one change.
@@ -199,6 +204,8 @@
 		f.config(i, at)
 	} else if _, ok := platform.RunnerID(i.Key); ok {
 		f.runner(i)
+	} else if name, ok := strings.CutPrefix(i.Key, gatewayPrefix); ok {
+		f.gateway(name, string(i.Value))
 	}
 }
 
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -111,7 +111,7 @@
 	p.cancel = cancel
 	orders := p.stager(runners)
 	p.feed.orders = orders.free.Store
-	p.feed.relay, p.feed.send = p.peers.Relay, p.peers.SendStoreChanges
+	p.feed.relays, p.feed.gateway = p.peers, p.addPeer
 	p.done.Go(func() { p.feed.run(ctx) })
 	p.done.Go(func() { p.Ingress.Run(ctx) })
 	p.done.Go(func() { p.peers.Run(ctx) })
@@ -198,7 +198,7 @@
 	p.peers = peers.New(peers.Options{
 		Name: instance.Name, Address: p.ports.Peers, Conn: conn,
 		Domain: instance.Domain, Outcomes: p.Ingress.Outcomes, ReceiveOutcomes: p.Ingress.ReceiveOutcomes,
-		ReceiveStoreChanges: p.feed.receive,
+		Store:               p.feed,
 		ReceiveStageChanges: p.Ingress.ReceiveStageChanges,
 		Snapshots:           p.Ingress.Snapshots, ReceiveSnapshot: p.Ingress.ReceiveSnapshot, Version: p.Ingress.Version,
 		Failed: func(err error) { p.log.Write(decisionlog.KindProcess, "datagram_failed", decisionlog.F("error", err)) },
--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -1,50 +1,161 @@
 package process
 
 import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
 	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/peers"
+	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/store"
-	"github.com/hopwell/hopwell/platform"
 )
 
-// news returns the events that no relay has brought, nor a later one of the same key.
-// The caller holds the lock.
-func (f *feed) news(events []store.Event) []store.Event {
-	out := make([]store.Event, 0, len(events))
-	for _, e := range events {
-		if e.Revision > f.relayed[e.Key] {
-			out = append(out, e)
+const (
+	// confirmEvery is how often a gateway asks the store although relays bring its
+	// changes. They bring them without a gap; this bounds how long a fault of theirs
+	// could last, and costs a hundred gateways three calls a second.
+	confirmEvery = 30 * time.Second
+	// outageTry is the time between two calls to a store that is lost, where relays are
+	// there that will tell when it is back.
+	outageTry = 2 * time.Second
+)
+
+// relays are the gateways that keep each other up to date with the store.
+type relays interface {
+	// Relay reports whether this gateway is one that watches the store closely.
+	Relay(now time.Time) bool
+	// Coverage is how the others keep this one up to date.
+	Coverage(now time.Time) peers.Coverage
+	// StoreAnswers notes that the store answered this gateway.
+	StoreAnswers(now time.Time)
+	// SendStoreUpdates passes on what is new.
+	SendStoreUpdates(now time.Time)
+}
+
+// relayed waits for as long as relays bring the changes of the store. It implements
+// store.Follower.Relayed.
+func (f *feed) relayed(ctx context.Context) (uint64, time.Duration) {
+	for {
+		rest, wait := f.next(time.Now())
+		if rest <= 0 || ctx.Err() != nil {
+			return f.Reached(), wait
 		}
+		timer := time.NewTimer(rest)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-f.woken:
+			timer.Stop()
+			return f.Reached(), 0
+		}
+		timer.Stop()
 	}
-	return out
 }
 
-// passedOn reports whether relays pass changes of a key on: runners and the
-// configuration.
-func passedOn(key string) bool {
-	_, runner := platform.RunnerID(key)
-	return runner || key == platform.ConfigKey
+// next returns how long the store need not be looked at, and how long the watch that
+// follows may wait for a change, 0 for the usual time.
+func (f *feed) next(now time.Time) (rest, wait time.Duration) {
+	if f.relays.Relay(now) {
+		return 0, relay.WatchWait
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	covered := f.relays.Coverage(now)
+	until := covered.FreshUntil
+	if f.confirmAt.Before(until) {
+		until = f.confirmAt
+	}
+	switch {
+	case now.Before(until):
+		return until.Sub(now), 0
+	case now.Before(covered.FreshUntil):
+		wait = confirmWait
+	case f.copy.lostNow() && covered.Heeded && now.Before(f.triedAt):
+		return f.triedAt.Sub(now), 0
+	}
+	f.triedAt = now.Add(jitter(outageTry))
+	return 0, wait
+}
+
+// confirmWait is how long a watch waits that only asks whether something is new.
+const confirmWait = time.Millisecond
+
+// jitter spreads a time by half to both sides, so that gateways that began together do
+// not go on together.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+// answered notes that the store answered.
+func (f *feed) answered(now time.Time) {
+	f.mu.Lock()
+	f.confirmAt = now.Add(jitter(confirmEvery))
+	f.mu.Unlock()
+	f.relays.StoreAnswers(now)
+}
+
+// wake has the store looked at now.
+func (f *feed) wake() {
+	select {
+	case f.woken <- struct{}{}:
+	default:
+	}
+}
+
+// Subscribed implements peers.StoreFeed: a gateway that became a relay watches the store
+// at once.
+func (f *feed) Subscribed() { f.wake() }
+
+// Reached implements peers.StoreFeed.
+func (f *feed) Reached() uint64 {
+	at, _ := f.history.Reached()
+	return at
 }
 
-// receive takes changes of the store from a relay. The own watch brings them again
-// later, as far as they were lost.
-func (f *feed) receive(events []store.Event) {
+// Since implements peers.StoreFeed.
+func (f *feed) Since(at uint64, now time.Time) []relay.Update { return f.history.Since(at, now) }
+
+// Receive implements peers.StoreFeed. Without a reading of the store an update is of no
+// use; one behind a gap is asked for again.
+func (f *feed) Receive(u relay.Update) bool {
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	at := f.copy.reached()
-	if at == 0 {
-		return
-	}
-	var applied int
-	for _, e := range f.news(events) {
-		if e.Revision <= at || !passedOn(e.Key) {
-			continue
+	at := f.Reached()
+	if at == 0 || u.From > at {
+		return false
+	}
+	if news := f.take(u.Changes, u.To, time.Now().Add(-u.Age)); news > 0 {
+		f.log.Write(decisionlog.KindState, "store_changes_relayed", decisionlog.F("changes", news), decisionlog.F("at", u.To))
+	}
+	if u.More {
+		f.wake()
+	}
+	return true
+}
+
+// take takes all changes after the revision reached up to another; what is known
+// already is left. It returns how many were news. The caller holds the lock.
+func (f *feed) take(events []store.Event, to uint64, confirmed time.Time) int {
+	at := f.Reached()
+	to = max(to, at)
+	var news []store.Event
+	for _, e := range events {
+		if e.Revision > at && passedOn(e.Key) {
+			news = append(news, e)
 		}
-		f.copy.apply([]store.Event{e}, at)
-		f.event(e, at)
-		f.relayed[e.Key] = e.Revision
-		applied++
 	}
-	if applied > 0 {
-		f.log.Write(decisionlog.KindState, "store_changes_relayed", decisionlog.F("changes", applied), decisionlog.F("at", at))
+	f.history.Advance(to, news, confirmed)
+	f.copy.apply(news, to)
+	for _, e := range news {
+		f.event(e, to)
 	}
+	if len(news) > 0 {
+		f.relays.SendStoreUpdates(time.Now())
+	}
+	return len(news)
+}
+
+// passedOn reports whether gateways need to know of changes of a key.
+func passedOn(key string) bool {
+	return shared(key) || key == orderKey || strings.HasPrefix(key, changePrefix)
 }
--- a/pkg/process/relay_test.go
+++ b/pkg/process/relay_test.go
@@ -1,32 +1,49 @@
 package process
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/ingress"
+	"github.com/hopwell/hopwell/pkg/peers"
+	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/platform/standin"
 )
 
-// fixture is a feed that has read the store at a revision, and what it passed on.
+// fixture is a feed that has read the store at a revision, with the relays that the test
+// sets.
 type fixture struct {
 	*feed
-	sent []store.Event
+	isRelay  bool
+	coverage peers.Coverage
+	passedOn int
+	met      []string
 }
 
-func newFixture(at uint64, items ...store.Item) *fixture {
+func (f *fixture) Relay(time.Time) bool              { return f.isRelay }
+func (f *fixture) Coverage(time.Time) peers.Coverage { return f.coverage }
+func (f *fixture) StoreAnswers(time.Time)            {}
+func (f *fixture) SendStoreUpdates(time.Time)        { f.passedOn++ }
+
+func newFixture(t *testing.T, at uint64, items ...store.Item) *fixture {
 	log := decisionlog.New("test", io.Discard)
+	t.Cleanup(func() { log.Close(time.Second) })
 	f := &fixture{feed: newFeed(ingress.New(ingress.Options{Log: log}), log, nil, "")}
 	f.orders = func(bool) {}
-	f.send = func(changes []store.Event, _ time.Time) { f.sent = append(f.sent, changes...) }
-	f.reset(items, at)
+	f.gateway = func(name, _ string) { f.met = append(f.met, name) }
+	f.relays = f
+	if err := f.reset(items, at); err != nil {
+		panic(err)
+	}
 	return f
 }
 
@@ -39,6 +56,10 @@
 	return store.Item{Key: standin.RunnerKey(id), Value: value, Revision: revision}
 }
 
+func update(from, to uint64, changes ...store.Event) relay.Update {
+	return relay.Update{From: from, To: to, Changes: changes}
+}
+
 func (f *fixture) stage(id string) runners.Stage {
 	if s := f.ingress.Directory.Find(id); s != nil {
 		return s.Stage
@@ -57,55 +78,133 @@
 
 func TestAChangeFromARelayIsInForceAtOnce(t *testing.T) {
 	g := NewWithT(t)
-	f := newFixture(10, entry("e1", "prefill", 5))
-	f.receive([]store.Event{{Item: entry("e1", "decode", 12)}, {Item: entry("e2", "decode", 13)}})
+	f := newFixture(t, 10, entry("e1", "prefill", 5))
+	g.Expect(f.Receive(update(10, 13, store.Event{Item: entry("e1", "decode", 12)}, store.Event{Item: entry("e2", "decode", 13)}))).To(BeTrue())
 	g.Expect(f.stage("e1")).To(Equal(runners.Decode))
 	g.Expect(f.present("e2")).To(BeTrue())
-	f.receive([]store.Event{{Item: store.Item{Key: standin.RunnerKey("e2"), Revision: 14}, Gone: true}})
+	g.Expect(f.Receive(update(13, 14, store.Event{Item: store.Item{Key: standin.RunnerKey("e2"), Revision: 14}, Gone: true}))).To(BeTrue())
 	g.Expect(f.present("e2")).To(BeFalse())
-	g.Expect(f.sent).To(BeEmpty(), "what came from a relay is not passed on")
+	g.Expect(f.Reached()).To(Equal(uint64(14)), "the next watch goes on from there")
+	g.Expect(f.passedOn).To(Equal(2), "to those that took this gateway for their relay")
+}
+
+func TestAnUpdateBehindAGapIsNotTaken(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, 10, entry("e1", "prefill", 5))
+	g.Expect(f.Receive(update(12, 13, store.Event{Item: entry("e1", "decode", 13)}))).To(BeFalse())
+	g.Expect(f.stage("e1")).To(Equal(runners.Prefill))
+	g.Expect(f.Reached()).To(Equal(uint64(10)))
 }
 
 func TestAnOlderChangeNeverUndoesANewerOne(t *testing.T) {
 	g := NewWithT(t)
-	f := newFixture(10, entry("e1", "prefill", 5))
-	f.receive([]store.Event{{Item: entry("e1", "decode", 14)}})
-	f.receive([]store.Event{{Item: entry("e1", "prefill", 12)}})
+	f := newFixture(t, 10, entry("e1", "prefill", 5))
+	f.Receive(update(10, 14, store.Event{Item: entry("e1", "decode", 14)}))
+	f.Receive(update(9, 12, store.Event{Item: entry("e1", "prefill", 12)}))
 	g.Expect(f.stage("e1")).To(Equal(runners.Decode), "relays overtake each other")
 	f.apply([]store.Event{{Item: entry("e1", "prefill", 12)}}, 13)
 	g.Expect(f.stage("e1")).To(Equal(runners.Decode), "the own watch comes later")
-	f.apply([]store.Event{{Item: entry("e1", "decode", 14)}}, 14)
-	f.receive([]store.Event{{Item: entry("e1", "prefill", 13)}})
-	g.Expect(f.stage("e1")).To(Equal(runners.Decode), "a datagram arrives very late")
+	g.Expect(f.Reached()).To(Equal(uint64(14)))
 	f.apply([]store.Event{{Item: entry("e1", "prefill", 15)}}, 15)
 	g.Expect(f.stage("e1")).To(Equal(runners.Prefill))
-	g.Expect(f.relayed).To(BeEmpty(), "what the own watch has reached is not remembered")
+	f.Receive(update(10, 14, store.Event{Item: entry("e1", "decode", 14)}))
+	g.Expect(f.stage("e1")).To(Equal(runners.Prefill), "a datagram arrives very late")
+}
+
+func TestAReadingOlderThanWhatRelaysBroughtIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, 10, entry("e1", "prefill", 5))
+	f.Receive(update(10, 14, store.Event{Item: entry("e1", "decode", 14)}))
+	g.Expect(f.reset([]store.Item{entry("e1", "prefill", 5)}, 12)).To(BeAssignableToTypeOf(&store.ErrOld{}))
+	g.Expect(f.stage("e1")).To(Equal(runners.Decode))
 }
 
 func TestARunnerThatIsGoneIsNotBroughtBackByALateRelay(t *testing.T) {
 	g := NewWithT(t)
-	f := newFixture(10, entry("e1", "decode", 5))
+	f := newFixture(t, 10, entry("e1", "decode", 5))
 	f.apply([]store.Event{{Item: store.Item{Key: standin.RunnerKey("e1"), Revision: 12}, Gone: true}}, 12)
-	f.receive([]store.Event{{Item: entry("e1", "decode", 11)}})
+	f.Receive(update(10, 11, store.Event{Item: entry("e1", "decode", 11)}))
 	g.Expect(f.present("e1")).To(BeFalse())
 }
 
-func TestOnlyNewsOfRunnersAndRoutesIsPassedOn(t *testing.T) {
+func TestWhatGatewaysNeedIsPassedOn(t *testing.T) {
 	g := NewWithT(t)
-	f := newFixture(10)
-	f.receive([]store.Event{{Item: entry("e1", "decode", 11)}})
+	f := newFixture(t, 10)
 	f.apply([]store.Event{
-		{Item: entry("e1", "decode", 11)}, {Item: entry("e2", "decode", 12)},
+		{Item: entry("e1", "decode", 11)},
+		{Item: store.Item{Key: "somebody/else", Revision: 12}},
 		{Item: store.Item{Key: gatewayPrefix + "g", Value: []byte("10.0.0.2:1"), Revision: 13}},
 		{Item: store.Item{Key: orderKey, Value: []byte("g"), Revision: 14}},
-	}, 14)
-	g.Expect(f.sent).To(HaveLen(1))
-	g.Expect(f.sent[0].Key).To(Equal(standin.RunnerKey("e2")))
+	}, 15)
+	var keys []string
+	for _, c := range f.Since(10, time.Now())[0].Changes {
+		keys = append(keys, c.Key)
+	}
+	g.Expect(keys).To(Equal([]string{standin.RunnerKey("e1"), gatewayPrefix + "g", orderKey}))
+	g.Expect(f.met).To(Equal([]string{"g"}))
 }
 
 func TestRelaysAreIgnoredBeforeTheStoreWasRead(t *testing.T) {
 	g := NewWithT(t)
-	f := newFixture(0)
-	f.receive([]store.Event{{Item: entry("e1", "decode", 11)}})
+	f := newFixture(t, 0)
+	g.Expect(f.Receive(update(0, 11, store.Event{Item: entry("e1", "decode", 11)}))).To(BeFalse())
 	g.Expect(f.present("e1")).To(BeFalse())
 }
+
+// waits returns how long a feed leaves the store alone.
+func (f *fixture) waits(t *testing.T) time.Duration {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	began := time.Now()
+	f.relayed(ctx)
+	return time.Since(began)
+}
+
+func TestTheStoreIsLeftAloneWhileRelaysAreFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFixture(t, 10)
+		g.Expect(f.waits(t)).To(BeZero(), "no relay has said anything")
+		f.coverage.FreshUntil = time.Now().Add(relay.StaleAfter)
+		g.Expect(f.waits(t)).To(Equal(relay.StaleAfter), "both relays lost, paused, or cut off")
+		f.coverage.FreshUntil = time.Now().Add(time.Hour)
+		g.Expect(f.waits(t)).To(And(BeNumerically(">=", confirmEvery/2-relay.StaleAfter), BeNumerically("<=", 2*confirmEvery)))
+		f.isRelay = true
+		g.Expect(f.waits(t)).To(BeZero(), "a relay watches")
+	})
+}
+
+func TestAGatewayThatBecomesARelayWatchesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFixture(t, 10)
+		f.coverage.FreshUntil = time.Now().Add(time.Hour)
+		time.AfterFunc(100*time.Millisecond, f.Subscribed)
+		g.Expect(f.waits(t)).To(Equal(100 * time.Millisecond))
+	})
+}
+
+// A change that fits no datagram is read from the store at once.
+func TestWhatARelayCannotSendIsReadFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFixture(t, 10)
+		f.coverage.FreshUntil = time.Now().Add(time.Hour)
+		time.AfterFunc(100*time.Millisecond, func() { f.Receive(relay.Update{From: 10, To: 11, More: true}) })
+		g.Expect(f.waits(t)).To(Equal(100 * time.Millisecond))
+	})
+}
+
+// While the store is lost to all, gateways with relays that answer ask it seldom.
+func TestAStoreThatIsLostIsAskedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFixture(t, 10)
+		f.copy.answers(false)
+		f.coverage = peers.Coverage{FreshUntil: time.Now().Add(-time.Second), Heeded: true}
+		g.Expect(f.waits(t)).To(BeZero())
+		g.Expect(f.waits(t)).To(And(BeNumerically(">=", outageTry/2), BeNumerically("<=", 2*outageTry)))
+		f.coverage.Heeded = false
+		g.Expect(f.waits(t)).To(BeZero(), "nobody else will tell that it is back")
+	})
+}
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -96,13 +96,6 @@
 	}
 }
 
-// reached returns the revision that the own reading of the store reached, 0 for none.
-func (c *copyOfStore) reached() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.at
-}
-
 // answers records whether the store answers.
 func (c *copyOfStore) answers(yes bool) {
 	c.mu.Lock()
@@ -113,6 +106,13 @@
 	}
 }
 
+// lostNow reports whether the store does not answer.
+func (c *copyOfStore) lostNow() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.lost.IsZero()
+}
+
 // unknown reports whether the store has not answered and nothing is known of it.
 func (c *copyOfStore) unknown() bool {
 	c.mu.Lock()
@@ -176,11 +176,6 @@
 		p.log.Write(decisionlog.KindState, "state_learned", decisionlog.F("gateway", address), decisionlog.F("at", s.At),
 			decisionlog.F("age", time.Duration(s.AgeMs)*time.Millisecond), decisionlog.F("items", len(s.Items)))
 		p.feed.learn(s)
-		for _, i := range s.Items {
-			if name, ok := strings.CutPrefix(i.Key, gatewayPrefix); ok {
-				p.addPeer(name, string(i.Value))
-			}
-		}
 		return
 	}
 }
--- /dev/null
+++ b/pkg/relay/history.go
@@ -0,0 +1,136 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/store"
+)
+
+const (
+	// maxHistory bounds the values and keys of the changes that are kept, in bytes: some
+	// 700 entries of runners. A gateway that lacks more reads the store itself.
+	maxHistory = 256 << 10
+	// maxUpdate bounds the changes of one update, in bytes, so that it fits a datagram.
+	maxUpdate = 8 << 10
+)
+
+// History holds the latest changes of the store without a gap. It is safe for
+// concurrent use.
+type History struct {
+	mu sync.Mutex
+	// All changes after base up to reached are kept, by revision.
+	base, reached uint64
+	// confirmed is when the store had no change after reached.
+	confirmed time.Time
+	changes   []store.Event
+	bytes     int
+}
+
+// Restart begins anew at a revision, after a whole reading of the store.
+func (h *History) Restart(at uint64, confirmed time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.base, h.reached, h.confirmed, h.changes, h.bytes = at, at, confirmed, nil, 0
+}
+
+// Advance adds the changes after the revision reached up to another, in their order.
+func (h *History) Advance(to uint64, changes []store.Event, confirmed time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if to < h.reached {
+		return
+	}
+	h.reached = to
+	if confirmed.After(h.confirmed) {
+		h.confirmed = confirmed
+	}
+	for _, c := range changes {
+		h.changes = append(h.changes, c)
+		h.bytes += size(c)
+	}
+	h.trim()
+}
+
+// trim drops the oldest changes beyond the limit, all of one revision together.
+func (h *History) trim() {
+	drop := 0
+	for drop < len(h.changes) && h.bytes > maxHistory {
+		h.base = h.changes[drop].Revision
+		for drop < len(h.changes) && h.changes[drop].Revision == h.base {
+			h.bytes -= size(h.changes[drop])
+			drop++
+		}
+	}
+	h.changes = append([]store.Event(nil), h.changes[drop:]...)
+}
+
+// Reached returns the revision up to which all changes are known, 0 for none, and when
+// the store had no later one.
+func (h *History) Reached() (uint64, time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reached, h.confirmed
+}
+
+// Since returns the updates that bring a gateway from a revision to the one reached, one
+// at least. Each fits a datagram.
+func (h *History) Since(at uint64, now time.Time) []Update {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	age := max(0, now.Sub(h.confirmed))
+	if at < h.base {
+		return []Update{{From: at, To: at, Age: age, More: true}}
+	}
+	out := []Update{{From: min(at, h.reached), Age: age}}
+	bytes := 0
+	for i := h.after(at); i < len(h.changes); {
+		next, n := h.revision(i)
+		if n > maxUpdate {
+			last := &out[len(out)-1]
+			last.To, last.More = h.changes[i].Revision-1, true
+			return out
+		}
+		if bytes += n; bytes > maxUpdate {
+			end := h.changes[i-1].Revision
+			out[len(out)-1].To = end
+			out = append(out, Update{From: end, Age: age})
+			bytes = n
+		}
+		last := &out[len(out)-1]
+		last.Changes = append(last.Changes, h.changes[i:next]...)
+		i = next
+	}
+	out[len(out)-1].To = h.reached
+	return out
+}
+
+// after returns the place of the first change after a revision.
+func (h *History) after(at uint64) int {
+	for i, c := range h.changes {
+		if c.Revision > at {
+			return i
+		}
+	}
+	return len(h.changes)
+}
+
+// revision returns where the changes of the revision at a place end, and their bytes: one
+// transaction may change several keys.
+func (h *History) revision(i int) (next, bytes int) {
+	for next = i; next < len(h.changes) && h.changes[next].Revision == h.changes[i].Revision; next++ {
+		bytes += size(h.changes[next])
+	}
+	return next, bytes
+}
+
+func size(e store.Event) int { return len(e.Key) + len(e.Value) }
+
+// Bytes returns about how many bytes the changes of an update take.
+func (u *Update) Bytes() int {
+	n := 0
+	for _, c := range u.Changes {
+		n += size(c)
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/relay/subscribers.go
@@ -0,0 +1,59 @@
+package relay
+
+import "time"
+
+// Subscribers are the gateways that a relay sends updates to. The zero value has none.
+type Subscribers struct {
+	all map[string]*subscriber
+}
+
+type subscriber struct {
+	until time.Time
+	// sent is the revision up to which changes were sent, told when the last update was.
+	sent uint64
+	told time.Time
+}
+
+// Subscribe notes that a gateway knows all changes up to a revision and wants the later
+// ones.
+func (s *Subscribers) Subscribe(name string, at uint64, now time.Time) {
+	if s.all == nil {
+		s.all = map[string]*subscriber{}
+	}
+	if s.all[name] == nil {
+		s.all[name] = &subscriber{}
+	}
+	g := s.all[name]
+	g.until, g.sent = now.Add(subscribedFor), at
+}
+
+// Any reports whether a gateway is subscribed. Those whose subscriptions ran out are
+// forgotten.
+func (s *Subscribers) Any(now time.Time) bool {
+	for name, g := range s.all {
+		if now.After(g.until) {
+			delete(s.all, name)
+		}
+	}
+	return len(s.all) > 0
+}
+
+// Due returns the gateways that lack changes up to the revision reached, or that were
+// told nothing for a beat, with the revision after which each gets them.
+func (s *Subscribers) Due(reached uint64, now time.Time) map[string]uint64 {
+	out := map[string]uint64{}
+	for name, g := range s.all {
+		if !now.After(g.until) && (g.sent < reached || now.Sub(g.told) >= Beat) {
+			out[name] = g.sent
+		}
+	}
+	return out
+}
+
+// Sent notes that changes up to a revision were sent to a gateway. If they are lost, its
+// next subscription says so.
+func (s *Subscribers) Sent(name string, to uint64, now time.Time) {
+	if g := s.all[name]; g != nil {
+		g.sent, g.told = max(g.sent, to), now
+	}
+}
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -35,9 +35,14 @@
 	// before the next watch; nil for not at all. The first change after a calm time
 	// comes at once.
 	Gather func() time.Duration
-	// Reset takes a whole reading, Apply single changes. Both get what the
-	// store holds now or held later than what they got before.
-	Reset func(items []Item, at uint64)
+	// Relayed, if set, waits for as long as others bring the changes. It returns the
+	// revision that they reached and how long the next watch may wait for a change, 0
+	// for the usual time.
+	Relayed func(ctx context.Context) (at uint64, wait time.Duration)
+	// Reset takes a whole reading. Apply takes what every watch brings, also none. Both
+	// get what the store holds now or held later than what they got before; Reset
+	// refuses a reading that others have overtaken.
+	Reset func(items []Item, at uint64) error
 	Apply func(events []Event, at uint64)
 	// Lost and Regained are called when the store stops and starts to answer.
 	Lost     func(err error)
@@ -107,7 +112,16 @@
 		next, err = f.read(ctx, p)
 		return next, false, err
 	}
-	wait, limit := watchWait, watchWait+callMargin
+	var wait time.Duration
+	if f.Relayed != nil {
+		var at uint64
+		at, wait = f.Relayed(ctx)
+		p.at = max(p.at, at)
+	}
+	if wait == 0 {
+		wait = watchWait
+	}
+	limit := wait + callMargin
 	if !sure {
 		wait, limit = probeWait, p.limit
 	}
@@ -117,9 +131,7 @@
 	if err != nil {
 		return 0, false, err
 	}
-	if len(events) > 0 {
-		f.Apply(events, next)
-	}
+	f.Apply(events, next)
 	return max(p.at, next), len(events) > 0, nil
 }
 
@@ -134,7 +146,9 @@
 	if next < p.at {
 		return 0, &ErrUnavailable{Call: "range", Err: &ErrOld{Have: p.at, Got: next}}
 	}
-	f.Reset(items, next)
+	if err := f.Reset(items, next); err != nil {
+		return 0, &ErrUnavailable{Call: "range", Err: err}
+	}
 	return next, nil
 }
 
--- a/pkg/store/store_test.go
+++ b/pkg/store/store_test.go
@@ -59,7 +59,7 @@
 func (s *seen) follower(store Store) *Follower {
 	return &Follower{
 		Store: store, Prefix: "p/",
-		Reset:    func(_ []Item, at uint64) { s.resets = append(s.resets, at) },
+		Reset:    func(_ []Item, at uint64) error { s.resets = append(s.resets, at); return nil },
 		Apply:    func(_ []Event, at uint64) { s.applies = append(s.applies, at) },
 		Lost:     func(error) { s.lost++ },
 		Regained: func(time.Duration) { s.regained++ },
@@ -123,6 +123,57 @@
 	})
 }
 
+// A follower goes on from the revision that others brought it to, and waits as long as
+// they bring the changes.
+func TestFollowerGoesOnFromWhereOthersBroughtIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var asked []uint64
+		var waits []time.Duration
+		s := &script{ranges: func() ([]Item, uint64, error) { return nil, 7, nil }}
+		s.watches = func(after uint64, wait time.Duration) ([]Event, uint64, error) {
+			asked, waits = append(asked, after), append(waits, wait)
+			time.Sleep(wait)
+			return nil, after, nil
+		}
+		var got seen
+		f := got.follower(s)
+		brought := uint64(0)
+		f.Relayed = func(context.Context) (uint64, time.Duration) {
+			time.Sleep(10 * time.Second)
+			brought += 20
+			return brought, time.Second
+		}
+		run(t, f, 21500*time.Millisecond)
+		g.Expect(asked).To(Equal([]uint64{20, 40}))
+		g.Expect(waits).To(Equal([]time.Duration{time.Second, time.Second}))
+	})
+}
+
+// A reading that others have overtaken meanwhile is refused, and made again.
+func TestFollowerReadsAgainWhatWasOvertaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		at := uint64(3)
+		s := &script{ranges: func() ([]Item, uint64, error) { at += 2; return nil, at, nil }}
+		s.watches = func(after uint64, wait time.Duration) ([]Event, uint64, error) {
+			time.Sleep(wait)
+			return nil, after, nil
+		}
+		var got seen
+		f := got.follower(s)
+		take := f.Reset
+		f.Reset = func(items []Item, at uint64) error {
+			if at < 8 {
+				return &ErrOld{Have: 8, Got: at}
+			}
+			return take(items, at)
+		}
+		run(t, f, 2*time.Second)
+		g.Expect(got.resets).To(Equal([]uint64{9}))
+	})
+}
+
 // A store that is silent and then back is learned from within the time of one
 // probe, not of a whole watch.
 func TestFollowerAsksASilentStoreAgainSoon(t *testing.T) {
@@ -141,7 +192,7 @@
 		var got seen
 		f := got.follower(store)
 		var at time.Time
-		f.Reset = func([]Item, uint64) { at = time.Now() }
+		f.Reset = func([]Item, uint64) error { at = time.Now(); return nil }
 		run(t, f, 10*time.Second)
 		g.Expect(at.Sub(back)).To(BeNumerically("<=", longestProbe+longestPause))
 		g.Expect(got.lost).To(Equal(1))
