relay, upstream: what lacks changes confirms nothing; idle times said once hold

Change: an update that lacks changes does not advance the time of confirmation, with a test that fails without it; what was said once of a connection holds for it.

--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -124,7 +124,11 @@
 	if at == 0 || u.From > at {
 		return false
 	}
-	if news := f.take(u.Changes, u.To, time.Now().Add(-u.Age)); news > 0 {
+	var confirmed time.Time
+	if !u.More {
+		confirmed = time.Now().Add(-u.Age)
+	}
+	if news := f.take(u.Changes, u.To, confirmed); news > 0 {
 		f.log.Write(decisionlog.KindState, "store_changes_relayed", decisionlog.F("changes", news), decisionlog.F("at", u.To))
 	}
 	if u.More {
@@ -134,7 +138,8 @@
 }
 
 // take takes all changes after the revision reached up to another; what is known
-// already is left. It returns how many were news. The caller holds the lock.
+// already is left. Confirmed is when the store had no later change, zero if it may have
+// had. It returns how many were news. The caller holds the lock.
 func (f *feed) take(events []store.Event, to uint64, confirmed time.Time) int {
 	at := f.Reached()
 	to = max(to, at)
--- a/pkg/process/relay_test.go
+++ b/pkg/process/relay_test.go
@@ -151,6 +151,22 @@
 	g.Expect(f.present("e1")).To(BeFalse())
 }
 
+// What a relay says that can't send everything is no news of how fresh it is: others take
+// this gateway for their relay.
+func TestAnUpdateThatLacksChangesConfirmsNothing(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, 10)
+	_, before := f.history.Reached()
+	time.Sleep(time.Millisecond)
+	g.Expect(f.Receive(relay.Update{From: 10, To: 11, More: true})).To(BeTrue())
+	at, after := f.history.Reached()
+	g.Expect(at).To(Equal(uint64(11)))
+	g.Expect(after).To(Equal(before))
+	f.Receive(relay.Update{From: 11, To: 11})
+	_, after = f.history.Reached()
+	g.Expect(after).To(BeTemporally(">", before))
+}
+
 // waits returns how long a feed leaves the store alone.
 func (f *fixture) waits(t *testing.T) time.Duration {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
--- a/pkg/relay/history.go
+++ b/pkg/relay/history.go
@@ -11,8 +11,9 @@
 	// maxHistory bounds the values and keys of the changes that are kept, in bytes: some
 	// 700 entries of runners. A gateway that lacks more reads the store itself.
 	maxHistory = 256 << 10
-	// maxUpdate bounds the changes of one update, in bytes, so that it fits a datagram.
-	maxUpdate = 8 << 10
+	// maxUpdate bounds the changes of one update, in bytes, so that it fits a datagram of
+	// 16 KB.
+	maxUpdate = 14 << 10
 )
 
 // History holds the latest changes of the store without a gap. It is safe for
@@ -35,6 +36,7 @@
 }
 
 // Advance adds the changes after the revision reached up to another, in their order.
+// Confirmed is when the store had no later change, zero if it may have had.
 func (h *History) Advance(to uint64, changes []store.Event, confirmed time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -16,6 +16,9 @@
 	address string
 	reader  *bufio.Reader
 	uses    int
+	// said is how long the runner said that it keeps the connection while it is idle,
+	// negative if it never did: some say so in the first answer only.
+	said time.Duration
 	// until is when the runner may close it while it is idle.
 	until time.Time
 }
@@ -42,7 +45,7 @@
 	if c.options.Opened != nil {
 		c.options.Opened(address)
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), uses: 1}, nil
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), uses: 1, said: -1}, nil
 }
 
 func (c *Client) pop(address string) *conn {
@@ -57,8 +60,13 @@
 	return k
 }
 
-// put keeps a connection for the next request.
-func (c *Client) put(k *conn, keep time.Duration) {
+// put keeps a connection for the next request. The runner said last how long it keeps it;
+// below 0 it said nothing.
+func (c *Client) put(k *conn, said time.Duration) {
+	if said >= 0 {
+		k.said = said
+	}
+	keep := k.said
 	if keep < 0 {
 		keep = c.options.Idle
 	}
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -124,6 +124,22 @@
 	g.Expect(s.count()).To(Equal(3))
 }
 
+// What a runner says of its idle connections in the first answer holds for the later ones.
+func TestWhatARunnerSaidOnceOfItsConnectionsHolds(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for header := "Keep-Alive: timeout=30\r\n"; answer(c, in, header); header = "" {
+		}
+	})
+	c := New(Options{ConnectTimeout: 5 * time.Second, Idle: time.Second, MaxIdle: 4})
+	for _, id := range []string{"a", "b", "c"} {
+		_, err := ask(c, s.address, id)
+		g.Expect(err).NotTo(HaveOccurred())
+		c.Sweep(time.Now().Add(10 * time.Second))
+	}
+	g.Expect(s.count()).To(Equal(1))
+}
+
 func TestAnIdleConnectionThatWasClosedIsNotUsed(t *testing.T) {
 	g := NewWithT(t)
 	closed := make(chan struct{}, 2)
