process: the right to order is tried for only while it is free; relays confirm each second

Cause: where a change of stages stayed undone, 103 gateways tried for the right every 4 s, three calls each, though its holder was known; and relays that let changes come together for 1 s before a watch of 1 s confirmed too late for their subscribers, which all looked at the store themselves. Change: others than the first try only while the key is known to be gone, one after the other; the watch of a relay ends a second after the last confirmation.

--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -58,7 +58,7 @@
 // follows may wait for a change, 0 for the usual time.
 func (f *feed) next(now time.Time) (rest, wait time.Duration) {
 	if f.relays.Relay(now) {
-		return 0, relay.WatchWait
+		return 0, f.relayWait(now)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -79,6 +79,13 @@
 	return 0, wait
 }
 
+// relayWait returns how long the watch of a relay may wait for a change: what it knows is
+// confirmed every relay.WatchWait, also where it let changes come together before.
+func (f *feed) relayWait(now time.Time) time.Duration {
+	_, confirmed := f.history.Reached()
+	return max(confirmWait, relay.WatchWait-max(0, now.Sub(confirmed)))
+}
+
 // confirmWait is how long a watch waits that only asks whether something is new.
 const confirmWait = time.Millisecond
 
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -27,10 +27,11 @@
 	// settleFor is how long the set of engines must have been the same before
 	// their stages are planned for the first time.
 	settleFor = 500 * time.Millisecond
-	// meetFor is how long a process gets to know the others before it may come
-	// first, and startFor how long after its start it tries without need.
-	meetFor  = 600 * time.Millisecond
-	startFor = 3 * time.Second
+	// meetFor is how long a process gets to know the others before it may come first.
+	meetFor = 600 * time.Millisecond
+	// nextTry is how much later each next process by name tries: the one before has won
+	// by then, and all know it. A hundred that tried together made 300 calls.
+	nextTry = 2 * stagerLook
 	// renewals is how often the right is renewed in its time.
 	renewals = 3
 	// unansweredOrder is how long an engine whose answer to an order was lost gets
@@ -119,20 +120,23 @@
 	s.last, s.wrong = now, time.Time{}
 }
 
-// mayTry reports whether this process should try for the right: the first by name takes
-// it as soon as it is free, so that it is held before it is needed; the others only when
-// what is wanted has stayed undone for so long that the first can't do it.
+// mayTry reports whether this process should try for the right: only while the store is
+// known to hold nobody's. The first by name takes it at once, so that it is held before it
+// is needed; the others, one after the other, when what is wanted has stayed undone for so
+// long that the first can't do it.
 func (s *stager) mayTry(now time.Time) bool {
-	if s.ingress.Table() == nil || now.Before(s.retry) {
+	if s.ingress.Table() == nil || now.Before(s.retry) || !s.free.Load() {
 		return false
 	}
 	if now.Sub(s.began) < meetFor {
 		return false
 	}
-	if s.rank() == 0 && (s.free.Load() || now.Sub(s.began) < startFor) {
+	rank := s.rank()
+	if rank == 0 {
 		return true
 	}
-	return !s.wrong.IsZero() && now.Sub(s.wrong) > s.restageTime()+s.wait
+	turn := time.Duration(rank) * nextTry
+	return !s.wrong.IsZero() && now.Sub(s.wrong) > s.restageTime()+s.wait+turn
 }
 
 // patience is how long the stages must be wrong before one is changed.
