relay: four relays and one more for each 24 gateways; no watch just after the first reading

Cause: each start cost a gateway two watches before it knew any relay; a gateway whose own calls fail in an outage repeated the seldom confirmation at once, though its relays told it everything; six relays for a hundred gateways. Change: a process rests 1.2 s after its first reading, by when relays bring what it missed; the time of the next confirmation counts from the try; Relays follows the number of gateways.

--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -49,6 +49,8 @@
 	// confirmAt is when the store is asked although relays bring its changes, triedAt
 	// when it was asked last.
 	confirmAt, triedAt time.Time
+	// firstRead is when this process read the store for the first time.
+	firstRead time.Time
 	// orders is called when the right to give orders is seen to be taken or free,
 	// gateway for each gateway that the store names.
 	orders  func(free bool)
@@ -136,6 +138,7 @@
 		return &store.ErrOld{Have: have, Got: at}
 	}
 	f.answered(time.Now())
+	f.readOnce(time.Now())
 	f.history.Restart(at, time.Now())
 	f.copy.replace(items, at)
 	ids := map[string]bool{}
--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -17,6 +17,10 @@
 	// changes. They bring them without a gap; this bounds how long a fault of theirs
 	// could last, and costs a hundred gateways three calls a second.
 	confirmEvery = 30 * time.Second
+	// startRest is how long a process that has just read the store does not look at it
+	// again: by then it knows the others, and relays bring what it missed. Without it
+	// each start costs two watches more.
+	startRest = 1200 * time.Millisecond
 	// outageTry is the time between two calls to a store that is lost, where relays are
 	// there that will tell when it is back.
 	outageTry = 2 * time.Second
@@ -57,11 +61,14 @@
 // next returns how long the store need not be looked at, and how long the watch that
 // follows may wait for a change, 0 for the usual time.
 func (f *feed) next(now time.Time) (rest, wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if rest := f.firstRead.Add(startRest).Sub(now); rest > 0 {
+		return rest, 0
+	}
 	if f.relays.Relay(now) {
 		return 0, f.relayWait(now)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	covered := f.relays.Coverage(now)
 	until := covered.FreshUntil
 	if f.confirmAt.Before(until) {
@@ -71,7 +78,7 @@
 	case now.Before(until):
 		return until.Sub(now), 0
 	case now.Before(covered.FreshUntil):
-		wait = confirmWait
+		f.confirmAt, wait = now.Add(jitter(confirmEvery)), confirmWait
 	case f.copy.lostNow() && covered.Heeded && now.Before(f.triedAt):
 		return f.triedAt.Sub(now), 0
 	}
@@ -101,6 +108,15 @@
 	f.relays.StoreAnswers(now)
 }
 
+// readOnce notes the first reading of the store.
+func (f *feed) readOnce(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.firstRead.IsZero() {
+		f.firstRead = now
+	}
+}
+
 // wake has the store looked at now.
 func (f *feed) wake() {
 	select {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -15,10 +15,13 @@
 )
 
 const (
-	// Relays is how many gateways watch the store although nobody may have subscribed
-	// to them: the first living ones in an order that all share. The loss of a failure
-	// domain leaves some; four and six measured alike.
-	Relays = 6
+	// leastRelays is how many gateways watch the store at least, although nobody may have
+	// subscribed to them: the first living ones in an order that all share. Four and six
+	// measured alike; each costs one call a second and one for each change.
+	leastRelays = 4
+	// gatewaysEach is for how many gateways there is one relay more. A relay then sends
+	// to 48 subscribers, some 10 KB a second without changes.
+	gatewaysEach = 24
 	// sourcesEach is how many relays a gateway subscribes to, so that the loss of one,
 	// or one that is cut off from the store, delays nothing.
 	sourcesEach = 2
@@ -51,6 +54,9 @@
 	StaleAfter = 1600 * time.Millisecond
 )
 
+// Relays returns how many of a number of gateways are relays.
+func Relays(gateways int) int { return max(leastRelays, gateways/gatewaysEach) }
+
 // Update holds all changes of the store after the revision From up to To.
 type Update struct {
 	From, To uint64
--- a/pkg/relay/sources.go
+++ b/pkg/relay/sources.go
@@ -79,7 +79,8 @@
 func (s *Sources) candidates(living []string, now time.Time) []string {
 	ordered := slices.DeleteFunc(slices.Clone(living), func(name string) bool { return now.Before(s.suspects[name]) })
 	slices.SortFunc(ordered, inOrder)
-	return slices.DeleteFunc(ordered[:min(Relays, len(ordered))], func(name string) bool { return name == s.self })
+	first := ordered[:min(Relays(len(living)), len(ordered))]
+	return slices.DeleteFunc(first, func(name string) bool { return name == s.self })
 }
 
 // First reports whether a gateway is among the first of the living ones, which watch the
@@ -91,7 +92,7 @@
 			before++
 		}
 	}
-	return before < Relays
+	return before < Relays(len(living))
 }
 
 // inOrder orders gateways in a way that spreads them over the failure domains, whose
