process, ingress: fewer calls in an outage; a lost prefill is asked for again at the same runner

Cause: while the store was down, starting gateways read it three times a second though they had learned everything from others, enrolled every second, and the others asked every 2 s. Change: a gateway that learned from another goes on from there by relays, and knows the right to order too; tries of the enrolment double their pause; 4 s between calls of gateways whose relays answer. A prefill whose connection ended before its answer came is asked for at the same runner, which has the prompt in its cache.

--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -66,10 +66,24 @@
 		return nil, 0, &ErrNoRunner{Service: p.service, Stage: runners.Prefill}
 	}
 	chosen := best(fit)
-	expected := p.readTime(chosen.ID, tokens)
-	p.reader(chosen.ID).jobs[id] = reading{tokens: tokens, since: now, ahead: p.backlog(chosen.ID)}
-	p.change(p.engine(chosen.ID))
-	return chosen, expected, nil
+	return chosen, p.assign(chosen, id, tokens, now), nil
+}
+
+// RepeatPrefill assigns a prompt again to the prefill runner whose answer was lost, and
+// returns how long reading it would take; the runner most likely has done so.
+func (p *Pool) RepeatPrefill(runner *runners.State, id string, tokens int, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.assign(runner, id, tokens, now)
+}
+
+// assign notes a prompt at a runner, and returns how long it will take. The caller holds
+// the lock.
+func (p *Pool) assign(runner *runners.State, id string, tokens int, now time.Time) time.Duration {
+	expected := p.readTime(runner.ID, tokens)
+	p.reader(runner.ID).jobs[id] = reading{tokens: tokens, since: now, ahead: p.backlog(runner.ID)}
+	p.change(p.engine(runner.ID))
+	return expected
 }
 
 // readCost estimates when a runner will have read a prompt.
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -7,13 +7,15 @@
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/upstream"
 )
 
 // prefill has the prompt read by the runner that will have done so first. With
 // no prefill runner left the decode runner reads it itself: the source is empty.
 func (s *generation) prefill(room *place) (Source, *runners.State, error) {
+	var again *runners.State
 	for tries := 0; ; tries++ {
-		reader, expected, err := s.pool.BeginPrefill(s.job.ID, s.job.Prompt, room.runner.Domain, s.unread, time.Now())
+		reader, expected, err := s.beginPrefill(room, again)
 		if err != nil {
 			s.step("no_prefill_runner", decisionlog.F("error", err))
 			return Source{}, nil, nil
@@ -48,7 +50,28 @@
 		if tries+1 >= maxPrefills {
 			return Source{}, nil, nil
 		}
+		if again = nil; tries == 0 && answerLost(err) {
+			again = reader
+		}
+	}
+}
+
+// beginPrefill assigns the prompt to a runner: to one whose answer was lost, if it is
+// given, otherwise to the best.
+func (s *generation) beginPrefill(room *place, again *runners.State) (*runners.State, time.Duration, error) {
+	now := time.Now()
+	if again != nil && again.Usable(now) {
+		return again, s.pool.RepeatPrefill(again, s.job.ID, s.job.Prompt, now), nil
 	}
+	return s.pool.BeginPrefill(s.job.ID, s.job.Prompt, room.runner.Domain, s.unread, now)
+}
+
+// answerLost reports whether a prefill's connection ended before its answer came, while
+// the runner may be well: it keeps the prompt that it read, and answers again without
+// reading it anew.
+func answerLost(err error) bool {
+	var exchange *upstream.ErrExchange
+	return errors.As(err, &exchange) && !errors.Is(err, context.DeadlineExceeded)
 }
 
 // patience returns how long a prefill's answer is waited for. A runner that loses
--- a/pkg/process/announce.go
+++ b/pkg/process/announce.go
@@ -16,7 +16,8 @@
 	announceTTL = 20 * time.Second
 	// announceEvery is the time between two renewals.
 	announceEvery = 6 * time.Second
-	// announceRetry is the time between failed tries.
+	// announceRetry is the time after the first failed try. It doubles with each more, up
+	// to announceEvery: gateways that know each other need no address from the store.
 	announceRetry = time.Second
 	// withdrawCall bounds the last call.
 	withdrawCall = 100 * time.Millisecond
@@ -28,6 +29,7 @@
 // later, until the context ends.
 func (p *Ingress) announce(ctx context.Context) {
 	var lease store.LeaseID
+	retry := announceRetry
 	for ctx.Err() == nil {
 		var err error
 		if lease == 0 {
@@ -37,11 +39,13 @@
 		}
 		pause := announceEvery
 		var over *store.ErrNoLease
-		if err != nil {
-			pause = announceRetry
-			if errors.As(err, &over) {
-				lease = 0
-			}
+		switch {
+		case err == nil:
+			retry = announceRetry
+		case errors.As(err, &over):
+			lease, pause = 0, announceRetry
+		default:
+			pause, retry = retry, min(2*retry, announceEvery)
 		}
 		select {
 		case <-ctx.Done():
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -140,6 +140,12 @@
 	f.answered(time.Now())
 	f.readOnce(time.Now())
 	f.history.Restart(at, time.Now())
+	f.takeAll(items, at)
+	return nil
+}
+
+// takeAll takes everything that the store holds. The caller holds the lock.
+func (f *feed) takeAll(items []store.Item, at uint64) {
 	f.copy.replace(items, at)
 	ids := map[string]bool{}
 	free := true
@@ -156,20 +162,16 @@
 	f.ingress.Directory.Keep(ids, time.Now())
 	f.orders(free)
 	f.log.Write(decisionlog.KindState, "runners_read", decisionlog.F("runners", len(ids)), decisionlog.F("at", at))
-	return nil
 }
 
-// learn takes what another gateway knew of the store. Whether anybody has the right to
-// give orders can't be learned so.
+// learn takes what another gateway knows of the store, in place of a reading. What came
+// later is told by relays, or by the store once it answers.
 func (f *feed) learn(s sharedState) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.history.Restart(s.At, time.Now().Add(-time.Duration(s.AgeMs)*time.Millisecond))
-	f.copy.replace(s.Items, s.At)
+	f.takeAll(s.Items, s.At)
 	f.copy.answers(false)
-	for _, i := range s.Items {
-		f.item(i, s.At)
-	}
 }
 
 // apply takes what a watch brought.
--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
@@ -23,7 +22,7 @@
 	startRest = 1200 * time.Millisecond
 	// outageTry is the time between two calls to a store that is lost, where relays are
 	// there that will tell when it is back.
-	outageTry = 2 * time.Second
+	outageTry = 4 * time.Second
 )
 
 // relays are the gateways that keep each other up to date with the store.
@@ -61,6 +60,9 @@
 // next returns how long the store need not be looked at, and how long the watch that
 // follows may wait for a change, 0 for the usual time.
 func (f *feed) next(now time.Time) (rest, wait time.Duration) {
+	if f.Reached() == 0 {
+		return 0, 0
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if rest := f.firstRead.Add(startRest).Sub(now); rest > 0 {
@@ -168,7 +170,7 @@
 	to = max(to, at)
 	var news []store.Event
 	for _, e := range events {
-		if e.Revision > at && passedOn(e.Key) {
+		if e.Revision > at && needed(e.Key) {
 			news = append(news, e)
 		}
 	}
@@ -182,8 +184,3 @@
 	}
 	return len(news)
 }
-
-// passedOn reports whether gateways need to know of changes of a key.
-func passedOn(key string) bool {
-	return shared(key) || key == orderKey || strings.HasPrefix(key, changePrefix)
-}
--- a/pkg/process/relay_test.go
+++ b/pkg/process/relay_test.go
@@ -167,6 +167,22 @@
 	g.Expect(after).To(BeTemporally(">", before))
 }
 
+// A process that starts in an outage takes over what another gateway knows, and relays
+// bring what came later; it needs no reading of its own.
+func TestWhatAnotherGatewayKnowsIsGoneOnFrom(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, 0)
+	var free []bool
+	f.orders = func(is bool) { free = append(free, is) }
+	f.learn(sharedState{At: 10, Items: []store.Item{entry("e1", "prefill", 5), {Key: orderKey, Value: []byte("g"), Revision: 7}}})
+	g.Expect(f.Receive(update(10, 12, store.Event{Item: entry("e1", "decode", 11)},
+		store.Event{Item: store.Item{Key: orderKey, Revision: 12}, Gone: true}))).To(BeTrue())
+	g.Expect(f.stage("e1")).To(Equal(runners.Decode))
+	g.Expect(free).To(Equal([]bool{false, true}))
+	at, _ := f.relayed(t.Context())
+	g.Expect(at).To(Equal(uint64(12)))
+}
+
 // waits returns how long a feed leaves the store alone.
 func (f *fixture) waits(t *testing.T) time.Duration {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -55,7 +55,7 @@
 // Unwrap returns the cause.
 func (e *ErrState) Unwrap() error { return e.Err }
 
-// copyOfStore keeps the items of the store that a gateway needs.
+// copyOfStore keeps the items of the store that gateways need.
 type copyOfStore struct {
 	mu    sync.Mutex
 	items map[string]store.Item
@@ -64,10 +64,11 @@
 	lost time.Time
 }
 
-// shared reports whether an item is one that a starting gateway needs.
-func shared(key string) bool {
+// needed reports whether gateways need to know of a key.
+func needed(key string) bool {
 	_, runner := platform.RunnerID(key)
-	return runner || key == platform.ConfigKey || strings.HasPrefix(key, gatewayPrefix)
+	return runner || key == platform.ConfigKey || key == orderKey ||
+		strings.HasPrefix(key, gatewayPrefix) || strings.HasPrefix(key, changePrefix)
 }
 
 // replace takes over a whole reading.
@@ -76,7 +77,7 @@
 	defer c.mu.Unlock()
 	c.items, c.at = map[string]store.Item{}, at
 	for _, i := range items {
-		if shared(i.Key) {
+		if needed(i.Key) {
 			c.items[i.Key] = i
 		}
 	}
@@ -90,7 +91,7 @@
 	for _, e := range events {
 		if e.Gone {
 			delete(c.items, e.Key)
-		} else if shared(e.Key) {
+		} else if needed(e.Key) {
 			c.items[e.Key] = e.Item
 		}
 	}
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -36,8 +36,8 @@
 	// comes at once.
 	Gather func() time.Duration
 	// Relayed, if set, waits for as long as others bring the changes. It returns the
-	// revision that they reached and how long the next watch may wait for a change, 0
-	// for the usual time.
+	// revision that they reached, 0 for none, and how long the next watch may wait for a
+	// change, 0 for the usual time.
 	Relayed func(ctx context.Context) (at uint64, wait time.Duration)
 	// Reset takes a whole reading. Apply takes what every watch brings, also none. Both
 	// get what the store holds now or held later than what they got before; Reset
@@ -53,6 +53,8 @@
 type position struct {
 	at    uint64
 	known bool
+	// gone says that the history after at is gone, so that all must be read anew.
+	gone bool
 	// lost is when the store stopped to answer; zero while it does.
 	lost time.Time
 	// limit bounds the next call, pause is the time before it.
@@ -81,7 +83,7 @@
 
 // answered records an answer of the store.
 func (f *Follower) answered(p *position, next uint64) {
-	p.at, p.known, p.limit, p.pause = next, true, probeTime, firstPause
+	p.at, p.known, p.gone, p.limit, p.pause = next, true, false, probeTime, firstPause
 	if !p.lost.IsZero() {
 		f.Regained(time.Since(p.lost))
 		p.lost = time.Time{}
@@ -92,7 +94,7 @@
 func (f *Follower) failed(ctx context.Context, p *position, err error) {
 	var compacted *ErrCompacted
 	if errors.As(err, &compacted) {
-		p.known = false
+		p.known, p.gone = false, true
 		return
 	}
 	if p.lost.IsZero() {
@@ -108,15 +110,15 @@
 // not sure to answer, it only asks for those that are there. It returns how far it has
 // come, and whether there was something new.
 func (f *Follower) step(ctx context.Context, p *position, sure bool) (next uint64, changed bool, err error) {
-	if !p.known {
-		next, err = f.read(ctx, p)
-		return next, false, err
-	}
 	var wait time.Duration
-	if f.Relayed != nil {
+	if f.Relayed != nil && !p.gone {
 		var at uint64
 		at, wait = f.Relayed(ctx)
-		p.at = max(p.at, at)
+		p.at, p.known = max(p.at, at), p.known || at > 0
+	}
+	if !p.known {
+		next, err = f.read(ctx, p)
+		return next, false, err
 	}
 	if wait == 0 {
 		wait = watchWait
--- a/pkg/store/store_test.go
+++ b/pkg/store/store_test.go
@@ -140,16 +140,42 @@
 		f := got.follower(s)
 		brought := uint64(0)
 		f.Relayed = func(context.Context) (uint64, time.Duration) {
+			if len(got.resets) == 0 {
+				return 0, 0
+			}
 			time.Sleep(10 * time.Second)
 			brought += 20
 			return brought, time.Second
 		}
 		run(t, f, 21500*time.Millisecond)
+		g.Expect(got.resets).To(Equal([]uint64{7}), "nobody had brought anything")
 		g.Expect(asked).To(Equal([]uint64{20, 40}))
 		g.Expect(waits).To(Equal([]time.Duration{time.Second, time.Second}))
 	})
 }
 
+// A follower that learned everything from others needs no reading of its own, until the
+// history after that is gone.
+func TestFollowerGoesOnFromWhatOthersKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &script{ranges: func() ([]Item, uint64, error) { return nil, 60, nil }}
+		s.watches = func(after uint64, wait time.Duration) ([]Event, uint64, error) {
+			time.Sleep(wait)
+			if after == 21 {
+				return nil, 0, &ErrCompacted{After: after}
+			}
+			return nil, after + 1, nil
+		}
+		var got seen
+		f := got.follower(s)
+		f.Relayed = func(context.Context) (uint64, time.Duration) { return 20, time.Second }
+		run(t, f, 2500*time.Millisecond)
+		g.Expect(got.applies).To(Equal([]uint64{21, 61, 62}))
+		g.Expect(got.resets).To(Equal([]uint64{60}))
+	})
+}
+
 // A reading that others have overtaken meanwhile is refused, and made again.
 func TestFollowerReadsAgainWhatWasOvertaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
