--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -33,6 +33,8 @@
 	Changed func()
 	// Domain is the gateway's failure domain, empty for none.
 	Domain string
+	// Connected reports whether a connection to an address is idle; nil for no matter.
+	Connected func(address string) bool
 	// Pick returns a random number from 0 to n-1; nil takes math/rand's.
 	Pick func(n int) int
 }
@@ -171,9 +173,17 @@
 	if s.Domain == p.options.Domain {
 		merit += sameDomainBonus * float64(e.capacity)
 	}
+	if p.connected(s) {
+		merit += connectedBonus * float64(e.capacity)
+	}
 	return merit, true
 }
 
+// connected reports whether a connection to a runner is idle.
+func (p *Pool) connected(s *runners.State) bool {
+	return p.options.Connected != nil && p.options.Connected(s.Address)
+}
+
 // failureCost is the part of its memory by which a runner that fails all
 // requests ranks below another; measured, docs/POLICY.md.
 const failureCost = 3
@@ -182,6 +192,11 @@
 // domain ranks above another: its answers cross no domain.
 const sameDomainBonus = 0.1
 
+// connectedBonus is the part of its memory by which a runner to which a connection is
+// idle ranks above another: a new one takes a round trip, and a slot of the runner for a
+// moment.
+const connectedBonus = 0.1
+
 // Refused takes a reservation back because the runner had no room after all, and
 // skips the runner for a moment.
 func (p *Pool) Refused(runner, id string, now time.Time) {
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -28,6 +28,10 @@
 	// otherDomain is how much longer a prompt may wait for a runner in the domain
 	// of its decode runner.
 	otherDomain = 60 * time.Millisecond
+	// newConnection is how much longer a prompt may wait for a runner to which a
+	// connection is idle: a new one takes a round trip, and a slot of the runner for a
+	// moment.
+	newConnection = 20 * time.Millisecond
 	// lostPrefill is what a prefill costs that is lost.
 	lostPrefill = 1500 * time.Millisecond
 )
@@ -92,6 +96,9 @@
 	if s.Domain != domain {
 		cost += otherDomain
 	}
+	if !p.connected(s) {
+		cost += newConnection
+	}
 	cost += time.Duration(s.Failures(now) * float64(lostPrefill))
 	return cost
 }
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -130,6 +130,7 @@
 	o.Domain = c.Instance.Domain
 	o.Uses = func(runner string) bool { return p.peers.Uses(runner) }
 	o.Changed = func() { p.peers.Notify() }
+	o.Connected = p.client.Connected
 	return o
 }
 
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -60,6 +60,13 @@
 	return k
 }
 
+// Connected reports whether a connection to an address is idle.
+func (c *Client) Connected(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.idle[address]) > 0
+}
+
 // put keeps a connection for the next request. The runner said last how long it keeps it;
 // below 0 it said nothing.
 func (c *Client) put(k *conn, said time.Duration) {
