upstream, ingress: idle connections are kept as long as runners keep them

Change: 10 s, less the margin; discarded answers are read. A runner that fails a request on a connection that had been idle, as one does that has forgotten it, gets later ones only on connections that rested half as long, for 10 s.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -165,6 +165,7 @@
 	if answer.Status >= http.StatusInternalServerError {
 		runner.Failed(time.Now())
 		if !final {
+			discard(answer)
 			x.trouble("answer_failed", runner.ID, &ErrAnswer{Runner: runner.ID, Status: answer.Status, Why: "runner failed"})
 			return mayHaveRun, &ErrAnswer{Runner: runner.ID, Status: answer.Status, Why: "runner failed"}
 		}
@@ -180,6 +181,14 @@
 	return v, err
 }
 
+// maxDiscarded bounds what is read of an answer that nobody gets, in bytes, so that its
+// connection can be used again.
+const maxDiscarded = 16 << 10
+
+// discard reads an answer that nobody gets. What of it is not there yet ends with its
+// connection.
+func discard(a *Answer) { _, _ = io.CopyN(io.Discard, a.Body, maxDiscarded) }
+
 // sendFailed records a send without an answer.
 func (x *exchange) sendFailed(life *request.Life, n int, runner *runners.State, err error) (verdict, error) {
 	if gone := x.over(); gone != nil {
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -29,8 +29,9 @@
 const (
 	// connectTime bounds the opening of a connection to a runner.
 	connectTime = 500 * time.Millisecond
-	// idleTime is how long connections to runners that say nothing are kept.
-	idleTime = 4 * time.Second
+	// idleTime is how long connections to runners that say nothing are kept: as long as
+	// others say. One that was closed meanwhile is seen before it is used.
+	idleTime = 10 * time.Second
 	// maxIdle bounds the idle connections to one runner.
 	maxIdle = 24
 	// leastIdle is kept to each runner however many gateways there are.
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -19,8 +19,10 @@
 	// said is how long the runner said that it keeps the connection while it is idle,
 	// negative if it never did: some say so in the first answer only.
 	said time.Duration
-	// until is when the runner may close it while it is idle.
-	until time.Time
+	// until is when the runner may close it while it is idle, since when it became so.
+	until, since time.Time
+	// rested is how long it was idle before its last use.
+	rested time.Duration
 }
 
 // take returns an idle connection that is surely open, or a new one.
@@ -32,6 +34,7 @@
 		}
 		if time.Now().Before(k.until) && k.quiet() {
 			k.uses++
+			k.rested = time.Since(k.since)
 			return k, nil
 		}
 		_ = k.Close()
@@ -82,9 +85,10 @@
 		_ = k.Close()
 		return
 	}
-	k.until = time.Now().Add(keep)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	k.since = time.Now()
+	k.until = k.since.Add(min(keep, c.forgets.limit(k.address, k.since)))
 	list := c.idle[k.address]
 	if len(list) >= c.maxIdle {
 		_ = k.Close()
@@ -119,6 +123,7 @@
 func (c *Client) Sweep(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.forgets.sweep(now)
 	for a, list := range c.idle {
 		kept := list[:0]
 		for _, k := range list {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -105,6 +105,7 @@
 	mu      sync.Mutex
 	idle    map[string][]*conn
 	maxIdle int
+	forgets forgetful
 }
 
 // New returns a client.
@@ -112,7 +113,7 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
-	return &Client{options: o, idle: map[string][]*conn{}, maxIdle: o.MaxIdle}
+	return &Client{options: o, idle: map[string][]*conn{}, maxIdle: o.MaxIdle, forgets: forgetful{}}
 }
 
 // Response is an answer whose body is read by the caller. Close ends the
@@ -145,6 +146,8 @@
 	_ = k.Close()
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
+	} else if k.uses > 1 {
+		c.forgot(k)
 	}
 	return nil, &ErrExchange{Address: address, Reused: k.uses > 1, Err: err}
 }
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -140,6 +140,54 @@
 	g.Expect(s.count()).To(Equal(1))
 }
 
+// A runner that forgets idle connections without closing them fails one request, not one
+// for each connection; after a while it is trusted again.
+func TestARunnerThatForgetsIdleConnectionsFailsOneRequest(t *testing.T) {
+	g := NewWithT(t)
+	const rest = 100 * time.Millisecond
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for answer(c, in, "") {
+			idle := time.Now()
+			if _, err := in.Peek(1); err != nil || time.Since(idle) >= rest {
+				return
+			}
+		}
+	})
+	c := client()
+	var ready, done sync.WaitGroup
+	for _, id := range []string{"a", "b", "c"} {
+		ready.Add(1)
+		done.Go(func() {
+			res, err := c.Do(context.Background(), s.address, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {id}}})
+			ready.Done()
+			ready.Wait()
+			if err == nil {
+				_, err = io.Copy(io.Discard, res)
+			}
+			g.Expect(err).NotTo(HaveOccurred())
+		})
+	}
+	done.Wait()
+	g.Expect(s.count()).To(Equal(3))
+	time.Sleep(2 * rest)
+	failed := 0
+	for _, id := range []string{"d", "e", "f"} {
+		if _, err := ask(c, s.address, id); err != nil {
+			failed++
+		}
+	}
+	time.Sleep(2 * rest)
+	_, err := ask(c, s.address, "g")
+	g.Expect(err).NotTo(HaveOccurred(), "no connection that rested so long is used")
+	g.Expect(failed).To(Equal(1))
+	f := forgetful{}
+	now := time.Now()
+	f.note("a", 400*time.Millisecond, now)
+	g.Expect(f.limit("a", now)).To(Equal(200 * time.Millisecond))
+	f.sweep(now.Add(forgetFor))
+	g.Expect(f).To(BeEmpty())
+}
+
 func TestAnIdleConnectionThatWasClosedIsNotUsed(t *testing.T) {
 	g := NewWithT(t)
 	closed := make(chan struct{}, 2)
