upstream, platform, ingress: connections that fall silent for good show by time-outs of our own

Cause: an open connection may go silent without a reset while new ones work. A call to the store that timed out left other silent ones in the pool, each good for one more call; a reservation at an engine over one used up the wait for room, and the request was refused though there was room; nothing broke a stream whose runner was silent, nor a request that nobody acknowledged. Change: a call to the store without an answer in time closes its idle connections; two reservations without an answer do not end the wait; connections to runners break when what is sent is not acknowledged for 1.5 s, and in use when a probe after a second of silence is not answered within another; idle ones that rested as long as one that failed are closed with it.

--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -7,7 +7,6 @@
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/runners"
-	"github.com/hopwell/hopwell/pkg/upstream"
 )
 
 // prefill has the prompt read by the runner that will have done so first. With
@@ -70,8 +69,7 @@
 // the runner may be well: it keeps the prompt that it read, and answers again without
 // reading it anew.
 func answerLost(err error) bool {
-	var exchange *upstream.ErrExchange
-	return errors.As(err, &exchange) && !errors.Is(err, context.DeadlineExceeded)
+	return answerMissing(err) && !errors.Is(err, context.DeadlineExceeded)
 }
 
 // patience returns how long a prefill's answer is waited for. A runner that loses
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -20,8 +20,7 @@
 // reserve waits for room on a decode runner and has it reserved there.
 func (s *generation) reserve() (*place, error) {
 	began := time.Now()
-	ctx, cancel := context.WithDeadline(s.ctx, s.latest())
-	defer cancel()
+	latest, unanswered := s.latest(), 0
 	w := s.pool.Join(s.job, s.rank)
 	for id := range s.unfit {
 		w.Avoid(id)
@@ -33,7 +32,7 @@
 		w.LateFrom(s.arrived.Add(s.route.Latency - serveTime))
 	}
 	for {
-		runner, err := s.pool.Wait(ctx, w)
+		runner, err := s.waitForRoom(w, latest)
 		if err != nil {
 			return nil, firstOf(s.over(), err)
 		}
@@ -48,12 +47,39 @@
 		s.pool.Refused(runner.ID, s.job.ID, time.Now())
 		s.step("hold_refused", decisionlog.F("runner", runner.ID), decisionlog.F("error", err))
 		s.recordFailure(runner, err)
-		if ctx.Err() != nil {
+		if answerMissing(err) && unanswered < maxUnanswered {
+			unanswered++
+			if next := time.Now().Add(nextRoom); next.After(latest) {
+				latest = next
+			}
+		}
+		if s.ctx.Err() != nil || !time.Now().Before(latest) {
 			return nil, firstOf(s.over(), &enginepool.ErrNoRoom{ID: s.job.ID, Waited: time.Since(began)})
 		}
 	}
 }
 
+// waitForRoom waits for room on a decode runner until a time.
+func (s *generation) waitForRoom(w *enginepool.Waiter, latest time.Time) (*runners.State, error) {
+	ctx, cancel := context.WithDeadline(s.ctx, latest)
+	defer cancel()
+	return s.pool.Wait(ctx, w)
+}
+
+const (
+	// maxUnanswered is how many reservations may go unanswered without an end to the wait:
+	// connections to several runners may have fallen silent while there is room.
+	maxUnanswered = 2
+	// nextRoom is how long room elsewhere is waited for after that.
+	nextRoom = 50 * time.Millisecond
+)
+
+// answerMissing reports whether a call had no answer, which says nothing about room.
+func answerMissing(err error) bool {
+	var exchange *upstream.ErrExchange
+	return errors.As(err, &exchange)
+}
+
 // recordFailure records a call that a runner failed.
 func (s *generation) recordFailure(runner *runners.State, err error) {
 	if s.ctx.Err() != nil {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -35,6 +35,7 @@
 		if time.Now().Before(k.until) && k.quiet() {
 			k.uses++
 			k.rested = time.Since(k.since)
+			probe(k.Conn, true)
 			return k, nil
 		}
 		_ = k.Close()
@@ -48,6 +49,10 @@
 	if c.options.Opened != nil {
 		c.options.Opened(address)
 	}
+	if err := guard(raw); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
 	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), uses: 1, said: -1}, nil
 }
 
@@ -94,6 +99,7 @@
 		_ = k.Close()
 		return
 	}
+	probe(k.Conn, false)
 	c.idle[k.address] = append(list, k)
 }
 
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -146,7 +146,8 @@
 	_ = k.Close()
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
-	} else if k.uses > 1 {
+	}
+	if k.uses > 1 && !errors.Is(err, context.Canceled) {
 		c.forgot(k)
 	}
 	return nil, &ErrExchange{Address: address, Reused: k.uses > 1, Err: err}
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 )
 
 // server takes connections and lets each test say what happens on them.
@@ -140,6 +141,83 @@
 	g.Expect(s.count()).To(Equal(1))
 }
 
+// Idle connections that have fallen silent cost one call, not one for each.
+func TestSilentIdleConnectionsCostOneCall(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(n int, c net.Conn, in *bufio.Reader) {
+		for answer(c, in, "") {
+			if n <= 3 {
+				_, _ = io.Copy(io.Discard, in)
+			}
+		}
+	})
+	c := client()
+	var ready, done sync.WaitGroup
+	for _, id := range []string{"a", "b", "c"} {
+		ready.Add(1)
+		done.Go(func() {
+			res, err := c.Do(context.Background(), s.address, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {id}}})
+			ready.Done()
+			ready.Wait()
+			if err == nil {
+				_, err = io.Copy(io.Discard, res)
+			}
+			g.Expect(err).NotTo(HaveOccurred())
+		})
+	}
+	done.Wait()
+	time.Sleep(20 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err := c.Do(ctx, s.address, &Request{Method: "GET", Target: "/", Host: "h"})
+	g.Expect(errors.Is(err, context.DeadlineExceeded)).To(BeTrue())
+	_, err = ask(c, s.address, "d")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.count()).To(Equal(4))
+}
+
+// A runner that takes nothing that is sent, as behind a connection that has fallen silent,
+// ends the exchange, though the caller would wait.
+func TestARunnerThatTakesNothingEndsTheExchange(t *testing.T) {
+	g := NewWithT(t)
+	done := make(chan struct{})
+	defer close(done)
+	s := serve(t, func(_ int, _ net.Conn, _ *bufio.Reader) { <-done })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*silentAfter)
+	defer cancel()
+	_, err := client().Do(ctx, s.address, &Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, 64<<20)})
+	var exchange *ErrExchange
+	g.Expect(errors.As(err, &exchange)).To(BeTrue(), "%v", err)
+	g.Expect(ctx.Err()).NotTo(HaveOccurred(), "long before the caller gives up")
+}
+
+// Connections in use are probed while nothing comes, idle ones are not.
+func TestConnectionsInUseAreProbed(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for answer(c, in, "") {
+		}
+	})
+	c := client()
+	option := func(k *conn, level, name int) int {
+		raw, err := k.Conn.(*net.TCPConn).SyscallConn()
+		g.Expect(err).NotTo(HaveOccurred())
+		value := 0
+		g.Expect(raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), level, name) })).To(Succeed())
+		g.Expect(err).NotTo(HaveOccurred())
+		return value
+	}
+	for range 2 {
+		k, err := c.take(context.Background(), s.address)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(option(k, unix.SOL_SOCKET, unix.SO_KEEPALIVE)).To(Equal(1))
+		g.Expect(option(k, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE)).To(Equal(int(probeAfter.Seconds())))
+		g.Expect(option(k, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)).To(Equal(int(silentAfter.Milliseconds())))
+		c.put(k, time.Minute)
+		g.Expect(option(k, unix.SOL_SOCKET, unix.SO_KEEPALIVE)).To(Equal(0))
+	}
+}
+
 // A runner that forgets idle connections without closing them fails one request, not one
 // for each connection; after a while it is trusted again.
 func TestARunnerThatForgetsIdleConnectionsFailsOneRequest(t *testing.T) {
