--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -41,8 +41,7 @@
 			return Source{}, nil, gone
 		}
 		s.trouble("prefill_failed", reader.ID, err)
-		var declined *ErrDeclined
-		if !errors.As(err, &declined) {
+		if answerMissing(err) {
 			s.wasted("prefill_lost", reader, s.job.Prompt)
 		}
 		s.refusedPrefill(reader, err)
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
@@ -48,7 +49,11 @@
 	if first {
 		x.options.Changed(s.Name, Alive, known)
 	}
-	if len(s.Outcomes) > 0 {
+	switch {
+	case s.Summary:
+		x.options.ReceiveOutcomes(runners.SummaryNear, true, decodeOutcomes(s.Outcomes))
+		x.options.ReceiveOutcomes(runners.SummaryFar, false, decodeOutcomes(s.OutcomesElsewhere))
+	case len(s.Outcomes) > 0:
 		x.options.ReceiveOutcomes(s.Name, sameDomain, decodeOutcomes(s.Outcomes))
 	}
 	if len(s.StageChanges) > 0 {
