relay, upstream: a clearer name; the tests' three idle connections made in one place

Cause: Heeded told nothing to a reader; two tests made the same idle connections. Change: Answering; threeIdle. No change of behaviour. Result: tests as before.

--- a/pkg/peers/relay.go
+++ b/pkg/peers/relay.go
@@ -76,15 +76,15 @@
 type Coverage struct {
 	// FreshUntil is until when what they told can be relied on.
 	FreshUntil time.Time
-	// Heeded says that one answers, whether or not it reaches the store.
-	Heeded bool
+	// Answering says that one answers, whether or not it reaches the store.
+	Answering bool
 }
 
 // Coverage returns how relays keep this gateway up to date.
 func (x *Exchange) Coverage(now time.Time) Coverage {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return Coverage{FreshUntil: x.sources.FreshUntil(), Heeded: x.sources.Heeded(now)}
+	return Coverage{FreshUntil: x.sources.FreshUntil(), Answering: x.sources.Answering(now)}
 }
 
 // StoreAnswers notes that the store answered this gateway.
--- a/pkg/peers/relay_test.go
+++ b/pkg/peers/relay_test.go
@@ -88,7 +88,7 @@
 	g.Eventually(func() int {
 		subscribed = nil
 		for _, w := range all {
-			if !w.Relay(time.Now()) && w.Coverage(time.Now()).Heeded {
+			if !w.Relay(time.Now()) && w.Coverage(time.Now()).Answering {
 				subscribed = append(subscribed, w)
 			}
 		}
--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -81,7 +81,7 @@
 		return until.Sub(now), 0
 	case now.Before(covered.FreshUntil):
 		f.confirmAt, wait = now.Add(jitter(confirmEvery)), confirmWait
-	case f.copy.lostNow() && covered.Heeded && now.Before(f.triedAt):
+	case f.copy.lostNow() && covered.Answering && now.Before(f.triedAt):
 		return f.triedAt.Sub(now), 0
 	}
 	f.triedAt = now.Add(jitter(outageTry))
--- a/pkg/process/relay_test.go
+++ b/pkg/process/relay_test.go
@@ -238,10 +238,10 @@
 		f := newFixture(t, 10)
 		f.copy.answers(false)
 		time.Sleep(startRest)
-		f.coverage = peers.Coverage{FreshUntil: time.Now().Add(-time.Second), Heeded: true}
+		f.coverage = peers.Coverage{FreshUntil: time.Now().Add(-time.Second), Answering: true}
 		g.Expect(f.waits(t)).To(BeZero())
 		g.Expect(f.waits(t)).To(And(BeNumerically(">=", outageTry/2), BeNumerically("<=", 2*outageTry)))
-		f.coverage.Heeded = false
+		f.coverage.Answering = false
 		g.Expect(f.waits(t)).To(BeZero(), "nobody else will tell that it is back")
 	})
 }
--- a/pkg/relay/sources.go
+++ b/pkg/relay/sources.go
@@ -131,8 +131,8 @@
 // FreshUntil returns until when what relays told can be relied on.
 func (s *Sources) FreshUntil() time.Time { return s.confirmed.Add(StaleAfter) }
 
-// Heeded reports whether a relay answers at all, also one that has lost the store.
-func (s *Sources) Heeded(now time.Time) bool {
+// Answering reports whether a relay answers at all, also one that has lost the store.
+func (s *Sources) Answering(now time.Time) bool {
 	for _, r := range s.relays {
 		if now.Sub(r.heard) <= silentAfter {
 			return true
--- a/pkg/relay/sources_test.go
+++ b/pkg/relay/sources_test.go
@@ -88,7 +88,7 @@
 	g.Expect(s.FreshUntil()).To(Equal(now.Add(StaleAfter-time.Second)), "an update behind a gap confirms nothing")
 	s.Heard(from, &Update{Age: 0, More: true}, true, now)
 	g.Expect(s.FreshUntil()).To(Equal(now.Add(StaleAfter-time.Second)), "nor one that lacks changes")
-	g.Expect(s.Heeded(now)).To(BeTrue())
+	g.Expect(s.Answering(now)).To(BeTrue())
 }
 
 func TestARelayIsAskedAgainForWhatWasLost(t *testing.T) {
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -62,6 +62,25 @@
 	return New(Options{ConnectTimeout: 5 * time.Second, Idle: time.Minute, MaxIdle: 4})
 }
 
+// threeIdle leaves three idle connections to a server, by as many requests at once.
+func threeIdle(t *testing.T, c *Client, s *server) {
+	g := NewWithT(t)
+	var ready, done sync.WaitGroup
+	for _, id := range []string{"a", "b", "c"} {
+		ready.Add(1)
+		done.Go(func() {
+			res, err := c.Do(context.Background(), s.address, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {id}}})
+			ready.Done()
+			ready.Wait()
+			if err == nil {
+				_, err = io.Copy(io.Discard, res)
+			}
+			g.Expect(err).NotTo(HaveOccurred())
+		})
+	}
+	done.Wait()
+}
+
 // ask sends one request and reads its answer.
 func ask(c *Client, address, id string) (string, error) {
 	res, err := c.Do(context.Background(), address, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {id}},
@@ -152,20 +171,7 @@
 		}
 	})
 	c := client()
-	var ready, done sync.WaitGroup
-	for _, id := range []string{"a", "b", "c"} {
-		ready.Add(1)
-		done.Go(func() {
-			res, err := c.Do(context.Background(), s.address, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {id}}})
-			ready.Done()
-			ready.Wait()
-			if err == nil {
-				_, err = io.Copy(io.Discard, res)
-			}
-			g.Expect(err).NotTo(HaveOccurred())
-		})
-	}
-	done.Wait()
+	threeIdle(t, c, s)
 	time.Sleep(20 * time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
@@ -232,20 +238,7 @@
 		}
 	})
 	c := client()
-	var ready, done sync.WaitGroup
-	for _, id := range []string{"a", "b", "c"} {
-		ready.Add(1)
-		done.Go(func() {
-			res, err := c.Do(context.Background(), s.address, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {id}}})
-			ready.Done()
-			ready.Wait()
-			if err == nil {
-				_, err = io.Copy(io.Discard, res)
-			}
-			g.Expect(err).NotTo(HaveOccurred())
-		})
-	}
-	done.Wait()
+	threeIdle(t, c, s)
 	g.Expect(s.count()).To(Equal(3))
 	time.Sleep(2 * rest)
 	failed := 0
