relay: only the last of several updates confirms; of each key the last change is sent

Change: updates that others follow confirm nothing; a history keeps the last change of each key. Ruled out: a lost store, a relay without it; both logs show neither.

--- a/pkg/relay/history.go
+++ b/pkg/relay/history.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +17,8 @@
 	maxUpdate = 14 << 10
 )
 
-// History holds the latest changes of the store without a gap. It is safe for
-// concurrent use.
+// History holds the latest changes of the store without a gap, of each key the last one: in a
+// storm of configurations only the newest is sent. It is safe for concurrent use.
 type History struct {
 	mu sync.Mutex
 	// All changes after base up to reached are kept, by revision.
@@ -48,12 +49,21 @@
 		h.confirmed = confirmed
 	}
 	for _, c := range changes {
-		h.changes = append(h.changes, c)
-		h.bytes += size(c)
+		h.replace(c)
 	}
 	h.trim()
 }
 
+// replace adds a change in place of an earlier one of the same key.
+func (h *History) replace(c store.Event) {
+	if i := slices.IndexFunc(h.changes, func(e store.Event) bool { return e.Key == c.Key }); i >= 0 {
+		h.bytes -= size(h.changes[i])
+		h.changes = slices.Delete(h.changes, i, i+1)
+	}
+	h.changes = append(h.changes, c)
+	h.bytes += size(c)
+}
+
 // trim drops the oldest changes beyond the limit, all of one revision together.
 func (h *History) trim() {
 	drop := 0
@@ -95,7 +105,7 @@
 		}
 		if bytes += n; bytes > maxUpdate {
 			end := h.changes[i-1].Revision
-			out[len(out)-1].To = end
+			out[len(out)-1].To, out[len(out)-1].Age = end, Unconfirmed
 			out = append(out, Update{From: end, Age: age})
 			bytes = n
 		}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -57,10 +57,15 @@
 // Relays returns how many of a number of gateways are relays.
 func Relays(gateways int) int { return max(leastRelays, gateways/gatewaysEach) }
 
-// Update holds all changes of the store after the revision From up to To.
+// Unconfirmed is the age of an update that others follow: the store had changes after it.
+const Unconfirmed = time.Hour
+
+// Update brings a gateway from the revision From to To: it holds the changes between them,
+// of a key that changed again the last one only, maybe in a later update.
 type Update struct {
 	From, To uint64
-	// Age is how long ago the store had no change after To.
+	// Age is how long ago the store had no change after To, Unconfirmed if that is not
+	// known.
 	Age time.Duration
 	// More says that the store holds later changes that are not sent.
 	More    bool
--- a/pkg/relay/sources.go
+++ b/pkg/relay/sources.go
@@ -124,7 +124,7 @@
 		s.confirmed = later(s.confirmed, confirmed)
 	}
 	if r := s.relays[name]; r != nil {
-		r.heard, r.confirmed, r.lacking = now, confirmed, !applied
+		r.heard, r.confirmed, r.lacking = now, later(r.confirmed, confirmed), !applied
 	}
 }
 
