--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -46,9 +46,10 @@
 	// outcomesEvery is how many periods pass between reports of runners' outcomes.
 	outcomesEvery = 4
 	// maxOutcomes bounds the runners that one report names, some 20 bytes each. Of more
-	// than subset.Users gateways each reports to the relays, which sum up what they get
-	// and tell the gateways that subscribed to them: all know within two such times.
-	maxOutcomes = 32
+	// than subset.Users gateways each report goes to fewer the more there are, to
+	// leastReceivers at least: each gets as many reports a second whatever their number.
+	maxOutcomes    = 32
+	leastReceivers = 4
 )
 
 // What happens to another gateway.
@@ -72,9 +73,6 @@
 	Domain          string
 	Outcomes        func() []runners.Outcome
 	ReceiveOutcomes func(gateway string, sameDomain bool, outcomes []runners.Outcome)
-	// SumOutcomes returns the sums of what gateways reported, for those that this one is
-	// a relay for.
-	SumOutcomes func(domainOf func(gateway string) string) runners.Summary
 	// ReceiveStageChanges takes the engines that another gateway ordered to another
 	// stage.
 	ReceiveStageChanges func(changes []runners.StageChange)
@@ -135,6 +133,8 @@
 	sources     *relay.Sources
 	subscribers relay.Subscribers
 	relayed     allowance
+	// turn counts the gateways that outcomes were sent to, in turn.
+	turn int
 }
 
 // New returns an exchange that knows nobody.
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -5,7 +5,6 @@
 	"net"
 	"time"
 
-	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
@@ -49,11 +48,7 @@
 	if first {
 		x.options.Changed(s.Name, Alive, known)
 	}
-	switch {
-	case s.Summary:
-		x.options.ReceiveOutcomes(runners.SummaryNear, true, decodeOutcomes(s.Outcomes))
-		x.options.ReceiveOutcomes(runners.SummaryFar, false, decodeOutcomes(s.OutcomesElsewhere))
-	case len(s.Outcomes) > 0:
+	if len(s.Outcomes) > 0 {
 		x.options.ReceiveOutcomes(s.Name, sameDomain, decodeOutcomes(s.Outcomes))
 	}
 	if len(s.StageChanges) > 0 {
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -66,7 +66,7 @@
 	var all map[string]enginepool.Snapshot
 	x.mu.Lock()
 	heartbeat := x.heartbeat()
-	informed := x.outcomeReceivers(len(outcomes) > 0, now)
+	informed := x.outcomeReceivers(len(outcomes) > 0)
 	var out []datagram
 	for _, m := range x.members {
 		full := m.wantFull && now.Sub(m.lastFull) >= period || now.Sub(m.lastFull) >= max(fullEvery, heartbeat)
@@ -88,7 +88,6 @@
 	}
 	x.mu.Unlock()
 	x.write(out)
-	x.sendSummaries(now)
 }
 
 // outcomes returns the outcomes at runners in every outcomesEvery-th period.
@@ -119,59 +118,24 @@
 }
 
 // outcomeReceivers returns the gateways that get outcomes now: all where they are few,
-// otherwise the relays, each of which tells a part of the others. The caller holds the
-// lock.
-func (x *Exchange) outcomeReceivers(news bool, now time.Time) map[string]bool {
+// otherwise the next ones in turn. The caller holds the lock.
+func (x *Exchange) outcomeReceivers(news bool) map[string]bool {
 	out := map[string]bool{}
 	if !news {
 		return out
 	}
-	if len(x.members) > subset.Users {
-		for _, name := range x.sources.Candidates(x.living(), now) {
-			out[name] = true
-		}
-		return out
+	list := x.sorted()
+	n := len(list)
+	if n > subset.Users {
+		n = max(leastReceivers, subset.Users*subset.Users/n)
 	}
-	for name := range x.members {
-		out[name] = true
+	for range n {
+		out[list[x.turn%len(list)].name] = true
+		x.turn++
 	}
 	return out
 }
 
-// sendSummaries tells the gateways that subscribed to this one what others reported of
-// failing runners, where gateways are too many to tell each other.
-func (x *Exchange) sendSummaries(now time.Time) {
-	if x.periods%outcomesEvery != 0 {
-		return
-	}
-	x.mu.Lock()
-	domains := map[string]string{}
-	for name, m := range x.members {
-		domains[name] = m.domain
-	}
-	subscribed := x.subscribers.Names(now)
-	many := len(x.members) > subset.Users
-	x.mu.Unlock()
-	if !many || len(subscribed) == 0 {
-		return
-	}
-	sums := x.options.SumOutcomes(func(gateway string) string { return domains[gateway] })
-	if len(sums) == 0 {
-		return
-	}
-	x.mu.Lock()
-	var out []datagram
-	for _, name := range subscribed {
-		if m := x.members[name]; m != nil {
-			near, far := sums.For(m.domain)
-			state := &wirepb.GatewayState{Summary: true, Outcomes: encodeOutcomes(worst(near)), OutcomesElsewhere: encodeOutcomes(worst(far))}
-			out = append(out, x.datagram(m, state, now))
-		}
-	}
-	x.mu.Unlock()
-	x.write(out)
-}
-
 // SendStageChanges tells all gateways of engines that are ordered to another stage, so
 // that none sends them work. A gateway whose datagram is lost learns of it from the
 // store.
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -20,7 +20,6 @@
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/peers"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
-	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/staging"
 	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/pkg/upstream"
@@ -92,11 +91,11 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(memory)))
 	log := decisionlog.New(c.Instance.Name, out)
 	client := upstream.New(upstream.Options{ConnectTimeout: connectTime, Idle: idleTime, MaxIdle: maxIdle, Opened: countOpened})
-	calls := &platform.Runners{Client: client}
+	runners := &platform.Runners{Client: client}
 	p := &Ingress{log: log, client: client, stopped: make(chan struct{})}
 	p.settings.Store(c)
 	p.Ingress = ingress.New(ingress.Options{
-		Domain: c.Instance.Domain, Engines: calls, Reader: calls, Log: log,
+		Domain: c.Instance.Domain, Engines: runners, Reader: runners, Log: log,
 		Budget:   budgetLimits(c),
 		Gateways: firstGateways, MaxOpen: c.Limits.OpenRequests, MaxBodies: int64(bodyPart * float64(memory)),
 		Pool: p.poolOptions(c), Neighbours: func() int { return p.peers.Neighbours() },
@@ -111,7 +110,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
-	orders := p.stager(calls)
+	orders := p.stager(runners)
 	p.feed.orders = orders.free.Store
 	p.feed.relays, p.feed.gateway = p.peers, p.addPeer
 	p.done.Go(func() { p.feed.run(ctx) })
@@ -201,9 +200,6 @@
 	p.peers = peers.New(peers.Options{
 		Name: instance.Name, Address: p.ports.Peers, Conn: conn,
 		Domain: instance.Domain, Outcomes: p.Ingress.Outcomes, ReceiveOutcomes: p.Ingress.ReceiveOutcomes,
-		SumOutcomes: func(domainOf func(string) string) runners.Summary {
-			return p.Ingress.Directory.Summary(instance.Domain, domainOf, time.Now())
-		},
 		Store:               p.feed,
 		ReceiveStageChanges: p.Ingress.ReceiveStageChanges,
 		Snapshots:           p.Ingress.Snapshots, ReceiveSnapshot: p.Ingress.ReceiveSnapshot, Version: p.Ingress.Version,
--- a/pkg/relay/sources.go
+++ b/pkg/relay/sources.go
@@ -45,7 +45,7 @@
 		return
 	}
 	s.suspectSilent(now)
-	candidates := s.Candidates(living, now)
+	candidates := s.candidates(living, now)
 	slices.SortFunc(candidates, func(a, b string) int { return cmp.Compare(pairHash(s.self, a), pairHash(s.self, b)) })
 	chosen := candidates[:min(sourcesEach, len(candidates))]
 	for name := range s.relays {
@@ -74,9 +74,9 @@
 	}
 }
 
-// Candidates returns the relays: the first living gateways that are not suspected. The own
-// one, if it is among them, is left out: relays choose each other.
-func (s *Sources) Candidates(living []string, now time.Time) []string {
+// candidates returns the first living gateways that are not suspected. The own one, if it
+// is among them, is left out: relays choose each other.
+func (s *Sources) candidates(living []string, now time.Time) []string {
 	ordered := slices.DeleteFunc(slices.Clone(living), func(name string) bool { return now.Before(s.suspects[name]) })
 	slices.SortFunc(ordered, inOrder)
 	first := ordered[:min(Relays(len(living)), len(ordered))]
--- a/pkg/relay/sources_test.go
+++ b/pkg/relay/sources_test.go
@@ -16,6 +16,13 @@
 	return names
 }
 
+// settled returns the sources of a gateway that knows the others.
+func settled(self string, now time.Time) *Sources {
+	s := NewSources(self)
+	s.Choose(nil, now.Add(-settleFor))
+	return s
+}
+
 func names(s *Sources) []string {
 	var out []string
 	for name := range s.relays {
@@ -24,13 +31,6 @@
 	return out
 }
 
-// settled returns the sources of a gateway that knows the others.
-func settled(self string, now time.Time) *Sources {
-	s := NewSources(self)
-	s.Choose(nil, now.Add(-settleFor))
-	return s
-}
-
 // However many gateways there are, all choose among the same few, and each relay gets its
 // share.
 func TestGatewaysChooseAmongTheSameFew(t *testing.T) {
--- a/pkg/relay/subscribers.go
+++ b/pkg/relay/subscribers.go
@@ -38,17 +38,6 @@
 	return len(s.all) > 0
 }
 
-// Names returns the gateways that are subscribed.
-func (s *Subscribers) Names(now time.Time) []string {
-	var names []string
-	for name, g := range s.all {
-		if !now.After(g.until) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // Due returns the gateways that lack changes up to the revision reached, or that were
 // told nothing for a beat, with the revision after which each gets them.
 func (s *Subscribers) Due(reached uint64, now time.Time) map[string]uint64 {
--- a/pkg/runners/outcomes.go
+++ b/pkg/runners/outcomes.go
@@ -65,74 +65,6 @@
 	sameDomain bool
 }
 
-// SummaryNear and SummaryFar stand for the gateways whose outcomes a relay summed up, those
-// in the own failure domain and the others, in ReceiveOutcomes.
-const (
-	SummaryNear = "relay/near"
-	SummaryFar  = "relay/far"
-)
-
-func summary(gateway string) bool { return gateway == SummaryNear || gateway == SummaryFar }
-
-// Summary is the outcomes that gateways reported here, with the own ones, by failure
-// domain. What relays summed up is not in it, so that nothing goes in circles.
-type Summary map[string][]Outcome
-
-// Summary returns the outcomes at runners that some gateway saw fail lately. DomainOf
-// returns a gateway's failure domain; the own one's is given.
-func (d *Directory) Summary(own string, domainOf func(gateway string) string, now time.Time) Summary {
-	out := Summary{}
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	for id, s := range d.all {
-		s.mu.Lock()
-		if s.suspect(now) || s.refusal.active(s.Stage, now) {
-			s.sumUp(id, own, domainOf, out, now)
-		}
-		s.mu.Unlock()
-	}
-	return out
-}
-
-// sumUp adds a runner's outcomes to a summary. The caller holds the lock.
-func (s *State) sumUp(id, own string, domainOf func(string) string, out Summary, now time.Time) {
-	unusable := !s.refusal.relayed && s.refusal.active(s.Stage, now) && now.Sub(s.refusal.at) <= reportTTL
-	sums := map[string]tally{own: s.own.faded(now)}
-	for gateway, r := range s.others {
-		if summary(gateway) || now.Sub(r.at) > reportTTL {
-			continue
-		}
-		domain, t := domainOf(gateway), r.faded(now)
-		sum := sums[domain]
-		sums[domain] = tally{failed: sum.failed + t.failed, total: sum.total + t.total}
-	}
-	for domain, t := range sums {
-		if unusable || t.total >= reportFrom {
-			out[domain] = append(out[domain], Outcome{Runner: id, Failed: t.failed, Total: t.total, Unusable: unusable, Stage: s.Stage})
-		}
-	}
-}
-
-// For returns what a gateway in a failure domain should know: the outcomes there, and the
-// sums of all others.
-func (m Summary) For(domain string) (near, far []Outcome) {
-	sums := map[string]Outcome{}
-	for other, list := range m {
-		if other == domain {
-			continue
-		}
-		for _, o := range list {
-			sum := sums[o.Runner]
-			o.Failed, o.Total = o.Failed+sum.Failed, o.Total+sum.Total
-			sums[o.Runner] = o
-		}
-	}
-	for _, o := range sums {
-		far = append(far, o)
-	}
-	return m[domain], far
-}
-
 // Succeeded records a call other than a request that the runner carried out.
 func (s *State) Succeeded(now time.Time) {
 	s.mu.Lock()
@@ -225,6 +157,6 @@
 	if !o.Unusable || o.Stage != s.Stage || s.refusal.active(s.Stage, h.at) {
 		return false
 	}
-	s.refusal = refusal{stage: o.Stage, at: h.at, relayed: summary(gateway)}
+	s.refusal = refusal{stage: o.Stage, at: h.at}
 	return true
 }
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -70,8 +70,6 @@
 
 // refusal is a runner's answer that it is not what was meant; the zero value is none.
 type refusal struct {
-	// relayed says that a relay told of it.
-	relayed bool
 	// stage is the one that was meant: the answer says nothing against another.
 	stage Stage
 	at    time.Time
