workspace, ingress, relay: keys of workspaces, refused in time when they are taken away

A key is checked again before each send.

The property test of the chain of relays fails when the age counts from the datagram's arrival.

--- a/pkg/config/ingress.go
+++ b/pkg/config/ingress.go
@@ -26,6 +26,25 @@
 	Window fleet.Duration `yaml:"window"`
 }
 
+// Workspaces says how strictly keys and limits of workspaces are kept.
+type Workspaces struct {
+	// FailClosed refuses requests with a key that may have been taken away: when the
+	// store was last known to be as it is here longer ago than RevokeWithin allows.
+	FailClosed   bool           `yaml:"fail_closed"`
+	RevokeWithin fleet.Duration `yaml:"revoke_within"`
+	Quota        Quota          `yaml:"quota"`
+}
+
+// Quota says how much more than its limit a workspace may use in a window, over all
+// gateways.
+type Quota struct {
+	Window fleet.Duration `yaml:"window"`
+	// Overshoot is a part of what the limit allows in the window, Slack an amount beside
+	// it, in units of the limit.
+	Overshoot float64 `yaml:"overshoot"`
+	Slack     float64 `yaml:"slack"`
+}
+
 // IngressLimits bounds what an ingress takes on.
 type IngressLimits struct {
 	OpenRequests int            `yaml:"open_requests"`
@@ -44,6 +63,7 @@
 	Seeds       []string       `yaml:"seeds"`
 	Listen      IngressListen  `yaml:"listen"`
 	RetryBudget RetryBudget    `yaml:"retry_budget"`
+	Workspaces  Workspaces     `yaml:"workspaces"`
 	Lease       fleet.Duration `yaml:"lease"`
 	Limits      IngressLimits  `yaml:"limits"`
 	Drain       Drain          `yaml:"drain"`
@@ -80,6 +100,7 @@
 		checkAddress("listen.metrics", c.Listen.Metrics),
 		checkAddress("listen.peers", c.Listen.Peers),
 		c.RetryBudget.check(),
+		c.Workspaces.check(),
 		checkDuration("lease", c.Lease, minLease, maxLease),
 		checkCount("limits.open_requests", c.Limits.OpenRequests),
 		checkCount("limits.memory_mb", c.Limits.MemoryMB),
@@ -107,3 +128,24 @@
 	}
 	return checkDuration("retry_budget.window", b.Window, time.Second, time.Hour)
 }
+
+// minRevoke is the shortest time in which a revoked key can be refused everywhere: what
+// relays confirm is up to 2.5 s old.
+const minRevoke = 3 * time.Second
+
+func (w *Workspaces) check() *fault {
+	return first(
+		checkDuration("workspaces.revoke_within", w.RevokeWithin, minRevoke, time.Hour),
+		w.Quota.check(),
+	)
+}
+
+func (q *Quota) check() *fault {
+	if q.Overshoot < 0 || q.Overshoot > 1 {
+		return &fault{"workspaces.quota.overshoot", "a number from 0 to 1"}
+	}
+	if q.Slack < 0 {
+		return &fault{"workspaces.quota.slack", "a number of 0 or more"}
+	}
+	return checkDuration("workspaces.quota.window", q.Window, time.Second, time.Hour)
+}
--- a/pkg/config/ingress_test.go
+++ b/pkg/config/ingress_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -35,6 +36,33 @@
 	g.Expect(c.Listen.Peers).To(Equal("10.1.0.38:7395"))
 }
 
+// A deployment without keys and quotas leaves their gaps empty.
+func TestTheDeployTemplateIsReadWithoutWorkspaces(t *testing.T) {
+	g := NewWithT(t)
+	data, err := os.ReadFile("../../deploy/ingress.yaml")
+	g.Expect(err).NotTo(HaveOccurred())
+	fields := platform.ExampleFields()
+	for _, name := range []string{"failClosed", "revokeMs", "quotaWindowS", "quotaOvershoot", "quotaSlack"} {
+		delete(fields, "bounds."+name)
+	}
+	text, err := platform.Fill(string(data), fields)
+	g.Expect(err).NotTo(HaveOccurred())
+	c, err := config.ParseIngress("deploy/ingress.yaml", []byte(text))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Workspaces.FailClosed).To(BeFalse())
+	g.Expect(c.Workspaces.Quota.Window.D()).To(Equal(8*time.Second), "the default")
+}
+
+func TestTheDeployTemplateFillsWorkspaces(t *testing.T) {
+	g := NewWithT(t)
+	c, err := config.ParseIngress("deploy/ingress.yaml", []byte(filled(t)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Workspaces.FailClosed).To(BeTrue())
+	g.Expect(c.Workspaces.RevokeWithin.D()).To(Equal(5 * time.Second))
+	g.Expect(c.Workspaces.Quota.Slack).To(Equal(140000.0))
+	g.Expect(c.Workspaces.Quota.Overshoot).To(Equal(0.1))
+}
+
 func TestTheIngressDefaultsAreGood(t *testing.T) {
 	g := NewWithT(t)
 	_, err := config.ParseIngress("default", []byte(config.IngressDefault))
@@ -55,6 +83,9 @@
 		{"  memory_mb: 134", "  memory_mb: 0", "limits.memory_mb", 20},
 		{"  peers: 10.1.0.38:7395", "  peers: 10.1.0.38:99999", "listen.peers", 13},
 		{"lease: 3000ms", "leese: 3000ms", "leese", 18},
+		{"revoke_within: 5000ms", "revoke_within: 1s", "workspaces.revoke_within", 25},
+		{"    slack: 140000", "    slack: -1", "workspaces.quota.slack", 29},
+		{"overshoot: 0.1", "overshoot: 2", "workspaces.quota.overshoot", 28},
 	} {
 		g := NewWithT(t)
 		text := strings.Replace(filled(t), c.from, c.to, 1)
--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -11,6 +11,7 @@
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/request"
+	"github.com/hopwell/hopwell/pkg/workspace"
 )
 
 const (
@@ -59,7 +60,13 @@
 	var bad *ErrBadCall
 	var body *ErrBody
 	var unready *ErrNotReady
+	var credential *workspace.ErrCredential
+	var unconfirmed *ErrUnconfirmed
 	switch {
+	case errors.As(err, &credential):
+		x.unauthorized(err)
+	case errors.As(err, &unconfirmed):
+		x.refuse(err, unconfirmedWait)
 	case errors.As(err, &unready) && !x.g.drain.begun():
 		x.refuse(err, startWait)
 	case errors.As(err, &noRoute):
@@ -79,6 +86,12 @@
 	}
 }
 
+// unauthorized answers that no valid key came with the request.
+func (x *exchange) unauthorized(err error) {
+	x.w.Header().Set("WWW-Authenticate", "Bearer")
+	x.own(http.StatusUnauthorized, err)
+}
+
 // drainWait returns when a client should come back that this process, which is stopping,
 // refused: at once if there is another gateway for it, otherwise when this one is up again.
 func (x *exchange) drainWait() time.Duration {
@@ -99,6 +112,10 @@
 		return
 	}
 	err := &ErrGivenUp{Outcome: outcome, Sends: x.sends, Last: last}
+	if outcome == request.NotRun && notAllowed(last) {
+		x.reject(last)
+		return
+	}
 	if outcome == request.NotRun {
 		x.refuse(err, after)
 		return
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -29,6 +29,8 @@
 	// PromptID names the prompt's own last part: the same in all tries of a client;
 	// empty if not given.
 	PromptID string
+	// Credentials are what the request shows to prove whom it is for, as they came.
+	Credentials []string
 	// After is the last event that the client has, when it resumes a stream.
 	After string
 }
@@ -48,6 +50,10 @@
 	After string
 	// Priority is the call's rank at the runner, 0 to 9, 0 first.
 	Priority int
+	// Keyed says that requests prove by keys whom they are for: a runner gets none of
+	// them, and is told the Workspace instead, empty where a route asks for no key.
+	Keyed     bool
+	Workspace string
 }
 
 // Answer is a runner's answer to a call. The body must be closed.
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/routetable"
+	"github.com/hopwell/hopwell/pkg/workspace"
 )
 
 // exchange is one request while it is served.
@@ -25,6 +26,10 @@
 	// meanwhile, and version its version.
 	table   *routetable.Table
 	version uint64
+	// workspace is the one that the request is for, key what proved it; nil where no key
+	// is asked for.
+	workspace *workspace.Workspace
+	key       workspace.Digest
 	// sends counts the sends to runners, prefills not.
 	sends int
 	// bodyBytes is what the body takes of the memory for bodies.
@@ -51,6 +56,9 @@
 	if x.route == nil {
 		return &ErrNoRoute{Host: call.Host, Path: call.Path, Version: x.version}
 	}
+	if err := x.identify(); err != nil {
+		return err
+	}
 	x.service = x.route.Pick(rand.Float64())
 	if x.g.drain.refuses(x.arrived, x.route.Kind == routetable.Stream) {
 		return &ErrNotReady{Why: "stopping"}
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -70,6 +70,9 @@
 		}
 		avoid[runner.ID] = true
 		last = err
+		if notAllowed(err) {
+			break
+		}
 		if v == notRun {
 			refusals++
 			continue
@@ -144,6 +147,9 @@
 // if the try is the final one.
 func (x *exchange) sendPlain(life *request.Life, n int, runner *runners.State, final bool) (verdict, error) {
 	began := time.Now()
+	if err := x.reconfirm(); err != nil {
+		return notRun, err
+	}
 	if err := life.Send(n); err != nil {
 		return mayHaveRun, err
 	}
@@ -152,7 +158,7 @@
 	x.sends++
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	answer, err := x.g.options.Engines.Send(ctx, runner, x.call, Order{Left: x.left(), Priority: x.route.Priority})
+	answer, err := x.g.options.Engines.Send(ctx, runner, x.call, x.order())
 	if err != nil {
 		return x.sendFailed(life, n, runner, err)
 	}
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -145,7 +145,7 @@
 		}
 		last = err
 		var noRoom *enginepool.ErrNoRoom
-		if errors.As(err, &noRoom) {
+		if errors.As(err, &noRoom) || notAllowed(err) {
 			break
 		}
 		if v == notRun {
@@ -209,10 +209,16 @@
 		s.unfit[runner.ID] = true
 		return notRun, &ErrLeft{Runner: runner.ID}
 	}
+	if err := s.reconfirm(); err != nil {
+		s.free(reader, source, "key_not_confirmed")
+		s.drop(room)
+		return notRun, err
+	}
 	if err := s.life.Send(n); err != nil {
 		return mayHaveRun, err
 	}
-	order := Order{Left: s.left(), Hold: room.hold, Priority: s.route.Priority}
+	order := s.order()
+	order.Hold = room.hold
 	if reader != nil {
 		order.Source = s.g.options.Engines.Fetch(reader, source)
 	} else if s.keeper != nil && s.keeper.ID != runner.ID {
--- /dev/null
+++ b/pkg/ingress/identity_test.go
@@ -0,0 +1,97 @@
+package ingress
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/routetable"
+	"github.com/hopwell/hopwell/pkg/workspace"
+)
+
+// keyed returns a configuration version in which some keys speak for workspace "w".
+func keyed(t *testing.T, version uint64, keys ...string) *routetable.Table {
+	t.Helper()
+	w := workspace.Workspace{Name: "w", Limit: workspace.Limit{Unit: workspace.Requests}}
+	for _, k := range keys {
+		w.Keys = append(w.Keys, workspace.DigestOf(k))
+	}
+	services := map[string]routetable.Service{"s": {Name: "s"}}
+	target := []routetable.Target{{Service: "s", Weight: 1}}
+	table, err := routetable.New(routetable.Config{Version: version, Services: services, Workspaces: []workspace.Workspace{w}, Routes: []routetable.Route{
+		{Name: "closed", PathPrefix: "/closed/", Kind: routetable.Safe, Targets: target},
+		{Name: "open", PathPrefix: "/open/", Kind: routetable.Safe, Targets: target, Public: true},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// asked returns a request to a path with some values of the Authorization header.
+func asked(g *Ingress, path string, credentials ...string) *exchange {
+	table := g.Table()
+	return &exchange{g: g, arrived: time.Now(), table: table, route: table.Match("", path), call: &Call{Credentials: credentials}}
+}
+
+func TestAPublicRouteAsksForNoKey(t *testing.T) {
+	g := NewWithT(t)
+	in := New(Options{})
+	in.Use(keyed(t, 1, "k"))
+	g.Expect(asked(in, "/open/").identify()).To(Succeed())
+	var bad *workspace.ErrCredential
+	g.Expect(errors.As(asked(in, "/closed/").identify(), &bad)).To(BeTrue())
+	x := asked(in, "/closed/", "Bearer k")
+	g.Expect(x.identify()).To(Succeed())
+	x.ctx = t.Context()
+	g.Expect(x.order().Workspace).To(Equal("w"))
+	g.Expect(x.order().Keyed).To(BeTrue())
+}
+
+func TestTheWorkspacesPriorityGoesBeforeTheRoutes(t *testing.T) {
+	g := NewWithT(t)
+	in := New(Options{})
+	in.Use(keyed(t, 1, "k"))
+	x := asked(in, "/closed/", "Bearer k")
+	x.ctx, x.route.Priority = t.Context(), 3
+	g.Expect(x.identify()).To(Succeed())
+	g.Expect(x.order().Priority).To(Equal(3))
+	seven := 7
+	x.workspace.Priority = &seven
+	g.Expect(x.order().Priority).To(Equal(7))
+}
+
+// A key that is taken away while its request waits is refused before the request is sent.
+func TestAKeyTakenAwayMeanwhileIsNotSentOn(t *testing.T) {
+	g := NewWithT(t)
+	in := New(Options{})
+	in.Use(keyed(t, 1, "k"))
+	x := asked(in, "/closed/", "Bearer k")
+	g.Expect(x.identify()).To(Succeed())
+	g.Expect(x.reconfirm()).To(Succeed())
+	in.Use(keyed(t, 2, "another"))
+	g.Expect(notAllowed(x.reconfirm())).To(BeTrue())
+}
+
+// Keys that fail closed are refused, also such as nobody knows, once the configuration is not
+// confirmed any more: never with the word that they are not valid.
+func TestUnconfirmedKeysAreRefusedWithoutAVerdict(t *testing.T) {
+	g := NewWithT(t)
+	confirmed := time.Now()
+	in := New(Options{Revocation: Revocation{After: time.Second, Confirmed: func() time.Time { return confirmed }}})
+	in.Use(keyed(t, 1, "k"))
+	x := asked(in, "/closed/", "Bearer k")
+	g.Expect(x.identify()).To(Succeed())
+	confirmed = time.Now().Add(-2 * time.Second)
+	var old *ErrUnconfirmed
+	g.Expect(errors.As(x.reconfirm(), &old)).To(BeTrue(), "it stood still while the request waited")
+	for _, credential := range []string{"Bearer k", "Bearer unknown", ""} {
+		g.Expect(errors.As(asked(in, "/closed/", credential).identify(), &old)).To(BeTrue(), credential)
+	}
+	g.Expect(asked(in, "/open/").identify()).To(Succeed())
+	open := New(Options{})
+	open.Use(keyed(t, 1, "k"))
+	g.Expect(asked(open, "/closed/", "Bearer k").identify()).To(Succeed(), "where keys don't fail closed")
+}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -38,6 +38,8 @@
 	Neighbours func() int
 	// Pool tunes the choice of engines.
 	Pool enginepool.Options
+	// Revocation says when keys are not relied on.
+	Revocation Revocation
 }
 
 // Ingress serves requests. It is safe for concurrent use.
@@ -95,7 +97,13 @@
 func (g *Ingress) Table() *routetable.Table { return g.table.Load() }
 
 // Ready reports whether new connections should come here.
-func (g *Ingress) Ready() bool { return g.informed() && !g.drain.begun() }
+// One that can't rely on any key is of no use to clients where all show one.
+func (g *Ingress) Ready() bool {
+	if !g.informed() || g.drain.begun() {
+		return false
+	}
+	return g.Table().Workspaces == nil || g.unconfirmed(time.Now()) == nil
+}
 
 // Idle reports whether no request has come for a time and none is served.
 func (g *Ingress) Idle(now time.Time, since time.Duration) bool {
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -108,7 +108,7 @@
 func (s *generation) read(reader *runners.State, limit time.Duration) (Source, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, limit)
 	defer cancel()
-	return s.g.options.Engines.Prefill(ctx, reader, s.call, Order{Left: s.left(), Priority: s.route.Priority})
+	return s.g.options.Engines.Prefill(ctx, reader, s.call, s.order())
 }
 
 // useless records a prompt whose KV cache could not be fetched.
--- /dev/null
+++ b/pkg/peers/assured_test.go
@@ -0,0 +1,103 @@
+package peers
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hopwell/hopwell/pkg/spectest"
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
+)
+
+// What a gateway learns of the store's age through a chain of relays is never younger than it
+// is, however long each message and each process stands still, whichever messages are lost
+// or come twice; and without any of that it is known to some round trips.
+func TestAnAssuranceIsNeverYoungerThanItIs(t *testing.T) {
+	spectest.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) {
+			g := NewWithT(rt)
+			const hops = 3
+			chain := make([]*Exchange, hops)
+			known := make([]time.Time, hops)
+			for i := range chain {
+				chain[i] = &Exchange{clock: newStampClock()}
+				time.Sleep(time.Duration(rapid.IntRange(0, 5000).Draw(rt, "start")) * time.Millisecond)
+			}
+			pause := func(what string) {
+				time.Sleep(time.Duration(rapid.SampledFrom([]int{0, 1, 40, 3000}).Draw(rt, what)) * time.Millisecond)
+			}
+			var late []func()
+			for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+				i := rapid.IntRange(1, hops-1).Draw(rt, "gateway")
+				relay, self := chain[i-1], chain[i]
+				switch rapid.IntRange(0, 3).Draw(rt, "what") {
+				case 0:
+					known[0] = time.Now()
+				case 1:
+					stamp := self.clock.stamp(time.Now())
+					pause("subscription")
+					relay.subscribers.Subscribe("self", 1, time.Now())
+					relay.subscribers.Stamp("self", stamp, time.Now())
+				case 2:
+					u := &wirepb.StoreUpdate{}
+					relay.assure(u, "self", known[i-1])
+					made, truth := time.Now(), known[i-1]
+					deliver := func() {
+						at := self.assured(u)
+						g.Expect(at.After(truth)).To(BeFalse(), "sent at %s", made)
+						if at.After(known[i]) {
+							known[i] = at
+						}
+					}
+					late = append(late, deliver)
+					pause("update")
+					if rapid.Bool().Draw(rt, "arrives") {
+						deliver()
+					}
+				default:
+					if len(late) > 0 {
+						rapid.SampledFrom(late).Draw(rt, "again")()
+					}
+				}
+			}
+		})
+	})
+}
+
+func TestAnAssuranceCostsOneRoundTrip(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		relay, self := &Exchange{clock: newStampClock()}, &Exchange{clock: newStampClock()}
+		time.Sleep(time.Second)
+		stamp := self.clock.stamp(time.Now())
+		time.Sleep(2 * time.Millisecond)
+		relay.subscribers.Subscribe("self", 1, time.Now())
+		relay.subscribers.Stamp("self", stamp, time.Now())
+		time.Sleep(800 * time.Millisecond)
+		read := time.Now().Add(-100 * time.Millisecond)
+		u := &wirepb.StoreUpdate{}
+		relay.assure(u, "self", read)
+		time.Sleep(2 * time.Millisecond)
+		g.Expect(read.Sub(self.assured(u))).To(BeNumerically("~", 2*time.Millisecond, 100*time.Microsecond))
+	})
+}
+
+// A process that starts again under the same name may be sent the stamp of the one before.
+func TestTheStampOfAnEarlierProcessSaysNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		relay, before := &Exchange{clock: newStampClock()}, &Exchange{clock: newStampClock()}
+		time.Sleep(time.Second)
+		relay.subscribers.Subscribe("self", 1, time.Now())
+		relay.subscribers.Stamp("self", before.clock.stamp(time.Now()), time.Now())
+		after := &Exchange{clock: newStampClock()}
+		time.Sleep(time.Second)
+		u := &wirepb.StoreUpdate{}
+		relay.assure(u, "self", time.Now())
+		g.Expect(after.assured(u).IsZero()).To(BeTrue())
+		g.Expect(before.assured(u).IsZero()).To(BeFalse())
+	})
+}
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -133,6 +133,7 @@
 	sources     *relay.Sources
 	subscribers relay.Subscribers
 	relayed     allowance
+	clock       stampClock
 	// turn counts the gateways that outcomes were sent to, in turn.
 	turn int
 }
@@ -140,7 +141,7 @@
 // New returns an exchange that knows nobody.
 func New(o Options) *Exchange {
 	x := &Exchange{options: o, incarnation: uint64(time.Now().UnixNano()), members: map[string]*member{}, changed: make(chan struct{}, 1), reached: map[string]uint64{}}
-	x.sources = relay.NewSources(o.Name)
+	x.sources, x.clock = relay.NewSources(o.Name), newStampClock()
 	x.regroup()
 	return x
 }
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -55,10 +55,12 @@
 		x.options.ReceiveStageChanges(decodeStageChanges(s.StageChanges))
 	}
 	if s.StoreSubscription != nil {
-		x.receiveSubscription(s.Name, s.StoreSubscription.At, now)
+		x.receiveSubscription(s.Name, s.StoreSubscription, now)
 	}
 	if s.StoreUpdate != nil {
-		x.receiveUpdate(s.Name, decodeStoreUpdate(s.StoreUpdate), now)
+		update := decodeStoreUpdate(s.StoreUpdate)
+		update.Assured = x.assured(s.StoreUpdate)
+		x.receiveUpdate(s.Name, update, now)
 	}
 	for service, snapshot := range decode(s) {
 		x.options.ReceiveSnapshot(s.Name, service, snapshot)
--- a/pkg/peers/relay.go
+++ b/pkg/peers/relay.go
@@ -118,7 +118,9 @@
 				break
 			}
 			x.subscribers.Sent(name, u.To, now)
-			out = append(out, x.datagram(m, &wirepb.GatewayState{StoreUpdate: encodeStoreUpdate(u)}, now))
+			message := encodeStoreUpdate(u)
+			x.assure(message, name, u.Assured)
+			out = append(out, x.datagram(m, &wirepb.GatewayState{StoreUpdate: message}, now))
 		}
 	}
 	return out
@@ -133,7 +135,7 @@
 	var out []datagram
 	for _, name := range x.sources.Due(now) {
 		if m := x.members[name]; m != nil && at > 0 {
-			out = append(out, x.datagram(m, &wirepb.GatewayState{StoreSubscription: &wirepb.StoreSubscription{At: at}}, now))
+			out = append(out, x.datagram(m, &wirepb.GatewayState{StoreSubscription: &wirepb.StoreSubscription{At: at, Stamp: x.clock.stamp(time.Now())}}, now))
 		}
 	}
 	x.mu.Unlock()
@@ -141,10 +143,12 @@
 }
 
 // receiveSubscription notes a subscription and answers it.
-func (x *Exchange) receiveSubscription(from string, at uint64, now time.Time) {
+func (x *Exchange) receiveSubscription(from string, s *wirepb.StoreSubscription, now time.Time) {
+	at := s.At
 	x.mu.Lock()
 	first := !x.subscribers.Any(now)
 	x.subscribers.Subscribe(from, at, now)
+	x.subscribers.Stamp(from, s.Stamp, time.Now())
 	var out []datagram
 	if x.options.Store.Reached() > 0 {
 		out = x.storeUpdates(map[string]uint64{from: at}, now)
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -118,7 +118,7 @@
 // besides the configuration and the runners change seldom.
 func (f *feed) follower(s store.Store) *store.Follower {
 	return &store.Follower{
-		Store: s, Gather: f.gather, Relayed: f.relayed, Reset: f.reset, Apply: f.apply,
+		Store: s, Gather: f.gather, Relayed: f.relayed, Reset: f.reset, Apply: f.apply, Assured: f.history.Assure,
 		Lost: func(err error) {
 			f.copy.answers(false)
 			f.log.Write(decisionlog.KindProcess, "store_lost", decisionlog.F("error", err))
@@ -171,6 +171,7 @@
 	defer f.applying.Unlock()
 	f.history.Restart(s.At, time.Now().Add(-time.Duration(s.AgeMs)*time.Millisecond))
 	f.takeAll(s.Items, s.At)
+	f.history.Assure(s.assured)
 	f.copy.answers(false)
 }
 
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -98,7 +98,7 @@
 		Domain: c.Instance.Domain, Engines: runners, Reader: runners, Log: log,
 		Budget:   budgetLimits(c),
 		Gateways: firstGateways, MaxOpen: c.Limits.OpenRequests, MaxBodies: int64(bodyPart * float64(memory)),
-		Pool: p.poolOptions(c), Neighbours: func() int { return p.peers.Neighbours() },
+		Pool: p.poolOptions(c), Revocation: p.revocation(c), Neighbours: func() int { return p.peers.Neighbours() },
 	})
 	p.feed = newFeed(p.Ingress, log, platform.NewStore(c.Store), c.Store)
 	if err := p.meet(); err != nil {
@@ -135,6 +135,19 @@
 	return o
 }
 
+// confirmedPart is the part of the time in which a revoked key must be refused that may pass
+// without a confirmation of the configuration. The rest is for clocks that run apart.
+const confirmedPart = 0.95
+
+// revocation returns when keys are not relied on.
+func (p *Ingress) revocation(c *config.Ingress) ingress.Revocation {
+	r := ingress.Revocation{Confirmed: func() time.Time { return p.feed.history.Assured() }}
+	if c.Workspaces.FailClosed {
+		r.After = time.Duration(confirmedPart * float64(c.Workspaces.RevokeWithin.D()))
+	}
+	return r
+}
+
 // budgetLimits returns the retry budget of the settings.
 func budgetLimits(c *config.Ingress) retrybudget.Limits {
 	return retrybudget.Limits{Share: c.RetryBudget.Share, Slack: c.RetryBudget.Slack, Window: c.RetryBudget.Window.D()}
--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -158,6 +158,8 @@
 	}
 	if u.More {
 		f.wake()
+	} else {
+		f.history.Assure(u.Assured)
 	}
 	return true
 }
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -38,6 +38,11 @@
 	At    uint64       `json:"at"`
 	AgeMs int64        `json:"age_ms"`
 	Items []store.Item `json:"items"`
+	// AssuredUs is how long before this was sent the store surely held nothing else, in
+	// microseconds; 0 if that is not known.
+	AssuredUs int64 `json:"assured_us,omitempty"`
+	// assured is that moment on the receiver's clock.
+	assured time.Time
 }
 
 // ErrState reports that a gateway's state can't be used.
@@ -142,6 +147,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if assured := p.feed.history.Assured(); !assured.IsZero() {
+		s.AssuredUs = time.Since(assured).Microseconds() + 1
+	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(s); err != nil {
 		p.log.Write(decisionlog.KindProcess, "state_not_sent", decisionlog.F("error", err))
@@ -204,6 +212,7 @@
 	if err != nil {
 		return s, &ErrState{Address: address, Why: "bad address", Err: err}
 	}
+	asked := time.Now()
 	res, err := client.Do(req)
 	if err != nil {
 		return s, &ErrState{Address: address, Why: "no answer", Err: err}
@@ -218,5 +227,8 @@
 	if age := time.Duration(s.AgeMs) * time.Millisecond; age < 0 || age > maxStateAge {
 		return s, &ErrState{Address: address, Why: "too old: " + age.String()}
 	}
+	if s.AssuredUs > 0 {
+		s.assured = asked.Add(-time.Duration(s.AssuredUs) * time.Microsecond)
+	}
 	return s, nil
 }
--- a/pkg/relay/history.go
+++ b/pkg/relay/history.go
@@ -25,8 +25,10 @@
 	base, reached uint64
 	// confirmed is when the store had no change after reached.
 	confirmed time.Time
-	changes   []store.Event
-	bytes     int
+	// assured is a moment at which the store surely had none, see Assure.
+	assured time.Time
+	changes []store.Event
+	bytes   int
 }
 
 // Restart begins anew at a revision, after a whole reading of the store.
@@ -54,6 +56,22 @@
 	h.trim()
 }
 
+// Assure notes that all changes that the store had at a moment are known: that at which it,
+// or a relay, was asked for the answer that said so. Unlike the time of the answer's arrival
+// it holds however long the answer or this process stood still meanwhile.
+func (h *History) Assure(asked time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.assured = later(h.assured, asked)
+}
+
+// Assured returns the latest such moment, zero for none.
+func (h *History) Assured() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.assured
+}
+
 // replace adds a change in place of an earlier one of the same key.
 func (h *History) replace(c store.Event) {
 	if i := slices.IndexFunc(h.changes, func(e store.Event) bool { return e.Key == c.Key }); i >= 0 {
@@ -113,7 +131,7 @@
 		last.Changes = append(last.Changes, h.changes[i:next]...)
 		i = next
 	}
-	out[len(out)-1].To = h.reached
+	out[len(out)-1].To, out[len(out)-1].Assured = h.reached, h.assured
 	return out
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -67,6 +67,9 @@
 	// Age is how long ago the store had no change after To, Unconfirmed if that is not
 	// known.
 	Age time.Duration
+	// Assured is a moment of the own clock at which the store surely had no change after To;
+	// zero if none is known.
+	Assured time.Time
 	// More says that the store holds later changes that are not sent.
 	More    bool
 	Changes []store.Event
--- a/pkg/relay/subscribers.go
+++ b/pkg/relay/subscribers.go
@@ -12,6 +12,9 @@
 	// sent is the revision up to which changes were sent, told when the last update was.
 	sent uint64
 	told time.Time
+	// stamp is what came with the newest subscription, stamped when that was.
+	stamp   uint64
+	stamped time.Time
 }
 
 // Subscribe notes that a gateway knows all changes up to a revision and wants the later
@@ -27,6 +30,23 @@
 	g.until, g.sent = now.Add(subscribedFor), at
 }
 
+// Stamp notes the stamp of a gateway's newest subscription.
+func (s *Subscribers) Stamp(name string, stamp uint64, now time.Time) {
+	if g := s.all[name]; g != nil {
+		g.stamp, g.stamped = stamp, now
+	}
+}
+
+// Echo returns the stamp of a gateway's newest subscription, 0 for none, and how long ago
+// that came.
+func (s *Subscribers) Echo(name string, now time.Time) (uint64, time.Duration) {
+	g := s.all[name]
+	if g == nil || g.stamp == 0 {
+		return 0, 0
+	}
+	return g.stamp, now.Sub(g.stamped)
+}
+
 // Any reports whether a gateway is subscribed. Those whose subscriptions ran out are
 // forgotten.
 func (s *Subscribers) Any(now time.Time) bool {
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/hopwell/hopwell/pkg/workspace"
 )
 
 // Kind says what may be repeated.
@@ -48,6 +50,8 @@
 	MaxAttempts int
 	// Resumable streams may go on at another runner.
 	Resumable bool
+	// Public routes ask for no key.
+	Public bool
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -110,6 +114,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Workspaces share the system; with none, nobody is asked for a key.
+	Workspaces []workspace.Workspace
 }
 
 // ErrRoute reports what is wrong with a route.
@@ -125,12 +131,21 @@
 // Table finds the route of a request. It does not change.
 type Table struct {
 	Config Config
-	hosts  map[string][]*Route
+	// Workspaces finds the workspace of a key; nil where nobody is asked for one.
+	Workspaces *workspace.Directory
+	hosts      map[string][]*Route
 }
 
-// New checks a configuration and makes its table. It fails with *ErrRoute.
+// New checks a configuration and makes its table. It fails with *ErrRoute or
+// *workspace.ErrWorkspace.
 func New(c Config) (*Table, error) {
 	t := &Table{Config: c, hosts: map[string][]*Route{}}
+	if len(c.Workspaces) > 0 {
+		var err error
+		if t.Workspaces, err = workspace.NewDirectory(c.Workspaces); err != nil {
+			return nil, err
+		}
+	}
 	for i := range t.Config.Routes {
 		r := &t.Config.Routes[i]
 		if err := r.check(c.Services); err != nil {
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -44,6 +44,9 @@
 	// refuses a reading that others have overtaken.
 	Reset func(items []Item, at uint64) error
 	Apply func(events []Event, at uint64)
+	// Assured, if set, is called after each reading or watch with the time at which it was
+	// asked for: what is known now was whole then, however late the answer was read.
+	Assured func(asked time.Time)
 	// Lost and Regained are called when the store stops and starts to answer.
 	Lost     func(err error)
 	Regained func(after time.Duration)
@@ -129,11 +132,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	asked := time.Now()
 	events, next, err := f.Store.Watch(ctx, f.Prefix, p.at, wait)
 	if err != nil {
 		return 0, false, err
 	}
 	f.Apply(events, next)
+	f.assure(asked)
 	return max(p.at, next), len(events) > 0, nil
 }
 
@@ -141,6 +146,7 @@
 func (f *Follower) read(ctx context.Context, p *position) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.limit)
 	defer cancel()
+	asked := time.Now()
 	items, next, err := f.Store.Range(ctx, f.Prefix)
 	if err != nil {
 		return 0, err
@@ -151,9 +157,16 @@
 	if err := f.Reset(items, next); err != nil {
 		return 0, &ErrUnavailable{Call: "range", Err: err}
 	}
+	f.assure(asked)
 	return next, nil
 }
 
+func (f *Follower) assure(asked time.Time) {
+	if f.Assured != nil {
+		f.Assured(asked)
+	}
+}
+
 // ErrOld reports that an answer is older than what is known.
 type ErrOld struct {
 	Have, Got uint64
