--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -47,7 +47,7 @@
 
 // DefaultShares leave a quarter of the allowance for what gateways spend before they hear of
 // each other: at ten times the rate, with news after 0.1 s, about one rate's second.
-func DefaultShares() Shares { return Shares{Bucket: 0.3, Start: 0.15} }
+func DefaultShares() Shares { return Shares{Bucket: 0.25, Start: 0.3} }
 
 // Key names a workspace between gateways.
 type Key uint64
