fleet, gateway, httpapi, hopwell: workspaces with keys and limits on the OpenAI-compatible API

Cause: its header named any workspace and nobody checked it; keys and limits existed on the users' platform only.

With a workspace in force every request needs a key (401 invalid_api_key), a header that says otherwise is refused (403), a limit ends in 429 rate_limit_exceeded with Retry-After. Gateways with sidecars do not tell each other what is spent: each has its equal part of a limit.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -17,6 +17,7 @@
 	"github.com/hopwell/hopwell/pkg/gossip"
 	"github.com/hopwell/hopwell/pkg/node"
 	"github.com/hopwell/hopwell/pkg/platform"
+	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/sidecar"
 	"github.com/hopwell/hopwell/pkg/trace"
 )
@@ -32,8 +33,18 @@
 	PathConfig   = "/v1/config"
 	PathChange   = "/v1/change"
 	PathDrain    = "/v1/drain"
+	PathUsage    = "/v1/usage"
 )
 
+// maxUsage bounds the workspaces of which a gateway tells what they use.
+const maxUsage = 1000
+
+// Usage is what a gateway spent for a workspace.
+type Usage struct {
+	Gateway string `json:"gateway"`
+	quota.Status
+}
+
 // maxChange bounds the body of a change, in bytes.
 const maxChange = platform.MaxValue
 
@@ -84,9 +95,22 @@
 	mux.HandleFunc("GET "+PathConfig, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, h.Node.Keeper.Document()) })
 	mux.HandleFunc("POST "+PathChange, h.change)
 	mux.HandleFunc("POST "+PathDrain, h.drain)
+	mux.HandleFunc("GET "+PathUsage, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, h.usage()) })
 	return mux
 }
 
+// usage returns what this process spent for workspaces; nothing of a sidecar.
+func (h *Handler) usage() []Usage {
+	out := []Usage{}
+	if h.Gateway == nil {
+		return out
+	}
+	for _, s := range h.Gateway.Usage(maxUsage) {
+		out = append(out, Usage{Gateway: h.Node.Self.Name, Status: s})
+	}
+	return out
+}
+
 func (h *Handler) isReady() bool {
 	if h.Gateway != nil {
 		return h.Gateway.Ready()
--- a/pkg/fleet/document.go
+++ b/pkg/fleet/document.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -21,6 +22,8 @@
 	Labels map[string]Labels `json:"labels"`
 	// Selectors are sorted by name.
 	Selectors []Selector `json:"selectors"`
+	// Workspaces are sorted by name.
+	Workspaces []Workspace `json:"workspaces,omitempty"`
 	// Recent lists the last changes, newest last, so that the sender of one
 	// whose answer was lost can tell whether it took effect.
 	Recent []Accepted `json:"recent"`
@@ -30,8 +33,8 @@
 type Accepted struct {
 	ID       string `json:"id"`
 	Revision uint64 `json:"revision"`
-	// Touched names what the change wrote: "label/INSTANCE/KEY" or
-	// "selector/NAME".
+	// Touched names what the change wrote: "label/INSTANCE/KEY",
+	// "selector/NAME" or "workspace/NAME".
 	Touched []string `json:"touched"`
 }
 
@@ -50,6 +53,9 @@
 	// Apply adds or replaces selectors, Delete removes them by name.
 	Apply  []Selector `json:"apply,omitempty"`
 	Delete []string   `json:"delete,omitempty"`
+	// ApplyWorkspaces adds or replaces workspaces, DeleteWorkspaces removes them by name.
+	ApplyWorkspaces  []Workspace `json:"apply_workspaces,omitempty"`
+	DeleteWorkspaces []string    `json:"delete_workspaces,omitempty"`
 	// Force allows a change that leaves a request kind without a runner.
 	Force bool `json:"force,omitempty"`
 }
@@ -68,6 +74,12 @@
 	for _, name := range c.Delete {
 		out = append(out, "selector/"+name)
 	}
+	for _, w := range c.ApplyWorkspaces {
+		out = append(out, "workspace/"+w.Name)
+	}
+	for _, name := range c.DeleteWorkspaces {
+		out = append(out, "workspace/"+name)
+	}
 	slices.Sort(out)
 	return out
 }
@@ -87,6 +99,9 @@
 			return nil, &ErrDocument{Err: err}
 		}
 	}
+	if _, err := d.Directory(); err != nil {
+		return nil, &ErrDocument{Err: err}
+	}
 	return d, nil
 }
 
@@ -115,7 +130,8 @@
 // Apply returns the next document. A change whose base is older is rebased
 // when nothing that it touches was written since; otherwise *ErrConflict shows
 // both sides. A change ID that was accepted before returns d itself. Other
-// errors are *ErrSelector, *ErrMatch, *ErrLabel and *ErrUnknownSelector.
+// errors are *ErrSelector, *ErrMatch, *ErrLabel, *ErrUnknownSelector,
+// *workspace.ErrWorkspace and *ErrUnknownWorkspace.
 func (d *Document) Apply(c *Change) (*Document, error) {
 	if _, ok := d.Accepted(c.ID); ok {
 		return d, nil
@@ -170,6 +186,9 @@
 	if kind == "selector" {
 		return showSelector(d.Selectors, rest)
 	}
+	if kind == "workspace" {
+		return showWorkspace(d.Workspaces, rest)
+	}
 	in, key := cutLabel(rest)
 	return d.Labels[in][key]
 }
@@ -180,6 +199,9 @@
 	if kind == "selector" {
 		return showSelector(c.Apply, rest)
 	}
+	if kind == "workspace" {
+		return showWorkspace(c.ApplyWorkspaces, rest)
+	}
 	in, key := cutLabel(rest)
 	return c.SetLabels[in][key]
 }
@@ -200,6 +222,16 @@
 	return "deleted"
 }
 
+// showWorkspace describes a workspace; of its keys it tells the number.
+func showWorkspace(all []Workspace, name string) string {
+	for i := range all {
+		if w := all[i]; w.Name == name {
+			return fmt.Sprintf("keys=%d unit=%s rate=%g burst=%g", len(w.Keys), w.Unit, w.Rate, w.Burst)
+		}
+	}
+	return "deleted"
+}
+
 // clone copies what edit changes.
 func (d *Document) clone() *Document {
 	next := &Document{Revision: d.Revision, Labels: map[string]Labels{}}
@@ -207,6 +239,7 @@
 		next.Labels[in] = maps.Clone(l)
 	}
 	next.Selectors = slices.Clone(d.Selectors)
+	next.Workspaces = slices.Clone(d.Workspaces)
 	next.Recent = slices.Clone(d.Recent)
 	return next
 }
@@ -231,7 +264,7 @@
 		}
 	}
 	slices.SortFunc(d.Selectors, func(a, b Selector) int { return strings.Compare(a.Name, b.Name) })
-	return nil
+	return d.editWorkspaces(c)
 }
 
 func (d *Document) setLabels(in string, labels Labels) error {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -51,6 +51,7 @@
 	prefixes *route.Prefixes
 	explains *explanations
 	limits   *limits
+	access   *access
 	budget   *retryBudget
 	scratch  sync.Pool
 	draining atomic.Bool
@@ -70,6 +71,7 @@
 		prefixes: route.NewPrefixes(prefixBlocks),
 		explains: newExplanations(),
 		limits:   newLimits(o.MaxOpen, o.MaxPerWorkspace),
+		access:   newAccess(),
 		budget:   newRetryBudget(),
 	}
 	g.scratch.New = func() any { return &route.Scratch{} }
--- a/pkg/gateway/generate.go
+++ b/pkg/gateway/generate.go
@@ -85,6 +85,9 @@
 	if sel == nil {
 		return nil, &ErrUnknownModel{Model: req.Model, Kind: req.Kind}
 	}
+	if err := g.charge(req, tokens, req.MaxTokens); err != nil {
+		return nil, err
+	}
 	if err := g.limits.Enter(req.Workspace); err != nil {
 		return nil, err
 	}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -89,6 +89,7 @@
 // finish records a request's outcome everywhere.
 func (g *Gateway) finish(req *Request, r *Result) {
 	g.met.answered(r)
+	g.giveBack(req, r.Outcome)
 	g.explains.finished(req.ID, r)
 	detail := fmt.Sprintf("outcome=%s miss=%s tokens=%d", r.Outcome, miss(r), r.Tokens)
 	if r.Err != nil {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/request"
+	"github.com/hopwell/hopwell/pkg/workspace"
 )
 
 // Request is one generation that a caller asks for.
@@ -19,6 +20,10 @@
 	Key string
 	// NotRepeatable is the caller's own mark; a selector can set it too.
 	NotRepeatable bool
+
+	// charged is the workspace whose limit paid for the request, cost how much.
+	charged *workspace.Workspace
+	cost    float64
 }
 
 // Sink takes a request's answer. It is called from one goroutine.
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -59,6 +59,9 @@
 	if sel == nil {
 		return g.reject(as, &ErrUnknownModel{Model: req.Service, Kind: req.Kind})
 	}
+	if err := g.charge(as, 0, 0); err != nil {
+		return g.reject(as, err)
+	}
 	if err := g.limits.Enter(req.Workspace); err != nil {
 		return g.reject(as, err)
 	}
--- a/pkg/httpapi/api.go
+++ b/pkg/httpapi/api.go
@@ -124,10 +124,34 @@
 type caller struct {
 	id, kind, workspace, key string
 	notRepeatable            bool
+	// keyed says that a key proved the workspace.
+	keyed bool
 }
 
-// identify reads the headers of a request. It fails with *errRequest.
-func identify(r *http.Request) (caller, error) {
+// identify reads the headers of a request. It fails with *errRequest and, where keys are in
+// force, *workspace.ErrCredential: the key then says which workspace it is.
+func (a *API) identify(r *http.Request) (caller, error) {
+	c, err := read(r)
+	if err != nil {
+		return c, err
+	}
+	directory, err := a.g.Workspaces()
+	if err != nil || directory == nil {
+		return c, err
+	}
+	w, _, err := directory.Authenticate(r.Header.Values("Authorization"))
+	if err != nil {
+		return c, err
+	}
+	if claimed := r.Header.Get(HeaderWorkspace); claimed != "" && claimed != w.Name {
+		return c, &errRequest{Status: http.StatusForbidden, Code: "workspace_mismatch", Param: HeaderWorkspace, Message: "the key is that of another workspace"}
+	}
+	c.workspace, c.keyed = w.Name, true
+	return c, nil
+}
+
+// read reads the headers of a request. It fails with *errRequest.
+func read(r *http.Request) (caller, error) {
 	c := caller{
 		id:   uuid.NewString(),
 		kind: r.Header.Get(HeaderKind), workspace: r.Header.Get(HeaderWorkspace), key: r.Header.Get(HeaderKey),
--- a/pkg/httpapi/errors.go
+++ b/pkg/httpapi/errors.go
@@ -11,7 +11,9 @@
 	"github.com/hopwell/hopwell/pkg/claim"
 	"github.com/hopwell/hopwell/pkg/gateway"
 	"github.com/hopwell/hopwell/pkg/openai"
+	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/request"
+	"github.com/hopwell/hopwell/pkg/workspace"
 )
 
 // errRequest reports what is wrong with a request itself.
@@ -49,7 +51,14 @@
 	var shed *gateway.ErrShed
 	var held *claim.ErrHeld
 	var stale *gateway.ErrStale
+	var key *workspace.ErrCredential
+	var used *quota.ErrQuota
 	switch {
+	case errors.As(err, &key):
+		a.set(http.StatusUnauthorized, "invalid_request_error", "invalid_api_key")
+	case errors.As(err, &used):
+		a.set(http.StatusTooManyRequests, string(used.Limit.Unit), "rate_limit_exceeded")
+		a.retry = max(used.After, time.Millisecond)
 	case errors.As(err, &bad):
 		a.set(bad.Status, "invalid_request_error", bad.Code)
 		a.body.Message = bad.Message
--- a/pkg/httpapi/generate.go
+++ b/pkg/httpapi/generate.go
@@ -83,7 +83,7 @@
 
 // generate runs a job and answers in one piece or as a stream.
 func (a *API) generate(w http.ResponseWriter, r *http.Request, j job) {
-	c, err := identify(r)
+	c, err := a.identify(r)
 	if err == nil {
 		err = j.check()
 	}
--- a/pkg/httpapi/service.go
+++ b/pkg/httpapi/service.go
@@ -15,7 +15,7 @@
 
 // service passes a call to a plain service: /services/NAME/PATH becomes /PATH.
 func (a *API) service(w http.ResponseWriter, r *http.Request) {
-	c, err := identify(r)
+	c, err := a.identify(r)
 	var body []byte
 	if err == nil {
 		body, err = readBody(r)
@@ -30,6 +30,10 @@
 	}
 	header := endToEnd(r.Header)
 	header.Set(HeaderRequest, c.id)
+	if c.keyed {
+		header.Del("Authorization")
+		header.Set(HeaderWorkspace, c.workspace)
+	}
 	s := &serviceSink{w: w, id: c.id}
 	res := a.g.Call(r.Context(), &gateway.ServiceRequest{
 		ID: c.id, Workspace: c.workspace, Kind: c.kind, Service: r.PathValue("name"),
