--- a/cmd/hopwelld/cmds/demo_ingress.go
+++ b/cmd/hopwelld/cmds/demo_ingress.go
@@ -48,6 +48,7 @@
 	flags.IntVar(&f.options.Engines, "engines", f.options.Engines, "number of model engines")
 	flags.IntVar(&f.options.Plain, "plain", f.options.Plain, "number of plain runners")
 	flags.Float64Var(&f.options.Rate, "rate", f.options.Rate, "requests that begin in a second")
+	flags.BoolVar(&f.options.Workspaces, "workspaces", true, "have the clients belong to three workspaces, one of which sends more than its limit")
 	flags.Uint64Var(&f.options.Seed, "seed", f.options.Seed, "seed of the load and of the random faults")
 	flags.StringVar(&f.address, "view", "127.0.0.1:0", "address of the view and of the faults on request")
 	flags.DurationVar(&f.every, "every", 2*time.Second, "time between two views on the terminal, 0 for none")
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hopwell/hopwell/pkg/quota"
 )
 
 // meters are the ingress's metrics.
@@ -53,12 +55,18 @@
 // last.
 const shownWorkspaces = 20
 
-// writeQuota writes the state of the workspaces' limits.
-func (g *Ingress) writeQuota(w io.Writer) {
+// Usage returns what this gateway spent for workspaces lately, at most a number of them; nothing
+// without limits.
+func (g *Ingress) Usage(most int) []quota.Status {
 	if g.options.Quota == nil {
-		return
+		return nil
 	}
-	for _, s := range g.options.Quota.Status(shownWorkspaces, time.Now()) {
+	return g.options.Quota.Status(most, time.Now())
+}
+
+// writeQuota writes the state of the workspaces' limits.
+func (g *Ingress) writeQuota(w io.Writer) {
+	for _, s := range g.Usage(shownWorkspaces) {
 		fmt.Fprintf(w, "hopwell_workspace_spent{workspace=%q} %d\n", s.Workspace, s.Spent)
 		fmt.Fprintf(w, "hopwell_workspace_left{workspace=%q} %.0f\n", s.Workspace, s.Level)
 		fmt.Fprintf(w, "hopwell_workspace_limit_rate{workspace=%q} %g\n", s.Workspace, s.Limit.Rate)
--- a/pkg/ingressdemo/demo.go
+++ b/pkg/ingressdemo/demo.go
@@ -53,6 +53,9 @@
 	Rate float64
 	// Log receives the gateways' decision logs.
 	Log io.Writer
+	// Workspaces has the clients belong to three workspaces, of which one sends more than
+	// its limit.
+	Workspaces bool
 	// Seed makes the clients' choices and the random faults repeat.
 	Seed uint64
 }
@@ -122,7 +125,11 @@
 		options: o, tally: &tally{}, began: time.Now(), standIns: standin.NewFleet(), down: map[string]time.Time{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxRate}},
 	}
-	d.standIns.Configure(standin.Config(1))
+	config := standin.Config(1)
+	if o.Workspaces {
+		config = standin.WithWorkspaces(config, workspaces()...)
+	}
+	d.standIns.Configure(config)
 	d.addRunners()
 	for i := range o.Gateways {
 		if err := d.startGateway(i); err != nil {
--- a/pkg/ingressdemo/load.go
+++ b/pkg/ingressdemo/load.go
@@ -71,6 +71,8 @@
 	first time.Duration
 	// refused is set when a try was turned away.
 	refused bool
+	// tenant is whose request it is; nil where there are no workspaces.
+	tenant *tenant
 }
 
 func newUser(d *Demo, serial int, random *rand.Rand) *user {
@@ -83,6 +85,9 @@
 	} else if random.Float64() < resumablePart {
 		u.path = "/again/"
 	}
+	if d.options.Workspaces {
+		u.tenant = pickTenant(random)
+	}
 	return u
 }
 
@@ -144,7 +149,7 @@
 		return u.afterLoss(), &errTry{Err: err}
 	}
 	defer res.Body.Close()
-	if res.StatusCode == http.StatusServiceUnavailable {
+	if res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests {
 		u.refused = true
 		return retryAfter(res), &errTry{Status: res.StatusCode}
 	}
@@ -173,6 +178,7 @@
 		PromptID: u.name, Prompt: u.prompt, MaxOut: mostOut, After: u.after,
 	}
 	call.Write(r)
+	u.authorize(r)
 	return r, nil
 }
 
--- a/pkg/ingressdemo/view.go
+++ b/pkg/ingressdemo/view.go
@@ -26,6 +26,7 @@
 	fmt.Fprintf(&text, "%.0f s, %.1f requests/s\n\n", now.Sub(d.began).Seconds(), d.rate(now))
 	d.writeGateways(out, now)
 	d.writeRunners(out, now)
+	d.writeWorkspaces(out)
 	d.writeResults(out, now)
 	_ = out.Flush()
 	_, _ = io.WriteString(w, text.String())
