--- a/pkg/retrybudget/retrybudget.go
+++ b/pkg/retrybudget/retrybudget.go
@@ -22,6 +22,10 @@
 // the judge begin at different times.
 const caution = 0.8
 
+// startPart is the part of the slack that a process uses in its first window: what an earlier one
+// spent in that window is not known, and with caution both stay below the whole.
+const startPart = 0.25
+
 // buckets is how many parts a window is counted in.
 const buckets = 10
 
@@ -34,11 +38,16 @@
 	extras   [buckets + 1]float64
 	at       int64
 	start    time.Time
+	// began is when the process did, aged is set a window later.
+	began time.Time
+	aged  bool
 }
 
 // New returns a budget that is shared by a number of gateways.
-func New(l Limits, gateways int) *Budget {
-	return &Budget{limits: l, gateways: max(1, gateways), start: time.Now()}
+func New(l Limits, gateways int) *Budget { return newAt(l, gateways, time.Now()) }
+
+func newAt(l Limits, gateways int, now time.Time) *Budget {
+	return &Budget{limits: l, gateways: max(1, gateways), start: now, began: now}
 }
 
 // Share sets by how many gateways the slack is shared.
@@ -60,6 +69,9 @@
 	b.limits = l
 }
 
+// age notes that a whole window has passed since the process began. The caller holds the lock.
+func (b *Budget) age(now time.Time) { b.aged = b.aged || now.Sub(b.began) > b.limits.Window }
+
 // Request records a new request.
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
@@ -95,11 +107,16 @@
 }
 
 func (b *Budget) allowed() float64 {
-	return caution * (b.limits.Share*sum(b.requests[:]) + b.limits.Slack/float64(b.gateways))
+	slack := b.limits.Slack / float64(b.gateways)
+	if !b.aged {
+		slack *= startPart
+	}
+	return caution * (b.limits.Share*sum(b.requests[:]) + slack)
 }
 
 // bucket returns the current bucket and empties those that time has passed.
 func (b *Budget) bucket(now time.Time) int {
+	b.age(now)
 	width := b.limits.Window / buckets
 	at := int64(now.Sub(b.start) / max(width, 1))
 	for ; b.at < at; b.at++ {
