ingress, peers: returning clients are told by what most requests of a route show

Change: nothing is said before eight requests, then the plain mean counts. The quota hears of gateways that came or went only, not of all in each period.

--- a/pkg/ingress/returns.go
+++ b/pkg/ingress/returns.go
@@ -11,15 +11,20 @@
 	// have the longest; where they are alike, even in an overload most are new. Measured:
 	// with clients' times spread over 15 in 100, 0.8 of all were taken for returning.
 	commonPart = 0.5
-	// returnsMemory is over how many requests, about, a route's clients are looked at.
+	// returnsMemory is over how many requests, about, a route's clients are looked at, and
+	// leastSeen how many are needed to say anything: of 31 gateways each sees one request a
+	// second on a route.
 	returnsMemory = 200
+	leastSeen     = 8
 )
 
 // returns learns from the times that a route's clients are ready to wait whether a client with
 // less has been refused before.
 type returns struct {
 	longest time.Duration
-	// common is the part of the requests with about the longest time, of the latest seen.
+	// seen is how many requests there were, common the part of the latest with about the
+	// longest time.
+	seen   int
 	common float64
 }
 
@@ -27,12 +32,13 @@
 func (r *returns) observe(patience time.Duration) bool {
 	r.longest = max(r.longest, patience)
 	less := patience < r.longest-returnMargin
-	seen := 1.0
+	long := 1.0
 	if less {
-		seen = 0
+		long = 0
 	}
-	r.common += (seen - r.common) / returnsMemory
-	return less && r.common >= commonPart
+	r.seen++
+	r.common += (long - r.common) / float64(min(r.seen, returnsMemory))
+	return less && r.seen >= leastSeen && r.common >= commonPart
 }
 
 // returning reports whether a client of a route, which is ready to wait for a time, has tried
@@ -42,7 +48,7 @@
 	defer g.mu.Unlock()
 	r := g.returns[route]
 	if r == nil {
-		r = &returns{common: 1}
+		r = &returns{}
 		g.returns[route] = r
 	}
 	return r.observe(patience)
--- a/pkg/peers/members.go
+++ b/pkg/peers/members.go
@@ -42,6 +42,7 @@
 	defer x.mu.Unlock()
 	if x.members[name] == nil {
 		x.members[name] = &member{name: name, address: at, lastSeen: time.Now(), wantFull: true}
+		x.memberships++
 	}
 	return nil
 }
@@ -142,6 +143,7 @@
 		}
 		if quiet > rememberFor {
 			delete(x.members, name)
+			x.memberships++
 		}
 	}
 	if len(silent) > 0 {
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -131,6 +131,9 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	// memberships counts how often a gateway was added or dropped, toldMembers up to which
+	// of these the quota knows.
+	memberships, toldMembers uint64
 	// reached is the revisions up to which changes were sent, by service.
 	reached map[string]uint64
 	periods uint64
--- a/pkg/peers/spending.go
+++ b/pkg/peers/spending.go
@@ -68,9 +68,10 @@
 
 // quotaMembers says which gateways share the limits. The caller holds the lock.
 func (x *Exchange) quotaMembers(now time.Time) {
-	if x.options.Quota == nil {
+	if x.options.Quota == nil || x.toldMembers == x.memberships {
 		return
 	}
+	x.toldMembers = x.memberships
 	names := make([]string, 0, len(x.members))
 	for name := range x.members {
 		names = append(names, name)
