--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -71,7 +71,7 @@
 	var credential *workspace.ErrCredential
 	var unconfirmed *ErrUnconfirmed
 	var limited *quota.ErrQuota
-	if x.route != nil && x.route.Kind == routetable.Stream {
+	if x.life == nil && x.route != nil && x.route.Kind == routetable.Stream {
 		x.fields = append(x.fields, decisionlog.F("prompt", x.call.Prompt))
 	}
 	switch {
--- a/pkg/opclient/opclient.go
+++ b/pkg/opclient/opclient.go
@@ -235,29 +235,6 @@
 	return newest, nil
 }
 
-// Usage asks all gateways what they spent for workspaces.
-func (c *Client) Usage(ctx context.Context) ([]admin.Usage, error) {
-	answers, err := askAll[[]admin.Usage](ctx, c, admin.PathUsage)
-	if err != nil {
-		return nil, err
-	}
-	out := []admin.Usage{}
-	var last error
-	heard := false
-	for _, a := range answers {
-		if a.Err != nil {
-			last = a.Err
-			continue
-		}
-		heard = true
-		out = append(out, a.Value...)
-	}
-	if !heard {
-		return nil, &ErrNoProcess{Asked: len(answers), Err: last}
-	}
-	return out, nil
-}
-
 // Change sends a change to one process after another until one settles it: a
 // change that is sent twice has one effect, by its ID.
 func (c *Client) Change(ctx context.Context, change *fleet.Change, dryRun bool) (admin.ChangeReply, error) {
