--- a/pkg/enginepool/enginepool_bench_test.go
+++ b/pkg/enginepool/enginepool_bench_test.go
@@ -39,3 +39,57 @@
 		})
 	}
 }
+
+// BenchmarkStateOfAll tells what a gateway's looks at all engines cost, of which it uses 240 and
+// reserved on a few: everything for another gateway (for each period in which one is due), and the
+// state for the log (once a second).
+func BenchmarkStateOfAll(b *testing.B) {
+	for _, n := range []int{300, 3000} {
+		d := runners.NewDirectory()
+		for i := range n {
+			d.Put(runners.Runner{ID: fmt.Sprintf("d%d", i), Service: "llm", Stage: runners.Decode})
+		}
+		p := New("llm", d, Options{Fill: 1})
+		p.Configure(Spec{Memory: 42833, Slots: 64})
+		now := time.Now()
+		for _, s := range d.All("llm") {
+			p.mu.Lock()
+			p.engine(s.ID)
+			p.mu.Unlock()
+		}
+		b.Run(fmt.Sprintf("everything, %d engines", n), func(b *testing.B) {
+			for b.Loop() {
+				p.Snapshot(0)
+			}
+		})
+		b.Run(fmt.Sprintf("state, %d engines", n), func(b *testing.B) {
+			for b.Loop() {
+				p.Status(now)
+			}
+		})
+	}
+}
+
+// BenchmarkReceiveEverything tells what everything that another gateway reserved costs to take, on 8
+// of a number of engines. Each gateway sends it every few seconds to each other.
+func BenchmarkReceiveEverything(b *testing.B) {
+	for _, n := range []int{300, 3000} {
+		b.Run(fmt.Sprintf("%d engines", n), func(b *testing.B) {
+			p := New("llm", runners.NewDirectory(), Options{Fill: 1})
+			p.Configure(Spec{Memory: 42833, Slots: 64})
+			p.mu.Lock()
+			for i := range n {
+				p.engine(fmt.Sprintf("d%d", i))
+			}
+			p.mu.Unlock()
+			all := Snapshot{Full: true}
+			for i := range 8 {
+				all.Engines = append(all.Engines, EngineLoad{Runner: fmt.Sprintf("d%d", i), Loads: []Load{{Now: 4000, Left: 500}}})
+			}
+			now := time.Now()
+			for b.Loop() {
+				p.ReceiveSnapshot("other", all, now)
+			}
+		})
+	}
+}
