peers: the quota learns of a shorter time between datagrams when limits come later

Cause, found by reading: how long another gateway is taken to be there was told only when a gateway came or went; with limits that come to a running fleet it stayed three times as long, and what two sides of a cut may spend twice grew with it. Change: it is told whenever it changes. Measured: no figure; where limits are there from the start nothing changes.

--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -132,8 +132,9 @@
 	mu      sync.Mutex
 	members map[string]*member
 	// memberships counts how often a gateway was added or dropped, toldMembers up to which
-	// of these the quota knows.
+	// of these the quota knows, toldGrace how long it was told to take others to be there.
 	memberships, toldMembers uint64
+	toldGrace                time.Duration
 	// byName is the members by name at byNameAt memberships; alive the names of the living
 	// ones with the own one, nil if they must be listed anew, first whether the own one is
 	// among the first of these, chosen when relays were chosen last. Each is kept since a
--- a/pkg/peers/spending.go
+++ b/pkg/peers/spending.go
@@ -68,13 +68,17 @@
 
 // quotaMembers says which gateways share the limits. The caller holds the lock.
 func (x *Exchange) quotaMembers(now time.Time) {
-	if x.options.Quota == nil || x.toldMembers == x.memberships {
+	if x.options.Quota == nil {
+		return
+	}
+	grace := time.Duration(graceFactor * float64(x.heartbeat()))
+	if x.toldMembers == x.memberships && x.toldGrace == grace {
 		return
 	}
-	x.toldMembers = x.memberships
+	x.toldMembers, x.toldGrace = x.memberships, grace
 	names := make([]string, 0, len(x.members))
 	for name := range x.members {
 		names = append(names, name)
 	}
-	x.options.Quota.Members(names, time.Duration(graceFactor*float64(x.heartbeat())), now)
+	x.options.Quota.Members(names, grace, now)
 }
