--- a/pkg/ingressdemo/load.go
+++ b/pkg/ingressdemo/load.go
@@ -71,8 +71,8 @@
 	first time.Duration
 	// refused is set when a try was turned away.
 	refused bool
-	// tenant is whose request it is; nil where there are no workspaces.
-	tenant *tenant
+	// workspace is whose request it is; nil where there are no workspaces.
+	workspace *demoWorkspace
 }
 
 func newUser(d *Demo, serial int, random *rand.Rand) *user {
@@ -86,7 +86,7 @@
 		u.path = "/again/"
 	}
 	if d.options.Workspaces {
-		u.tenant = pickTenant(random)
+		u.workspace = pickWorkspace(random)
 	}
 	return u
 }
--- a/pkg/ingressdemo/workspaces.go
+++ b/pkg/ingressdemo/workspaces.go
@@ -10,48 +10,48 @@
 	"github.com/hopwell/hopwell/platform/standin"
 )
 
-// tenant is a workspace of the demo with its part of the requests.
-type tenant struct {
+// demoWorkspace is a workspace of the demo with its part of the requests.
+type demoWorkspace struct {
 	name string
 	part float64
 	// limit is the tokens a second that it may use, with as many at once.
 	limit float64
 }
 
-// tenants are the demo's workspaces. The last sends more than twice what it may: at 12 requests
+// demoWorkspaces are the demo's workspaces. The last sends more than twice what it may: at 12 requests
 // a second, of which 0.6 have some 2,400 tokens, half of them are 8,600 tokens a second.
-var tenants = []tenant{{"counter", 0.3, 60000}, {"phone-desk", 0.2, 60000}, {"night-batch", 0.5, 4000}}
+var demoWorkspaces = []demoWorkspace{{"counter", 0.3, 60000}, {"phone-desk", 0.2, 60000}, {"night-batch", 0.5, 4000}}
 
 // plainTokens is what a lookup counts.
 const plainTokens = 50
 
 // key returns a workspace's key.
-func (t *tenant) key() string { return "demo-key-" + t.name }
+func (t *demoWorkspace) key() string { return "demo-key-" + t.name }
 
-// workspaces returns the stand-ins' configuration of the tenants.
+// workspaces returns the stand-ins' configuration of the workspaces.
 func workspaces() []standin.Workspace {
 	var out []standin.Workspace
-	for _, t := range tenants {
+	for _, t := range demoWorkspaces {
 		out = append(out, standin.Workspace{Name: t.name, Keys: []string{t.key()}, Rate: t.limit, Burst: t.limit, PlainTokens: plainTokens})
 	}
 	return out
 }
 
-// pickTenant draws whose request the next one is.
-func pickTenant(random *rand.Rand) *tenant {
+// pickWorkspace draws whose request the next one is.
+func pickWorkspace(random *rand.Rand) *demoWorkspace {
 	draw := random.Float64()
-	for i := range tenants {
-		if draw -= tenants[i].part; draw < 0 {
-			return &tenants[i]
+	for i := range demoWorkspaces {
+		if draw -= demoWorkspaces[i].part; draw < 0 {
+			return &demoWorkspaces[i]
 		}
 	}
-	return &tenants[len(tenants)-1]
+	return &demoWorkspaces[len(demoWorkspaces)-1]
 }
 
 // authorize shows the key of the user's workspace.
 func (u *user) authorize(r *http.Request) {
-	if u.tenant != nil {
-		r.Header.Set("Authorization", "Bearer "+u.tenant.key())
+	if u.workspace != nil {
+		r.Header.Set("Authorization", "Bearer "+u.workspace.key())
 	}
 }
 
@@ -67,14 +67,14 @@
 		if g == nil {
 			continue
 		}
-		for _, s := range g.Ingress.Usage(len(tenants)) {
+		for _, s := range g.Ingress.Usage(len(demoWorkspaces)) {
 			spent[s.Workspace] += s.Spent
 			left[s.Workspace] = s
 		}
 	}
 	d.mu.Unlock()
 	fmt.Fprintln(w, "WORKSPACE\tLIMIT A SECOND\tSPENT\tLEFT\t")
-	for _, t := range tenants {
+	for _, t := range demoWorkspaces {
 		s := left[t.name]
 		fmt.Fprintf(w, "%s\t%.0f\t%d\t%.0f of %.0f\t\n", t.name, t.limit, spent[t.name], s.Level, s.Size)
 	}
--- a/pkg/ingressdemo/workspaces_test.go
+++ b/pkg/ingressdemo/workspaces_test.go
@@ -24,7 +24,7 @@
 				d.mu.Lock()
 				defer d.mu.Unlock()
 				for _, g := range d.gateways {
-					for _, s := range g.Ingress.Usage(len(tenants)) {
+					for _, s := range g.Ingress.Usage(len(demoWorkspaces)) {
 						if s.Workspace == name {
 							sum += s.Spent
 						}
@@ -35,7 +35,7 @@
 		}
 		began := time.Now()
 		Eventually(spent("counter")).WithTimeout(30 * time.Second).Should(BeNumerically(">", 60000))
-		limit := tenants[len(tenants)-1].limit
+		limit := demoWorkspaces[len(demoWorkspaces)-1].limit
 		took := time.Since(began).Seconds() + 1
 		Expect(float64(spent("night-batch")())).To(BeNumerically("<=", limit*(took+2)+20000))
 		var view strings.Builder
