--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/request"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/workspace"
@@ -40,6 +41,8 @@
 	bodyBytes int64
 	rank      enginepool.Rank
 	ctx       context.Context
+	// asked is the digest of what the request asks, once it was needed.
+	asked *quarantine.Digest
 	// fields are what the final line tells besides the outcome.
 	fields []decisionlog.Field
 }
@@ -148,3 +151,16 @@
 	}
 	return errGone{}
 }
+
+// digest returns the digest of what the request asks. It is made when it is needed first.
+func (x *exchange) digest() quarantine.Digest {
+	if x.asked == nil {
+		a := quarantine.Asked{Method: x.call.Method, Host: x.call.Host, Path: x.call.Path, Body: x.call.Body}
+		if x.workspace != nil {
+			a.Workspace = x.workspace.Name
+		}
+		d := a.Digest()
+		x.asked = &d
+	}
+	return *x.asked
+}
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -201,7 +201,7 @@
 	if gone := x.over(); gone != nil {
 		return mayHaveRun, gone
 	}
-	x.trouble("send_failed", runner.ID, err, decisionlog.F("address", runner.Address))
+	x.trouble("send_failed", runner.ID, err, decisionlog.F("address", runner.Address), decisionlog.F("asked", x.digest()))
 	var dial *upstream.ErrDial
 	if errors.As(err, &dial) {
 		life.Withdraw(n)
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -83,7 +83,8 @@
 		return mayHaveRun, gone
 	}
 	runner.Failed(time.Now())
-	r.s.trouble("stream_broken", runner.ID, err, decisionlog.F("events", r.events), decisionlog.F("last", r.last))
+	r.s.trouble("stream_broken", runner.ID, err, decisionlog.F("events", r.events), decisionlog.F("last", r.last),
+		decisionlog.F("asked", r.s.digest()))
 	return mayHaveRun, &ErrBroken{Runner: runner.ID, After: r.last, Err: err}
 }
 
