quarantine, ingress, peers, process: requests that crash the runners that run them are kept from runners

Cause: a gateway forgot a request with its end, each try has another ID, and gateways told each other nothing of requests, so that a request that crashes engines crashed one more with each try, at any gateway. Retry budgets do not bind it: each try is a request of its own.

Runs that break off with their runner's connection are counted by a digest of what was asked. Three that break before their first event, or five, are enough; a run that ends well clears it; runs of one moment count as one. Gateways report broken runs to those that the digest falls to, quarantines to all; a quarantine lies in the store under a lease of ten minutes, for gateways that start later. A quarantined request is refused at once, before a prefill and again before each send.

--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -10,6 +10,7 @@
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/request"
 	"github.com/hopwell/hopwell/pkg/routetable"
@@ -71,6 +72,7 @@
 	var credential *workspace.ErrCredential
 	var unconfirmed *ErrUnconfirmed
 	var limited *quota.ErrQuota
+	var held *quarantine.ErrQuarantined
 	if x.life == nil && x.route != nil && x.route.Kind == routetable.Stream {
 		x.fields = append(x.fields, decisionlog.F("prompt", x.call.Prompt))
 	}
@@ -81,6 +83,8 @@
 		x.unauthorized(err)
 	case errors.As(err, &unconfirmed):
 		x.refuse(err, unconfirmedWait)
+	case errors.As(err, &held):
+		x.refuse(err, held.Left)
 	case errors.As(err, &unready) && !x.g.drain.begun():
 		x.refuse(err, startWait)
 	case errors.As(err, &noRoute):
@@ -191,8 +195,11 @@
 		limit  *quota.ErrQuota
 		key    *workspace.ErrCredential
 		old    *ErrUnconfirmed
+		held   *quarantine.ErrQuarantined
 	)
 	switch {
+	case errors.As(err, &held):
+		return "quarantined"
 	case errors.As(err, &limit):
 		return "over_limit"
 	case errors.As(err, &key):
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -70,7 +70,10 @@
 	if x.g.drain.refuses(x.arrived, x.route.Kind == routetable.Stream) {
 		return &ErrNotReady{Why: "stopping"}
 	}
-	return x.readBody(r, table.Config.Limits.BodyBytes)
+	if err := x.readBody(r, table.Config.Limits.BodyBytes); err != nil {
+		return err
+	}
+	return x.quarantined()
 }
 
 // readBody reads the body whole, since it may be sent more than once.
@@ -151,16 +154,3 @@
 	}
 	return errGone{}
 }
-
-// digest returns the digest of what the request asks. It is made when it is needed first.
-func (x *exchange) digest() quarantine.Digest {
-	if x.asked == nil {
-		a := quarantine.Asked{Method: x.call.Method, Host: x.call.Host, Path: x.call.Path, Body: x.call.Body}
-		if x.workspace != nil {
-			a.Workspace = x.workspace.Name
-		}
-		d := a.Digest()
-		x.asked = &d
-	}
-	return *x.asked
-}
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -210,6 +210,9 @@
 		return notRun, err
 	}
 	runner.Failed(time.Now())
+	if crashed(err) {
+		x.broke(runner, true, err)
+	}
 	return mayHaveRun, err
 }
 
@@ -232,6 +235,7 @@
 	if err != nil {
 		runner.Failed(time.Now())
 		x.trouble("answer_broken", runner.ID, err)
+		x.broke(runner, false, err)
 		return mayHaveRun, firstOf(x.over(), &ErrAnswer{Runner: runner.ID, Status: a.Status, Why: "broken off: " + err.Error()})
 	}
 	x.copyHeader(a)
@@ -248,6 +252,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.end(life, n)
+	x.endedWell()
 	x.finish(a.Status, nil, decisionlog.F("runner", runner.ID))
 	return answered, nil
 }
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -185,6 +185,9 @@
 
 // try makes one try: room, prefill, decode.
 func (s *generation) try(n int) (verdict, error) {
+	if err := s.quarantined(); err != nil {
+		return notRun, err
+	}
 	room, err := s.reserve()
 	if err != nil {
 		return notRun, err
--- a/pkg/ingress/identity.go
+++ b/pkg/ingress/identity.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/workspace"
 )
 
@@ -66,9 +67,13 @@
 	return nil
 }
 
-// reconfirm checks a request's key once more before it is sent to a runner: it may have been
-// taken away, or the process may have stood still, while the request waited.
+// reconfirm checks once more that a request may run before it is sent to a runner: while it
+// waited its key may have been taken away, the process may have stood still, or others like it
+// may have crashed their runners.
 func (x *exchange) reconfirm() error {
+	if err := x.quarantined(); err != nil {
+		return err
+	}
 	if x.workspace == nil {
 		return nil
 	}
@@ -99,5 +104,6 @@
 func notAllowed(err error) bool {
 	var credential *workspace.ErrCredential
 	var unconfirmed *ErrUnconfirmed
-	return errors.As(err, &credential) || errors.As(err, &unconfirmed)
+	var held *quarantine.ErrQuarantined
+	return errors.As(err, &credential) || errors.As(err, &unconfirmed) || errors.As(err, &held)
 }
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -43,6 +43,8 @@
 	Revocation Revocation
 	// Quota keeps workspaces within their limits; nil for no limits.
 	Quota *quota.Ledger
+	// Suspicion keeps requests from runners that crash those that run them.
+	Suspicion Suspicion
 }
 
 // Ingress serves requests. It is safe for concurrent use.
@@ -259,6 +261,9 @@
 	}
 	if sweep {
 		g.Directory.Sweep(now)
+		if t := g.options.Suspicion.Table; t != nil {
+			t.Sweep(now)
+		}
 		g.kept.sweep(now)
 		g.logPools(now)
 	}
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -20,19 +20,22 @@
 	wasted     *metrics.Counter
 	resumed    *metrics.Counter
 	broken     *metrics.Counter
+	// quarantines counts the requests that this gateway learned to keep from runners.
+	quarantines *metrics.Counter
 }
 
 func newMeters() *meters {
 	set := metrics.NewSet()
 	return &meters{
-		set:        set,
-		firstEvent: set.NewHistogram("hopwell_ingress_first_event_seconds"),
-		wait:       set.NewHistogram("hopwell_ingress_room_wait_seconds"),
-		prefill:    set.NewHistogram("hopwell_ingress_prefill_seconds"),
-		read:       set.NewCounter("hopwell_ingress_prefilled_tokens_total"),
-		wasted:     set.NewCounter("hopwell_ingress_wasted_prefill_tokens_total"),
-		resumed:    set.NewCounter("hopwell_ingress_resumed_streams_total"),
-		broken:     set.NewCounter("hopwell_ingress_broken_streams_total"),
+		set:         set,
+		firstEvent:  set.NewHistogram("hopwell_ingress_first_event_seconds"),
+		wait:        set.NewHistogram("hopwell_ingress_room_wait_seconds"),
+		prefill:     set.NewHistogram("hopwell_ingress_prefill_seconds"),
+		read:        set.NewCounter("hopwell_ingress_prefilled_tokens_total"),
+		wasted:      set.NewCounter("hopwell_ingress_wasted_prefill_tokens_total"),
+		resumed:     set.NewCounter("hopwell_ingress_resumed_streams_total"),
+		broken:      set.NewCounter("hopwell_ingress_broken_streams_total"),
+		quarantines: set.NewCounter("hopwell_ingress_quarantines_total"),
 	}
 }
 
@@ -82,6 +85,9 @@
 	if t := g.table.Load(); t != nil {
 		fmt.Fprintf(w, "hopwell_ingress_config_version %d\n", t.Config.Version)
 	}
+	if t := g.options.Suspicion.Table; t != nil {
+		fmt.Fprintf(w, "hopwell_ingress_quarantined %d\n", t.Held(time.Now()))
+	}
 	for name, p := range g.Pools() {
 		here, all := p.Waiting()
 		fmt.Fprintf(w, "hopwell_ingress_waiting{service=%q,where=\"here\"} %d\n", name, here)
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -47,7 +47,7 @@
 // pass passes the events of an answer on until its end.
 func (r *relay) pass(n int, runner *runners.State, a *Answer) (verdict, error) {
 	r.runner = runner.ID
-	began := time.Now()
+	began, before := time.Now(), r.events
 	in := bufio.NewReaderSize(a.Body, eventBuffer)
 	for {
 		event, err := readEvent(in)
@@ -55,7 +55,7 @@
 			return r.whole(n, runner, a, began)
 		}
 		if err != nil {
-			return r.broke(runner, err)
+			return r.broke(runner, r.events == before, err)
 		}
 		r.s.pool.Made(runner.ID, r.s.job.ID, (r.events+1)*max(1, r.s.engine.TokensPerEvent), time.Now())
 		if err := r.write(a, event); err != nil {
@@ -72,12 +72,14 @@
 	runner.Answered(time.Since(began))
 	r.s.pool.Lengths.Learn(r.s.guess(), r.events*r.s.engine.TokensPerEvent)
 	r.s.exchange.end(r.s.life, n)
+	r.s.endedWell()
 	r.s.finish(a.Status, nil, decisionlog.F("runner", runner.ID), decisionlog.F("events", r.events), decisionlog.F("pause", r.pause))
 	return answered, nil
 }
 
-// broke records a stream that ended before its end.
-func (r *relay) broke(runner *runners.State, err error) (verdict, error) {
+// broke records a stream that ended before its end, before its runner had made an event of it
+// if early.
+func (r *relay) broke(runner *runners.State, early bool, err error) (verdict, error) {
 	r.s.unfit[runner.ID] = true
 	if gone := r.s.over(); gone != nil {
 		return mayHaveRun, gone
@@ -85,6 +87,7 @@
 	runner.Failed(time.Now())
 	r.s.trouble("stream_broken", runner.ID, err, decisionlog.F("events", r.events), decisionlog.F("last", r.last),
 		decisionlog.F("asked", r.s.digest()))
+	r.s.exchange.broke(runner, early, err)
 	return mayHaveRun, &ErrBroken{Runner: runner.ID, After: r.last, Err: err}
 }
 
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -31,6 +31,8 @@
 	NoKey Cause = "no_key"
 	// KeyUnconfirmed: refused, since its key might have been taken away.
 	KeyUnconfirmed Cause = "key_unconfirmed"
+	// Quarantined: refused, since it had crashed runners before.
+	Quarantined Cause = "quarantined"
 	// Refused: refused for another reason.
 	Refused Cause = "refused"
 	// EngineLost: the stream broke at its engine, and was ended or resumed.
@@ -53,7 +55,7 @@
 )
 
 // Causes lists the causes in the order of the tables.
-var Causes = []Cause{GatewayLost, EngineLost, NoRoom, OverLimit, NoKey, KeyUnconfirmed, Refused, Returned, Resumed, LateFirst, LongPause, ServiceFailed, AnswerLost, TimedOut, ClientGone}
+var Causes = []Cause{GatewayLost, EngineLost, NoRoom, OverLimit, NoKey, KeyUnconfirmed, Quarantined, Refused, Returned, Resumed, LateFirst, LongPause, ServiceFailed, AnswerLost, TimedOut, ClientGone}
 
 // Request is one request as its gateway saw it.
 type Request struct {
@@ -178,6 +180,8 @@
 		return NoKey
 	case "key_unconfirmed":
 		return KeyUnconfirmed
+	case "quarantined":
+		return Quarantined
 	case "refused":
 		return Refused
 	}
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/runners"
@@ -80,6 +81,9 @@
 	// ReceiveStageChanges takes the engines that another gateway ordered to another
 	// stage.
 	ReceiveStageChanges func(changes []runners.StageChange)
+	// ReceiveSuspicion takes what another gateway reported of a request whose runs broke
+	// off.
+	ReceiveSuspicion func(r quarantine.Report)
 	// Store is what this gateway knows of the store.
 	Store StoreFeed
 	// Quota counts what workspaces spend at all gateways; nil for nobody.
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -57,6 +57,9 @@
 	if len(s.StageChanges) > 0 {
 		x.options.ReceiveStageChanges(decodeStageChanges(s.StageChanges))
 	}
+	for _, r := range decodeSuspicions(s.Suspicions, now) {
+		x.options.ReceiveSuspicion(r)
+	}
 	if s.StoreSubscription != nil {
 		x.receiveSubscription(s.Name, s.StoreSubscription, now)
 	}
--- /dev/null
+++ b/pkg/peers/suspicion.go
@@ -0,0 +1,54 @@
+package peers
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/quarantine"
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
+)
+
+// SendSuspicion tells other gateways at once of a request whose runs broke off: all of them if it
+// is quarantined, otherwise those that the request falls to, so that broken runs at different
+// gateways are counted in one place whatever the number of gateways. Each report repeats
+// what is known of the request, which makes up for a datagram that was lost.
+func (x *Exchange) SendSuspicion(r quarantine.Report, now time.Time) {
+	encoded := []*wirepb.Suspicion{encodeSuspicion(r, now)}
+	chosen := x.subset.Load().Chosen(r.Digest.String())
+	var out []datagram
+	x.mu.Lock()
+	for _, m := range x.members {
+		if m.alive && (r.Left > 0 || slices.Contains(chosen, m.name)) {
+			out = append(out, x.datagram(m, &wirepb.GatewayState{Suspicions: encoded}, now))
+		}
+	}
+	x.mu.Unlock()
+	x.write(out)
+}
+
+func encodeSuspicion(r quarantine.Report, now time.Time) *wirepb.Suspicion {
+	out := &wirepb.Suspicion{Asked: r.Digest[:], LeftMs: uint32(r.Left.Milliseconds())}
+	for _, b := range r.Breaks {
+		age := max(0, now.Sub(b.At))
+		out.Runs = append(out.Runs, &wirepb.BrokenRun{Run: b.Run, Early: b.Early, AgeMs: uint32(age.Milliseconds())})
+	}
+	return out
+}
+
+// decodeSuspicions takes reports out of a message. One whose digest has another length is left
+// out.
+func decodeSuspicions(list []*wirepb.Suspicion, now time.Time) []quarantine.Report {
+	var out []quarantine.Report
+	for _, s := range list {
+		r := quarantine.Report{Left: time.Duration(s.LeftMs) * time.Millisecond}
+		if copy(r.Digest[:], s.Asked) != len(r.Digest) || len(s.Asked) != len(r.Digest) {
+			continue
+		}
+		for _, b := range s.Runs {
+			at := now.Add(-time.Duration(b.AgeMs) * time.Millisecond)
+			r.Breaks = append(r.Breaks, quarantine.Break{Run: b.Run, Early: b.Early, At: at})
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -194,6 +194,10 @@
 		f.ingress.EndStageChange(id)
 		return
 	}
+	if d, ok := quarantinedAt(e.Key); ok && e.Gone {
+		f.ingress.EndQuarantine(d)
+		return
+	}
 	if id, ok := platform.RunnerID(e.Key); ok && e.Gone {
 		f.ingress.Directory.Gone(id, time.Now())
 		return
@@ -212,6 +216,8 @@
 		f.runner(i)
 	} else if name, ok := strings.CutPrefix(i.Key, gatewayPrefix); ok {
 		f.gateway(name, string(i.Value))
+	} else if d, ok := quarantinedAt(i.Key); ok {
+		f.ingress.ReadQuarantine(d)
 	}
 }
 
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/hopwell/hopwell/pkg/httpd"
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/peers"
+	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
 	"github.com/hopwell/hopwell/pkg/staging"
@@ -74,6 +75,7 @@
 	feed     *feed
 	peers    *peers.Exchange
 	quota    *quota.Ledger
+	suspects *quarantine.Table
 	servers  []*http.Server
 	ports    IngressPorts
 	cancel   context.CancelFunc
@@ -94,7 +96,7 @@
 	log := decisionlog.New(c.Instance.Name, out)
 	client := upstream.New(upstream.Options{ConnectTimeout: connectTime, Idle: idleTime, MaxIdle: maxIdle, Opened: countOpened})
 	runners := &platform.Runners{Client: client}
-	p := &Ingress{log: log, client: client, stopped: make(chan struct{})}
+	p := &Ingress{log: log, client: client, suspects: quarantine.New(jitter), stopped: make(chan struct{})}
 	p.settings.Store(c)
 	allowance := c.Workspaces.Quota
 	p.quota = quota.New(quota.Allowance{Window: allowance.Window.D(), Overshoot: allowance.Overshoot, Slack: allowance.Slack}, quota.DefaultShares())
@@ -102,7 +104,7 @@
 		Domain: c.Instance.Domain, Engines: runners, Reader: runners, Log: log,
 		Budget:   budgetLimits(c),
 		Gateways: firstGateways, MaxOpen: c.Limits.OpenRequests, MaxBodies: int64(bodyPart * float64(memory)),
-		Pool: p.poolOptions(c), Revocation: p.revocation(c), Quota: p.quota, Neighbours: func() int { return p.peers.Neighbours() },
+		Pool: p.poolOptions(c), Revocation: p.revocation(c), Quota: p.quota, Suspicion: p.suspicion(), Neighbours: func() int { return p.peers.Neighbours() },
 	})
 	p.feed = newFeed(p.Ingress, log, platform.NewStore(c.Store), c.Store)
 	if err := p.meet(); err != nil {
@@ -122,6 +124,7 @@
 	p.done.Go(func() { p.peers.Run(ctx) })
 	p.done.Go(func() { p.announce(ctx) })
 	p.done.Go(func() { p.learnFromPeers(ctx) })
+	p.done.Go(func() { p.keepQuarantines(ctx) })
 	p.done.Go(func() { orders.run(ctx) })
 	p.done.Go(func() { p.sweep(ctx) })
 	log.Write(decisionlog.KindProcess, "start", decisionlog.F("pid", os.Getpid()), decisionlog.F("callers", p.ports.Callers),
@@ -129,6 +132,11 @@
 	return p, nil
 }
 
+// suspicion returns how gateways tell each other of requests that crash runners.
+func (p *Ingress) suspicion() ingress.Suspicion {
+	return ingress.Suspicion{Table: p.suspects, Report: func(r quarantine.Report) { p.peers.SendSuspicion(r, time.Now()) }}
+}
+
 // poolOptions returns the settings of the choice of engines.
 func (p *Ingress) poolOptions(c *config.Ingress) enginepool.Options {
 	o := enginepool.DefaultOptions()
@@ -218,6 +226,7 @@
 		Name: instance.Name, Address: p.ports.Peers, Conn: conn,
 		Domain: instance.Domain, Outcomes: p.Ingress.Outcomes, ReceiveOutcomes: p.Ingress.ReceiveOutcomes,
 		Store:               p.feed,
+		ReceiveSuspicion:    p.Ingress.ReceiveSuspicion,
 		Quota:               p.quota,
 		ReceiveStageChanges: p.Ingress.ReceiveStageChanges,
 		Snapshots:           p.Ingress.Snapshots, ReceiveSnapshot: p.Ingress.ReceiveSnapshot, Version: p.Ingress.Version,
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -73,7 +73,7 @@
 func needed(key string) bool {
 	_, runner := platform.RunnerID(key)
 	return runner || key == platform.ConfigKey || key == orderKey ||
-		strings.HasPrefix(key, gatewayPrefix) || strings.HasPrefix(key, changePrefix)
+		strings.HasPrefix(key, gatewayPrefix) || strings.HasPrefix(key, changePrefix) || strings.HasPrefix(key, quarantinePrefix)
 }
 
 // replace takes over a whole reading.
--- a/pkg/subset/subset.go
+++ b/pkg/subset/subset.go
@@ -72,6 +72,15 @@
 	return list
 }
 
+// Chosen returns the gateways that a key falls to, as many as use one engine; nothing of it is
+// kept, so that keys may be any number.
+func (s *Subset) Chosen(key string) []string {
+	if len(s.gateways) <= Users {
+		return s.gateways
+	}
+	return s.rank(key)
+}
+
 // ranked is a gateway's place in the order of an engine's users.
 type ranked struct {
 	name string
