--- a/pkg/ingress/suspicion.go
+++ b/pkg/ingress/suspicion.go
@@ -51,8 +51,8 @@
 	if table == nil || errors.As(err, &timeout) && timeout.Timeout() {
 		return
 	}
-	run := quarantine.Break{Run: xxhash.Sum64String(x.call.ID + "/" + runner.ID), Early: early, At: time.Now()}
-	report, found := table.Broke(x.digest(), run)
+	at := quarantine.Break{Runner: xxhash.Sum64String(runner.ID), Early: early, At: time.Now()}
+	report, found := table.Broke(x.digest(), at)
 	if found {
 		x.g.quarantineBegins(report, "found")
 	}
@@ -74,7 +74,7 @@
 	}
 	g.quarantineBegins(r, "told")
 	if r.Left == 0 {
-		// Only here it was seen that the broken runs of several gateways are enough.
+		// Only here it was seen that what several gateways reported is enough.
 		g.options.Suspicion.Report(quarantine.Report{Digest: r.Digest, Left: quarantine.Hold})
 	}
 }
@@ -97,7 +97,7 @@
 func (g *Ingress) quarantineBegins(r quarantine.Report, how string) {
 	g.metrics.quarantines.Inc()
 	g.options.Log.Write(decisionlog.KindState, "quarantine", decisionlog.F("asked", r.Digest), decisionlog.F("how", how),
-		decisionlog.F("broken_runs", len(r.Breaks)))
+		decisionlog.F("runners", len(r.Breaks)))
 }
 
 // crashed reports whether a call ended with its connection, as it does when its runner
--- a/pkg/peers/suspicion.go
+++ b/pkg/peers/suspicion.go
@@ -30,7 +30,7 @@
 	out := &wirepb.Suspicion{Asked: r.Digest[:], LeftMs: uint32(r.Left.Milliseconds())}
 	for _, b := range r.Breaks {
 		age := max(0, now.Sub(b.At))
-		out.Runs = append(out.Runs, &wirepb.BrokenRun{Run: b.Run, Early: b.Early, AgeMs: uint32(age.Milliseconds())})
+		out.BrokenAt = append(out.BrokenAt, &wirepb.BrokenAt{Runner: b.Runner, Early: b.Early, AgeMs: uint32(age.Milliseconds())})
 	}
 	return out
 }
@@ -44,9 +44,9 @@
 		if copy(r.Digest[:], s.Asked) != len(r.Digest) || len(s.Asked) != len(r.Digest) {
 			continue
 		}
-		for _, b := range s.Runs {
+		for _, b := range s.BrokenAt {
 			at := now.Add(-time.Duration(b.AgeMs) * time.Millisecond)
-			r.Breaks = append(r.Breaks, quarantine.Break{Run: b.Run, Early: b.Early, At: at})
+			r.Breaks = append(r.Breaks, quarantine.Break{Runner: b.Runner, Early: b.Early, At: at})
 		}
 		out = append(out, r)
 	}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -1,16 +1,18 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
 const (
-	// A run that broke off before its first event or answer weighs earlyWeight, one that
-	// broke off later lateWeight; from enough on a request is quarantined: three early runs,
-	// or five. Beside a request that crashes its engine as it begins run others, which break
+	// A runner at which a run broke off before its first event or answer weighs earlyWeight, one
+	// at which runs broke off later lateWeight; from enough on a request is quarantined: three
+	// runners, or five. Beside a request that crashes its engine as it begins run others, which break
 	// later: at 20 crashes 63 did, one of them twice. Five lets two more engines crash than three
 	// would, but a stream that clients resume has four runs in all its tries.
 	earlyWeight = 5
@@ -20,13 +22,12 @@
 	// power takes a request that many ask for at several runners at once. A crashed runner's
 	// connections end within some milliseconds; the same client's next try comes later.
 	sameMoment = 50 * time.Millisecond
-	// Hold is how long a request is kept from runners, and how long a broken run is
-	// remembered: as long as the platform's store lets a lease last.
+	// Hold is how long a request is kept from runners, and how long a broken run is remembered: as long as the platform's store lets a lease last.
 	Hold = 10 * time.Minute
 	// maxSuspects bounds the requests that are remembered, some 200 bytes each. A runner
 	// that crashes leaves some tens.
 	maxSuspects = 4096
-	// maxBreaks bounds the broken runs that are remembered of one request.
+	// maxBreaks bounds the runners that are remembered of one request.
 	maxBreaks = 8
 	// publishAfter is how long a gateway that was told of a quarantine waits for the store to
 	// show it before it writes it there itself: the one that told may have ended. After each
@@ -47,13 +48,15 @@
 	return fmt.Sprintf("quarantined, since it broke off at several runners: asked=%s left=%s", e.Digest, e.Left)
 }
 
-// Break is one run of a request that broke off.
+// Break says that runs of a request broke off at one runner.
 type Break struct {
-	// Run tells the run from others: what is heard of it twice counts once.
-	Run uint64
-	// Early says that nothing of its answer had come.
+	// Runner tells this start of a runner from all others: a runner that resets connections and
+	// goes on has not crashed, however often it does so.
+	Runner uint64
+	// Early says that nothing of the answer had come, of one run at least.
 	Early bool
-	At    time.Time
+	// At is when the first of the runs broke off.
+	At time.Time
 }
 
 // Report is what gateways tell each other of a request.
@@ -259,7 +262,7 @@
 	s.until, s.aged, s.published, s.publishAt, s.pause = until, true, false, publishAt, publishAfter
 }
 
-// judge quarantines the request if enough of its runs broke off, and reports whether it did.
+// judge quarantines the request if its runs broke off at enough runners, and reports whether it did.
 func (s *suspect) judge(now, publishAt time.Time) bool {
 	if !s.free(now) || s.weight() < enough {
 		return false
@@ -268,7 +271,7 @@
 	return true
 }
 
-// weight sums the broken runs; those of one moment count as one, the heaviest of them.
+// weight sums the runners; those of one moment count as one, the heaviest of them.
 func (s *suspect) weight() int {
 	sum, heaviest := 0, 0
 	var moment time.Time
@@ -288,21 +291,23 @@
 	return sum
 }
 
-// add records a broken run in the order of time, once.
+// add records that runs broke off at a runner, in the order of time.
 func (s *suspect) add(b Break) {
 	if !b.At.After(s.ended) {
 		return
 	}
-	at := len(s.breaks)
-	for i, known := range s.breaks {
-		if known.Run == b.Run {
-			return
-		}
-		if at == len(s.breaks) && known.At.After(b.At) {
-			at = i
+	if i := slices.IndexFunc(s.breaks, func(known Break) bool { return known.Runner == b.Runner }); i >= 0 {
+		known := s.breaks[i]
+		b.Early = b.Early || known.Early
+		if known.At.Before(b.At) {
+			b.At = known.At
 		}
+		s.breaks = slices.Delete(s.breaks, i, i+1)
 	}
-	s.breaks = append(s.breaks[:at], append([]Break{b}, s.breaks[at:]...)...)
+	s.breaks = append(s.breaks, b)
+	slices.SortFunc(s.breaks, func(a, b Break) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Runner, b.Runner))
+	})
 	if len(s.breaks) > maxBreaks {
 		s.breaks = s.breaks[len(s.breaks)-maxBreaks:]
 	}
