--- a/pkg/process/relay_test.go
+++ b/pkg/process/relay_test.go
@@ -49,7 +49,9 @@
 
 // entry is an engine's entry in the store.
 func entry(id, stage string, revision uint64) store.Item {
-	value, err := json.Marshal(standin.NewRunner(id, "llm", "a", stage).Entry("ready"))
+	runner := standin.NewRunner(id, "llm", "a", stage)
+	runner.Address = "10.0.0.1:80"
+	value, err := json.Marshal(runner.Entry("ready"))
 	if err != nil {
 		panic(err)
 	}
