boottime, store, ingress, peers, process: leases, keys and relayed ages count suspensions of the machine

Cause: the clock of time.Now stands still while a machine is suspended. After some seconds of it keys that were taken away looked confirmed, the right to give orders looked held, and a relay stated too small an age of what it passed on; the first binds machines out of touch too. Change: these are timed by the time since boot.

--- a/pkg/ingress/identity.go
+++ b/pkg/ingress/identity.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/workspace"
@@ -15,8 +16,8 @@
 	// After is how long ago the store may have been known to hold nothing newer before
 	// requests with a key are refused; 0 for any time.
 	After time.Duration
-	// Confirmed returns when the store was asked last of which it is known that it held
-	// nothing newer then; zero for never.
+	// Confirmed returns when, by boottime, the store was asked last of which it is known that
+	// it held nothing newer then; zero for never.
 	Confirmed func() time.Time
 }
 
@@ -43,7 +44,7 @@
 	if x.table.Workspaces == nil || x.route.Public {
 		return nil
 	}
-	if err := x.g.unconfirmed(x.arrived); err != nil {
+	if err := x.g.unconfirmed(); err != nil {
 		return err
 	}
 	w, key, err := x.table.Workspaces.Authenticate(x.call.Credentials)
@@ -55,13 +56,13 @@
 	return nil
 }
 
-// unconfirmed returns *ErrUnconfirmed if keys can't be relied on at a moment.
-func (g *Ingress) unconfirmed(now time.Time) error {
+// unconfirmed returns *ErrUnconfirmed if keys can't be relied on now.
+func (g *Ingress) unconfirmed() error {
 	limit := g.options.Revocation.After
 	if limit <= 0 {
 		return nil
 	}
-	if age := now.Sub(g.options.Revocation.Confirmed()); age > limit {
+	if age := boottime.Since(g.options.Revocation.Confirmed()); age > limit {
 		return &ErrUnconfirmed{Age: age, Limit: limit}
 	}
 	return nil
@@ -77,7 +78,7 @@
 	if x.workspace == nil {
 		return nil
 	}
-	if err := x.g.unconfirmed(time.Now()); err != nil {
+	if err := x.g.unconfirmed(); err != nil {
 		return err
 	}
 	newest := x.g.table.Load()
--- a/pkg/ingress/identity_test.go
+++ b/pkg/ingress/identity_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/workspace"
 )
@@ -75,6 +76,23 @@
 	g.Expect(notAllowed(x.reconfirm())).To(BeTrue())
 }
 
+// Pattern: an age that stands still over a suspension.
+//
+// A machine that is suspended for longer than keys may go unconfirmed would serve with keys that
+// were taken away meanwhile: the clock by which it aged what it knows stood still.
+func TestKeysAreNotReliedOnOverASuspension(t *testing.T) {
+	g := NewWithT(t)
+	confirmed := boottime.Now()
+	in := New(Options{Revocation: Revocation{After: time.Second, Confirmed: func() time.Time { return confirmed }}})
+	in.Use(keyed(t, 1, "k"))
+	x := asked(in, "/closed/", "Bearer k")
+	g.Expect(x.identify()).To(Succeed())
+	t.Cleanup(boottime.Suspend(5 * time.Second))
+	var old *ErrUnconfirmed
+	g.Expect(errors.As(x.reconfirm(), &old)).To(BeTrue())
+	g.Expect(errors.As(asked(in, "/closed/", "Bearer k").identify(), &old)).To(BeTrue())
+}
+
 // Keys that fail closed are refused, also such as nobody knows, once the configuration is not
 // confirmed any more: never with the word that they are not valid.
 func TestUnconfirmedKeysAreRefusedWithoutAVerdict(t *testing.T) {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -109,7 +109,7 @@
 	if !g.informed() || g.drain.begun() {
 		return false
 	}
-	return g.Table().Workspaces == nil || g.unconfirmed(time.Now()) == nil
+	return g.Table().Workspaces == nil || g.unconfirmed() == nil
 }
 
 // Idle reports whether no request has come for a time and none is served.
--- a/pkg/peers/assured.go
+++ b/pkg/peers/assured.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
@@ -13,14 +14,14 @@
 // it has had it. What the relay then says of the store held at the stamp's time, plus the
 // time that the relay had it, less the age that the relay states, or later.
 
-// stampClock gives stamps of the steady clock. They begin at random, so that those of an
+// stampClock gives stamps of boottime. They begin at random, so that those of an
 // earlier process of the same name are not taken for own ones.
 type stampClock struct {
 	began time.Time
 	base  uint64
 }
 
-func newStampClock() stampClock { return stampClock{began: time.Now(), base: rand.Uint64() >> 1} }
+func newStampClock() stampClock { return stampClock{began: boottime.Now(), base: rand.Uint64() >> 1} }
 
 func (c *stampClock) stamp(now time.Time) uint64 {
 	return c.base + uint64(max(1, now.Sub(c.began).Microseconds()))
@@ -41,7 +42,7 @@
 		return
 	}
 	// The clock is read once, so that both spans end at the same moment.
-	now := time.Now()
+	now := boottime.Now()
 	stamp, held := x.subscribers.Echo(subscriber, now)
 	if stamp == 0 {
 		return
@@ -56,7 +57,7 @@
 	if u.Stamp == 0 {
 		return time.Time{}
 	}
-	now := time.Now()
+	now := boottime.Now()
 	given, own := x.clock.time(u.Stamp, now)
 	if !own {
 		return time.Time{}
--- a/pkg/peers/assured_test.go
+++ b/pkg/peers/assured_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/spectest"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
@@ -85,6 +86,24 @@
 	})
 }
 
+// A relay that is suspended between a subscription and its answer, or before it, says as much, and
+// so does the age at a gateway that is suspended itself.
+func TestAnAssuranceAgesOverSuspensions(t *testing.T) {
+	g := NewWithT(t)
+	relay, self := &Exchange{clock: newStampClock()}, &Exchange{clock: newStampClock()}
+	suspended := func() { t.Cleanup(boottime.Suspend(3 * time.Second)) }
+	read := boottime.Now()
+	suspended()
+	stamp := self.clock.stamp(boottime.Now())
+	relay.subscribers.Subscribe("self", 1, time.Now())
+	relay.subscribers.Stamp("self", stamp, boottime.Now())
+	suspended()
+	u := &wirepb.StoreUpdate{}
+	relay.assure(u, "self", read)
+	suspended()
+	g.Expect(boottime.Since(self.assured(u))).To(BeNumerically(">=", 9*time.Second))
+}
+
 // A process that starts again under the same name may be sent the stamp of the one before.
 func TestTheStampOfAnEarlierProcessSaysNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/peers/relay.go
+++ b/pkg/peers/relay.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
@@ -161,7 +162,7 @@
 	var out []datagram
 	for _, name := range x.sources.Due(now) {
 		if m := x.members[name]; m != nil && at > 0 {
-			out = append(out, x.datagram(m, &wirepb.GatewayState{StoreSubscription: &wirepb.StoreSubscription{At: at, Stamp: x.clock.stamp(time.Now())}}, now))
+			out = append(out, x.datagram(m, &wirepb.GatewayState{StoreSubscription: &wirepb.StoreSubscription{At: at, Stamp: x.clock.stamp(boottime.Now())}}, now))
 		}
 	}
 	x.mu.Unlock()
@@ -174,7 +175,7 @@
 	x.mu.Lock()
 	first := !x.subscribers.Any(now)
 	x.subscribers.Subscribe(from, at, now)
-	x.subscribers.Stamp(from, s.Stamp, time.Now())
+	x.subscribers.Stamp(from, s.Stamp, boottime.Now())
 	var out []datagram
 	if x.options.Store.Reached() > 0 {
 		out = x.storeUpdates(map[string]uint64{from: at}, now)
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -13,6 +13,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/config"
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
@@ -129,6 +130,9 @@
 	p.done.Go(func() { p.sweep(ctx) })
 	log.Write(decisionlog.KindProcess, "start", decisionlog.F("pid", os.Getpid()), decisionlog.F("callers", p.ports.Callers),
 		decisionlog.F("store", c.Store), decisionlog.F("domain", c.Instance.Domain))
+	if err := boottime.Err(); err != nil {
+		log.Write(decisionlog.KindProcess, "suspensions_not_seen", decisionlog.F("error", err))
+	}
 	return p, nil
 }
 
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/routetable"
@@ -97,7 +98,7 @@
 	} else if s.wrong.IsZero() {
 		s.wrong = now
 	}
-	fence, since, held := s.lock.Held(now)
+	fence, since, held := s.lock.Held(boottime.Now())
 	if !held {
 		if s.mayTry(now) {
 			s.win(ctx, now)
@@ -108,7 +109,7 @@
 		s.renew(ctx, now)
 	}
 	paused := !s.last.IsZero() && now.Sub(s.last) < s.policy.Pause
-	if len(changes) == 0 || paused || now.Sub(since) < s.wait || now.Sub(s.wrong) < s.patience(changes, now) {
+	if len(changes) == 0 || paused || boottime.Since(since) < s.wait || now.Sub(s.wrong) < s.patience(changes, now) {
 		return
 	}
 	s.record(ctx, changes)
@@ -235,7 +236,7 @@
 	} else if err != nil {
 		s.retry = now.Add(orderCall)
 	}
-	fence, _, _ := s.lock.Held(now)
+	fence, _, _ := s.lock.Held(boottime.Now())
 	s.log.Write(decisionlog.KindState, "order_right", decisionlog.F("won", err == nil), decisionlog.F("fence", fence), decisionlog.F("error", err))
 }
 
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/platform"
@@ -148,7 +149,7 @@
 		return
 	}
 	if assured := p.feed.history.Assured(); !assured.IsZero() {
-		s.AssuredUs = time.Since(assured).Microseconds() + 1
+		s.AssuredUs = boottime.Since(assured).Microseconds() + 1
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(s); err != nil {
@@ -212,7 +213,7 @@
 	if err != nil {
 		return s, &ErrState{Address: address, Why: "bad address", Err: err}
 	}
-	asked := time.Now()
+	asked := boottime.Now()
 	res, err := client.Do(req)
 	if err != nil {
 		return s, &ErrState{Address: address, Why: "no answer", Err: err}
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"github.com/hopwell/hopwell/pkg/boottime"
 )
 
 const (
@@ -44,8 +46,8 @@
 	// refuses a reading that others have overtaken.
 	Reset func(items []Item, at uint64) error
 	Apply func(events []Event, at uint64)
-	// Assured, if set, is called after each reading or watch with the time at which it was
-	// asked for: what is known now was whole then, however late the answer was read.
+	// Assured, if set, is called after each reading or watch with the time, by boottime, at which
+	// it was asked for: what is known now was whole then, however late the answer was read.
 	Assured func(asked time.Time)
 	// Lost and Regained are called when the store stops and starts to answer.
 	Lost     func(err error)
@@ -132,7 +134,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	asked := time.Now()
+	asked := boottime.Now()
 	events, next, err := f.Store.Watch(ctx, f.Prefix, p.at, wait)
 	if err != nil {
 		return 0, false, err
@@ -146,7 +148,7 @@
 func (f *Follower) read(ctx context.Context, p *position) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.limit)
 	defer cancel()
-	asked := time.Now()
+	asked := boottime.Now()
 	items, next, err := f.Store.Range(ctx, f.Prefix)
 	if err != nil {
 		return 0, err
--- a/pkg/store/lock.go
+++ b/pkg/store/lock.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/hopwell/hopwell/pkg/boottime"
 )
 
 // Lock is the right of one process at a time to do something, kept in the store
@@ -38,7 +40,7 @@
 const lockMargin = 5
 
 // Held returns the fence and since when the right has been held; false if it is
-// not surely held now.
+// not surely held now. Times are by boottime: a lease runs out while the machine is suspended.
 func (l *Lock) Held(now time.Time) (fence uint64, since time.Time, held bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -47,7 +49,7 @@
 
 // Win tries to get the right. It fails with *ErrHeld when another has it.
 func (l *Lock) Win(ctx context.Context) error {
-	began := time.Now()
+	began := boottime.Now()
 	lease, ttl, err := l.Store.Grant(ctx, l.TTL)
 	if err != nil {
 		return err
@@ -78,7 +80,7 @@
 	if lease == 0 {
 		return &ErrNoLease{}
 	}
-	began := time.Now()
+	began := boottime.Now()
 	err := l.Store.Renew(ctx, lease)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/store/store_test.go
+++ b/pkg/store/store_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/boottime"
 )
 
 // script is a store whose answers are given one by one.
@@ -257,6 +259,21 @@
 	})
 }
 
+// Pattern: a lease that is believed over a suspension.
+//
+// A machine that is suspended for seconds comes back with the right to give orders while another
+// has it by then: the clock by which it timed its lease stood still.
+func TestLockIsNotHeldOverASuspension(t *testing.T) {
+	g := NewWithT(t)
+	l := newLock(&script{commit: func(Change) (uint64, error) { return 9, nil }})
+	g.Expect(l.Win(t.Context())).To(Succeed())
+	_, _, held := l.Held(boottime.Now())
+	g.Expect(held).To(BeTrue())
+	t.Cleanup(boottime.Suspend(5 * time.Second))
+	_, _, held = l.Held(boottime.Now())
+	g.Expect(held).To(BeFalse())
+}
+
 func TestLockThatAnotherHoldsIsNotWon(t *testing.T) {
 	g := NewWithT(t)
 	s := &script{commit: func(c Change) (uint64, error) {
