--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -13,6 +13,8 @@
 	Prompt int
 	// Length is the estimate of the answer's.
 	Length Estimate
+	// Priority is how urgent operators say that the job is, 0 most.
+	Priority int
 }
 
 // size is the memory that the job is expected to take at its end, in tokens.
--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -52,6 +52,33 @@
 	g.Expect(second.ID).NotTo(Equal(first.ID))
 }
 
+// Work that has begun goes first and late work last, whatever is urgent; in between what operators
+// call more urgent goes before what returns, and that before what is asked for the first time.
+func TestTheMoreUrgentGoesFirst(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		p, _ := pool(1, 0, 1000)
+		for i := range rapid.IntRange(2, 12).Draw(t, "jobs") {
+			j := job(fmt.Sprint(i), 900, 50)
+			j.Priority = rapid.IntRange(0, 3).Draw(t, "priority")
+			p.enqueue(p.Join(j, rapid.SampledFrom([]Rank{Begun, Returning, Fresh, Late}).Draw(t, "rank")))
+		}
+		for i := 1; i < len(p.waiting); i++ {
+			a, b := p.waiting[i-1], p.waiting[i]
+			switch {
+			case a.rank == Begun || b.rank == Late:
+			case a.rank == Late || b.rank == Begun:
+				t.Fatalf("rank %d before %d", a.rank, b.rank)
+			default:
+				g.Expect(a.job.Priority).To(BeNumerically("<=", b.job.Priority))
+				if a.job.Priority == b.job.Priority {
+					g.Expect(a.rank).To(BeNumerically("<=", b.rank))
+				}
+			}
+		}
+	})
+}
+
 func TestWaitCountsWhatOtherGatewaysReserved(t *testing.T) {
 	g := NewWithT(t)
 	p, _ := pool(2, 0, 10000)
--- a/pkg/enginepool/queue.go
+++ b/pkg/enginepool/queue.go
@@ -10,7 +10,7 @@
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
-// Rank orders what waits: the lower goes first.
+// Rank orders what waits and is equally urgent: the lower goes first.
 type Rank int
 
 // The ranks.
@@ -93,9 +93,22 @@
 	return nil, &ErrNoRoom{ID: w.job.ID, Waited: time.Since(began), Ahead: ahead}
 }
 
-// before orders two waiters.
+// tier orders what no priority passes: work that has begun goes before all other, and what can't
+// be in time any more behind it.
+func (r Rank) tier() int {
+	switch r {
+	case Begun:
+		return 0
+	case Late:
+		return 2
+	}
+	return 1
+}
+
+// before orders two waiters: within a tier the more urgent first, then those that return.
 func before(a, b *Waiter) int {
-	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.serial, b.serial))
+	return cmp.Or(cmp.Compare(a.rank.tier(), b.rank.tier()), cmp.Compare(a.job.Priority, b.job.Priority),
+		cmp.Compare(a.rank, b.rank), cmp.Compare(a.serial, b.serial))
 }
 
 func (p *Pool) enqueue(w *Waiter) {
--- a/pkg/ingress/identity.go
+++ b/pkg/ingress/identity.go
@@ -90,17 +90,22 @@
 
 // order returns what every send of the request has in common.
 func (x *exchange) order() Order {
-	o := Order{Left: x.left(), Priority: x.route.Priority, Keyed: x.table.Workspaces != nil}
-	if x.workspace == nil {
-		return o
-	}
-	o.Workspace = x.workspace.Name
-	if x.workspace.Priority != nil {
-		o.Priority = *x.workspace.Priority
+	o := Order{Left: x.left(), Priority: x.priority(), Keyed: x.table.Workspaces != nil}
+	if x.workspace != nil {
+		o.Workspace = x.workspace.Name
 	}
 	return o
 }
 
+// priority returns how urgent the request is, 0 most: its workspace's word goes before its
+// route's.
+func (x *exchange) priority() int {
+	if x.workspace != nil && x.workspace.Priority != nil {
+		return *x.workspace.Priority
+	}
+	return x.route.Priority
+}
+
 // notAllowed reports whether a try ended since the request may not be served any more.
 func notAllowed(err error) bool {
 	var credential *workspace.ErrCredential
