quota: gateways are looked at once in 20 ms, not with each datagram

Cause: the profile at 300 gateways, after plans and reports: 21 in 100 of the processor looked through all gateways for each of 100 datagrams a second. Hearing of one that was there all the time adds its own part alone; the others' are added 20 ms later at the most, and before anything is taken.

--- a/pkg/quota/exchange.go
+++ b/pkg/quota/exchange.go
@@ -54,7 +54,9 @@
 func (l *Ledger) Heard(name string, incarnation uint64, spending []Spending, whole, settled bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.advance(now)
+	if !l.fleet.upToDate(name, now) {
+		l.advance(now)
+	}
 	g := l.join(name)
 	if g.incarnation != incarnation {
 		l.restarted(g, incarnation, now)
--- a/pkg/quota/fleet.go
+++ b/pkg/quota/fleet.go
@@ -72,6 +72,18 @@
 	return 1 - late/float64(here+1)
 }
 
+// advanceEvery is how long what others fill in may stay uncounted when one of them is heard of; it
+// is counted before anything is taken. At 300 gateways 100 datagrams a second come, each of which
+// looked through all gateways: 21 in 100 of a gateway's processor.
+const advanceEvery = 20 * time.Millisecond
+
+// upToDate reports whether hearing of a gateway changes nothing for the others: it was there all the
+// time, and they were looked at a moment ago.
+func (f *fleet) upToDate(name string, now time.Time) bool {
+	g := f.others[name]
+	return g != nil && g.present && !now.After(g.heardAt.Add(f.grace)) && now.Sub(f.at) < advanceEvery
+}
+
 // silence is a gateway that fell silent, and its part of what those hold that were there.
 type silence struct {
 	name string
