ingress: where gateways are many each uses a part of the plain runners

Cause: each gateway kept connections to all plain runners; at 300 before three runners that take 250 each, what was beyond was reset, and requests that must not be repeated were lost with it. Change: a gateway uses as many of a service's plain runners as their connections allow, chosen by its name; the others are there when these failed a request or rest.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -93,18 +93,23 @@
 	return nil
 }
 
-// choose returns the plain runner with the least work, in the own domain first;
-// nil if none is left. Where no healthy one is left, one that rests is chosen for
-// a request that may be repeated.
+// choose returns the plain runner with the least work, in the own domain first, of those that
+// this gateway uses; nil if none is left. Where no healthy one is left of all, one that rests is
+// chosen for a request that may be repeated.
 func (g *Ingress) choose(service string, avoid map[string]bool, repeatable bool) *runners.State {
 	now := time.Now()
 	usable := g.Directory.Usable(service, "", now)
+	healthy := runners.Healthy(usable, now)
+	cost := failureCost
 	if !repeatable {
-		return g.leastWork(runners.Healthy(usable, now), avoid, onceFailureCost, now)
+		cost = onceFailureCost
 	}
-	best := g.leastWork(runners.Healthy(usable, now), avoid, failureCost, now)
+	best := g.leastWork(g.share(service, healthy), avoid, cost, now)
 	if best == nil {
-		best = g.leastWork(usable, avoid, failureCost, now)
+		best = g.leastWork(healthy, avoid, cost, now)
+	}
+	if best == nil && repeatable {
+		best = g.leastWork(usable, avoid, cost, now)
 	}
 	return best
 }
@@ -137,8 +142,8 @@
 	// failureCost is how much dearer a runner is that fails all requests, for one that
 	// may be repeated; onceFailureCost for one that must not, and is lost then. The
 	// others take such requests as long as they answer in some five times the time.
-	failureCost     = 4
-	onceFailureCost = 10
+	failureCost     = 4.0
+	onceFailureCost = 10.0
 	// refusalCost is how much dearer a runner is that turns all requests away: it would
 	// else attract them, having the least work.
 	refusalCost = 10
--- a/pkg/ingress/forward_test.go
+++ b/pkg/ingress/forward_test.go
@@ -1,11 +1,13 @@
 package ingress
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
@@ -68,3 +70,33 @@
 	}
 	g.Expect(in.choose("s", nil, false).ID).To(Equal("bad"), "the other can't carry it all")
 }
+
+// Pattern: a limit that all share and nobody knows to share.
+//
+// Seen: 300 gateways before three plain runners that take 250 connections each; what a gateway opened
+// beyond was reset, and requests that must not be repeated were lost with it.
+// Cause: each gateway kept connections to all runners.
+func TestManyGatewaysShareOutTheRunnersConnections(t *testing.T) {
+	g := NewWithT(t)
+	const most, gateways = 250, 300
+	users := map[string]int{}
+	for i := range gateways {
+		in := New(Options{Name: fmt.Sprintf("g%d", i), Gateways: gateways})
+		table, err := routetable.New(routetable.Config{Version: 1, Services: map[string]routetable.Service{"s": {Name: "s", MaxConnections: most}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		in.Use(table)
+		for _, id := range []string{"a", "b", "c"} {
+			in.Directory.Put(runners.Runner{ID: id, Service: "s"}, time.Now())
+		}
+		first := in.choose("s", nil, false)
+		g.Expect(in.choose("s", nil, true)).To(Equal(first))
+		users[first.ID]++
+		// What it uses has failed the request, or is gone: the others are there still.
+		g.Expect(in.choose("s", map[string]bool{first.ID: true}, false)).NotTo(BeNil())
+	}
+	for _, n := range users {
+		g.Expect(2*n).To(BeNumerically("<", most), "two connections of each gateway")
+	}
+	few := New(Options{Name: "g", Gateways: 30})
+	g.Expect(few.used("s", 3)).To(Equal(3))
+}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -21,6 +21,8 @@
 
 // Options are an ingress's settings.
 type Options struct {
+	// Name is the gateway's, which tells it from the others.
+	Name string
 	// Domain is the failure domain of the process.
 	Domain  string
 	Engines Engines
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -102,7 +102,7 @@
 	allowance := c.Workspaces.Quota
 	p.quota = quota.New(quota.Allowance{Window: allowance.Window.D(), Overshoot: allowance.Overshoot, Slack: allowance.Slack}, quota.DefaultShares())
 	p.Ingress = ingress.New(ingress.Options{
-		Domain: c.Instance.Domain, Engines: runners, Reader: runners, Log: log,
+		Name: c.Instance.Name, Domain: c.Instance.Domain, Engines: runners, Reader: runners, Log: log,
 		Budget:   budgetLimits(c),
 		Gateways: firstGateways, MaxOpen: c.Limits.OpenRequests, MaxBodies: int64(bodyPart * float64(memory)),
 		Pool: p.poolOptions(c), Revocation: p.revocation(c), Quota: p.quota, Suspicion: p.suspicion(), Neighbours: func() int { return p.peers.Neighbours() },
