--- a/pkg/boottime/boottime_test.go
+++ b/pkg/boottime/boottime_test.go
@@ -12,22 +12,20 @@
 	"github.com/hopwell/hopwell/pkg/spectest"
 )
 
-// machine is one whose clocks a test moves: the steady clock and the time of day by running, the
-// latter and the time since boot by suspensions, the time of day by steps.
+// machine is one whose clocks a test moves: the steady clock by running, the time since boot by
+// suspensions too.
 type machine struct {
-	steady, suspended, stepped time.Duration
-	reads                      int
-	broken                     error
+	steady, suspended time.Duration
+	reads             int
+	broken            error
 }
 
 // origin has a reading of the steady clock, which times keep when they are added to.
 var origin = time.Now()
 
-// clocks returns the machine's. Times of time.Now hold both the time of day and the steady clock;
-// a test can't move one alone, so the drift between them is put in place.
+// watch returns a watch of the machine's clocks.
 func (m *machine) watch() *watch {
-	w := newWatch(clocks{now: func() time.Time { return origin.Add(m.steady) }, read: m.read})
-	return w
+	return newWatch(clocks{now: func() time.Time { return origin.Add(m.steady) }, read: m.read})
 }
 
 func (m *machine) read(id int32) (time.Duration, error) {
@@ -38,7 +36,8 @@
 	return m.steady, m.broken
 }
 
-// at returns the time by a watch as the machine's clocks stand.
+// at returns the time by a watch after the time of day has moved against the steady clock: a time of
+// time.Now holds both, and a test can't move one of them alone.
 func (m *machine) at(w *watch, drift time.Duration) time.Time {
 	w.mu.Lock()
 	w.drift -= drift
