--- a/pkg/ingress/share.go
+++ b/pkg/ingress/share.go
@@ -9,8 +9,8 @@
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
-// connectionsEach is how many connections to a plain runner a gateway needs: one that is kept, and
-// one while a request meets another, of the half that runners can spare for it.
+// connectionsEach is how many of a plain runner's connections are counted for each gateway that uses
+// it: two that it keeps, and as many for those that it opens while these are busy.
 const connectionsEach = 4
 
 // share returns the plain runners of a list that this gateway uses: all, unless so many gateways
--- a/pkg/process/stop.go
+++ b/pkg/process/stop.go
@@ -49,9 +49,3 @@
 	p.client.Forget("")
 	p.log.Close(logClose)
 }
-
-func (p *Ingress) closePorts() {
-	for _, s := range p.servers {
-		_ = s.Close()
-	}
-}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -12,9 +12,9 @@
 const (
 	// A runner at which a run broke off before its first event or answer weighs earlyWeight, one
 	// at which runs broke off later lateWeight; from enough on a request is quarantined: three
-	// runners, or five. Beside a request that crashes its engine as it begins run others, which break
-	// later: at 20 crashes 63 did, one of them twice. Five lets two more engines crash than three
-	// would, but a stream that clients resume has four runs in all its tries.
+	// runners, or five. Others run beside a request that crashes its engine as it begins, and
+	// break later: 63 did at 20 crashes, one of them twice. Five lets two more engines crash than
+	// three would, but a stream that clients resume has four runs in all its tries.
 	earlyWeight = 5
 	lateWeight  = 3
 	enough      = 15
@@ -22,7 +22,8 @@
 	// power takes a request that many ask for at several runners at once. A crashed runner's
 	// connections end within some milliseconds; the same client's next try comes later.
 	sameMoment = 50 * time.Millisecond
-	// Hold is how long a request is kept from runners, and how long a broken run is remembered: as long as the platform's store lets a lease last.
+	// Hold is how long a request is kept from runners, and how long a broken run is remembered:
+	// as long as the platform's store lets a lease last.
 	Hold = 10 * time.Minute
 	// maxSuspects bounds the requests that are remembered, some 200 bytes each. A runner
 	// that crashes leaves some tens.
