--- a/cmd/hopwell/cmds/root.go
+++ b/cmd/hopwell/cmds/root.go
@@ -55,7 +55,7 @@
 	f.StringVar(&o.platform, "platform", platformURL(), "base URL of the platform, where the instance list is ($"+envPlatform+")")
 	f.StringSliceVar(&o.admin, "admin", nil, "admin addresses to use instead of the instance list")
 	f.StringVarP(&o.format, "output", "o", formatText, "output format: text or json")
-	root.AddCommand(newLabel(&o), newSelector(&o), newWorkspace(&o), newStatus(&o), newExplain(&o), newTimeline(&o), newWhy(&o), newLosses(&o), newDrain(&o), newCheck())
+	root.AddCommand(newLabel(&o), newSelector(&o), newWorkspace(&o), newDomain(&o), newStatus(&o), newExplain(&o), newTimeline(&o), newWhy(&o), newLosses(&o), newDrain(&o), newCheck())
 	root.AddCommand(clidocs.New(root))
 	return root
 }
--- a/cmd/hopwell/cmds/status.go
+++ b/cmd/hopwell/cmds/status.go
@@ -94,6 +94,8 @@
 		return "silent"
 	case m != nil && m.Leaving:
 		return "leaving"
+	case m != nil && m.Evacuated:
+		return "evacuated"
 	case !a.Value.Ready:
 		return "not_ready"
 	case a.Value.Revision < newest:
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -72,13 +72,15 @@
 
 // Member is an instance as the process sees it.
 type Member struct {
-	Name    string       `json:"name"`
-	Role    string       `json:"role"`
-	Domain  string       `json:"domain"`
-	Admin   string       `json:"admin"`
-	Leaving bool         `json:"leaving"`
-	Labels  fleet.Labels `json:"labels"`
-	Work    []string     `json:"work"`
+	Name    string `json:"name"`
+	Role    string `json:"role"`
+	Domain  string `json:"domain"`
+	Admin   string `json:"admin"`
+	Leaving bool   `json:"leaving"`
+	// Evacuated is set while its failure domain gets no more work.
+	Evacuated bool         `json:"evacuated,omitempty"`
+	Labels    fleet.Labels `json:"labels"`
+	Work      []string     `json:"work"`
 	// Load is known to gateways only.
 	Load *gateway.RunnerLoad `json:"load,omitempty"`
 }
@@ -143,7 +145,7 @@
 	}
 	view := h.Node.View()
 	for _, m := range view.Members {
-		x := Member{Name: m.Name, Role: m.Role, Domain: m.Domain, Admin: m.Admin, Leaving: m.Leaving || m.Labels.Leaving(), Labels: m.Labels}
+		x := Member{Name: m.Name, Role: m.Role, Domain: m.Domain, Admin: m.Admin, Leaving: m.Leaving || m.Labels.Leaving(), Evacuated: view.Evacuated(m), Labels: m.Labels}
 		for _, sel := range view.Work(m) {
 			x.Work = append(x.Work, sel.Name)
 		}
--- a/pkg/fleet/document.go
+++ b/pkg/fleet/document.go
@@ -24,6 +24,8 @@
 	Selectors []Selector `json:"selectors"`
 	// Workspaces are sorted by name.
 	Workspaces []Workspace `json:"workspaces,omitempty"`
+	// Evacuated are the failure domains whose runners get no more work, sorted.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Recent lists the last changes, newest last, so that the sender of one
 	// whose answer was lost can tell whether it took effect.
 	Recent []Accepted `json:"recent"`
@@ -34,7 +36,7 @@
 	ID       string `json:"id"`
 	Revision uint64 `json:"revision"`
 	// Touched names what the change wrote: "label/INSTANCE/KEY",
-	// "selector/NAME" or "workspace/NAME".
+	// "selector/NAME", "workspace/NAME" or "domain/NAME".
 	Touched []string `json:"touched"`
 }
 
@@ -56,6 +58,9 @@
 	// ApplyWorkspaces adds or replaces workspaces, DeleteWorkspaces removes them by name.
 	ApplyWorkspaces  []Workspace `json:"apply_workspaces,omitempty"`
 	DeleteWorkspaces []string    `json:"delete_workspaces,omitempty"`
+	// Evacuate gives the runners of failure domains no more work, Restore takes that back.
+	Evacuate []string `json:"evacuate,omitempty"`
+	Restore  []string `json:"restore,omitempty"`
 	// Force allows a change that leaves a request kind without a runner.
 	Force bool `json:"force,omitempty"`
 }
@@ -80,6 +85,9 @@
 	for _, name := range c.DeleteWorkspaces {
 		out = append(out, "workspace/"+name)
 	}
+	for _, name := range slices.Concat(c.Evacuate, c.Restore) {
+		out = append(out, "domain/"+name)
+	}
 	slices.Sort(out)
 	return out
 }
@@ -131,7 +139,7 @@
 // when nothing that it touches was written since; otherwise *ErrConflict shows
 // both sides. A change ID that was accepted before returns d itself. Other
 // errors are *ErrSelector, *ErrMatch, *ErrLabel, *ErrUnknownSelector,
-// *workspace.ErrWorkspace and *ErrUnknownWorkspace.
+// *workspace.ErrWorkspace, *ErrUnknownWorkspace and *ErrDomain.
 func (d *Document) Apply(c *Change) (*Document, error) {
 	if _, ok := d.Accepted(c.ID); ok {
 		return d, nil
@@ -189,6 +197,9 @@
 	if kind == "workspace" {
 		return showWorkspace(d.Workspaces, rest)
 	}
+	if kind == "domain" {
+		return showDomain(d.evacuated(rest))
+	}
 	in, key := cutLabel(rest)
 	return d.Labels[in][key]
 }
@@ -202,6 +213,9 @@
 	if kind == "workspace" {
 		return showWorkspace(c.ApplyWorkspaces, rest)
 	}
+	if kind == "domain" {
+		return showDomain(slices.Contains(c.Evacuate, rest))
+	}
 	in, key := cutLabel(rest)
 	return c.SetLabels[in][key]
 }
@@ -240,6 +254,7 @@
 	}
 	next.Selectors = slices.Clone(d.Selectors)
 	next.Workspaces = slices.Clone(d.Workspaces)
+	next.Evacuated = slices.Clone(d.Evacuated)
 	next.Recent = slices.Clone(d.Recent)
 	return next
 }
@@ -264,6 +279,9 @@
 		}
 	}
 	slices.SortFunc(d.Selectors, func(a, b Selector) int { return strings.Compare(a.Name, b.Name) })
+	if err := d.editDomains(c); err != nil {
+		return err
+	}
 	return d.editWorkspaces(c)
 }
 
--- /dev/null
+++ b/pkg/fleet/domain.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+)
+
+// ErrDomain reports that a failure domain can't be evacuated, or taken back, as asked.
+type ErrDomain struct {
+	Name, Expected string
+}
+
+// Error implements error.
+func (e *ErrDomain) Error() string {
+	return fmt.Sprintf("bad domain: name=%q expected=%q", e.Name, e.Expected)
+}
+
+// evacuated reports whether the runners of a failure domain get no more work.
+func (d *Document) evacuated(domain string) bool { return slices.Contains(d.Evacuated, domain) }
+
+// editDomains carries out evacuations and their ends on a fresh clone.
+func (d *Document) editDomains(c *Change) error {
+	for _, name := range c.Restore {
+		if !d.evacuated(name) {
+			return &ErrDomain{Name: name, Expected: "a domain that is evacuated"}
+		}
+		d.Evacuated = slices.DeleteFunc(d.Evacuated, func(n string) bool { return n == name })
+	}
+	for _, name := range c.Evacuate {
+		if !validName(name) {
+			return &ErrDomain{Name: name, Expected: "letters, digits and -_./:"}
+		}
+		if !d.evacuated(name) {
+			d.Evacuated = append(d.Evacuated, name)
+		}
+	}
+	slices.Sort(d.Evacuated)
+	return nil
+}
+
+// showDomain describes whether a failure domain is evacuated.
+func showDomain(evacuated bool) string {
+	if evacuated {
+		return "evacuated"
+	}
+	return "in use"
+}
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -115,7 +115,7 @@
 	}
 	var out []Grant
 	for _, m := range v.Members {
-		if m.Leaving || m.Labels.Leaving() || m.Role != platform.RoleSidecar {
+		if m.Leaving || m.Labels.Leaving() || m.Role != platform.RoleSidecar || v.Evacuated(m) {
 			continue
 		}
 		if s := v.Select(key.kind, key.model, key.role, m.Labels); s != nil {
@@ -176,6 +176,9 @@
 	return out
 }
 
+// Evacuated reports whether a member's failure domain gets no more work.
+func (v *View) Evacuated(m *Member) bool { return v.Doc.evacuated(m.Domain) }
+
 // Check returns *ErrNoRunner when after has no live member for a request kind
 // that before has one for.
 func Check(before, after *View) error {
