--- a/pkg/config/ingress.go
+++ b/pkg/config/ingress.go
@@ -26,6 +26,13 @@
 	Window fleet.Duration `yaml:"window"`
 }
 
+// ColdRunners says how many requests in one second a runner gets that is still cold, over all
+// gateways: what its service says, times Overshoot, and Slack more.
+type ColdRunners struct {
+	Overshoot float64 `yaml:"overshoot"`
+	Slack     float64 `yaml:"slack"`
+}
+
 // Workspaces says how strictly keys and limits of workspaces are kept.
 type Workspaces struct {
 	// FailClosed refuses requests with a key that may have been taken away: when the
@@ -56,13 +63,16 @@
 // Ingress is the settings file of `hopwelld ingress`.
 type Ingress struct {
 	Instance Instance `yaml:"instance"`
-	Store    string   `yaml:"store"`
+	// Regions names the region of each failure domain.
+	Regions map[string]string `yaml:"regions"`
+	Store   string            `yaml:"store"`
 	// Seeds are addresses of other gateways, which a process asks that starts while
 	// the store does not answer. Only the hosts count: all listen for each other on
 	// the same port.
 	Seeds       []string       `yaml:"seeds"`
 	Listen      IngressListen  `yaml:"listen"`
 	RetryBudget RetryBudget    `yaml:"retry_budget"`
+	ColdRunners ColdRunners    `yaml:"cold_runners"`
 	Workspaces  Workspaces     `yaml:"workspaces"`
 	Lease       fleet.Duration `yaml:"lease"`
 	Limits      IngressLimits  `yaml:"limits"`
@@ -82,7 +92,7 @@
 func ParseIngress(file string, data []byte) (*Ingress, error) {
 	var c Ingress
 	must(yaml.Unmarshal([]byte(IngressDefault), &c))
-	c.Instance, c.Store, c.Listen, c.Seeds = Instance{}, "", IngressListen{}, nil
+	c.Instance, c.Store, c.Listen, c.Seeds, c.Regions = Instance{}, "", IngressListen{}, nil, nil
 	if err := decode(file, data, &c); err != nil {
 		return nil, err
 	}
@@ -100,6 +110,7 @@
 		checkAddress("listen.metrics", c.Listen.Metrics),
 		checkAddress("listen.peers", c.Listen.Peers),
 		c.RetryBudget.check(),
+		c.ColdRunners.check(),
 		c.Workspaces.check(),
 		checkDuration("lease", c.Lease, minLease, maxLease),
 		checkCount("limits.open_requests", c.Limits.OpenRequests),
@@ -129,6 +140,16 @@
 	return checkDuration("retry_budget.window", b.Window, time.Second, time.Hour)
 }
 
+func (c *ColdRunners) check() *fault {
+	if c.Overshoot < 0 {
+		return &fault{"cold_runners.overshoot", "a number of 0 or more"}
+	}
+	if c.Slack < 0 {
+		return &fault{"cold_runners.slack", "a number of 0 or more"}
+	}
+	return nil
+}
+
 // minRevoke is the shortest time in which a revoked key can be refused everywhere: what
 // relays confirm is up to 2.5 s old.
 const minRevoke = 3 * time.Second
--- a/pkg/enginepool/choice.go
+++ b/pkg/enginepool/choice.go
@@ -14,8 +14,8 @@
 	// number of runners. Comparing more was worth nothing; docs/QUITO.md.
 	maxLooked = 32
 	compared  = 16
-	// leastUsed is how many runners of a stage a gateway needs at least to choose
-	// from; with fewer in its share it uses all.
+	// leastUsed is how many runners of a stage that take work a gateway needs at least to
+	// choose from; with fewer in its share, as when its domain is evacuated, it uses all.
 	leastUsed = 4
 	// shareFor is how long a gateway's share is used while the runners stay the same:
 	// it changes with the set of gateways.
@@ -51,12 +51,17 @@
 	used := all
 	if p.options.Uses != nil {
 		used = nil
+		there := 0
 		for _, r := range all {
-			if p.options.Uses(r.ID) {
-				used = append(used, r)
+			if !p.options.Uses(r.ID) {
+				continue
+			}
+			used = append(used, r)
+			if r.Usable(now) {
+				there++
 			}
 		}
-		if len(used) < leastUsed {
+		if there < leastUsed {
 			used = all
 		}
 	}
@@ -64,10 +69,32 @@
 	return used
 }
 
+// allowed returns the runners of a stage that this gateway uses and a job may run on. Where its
+// share has too few of those, it uses all of them. The caller holds the lock.
+func (p *Pool) allowed(stage runners.Stage, allows func(domain string) bool, now time.Time) []*runners.State {
+	used := p.shareOf(stage, now)
+	if allows == nil {
+		return used
+	}
+	within := func(list []*runners.State) (out []*runners.State) {
+		for _, r := range list {
+			if allows(r.Domain) && r.Usable(now) {
+				out = append(out, r)
+			}
+		}
+		return out
+	}
+	if out := within(used); len(out) >= leastUsed {
+		return out
+	}
+	return within(p.directory.Stage(p.service, stage))
+}
+
 // look returns up to maxLooked healthy runners of a stage that this gateway uses, in
-// random order. The caller holds the lock.
-func (p *Pool) look(stage runners.Stage, now time.Time) []*runners.State {
-	from := p.shareOf(stage, now)
+// random order; only those in the failure domains that allows reports, nil for all. The caller
+// holds the lock.
+func (p *Pool) look(stage runners.Stage, allows func(domain string) bool, now time.Time) []*runners.State {
+	from := p.allowed(stage, allows, now)
 	order := slices.Clone(from)
 	out := make([]*runners.State, 0, min(len(from), maxLooked))
 	for i := range order {
--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -15,8 +15,13 @@
 	Length Estimate
 	// Priority is how urgent operators say that the job is, 0 most.
 	Priority int
+	// Allows reports whether the job may run in a failure domain; nil for all.
+	Allows func(domain string) bool
 }
 
+// allows reports whether the job may run in a failure domain.
+func (j Job) allows(domain string) bool { return j.Allows == nil || j.Allows(domain) }
+
 // size is the memory that the job is expected to take at its end, in tokens.
 func (j Job) size() int { return j.Prompt + int(j.Length.Expected(0)) }
 
--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -189,7 +190,7 @@
 	p, _ := pool(0, 2, 1000)
 	now := time.Now()
 	p.ReceiveSnapshot("other", Snapshot{Engines: []EngineLoad{{Runner: "p0", Reading: 50000}}}, now)
-	s, expected, err := p.BeginPrefill("a", 3000, "z0", nil, now)
+	s, expected, err := p.BeginPrefill(Prompt{ID: "a", Tokens: 3000, Domain: "z0"}, now)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.ID).To(Equal("p1"))
 	g.Expect(expected).To(BeNumerically("~", 100*time.Millisecond, time.Millisecond))
@@ -201,10 +202,10 @@
 	p, d := pool(0, 2, 1000)
 	now := time.Now()
 	d.Find("p0").Failed(now)
-	s, _, err := p.BeginPrefill("a", 3000, "z0", nil, now)
+	s, _, err := p.BeginPrefill(Prompt{ID: "a", Tokens: 3000, Domain: "z0"}, now)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.ID).To(Equal("p1"))
-	_, _, err = p.BeginPrefill("b", 3000, "z0", map[string]bool{"p0": true, "p1": true}, now)
+	_, _, err = p.BeginPrefill(Prompt{ID: "b", Tokens: 3000, Domain: "z0", Avoid: map[string]bool{"p0": true, "p1": true}}, now)
 	var none *ErrNoRunner
 	g.Expect(err).To(BeAssignableToTypeOf(none))
 }
@@ -214,7 +215,7 @@
 	p, _ := pool(0, 1, 1000)
 	now := time.Now()
 	for range 60 {
-		_, _, err := p.BeginPrefill("a", 3000, "z0", nil, now)
+		_, _, err := p.BeginPrefill(Prompt{ID: "a", Tokens: 3000, Domain: "z0"}, now)
 		g.Expect(err).NotTo(HaveOccurred())
 		now = now.Add(300 * time.Millisecond)
 		p.EndPrefill("p0", "a", true, now)
@@ -292,7 +293,7 @@
 		delete(p.engine(s.ID).own, "a")
 		p.mu.Unlock()
 		g.Expect(s.ID).To(Equal("d0"))
-		s, _, err := p.BeginPrefill("a", 100, "z0", nil, time.Now())
+		s, _, err := p.BeginPrefill(Prompt{ID: "a", Tokens: 100, Domain: "z0"}, time.Now())
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(s.ID).To(Equal("p0"))
 		p.EndPrefill(s.ID, "a", false, time.Now())
@@ -320,7 +321,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range 50 {
-		g.Expect(len(p.look(runners.Decode, now))).To(Equal(maxLooked))
+		g.Expect(len(p.look(runners.Decode, nil, now))).To(Equal(maxLooked))
 		g.Expect(p.place(&Waiter{job: job(fmt.Sprint(i), 100, 10)}, now)).NotTo(BeNil())
 	}
 }
@@ -333,8 +334,72 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g.Expect(p.look(runners.Decode, now)).To(HaveLen(1))
+	g.Expect(p.look(runners.Decode, nil, now)).To(HaveLen(1))
 	d.Put(runners.Runner{ID: "d0", Service: "llm", Domain: "z0", Stage: runners.Prefill}, time.Now())
-	g.Expect(p.look(runners.Decode, now)).To(BeEmpty())
-	g.Expect(p.look(runners.Prefill, now)).To(HaveLen(1))
+	g.Expect(p.look(runners.Decode, nil, now)).To(BeEmpty())
+	g.Expect(p.look(runners.Prefill, nil, now)).To(HaveLen(1))
+}
+
+// A job that is bound to some failure domains is placed and read there only, also where this
+// gateway's own share of the engines has none there.
+func TestABoundJobRunsOnlyWhereItMay(t *testing.T) {
+	g := NewWithT(t)
+	d, now := runners.NewDirectory(), time.Now()
+	for i := range 20 {
+		for _, stage := range []runners.Stage{runners.Prefill, runners.Decode} {
+			id, domain := fmt.Sprintf("%s-%d", stage, i), "home"
+			if i >= 4 {
+				domain = "away"
+			}
+			d.Put(runners.Runner{ID: id, Service: "s", Domain: domain, Stage: stage}, now)
+		}
+	}
+	o := DefaultOptions()
+	o.Uses = func(id string) bool { return !strings.HasSuffix(id, "-1") && !strings.HasSuffix(id, "-2") }
+	p := New("s", d, o)
+	p.Configure(Spec{Memory: 100000, Slots: 8})
+	home := func(domain string) bool { return domain == "home" }
+	for i := range 40 {
+		id := fmt.Sprint("r", i)
+		w := p.Join(Job{ID: id, Prompt: 100, Length: Estimate{}, Allows: home}, Fresh)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		s, err := p.Wait(ctx, w)
+		cancel()
+		if i < 32 {
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(s.Domain).To(Equal("home"))
+		} else {
+			g.Expect(err).To(BeAssignableToTypeOf(&ErrNoRoom{}), "the domains where it may run are full")
+		}
+		r, _, err := p.BeginPrefill(Prompt{ID: id, Tokens: 100, Domain: "away", Allows: home}, now)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(r.Domain).To(Equal("home"))
+	}
+	_, _, err := p.BeginPrefill(Prompt{ID: "x", Tokens: 100, Allows: func(string) bool { return false }}, now)
+	g.Expect(err).To(BeAssignableToTypeOf(&ErrNoRunner{}))
+}
+
+// A cold runner has the most room of all, being empty; it gets no more jobs than this gateway may
+// send there.
+func TestAColdRunnerIsChosenWithinItsShare(t *testing.T) {
+	g := NewWithT(t)
+	d, now := runners.NewDirectory(), time.Now()
+	d.ColdShare = func(runners.Runner) (int, bool) { return 2, true }
+	d.PutEntry(runners.Entry{Runner: runners.Runner{ID: "cold", Service: "s", Stage: runners.Decode}, ColdFor: time.Minute}, now)
+	d.Put(runners.Runner{ID: "warm", Service: "s", Stage: runners.Decode}, now)
+	p := New("s", d, DefaultOptions())
+	p.Configure(Spec{Memory: 100000, Slots: 64})
+	got := map[string]int{}
+	for i := range 20 {
+		s, err := p.Wait(context.Background(), p.Join(Job{ID: fmt.Sprint("r", i), Prompt: 100}, Fresh))
+		g.Expect(err).NotTo(HaveOccurred())
+		got[s.ID]++
+	}
+	g.Expect(got).To(Equal(map[string]int{"cold": 2, "warm": 18}))
+	p.End("cold", "r0", now)
+	p.End("cold", "r1", now)
+	p.End("cold", "r2", now)
+	s, err := p.Wait(context.Background(), p.Join(Job{ID: "next", Prompt: 100}, Fresh))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.ID).To(Equal("cold"), "what was not sent there gave its place up")
 }
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -125,6 +125,9 @@
 		}
 		runner = best(fit)
 	}
+	if !runner.ClaimCold(w.job.ID, now) {
+		return nil
+	}
 	e := p.engine(runner.ID)
 	e.own[w.job.ID] = &reservation{job: w.job}
 	p.change(e)
@@ -150,7 +153,7 @@
 // fitting returns runners with room for a job. The caller holds the lock.
 func (p *Pool) fitting(w *Waiter, now time.Time) []candidate {
 	var out []candidate
-	for _, s := range p.look(runners.Decode, now) {
+	for _, s := range p.look(runners.Decode, w.job.Allows, now) {
 		if merit, fits := p.merit(s, w, now); fits {
 			out = append(out, candidate{s, merit})
 		}
@@ -165,7 +168,7 @@
 // tokens, less where the runner fails requests. The caller holds the lock.
 func (p *Pool) merit(s *runners.State, w *Waiter, now time.Time) (float64, bool) {
 	e := p.engine(s.ID)
-	if w.avoid[s.ID] || now.Before(e.refusedUntil) {
+	if w.avoid[s.ID] || now.Before(e.refusedUntil) || !w.job.allows(s.Domain) || !s.ColdRoom(now) {
 		return 0, false
 	}
 	room := e.room(w.job, now, p.rate)
@@ -207,6 +210,7 @@
 	defer p.mu.Unlock()
 	e := p.engine(runner)
 	delete(e.own, id)
+	p.release(runner, id)
 	p.change(e)
 	e.refusedUntil = now.Add(p.options.Refused)
 }
@@ -233,12 +237,20 @@
 	if b := e.own[id]; b != nil {
 		p.learnRate(b, now)
 		delete(e.own, id)
+		p.release(runner, id)
 		p.change(e)
 	}
 	p.mu.Unlock()
 	p.Dispatch(now)
 }
 
+// release gives up the place at a cold runner that a job was not sent to.
+func (p *Pool) release(runner, id string) {
+	if s := p.directory.Find(runner); s != nil {
+		s.ReleaseCold(id)
+	}
+}
+
 const (
 	// firstRate is an answer's tokens a second before any was seen.
 	firstRate = 150
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -54,23 +54,36 @@
 	return r
 }
 
+// Prompt is what a prefill runner is wanted for.
+type Prompt struct {
+	// ID is the request's.
+	ID     string
+	Tokens int
+	// Domain is the failure domain of the decode runner.
+	Domain string
+	// Avoid are runners that are not taken, by ID.
+	Avoid map[string]bool
+	// Allows reports whether the prompt may be read in a failure domain; nil for all.
+	Allows func(domain string) bool
+}
+
 // BeginPrefill assigns a prompt to the prefill runner that will have read it first
 // of those that are compared, and returns how long that will take.
-// Runners in avoid are not taken. It fails with *ErrNoRunner.
-func (p *Pool) BeginPrefill(id string, tokens int, domain string, avoid map[string]bool, now time.Time) (*runners.State, time.Duration, error) {
+// It fails with *ErrNoRunner.
+func (p *Pool) BeginPrefill(w Prompt, now time.Time) (*runners.State, time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var fit []candidate
-	for _, s := range p.look(runners.Prefill, now) {
-		if !avoid[s.ID] && len(fit) < compared {
-			fit = append(fit, candidate{s, -p.readCost(s, tokens, domain, now).Seconds()})
+	for _, s := range p.look(runners.Prefill, w.Allows, now) {
+		if !w.Avoid[s.ID] && len(fit) < compared && s.ColdRoom(now) {
+			fit = append(fit, candidate{s, -p.readCost(s, w.Tokens, w.Domain, now).Seconds()})
 		}
 	}
 	if len(fit) == 0 {
 		return nil, 0, &ErrNoRunner{Service: p.service, Stage: runners.Prefill}
 	}
 	chosen := best(fit)
-	return chosen, p.assign(chosen, id, tokens, now), nil
+	return chosen, p.assign(chosen, w.ID, w.Tokens, now), nil
 }
 
 // RepeatPrefill assigns a prompt again to the prefill runner whose answer was lost, and
--- a/pkg/enginepool/snapshot_test.go
+++ b/pkg/enginepool/snapshot_test.go
@@ -36,7 +36,7 @@
 					delete(runnersOf, id)
 				}
 			case "read":
-				s, _, err := p.BeginPrefill("r"+id, 500, "z0", nil, now)
+				s, _, err := p.BeginPrefill(Prompt{ID: "r" + id, Tokens: 500, Domain: "z0"}, now)
 				g.Expect(err).NotTo(HaveOccurred())
 				if rapid.Bool().Draw(t, "ends") {
 					p.EndPrefill(s.ID, "r"+id, false, now)
@@ -83,7 +83,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g.Expect(p.look(runners.Decode, now)).To(HaveLen(4))
+	g.Expect(p.look(runners.Decode, nil, now)).To(HaveLen(4))
 	delete(share, "d0")
-	g.Expect(p.look(runners.Decode, now.Add(2*shareFor))).To(HaveLen(8))
+	g.Expect(p.look(runners.Decode, nil, now.Add(2*shareFor))).To(HaveLen(8))
 }
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -19,7 +19,7 @@
 // exchange is one request while it is served.
 type exchange struct {
 	g       *Ingress
-	w       http.ResponseWriter
+	w       *clientWriter
 	call    *Call
 	route   *routetable.Route
 	service string
@@ -37,8 +37,9 @@
 	life *request.Life
 	// sends counts the sends to runners, prefills not.
 	sends int
-	// bodyBytes is what the body takes of the memory for bodies.
-	bodyBytes int64
+	// heldBytes is what its body and its answer take of the memory for what is held for
+	// others.
+	heldBytes int64
 	rank      enginepool.Rank
 	ctx       context.Context
 	// asked is the digest of what the request asks, once it was needed.
@@ -89,7 +90,14 @@
 		share = 64 << 10
 	}
 	if !x.takeMemory(share) {
-		return &ErrBusy{What: "bytes of bodies", Limit: int(x.g.options.MaxBodies)}
+		return &ErrBusy{What: "bytes held for clients and runners", Limit: int(x.g.options.MaxHeld)}
+	}
+	allowed := x.call.Patience
+	if allowed <= 0 {
+		allowed = x.route.Timeout
+	}
+	if allowed > 0 {
+		defer x.w.readWithin(allowed)()
 	}
 	var err error
 	if r.ContentLength > 0 {
@@ -108,13 +116,14 @@
 	return nil
 }
 
-// takeMemory takes memory for a body.
+// takeMemory takes memory for what is held for a client or a runner. Where there is none left, new
+// bodies are refused first: nothing was done for them yet, and their clients may come back.
 func (x *exchange) takeMemory(n int64) bool {
-	if x.g.bodies.Add(n) > x.g.options.MaxBodies && n > 0 {
-		x.g.bodies.Add(-n)
+	if x.g.held.Add(n) > x.g.options.MaxHeld && n > 0 {
+		x.g.held.Add(-n)
 		return false
 	}
-	x.bodyBytes += n
+	x.heldBytes += n
 	return true
 }
 
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -1,11 +1,11 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,7 +18,7 @@
 
 const (
 	// maxHeld bounds the answers that are held back until they are whole, in
-	// bytes; longer ones are passed on as they come.
+	// bytes; longer ones are passed on as they come, and others while memory is short.
 	maxHeld = 256 << 10
 	// maxRefused bounds the sends of a request that runners turned away.
 	maxRefused = 3
@@ -55,7 +55,7 @@
 		if err != nil {
 			break
 		}
-		runner := x.g.choose(x.service, avoid, x.route.Repeatable())
+		runner := x.g.choose(plainWork{service: x.service, domain: x.g.options.Domain, repeatable: x.route.Repeatable(), avoid: avoid, allows: x.allowing()})
 		if runner == nil {
 			last = firstOf(last, &enginepool.ErrNoRunner{Service: x.service})
 			break
@@ -93,38 +93,53 @@
 	return nil
 }
 
+// plainWork is a request that a plain runner is wanted for.
+type plainWork struct {
+	service string
+	// domain is the gateway's.
+	domain     string
+	repeatable bool
+	// avoid are runners that are not taken, by ID.
+	avoid map[string]bool
+	// allows reports whether it may be served in a failure domain; nil for all.
+	allows func(domain string) bool
+}
+
 // choose returns the plain runner with the least work, in the own domain first, of those that
-// this gateway uses; nil if none is left. Where no healthy one is left of all, one that rests is
-// chosen for a request that may be repeated.
-func (g *Ingress) choose(service string, avoid map[string]bool, repeatable bool) *runners.State {
+// this gateway uses and that may serve the request; nil if none is left. Where no healthy one is
+// left of all, one that rests is chosen for a request that may be repeated.
+func (g *Ingress) choose(w plainWork) *runners.State {
 	now := time.Now()
-	usable := g.Directory.Usable(service, "", now)
+	usable := g.Directory.Usable(w.service, "", now)
+	if w.allows != nil {
+		usable = slices.DeleteFunc(usable, func(r *runners.State) bool { return !w.allows(r.Domain) })
+	}
 	healthy := runners.Healthy(usable, now)
 	cost := failureCost
-	if !repeatable {
+	if !w.repeatable {
 		cost = onceFailureCost
 	}
-	best := g.leastWork(g.share(service, healthy), avoid, cost, now)
+	best := w.leastWork(g.share(w.service, healthy), cost, now)
 	if best == nil {
-		best = g.leastWork(healthy, avoid, cost, now)
+		best = w.leastWork(healthy, cost, now)
 	}
-	if best == nil && repeatable {
-		best = g.leastWork(usable, avoid, cost, now)
+	if best == nil && w.repeatable {
+		best = w.leastWork(usable, cost, now)
 	}
 	return best
 }
 
 // leastWork returns the plain runner of a list that is expected to answer first,
 // nil if all are to be avoided.
-func (g *Ingress) leastWork(list []*runners.State, avoid map[string]bool, failureCost float64, now time.Time) *runners.State {
+func (w plainWork) leastWork(list []*runners.State, failureCost float64, now time.Time) *runners.State {
 	var best *runners.State
 	var least float64
 	for _, s := range list {
-		if avoid[s.ID] {
+		if w.avoid[s.ID] || !s.ColdRoom(now) {
 			continue
 		}
 		cost := (float64(s.Outstanding()) + 1) * (s.Latency().Seconds() + plainGuess) * (1 + failureCost*s.Failures(now) + refusalCost*s.Refusals(now))
-		if s.Domain != g.options.Domain {
+		if s.Domain != w.domain {
 			cost *= otherDomainCost
 		}
 		if best == nil || cost < least {
@@ -162,6 +177,7 @@
 	runner.Enter()
 	defer runner.Leave()
 	x.sends++
+	runner.SentCold(x.call.ID, time.Now())
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	answer, err := x.g.options.Engines.Send(ctx, runner, x.call, x.order())
@@ -235,8 +251,7 @@
 // passOn gives an answer to the client: whole if it is short, as it comes if it
 // is long.
 func (x *exchange) passOn(life *request.Life, n int, a *Answer, runner *runners.State) (verdict, error) {
-	var held bytes.Buffer
-	size, err := io.Copy(&held, io.LimitReader(a.Body, maxHeld))
+	held, whole, err := x.hold(a.Body)
 	if err != nil {
 		runner.Failed(time.Now())
 		x.trouble("answer_broken", runner.ID, err)
@@ -244,13 +259,13 @@
 		return mayHaveRun, firstOf(x.over(), &ErrAnswer{Runner: runner.ID, Status: a.Status, Why: "broken off: " + err.Error()})
 	}
 	x.copyHeader(a)
-	if size < maxHeld {
-		x.w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	if whole {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(held)))
 	}
 	x.w.WriteHeader(a.Status)
-	_, err = x.w.Write(held.Bytes())
-	if err == nil && size == maxHeld {
-		_, err = io.Copy(x.w, a.Body)
+	_, err = x.w.Write(held)
+	if err == nil && !whole {
+		_, err = io.CopyBuffer(x.w, a.Body, x.copyBuffer(held))
 	}
 	if err != nil {
 		x.finish(a.Status, &ErrBroken{Runner: runner.ID, Err: err})
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
@@ -94,7 +95,7 @@
 	}
 	x.life = s.life
 	s.relay = relay{s: s, last: x.call.After}
-	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, Length: s.pool.Lengths.Estimate(s.guess(), x.call.MaxOut), Priority: x.priority()}
+	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, Length: s.pool.Lengths.Estimate(s.guess(), x.call.MaxOut), Priority: x.priority(), Allows: x.allowing()}
 	s.fields = append(s.fields, decisionlog.F("gap", s.route.Gap), decisionlog.F("prompt", s.job.Prompt), decisionlog.F("guess", s.guess()), decisionlog.F("expected", s.job.Length.Expected(0)))
 	if x.call.After != "" {
 		s.fields = append(s.fields, decisionlog.F("resumed_by", "client"))
@@ -107,7 +108,8 @@
 // findKept asks the engines which of them keeps the prompt of a stream that the client
 // resumes, so that it need not be computed again.
 func (s *generation) findKept() {
-	s.keeper, s.kept = s.g.kept.find(s.ctx, s.g.Directory.Present(s.service, time.Now()), s.call.PromptID)
+	present := slices.DeleteFunc(s.g.Directory.Present(s.service, time.Now()), func(r *runners.State) bool { return !s.allows(r.Domain) })
+	s.keeper, s.kept = s.g.kept.find(s.ctx, present, s.call.PromptID)
 	if s.keeper != nil {
 		s.fields = append(s.fields, decisionlog.F("kept_at", s.keeper.ID), decisionlog.F("kept", s.kept))
 	}
@@ -236,6 +238,7 @@
 	s.step("decode_begin", decisionlog.F("service", s.service), decisionlog.F("runner", runner.ID))
 	s.readAnew(runner)
 	s.sends++
+	runner.SentCold(s.job.ID, time.Now())
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	answer, err := s.g.options.Engines.Send(ctx, runner, s.call, order)
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -23,8 +23,9 @@
 type Options struct {
 	// Name is the gateway's, which tells it from the others.
 	Name string
-	// Domain is the failure domain of the process.
+	// Domain is the failure domain of the process, Regions the region of each failure domain.
 	Domain  string
+	Regions map[string]string
 	Engines Engines
 	Reader  Reader
 	Log     *decisionlog.Log
@@ -32,10 +33,10 @@
 	Budget retrybudget.Limits
 	// Gateways is how many gateways there are at first.
 	Gateways int
-	// MaxOpen bounds the requests that are served at once, MaxBodies the bytes
-	// of their bodies together.
-	MaxOpen   int
-	MaxBodies int64
+	// MaxOpen bounds the requests that are served at once, MaxHeld the bytes of their bodies
+	// and of answers that are held back, together.
+	MaxOpen int
+	MaxHeld int64
 	// Neighbours returns how many other gateways are in the failure domain: the
 	// balancer sends clients to those first. Nil for unknown.
 	Neighbours func() int
@@ -61,7 +62,7 @@
 	open      atomic.Int64
 	// lastArrival is when the newest request came, in nanoseconds of Unix time.
 	lastArrival atomic.Int64
-	bodies      atomic.Int64
+	held        atomic.Int64
 
 	mu       sync.Mutex
 	pools    map[string]*enginepool.Pool
@@ -285,7 +286,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{g: g, w: w, arrived: time.Now()}
+	x := &exchange{g: g, w: newClientWriter(w), arrived: time.Now()}
 	g.lastArrival.Store(x.arrived.UnixNano())
 	if g.open.Add(1) > int64(g.options.MaxOpen) {
 		g.open.Add(-1)
@@ -293,12 +294,16 @@
 		return
 	}
 	defer g.open.Add(-1)
-	defer func() { g.bodies.Add(-x.bodyBytes) }()
+	defer func() { g.held.Add(-x.heldBytes) }()
 	if err := x.accept(r); err != nil {
 		x.reject(err)
 		httpd.DiscardBody(w, r.Body)
 		return
 	}
+	if err := x.servable(); err != nil {
+		x.refuse(err, nowhereWait)
+		return
+	}
 	if err := x.charge(); err != nil {
 		x.reject(err)
 		return
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -22,6 +22,8 @@
 	broken     *metrics.Counter
 	// quarantines counts the requests that this gateway learned to keep from runners.
 	quarantines *metrics.Counter
+	// notHeld counts the answers that were passed on as they came for want of memory.
+	notHeld *metrics.Counter
 }
 
 func newMeters() *meters {
@@ -35,6 +37,7 @@
 		wasted:      set.NewCounter("hopwell_ingress_wasted_prefill_tokens_total"),
 		resumed:     set.NewCounter("hopwell_ingress_resumed_streams_total"),
 		broken:      set.NewCounter("hopwell_ingress_broken_streams_total"),
+		notHeld:     set.NewCounter("hopwell_ingress_answers_not_held_total"),
 		quarantines: set.NewCounter("hopwell_ingress_quarantines_total"),
 	}
 }
@@ -80,7 +83,8 @@
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (g *Ingress) WriteMetrics(w io.Writer) {
 	fmt.Fprintf(w, "hopwell_ingress_open_requests %d\n", g.open.Load())
-	fmt.Fprintf(w, "hopwell_ingress_body_bytes %d\n", g.bodies.Load())
+	fmt.Fprintf(w, "hopwell_ingress_held_bytes %d\n", g.held.Load())
+	fmt.Fprintf(w, "hopwell_ingress_evacuated_domains %d\n", len(g.Directory.Evacuated()))
 	fmt.Fprintf(w, "hopwell_ingress_runners %d\n", g.Directory.Len())
 	if t := g.table.Load(); t != nil {
 		fmt.Fprintf(w, "hopwell_ingress_config_version %d\n", t.Config.Version)
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
@@ -61,7 +62,9 @@
 	if again != nil && again.Usable(now) {
 		return again, s.pool.RepeatPrefill(again, s.job.ID, s.job.Prompt, now), nil
 	}
-	return s.pool.BeginPrefill(s.job.ID, s.job.Prompt, room.runner.Domain, s.unread, now)
+	return s.pool.BeginPrefill(enginepool.Prompt{
+		ID: s.job.ID, Tokens: s.job.Prompt, Domain: room.runner.Domain, Avoid: s.unread, Allows: s.job.Allows,
+	}, now)
 }
 
 // answerLost reports whether a prefill's connection ended before its answer came, while
@@ -108,6 +111,7 @@
 func (s *generation) read(reader *runners.State, limit time.Duration) (Source, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, limit)
 	defer cancel()
+	reader.SentCold(s.job.ID, time.Now())
 	return s.g.options.Engines.Prefill(ctx, reader, s.call, s.order())
 }
 
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
@@ -112,7 +111,7 @@
 	if _, err := r.s.w.Write(event); err != nil {
 		return err
 	}
-	if err := http.NewResponseController(r.s.w).Flush(); err != nil {
+	if err := r.s.w.Flush(); err != nil {
 		return err
 	}
 	now := time.Now()
--- /dev/null
+++ b/pkg/ingress/slow_test.go
@@ -0,0 +1,187 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/retrybudget"
+	"github.com/hopwell/hopwell/pkg/routetable"
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+// pipes is a listener whose connections are pipes: they buffer nothing, and run in virtual time.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	c, ok := <-p
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (p pipes) Close() error   { return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// connect returns a client's end of a new connection.
+func (p pipes) connect() net.Conn {
+	here, there := net.Pipe()
+	p <- there
+	return here
+}
+
+// endless answers all calls with a body that has no end.
+type endless struct{ Engines }
+
+func (endless) Send(ctx context.Context, _ *runners.State, _ *Call, _ Order) (*Answer, error) {
+	return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(zeros{}), Whole: true}, nil
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// plainReader reads calls to a route of plain runners.
+type plainReader struct{}
+
+func (plainReader) Read(r *http.Request) (*Call, error) {
+	return &Call{ID: r.Header.Get("X-Request-Id"), Patience: time.Minute, Method: r.Method, Host: r.Host, Path: r.URL.Path, Header: http.Header{}}, nil
+}
+
+// serving returns an ingress before one plain runner, and where its clients connect.
+func serving(t *testing.T, maxHeld int64) (*Ingress, pipes) {
+	log := decisionlog.New("g", io.Discard)
+	in := New(Options{Engines: endless{}, Reader: plainReader{}, Log: log, MaxOpen: 4000, MaxHeld: maxHeld, Budget: retrybudget.Limits{Window: time.Second}})
+	table, err := routetable.New(routetable.Config{
+		Version: 1, Services: map[string]routetable.Service{"s": {Name: "s"}}, Limits: routetable.Limits{BodyBytes: 1 << 20},
+		Routes: []routetable.Route{{Name: "r", Host: "h", PathPrefix: "/", Kind: routetable.Unsafe, Timeout: time.Minute, MaxAttempts: 1, Targets: []routetable.Target{{Service: "s", Weight: 1}}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	in.Use(table)
+	in.Directory.Put(runners.Runner{ID: "a", Service: "s"}, time.Now())
+	l := make(pipes)
+	server := &http.Server{Handler: in}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() {
+		close(l)
+		_ = server.Close()
+		log.Close(time.Second)
+	})
+	return in, l
+}
+
+// Pattern: a slow reader holds the place of the one who serves it.
+//
+// Seen: clients that stop to read an answer held a gateway's memory for it, and their runner's
+// place, until their time was over: up to a minute.
+// Grounds: 2,000 requests are served at once, with 112 MB in the smallest gateway.
+func TestClientsThatStopReadingHoldNeitherMemoryNorPlaces(t *testing.T) {
+	const clients, maxHeld = 2000, 32 << 20
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		in, l := serving(t, maxHeld)
+		before := heapInUse()
+		for i := range clients {
+			c := l.connect()
+			defer c.Close()
+			go func() {
+				_, _ = fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\nX-Request-Id: r%d\r\n\r\n", i)
+				_, _ = c.Read(make([]byte, 1))
+			}()
+		}
+		time.Sleep(clientStall / 2)
+		synctest.Wait()
+		runner := in.Directory.Find("a")
+		g.Expect(runner.Outstanding()).To(Equal(clients))
+		g.Expect(in.held.Load()).To(BeNumerically("<=", maxHeld))
+		g.Expect(heapInUse()-before).To(BeNumerically("<", 112<<20), "the smallest gateway's memory")
+		time.Sleep(clientStall)
+		synctest.Wait()
+		g.Expect(runner.Outstanding()).To(BeZero())
+		g.Expect(in.held.Load()).To(BeZero())
+	})
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse
+}
+
+// A client that takes a little every two seconds is served as long as it has patience.
+func TestAClientThatReadsSlowlyIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		in, l := serving(t, 32<<20)
+		c := l.connect()
+		defer c.Close()
+		go func() { _, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") }()
+		for range 12 {
+			_, err := io.CopyN(io.Discard, c, writeUnit)
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(2 * time.Second)
+		}
+		g.Expect(in.Directory.Find("a").Outstanding()).To(Equal(1))
+	})
+}
+
+// A deadline that an answer had does not end the next one on its connection.
+func TestAnAnswersDeadlineIsNotTheNextOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		_, l := serving(t, 32<<20)
+		c := l.connect()
+		defer c.Close()
+		in := bufio.NewReader(c)
+		for range 3 {
+			go func() { _, _ = io.WriteString(c, "GET /x HTTP/1.1\r\nHost: other\r\n\r\n") }()
+			res, err := http.ReadResponse(in, nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, res.Body)
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(2 * clientStall)
+		}
+	})
+}
+
+// A client that sends its body a byte a second is not waited for longer than it waits itself.
+func TestABodyThatDoesNotComeIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		in, l := serving(t, 32<<20)
+		c := l.connect()
+		defer c.Close()
+		go func() {
+			_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n")
+			for range 200 {
+				if _, err := io.WriteString(c, "x"); err != nil {
+					return
+				}
+				time.Sleep(time.Second)
+			}
+		}()
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(res.StatusCode).To(Equal(http.StatusRequestTimeout))
+		text, _ := io.ReadAll(res.Body)
+		g.Expect(strings.ToLower(string(text))).To(ContainSubstring("bad body"))
+		_ = c.Close()
+		time.Sleep(2 * time.Second) // The client's next write fails.
+		synctest.Wait()
+		g.Expect(in.held.Load()).To(BeZero())
+	})
+}
--- /dev/null
+++ b/pkg/ingress/where.go
@@ -0,0 +1,119 @@
+package ingress
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/routetable"
+)
+
+// nowhereWait is when a client may come back whose request no runner may serve now: operators
+// change where requests may run, and take an evacuation back, within minutes rather than seconds.
+const nowhereWait = 3 * time.Second
+
+// ErrNoRegion reports that no runner is left in the regions that a request is bound to.
+type ErrNoRegion struct {
+	Service string
+	// Regions are those of the route, and of the workspace, each separated by a comma; both
+	// bind.
+	Regions []string
+}
+
+// Error implements error.
+func (e *ErrNoRegion) Error() string {
+	return fmt.Sprintf("no runner in the allowed regions: service=%s regions=%q", e.Service, e.Regions)
+}
+
+// ErrEvacuated reports that all runners of a service are in evacuated failure domains.
+type ErrEvacuated struct {
+	Service string
+	Domains []string
+}
+
+// Error implements error.
+func (e *ErrEvacuated) Error() string {
+	return fmt.Sprintf("all runners are in evacuated domains: service=%s domains=%s", e.Service, strings.Join(e.Domains, ","))
+}
+
+// bonds returns the lists of regions that bind the request: those of its route and of its
+// workspace, as they were when it came and as they are now.
+func (x *exchange) bonds() [][]string {
+	var out [][]string
+	add := func(regions []string) {
+		if len(regions) > 0 {
+			out = append(out, regions)
+		}
+	}
+	add(x.route.Regions)
+	if x.workspace != nil {
+		add(x.workspace.Regions)
+	}
+	if newest := x.g.table.Load(); newest.Config.Version != x.version {
+		x.addNewest(newest, add)
+	}
+	return out
+}
+
+// addNewest adds the regions that a newer table binds the request to.
+func (x *exchange) addNewest(t *routetable.Table, add func([]string)) {
+	if r := t.Match(x.call.Host, x.call.Path); r != nil {
+		add(r.Regions)
+	}
+	if x.workspace == nil || t.Workspaces == nil {
+		return
+	}
+	if w := t.Workspaces.ByKey(x.key); w != nil {
+		add(w.Regions)
+	}
+}
+
+// allows reports whether the request may be served in a failure domain. One whose region is not
+// known is in none that a request could be bound to.
+func (x *exchange) allows(domain string) bool {
+	region := x.g.options.Regions[domain]
+	for _, regions := range x.bonds() {
+		if !slices.Contains(regions, region) {
+			return false
+		}
+	}
+	return true
+}
+
+// allowing returns allows, nil for a request that nothing binds: its choice looks at no domain.
+func (x *exchange) allowing() func(domain string) bool {
+	if len(x.bonds()) == 0 {
+		return nil
+	}
+	return x.allows
+}
+
+// servable fails with *ErrNoRegion or *ErrEvacuated if no runner may serve the request however
+// long it waits.
+func (x *exchange) servable() error {
+	all := x.g.Directory.All(x.service)
+	allowed, left := 0, 0
+	evacuated := x.g.Directory.Evacuated()
+	for _, r := range all {
+		if !x.allows(r.Domain) {
+			continue
+		}
+		allowed++
+		if !slices.Contains(evacuated, r.Domain) {
+			left++
+			break
+		}
+	}
+	switch {
+	case len(all) == 0 || left > 0:
+		return nil
+	case allowed == 0:
+		e := &ErrNoRegion{Service: x.service}
+		for _, regions := range x.bonds() {
+			e.Regions = append(e.Regions, strings.Join(regions, ","))
+		}
+		return e
+	}
+	return &ErrEvacuated{Service: x.service, Domains: evacuated}
+}
--- a/pkg/peers/members.go
+++ b/pkg/peers/members.go
@@ -54,6 +54,18 @@
 	return len(x.members)
 }
 
+// Names returns the names of the gateways that are remembered, the silent ones too.
+func (x *Exchange) Names() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	list := x.sorted()
+	out := make([]string, 0, len(list))
+	for _, m := range list {
+		out = append(out, m.name)
+	}
+	return out
+}
+
 // Rank returns how many living gateways come before this one by name.
 func (x *Exchange) Rank() int {
 	x.mu.Lock()
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -153,19 +153,25 @@
 // takeAll takes everything that the store holds. The caller holds the lock.
 func (f *feed) takeAll(items []store.Item, at uint64) {
 	f.copy.replace(items, at)
-	names := map[string]bool{}
+	names, evacuated := map[string]bool{}, map[string]bool{}
 	free := true
 	for _, i := range items {
 		free = free && i.Key != orderKey
 		if name, ok := platform.RunnerName(i.Key); ok {
 			names[name] = true
 		}
+		if domain, ok := platform.EvacuatedDomain(i.Key); ok {
+			evacuated[domain] = true
+		}
 		f.item(i, at)
 	}
 	for _, i := range items {
 		f.changeItem(i)
 	}
 	f.ingress.Directory.Keep(names, time.Now())
+	for _, domain := range f.ingress.Directory.KeepEvacuated(evacuated, time.Now()) {
+		f.evacuation(domain, false, at)
+	}
 	f.orders(free)
 	f.log.Write(decisionlog.KindState, "runners_read", decisionlog.F("runners", len(names)), decisionlog.F("at", at))
 }
@@ -208,6 +214,12 @@
 		f.ingress.Directory.Gone(name, time.Now())
 		return
 	}
+	if domain, ok := platform.EvacuatedDomain(e.Key); ok && e.Gone {
+		if f.ingress.Directory.Restore(domain, time.Now()) {
+			f.evacuation(domain, false, at)
+		}
+		return
+	}
 	if !e.Gone {
 		f.item(e.Item, at)
 		f.changeItem(e.Item)
@@ -224,7 +236,18 @@
 		f.gateway(name, string(i.Value))
 	} else if d, ok := quarantinedAt(i.Key); ok {
 		f.ingress.ReadQuarantine(d)
+	} else if domain, ok := platform.EvacuatedDomain(i.Key); ok && f.ingress.Directory.Evacuate(domain, time.Now()) {
+		f.evacuation(domain, true, at)
+	}
+}
+
+// evacuation logs that a failure domain is evacuated from now on, or no more.
+func (f *feed) evacuation(domain string, begins bool, at uint64) {
+	event := "domain_restored"
+	if begins {
+		event = "domain_evacuated"
 	}
+	f.log.Write(decisionlog.KindState, event, decisionlog.F("domain", domain), decisionlog.F("at", at))
 }
 
 // changeFor bounds a change of stage that the store holds: how long it has been under
@@ -265,7 +288,7 @@
 		}
 		return
 	}
-	f.ingress.Directory.Put(r, time.Now())
+	f.ingress.Directory.PutEntry(r, time.Now())
 }
 
 // quiet returns a logger for what the HTTP server reports of single
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/hopwell/hopwell/pkg/boottime"
+	"github.com/hopwell/hopwell/pkg/coldstart"
 	"github.com/hopwell/hopwell/pkg/config"
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
@@ -21,6 +22,7 @@
 	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
+	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/staging"
 	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/pkg/upstream"
@@ -50,9 +52,9 @@
 	// drainLook is the time between two looks at what still runs.
 	drainLook = 20 * time.Millisecond
 	// memoryPart is the part of its memory that the runtime may use before it
-	// collects garbage all the time; bodyPart that of bodies.
+	// collects garbage all the time; heldPart that of bodies and answers that are held.
 	memoryPart = 0.7
-	bodyPart   = 0.3
+	heldPart   = 0.3
 	// firstGateways is by how many gateways the retry budget is shared before
 	// any others are known.
 	firstGateways = 8
@@ -89,17 +91,18 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(memory)))
 	log := decisionlog.New(c.Instance.Name, out)
 	client := upstream.New(upstream.Options{ConnectTimeout: connectTime, Idle: idleTime, MaxIdle: maxIdle, Opened: countOpened})
-	runners := &platform.Runners{Client: client}
+	calls := &platform.Runners{Client: client}
 	p := &Ingress{log: log, client: client, suspects: quarantine.New(jitter), stopped: make(chan struct{})}
 	p.settings.Store(c)
 	allowance := c.Workspaces.Quota
 	p.quota = quota.New(quota.Allowance{Window: allowance.Window.D(), Overshoot: allowance.Overshoot, Slack: allowance.Slack}, quota.DefaultShares())
 	p.Ingress = ingress.New(ingress.Options{
-		Name: c.Instance.Name, Domain: c.Instance.Domain, Engines: runners, Reader: runners, Log: log,
+		Name: c.Instance.Name, Domain: c.Instance.Domain, Regions: c.Regions, Engines: calls, Reader: calls, Log: log,
 		Budget:   budgetLimits(c),
-		Gateways: firstGateways, MaxOpen: c.Limits.OpenRequests, MaxBodies: int64(bodyPart * float64(memory)),
+		Gateways: firstGateways, MaxOpen: c.Limits.OpenRequests, MaxHeld: int64(heldPart * float64(memory)),
 		Pool: p.poolOptions(c), Revocation: p.revocation(c), Quota: p.quota, Suspicion: p.suspicion(), Neighbours: func() int { return p.peers.Neighbours() },
 	})
+	p.Ingress.Directory.ColdShare = p.coldShare
 	p.feed = newFeed(p.Ingress, log, platform.NewStore(c.Store), c.Store)
 	if err := p.meet(); err != nil {
 		return nil, err
@@ -110,7 +113,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
-	orders := p.stager(runners)
+	orders := p.stager(calls)
 	p.feed.orders = orders.free.Store
 	p.feed.relays, p.feed.gateway, p.feed.forget = p.peers, p.addPeer, client.Forget
 	p.done.Go(func() { p.feed.run(ctx) })
@@ -166,6 +169,24 @@
 
 func countOpened(string) { opened.Inc() }
 
+// coldShare returns how many requests in any coldstart.Window this gateway may send to a cold
+// runner, false for any number.
+func (p *Ingress) coldShare(r runners.Runner) (int, bool) {
+	table := p.Ingress.Table()
+	if table == nil {
+		return 0, false
+	}
+	settings := p.settings.Load()
+	limit := coldstart.Limit{
+		PerSecond: table.Config.Services[r.Service].ColdPerSecond,
+		Overshoot: settings.ColdRunners.Overshoot, Slack: settings.ColdRunners.Slack,
+	}
+	if !limit.Bounded() {
+		return 0, false
+	}
+	return coldstart.Share(limit, settings.Instance.Name, p.peers.Names(), r.ID), true
+}
+
 // stager returns what gives the engines their parts.
 func (p *Ingress) stager(r *platform.Runners) *stager {
 	lease := p.settings.Load().Lease.D()
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -73,7 +73,8 @@
 // needed reports whether gateways need to know of a key.
 func needed(key string) bool {
 	_, runner := platform.RunnerName(key)
-	return runner || key == platform.ConfigKey || key == orderKey ||
+	_, evacuation := platform.EvacuatedDomain(key)
+	return runner || evacuation || key == platform.ConfigKey || key == orderKey ||
 		strings.HasPrefix(key, gatewayPrefix) || strings.HasPrefix(key, changePrefix) || strings.HasPrefix(key, quarantinePrefix)
 }
 
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -52,6 +52,8 @@
 	Resumable bool
 	// Public routes ask for no key.
 	Public bool
+	// Regions are those in which the route's requests may be served; empty for all.
+	Regions []string
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -95,6 +97,9 @@
 	Name string
 	// MaxConnections is what one runner takes from all callers together.
 	MaxConnections int
+	// ColdPerSecond is how many requests a second a runner bears that has just started, from all
+	// callers together; 0 for any number.
+	ColdPerSecond float64
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- /dev/null
+++ b/pkg/runners/cold_test.go
@@ -0,0 +1,69 @@
+package runners
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/coldstart"
+)
+
+// bounded returns a directory whose cold runners get two requests in each window from here.
+func bounded() *Directory {
+	d := NewDirectory()
+	d.ColdShare = func(Runner) (int, bool) { return 2, true }
+	return d
+}
+
+// Pattern: a runner that has just started is full before it is warm.
+//
+// Seen: an empty runner has the most room of all, so that all gateways sent it what came; it fell
+// over.
+func TestAColdRunnerGetsNoMoreThanTheShareOfThisGateway(t *testing.T) {
+	g := NewWithT(t)
+	d, now := bounded(), time.Now()
+	d.PutEntry(Entry{Runner: Runner{ID: "a"}, ColdFor: 10 * time.Second}, now)
+	s := d.Find("a")
+	g.Expect(s.ClaimCold("r1", now)).To(BeTrue())
+	g.Expect(s.ClaimCold("r2", now)).To(BeTrue())
+	g.Expect(s.ClaimCold("r3", now)).To(BeFalse(), "two are on their way there")
+	s.ReleaseCold("r2")
+	g.Expect(s.ClaimCold("r3", now)).To(BeTrue(), "the second was not sent")
+	s.SentCold("r1", now.Add(time.Second))
+	s.SentCold("r3", now.Add(time.Second))
+	g.Expect(s.ColdRoom(now.Add(time.Second + coldstart.Window - time.Millisecond))).To(BeFalse())
+	g.Expect(s.ColdRoom(now.Add(time.Second + coldstart.Window))).To(BeTrue())
+	g.Expect(s.ClaimCold("lost", now.Add(3*time.Second))).To(BeTrue())
+	g.Expect(s.ClaimCold("lost too", now.Add(3*time.Second))).To(BeTrue())
+	g.Expect(s.ColdRoom(now.Add(3*time.Second + unsentFor))).To(BeTrue(), "claims that nobody gave up")
+}
+
+func TestColdnessEndsWithItsTimeAndWithItsIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	d, now := bounded(), time.Now()
+	d.PutEntry(Entry{Runner: Runner{ID: "a@1", Name: "a"}, ColdFor: 3 * time.Second}, now)
+	first := d.Find("a@1")
+	g.Expect(first.Cold(now)).To(BeTrue())
+	g.Expect(first.Cold(now.Add(3 * time.Second))).To(BeFalse())
+	d.PutEntry(Entry{Runner: Runner{ID: "a@1", Name: "a"}, ColdFor: 5 * time.Second}, now.Add(4*time.Second))
+	g.Expect(first.Cold(now.Add(5*time.Second))).To(BeTrue(), "it may go cold again at any moment")
+	d.PutEntry(Entry{Runner: Runner{ID: "a@2", Name: "a"}}, now.Add(5*time.Second))
+	g.Expect(d.Find("a@2").Cold(now.Add(5 * time.Second))).To(BeFalse())
+	g.Expect(d.Find("a@2").ClaimCold("r", now.Add(5*time.Second))).To(BeTrue())
+}
+
+// A failure domain comes back by its share and not by a cliff: its runners may have turned cold
+// while nobody used them, and their entries may say so late.
+func TestTheRunnersOfADomainThatReturnsCountAsCold(t *testing.T) {
+	g := NewWithT(t)
+	d, now := bounded(), time.Now()
+	d.PutEntry(Entry{Runner: Runner{ID: "a", Domain: "left"}}, now)
+	d.PutEntry(Entry{Runner: Runner{ID: "b", Domain: "right"}}, now)
+	d.Evacuate("left", now)
+	d.Restore("left", now.Add(time.Minute))
+	back := now.Add(time.Minute + time.Second)
+	g.Expect(d.Find("a").Cold(back)).To(BeTrue())
+	g.Expect(d.Find("b").Cold(back)).To(BeFalse())
+	g.Expect(d.Find("a").Cold(now.Add(time.Minute + coldAfterRestore))).To(BeFalse())
+}
--- a/pkg/runners/directory.go
+++ b/pkg/runners/directory.go
@@ -27,8 +27,12 @@
 	stale bool
 	// generation counts the changes of the lists.
 	generation atomic.Uint64
+	evacuated  *evacuations
 	// Changed is called, without locks, after a change; nil for none.
 	Changed func(what Change)
+	// ColdShare returns how many requests in any coldstart.Window a cold runner may get from this
+	// gateway, false for any number. It is set before the first entry is put; nil for no limit.
+	ColdShare func(Runner) (share int, bounded bool)
 }
 
 // Change says what was learned about a runner.
@@ -45,7 +49,10 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{all: map[string]*State{}, current: map[string]*State{}, services: map[string][]*State{}}
+	return &Directory{
+		all: map[string]*State{}, current: map[string]*State{}, services: map[string][]*State{},
+		evacuated: &evacuations{domains: map[string]bool{}, restored: map[string]time.Time{}},
+	}
 }
 
 // name returns the name of a runner.
@@ -59,13 +66,23 @@
 // Put records an entry as it stands in the store at a time. A runner that was leaving stays so.
 // One that has started again under its name takes the place of the one before, whichever its
 // clock says is the later: the store's order tells.
-func (d *Directory) Put(r Runner, now time.Time) {
+func (d *Directory) Put(r Runner, now time.Time) { d.PutEntry(Entry{Runner: r}, now) }
+
+// PutEntry records an entry with what changes while its runner stays the same; see Put.
+func (d *Directory) PutEntry(e Entry, now time.Time) {
+	d.put(e.Runner, now)
+	if s := d.Find(e.ID); s != nil {
+		s.setCold(e.ColdFor, now)
+	}
+}
+
+func (d *Directory) put(r Runner, now time.Time) {
 	if before := d.replace(r, now); before != nil {
 		d.notify(Change{before.Runner, Replaced})
 	}
 	d.mu.Lock()
 	old := d.all[r.ID]
-	s := &State{Runner: r, knowledge: &knowledge{leaving: r.Leaving}}
+	s := &State{Runner: r, knowledge: &knowledge{leaving: r.Leaving, evacuated: d.evacuated, coldShare: d.ColdShare}}
 	what := "new"
 	if old != nil {
 		r.Leaving = r.Leaving || old.Leaving
--- /dev/null
+++ b/pkg/runners/evacuation_test.go
@@ -0,0 +1,42 @@
+package runners
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Pattern: work that goes on to be sent where operators want none.
+//
+// Seen: 2,818 requests reached the runners of a failure domain later than 5 s after operators had
+// asked that it gets nothing; nothing read the evacuation.
+// Cause: whether a runner takes work was decided by its own entry alone.
+func TestTheRunnersOfAnEvacuatedDomainGetNoWork(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDirectory()
+	now := time.Now()
+	put := func(id, domain string, stage Stage) {
+		d.Put(Runner{ID: id, Service: "s", Domain: domain, Stage: stage}, now)
+	}
+	put("a", "left", Decode)
+	put("b", "right", Decode)
+	held := d.Find("a")
+	g.Expect(d.Evacuate("left", now)).To(BeTrue())
+	g.Expect(d.Evacuate("left", now)).To(BeFalse(), "known already")
+	put("c", "left", Decode) // It registers there later.
+	put("a", "left", Prefill)
+	for _, stage := range []Stage{Prefill, Decode} {
+		for _, s := range d.Usable("s", stage, now) {
+			g.Expect(s.Domain).To(Equal("right"))
+		}
+	}
+	g.Expect(held.Usable(now)).To(BeFalse(), "a state that was handed out before")
+	g.Expect(d.Present("s", now)).To(HaveLen(1), "no stage is planned there")
+	g.Expect(d.Evacuated()).To(Equal([]string{"left"}))
+
+	g.Expect(d.KeepEvacuated(map[string]bool{"left": true}, now)).To(BeEmpty())
+	g.Expect(d.KeepEvacuated(nil, now)).To(Equal([]string{"left"}), "a reading without it: taken back")
+	g.Expect(d.Usable("s", Decode, now)).To(HaveLen(2))
+	g.Expect(d.Restore("left", now)).To(BeFalse())
+}
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -35,6 +35,13 @@
 	Leaving bool
 }
 
+// Entry is what a runner says of itself: which one it is, and what changes while it stays the same.
+type Entry struct {
+	Runner
+	// ColdFor is how much longer it bears less than it will; 0 for a warm one.
+	ColdFor time.Duration
+}
+
 // goneGrace is how long a runner whose entry has gone may still be chosen. An
 // entry goes also when its runner could not renew it.
 const goneGrace = 1200 * time.Millisecond
@@ -65,6 +72,11 @@
 	others map[string]report
 	// outstanding counts this process's requests at it.
 	outstanding int
+	// evacuated are the domains whose runners get no more work.
+	evacuated *evacuations
+	cold      coldness
+	// coldShare is Directory.ColdShare.
+	coldShare func(Runner) (share int, bounded bool)
 }
 
 // unusableFor is how long a runner gets no work that answered that it is another one, or
@@ -98,7 +110,7 @@
 
 // present reports whether the runner is there and stays. The caller holds the lock.
 func (s *State) present(now time.Time) bool {
-	if s.leaving || s.replaced || s.refusal.active(s.Stage, now) {
+	if s.leaving || s.replaced || s.evacuated.covers(s.Domain) || s.refusal.active(s.Stage, now) {
 		return false
 	}
 	return s.goneAt.IsZero() || now.Sub(s.goneAt) < goneGrace
--- a/pkg/workspace/workspace.go
+++ b/pkg/workspace/workspace.go
@@ -73,6 +73,8 @@
 	// route's.
 	Priority *int
 	Limit    Limit
+	// Regions are those in which its requests may be served; empty for all.
+	Regions []string
 }
 
 // ErrWorkspace reports a fault in the configuration of a workspace.
