relay, peers, process: calls to the store follow changes and relays, not gateways

Counted by call on a logged play: 14 relays that asked twice a second whatever the bound that operators set (1,700 of some 7,000 in a minute), a question of every gateway in 30 s, renewals of every gateway's address in 6 s, two watches of each in its first seconds, and, when the store forgets its history, a reading by each gateway instead of by each relay.

- The pace of relays follows the shortest bound that the settings leave for a change (configuration, drain, evacuation, revoked keys): longer beats, longer watches, fewer relays at the same bytes.
At the shortest bound, 2 s, nothing changes.
- What a relay reads anew is passed on as changes.
- All gateways together confirm once a second; addresses last as long as a gateway is remembered.

--- a/pkg/config/ingress.go
+++ b/pkg/config/ingress.go
@@ -26,6 +26,24 @@
 	Window fleet.Duration `yaml:"window"`
 }
 
+// Changes says by when what operators or runners write to the store is in force at all gateways.
+type Changes struct {
+	// ConfigWithin is for a configuration, DrainWithin for a runner that leaves, EvacuateWithin for
+	// a failure domain that is evacuated.
+	ConfigWithin   fleet.Duration `yaml:"config_within"`
+	DrainWithin    fleet.Duration `yaml:"drain_within"`
+	EvacuateWithin fleet.Duration `yaml:"evacuate_within"`
+}
+
+// Bound returns the shortest of these times, and of that for revoked keys where they count.
+func (c *Changes) Bound(w Workspaces) time.Duration {
+	bound := min(c.ConfigWithin.D(), c.DrainWithin.D(), c.EvacuateWithin.D())
+	if w.FailClosed {
+		bound = min(bound, w.RevokeWithin.D())
+	}
+	return bound
+}
+
 // ColdRunners says how many requests in one second a runner gets that is still cold, over all
 // gateways: what its service says, times Overshoot, and Slack more.
 type ColdRunners struct {
@@ -72,6 +90,7 @@
 	Seeds       []string       `yaml:"seeds"`
 	Listen      IngressListen  `yaml:"listen"`
 	RetryBudget RetryBudget    `yaml:"retry_budget"`
+	Changes     Changes        `yaml:"changes"`
 	ColdRunners ColdRunners    `yaml:"cold_runners"`
 	Workspaces  Workspaces     `yaml:"workspaces"`
 	Lease       fleet.Duration `yaml:"lease"`
@@ -110,6 +129,7 @@
 		checkAddress("listen.metrics", c.Listen.Metrics),
 		checkAddress("listen.peers", c.Listen.Peers),
 		c.RetryBudget.check(),
+		c.Changes.check(),
 		c.ColdRunners.check(),
 		c.Workspaces.check(),
 		checkDuration("lease", c.Lease, minLease, maxLease),
@@ -140,6 +160,18 @@
 	return checkDuration("retry_budget.window", b.Window, time.Second, time.Hour)
 }
 
+// minChange is the shortest time that may be asked for a change. Below relay.ShortestBound it holds
+// as long as no relay is lost.
+const minChange = 100 * time.Millisecond
+
+func (c *Changes) check() *fault {
+	return first(
+		checkDuration("changes.config_within", c.ConfigWithin, minChange, time.Hour),
+		checkDuration("changes.drain_within", c.DrainWithin, minChange, time.Hour),
+		checkDuration("changes.evacuate_within", c.EvacuateWithin, minChange, time.Hour),
+	)
+}
+
 func (c *ColdRunners) check() *fault {
 	if c.Overshoot < 0 {
 		return &fault{"cold_runners.overshoot", "a number of 0 or more"}
--- a/pkg/peers/assured_test.go
+++ b/pkg/peers/assured_test.go
@@ -8,6 +8,8 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/hopwell/hopwell/pkg/relay"
+
 	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/spectest"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
@@ -24,7 +26,7 @@
 			chain := make([]*Exchange, hops)
 			known := make([]time.Time, hops)
 			for i := range chain {
-				chain[i] = &Exchange{clock: newStampClock()}
+				chain[i] = subscribed()
 				time.Sleep(time.Duration(rapid.IntRange(0, 5000).Draw(rt, "start")) * time.Millisecond)
 			}
 			pause := func(what string) {
@@ -71,7 +73,7 @@
 func TestAnAssuranceCostsOneRoundTrip(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		relay, self := &Exchange{clock: newStampClock()}, &Exchange{clock: newStampClock()}
+		relay, self := subscribed(), subscribed()
 		time.Sleep(time.Second)
 		stamp := self.clock.stamp(time.Now())
 		time.Sleep(2 * time.Millisecond)
@@ -90,7 +92,7 @@
 // so does the age at a gateway that is suspended itself.
 func TestAnAssuranceAgesOverSuspensions(t *testing.T) {
 	g := NewWithT(t)
-	relay, self := &Exchange{clock: newStampClock()}, &Exchange{clock: newStampClock()}
+	relay, self := subscribed(), subscribed()
 	suspended := func() { t.Cleanup(boottime.Suspend(3 * time.Second)) }
 	read := boottime.Now()
 	suspended()
@@ -108,11 +110,11 @@
 func TestTheStampOfAnEarlierProcessSaysNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		relay, before := &Exchange{clock: newStampClock()}, &Exchange{clock: newStampClock()}
+		relay, before := subscribed(), subscribed()
 		time.Sleep(time.Second)
 		relay.subscribers.Subscribe("self", 1, time.Now())
 		relay.subscribers.Stamp("self", before.clock.stamp(time.Now()), time.Now())
-		after := &Exchange{clock: newStampClock()}
+		after := subscribed()
 		time.Sleep(time.Second)
 		u := &wirepb.StoreUpdate{}
 		relay.assure(u, "self", time.Now())
@@ -120,3 +122,8 @@
 		g.Expect(before.assured(u).IsZero()).To(BeFalse())
 	})
 }
+
+// subscribed returns as much of an exchange as assurances need.
+func subscribed() *Exchange {
+	return &Exchange{clock: newStampClock(), subscribers: relay.NewSubscribers(pace)}
+}
--- a/pkg/peers/members.go
+++ b/pkg/peers/members.go
@@ -159,7 +159,7 @@
 			m.alive = false
 			silent = append(silent, name)
 		}
-		if quiet > rememberFor {
+		if quiet > RememberFor {
 			delete(x.members, name)
 			x.memberships++
 		}
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -44,8 +44,8 @@
 	// of many no more come than of a hundred: at 300 with limits they were 58 in 100 of the
 	// bytes between gateways.
 	fullEvery = 3 * time.Second
-	// rememberFor is how long a silent peer is kept and sent to.
-	rememberFor = 60 * time.Second
+	// RememberFor is how long a silent peer is kept and sent to.
+	RememberFor = 60 * time.Second
 	// maxDatagram bounds a datagram, in bytes.
 	maxDatagram = 16 << 10
 	// namedPeers is how many others a datagram with everything names.
@@ -86,8 +86,10 @@
 	// ReceiveSuspicion takes what another gateway reported of a request whose runs broke
 	// off.
 	ReceiveSuspicion func(r quarantine.Report)
-	// Store is what this gateway knows of the store.
+	// Store is what this gateway knows of the store, Pace how closely it is watched; the zero
+	// value is that of the shortest bound.
 	Store StoreFeed
+	Pace  relay.Pace
 	// Quota counts what workspaces spend at all gateways; nil for nobody.
 	Quota *quota.Ledger
 	// Version returns the version of the configuration in force.
@@ -156,7 +158,7 @@
 	// sources are the relays of this gateway; subscribers are those that it is a relay
 	// for, relayed is what it may send them.
 	sources     *relay.Sources
-	subscribers relay.Subscribers
+	subscribers *relay.Subscribers
 	relayed     allowance
 	clock       stampClock
 	// turn counts the gateways that outcomes were sent to, in turn.
@@ -166,7 +168,12 @@
 // New returns an exchange that knows nobody.
 func New(o Options) *Exchange {
 	x := &Exchange{options: o, incarnation: uint64(time.Now().UnixNano()), members: map[string]*member{}, changed: make(chan struct{}, 1), reached: map[string]uint64{}}
-	x.sources, x.clock = relay.NewSources(o.Name), newStampClock()
+	if o.Pace == (relay.Pace{}) {
+		o.Pace = relay.PaceFor(relay.ShortestBound)
+		x.options.Pace = o.Pace
+	}
+	x.sources, x.clock = relay.NewSources(o.Name, o.Pace), newStampClock()
+	x.subscribers = relay.NewSubscribers(o.Pace)
 	x.regroup()
 	return x
 }
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -138,7 +138,7 @@
 	now := time.Now()
 	a.sweep(now.Add(2 * leastAlive))
 	g.Expect(a.Known()).To(Equal(1))
-	a.sweep(now.Add(2 * rememberFor))
+	a.sweep(now.Add(2 * RememberFor))
 	g.Expect(a.Known()).To(Equal(0))
 }
 
--- a/pkg/peers/relay.go
+++ b/pkg/peers/relay.go
@@ -66,7 +66,7 @@
 			x.alive = append(x.alive, name)
 		}
 	}
-	x.first = relay.First(x.options.Name, x.alive)
+	x.first = x.options.Pace.First(x.options.Name, x.alive)
 	x.chosen = time.Time{}
 	return x.alive
 }
@@ -78,14 +78,14 @@
 	return x.first
 }
 
-// chooseEvery is the time between two choices of relays while no gateway comes or goes: a part of
-// the time after which a silent one is left.
-const chooseEvery = relay.Beat / 3
+// choicesEach is how many choices of relays there are in a beat while no gateway comes or goes: a
+// silent one is left after some beats.
+const choicesEach = 3
 
 // chooseRelays chooses relays anew when it is time. The caller holds the lock.
 func (x *Exchange) chooseRelays(now time.Time) {
 	living := x.living()
-	if x.sources.Any() && now.Sub(x.chosen) < chooseEvery {
+	if x.sources.Any() && now.Sub(x.chosen) < x.options.Pace.Beat/choicesEach {
 		return
 	}
 	x.chosen = now
--- a/pkg/peers/relay_test.go
+++ b/pkg/peers/relay_test.go
@@ -20,6 +20,8 @@
 	subscribed int
 }
 
+var pace = relay.PaceFor(relay.ShortestBound)
+
 func (k *storeKnown) Reached() uint64 {
 	at, _ := k.History.Reached()
 	return at
@@ -92,7 +94,7 @@
 			}
 		}
 		return len(subscribed)
-	}).WithTimeout(20*time.Second).Should(Equal(len(all)-relay.Relays(len(all))), "nobody else is subscribed to while all relays answer")
+	}).WithTimeout(20*time.Second).Should(Equal(len(all)-pace.Relays(len(all))), "nobody else is subscribed to while all relays answer")
 	for _, w := range all {
 		if w.Relay(time.Now()) {
 			w.known.Advance(7, []store.Event{storeChange("servers/a", 7, 10)}, time.Now())
@@ -103,7 +105,7 @@
 		g.Eventually(w.known.received).WithTimeout(20*time.Second).Should(HaveLen(1), w.options.Name)
 		g.Expect(w.Coverage(time.Now()).FreshUntil).To(BeTemporally(">", time.Now()))
 	}
-	time.Sleep(2 * relay.Beat)
+	time.Sleep(2 * pace.Beat)
 	for _, w := range subscribed {
 		g.Expect(w.known.received()).To(HaveLen(1), "known to come once, told by two relays")
 	}
@@ -113,7 +115,7 @@
 // its relays.
 func TestALostUpdateIsAskedForAgain(t *testing.T) {
 	g := NewWithT(t)
-	all := startFleet(t, relay.Relays(1)+1, 6)
+	all := startFleet(t, pace.Relays(1)+1, 6)
 	at := all[0]
 	for _, w := range all {
 		if !w.Relay(time.Now()) {
--- a/pkg/process/announce.go
+++ b/pkg/process/announce.go
@@ -6,16 +6,19 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/peers"
 	"github.com/hopwell/hopwell/pkg/store"
 )
 
 const (
 	// gatewayPrefix is above the keys by which gateways find each other.
 	gatewayPrefix = "hopwell/gateways/"
-	// announceTTL is how long such a key outlives its gateway.
-	announceTTL = 20 * time.Second
-	// announceEvery is the time between two renewals.
-	announceEvery = 6 * time.Second
+	// announceTTL is how long such a key outlives its gateway: as long as those that know it
+	// remember it. Who starts meanwhile sends it some datagrams in vain.
+	announceTTL = peers.RememberFor
+	// announceEvery is the time between two renewals: two may be lost. The renewals of 356
+	// gateways were 60 calls a second at a third of it.
+	announceEvery = 18 * time.Second
 	// announceRetry is the time after the first failed try. It doubles with each more, up
 	// to announceEvery: gateways that know each other need no address from the store.
 	announceRetry = time.Second
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -20,8 +20,8 @@
 const (
 	// relayGather is how long a relay lets changes of the store come together, so that
 	// one call brings several; gather is how long other gateways do, which get them
-	// from a relay meanwhile. It keeps a change within the 2 s in which configurations
-	// must be in force, should the relay's datagram be lost.
+	// from a relay meanwhile. At the shortest bound it keeps a change within the 2 s in which
+	// configurations must be in force, should the relay's datagram be lost; both grow with it.
 	relayGather = 200 * time.Millisecond
 	gather      = time.Second
 	// idleFor is how long no request must have come for changes to be in no hurry.
@@ -35,8 +35,9 @@
 	// copy is what the store held last, history the latest changes.
 	copy    copyOfStore
 	history relay.History
-	// relays are the gateways that keep each other up to date.
+	// relays are the gateways that keep each other up to date, pace how closely.
 	relays relays
+	pace   relay.Pace
 
 	// applying lets changes from the store and from relays go one after the other.
 	applying sync.Mutex
@@ -61,8 +62,8 @@
 	restart chan struct{}
 }
 
-func newFeed(g *ingress.Ingress, l *decisionlog.Log, s store.Store, address string) *feed {
-	f := &feed{ingress: g, log: l, store: s, address: address, restart: make(chan struct{}), woken: make(chan struct{}, 1)}
+func newFeed(g *ingress.Ingress, l *decisionlog.Log, s store.Store, address string, p relay.Pace) *feed {
+	f := &feed{ingress: g, log: l, store: s, address: address, pace: p, restart: make(chan struct{}), woken: make(chan struct{}, 1)}
 	g.Directory.Changed = func(c runners.Change) {
 		if c.What == runners.Replaced {
 			f.forget(c.Runner.Address)
@@ -115,9 +116,9 @@
 func (f *feed) gather() time.Duration {
 	now := time.Now()
 	if !f.relays.Relay(now) || f.ingress.Idle(now, idleFor) {
-		return gather
+		return f.pace.Scale(gather)
 	}
-	return relayGather
+	return f.pace.Scale(relayGather)
 }
 
 // follower follows the whole store: one watch costs half of two, and the few keys
@@ -143,9 +144,17 @@
 	if have := f.Reached(); at < have {
 		return &store.ErrOld{Have: have, Got: at}
 	}
-	f.answered(time.Now())
-	f.readOnce(time.Now())
-	f.history.Restart(at, time.Now())
+	now := time.Now()
+	f.answered(now)
+	f.readOnce(now)
+	if have := f.Reached(); have == 0 {
+		f.history.Restart(at, now)
+	} else {
+		// What changed since is passed on like what a watch brings: else each gateway that
+		// subscribed here would read the store too, when the store forgets its history.
+		f.history.Advance(at, f.copy.changes(items, have, at), now)
+		defer f.relays.SendStoreUpdates(now)
+	}
 	f.takeAll(items, at)
 	return nil
 }
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -21,6 +21,7 @@
 	"github.com/hopwell/hopwell/pkg/peers"
 	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/quota"
+	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/staging"
@@ -103,7 +104,7 @@
 		Pool: p.poolOptions(c), Revocation: p.revocation(c), Quota: p.quota, Suspicion: p.suspicion(), Neighbours: func() int { return p.peers.Neighbours() },
 	})
 	p.Ingress.Directory.ColdShare = p.coldShare
-	p.feed = newFeed(p.Ingress, log, platform.NewStore(c.Store), c.Store)
+	p.feed = newFeed(p.Ingress, log, platform.NewStore(c.Store), c.Store, relay.PaceFor(c.Changes.Bound(c.Workspaces)))
 	if err := p.meet(); err != nil {
 		return nil, err
 	}
--- a/pkg/process/ports.go
+++ b/pkg/process/ports.go
@@ -63,7 +63,7 @@
 	p.peers = peers.New(peers.Options{
 		Name: instance.Name, Address: p.ports.Peers, Conn: conn,
 		Domain: instance.Domain, Outcomes: p.Ingress.Outcomes, ReceiveOutcomes: p.Ingress.ReceiveOutcomes,
-		Store:               p.feed,
+		Store: p.feed, Pace: p.feed.pace,
 		ReceiveSuspicion:    p.Ingress.ReceiveSuspicion,
 		Quota:               p.quota,
 		ReceiveStageChanges: p.Ingress.ReceiveStageChanges,
--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -12,11 +12,13 @@
 )
 
 const (
-	// confirmEvery is how often a gateway asks the store although relays bring its
+	// confirmEvery is how often a gateway asks the store at most although relays bring its
 	// changes. They bring them without a gap; this bounds how long a fault of theirs
-	// could last, and costs a hundred gateways three calls a second.
+	// could last. confirmShare is the time between two such questions of all gateways
+	// together: they cost one call a second, however many gateways there are.
 	confirmEvery = 30 * time.Second
-	// startRest is how long a process that has just read the store does not look at it
+	confirmShare = time.Second
+	// startRest is, at the shortest bound, how long a process that has just read the store does not look at it
 	// again: by then it knows the others, and relays bring what it missed. Without it
 	// each start costs two watches more.
 	startRest = 1200 * time.Millisecond
@@ -33,6 +35,8 @@
 	Coverage(now time.Time) peers.Coverage
 	// StoreAnswers notes that the store answered this gateway.
 	StoreAnswers(now time.Time)
+	// Known returns how many other gateways there are.
+	Known() int
 	// SendStoreUpdates passes on what is new.
 	SendStoreUpdates(now time.Time)
 }
@@ -65,7 +69,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if rest := f.firstRead.Add(startRest).Sub(now); rest > 0 {
+	if rest := f.firstRead.Add(f.pace.Scale(startRest)).Sub(now); rest > 0 {
 		return rest, 0
 	}
 	if f.relays.Relay(now) {
@@ -80,7 +84,7 @@
 	case now.Before(until):
 		return until.Sub(now), 0
 	case now.Before(covered.FreshUntil):
-		f.confirmAt, wait = now.Add(jitter(confirmEvery)), confirmWait
+		f.confirmAt, wait = now.Add(f.confirmPause()), confirmWait
 	case f.copy.lostNow() && covered.Answering && now.Before(f.triedAt):
 		return f.triedAt.Sub(now), 0
 	}
@@ -89,23 +93,29 @@
 }
 
 // relayWait returns how long the watch of a relay may wait for a change: what it knows is
-// confirmed every relay.WatchWait, also where it let changes come together before.
+// confirmed at the pace's WatchWait, also where it let changes come together before.
 func (f *feed) relayWait(now time.Time) time.Duration {
 	_, confirmed := f.history.Reached()
-	return max(confirmWait, relay.WatchWait-max(0, now.Sub(confirmed)))
+	return max(confirmWait, f.pace.WatchWait-max(0, now.Sub(confirmed)))
 }
 
 // confirmWait is how long a watch waits that only asks whether something is new.
 const confirmWait = time.Millisecond
 
+// confirmPause returns how long relays are relied on before the store is asked all the same.
+func (f *feed) confirmPause() time.Duration {
+	return jitter(max(confirmEvery, time.Duration(f.relays.Known())*confirmShare))
+}
+
 // jitter spreads a time by half to both sides, so that gateways that began together do
 // not go on together.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
 // answered notes that the store answered.
 func (f *feed) answered(now time.Time) {
+	pause := f.confirmPause()
 	f.mu.Lock()
-	f.confirmAt = now.Add(jitter(confirmEvery))
+	f.confirmAt = now.Add(pause)
 	f.mu.Unlock()
 	f.relays.StoreAnswers(now)
 }
--- a/pkg/process/relay_test.go
+++ b/pkg/process/relay_test.go
@@ -19,25 +19,29 @@
 	"github.com/hopwell/hopwell/platform/standin"
 )
 
+var pace = relay.PaceFor(relay.ShortestBound)
+
 // fixture is a feed that has read the store at a revision, with the relays that the test
 // sets.
 type fixture struct {
 	*feed
 	isRelay  bool
 	coverage peers.Coverage
+	others   int
 	passedOn int
 	met      []string
 }
 
 func (f *fixture) Relay(time.Time) bool              { return f.isRelay }
 func (f *fixture) Coverage(time.Time) peers.Coverage { return f.coverage }
+func (f *fixture) Known() int                        { return f.others }
 func (f *fixture) StoreAnswers(time.Time)            {}
 func (f *fixture) SendStoreUpdates(time.Time)        { f.passedOn++ }
 
 func newFixture(t *testing.T, at uint64, items ...store.Item) *fixture {
 	log := decisionlog.New("test", io.Discard)
 	t.Cleanup(func() { log.Close(time.Second) })
-	f := &fixture{feed: newFeed(ingress.New(ingress.Options{Log: log}), log, nil, "")}
+	f := &fixture{feed: newFeed(ingress.New(ingress.Options{Log: log}), log, nil, "", pace)}
 	f.orders = func(bool) {}
 	f.gateway = func(name, _ string) { f.met = append(f.met, name) }
 	f.relays, f.forget = f, func(string) {}
@@ -200,8 +204,8 @@
 		f := newFixture(t, 10)
 		g.Expect(f.waits(t)).To(Equal(startRest), "it has just been read")
 		g.Expect(f.waits(t)).To(BeZero(), "no relay has said anything")
-		f.coverage.FreshUntil = time.Now().Add(relay.StaleAfter)
-		g.Expect(f.waits(t)).To(Equal(relay.StaleAfter), "both relays lost, paused, or cut off")
+		f.coverage.FreshUntil = time.Now().Add(pace.StaleAfter)
+		g.Expect(f.waits(t)).To(Equal(pace.StaleAfter), "both relays lost, paused, or cut off")
 		f.coverage.FreshUntil = time.Now().Add(time.Hour)
 		f.waits(t)
 		g.Expect(f.waits(t)).To(And(BeNumerically(">=", confirmEvery/2), BeNumerically("<=", 2*confirmEvery)), "also where the call before failed")
@@ -247,3 +251,48 @@
 		g.Expect(f.waits(t)).To(BeZero(), "nobody else will tell that it is back")
 	})
 }
+
+// Pattern: one reader's trouble makes all read.
+//
+// Seen: when the store forgot its history, its few watchers read it anew, and each of 356 gateways
+// that relied on them did so too: what they were told began with the new reading.
+func TestAReadingAnewIsPassedOnAsChanges(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, 10, entry("e1", "prefill", 5), entry("e2", "decode", 6), entry("e3", "decode", 7))
+	f.apply([]store.Event{{Item: entry("e4", "decode", 12)}}, 12)
+	passed := f.passedOn
+	g.Expect(f.reset([]store.Item{entry("e1", "decode", 15), entry("e2", "decode", 6), entry("e4", "prefill", 14), entry("e5", "decode", 21)}, 20)).To(Succeed())
+	g.Expect(f.passedOn).To(Equal(passed + 1))
+	updates := f.Since(11, time.Now())
+	g.Expect(updates).To(HaveLen(1))
+	g.Expect(updates[0].More).To(BeFalse(), "a subscriber need not read the store")
+	g.Expect(updates[0].To).To(Equal(uint64(20)))
+
+	other := newFixture(t, 11, entry("e1", "prefill", 5), entry("e2", "decode", 6), entry("e3", "decode", 7))
+	g.Expect(other.Receive(updates[0])).To(BeTrue())
+	g.Expect(other.stage("e1")).To(Equal(runners.Decode))
+	g.Expect(other.stage("e4")).To(Equal(runners.Prefill))
+	g.Expect(other.present("e2")).To(BeTrue())
+	g.Expect(other.present("e3")).To(BeFalse(), "it has gone meanwhile")
+	g.Expect(other.present("e5")).To(BeFalse(), "it came while the store was read: the next watch brings it")
+	g.Expect(other.Reached()).To(Equal(uint64(20)))
+}
+
+// Pattern: a safeguard that costs each member the same grows with the fleet.
+//
+// Seen: 356 gateways asked the store 12 times a second whether their relays had told them all.
+func TestAllGatewaysTogetherConfirmAtABoundedRate(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, 10)
+	for _, others := range []int{0, 30, 356, 712} {
+		f.others = others
+		var sum time.Duration
+		const draws = 2000
+		for range draws {
+			sum += f.confirmPause()
+		}
+		perSecond := float64(others+1) / (sum / draws).Seconds()
+		g.Expect(perSecond).To(BeNumerically("<", 1.1), "%d gateways", others+1)
+		g.Expect(sum / draws).To(BeNumerically(">=", 29*time.Second))
+	}
+}
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -1,12 +1,14 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -90,6 +92,29 @@
 	}
 }
 
+// changes returns what became, between two revisions, of what the copy holds at the first, as far as
+// the items of a reading at the second show it. The reading is no snapshot: what it shows of later
+// revisions is left to the watch that follows.
+func (c *copyOfStore) changes(items []store.Item, from, to uint64) []store.Event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []store.Event
+	there := make(map[string]bool, len(items))
+	for _, i := range items {
+		there[i.Key] = true
+		if needed(i.Key) && i.Revision > from && i.Revision <= to {
+			out = append(out, store.Event{Item: i})
+		}
+	}
+	slices.SortFunc(out, func(a, b store.Event) int { return cmp.Compare(a.Revision, b.Revision) })
+	for key := range c.items {
+		if !there[key] {
+			out = append(out, store.Event{Item: store.Item{Key: key, Revision: to}, Gone: true})
+		}
+	}
+	return out
+}
+
 // apply takes over changes.
 func (c *copyOfStore) apply(events []store.Event, at uint64) {
 	c.mu.Lock()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -17,24 +17,14 @@
 const (
 	// leastRelays is how many gateways watch the store at least, although nobody may have
 	// subscribed to them: the first living ones in an order that all share. Four and six
-	// measured alike; each costs one call a second and one for each change.
+	// measured alike; each costs one call for each WatchWait and one for each change.
 	leastRelays = 4
-	// gatewaysEach is for how many gateways there is one relay more. A relay then sends
-	// to 48 subscribers, some 10 KB a second without changes.
+	// gatewaysEach is for how many gateways there is one relay more at the shortest bound. A
+	// relay then sends to 48 subscribers, some 10 KB a second without changes.
 	gatewaysEach = 24
 	// sourcesEach is how many relays a gateway subscribes to, so that the loss of one,
 	// or one that is cut off from the store, delays nothing.
 	sourcesEach = 2
-	// Beat is the longest time between two updates to a subscriber. With it a gateway
-	// gets some 7 datagrams of 60 bytes a second from its two relays.
-	Beat = 300 * time.Millisecond
-	// silentAfter is how long a relay may say nothing before another takes its place:
-	// three updates in a row are hardly ever lost.
-	silentAfter = 3 * Beat
-	// renewEvery is the time between two subscriptions at one relay, subscribedFor how
-	// long one lasts: two may be lost.
-	renewEvery    = time.Second
-	subscribedFor = 3 * renewEvery
 	// askAgain is the time after which a gateway that lacks a change asks a relay for
 	// it again: some round trips.
 	askAgain = 50 * time.Millisecond
@@ -44,18 +34,64 @@
 	// suspectFor is how long a relay that fell silent, or that lost the store while
 	// others have it, is left alone.
 	suspectFor = 10 * time.Second
+	// silentBeats is how many beats a relay may say nothing before another takes its place:
+	// three updates in a row are hardly ever lost. It is also how many renewals a subscription
+	// lasts: two may be lost.
+	silentBeats = 3
+)
+
+// ShortestBound is the shortest time that operators leave for a change to be in force everywhere.
+// The times of a pace are given for it.
+const ShortestBound = 2 * time.Second
+
+const (
+	beat       = 300 * time.Millisecond
+	renewEvery = time.Second
+	watchWait  = time.Second
+	staleAfter = 1600 * time.Millisecond
+)
+
+// Pace is how closely gateways watch the store, by the time that operators leave for a change to be
+// in force. Changes are passed on as soon as a relay has them, whatever the pace; it bounds how long
+// a fault of a relay stays unseen, and with it what the silence between changes costs: calls to the
+// store grow with the number of relays and fall with the square of the bound.
+type Pace struct {
+	factor float64
+	// Beat is the longest time between two updates to a subscriber. At the shortest bound a
+	// gateway gets some 7 datagrams of 60 bytes a second from its two relays.
+	Beat time.Duration
+	// RenewEvery is the time between two subscriptions at one relay.
+	RenewEvery time.Duration
 	// WatchWait is how long a relay's watch waits for a change. What a relay knows is
 	// confirmed when it ends.
-	WatchWait = time.Second
+	WatchWait time.Duration
 	// StaleAfter is the age from which on a gateway does not rely on what its relays
 	// say and looks at the store itself: a watch, a beat, and what datagrams and calls
-	// take. With the call that follows, a change is known within the 2 s that the
-	// shortest bounds of the platform leave for a configuration.
-	StaleAfter = 1600 * time.Millisecond
-)
+	// take. With the call that follows, a change is known within the bound.
+	StaleAfter time.Duration
+}
+
+// PaceFor returns the pace at which a change is known everywhere within a bound.
+func PaceFor(bound time.Duration) Pace {
+	p := Pace{factor: max(1, float64(bound)/float64(ShortestBound))}
+	p.Beat, p.RenewEvery, p.WatchWait, p.StaleAfter = p.Scale(beat), p.Scale(renewEvery), p.Scale(watchWait), p.Scale(staleAfter)
+	return p
+}
+
+// Scale returns what a time for the shortest bound is at this pace.
+func (p Pace) Scale(d time.Duration) time.Duration { return time.Duration(float64(d) * p.factor) }
 
-// Relays returns how many of a number of gateways are relays.
-func Relays(gateways int) int { return max(leastRelays, gateways/gatewaysEach) }
+// silentAfter is how long a relay may say nothing before another takes its place.
+func (p Pace) silentAfter() time.Duration { return silentBeats * p.Beat }
+
+// subscribedFor is how long a subscription lasts.
+func (p Pace) subscribedFor() time.Duration { return silentBeats * p.RenewEvery }
+
+// Relays returns how many of a number of gateways are relays. With fewer beats a relay serves more
+// subscribers at the same cost.
+func (p Pace) Relays(gateways int) int {
+	return max(leastRelays, int(float64(gateways)/(gatewaysEach*p.factor)))
+}
 
 // Unconfirmed is the age of an update that others follow: the store had changes after it.
 const Unconfirmed = time.Hour
--- a/pkg/relay/sources.go
+++ b/pkg/relay/sources.go
@@ -11,6 +11,7 @@
 // Sources are the relays that a gateway is subscribed to.
 type Sources struct {
 	self string
+	pace Pace
 	// began is when it first looked for relays.
 	began  time.Time
 	relays map[string]*source
@@ -31,8 +32,8 @@
 }
 
 // NewSources returns the sources of a gateway, none yet.
-func NewSources(self string) *Sources {
-	return &Sources{self: self, relays: map[string]*source{}, suspects: map[string]time.Time{}}
+func NewSources(self string, p Pace) *Sources {
+	return &Sources{self: self, pace: p, relays: map[string]*source{}, suspects: map[string]time.Time{}}
 }
 
 // Choose chooses relays among the living gateways, and drops those that were silent. All
@@ -66,7 +67,7 @@
 // suspectSilent leaves relays alone that said nothing for long.
 func (s *Sources) suspectSilent(now time.Time) {
 	for name, r := range s.relays {
-		if now.Sub(later(r.since, r.heard)) > silentAfter {
+		if now.Sub(later(r.since, r.heard)) > s.pace.silentAfter() {
 			s.suspects[name] = now.Add(suspectFor)
 		}
 	}
@@ -82,20 +83,20 @@
 func (s *Sources) candidates(living []string, now time.Time) []string {
 	ordered := slices.DeleteFunc(slices.Clone(living), func(name string) bool { return now.Before(s.suspects[name]) })
 	slices.SortFunc(ordered, inOrder)
-	first := ordered[:min(Relays(len(living)), len(ordered))]
+	first := ordered[:min(s.pace.Relays(len(living)), len(ordered))]
 	return slices.DeleteFunc(first, func(name string) bool { return name == s.self })
 }
 
 // First reports whether a gateway is among the first of the living ones, which watch the
 // store in any case.
-func First(self string, living []string) bool {
+func (p Pace) First(self string, living []string) bool {
 	before := 0
 	for _, name := range living {
 		if name != self && inOrder(name, self) < 0 {
 			before++
 		}
 	}
-	return before < Relays(len(living))
+	return before < p.Relays(len(living))
 }
 
 // inOrder orders gateways in a way that spreads them over the failure domains, whose
@@ -111,7 +112,7 @@
 	var out []string
 	for name, r := range s.relays {
 		since := now.Sub(r.asked)
-		if since >= renewEvery || r.lacking && since >= askAgain {
+		if since >= s.pace.RenewEvery || r.lacking && since >= askAgain {
 			r.asked, r.lacking = now, false
 			out = append(out, name)
 		}
@@ -132,12 +133,12 @@
 }
 
 // FreshUntil returns until when what relays told can be relied on.
-func (s *Sources) FreshUntil() time.Time { return s.confirmed.Add(StaleAfter) }
+func (s *Sources) FreshUntil() time.Time { return s.confirmed.Add(s.pace.StaleAfter) }
 
 // Answering reports whether a relay answers at all, also one that has lost the store.
 func (s *Sources) Answering(now time.Time) bool {
 	for _, r := range s.relays {
-		if now.Sub(r.heard) <= silentAfter {
+		if now.Sub(r.heard) <= s.pace.silentAfter() {
 			return true
 		}
 	}
@@ -148,7 +149,7 @@
 // way to others.
 func (s *Sources) StoreAnswers(now time.Time) {
 	for name, r := range s.relays {
-		if !r.heard.IsZero() && now.Sub(r.confirmed) > 2*StaleAfter {
+		if !r.heard.IsZero() && now.Sub(r.confirmed) > 2*s.pace.StaleAfter {
 			s.suspects[name] = now.Add(suspectFor)
 		}
 	}
--- a/pkg/relay/sources_test.go
+++ b/pkg/relay/sources_test.go
@@ -8,6 +8,9 @@
 	. "github.com/onsi/gomega"
 )
 
+// pace is the one for the shortest bound, at which most is asked of relays.
+var pace = PaceFor(ShortestBound)
+
 func fleet(n int) []string {
 	var names []string
 	for i := range n {
@@ -18,7 +21,7 @@
 
 // settled returns the sources of a gateway that knows the others.
 func settled(self string, now time.Time) *Sources {
-	s := NewSources(self)
+	s := NewSources(self, pace)
 	s.Choose(nil, now.Add(-settleFor))
 	return s
 }
@@ -45,10 +48,10 @@
 		for name := range s.relays {
 			subscribed[name]++
 			g.Expect(name).NotTo(Equal(self))
-			g.Expect(First(name, all)).To(BeTrue(), "also the relays choose among the first")
+			g.Expect(pace.First(name, all)).To(BeTrue(), "also the relays choose among the first")
 		}
 	}
-	g.Expect(subscribed).To(HaveLen(Relays(len(all))))
+	g.Expect(subscribed).To(HaveLen(pace.Relays(len(all))))
 	for name, n := range subscribed {
 		g.Expect(n).To(BeNumerically("<", 2*sourcesEach*gatewaysEach), name)
 	}
@@ -61,14 +64,14 @@
 	s := settled("self", now)
 	s.Choose(all, now)
 	lost := names(s)
-	for tick := now; tick.Before(now.Add(silentAfter + 2*time.Millisecond)); tick = tick.Add(time.Millisecond) {
+	for tick := now; tick.Before(now.Add(pace.silentAfter() + 2*time.Millisecond)); tick = tick.Add(time.Millisecond) {
 		s.Choose(all, tick)
 	}
 	for _, name := range lost {
 		g.Expect(names(s)).NotTo(ContainElement(name))
 	}
 	g.Expect(s.relays).To(HaveLen(sourcesEach))
-	later := now.Add(silentAfter + suspectFor + 10*time.Millisecond)
+	later := now.Add(pace.silentAfter() + suspectFor + 10*time.Millisecond)
 	for _, r := range s.relays {
 		r.heard = later
 	}
@@ -83,11 +86,11 @@
 	s.Choose(fleet(3), now)
 	from := names(s)[0]
 	s.Heard(from, &Update{Age: time.Second}, true, now)
-	g.Expect(s.FreshUntil()).To(Equal(now.Add(StaleAfter - time.Second)))
+	g.Expect(s.FreshUntil()).To(Equal(now.Add(pace.StaleAfter - time.Second)))
 	s.Heard(from, &Update{Age: 0}, false, now)
-	g.Expect(s.FreshUntil()).To(Equal(now.Add(StaleAfter-time.Second)), "an update behind a gap confirms nothing")
+	g.Expect(s.FreshUntil()).To(Equal(now.Add(pace.StaleAfter-time.Second)), "an update behind a gap confirms nothing")
 	s.Heard(from, &Update{Age: 0, More: true}, true, now)
-	g.Expect(s.FreshUntil()).To(Equal(now.Add(StaleAfter-time.Second)), "nor one that lacks changes")
+	g.Expect(s.FreshUntil()).To(Equal(now.Add(pace.StaleAfter-time.Second)), "nor one that lacks changes")
 	g.Expect(s.Answering(now)).To(BeTrue())
 }
 
@@ -103,7 +106,7 @@
 	s.Heard(from, &Update{}, false, now)
 	g.Expect(s.Due(now)).To(Equal([]string{from}))
 	g.Expect(s.Due(now)).To(BeEmpty(), "once")
-	g.Expect(s.Due(now.Add(renewEvery))).To(HaveLen(sourcesEach))
+	g.Expect(s.Due(now.Add(pace.RenewEvery))).To(HaveLen(sourcesEach))
 }
 
 // Relays that have lost the store give way once it is seen to answer.
@@ -115,7 +118,7 @@
 	s.Choose(all, now)
 	lost := names(s)
 	for _, name := range lost {
-		s.Heard(name, &Update{}, true, now.Add(-3*StaleAfter))
+		s.Heard(name, &Update{}, true, now.Add(-3*pace.StaleAfter))
 		s.Heard(name, &Update{Age: Unconfirmed}, true, now)
 	}
 	s.Choose(all, now)
@@ -130,15 +133,15 @@
 func TestASubscriptionEnds(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
-	var s Subscribers
+	s := NewSubscribers(pace)
 	g.Expect(s.Any(now)).To(BeFalse())
 	s.Subscribe("a", 5, now)
 	g.Expect(s.Due(5, now)).To(Equal(map[string]uint64{"a": 5}), "the first answer")
 	s.Sent("a", 5, now)
 	g.Expect(s.Due(5, now)).To(BeEmpty())
 	g.Expect(s.Due(6, now)).To(Equal(map[string]uint64{"a": 5}), "a change")
-	g.Expect(s.Due(5, now.Add(Beat))).To(HaveLen(1), "a beat")
+	g.Expect(s.Due(5, now.Add(pace.Beat))).To(HaveLen(1), "a beat")
 	s.Subscribe("a", 3, now)
 	g.Expect(s.Due(5, now)).To(Equal(map[string]uint64{"a": 3}), "what was lost")
-	g.Expect(s.Any(now.Add(subscribedFor + 1))).To(BeFalse())
+	g.Expect(s.Any(now.Add(pace.subscribedFor() + 1))).To(BeFalse())
 }
--- a/pkg/relay/subscribers.go
+++ b/pkg/relay/subscribers.go
@@ -2,11 +2,15 @@
 
 import "time"
 
-// Subscribers are the gateways that a relay sends updates to. The zero value has none.
+// Subscribers are the gateways that a relay sends updates to.
 type Subscribers struct {
-	all map[string]*subscriber
+	pace Pace
+	all  map[string]*subscriber
 }
 
+// NewSubscribers returns no subscribers yet.
+func NewSubscribers(p Pace) *Subscribers { return &Subscribers{pace: p, all: map[string]*subscriber{}} }
+
 type subscriber struct {
 	until time.Time
 	// sent is the revision up to which changes were sent, told when the last update was.
@@ -20,14 +24,11 @@
 // Subscribe notes that a gateway knows all changes up to a revision and wants the later
 // ones.
 func (s *Subscribers) Subscribe(name string, at uint64, now time.Time) {
-	if s.all == nil {
-		s.all = map[string]*subscriber{}
-	}
 	if s.all[name] == nil {
 		s.all[name] = &subscriber{}
 	}
 	g := s.all[name]
-	g.until, g.sent = now.Add(subscribedFor), at
+	g.until, g.sent = now.Add(s.pace.subscribedFor()), at
 }
 
 // Stamp notes the stamp of a gateway's newest subscription.
@@ -63,7 +64,7 @@
 func (s *Subscribers) Due(reached uint64, now time.Time) map[string]uint64 {
 	out := map[string]uint64{}
 	for name, g := range s.all {
-		if !now.After(g.until) && (g.sent < reached || now.Sub(g.told) >= Beat) {
+		if !now.After(g.until) && (g.sent < reached || now.Sub(g.told) >= s.pace.Beat) {
 			out[name] = g.sent
 		}
 	}
--- a/pkg/runners/cold_test.go
+++ b/pkg/runners/cold_test.go
@@ -36,7 +36,7 @@
 	g.Expect(s.ColdRoom(now.Add(time.Second + coldstart.Window))).To(BeTrue())
 	g.Expect(s.ClaimCold("lost", now.Add(3*time.Second))).To(BeTrue())
 	g.Expect(s.ClaimCold("lost too", now.Add(3*time.Second))).To(BeTrue())
-	g.Expect(s.ColdRoom(now.Add(3*time.Second + unsentFor))).To(BeTrue(), "claims that nobody gave up")
+	g.Expect(s.ColdRoom(now.Add(3*time.Second+unsentFor))).To(BeTrue(), "claims that nobody gave up")
 }
 
 func TestColdnessEndsWithItsTimeAndWithItsIncarnation(t *testing.T) {
