--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -196,8 +196,14 @@
 		key    *workspace.ErrCredential
 		old    *ErrUnconfirmed
 		held   *quarantine.ErrQuarantined
+		region *ErrNoRegion
+		domain *ErrEvacuated
 	)
 	switch {
+	case errors.As(err, &region):
+		return "no_region"
+	case errors.As(err, &domain):
+		return "evacuated"
 	case errors.As(err, &held):
 		return "quarantined"
 	case errors.As(err, &limit):
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -33,6 +33,10 @@
 	KeyUnconfirmed Cause = "key_unconfirmed"
 	// Quarantined: refused, since it had crashed runners before.
 	Quarantined Cause = "quarantined"
+	// NoRegion: refused, since no runner was left in the regions that it is bound to.
+	NoRegion Cause = "no_region"
+	// Evacuated: refused, since all runners were in evacuated failure domains.
+	Evacuated Cause = "evacuated"
 	// Refused: refused for another reason.
 	Refused Cause = "refused"
 	// EngineLost: the stream broke at its engine, and was ended or resumed.
@@ -55,7 +59,7 @@
 )
 
 // Causes lists the causes in the order of the tables.
-var Causes = []Cause{GatewayLost, EngineLost, NoRoom, OverLimit, NoKey, KeyUnconfirmed, Quarantined, Refused, Returned, Resumed, LateFirst, LongPause, ServiceFailed, AnswerLost, TimedOut, ClientGone}
+var Causes = []Cause{GatewayLost, EngineLost, NoRoom, OverLimit, NoKey, KeyUnconfirmed, Quarantined, NoRegion, Evacuated, Refused, Returned, Resumed, LateFirst, LongPause, ServiceFailed, AnswerLost, TimedOut, ClientGone}
 
 // Request is one request as its gateway saw it.
 type Request struct {
@@ -182,6 +186,10 @@
 		return KeyUnconfirmed
 	case "quarantined":
 		return Quarantined
+	case "no_region":
+		return NoRegion
+	case "evacuated":
+		return Evacuated
 	case "refused":
 		return Refused
 	}
