enginepool: room is kept for answers that are longer than expected

Change: two standard deviations of all that is still to come are kept free. In the test 0.41 -> 0.03 put back, 8.8 -> 7.9 running.

A runner that can't be asked whether it lives has a log line now.

--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -71,21 +71,24 @@
 	return max(0, int(b.job.Length.Expected(b.made))-b.made)
 }
 
-// part is one stay in memory: tokens now, tokens still to come.
-type part struct{ now, left float64 }
+// part is one stay in memory: tokens now, tokens still to come, and the variance of these.
+type part struct{ now, left, variance float64 }
 
 // parts lists all stays in the runner's memory. Those of other gateways have grown
 // since they were reported, at the given rate in tokens a second.
-func (e *engine) parts(now time.Time, rate float64) []part {
+// Spread is that of the lengths of answers whose own is not known.
+func (e *engine) parts(now time.Time, rate, spread float64) []part {
 	out := make([]part, 0, len(e.own)+8)
 	for _, b := range e.own {
-		out = append(out, part{float64(b.job.Prompt + b.made), float64(b.remaining())})
+		left := float64(b.remaining())
+		out = append(out, part{float64(b.job.Prompt + b.made), left, variance(left, b.job.Length.spread)})
 	}
 	for _, reported := range e.others {
 		grown := max(0, rate*now.Sub(reported.at).Seconds())
 		for _, l := range reported.loads {
 			made := min(grown, float64(l.Left))
-			out = append(out, part{float64(l.Now) + made, float64(l.Left) - made})
+			left := float64(l.Left) - made
+			out = append(out, part{float64(l.Now) + made, left, variance(left, spread)})
 		}
 	}
 	return out
@@ -108,6 +111,10 @@
 	return most
 }
 
+// variance returns that of a rest of an answer, in tokens squared, for a spread of the logarithm of
+// lengths.
+func variance(left, spread float64) float64 { return left * left * math.Expm1(spread*spread) }
+
 // running returns how many requests are reserved for.
 func (e *engine) running() int {
 	n := len(e.own)
@@ -119,17 +126,24 @@
 
 // room returns how much memory is left at the peak with a job added, in tokens;
 // below 0 there is none.
-func (e *engine) room(j Job, now time.Time, rate float64) float64 {
+//
+// Answers are longer than expected as often as not, and what other gateways reported is up to seconds
+// old. When memory runs out a runner puts a request back and reads its prompt anew, so that room is
+// kept for deviations times the standard deviation of all that is still to come.
+func (e *engine) room(j Job, now time.Time, rate, spread, deviations float64) float64 {
 	if e.running() >= e.slots {
 		return -1
 	}
-	stays := e.parts(now, rate)
-	taken := float64(j.Prompt)
+	stays := e.parts(now, rate, spread)
+	expected := j.Length.Expected(0)
+	taken, varies := float64(j.Prompt), variance(expected, j.Length.spread)
 	for _, s := range stays {
 		taken += s.now
+		varies += s.variance
 	}
 	if left := float64(e.capacity) - taken; left < 0 {
 		return left
 	}
-	return float64(e.capacity) - peak(stays, part{float64(j.Prompt), j.Length.Expected(0)})
+	add := part{now: float64(j.Prompt), left: expected}
+	return float64(e.capacity) - peak(stays, add) - deviations*math.Sqrt(varies)
 }
--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -168,9 +168,9 @@
 		n := rapid.IntRange(0, 8).Draw(t, "n")
 		var stays []part
 		for range n {
-			stays = append(stays, part{float64(rapid.IntRange(1, 500).Draw(t, "now")), float64(rapid.IntRange(0, 200).Draw(t, "left"))})
+			stays = append(stays, part{now: float64(rapid.IntRange(1, 500).Draw(t, "now")), left: float64(rapid.IntRange(0, 200).Draw(t, "left"))})
 		}
-		add := part{float64(rapid.IntRange(1, 500).Draw(t, "prompt")), float64(rapid.IntRange(0, 200).Draw(t, "out"))}
+		add := part{now: float64(rapid.IntRange(1, 500).Draw(t, "prompt")), left: float64(rapid.IntRange(0, 200).Draw(t, "out"))}
 		most := 0.0
 		for at := 0; at <= 200; at++ {
 			sum := 0.0
@@ -403,3 +403,69 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.ID).To(Equal("cold"), "what was not sent there gave its place up")
 }
+
+// Pattern: a mean that is planned for as if it were the most.
+//
+// Seen: engines whose memory was filled with the expected lengths of answers put one request in five
+// back, which read its prompt anew: 1.25 M tokens on a calm day. Most of what an engine runs is of
+// other gateways, and what they reported is seconds old.
+// Grounds: prompts of 5,000 tokens, answers of 3,500 whose lengths spread by 0.45 around the guess,
+// 73,000 tokens of memory: an engine of a deployment with 46.
+func TestEnginesAreFilledSoThatAnswersFewRunOutOfMemory(t *testing.T) {
+	g := NewWithT(t)
+	const memory, prompt, guess = 73000, 5000, 3500
+	// run keeps an engine full of other gateways' requests for a while, each reported when it begins
+	// and every three seconds. It returns how many requests were put back for each that ended, and
+	// how many ran on average.
+	run := func(deviations float64) (putBack, running float64) {
+		const steps, step, rate, reportEvery = 6000, 20 * time.Millisecond, 1000, 3 * time.Second
+		r := rand.New(rand.NewPCG(5, 6))
+		lengths := NewLengths()
+		e := &engine{capacity: int(DefaultOptions().Fill * memory), slots: 16, own: map[string]*reservation{}, others: map[string]peerLoads{}}
+		type request struct {
+			reservation
+			length int
+			told   time.Time
+		}
+		there := map[string]*request{}
+		ended, back, sum := 0, 0, 0
+		now := time.Time{}.Add(time.Hour)
+		for i := range steps {
+			now = now.Add(step)
+			job := Job{ID: fmt.Sprint(i), Prompt: prompt, Length: lengths.Estimate(guess, 0)}
+			if e.room(job, now, rate, lengths.Spread(), deviations) >= 0 {
+				there[job.ID] = &request{reservation: reservation{job: job}, length: int(guess * math.Exp(priorSpread*r.NormFloat64()))}
+			}
+			taken, newest := 0, ""
+			for id, q := range there {
+				if q.made += int(rate * step.Seconds()); q.made >= q.length {
+					delete(there, id)
+					delete(e.others, id)
+					ended++
+					continue
+				}
+				if now.Sub(q.told) >= reportEvery {
+					q.told = now
+					e.others[id] = peerLoads{loads: []Load{{Now: prompt + q.made, Left: q.remaining()}}, at: now}
+				}
+				taken += prompt + q.made
+				if newest == "" || q.made < there[newest].made {
+					newest = id
+				}
+			}
+			if taken > memory { // The newest is put back.
+				delete(there, newest)
+				delete(e.others, newest)
+				back++
+			}
+			sum += len(there)
+		}
+		return float64(back) / float64(ended), float64(sum) / steps
+	}
+	before, many := run(0)
+	after, fewer := run(DefaultOptions().Deviations)
+	t.Logf("put back for each that ended: %.3f with %.1f running, %.3f with %.1f", before, many, after, fewer)
+	g.Expect(before).To(BeNumerically(">", 2*after), "the pattern")
+	g.Expect(after).To(BeNumerically("<", 0.05))
+	g.Expect(fewer).To(BeNumerically(">=", many-1.5), "places left empty")
+}
--- a/pkg/enginepool/length.go
+++ b/pkg/enginepool/length.go
@@ -55,6 +55,14 @@
 	return a, b, max(leastSpread, math.Sqrt(l.ee/l.n))
 }
 
+// Spread returns that of the logarithm of lengths around the estimates.
+func (l *Lengths) Spread() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, _, spread := l.line()
+	return spread
+}
+
 // Learn records an answer's guess and its length, in tokens.
 func (l *Lengths) Learn(guess, length int) {
 	if guess <= 0 || length <= 0 {
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -23,6 +23,9 @@
 type Options struct {
 	// Fill is the part of the memory that is reserved.
 	Fill float64
+	// Deviations is for how many standard deviations of what answers will still take room is
+	// kept; see engine.room.
+	Deviations float64
 	// Refused is how long a runner that refused a reservation is skipped.
 	Refused time.Duration
 	// Uses reports whether this gateway uses a runner, where gateways share them out
@@ -41,9 +44,14 @@
 
 // DefaultOptions are those that were measured best; docs/POLICY.md.
 func DefaultOptions() Options {
-	return Options{Fill: 0.98, Refused: 60 * time.Millisecond}
+	return Options{Fill: 0.98, Deviations: keptDeviations, Refused: 60 * time.Millisecond}
 }
 
+// keptDeviations is Options.Deviations as it was measured best. Against none, the worth of a calm day
+// rose by 0.08 and 0.08 where prompts of 5,000 tokens are read anew, preemptions fell by half; where
+// they have 1,500 to 3,000 nothing changed by more than 0.01 (six days each). Four left places empty.
+const keptDeviations = 2
+
 // Pool is the engines of one service as this gateway sees them.
 type Pool struct {
 	service   string
@@ -171,7 +179,7 @@
 	if w.avoid[s.ID] || now.Before(e.refusedUntil) || !w.job.allows(s.Domain) || !s.ColdRoom(now) {
 		return 0, false
 	}
-	room := e.room(w.job, now, p.rate)
+	room := e.room(w.job, now, p.rate, p.Lengths.Spread(), p.options.Deviations)
 	if room < 0 {
 		return 0, false
 	}
--- a/pkg/enginepool/status.go
+++ b/pkg/enginepool/status.go
@@ -49,7 +49,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	most := float64(p.backlog(runner))
-	for _, s := range p.engine(runner).parts(now, p.rate) {
+	for _, s := range p.engine(runner).parts(now, p.rate, 0) {
 		most = max(most, s.left)
 	}
 	return most
@@ -58,7 +58,7 @@
 // used returns the share of the memory that is reserved now.
 func (e *engine) used(now time.Time, rate float64) float64 {
 	sum := 0.0
-	for _, p := range e.parts(now, rate) {
+	for _, p := range e.parts(now, rate, 0) {
 		sum += p.now
 	}
 	return sum / float64(max(1, e.capacity))
--- a/pkg/ingress/suspicion.go
+++ b/pkg/ingress/suspicion.go
@@ -62,6 +62,9 @@
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), aliveCall)
 		defer cancel()
 		alive, err := x.g.options.Engines.Alive(ctx, runner)
+		if err != nil {
+			x.trouble("runner_not_asked", runner.ID, err, decisionlog.F("asked", asked))
+		}
 		if alive || err != nil {
 			return
 		}
