--- a/pkg/upstream/slow_test.go
+++ b/pkg/upstream/slow_test.go
@@ -15,7 +15,7 @@
 
 // readBy sends a body to a runner that takes its connection's bytes as read says, and returns the
 // error and the time that it took.
-func readBy(body []byte, read func(c net.Conn)) (error, time.Duration) {
+func readBy(body []byte, read func(c net.Conn)) (time.Duration, error) {
 	c := New(Options{ConnectTimeout: time.Second, Idle: time.Minute, MaxIdle: 1, Dial: func(context.Context, string, string) (net.Conn, error) {
 		here, there := net.Pipe()
 		go read(there)
@@ -32,7 +32,7 @@
 	took := time.Since(began)
 	time.Sleep(time.Hour) // The runner sees the end of its connection.
 	c.Forget("")
-	return err, took
+	return took, err
 }
 
 // Pattern: a slow reader makes its sender hold what it sends.
@@ -43,7 +43,7 @@
 	for _, size := range []int{1000, 200 << 10} {
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
-			err, took := readBy(make([]byte, size), func(c net.Conn) {
+			took, err := readBy(make([]byte, size), func(c net.Conn) {
 				for {
 					if _, err := c.Read(make([]byte, 1)); err != nil {
 						return
@@ -61,7 +61,7 @@
 func TestABodyThatItsRunnerReadsSlowlyIsSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		err, took := readBy(make([]byte, 200<<10), func(c net.Conn) {
+		took, err := readBy(make([]byte, 200<<10), func(c net.Conn) {
 			in := bufio.NewReader(c)
 			r, err := http.ReadRequest(in)
 			if err != nil {
@@ -84,7 +84,7 @@
 func TestAnAnswerThatComesBeforeTheBodyIsReadIsNotCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		err, _ := readBy(make([]byte, 200<<10), func(c net.Conn) {
+		_, err := readBy(make([]byte, 200<<10), func(c net.Conn) {
 			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 				return
 			}
