store, process: what the store forgot is read by relays, and passed on

It now waits, for the time in which a relay sees the same and reads, for that to arrive by relay. Relays, and gateways that hear of none, read at once.

--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -125,7 +125,7 @@
 // besides the configuration and the runners change seldom.
 func (f *feed) follower(s store.Store) *store.Follower {
 	return &store.Follower{
-		Store: s, Gather: f.gather, Relayed: f.relayed, Reset: f.reset, Apply: f.apply, Assured: f.history.Assure,
+		Store: s, Gather: f.gather, Relayed: f.relayed, Forgotten: f.forgotten, Reset: f.reset, Apply: f.apply, Assured: f.history.Assure,
 		Lost: func(err error) {
 			f.copy.answers(false)
 			f.log.Write(decisionlog.KindProcess, "store_lost", decisionlog.F("error", err))
--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -92,6 +92,32 @@
 	return 0, wait
 }
 
+// forgottenLook is the time between two looks at what relays brought.
+const forgottenLook = 50 * time.Millisecond
+
+// forgotten waits, after the store has forgotten its history, for relays to bring what they read anew:
+// as long as a relay may take to see that, and to read. Relays themselves read at once. It implements
+// store.Follower.Forgotten.
+func (f *feed) forgotten(ctx context.Context, after uint64) uint64 {
+	began := time.Now()
+	tick := time.NewTicker(forgottenLook)
+	defer tick.Stop()
+	for now := began; now.Sub(began) < f.pace.WatchWait; {
+		if at := f.Reached(); at > after {
+			return at
+		}
+		if f.relays.Relay(now) || !f.relays.Coverage(now).Answering {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			return 0
+		case now = <-tick.C:
+		}
+	}
+	return 0
+}
+
 // relayWait returns how long the watch of a relay may wait for a change: what it knows is
 // confirmed at the pace's WatchWait, also where it let changes come together before.
 func (f *feed) relayWait(now time.Time) time.Duration {
--- a/pkg/process/relay_test.go
+++ b/pkg/process/relay_test.go
@@ -342,3 +342,31 @@
 	g.Expect(stranger.Reached()).To(Equal(uint64(11)), "and the watch that follows brings it")
 	g.Expect(stranger.stage("e1")).To(BeEmpty(), "with what came after it")
 }
+
+// Pattern: all go where one would do.
+//
+// Seen: when the store forgot its history, each of 356 gateways read all of it, three pages each.
+func TestWhatTheStoreForgotIsReadByRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFixture(t, 10, entry("e1", "prefill", 5))
+		f.coverage.Answering = true
+		go func() {
+			time.Sleep(pace.WatchWait / 2)
+			f.Receive(update(10, 20, store.Event{Item: entry("e1", "decode", 15)}))
+		}()
+		began := time.Now()
+		g.Expect(f.forgotten(t.Context(), 10)).To(Equal(uint64(20)))
+		g.Expect(time.Since(began)).To(BeNumerically("<", pace.WatchWait))
+
+		began = time.Now()
+		g.Expect(f.forgotten(t.Context(), 20)).To(BeZero(), "relays bring nothing: it reads itself")
+		g.Expect(time.Since(began)).To(BeNumerically("~", pace.WatchWait, 2*forgottenLook))
+		f.isRelay = true
+		began = time.Now()
+		g.Expect(f.forgotten(t.Context(), 20)).To(BeZero())
+		f.isRelay, f.coverage.Answering = false, false
+		g.Expect(f.forgotten(t.Context(), 20)).To(BeZero())
+		g.Expect(time.Since(began)).To(BeZero(), "relays, and gateways without any, read at once")
+	})
+}
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -41,6 +41,9 @@
 	// revision that they reached, 0 for none, and how long the next watch may wait for a
 	// change, 0 for the usual time.
 	Relayed func(ctx context.Context) (at uint64, wait time.Duration)
+	// Forgotten, if set, waits for others to bring what the store's history no longer shows after
+	// a revision. It returns the revision that they reached, 0 if all must be read anew.
+	Forgotten func(ctx context.Context, after uint64) uint64
 	// Reset takes a whole reading. Apply takes what every watch brings, also none. Both
 	// get what the store holds now or held later than what they got before; Reset
 	// refuses a reading that others have overtaken.
@@ -115,6 +118,11 @@
 // not sure to answer, it only asks for those that are there. It returns how far it has
 // come, and whether there was something new.
 func (f *Follower) step(ctx context.Context, p *position, sure bool) (next uint64, changed bool, err error) {
+	if p.gone && f.Forgotten != nil {
+		if at := f.Forgotten(ctx, p.at); at > 0 {
+			p.at, p.known, p.gone = at, true, false
+		}
+	}
 	var wait time.Duration
 	if f.Relayed != nil && !p.gone {
 		var at uint64
