runnerlimit, platform, process: the limits that runners name are read, and logged when they begin, change and end

Nothing knew the limit, so that the logs of the incident could not tell a limit that nobody reads from one that turns the choice the wrong way. limit_begins, limit_changes and limit_ends name the runner, the limit and what this gateway sent meanwhile. No decision follows it yet.

--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -12,6 +12,7 @@
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/routetable"
+	"github.com/hopwell/hopwell/pkg/runnerlimit"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/platform"
@@ -71,9 +72,19 @@
 		l.Write(decisionlog.KindState, "runner_"+c.What, decisionlog.F("runner", c.Runner.ID), decisionlog.F("service", c.Runner.Service),
 			decisionlog.F("address", c.Runner.Address), decisionlog.F("domain", c.Runner.Domain), decisionlog.F("stage", string(c.Runner.Stage)))
 	}
+	g.Directory.Limits.Changed = func(c runnerlimit.Change) { logLimit(l, c) }
 	return f
 }
 
+// logLimit writes what happened to a runner's limit.
+func logLimit(l *decisionlog.Log, c runnerlimit.Change) {
+	fields := []decisionlog.Field{decisionlog.F("runner", c.Runner), decisionlog.F("per_second", c.PerSecond), decisionlog.F("told_by", c.From)}
+	if c.What == runnerlimit.Ends {
+		fields = append(fields, decisionlog.F("after", c.For), decisionlog.F("sent", c.Sent))
+	}
+	l.Write(decisionlog.KindState, "limit_"+c.What, fields...)
+}
+
 // use follows another store from now on.
 func (f *feed) use(s store.Store, address string) {
 	f.mu.Lock()
--- a/pkg/runners/cold.go
+++ b/pkg/runners/cold.go
@@ -100,6 +100,9 @@
 
 // SentCold records that a request is sent to the runner now.
 func (s *State) SentCold(request string, now time.Time) {
+	if s.limits != nil {
+		s.limits.Sent(s.ID)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.isCold(now) {
--- a/pkg/runners/directory.go
+++ b/pkg/runners/directory.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/hopwell/hopwell/pkg/runnerlimit"
 )
 
 // stageKey names the runners of one service and stage.
@@ -33,6 +35,8 @@
 	// ColdShare returns how many requests in any coldstart.Window a cold runner may get from this
 	// gateway, false for any number. It is set before the first entry is put; nil for no limit.
 	ColdShare func(Runner) (share int, bounded bool)
+	// Limits are those that runners name.
+	Limits *runnerlimit.Table
 }
 
 // Change says what was learned about a runner.
@@ -51,7 +55,7 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		all: map[string]*State{}, current: map[string]*State{}, services: map[string][]*State{},
-		evacuated: &evacuations{domains: map[string]bool{}, restored: map[string]time.Time{}},
+		evacuated: &evacuations{domains: map[string]bool{}, restored: map[string]time.Time{}}, Limits: runnerlimit.New(),
 	}
 }
 
@@ -82,7 +86,7 @@
 	}
 	d.mu.Lock()
 	old := d.all[r.ID]
-	s := &State{Runner: r, knowledge: &knowledge{leaving: r.Leaving, evacuated: d.evacuated, coldShare: d.ColdShare}}
+	s := &State{Runner: r, knowledge: &knowledge{leaving: r.Leaving, evacuated: d.evacuated, coldShare: d.ColdShare, limits: d.Limits}}
 	what := "new"
 	if old != nil {
 		r.Leaving = r.Leaving || old.Leaving
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -6,6 +6,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/hopwell/hopwell/pkg/runnerlimit"
 )
 
 // Stage is the part that a model engine plays.
@@ -75,8 +77,9 @@
 	// evacuated are the domains whose runners get no more work.
 	evacuated *evacuations
 	cold      coldness
-	// coldShare is Directory.ColdShare.
+	// coldShare is Directory.ColdShare, limits Directory.Limits.
 	coldShare func(Runner) (share int, bounded bool)
+	limits    *runnerlimit.Table
 }
 
 // unusableFor is how long a runner gets no work that answered that it is another one, or
