--- a/pkg/enginepool/enginepool_bench_test.go
+++ b/pkg/enginepool/enginepool_bench_test.go
@@ -14,7 +14,7 @@
 	for _, c := range []struct{ runners, memory int }{{12, 37745}, {64, 37745}, {730, 37745}, {730, 26000}} {
 		n := c.runners
 		b.Run(fmt.Sprintf("runners=%d,memory=%d", n, c.memory), func(b *testing.B) {
-			d := runners.NewDirectory()
+			d := runners.NewDirectory("a")
 			for i := range n {
 				d.Put(runners.Runner{ID: fmt.Sprintf("d%d", i), Service: "llm", Stage: runners.Decode}, time.Now())
 			}
@@ -45,7 +45,7 @@
 // state for the log (once a second).
 func BenchmarkStateOfAll(b *testing.B) {
 	for _, n := range []int{300, 3000} {
-		d := runners.NewDirectory()
+		d := runners.NewDirectory("a")
 		for i := range n {
 			d.Put(runners.Runner{ID: fmt.Sprintf("d%d", i), Service: "llm", Stage: runners.Decode}, time.Now())
 		}
@@ -75,7 +75,7 @@
 func BenchmarkReceiveEverything(b *testing.B) {
 	for _, n := range []int{300, 3000} {
 		b.Run(fmt.Sprintf("%d engines", n), func(b *testing.B) {
-			p := New("llm", runners.NewDirectory(), Options{Fill: 1})
+			p := New("llm", runners.NewDirectory("a"), Options{Fill: 1})
 			p.Configure(Spec{Memory: 42833, Slots: 64})
 			p.mu.Lock()
 			for i := range n {
--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -20,7 +20,7 @@
 // pool returns a pool of one service with decode runners d0.. and prefill
 // runners p0.. in two domains.
 func pool(decode, prefill, memory int) (*Pool, *runners.Directory) {
-	d := runners.NewDirectory()
+	d := runners.NewDirectory("a")
 	for i := range decode {
 		d.Put(runners.Runner{ID: "d" + string(rune('0'+i)), Service: "llm", Domain: "z" + string(rune('0'+i%2)), Stage: runners.Decode}, time.Now())
 	}
@@ -304,7 +304,7 @@
 // that one in four has.
 func TestAChoiceAmongManyRunnersFindsRoom(t *testing.T) {
 	g := NewWithT(t)
-	d := runners.NewDirectory()
+	d := runners.NewDirectory("a")
 	var full []EngineLoad
 	for i := range 400 {
 		id := fmt.Sprint("d", i)
@@ -344,7 +344,7 @@
 // gateway's own share of the engines has none there.
 func TestABoundJobRunsOnlyWhereItMay(t *testing.T) {
 	g := NewWithT(t)
-	d, now := runners.NewDirectory(), time.Now()
+	d, now := runners.NewDirectory("a"), time.Now()
 	for i := range 20 {
 		for _, stage := range []runners.Stage{runners.Prefill, runners.Decode} {
 			id, domain := fmt.Sprintf("%s-%d", stage, i), "home"
@@ -383,7 +383,7 @@
 // send there.
 func TestAColdRunnerIsChosenWithinItsShare(t *testing.T) {
 	g := NewWithT(t)
-	d, now := runners.NewDirectory(), time.Now()
+	d, now := runners.NewDirectory("a"), time.Now()
 	d.ColdShare = func(runners.Runner) (int, bool) { return 2, true }
 	d.PutEntry(runners.Entry{Runner: runners.Runner{ID: "cold", Service: "s", Stage: runners.Decode}, ColdFor: time.Minute}, now)
 	d.Put(runners.Runner{ID: "warm", Service: "s", Stage: runners.Decode}, now)
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -133,7 +133,7 @@
 		}
 		runner = best(fit)
 	}
-	if !runner.ClaimCold(w.job.ID, now) {
+	if !runner.Claim(w.job.ID, now) {
 		return nil
 	}
 	e := p.engine(runner.ID)
@@ -176,7 +176,7 @@
 // tokens, less where the runner fails requests. The caller holds the lock.
 func (p *Pool) merit(s *runners.State, w *Waiter, now time.Time) (float64, bool) {
 	e := p.engine(s.ID)
-	if w.avoid[s.ID] || now.Before(e.refusedUntil) || !w.job.allows(s.Domain) || !s.ColdRoom(now) {
+	if w.avoid[s.ID] || now.Before(e.refusedUntil) || !w.job.allows(s.Domain) || !s.Room(now) {
 		return 0, false
 	}
 	room := e.room(w.job, now, p.rate, p.Lengths.Spread(), p.options.Deviations)
@@ -252,10 +252,10 @@
 	p.Dispatch(now)
 }
 
-// release gives up the place at a cold runner that a job was not sent to.
+// release gives up the place at a runner that a job was not sent to.
 func (p *Pool) release(runner, id string) {
 	if s := p.directory.Find(runner); s != nil {
-		s.ReleaseCold(id)
+		s.Release(id)
 	}
 }
 
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -75,7 +75,7 @@
 	defer p.mu.Unlock()
 	var fit []candidate
 	for _, s := range p.look(runners.Prefill, w.Allows, now) {
-		if !w.Avoid[s.ID] && len(fit) < compared && s.ColdRoom(now) {
+		if !w.Avoid[s.ID] && len(fit) < compared && s.Room(now) {
 			fit = append(fit, candidate{s, -p.readCost(s, w.Tokens, w.Domain, now).Seconds()})
 		}
 	}
@@ -83,6 +83,9 @@
 		return nil, 0, &ErrNoRunner{Service: p.service, Stage: runners.Prefill}
 	}
 	chosen := best(fit)
+	if !chosen.Claim(w.ID, now) {
+		return nil, 0, &ErrNoRunner{Service: p.service, Stage: runners.Prefill}
+	}
 	return chosen, p.assign(chosen, w.ID, w.Tokens, now), nil
 }
 
@@ -144,6 +147,7 @@
 func (p *Pool) EndPrefill(runner, id string, read bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.release(runner, id)
 	r := p.reader(runner)
 	j, ok := r.jobs[id]
 	delete(r.jobs, id)
--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -198,8 +198,11 @@
 		held   *quarantine.ErrQuarantined
 		region *ErrNoRegion
 		domain *ErrEvacuated
+		full   *ErrLimited
 	)
 	switch {
+	case errors.As(err, &full):
+		return "runner_limit"
 	case errors.As(err, &region):
 		return "no_region"
 	case errors.As(err, &domain):
--- a/pkg/ingress/errors.go
+++ b/pkg/ingress/errors.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/request"
+	"github.com/hopwell/hopwell/pkg/runnerlimit"
 )
 
 // ErrDeclined reports that a runner answered that it does not do what it was asked.
@@ -121,6 +122,20 @@
 // Error implements error.
 func (e *ErrBudget) Error() string { return "retry budget spent: service=" + e.Service }
 
+// ErrLimited reports that all runners that could serve a request name limits, and take no more now.
+type ErrLimited struct {
+	Service string
+	// Runner is the one that has room first, Limit what it names, After how long until then.
+	Runner string
+	Limit  runnerlimit.Status
+	After  time.Duration
+}
+
+// Error implements error.
+func (e *ErrLimited) Error() string {
+	return fmt.Sprintf("runners take no more: service=%s first=%s after=%s %s", e.Service, e.Runner, e.After.Round(time.Millisecond), e.Limit)
+}
+
 // ErrBroken reports that an answer broke off after a part of it had been passed on.
 type ErrBroken struct {
 	Runner string
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -55,18 +55,21 @@
 		if err != nil {
 			break
 		}
-		runner := x.g.choose(plainWork{service: x.service, domain: x.g.options.Domain, repeatable: x.route.Repeatable(), avoid: avoid, allows: x.allowing()})
-		if runner == nil {
-			last = firstOf(last, &enginepool.ErrNoRunner{Service: x.service})
+		runner, err := x.claim(avoid)
+		if err != nil {
+			last = firstOf(last, err)
 			break
 		}
 		if x.sends > 0 && !budget.Spend(time.Now()) {
+			runner.Release(x.call.ID)
 			last = &ErrBudget{Service: x.service}
 			break
 		}
 		final := runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
 		var v verdict
-		if v, err = x.sendPlain(life, n, runner, final); v == answered {
+		v, err = x.sendPlain(life, n, runner, final)
+		runner.Release(x.call.ID)
+		if v == answered {
 			return
 		}
 		avoid[runner.ID] = true
@@ -80,7 +83,36 @@
 		}
 		runs++
 	}
-	x.giveUp(life, firstOf(x.over(), last), serviceWait)
+	x.giveUp(life, firstOf(x.over(), last), comeBackToService(last))
+}
+
+// comeBackToService returns when a client may come back whom no plain runner took.
+func comeBackToService(last error) time.Duration {
+	var limited *ErrLimited
+	if errors.As(last, &limited) {
+		return max(limited.After, serviceWait)
+	}
+	return serviceWait
+}
+
+// claim chooses a plain runner and keeps a place there. Where all name limits it waits for the next
+// place as long as a new request may wait for room, and fails with *ErrLimited if there is none by
+// then.
+func (x *exchange) claim(avoid map[string]bool) (*runners.State, error) {
+	latest := x.arrived.Add(time.Duration(freshPart * float64(x.route.Latency)))
+	w := plainWork{id: x.call.ID, service: x.service, domain: x.g.options.Domain, repeatable: x.route.Repeatable(), avoid: avoid, allows: x.allowing()}
+	for {
+		runner, err := x.g.choose(w)
+		var limited *ErrLimited
+		if err == nil || !errors.As(err, &limited) || time.Now().Add(limited.After).After(latest) {
+			return runner, err
+		}
+		select {
+		case <-time.After(limited.After):
+		case <-x.ctx.Done():
+			return nil, err
+		}
+	}
 }
 
 // firstOf returns the first error that is one.
@@ -95,6 +127,8 @@
 
 // plainWork is a request that a plain runner is wanted for.
 type plainWork struct {
+	// id is the request's.
+	id      string
 	service string
 	// domain is the gateway's.
 	domain     string
@@ -105,10 +139,11 @@
 	allows func(domain string) bool
 }
 
-// choose returns the plain runner with the least work, in the own domain first, of those that
-// this gateway uses and that may serve the request; nil if none is left. Where no healthy one is
-// left of all, one that rests is chosen for a request that may be repeated.
-func (g *Ingress) choose(w plainWork) *runners.State {
+// choose keeps a place at the plain runner with the least work, in the own domain first, of those
+// that this gateway uses and that may serve the request. Where no healthy one is left of all, one
+// that rests is chosen for a request that may be repeated. It fails with *ErrLimited if runners are
+// left that take no more now, and *enginepool.ErrNoRunner if none is.
+func (g *Ingress) choose(w plainWork) (*runners.State, error) {
 	now := time.Now()
 	usable := g.Directory.Usable(w.service, "", now)
 	if w.allows != nil {
@@ -126,16 +161,48 @@
 	if best == nil && w.repeatable {
 		best = w.leastWork(usable, cost, now)
 	}
-	return best
+	if best == nil {
+		return nil, w.noRoom(usable, now)
+	}
+	return best, nil
 }
 
-// leastWork returns the plain runner of a list that is expected to answer first,
-// nil if all are to be avoided.
+// noRoom returns why no runner of a list was chosen.
+func (w plainWork) noRoom(list []*runners.State, now time.Time) error {
+	var limited *ErrLimited
+	for _, s := range list {
+		if w.avoid[s.ID] {
+			continue
+		}
+		if after := s.RoomAfter(now); after > 0 && (limited == nil || after < limited.After) {
+			limited = &ErrLimited{Service: w.service, Runner: s.ID, After: after}
+			limited.Limit, _ = s.Limit(now)
+		}
+	}
+	if limited == nil {
+		return &enginepool.ErrNoRunner{Service: w.service}
+	}
+	return limited
+}
+
+// leastWork keeps a place at the plain runner of a list that is expected to answer first, and
+// returns it; nil if all are to be avoided or take no more now.
 func (w plainWork) leastWork(list []*runners.State, failureCost float64, now time.Time) *runners.State {
+	for {
+		best := w.expectedFirst(list, failureCost, now)
+		if best == nil || best.Claim(w.id, now) {
+			return best
+		}
+		// Another request had the last place meanwhile.
+		list = slices.DeleteFunc(slices.Clone(list), func(s *runners.State) bool { return s == best })
+	}
+}
+
+func (w plainWork) expectedFirst(list []*runners.State, failureCost float64, now time.Time) *runners.State {
 	var best *runners.State
 	var least float64
 	for _, s := range list {
-		if w.avoid[s.ID] || !s.ColdRoom(now) {
+		if w.avoid[s.ID] || !s.Room(now) {
 			continue
 		}
 		cost := (float64(s.Outstanding()) + 1) * (s.Latency().Seconds() + plainGuess) * (1 + failureCost*s.Failures(now) + refusalCost*s.Refusals(now))
@@ -177,7 +244,8 @@
 	runner.Enter()
 	defer runner.Leave()
 	x.sends++
-	runner.SentCold(x.call.ID, time.Now())
+	x.noteLimit(runner)
+	runner.Sent(x.call.ID, time.Now())
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	answer, err := x.g.options.Engines.Send(ctx, runner, x.call, x.order())
@@ -209,6 +277,14 @@
 	return v, err
 }
 
+// noteLimit records that the request is sent to a runner that names a limit.
+func (x *exchange) noteLimit(runner *runners.State) {
+	if limit, ok := runner.Limit(time.Now()); ok {
+		x.step("sent_within_limit", decisionlog.F("runner", runner.ID), decisionlog.F("limit", limit.PerSecond), decisionlog.F("named_ago", limit.NamedAgo),
+			decisionlog.F("told_by", limit.From), decisionlog.F("left", limit.Level), decisionlog.F("users", limit.Users), decisionlog.F("heard", limit.Heard))
+	}
+}
+
 // maxDiscarded bounds what is read of an answer that nobody gets, in bytes, so that its
 // connection can be used again.
 const maxDiscarded = 16 << 10
--- a/pkg/ingress/forward_test.go
+++ b/pkg/ingress/forward_test.go
@@ -26,14 +26,20 @@
 	return g
 }
 
+// chosen returns the runner that a request gets, nil for none.
+func chosen(g *Ingress, w plainWork) *runners.State {
+	runner, _ := g.choose(w)
+	return runner
+}
+
 // A repeatable request whose only healthy runner failed is tried at one that
 // rests, rather than given up: its answer is lost either way.
 func TestARestingRunnerIsTheLastChoiceOfWhatMayBeRepeated(t *testing.T) {
 	g := NewWithT(t)
 	in := plain()
-	g.Expect(in.choose(plainWork{service: "s", repeatable: true}).ID).To(Equal("a"))
-	g.Expect(in.choose(plainWork{service: "s", repeatable: true, avoid: map[string]bool{"a": true}}).ID).To(Equal("b"))
-	g.Expect(in.choose(plainWork{service: "s", repeatable: true, avoid: map[string]bool{"a": true, "b": true}})).To(BeNil())
+	g.Expect(chosen(in, plainWork{service: "s", repeatable: true}).ID).To(Equal("a"))
+	g.Expect(chosen(in, plainWork{service: "s", repeatable: true, avoid: map[string]bool{"a": true}}).ID).To(Equal("b"))
+	g.Expect(chosen(in, plainWork{service: "s", repeatable: true, avoid: map[string]bool{"a": true, "b": true}})).To(BeNil())
 }
 
 // What must not be repeated is not risked there: it has not run yet, and its
@@ -41,8 +47,8 @@
 func TestARestingRunnerIsNoChoiceForWhatMustNotBeRepeated(t *testing.T) {
 	g := NewWithT(t)
 	in := plain()
-	g.Expect(in.choose(plainWork{service: "s"}).ID).To(Equal("a"))
-	g.Expect(in.choose(plainWork{service: "s", avoid: map[string]bool{"a": true}})).To(BeNil())
+	g.Expect(chosen(in, plainWork{service: "s"}).ID).To(Equal("a"))
+	g.Expect(chosen(in, plainWork{service: "s", avoid: map[string]bool{"a": true}})).To(BeNil())
 }
 
 // A request that must not be repeated is lost where its answer is: a runner that fails
@@ -63,12 +69,12 @@
 	for range 2 {
 		good.Enter()
 	}
-	g.Expect(in.choose(plainWork{service: "s", repeatable: true}).ID).To(Equal("bad"))
-	g.Expect(in.choose(plainWork{service: "s"}).ID).To(Equal("good"))
+	g.Expect(chosen(in, plainWork{service: "s", repeatable: true}).ID).To(Equal("bad"))
+	g.Expect(chosen(in, plainWork{service: "s"}).ID).To(Equal("good"))
 	for range 10 {
 		good.Enter()
 	}
-	g.Expect(in.choose(plainWork{service: "s"}).ID).To(Equal("bad"), "the other can't carry it all")
+	g.Expect(chosen(in, plainWork{service: "s"}).ID).To(Equal("bad"), "the other can't carry it all")
 }
 
 // Pattern: a limit that all share and nobody knows to share.
@@ -88,11 +94,11 @@
 		for _, id := range []string{"a", "b", "c"} {
 			in.Directory.Put(runners.Runner{ID: id, Service: "s"}, time.Now())
 		}
-		first := in.choose(plainWork{service: "s"})
-		g.Expect(in.choose(plainWork{service: "s", repeatable: true})).To(Equal(first))
+		first := chosen(in, plainWork{service: "s"})
+		g.Expect(chosen(in, plainWork{service: "s", repeatable: true})).To(Equal(first))
 		users[first.ID]++
 		// What it uses has failed the request, or is gone: the others are there still.
-		g.Expect(in.choose(plainWork{service: "s", avoid: map[string]bool{first.ID: true}})).NotTo(BeNil())
+		g.Expect(chosen(in, plainWork{service: "s", avoid: map[string]bool{first.ID: true}})).NotTo(BeNil())
 	}
 	for _, n := range users {
 		g.Expect(2*n).To(BeNumerically("<", most), "two connections of each gateway")
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -238,7 +238,8 @@
 	s.step("decode_begin", decisionlog.F("service", s.service), decisionlog.F("runner", runner.ID))
 	s.readAnew(runner)
 	s.sends++
-	runner.SentCold(s.job.ID, time.Now())
+	s.noteLimit(runner)
+	runner.Sent(s.job.ID, time.Now())
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	answer, err := s.g.options.Engines.Send(ctx, runner, s.call, order)
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -75,7 +75,7 @@
 // New returns an ingress that knows no routes yet.
 func New(o Options) *Ingress {
 	return &Ingress{
-		options: o, kept: newKeptPrompts(o.Engines, o.Log), Directory: runners.NewDirectory(), metrics: newMeters(), gateways: o.Gateways,
+		options: o, kept: newKeptPrompts(o.Engines, o.Log), Directory: runners.NewDirectory(o.Name), metrics: newMeters(), gateways: o.Gateways,
 		pools: map[string]*enginepool.Pool{}, budgets: map[string]*retrybudget.Budget{}, returns: map[string]*returns{},
 	}
 }
--- a/pkg/ingress/kept.go
+++ b/pkg/ingress/kept.go
@@ -86,6 +86,7 @@
 		defer close(l.done)
 		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), keptCall)
 		defer cancel()
+		s.Called("", time.Now())
 		tokens, err := k.engines.Kept(call, s)
 		if err != nil {
 			k.log.Write(decisionlog.KindFailed, "kept_prompts_unknown", decisionlog.F("runner", s.ID), decisionlog.F("error", err))
--- a/pkg/ingress/kept_test.go
+++ b/pkg/ingress/kept_test.go
@@ -33,7 +33,7 @@
 }
 
 func enginesOf(n int) []*runners.State {
-	d := runners.NewDirectory()
+	d := runners.NewDirectory("a")
 	for i := range n {
 		d.Put(runners.Runner{ID: fmt.Sprint("e", i), Service: "s", Stage: runners.Decode}, time.Now())
 	}
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -80,6 +80,21 @@
 	}
 }
 
+// shownLimits bounds the runners whose limits the metrics name.
+const shownLimits = 20
+
+// writeLimits writes the limits that runners name, and what they got from here.
+func (g *Ingress) writeLimits(w io.Writer) {
+	all := g.Directory.Limits.All(time.Now())
+	fmt.Fprintf(w, "hopwell_runner_limits %d\n", len(all))
+	for _, s := range all[:min(len(all), shownLimits)] {
+		fmt.Fprintf(w, "hopwell_runner_limit_per_second{runner=%q} %g\n", s.Runner, s.PerSecond)
+		fmt.Fprintf(w, "hopwell_runner_limit_left{runner=%q} %.1f\n", s.Runner, s.Level)
+		fmt.Fprintf(w, "hopwell_runner_limit_sent{runner=%q} %d\n", s.Runner, s.Sent)
+		fmt.Fprintf(w, "hopwell_runner_limit_withheld{runner=%q} %d\n", s.Runner, s.Withheld)
+	}
+}
+
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (g *Ingress) WriteMetrics(w io.Writer) {
 	fmt.Fprintf(w, "hopwell_ingress_open_requests %d\n", g.open.Load())
@@ -98,5 +113,6 @@
 		fmt.Fprintf(w, "hopwell_ingress_waiting{service=%q,where=\"all\"} %d\n", name, all)
 	}
 	g.writeQuota(w)
+	g.writeLimits(w)
 	g.metrics.set.WritePrometheus(w)
 }
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -111,7 +111,7 @@
 func (s *generation) read(reader *runners.State, limit time.Duration) (Source, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, limit)
 	defer cancel()
-	reader.SentCold(s.job.ID, time.Now())
+	reader.Sent(s.job.ID, time.Now())
 	return s.g.options.Engines.Prefill(ctx, reader, s.call, s.order())
 }
 
@@ -140,6 +140,7 @@
 		reason = "client_gone"
 	}
 	s.wasted(reason, reader, source.Tokens)
+	reader.Called("", time.Now())
 	go func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), freeCall)
 		defer cancel()
--- a/pkg/ingress/prefill_test.go
+++ b/pkg/ingress/prefill_test.go
@@ -12,7 +12,7 @@
 // A runner that loses answers is given up sooner than one that is only slow.
 func TestAPrefillIsWaitedForLongerAtARunnerThatLosesNothing(t *testing.T) {
 	g := NewWithT(t)
-	d := runners.NewDirectory()
+	d := runners.NewDirectory("a")
 	d.Put(runners.Runner{ID: "r", Service: "s", Stage: runners.Prefill}, time.Now())
 	r := d.All("s")[0]
 	trusted := patience(r, time.Second)
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -113,6 +113,7 @@
 func (s *generation) hold(runner *runners.State) (string, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, holdCall)
 	defer cancel()
+	runner.Called(s.job.ID, time.Now())
 	return s.g.options.Engines.Hold(ctx, runner, s.missing(runner)+holdAhead, s.holdFor())
 }
 
@@ -136,6 +137,7 @@
 
 // drop gives a reservation back, after the request's end too.
 func (s *generation) drop(p *place) {
+	p.runner.Called("", time.Now())
 	go func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), freeCall)
 		defer cancel()
--- a/pkg/ingress/suspicion.go
+++ b/pkg/ingress/suspicion.go
@@ -61,6 +61,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), aliveCall)
 		defer cancel()
+		runner.Called("", time.Now())
 		alive, err := x.g.options.Engines.Alive(ctx, runner)
 		if err != nil {
 			x.trouble("runner_not_asked", runner.ID, err, decisionlog.F("asked", asked))
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -37,6 +37,8 @@
 	NoRegion Cause = "no_region"
 	// Evacuated: refused, since all runners were in evacuated failure domains.
 	Evacuated Cause = "evacuated"
+	// RunnerLimit: refused, since all runners name limits and took no more.
+	RunnerLimit Cause = "runner_limit"
 	// Refused: refused for another reason.
 	Refused Cause = "refused"
 	// EngineLost: the stream broke at its engine, and was ended or resumed.
@@ -190,6 +192,8 @@
 		return NoRegion
 	case "evacuated":
 		return Evacuated
+	case "runner_limit":
+		return RunnerLimit
 	case "refused":
 		return Refused
 	}
--- a/pkg/losses/losses_test.go
+++ b/pkg/losses/losses_test.go
@@ -109,7 +109,8 @@
 time=2026-12-02T10:00:00.300Z process=a kind=failed event=request_end request=q3 status=503 took=0.0ms service=app cause=key_unconfirmed error="keys not confirmed"
 time=2026-12-02T10:00:00.400Z process=a kind=failed event=request_end request=q4 status=503 took=0.0ms service=app cause=no_region error="no runner in the allowed regions"
 time=2026-12-02T10:00:00.500Z process=a kind=failed event=request_end request=q5 status=503 took=0.0ms service=app cause=evacuated error="all runners are in evacuated domains"
+time=2026-12-02T10:00:00.600Z process=a kind=failed event=request_end request=q6 status=503 took=0.0ms service=app cause=runner_limit error="runners take no more"
 `)
 	g.Expect(r.Windows[0].Generations.Lost).To(Equal(map[Cause]int{OverLimit: 1}))
-	g.Expect(r.Windows[0].Lookups.Lost).To(Equal(map[Cause]int{NoKey: 1, KeyUnconfirmed: 1, NoRegion: 1, Evacuated: 1}))
+	g.Expect(r.Windows[0].Lookups.Lost).To(Equal(map[Cause]int{NoKey: 1, KeyUnconfirmed: 1, NoRegion: 1, Evacuated: 1, RunnerLimit: 1}))
 }
--- /dev/null
+++ b/pkg/peers/limits.go
@@ -0,0 +1,95 @@
+package peers
+
+import (
+	"math"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/runnerlimit"
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
+)
+
+// sharedEvery is the time between two datagrams to a gateway that shares a runner's limit: one that
+// is not heard of leaves its part of the limit unused.
+const sharedEvery = 300 * time.Millisecond
+
+// addLimits adds to a datagram what its receiver has not been told of runners' limits: everything
+// where the datagram has everything else. The caller holds the lock.
+func (x *Exchange) addLimits(m *member, state *wirepb.GatewayState, now time.Time) {
+	if x.options.Limits == nil {
+		return
+	}
+	if state.Address != "" {
+		m.limits = 0
+	}
+	var reports []runnerlimit.Report
+	reports, m.limits = x.options.Limits.Since(m.name, m.limits, now)
+	state.Limits = encodeLimits(reports)
+}
+
+// limitsDue reports whether a gateway should be told of runners' limits at once. The caller holds the
+// lock.
+func (x *Exchange) limitsDue(m *member) bool {
+	return x.options.Limits != nil && x.options.Limits.Due(m.name, m.limits)
+}
+
+// shares reports whether a gateway that shares a limit has not been told anything for long. The
+// caller holds the lock.
+func (x *Exchange) shares(m *member, now time.Time) bool {
+	l := x.options.Limits
+	return l != nil && m.alive && now.Sub(m.lastSent) >= sharedEvery && l.Shares(m.name)
+}
+
+// receiveLimits takes what another gateway told.
+func (x *Exchange) receiveLimits(s *wirepb.GatewayState, now time.Time) {
+	if x.options.Limits == nil {
+		return
+	}
+	x.options.Limits.HeardOf(s.Name, now)
+	if len(s.Limits) > 0 {
+		x.options.Limits.Receive(s.Name, s.Incarnation, decodeLimits(s.Limits), now)
+	}
+}
+
+// limitMembers says which gateways share limits. The caller holds the lock.
+func (x *Exchange) limitMembers() {
+	if x.options.Limits == nil || x.limitsToldMembers == x.memberships {
+		return
+	}
+	x.limitsToldMembers = x.memberships
+	names := make([]string, 0, len(x.members))
+	for _, m := range x.sorted() {
+		names = append(names, m.name)
+	}
+	x.options.Limits.Members(names)
+}
+
+func encodeLimits(reports []runnerlimit.Report) []*wirepb.RunnerLimit {
+	out := make([]*wirepb.RunnerLimit, 0, len(reports))
+	for _, r := range reports {
+		out = append(out, &wirepb.RunnerLimit{
+			Runner: r.Runner, PerSecond: r.PerSecond, Kind: uint32(r.Kind), Calls: uint32(r.Calls), Sent: r.Sent,
+			NamedAgoMs: uint32(r.NamedAgo.Milliseconds()), Over: r.Over, EndedAgoMs: uint32(r.EndedAgo.Milliseconds()),
+		})
+	}
+	return out
+}
+
+// maxCalls bounds how many calls a request is believed to take at a runner.
+const maxCalls = 16
+
+// decodeLimits takes reports out of a message. One without a runner, or whose limit is no number of
+// 0 or more, is left out.
+func decodeLimits(list []*wirepb.RunnerLimit) []runnerlimit.Report {
+	out := make([]runnerlimit.Report, 0, len(list))
+	for _, r := range list {
+		if r.Runner == "" || !(r.PerSecond >= 0) || math.IsInf(r.PerSecond, 0) {
+			continue
+		}
+		out = append(out, runnerlimit.Report{
+			Runner: r.Runner, Sent: r.Sent, Over: r.Over,
+			Statement: runnerlimit.Statement{Kind: runnerlimit.Kind(r.Kind), Named: true, PerSecond: r.PerSecond, Calls: int(min(max(r.Calls, 1), maxCalls))},
+			NamedAgo:  time.Duration(r.NamedAgoMs) * time.Millisecond, EndedAgo: time.Duration(r.EndedAgoMs) * time.Millisecond,
+		})
+	}
+	return out
+}
--- a/pkg/peers/members.go
+++ b/pkg/peers/members.go
@@ -27,6 +27,8 @@
 	wantFull, missing  bool
 	// spending is the revision of the own spending up to which it was told.
 	spending uint64
+	// limits is the revision of the runners' limits up to which it was told.
+	limits uint64
 }
 
 // Add records the address of another gateway.
@@ -169,6 +171,7 @@
 	}
 	known := len(x.members)
 	x.quotaMembers(now)
+	x.limitMembers()
 	x.mu.Unlock()
 	for _, name := range silent {
 		x.options.Changed(name, Silent, known)
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -17,6 +17,7 @@
 	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/relay"
+	"github.com/hopwell/hopwell/pkg/runnerlimit"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/subset"
 )
@@ -92,6 +93,8 @@
 	Pace  relay.Pace
 	// Quota counts what workspaces spend at all gateways; nil for nobody.
 	Quota *quota.Ledger
+	// Limits are those that runners name for all gateways; nil for nobody.
+	Limits *runnerlimit.Table
 	// Version returns the version of the configuration in force.
 	Version func() uint64
 	// Changed is called when a gateway becomes Alive or Silent.
@@ -143,6 +146,8 @@
 	// of these the quota knows, toldGrace how long it was told to take others to be there.
 	memberships, toldMembers uint64
 	toldGrace                time.Duration
+	// limitsToldMembers is up to which membership the runners' limits know.
+	limitsToldMembers uint64
 	// byName is the members by name at byNameAt memberships; alive the names of the living
 	// ones with the own one, nil if they must be listed anew, first whether the own one is
 	// among the first of these, chosen when relays were chosen last. Each is kept since a
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -52,6 +52,7 @@
 	if inSync {
 		x.receiveSpending(s, now)
 	}
+	x.receiveLimits(s, now)
 	if len(s.Outcomes) > 0 {
 		x.options.ReceiveOutcomes(s.Name, sameDomain, decodeOutcomes(s.Outcomes))
 	}
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -21,7 +21,8 @@
 	state *wirepb.GatewayState
 }
 
-// sendChanges sends what changed to the gateways that use the engines concerned.
+// sendChanges sends what changed to the gateways that use the engines concerned, and share the
+// runners' limits.
 func (x *Exchange) sendChanges(now time.Time) {
 	x.mu.Lock()
 	changed, reached := x.options.Snapshots(x.reached)
@@ -31,7 +32,7 @@
 		if !m.alive || m.wantFull {
 			continue
 		}
-		if part := x.partFor(m.name, changed); len(part) > 0 {
+		if part := x.partFor(m.name, changed); len(part) > 0 || x.limitsDue(m) {
 			out = append(out, x.datagram(m, encode(part), now))
 		}
 	}
@@ -71,7 +72,7 @@
 	var out []datagram
 	for _, m := range x.members {
 		full := m.wantFull && now.Sub(m.lastFull) >= period || now.Sub(m.lastFull) >= fullPause
-		if !full && !m.missing && !informed[m.name] && !x.spendingDue(m, now) && now.Sub(m.lastSent) < heartbeat {
+		if !full && !m.missing && !informed[m.name] && !x.spendingDue(m, now) && !x.shares(m, now) && now.Sub(m.lastSent) < heartbeat {
 			continue
 		}
 		state := &wirepb.GatewayState{}
@@ -170,6 +171,7 @@
 // datagram addresses a message. The caller holds the lock.
 func (x *Exchange) datagram(m *member, state *wirepb.GatewayState, now time.Time) datagram {
 	x.addSpending(m, state)
+	x.addLimits(m, state, now)
 	m.sent++
 	m.lastSent = now
 	state.Name, state.Incarnation, state.Sequence = x.options.Name, x.incarnation, m.sent
--- a/pkg/peers/traffic.go
+++ b/pkg/peers/traffic.go
@@ -21,6 +21,7 @@
 	{"reservations", func(s *wirepb.GatewayState) bool { return len(s.Pools) > 0 }},
 	{"outcomes", func(s *wirepb.GatewayState) bool { return len(s.Outcomes) > 0 }},
 	{"spending", func(s *wirepb.GatewayState) bool { return len(s.Spent) > 0 }},
+	{"limits", func(s *wirepb.GatewayState) bool { return len(s.Limits) > 0 }},
 	{"heartbeat", func(*wirepb.GatewayState) bool { return true }},
 }
 
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -80,7 +80,7 @@
 func logLimit(l *decisionlog.Log, c runnerlimit.Change) {
 	fields := []decisionlog.Field{decisionlog.F("runner", c.Runner), decisionlog.F("per_second", c.PerSecond), decisionlog.F("told_by", c.From)}
 	if c.What == runnerlimit.Ends {
-		fields = append(fields, decisionlog.F("after", c.For), decisionlog.F("sent", c.Sent))
+		fields = append(fields, decisionlog.F("after", c.For), decisionlog.F("sent", c.Sent), decisionlog.F("withheld", c.Withheld))
 	}
 	l.Write(decisionlog.KindState, "limit_"+c.What, fields...)
 }
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -104,6 +104,7 @@
 		Pool: p.poolOptions(c), Revocation: p.revocation(c), Quota: p.quota, Suspicion: p.suspicion(), Neighbours: func() int { return p.peers.Neighbours() },
 	})
 	p.Ingress.Directory.ColdShare = p.coldShare
+	p.Ingress.Directory.Limits.Counted = func() { p.peers.Notify() }
 	p.feed = newFeed(p.Ingress, log, platform.NewStore(c.Store), c.Store, relay.PaceFor(c.Changes.Bound(c.Workspaces)))
 	if err := p.meet(); err != nil {
 		return nil, err
--- a/pkg/process/order.go
+++ b/pkg/process/order.go
@@ -68,6 +68,7 @@
 // recorded: taken, refused, or unknown.
 func (s *stager) restage(ctx context.Context, c staging.Change, fence uint64, sequence int) error {
 	c.Runner.BeginStageChange(c.Stage, s.changeLimit(c.Runner.Service), time.Now())
+	c.Runner.Called("", time.Now())
 	err := s.calls.Restage(ctx, c.Runner, platform.StageOrder{Stage: c.Stage, Holder: s.lock.Holder, Fence: fence, Sequence: sequence})
 	var declined *ingress.ErrDeclined
 	switch {
@@ -86,6 +87,7 @@
 func (s *stager) order(ctx context.Context, c staging.Change, fence uint64) {
 	call, cancel := context.WithTimeout(ctx, orderCall)
 	defer cancel()
+	c.Runner.Called("", time.Now())
 	sequence, err := s.calls.Sequence(call, c.Runner)
 	if err == nil {
 		err = s.restage(call, c, fence, sequence)
--- a/pkg/process/ports.go
+++ b/pkg/process/ports.go
@@ -66,6 +66,7 @@
 		Store: p.feed, Pace: p.feed.pace,
 		ReceiveSuspicion:    p.Ingress.ReceiveSuspicion,
 		Quota:               p.quota,
+		Limits:              p.Ingress.Directory.Limits,
 		ReceiveStageChanges: p.Ingress.ReceiveStageChanges,
 		Snapshots:           p.Ingress.Snapshots, ReceiveSnapshot: p.Ingress.ReceiveSnapshot, Version: p.Ingress.Version,
 		Failed: func(err error) { p.log.Write(decisionlog.KindProcess, "datagram_failed", decisionlog.F("error", err)) },
--- a/pkg/runnerlimit/runnerlimit.go
+++ b/pkg/runnerlimit/runnerlimit.go
@@ -1,10 +1,16 @@
 // Package runnerlimit keeps runners in need within the limits that they name: so many requests a
 // second from all gateways together, for as long as their answers say so. Nothing here does I/O;
 // the time is passed in.
+//
+// A limit is shared by some of the gateways, chosen by rendezvous hashing; the others leave the
+// runner alone. Each of these users counts in a bucket what all of them send: its own calls at once,
+// those of the others when it hears of them. docs/design/runner-limits.md has the ways that were
+// weighed.
 package runnerlimit
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,6 +36,8 @@
 	// Named says that the answer names a limit, PerSecond is that.
 	Named     bool
 	PerSecond float64
+	// Calls is how many calls one request takes at the runner.
+	Calls int
 }
 
 // What happens to a limit.
@@ -47,43 +55,48 @@
 	PerSecond float64
 	// From is the gateway that had the answer; empty for this one.
 	From string
-	// For is how long the limit was in force, and Sent how many calls this gateway made to the
-	// runner meanwhile, when it ends.
-	For  time.Duration
-	Sent uint64
+	// For is how long the limit was in force, Sent how many calls this gateway made to the runner
+	// meanwhile and Withheld how often it did not choose the runner, when it ends.
+	For            time.Duration
+	Sent, Withheld uint64
 }
 
-// logged is by which part a limit must differ from the one that was told last to be told again.
-const logged = 0.2
+const (
+	// logged is by which part a limit must differ from the one that Changed was told last.
+	logged = 0.2
+	// remembered is how long a limit is kept that no answer names or ends any more, and one that is
+	// over: a gateway that is silent for as long is forgotten too.
+	remembered = time.Minute
+)
 
 // Table is the limits of all runners. It is safe for concurrent use.
 type Table struct {
-	// Changed is called, without locks, after a change; it is set before the table is used.
+	// Changed is called, without locks, after a change, Counted after a call that other gateways
+	// should hear of. They are set before the table is used; nil for nobody.
 	Changed func(Change)
+	Counted func()
+
+	self string
+	// some is set while there are limits: most of the time there are none.
+	some atomic.Bool
 
 	mu     sync.Mutex
 	limits map[string]*limit
+	// revision counts what others should hear of.
+	revision uint64
+	members  members
 }
 
-// limit is that of one start of a runner.
-type limit struct {
-	perSecond float64
-	kind      Kind
-	// began is when it was first named, namedAt when it was named last.
-	began, namedAt time.Time
-	// over is set when an answer did not name it any more.
-	over bool
-	// sent counts this gateway's calls to the runner since it was first named.
-	sent uint64
-	// told is what Changed was told last.
-	told float64
+// New returns a gateway's table, without limits.
+func New(self string) *Table {
+	return &Table{self: self, limits: map[string]*limit{}, members: newMembers(self)}
 }
 
-// New returns a table without limits.
-func New() *Table { return &Table{limits: map[string]*limit{}} }
-
 // Hear takes what an answer of a runner says, by the runner's ID.
 func (t *Table) Hear(runner string, s Statement, now time.Time) {
+	if !s.Named && !t.some.Load() {
+		return
+	}
 	t.mu.Lock()
 	change := t.hear(runner, s, now)
 	t.mu.Unlock()
@@ -94,47 +107,92 @@
 	l := t.limits[runner]
 	switch {
 	case s.Named:
-		return t.name(runner, s, now, "")
+		return t.name(runner, s, now, now, "")
 	case l == nil || l.over || s.Kind != l.kind || !s.Asked.After(l.namedAt):
 		return nil
 	}
-	return l.end(runner, now, "")
+	return t.end(runner, s.Asked, now, "")
 }
 
-// name takes a limit that an answer names, as it was heard by a gateway; an empty one is this.
-func (t *Table) name(runner string, s Statement, at time.Time, from string) *Change {
+// name takes a limit that an answer named at a time, as a gateway heard it; an empty one is this.
+func (t *Table) name(runner string, s Statement, at, now time.Time, from string) *Change {
 	l := t.limits[runner]
 	if l == nil || l.over {
-		t.limits[runner] = &limit{perSecond: s.PerSecond, kind: s.Kind, began: at, namedAt: at, told: s.PerSecond}
+		l = newLimit(s, at, now)
+		l.from = from
+		t.limits[runner] = l
+		t.some.Store(true)
+		t.news(l)
 		return &Change{Runner: runner, What: Begins, PerSecond: s.PerSecond, From: from}
 	}
-	l.perSecond, l.kind, l.namedAt = s.PerSecond, s.Kind, at
-	if abs(l.perSecond-l.told) <= logged*l.told {
+	l.fill(now, t.share(runner, l, now))
+	l.perSecond, l.kind, l.namedAt, l.from = s.PerSecond, s.Kind, at, from
+	l.calls = max(l.calls, s.Calls)
+	if differ(l.perSecond, l.spread, spreadChange) {
+		l.spread = l.perSecond
+		t.news(l)
+	}
+	if !differ(l.perSecond, l.logged, logged) {
 		return nil
 	}
-	l.told = l.perSecond
+	l.logged = l.perSecond
 	return &Change{Runner: runner, What: Changes, PerSecond: s.PerSecond, From: from}
 }
 
-// end ends a limit.
-func (l *limit) end(runner string, now time.Time, from string) *Change {
-	l.over = true
-	return &Change{Runner: runner, What: Ends, PerSecond: l.perSecond, From: from, For: now.Sub(l.began), Sent: l.sent}
+// end ends a limit by an answer to a call of the time at.
+func (t *Table) end(runner string, at, now time.Time, from string) *Change {
+	l := t.limits[runner]
+	l.over, l.endedAt = true, at
+	t.news(l)
+	return &Change{Runner: runner, What: Ends, PerSecond: l.perSecond, From: from, For: now.Sub(l.began), Sent: l.sent, Withheld: l.withheld}
+}
+
+// news notes that all gateways should hear of a limit.
+func (t *Table) news(l *limit) {
+	t.revision++
+	l.newsAt = t.revision
 }
 
-// Sent records a call to a runner.
-func (t *Table) Sent(runner string) {
+// Sweep forgets limits that nobody spoke of for long.
+func (t *Table) Sweep(now time.Time) {
+	if !t.some.Load() {
+		return
+	}
+	var ended []*Change
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if l := t.limits[runner]; l != nil && !l.over {
-		l.sent++
+	for runner, l := range t.limits {
+		if now.Sub(l.spokenOf()) <= remembered {
+			continue
+		}
+		if !l.over {
+			ended = append(ended, t.end(runner, now, now, ""))
+		}
+		delete(t.limits, runner)
+	}
+	t.some.Store(len(t.limits) > 0)
+	t.mu.Unlock()
+	for _, c := range ended {
+		t.notify(c)
 	}
 }
 
 func (t *Table) notify(c *Change) {
-	if c != nil && t.Changed != nil {
+	if c == nil {
+		return
+	}
+	if t.Changed != nil {
 		t.Changed(*c)
 	}
+	t.counted()
 }
 
-func abs(x float64) float64 { return max(x, -x) }
+func (t *Table) counted() {
+	if t.Counted != nil {
+		t.Counted()
+	}
+}
+
+// differ reports whether a limit differs from an earlier one by more than a part of that.
+func differ(limit, earlier, part float64) bool {
+	return max(limit-earlier, earlier-limit) > part*earlier
+}
--- a/pkg/runners/cold.go
+++ b/pkg/runners/cold.go
@@ -63,14 +63,6 @@
 	return !restored.IsZero() && now.Sub(restored) < coldAfterRestore
 }
 
-// ColdRoom reports whether the runner may get one more request from this gateway now: always, if it
-// is warm.
-func (s *State) ColdRoom(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.coldRoom(now)
-}
-
 func (s *State) coldRoom(now time.Time) bool {
 	if !s.isCold(now) {
 		return true
@@ -84,9 +76,9 @@
 	return !c.bounded || len(c.claims) < c.share
 }
 
-// ClaimCold keeps a place for a request at the runner until it is sent there, and reports whether
+// claimCold keeps a place for a request at the runner until it is sent there, and reports whether
 // there is one. A warm runner has places for all.
-func (s *State) ClaimCold(request string, now time.Time) bool {
+func (s *State) claimCold(request string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.coldRoom(now) {
@@ -98,11 +90,8 @@
 	return true
 }
 
-// SentCold records that a request is sent to the runner now.
-func (s *State) SentCold(request string, now time.Time) {
-	if s.limits != nil {
-		s.limits.Sent(s.ID)
-	}
+// sentCold records that a request is sent to the runner now.
+func (s *State) sentCold(request string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.isCold(now) {
@@ -117,8 +106,8 @@
 	s.cold.claims = append(s.cold.claims, claim{request: request, at: now, sent: true})
 }
 
-// ReleaseCold gives the place of a request up that is not sent.
-func (s *State) ReleaseCold(request string) {
+// releaseCold gives the place of a request up that is not sent.
+func (s *State) releaseCold(request string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cold.claims = slices.DeleteFunc(s.cold.claims, func(k claim) bool { return k.request == request && !k.sent })
--- a/pkg/runners/cold_test.go
+++ b/pkg/runners/cold_test.go
@@ -11,7 +11,7 @@
 
 // bounded returns a directory whose cold runners get two requests in each window from here.
 func bounded() *Directory {
-	d := NewDirectory()
+	d := NewDirectory("a")
 	d.ColdShare = func(Runner) (int, bool) { return 2, true }
 	return d
 }
@@ -25,18 +25,18 @@
 	d, now := bounded(), time.Now()
 	d.PutEntry(Entry{Runner: Runner{ID: "a"}, ColdFor: 10 * time.Second}, now)
 	s := d.Find("a")
-	g.Expect(s.ClaimCold("r1", now)).To(BeTrue())
-	g.Expect(s.ClaimCold("r2", now)).To(BeTrue())
-	g.Expect(s.ClaimCold("r3", now)).To(BeFalse(), "two are on their way there")
-	s.ReleaseCold("r2")
-	g.Expect(s.ClaimCold("r3", now)).To(BeTrue(), "the second was not sent")
-	s.SentCold("r1", now.Add(time.Second))
-	s.SentCold("r3", now.Add(time.Second))
-	g.Expect(s.ColdRoom(now.Add(time.Second + coldstart.Window - time.Millisecond))).To(BeFalse())
-	g.Expect(s.ColdRoom(now.Add(time.Second + coldstart.Window))).To(BeTrue())
-	g.Expect(s.ClaimCold("lost", now.Add(3*time.Second))).To(BeTrue())
-	g.Expect(s.ClaimCold("lost too", now.Add(3*time.Second))).To(BeTrue())
-	g.Expect(s.ColdRoom(now.Add(3*time.Second+unsentFor))).To(BeTrue(), "claims that nobody gave up")
+	g.Expect(s.Claim("r1", now)).To(BeTrue())
+	g.Expect(s.Claim("r2", now)).To(BeTrue())
+	g.Expect(s.Claim("r3", now)).To(BeFalse(), "two are on their way there")
+	s.Release("r2")
+	g.Expect(s.Claim("r3", now)).To(BeTrue(), "the second was not sent")
+	s.Sent("r1", now.Add(time.Second))
+	s.Sent("r3", now.Add(time.Second))
+	g.Expect(s.Room(now.Add(time.Second + coldstart.Window - time.Millisecond))).To(BeFalse())
+	g.Expect(s.Room(now.Add(time.Second + coldstart.Window))).To(BeTrue())
+	g.Expect(s.Claim("lost", now.Add(3*time.Second))).To(BeTrue())
+	g.Expect(s.Claim("lost too", now.Add(3*time.Second))).To(BeTrue())
+	g.Expect(s.Room(now.Add(3*time.Second+unsentFor))).To(BeTrue(), "claims that nobody gave up")
 }
 
 func TestColdnessEndsWithItsTimeAndWithItsIncarnation(t *testing.T) {
@@ -50,7 +50,7 @@
 	g.Expect(first.Cold(now.Add(5*time.Second))).To(BeTrue(), "it may go cold again at any moment")
 	d.PutEntry(Entry{Runner: Runner{ID: "a@2", Name: "a"}}, now.Add(5*time.Second))
 	g.Expect(d.Find("a@2").Cold(now.Add(5 * time.Second))).To(BeFalse())
-	g.Expect(d.Find("a@2").ClaimCold("r", now.Add(5*time.Second))).To(BeTrue())
+	g.Expect(d.Find("a@2").Claim("r", now.Add(5*time.Second))).To(BeTrue())
 }
 
 // A failure domain comes back by its share and not by a cliff: its runners may have turned cold
--- a/pkg/runners/directory.go
+++ b/pkg/runners/directory.go
@@ -51,11 +51,12 @@
 // Replaced is what happened to a runner that started again under its name.
 const Replaced = "replaced"
 
-// NewDirectory returns an empty directory.
-func NewDirectory() *Directory {
+// NewDirectory returns an empty directory of a gateway; its name tells gateways that share a runner's
+// limit from each other.
+func NewDirectory(gateway string) *Directory {
 	return &Directory{
 		all: map[string]*State{}, current: map[string]*State{}, services: map[string][]*State{},
-		evacuated: &evacuations{domains: map[string]bool{}, restored: map[string]time.Time{}}, Limits: runnerlimit.New(),
+		evacuated: &evacuations{domains: map[string]bool{}, restored: map[string]time.Time{}}, Limits: runnerlimit.New(gateway),
 	}
 }
 
@@ -181,6 +182,7 @@
 // Sweep forgets runners that have been gone for long, and what other gateways reported
 // of the rest and is no longer used.
 func (d *Directory) Sweep(now time.Time) {
+	d.Limits.Sweep(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := false
--- a/pkg/runners/evacuation_test.go
+++ b/pkg/runners/evacuation_test.go
@@ -14,7 +14,7 @@
 // Cause: whether a runner takes work was decided by its own entry alone.
 func TestTheRunnersOfAnEvacuatedDomainGetNoWork(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDirectory()
+	d := NewDirectory("a")
 	now := time.Now()
 	put := func(id, domain string, stage Stage) {
 		d.Put(Runner{ID: id, Service: "s", Domain: domain, Stage: stage}, now)
--- a/pkg/runners/outcomes_test.go
+++ b/pkg/runners/outcomes_test.go
@@ -11,7 +11,7 @@
 )
 
 func directoryOf(ids ...string) *Directory {
-	d := NewDirectory()
+	d := NewDirectory("a")
 	for _, id := range ids {
 		d.Put(Runner{ID: id, Service: "s"}, time.Now())
 	}
@@ -105,7 +105,7 @@
 func TestARefusalEndsWithTheStage(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
-	d := NewDirectory()
+	d := NewDirectory("a")
 	d.Put(Runner{ID: "r", Service: "s", Stage: Decode}, time.Now())
 	d.all["r"].MarkUnusable(now)
 	g.Expect(d.Usable("s", Decode, now)).To(BeEmpty())
@@ -119,7 +119,7 @@
 func TestARefusalIsReported(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
-	a, same, newer := NewDirectory(), NewDirectory(), NewDirectory()
+	a, same, newer := NewDirectory("a"), NewDirectory("a"), NewDirectory("a")
 	a.Put(Runner{ID: "r", Service: "s", Stage: Decode}, time.Now())
 	same.Put(Runner{ID: "r", Service: "s", Stage: Decode}, time.Now())
 	newer.Put(Runner{ID: "r", Service: "s", Stage: Prefill}, time.Now())
--- a/pkg/runners/runners_test.go
+++ b/pkg/runners/runners_test.go
@@ -21,7 +21,7 @@
 func TestLeavingIsNeverTakenBack(t *testing.T) {
 	spectest.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
-		d := NewDirectory()
+		d := NewDirectory("a")
 		now := time.Now()
 		left := false
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
@@ -41,7 +41,7 @@
 
 func TestAnEntryThatComesBackIsUsedAgain(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDirectory()
+	d := NewDirectory("a")
 	now := time.Now()
 	r := Runner{ID: "r", Service: "s"}
 	d.Put(r, time.Now())
@@ -54,7 +54,7 @@
 
 func TestAWholeReadingTellsWhatHasGone(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDirectory()
+	d := NewDirectory("a")
 	now := time.Now()
 	var reported []string
 	d.Changed = func(c Change) { reported = append(reported, c.What+" "+c.Runner.ID) }
@@ -69,7 +69,7 @@
 
 func TestWhatIsKnownStaysWhenTheEntryChanges(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDirectory()
+	d := NewDirectory("a")
 	d.Put(Runner{ID: "r", Service: "s", Stage: Prefill}, time.Now())
 	old := d.Usable("s", Prefill, time.Now())[0]
 	old.Enter()
@@ -82,7 +82,7 @@
 
 func TestAStateThatWasHandedOutSeesItsRunnerLeave(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDirectory()
+	d := NewDirectory("a")
 	d.Put(Runner{ID: "r", Service: "s"}, time.Now())
 	now := time.Now()
 	held := d.Usable("s", "", now)[0]
@@ -92,7 +92,7 @@
 
 func TestAFailingRunnerRestsAndComesBack(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDirectory()
+	d := NewDirectory("a")
 	for _, id := range []string{"a", "b", "c"} {
 		d.Put(Runner{ID: id, Service: "s"}, time.Now())
 	}
@@ -109,7 +109,7 @@
 
 func TestFailuresInCommonLeaveTheRunnersIn(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDirectory()
+	d := NewDirectory("a")
 	for _, id := range []string{"a", "b", "c"} {
 		d.Put(Runner{ID: id, Service: "s"}, time.Now())
 	}
@@ -127,7 +127,7 @@
 // Cause: what is known of a runner was kept under its name, which it had again.
 func TestARunnerThatStartsAgainIsAnother(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDirectory()
+	d := NewDirectory("a")
 	now := time.Now()
 	var reported []string
 	d.Changed = func(c Change) { reported = append(reported, c.What+" "+c.Runner.ID) }
@@ -159,7 +159,7 @@
 // entry that was taken over.
 func TestTheStartBeforeGetsNoMoreWork(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDirectory()
+	d := NewDirectory("a")
 	now := time.Now()
 	d.Put(Runner{ID: "r@1", Name: "r", Service: "s"}, now)
 	first := d.Find("r@1")
--- a/pkg/runners/stagechange_test.go
+++ b/pkg/runners/stagechange_test.go
@@ -8,7 +8,7 @@
 )
 
 func engineDirectory(id string, stage Stage) *Directory {
-	d := NewDirectory()
+	d := NewDirectory("a")
 	d.Put(Runner{ID: id, Service: "s", Stage: stage}, time.Now())
 	return d
 }
--- a/pkg/staging/staging_test.go
+++ b/pkg/staging/staging_test.go
@@ -15,7 +15,7 @@
 )
 
 func engines(prefill, decode int) []*runners.State {
-	dir := runners.NewDirectory()
+	dir := runners.NewDirectory("a")
 	for i := range prefill + decode {
 		stage := runners.Prefill
 		if i >= prefill {
@@ -168,7 +168,7 @@
 func TestEnginesAreTakenFromTheFullestDomainsByLoad(t *testing.T) {
 	spectest.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
-		dir := runners.NewDirectory()
+		dir := runners.NewDirectory("a")
 		loads := map[string]float64{}
 		for i := range rapid.IntRange(0, 30).Draw(t, "engines") {
 			id := fmt.Sprintf("e%02d", i)
@@ -188,7 +188,7 @@
 
 // BenchmarkPlan plans for 3,000 engines that all decode, so that some 600 are to change.
 func BenchmarkPlan(b *testing.B) {
-	dir := runners.NewDirectory()
+	dir := runners.NewDirectory("a")
 	for i := range 3000 {
 		dir.Put(runners.Runner{ID: fmt.Sprintf("e%04d", i), Service: "s", Domain: fmt.Sprintf("z%d", i%3), Stage: runners.Decode}, time.Now())
 	}
