--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -227,7 +227,7 @@
 // learnFromPeers asks other gateways for what they know of the store, as long as the
 // store does not answer and nothing is known yet. What the store says later replaces it.
 func (p *Ingress) learnFromPeers(ctx context.Context) {
-	client := &http.Client{Timeout: stateCall}
+	client := stateClient()
 	tick := time.NewTicker(stateRetry)
 	defer tick.Stop()
 	for p.Ingress.Table() == nil {
@@ -242,6 +242,9 @@
 	}
 }
 
+// stateClient returns the client that other gateways are asked by.
+func stateClient() *http.Client { return &http.Client{Timeout: stateCall} }
+
 // askPeers takes the state of the first gateway that has one.
 func (p *Ingress) askPeers(ctx context.Context, client *http.Client) {
 	for _, address := range append(p.peers.Addresses(), p.seeds()...) {
