process: what a gateway knows of the store is handed over compressed, to two at a time, and waited for while it comes

What callers saw: after the loss of all gateways in a large fleet nobody served for many seconds.

Cause: gateways whose first reading failed asked all others for what they know, 15,607 times within 4 s; where one knew, the whole answer had 0.3 s, over links of 10 Mbit/s.

Change: a call is bounded by its silence; the state travels gzipped (200 to less than 40 kB of 1,000 entries); each gateway hands it to two others at a time, and asks four and the seeds in a round.

The spec, failing before, passes.

--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -82,8 +82,10 @@
 	ports    IngressPorts
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
-	stop     sync.Once
-	stopped  chan struct{}
+	// handing counts the gateways that are being handed what this one knows of the store.
+	handing atomic.Int32
+	stop    sync.Once
+	stopped chan struct{}
 }
 
 // StartIngress starts an ingress. Decisions are logged to out.
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -16,6 +18,7 @@
 	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/delta"
+	"github.com/hopwell/hopwell/pkg/progress"
 	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/platform"
@@ -24,9 +27,15 @@
 const (
 	// statePath is where a gateway hands out what it knows of the store.
 	statePath = "/state"
-	// stateCall bounds the call for it, stateRetry is the time between two rounds.
+	// stateCall bounds the silence of a call for it, stateRetry is the time between two rounds.
 	stateCall  = 300 * time.Millisecond
 	stateRetry = 200 * time.Millisecond
+	// stateAsked is how many gateways are asked in a round, besides the seeds: where all start at
+	// once none knows anything, and each would ask all others.
+	stateAsked = 4
+	// stateHanded is how many gateways are handed the state at a time: more would share the link of
+	// this one with its clients.
+	stateHanded = 2
 	// maxState bounds such an answer, in bytes: some thousand runners and routes.
 	maxState = 8 << 20
 	// maxStateAge is how old a state may be: about the longest outage after which a
@@ -194,6 +203,13 @@
 	return len(c.items) == 0 && !c.lost.IsZero()
 }
 
+// known reports whether the copy holds anything.
+func (c *copyOfStore) known() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.items) > 0
+}
+
 // state returns the copy, false while there is none.
 func (c *copyOfStore) state(now time.Time) (sharedState, bool) {
 	c.mu.Lock()
@@ -208,22 +224,40 @@
 	return s, len(s.Items) > 0
 }
 
-// serveState hands out what this gateway knows of the store.
-func (p *Ingress) serveState(w http.ResponseWriter, _ *http.Request) {
-	s, known := p.feed.copy.state(time.Now())
-	if !known {
+// serveState hands out what this gateway knows of the store, to a few at a time.
+func (p *Ingress) serveState(w http.ResponseWriter, r *http.Request) {
+	defer p.handing.Add(-1)
+	if p.handing.Add(1) > stateHanded || !p.feed.copy.known() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	s, _ := p.feed.copy.state(time.Now())
 	if assured := p.feed.history.Assured(); !assured.IsZero() {
 		s.AssuredUs = boottime.Since(assured).Microseconds() + 1
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(s); err != nil {
+	if err := writeState(w, r, s); err != nil {
 		p.log.Write(decisionlog.KindProcess, "state_not_sent", decisionlog.F("error", err))
 	}
 }
 
+// writeState writes a state, compressed for those that read that: it shrinks to a tenth, and gateways
+// may have links on which the rest takes a second.
+func writeState(w http.ResponseWriter, r *http.Request, s sharedState) error {
+	w.Header().Set("Content-Type", "application/json")
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		return json.NewEncoder(w).Encode(s)
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(z).Encode(s); err != nil {
+		return err
+	}
+	return z.Close()
+}
+
 // learnFromPeers asks other gateways for what they know of the store, as long as the
 // store does not answer and nothing is known yet. What the store says later replaces it.
 func (p *Ingress) learnFromPeers(ctx context.Context) {
@@ -243,11 +277,12 @@
 }
 
 // stateClient returns the client that other gateways are asked by.
-func stateClient() *http.Client { return &http.Client{Timeout: stateCall} }
+func stateClient() *http.Client { return &http.Client{} }
 
-// askPeers takes the state of the first gateway that has one.
+// askPeers takes the state of the first gateway that has one: of those with the newest configuration,
+// some others, and the seeds.
 func (p *Ingress) askPeers(ctx context.Context, client *http.Client) {
-	for _, address := range append(p.peers.Addresses(), p.seeds()...) {
+	for _, address := range append(someOf(p.peers.Addresses(), stateAsked), p.seeds()...) {
 		s, err := fetchState(ctx, client, address)
 		if err != nil {
 			p.log.Write(decisionlog.KindProcess, "state_not_learned", decisionlog.F("error", err))
@@ -260,6 +295,16 @@
 	}
 }
 
+// someOf returns n of a list: the first half of them in order, the rest at random.
+func someOf(list []string, n int) []string {
+	if len(list) <= n {
+		return list
+	}
+	rest := list[n/2:]
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	return list[:n]
+}
+
 // seeds returns where gateways may be that the settings name: their hosts, at the own
 // port, since all gateways listen alike.
 func (p *Ingress) seeds() []string {
@@ -279,6 +324,8 @@
 // fetchState asks one gateway. One whose state is too old is refused.
 func fetchState(ctx context.Context, client *http.Client, address string) (sharedState, error) {
 	var s sharedState
+	ctx, cancel := progress.Bound(ctx, stateCall)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statePath, nil)
 	if err != nil {
 		return s, &ErrState{Address: address, Why: "bad address", Err: err}
@@ -292,7 +339,7 @@
 	if res.StatusCode != http.StatusOK {
 		return s, &ErrState{Address: address, Why: "it knows nothing itself: " + res.Status}
 	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxState)).Decode(&s); err != nil {
+	if err := json.NewDecoder(io.LimitReader(progress.Reader(ctx, res.Body), maxState)).Decode(&s); err != nil {
 		return s, &ErrState{Address: address, Why: "not readable", Err: err}
 	}
 	if age := time.Duration(s.AgeMs) * time.Millisecond; age < 0 || age > maxStateAge {
--- a/pkg/process/state_test.go
+++ b/pkg/process/state_test.go
@@ -4,17 +4,22 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/store"
 )
 
 // Pattern: a time-out that ends what goes well.
 //
 // Seen: gateways that start in an outage of the store ask others that know it, over links on which
 // the answer takes longer than they wait: 2,904 answers were cut off in the middle, and asked for again.
+// Cause: the whole call was bounded by 0.3 s, and an answer has hundreds of kilobytes.
+// Proof: this spec; the log named "not readable" for each of them.
 func TestAStateThatKeepsComingIsWaitedFor(t *testing.T) {
 	g := NewWithT(t)
 	const parts = 8
@@ -46,3 +51,39 @@
 	g.Expect(err).To(MatchError(ContainSubstring("not readable")))
 	g.Expect(time.Since(began)).To(BeNumerically(">=", stateCall))
 }
+
+// Gateways may have links on which a whole state takes a second: it is sent compressed.
+func TestAStateIsSentCompressedToThoseThatReadIt(t *testing.T) {
+	g := NewWithT(t)
+	sent := sharedState{At: 9}
+	for i := range 1000 {
+		sent.Items = append(sent.Items, store.Item{Key: fmt.Sprintf("servers/i-%04d", i), Value: []byte(`{"service":"llm","address":"10.0.0.1:8000","state":"ready"}`), Revision: uint64(i)})
+	}
+	var bytes int
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		counted := httptest.NewRecorder()
+		_ = writeState(counted, r, sent)
+		bytes = counted.Body.Len()
+		_ = writeState(w, r, sent)
+	}))
+	defer server.Close()
+	got, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got.Items).To(Equal(sent.Items))
+	g.Expect(bytes).To(BeNumerically("<", 40_000), "of some 200 kB")
+
+	plain := httptest.NewRecorder()
+	g.Expect(writeState(plain, httptest.NewRequest(http.MethodGet, statePath, nil), sent)).To(Succeed())
+	g.Expect(plain.Header().Get("Content-Encoding")).To(BeEmpty(), "who does not say that it reads it")
+	g.Expect(plain.Body.Len()).To(BeNumerically(">", 100_000))
+}
+
+func TestSomeOfManyGatewaysAreAsked(t *testing.T) {
+	g := NewWithT(t)
+	list := []string{"new", "newer", "c", "d", "e", "f"}
+	asked := someOf(slices.Clone(list), 4)
+	g.Expect(asked).To(HaveLen(4))
+	g.Expect(asked[:2]).To(Equal([]string{"new", "newer"}))
+	g.Expect(list).To(ContainElements(asked))
+	g.Expect(someOf(list[:3], 4)).To(Equal(list[:3]))
+}
