--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -36,6 +36,8 @@
 	// stateHanded is how many gateways are handed the state at a time: more would share the link of
 	// this one with its clients.
 	stateHanded = 2
+	// stateWrite bounds the handing over: who reads nothing would keep others from it.
+	stateWrite = 5 * time.Second
 	// maxState bounds such an answer, in bytes: some thousand runners and routes.
 	maxState = 8 << 20
 	// maxStateAge is how old a state may be: about the longest outage after which a
@@ -235,6 +237,9 @@
 	if assured := p.feed.history.Assured(); !assured.IsZero() {
 		s.AssuredUs = boottime.Since(assured).Microseconds() + 1
 	}
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(stateWrite)); err != nil {
+		p.log.Write(decisionlog.KindProcess, "state_unbounded", decisionlog.F("error", err))
+	}
 	if err := writeState(w, r, s); err != nil {
 		p.log.Write(decisionlog.KindProcess, "state_not_sent", decisionlog.F("error", err))
 	}
--- a/pkg/process/state_test.go
+++ b/pkg/process/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -11,7 +12,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/store"
+	"github.com/hopwell/hopwell/platform"
 )
 
 // Pattern: a time-out that ends what goes well.
@@ -87,3 +90,22 @@
 	g.Expect(list).To(ContainElements(asked))
 	g.Expect(someOf(list[:3], 4)).To(Equal(list[:3]))
 }
+
+// Where many gateways start at once, the one that knows something would share its link among all of
+// them, and with its clients.
+func TestAStateIsHandedToAFewAtATime(t *testing.T) {
+	g := NewWithT(t)
+	p := &Ingress{feed: &feed{}, log: decisionlog.New("a", io.Discard)}
+	ask := func() int {
+		w := httptest.NewRecorder()
+		p.serveState(w, httptest.NewRequest(http.MethodGet, statePath, nil))
+		return w.Code
+	}
+	g.Expect(ask()).To(Equal(http.StatusServiceUnavailable), "nothing is known")
+	p.feed.copy.replace([]store.Item{{Key: platform.ConfigKey, Revision: 1}}, 1)
+	p.handing.Store(stateHanded - 1)
+	g.Expect(ask()).To(Equal(http.StatusOK))
+	p.handing.Store(stateHanded)
+	g.Expect(ask()).To(Equal(http.StatusServiceUnavailable), "others are being told")
+	g.Expect(p.handing.Load()).To(Equal(int32(stateHanded)))
+}
