routetable: a route with a negative time is refused, and the version in force stays

What callers could see: such a time-out, target or gap counted as none, so that requests were held for as long as clients wait. Cause: nobody looked.

--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -172,6 +172,9 @@
 	if r.Kind != Safe && r.Kind != Unsafe && r.Kind != Stream {
 		return &ErrRoute{r.Name, "kind", "safe, unsafe or stream"}
 	}
+	if r.Timeout < 0 || r.Latency < 0 || r.Gap < 0 {
+		return &ErrRoute{r.Name, "times", "times of 0 or more"}
+	}
 	if len(r.Targets) == 0 {
 		return &ErrRoute{r.Name, "service", "at least one service"}
 	}
