--- a/pkg/routetable/routetable_test.go
+++ b/pkg/routetable/routetable_test.go
@@ -36,6 +36,7 @@
 	for field, broken := range map[string]func(*Route){
 		"path prefix": func(r *Route) { r.PathPrefix = "x" },
 		"kind":        func(r *Route) { r.Kind = "odd" },
+		"times":       func(r *Route) { r.Gap = -1 },
 		"service":     func(r *Route) { r.Targets = []Target{{Service: "none", Weight: 1}} },
 		"weight":      func(r *Route) { r.Targets[0].Weight = -1 },
 	} {
