--- a/pkg/httpd/callers.go
+++ b/pkg/httpd/callers.go
@@ -33,7 +33,7 @@
 	answer := func(w http.ResponseWriter, r *http.Request) {
 		body := &trackedBody{ReadCloser: r.Body, ended: r.Body == http.NoBody}
 		r.Body = body
-		h.ServeHTTP(&boundedWriter{ResponseWriter: w, control: http.NewResponseController(w)}, r)
+		h.ServeHTTP(NewStallWriter(w, stallTime), r)
 		if !body.ended {
 			DiscardBody(w, body)
 		}
@@ -65,24 +65,3 @@
 	b.ended = b.ended || errors.Is(err, io.EOF)
 	return n, err
 }
-
-// boundedWriter ends the connection of a caller that stops reading its answer.
-type boundedWriter struct {
-	http.ResponseWriter
-	control *http.ResponseController
-}
-
-// Write implements http.ResponseWriter.
-func (b *boundedWriter) Write(p []byte) (int, error) {
-	_ = b.control.SetWriteDeadline(time.Now().Add(stallTime))
-	return b.ResponseWriter.Write(p)
-}
-
-// Flush implements http.Flusher.
-func (b *boundedWriter) Flush() {
-	_ = b.control.SetWriteDeadline(time.Now().Add(stallTime))
-	_ = b.control.Flush()
-}
-
-// Unwrap returns the writer below, for http.ResponseController.
-func (b *boundedWriter) Unwrap() http.ResponseWriter { return b.ResponseWriter }
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/httpd"
 	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/request"
 	"github.com/hopwell/hopwell/pkg/routetable"
@@ -19,7 +20,7 @@
 // exchange is one request while it is served.
 type exchange struct {
 	g       *Ingress
-	w       *clientWriter
+	w       *httpd.StallWriter
 	call    *Call
 	route   *routetable.Route
 	service string
@@ -97,7 +98,7 @@
 		allowed = x.route.Timeout
 	}
 	if allowed > 0 {
-		defer x.w.readWithin(allowed)()
+		defer x.readWithin(allowed)()
 	}
 	var err error
 	if r.ContentLength > 0 {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -286,7 +286,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{g: g, w: newClientWriter(w), arrived: time.Now()}
+	x := &exchange{g: g, w: httpd.NewStallWriter(w, clientStall), arrived: time.Now()}
 	g.lastArrival.Store(x.arrived.UnixNano())
 	if g.open.Add(1) > int64(g.options.MaxOpen) {
 		g.open.Add(-1)
--- /dev/null
+++ b/pkg/ingress/plain.go
@@ -0,0 +1,136 @@
+package ingress
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+// claim chooses a plain runner and keeps a place there. Where all name limits it waits for the next
+// place as long as a new request may wait for room, and fails with *ErrLimited if there is none by
+// then.
+func (x *exchange) claim(avoid map[string]bool) (*runners.State, error) {
+	latest := x.arrived.Add(time.Duration(freshPart * float64(x.route.Latency)))
+	w := plainWork{id: x.call.ID, service: x.service, domain: x.g.options.Domain, repeatable: x.route.Repeatable(), avoid: avoid, allows: x.allowing()}
+	for {
+		runner, err := x.g.choose(w)
+		var limited *ErrLimited
+		if err == nil || !errors.As(err, &limited) || time.Now().Add(limited.After).After(latest) {
+			return runner, err
+		}
+		select {
+		case <-time.After(limited.After):
+		case <-x.ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+// plainWork is a request that a plain runner is wanted for.
+type plainWork struct {
+	// id is the request's.
+	id      string
+	service string
+	// domain is the gateway's.
+	domain     string
+	repeatable bool
+	// avoid are runners that are not taken, by ID.
+	avoid map[string]bool
+	// allows reports whether it may be served in a failure domain; nil for all.
+	allows func(domain string) bool
+}
+
+// choose keeps a place at the plain runner with the least work, in the own domain first, of those
+// that this gateway uses and that may serve the request. Where no healthy one is left of all, one
+// that rests is chosen for a request that may be repeated. It fails with *ErrLimited if runners are
+// left that take no more now, and *enginepool.ErrNoRunner if none is.
+func (g *Ingress) choose(w plainWork) (*runners.State, error) {
+	now := time.Now()
+	usable := g.Directory.Usable(w.service, "", now)
+	if w.allows != nil {
+		usable = slices.DeleteFunc(usable, func(r *runners.State) bool { return !w.allows(r.Domain) })
+	}
+	healthy := runners.Healthy(usable, now)
+	cost := failureCost
+	if !w.repeatable {
+		cost = onceFailureCost
+	}
+	best := w.leastWork(g.share(w.service, healthy), cost, now)
+	if best == nil {
+		best = w.leastWork(healthy, cost, now)
+	}
+	if best == nil && w.repeatable {
+		best = w.leastWork(usable, cost, now)
+	}
+	if best == nil {
+		return nil, w.noRoom(usable, now)
+	}
+	return best, nil
+}
+
+// noRoom returns why no runner of a list was chosen.
+func (w plainWork) noRoom(list []*runners.State, now time.Time) error {
+	var limited *ErrLimited
+	for _, s := range list {
+		if w.avoid[s.ID] {
+			continue
+		}
+		if after := s.RoomAfter(now); after > 0 && (limited == nil || after < limited.After) {
+			limited = &ErrLimited{Service: w.service, Runner: s.ID, After: after}
+			limited.Limit, _ = s.Limit(now)
+		}
+	}
+	if limited == nil {
+		return &enginepool.ErrNoRunner{Service: w.service}
+	}
+	return limited
+}
+
+// leastWork keeps a place at the plain runner of a list that is expected to answer first, and
+// returns it; nil if all are to be avoided or take no more now.
+func (w plainWork) leastWork(list []*runners.State, failureCost float64, now time.Time) *runners.State {
+	for {
+		best := w.expectedFirst(list, failureCost, now)
+		if best == nil || best.Claim(w.id, now) {
+			return best
+		}
+		// Another request had the last place meanwhile.
+		list = slices.DeleteFunc(slices.Clone(list), func(s *runners.State) bool { return s == best })
+	}
+}
+
+func (w plainWork) expectedFirst(list []*runners.State, failureCost float64, now time.Time) *runners.State {
+	var best *runners.State
+	var least float64
+	for _, s := range list {
+		if w.avoid[s.ID] || !s.Room(now) {
+			continue
+		}
+		cost := (float64(s.Outstanding()) + 1) * (s.Latency().Seconds() + plainGuess) * (1 + failureCost*s.Failures(now) + refusalCost*s.Refusals(now))
+		if s.Domain != w.domain {
+			cost *= otherDomainCost
+		}
+		if best == nil || cost < least {
+			best, least = s, cost
+		}
+	}
+	return best
+}
+
+const (
+	// plainGuess is added to the mean time of a runner's answers, in seconds.
+	plainGuess = 0.01
+	// otherDomainCost is how much dearer a runner in another domain is.
+	otherDomainCost = 1.3
+	// failureCost is how much dearer a runner is that fails all requests, for one that
+	// may be repeated; onceFailureCost for one that must not, and is lost then. The
+	// others take such requests as long as they answer in some five times the time.
+	failureCost     = 4.0
+	onceFailureCost = 10.0
+	// refusalCost is how much dearer a runner is that turns all requests away: it would
+	// else attract them, having the least work.
+	refusalCost = 10
+)
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -111,7 +111,7 @@
 	if _, err := r.s.w.Write(event); err != nil {
 		return err
 	}
-	if err := r.s.w.Flush(); err != nil {
+	if err := r.s.w.FlushError(); err != nil {
 		return err
 	}
 	now := time.Now()
--- a/pkg/ingress/slow_test.go
+++ b/pkg/ingress/slow_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/httpd"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runners"
@@ -131,7 +132,7 @@
 		defer c.Close()
 		go func() { _, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") }()
 		for range 12 {
-			_, err := io.CopyN(io.Discard, c, writeUnit)
+			_, err := io.CopyN(io.Discard, c, httpd.StallUnit)
 			g.Expect(err).NotTo(HaveOccurred())
 			time.Sleep(2 * time.Second)
 		}
--- a/pkg/runnerlimit/room.go
+++ b/pkg/runnerlimit/room.go
@@ -9,7 +9,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.room(runner, calls, now)
+	if t.room(runner, calls, now) {
+		return true
+	}
+	t.limits[runner].withheld++
+	return false
 }
 
 func (t *Table) room(runner string, calls int, now time.Time) bool {
@@ -18,11 +22,8 @@
 		return true
 	}
 	l.fill(now, t.share(runner, l, now))
-	if u := t.usersOf(runner, l); u.own && l.room(calls, len(u.names)) {
-		return true
-	}
-	l.withheld++
-	return false
+	u := t.usersOf(runner, l)
+	return u.own && l.room(calls, len(u.names))
 }
 
 // Claim keeps calls for a request until they are made, and reports whether there is room for them.
--- a/pkg/runnerlimit/runnerlimit.go
+++ b/pkg/runnerlimit/runnerlimit.go
@@ -9,6 +9,7 @@
 package runnerlimit
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,9 +34,14 @@
 	Kind Kind
 	// Asked is when the call was sent.
 	Asked time.Time
-	// Named says that the answer names a limit, PerSecond is that.
-	Named     bool
-	PerSecond float64
+	// Named says that the answer names a limit, PerSecond is that. Unreadable says that what it
+	// names is none.
+	Named      bool
+	PerSecond  float64
+	Unreadable bool
+	// Own says that the answer is surely the runner's: one that names no limit may have been made
+	// by another.
+	Own bool
 	// Calls is how many calls one request takes at the runner.
 	Calls int
 }
@@ -45,12 +51,14 @@
 	Begins  = "begins"
 	Changes = "changes"
 	Ends    = "ends"
+	// Unreadable is told once of a runner until it names one that can be read.
+	Unreadable = "unreadable"
 )
 
 // Change is what happened to a runner's limit.
 type Change struct {
 	Runner string
-	// What is Begins, Changes or Ends.
+	// What is Begins, Changes, Ends or Unreadable.
 	What      string
 	PerSecond float64
 	// From is the gateway that had the answer; empty for this one.
@@ -82,6 +90,8 @@
 
 	mu     sync.Mutex
 	limits map[string]*limit
+	// unreadable are the runners whose limits can't be read, by when one said so last.
+	unreadable map[string]time.Time
 	// revision counts what others should hear of.
 	revision uint64
 	members  members
@@ -89,12 +99,12 @@
 
 // New returns a gateway's table, without limits.
 func New(self string) *Table {
-	return &Table{self: self, limits: map[string]*limit{}, members: newMembers(self)}
+	return &Table{self: self, limits: map[string]*limit{}, unreadable: map[string]time.Time{}, members: newMembers(self)}
 }
 
 // Hear takes what an answer of a runner says, by the runner's ID.
 func (t *Table) Hear(runner string, s Statement, now time.Time) {
-	if !s.Named && !t.some.Load() {
+	if !s.Named && !s.Unreadable && !t.some.Load() {
 		return
 	}
 	t.mu.Lock()
@@ -106,14 +116,27 @@
 func (t *Table) hear(runner string, s Statement, now time.Time) *Change {
 	l := t.limits[runner]
 	switch {
+	case s.Unreadable:
+		return t.unread(runner, now)
 	case s.Named:
+		delete(t.unreadable, runner)
 		return t.name(runner, s, now, now, "")
-	case l == nil || l.over || s.Kind != l.kind || !s.Asked.After(l.namedAt):
+	case l == nil || l.over || !s.Own || s.Kind != l.kind || !s.Asked.After(l.namedAt):
 		return nil
 	}
 	return t.end(runner, s.Asked, now, "")
 }
 
+// unread records a limit that can't be read: what is known of the runner's stays.
+func (t *Table) unread(runner string, now time.Time) *Change {
+	_, known := t.unreadable[runner]
+	t.unreadable[runner] = now
+	if known {
+		return nil
+	}
+	return &Change{Runner: runner, What: Unreadable}
+}
+
 // name takes a limit that an answer named at a time, as a gateway heard it; an empty one is this.
 func (t *Table) name(runner string, s Statement, at, now time.Time, from string) *Change {
 	l := t.limits[runner]
@@ -155,11 +178,9 @@
 
 // Sweep forgets limits that nobody spoke of for long.
 func (t *Table) Sweep(now time.Time) {
-	if !t.some.Load() {
-		return
-	}
 	var ended []*Change
 	t.mu.Lock()
+	maps.DeleteFunc(t.unreadable, func(_ string, at time.Time) bool { return now.Sub(at) > remembered })
 	for runner, l := range t.limits {
 		if now.Sub(l.spokenOf()) <= remembered {
 			continue
--- a/pkg/runnerlimit/runnerlimit_test.go
+++ b/pkg/runnerlimit/runnerlimit_test.go
@@ -23,17 +23,19 @@
 	now := time.Now()
 	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
 	table, changes := told(New("a"))
-	table.Hear("r", Statement{Kind: Run, Asked: now}, at(1))
+	table.Hear("r", Statement{Kind: Run, Asked: now, Own: true}, at(1))
 	g.Expect(*changes).To(BeEmpty(), "no limit was named")
 	table.Hear("r", names(2, at(2)), at(10))
 	table.Hear("r", names(2.1, at(2)), at(11))
 	table.Hear("r", names(1, at(2)), at(12))
 	g.Expect(*changes).To(Equal([]string{"begins ", "changes "}))
-	table.Hear("r", Statement{Kind: Run, Asked: at(5)}, at(13))
+	table.Hear("r", Statement{Kind: Run, Asked: at(5), Own: true}, at(13))
 	g.Expect(*changes).To(HaveLen(2), "an answer to a call from before the limit was named last")
-	table.Hear("r", Statement{Kind: Own, Asked: at(14)}, at(15))
+	table.Hear("r", Statement{Kind: Own, Asked: at(14), Own: true}, at(15))
 	g.Expect(*changes).To(HaveLen(2), "an answer of a kind that never named it")
 	table.Hear("r", Statement{Kind: Run, Asked: at(16)}, at(17))
+	g.Expect(*changes).To(HaveLen(2), "an answer that another may have made")
+	table.Hear("r", Statement{Kind: Run, Asked: at(16), Own: true}, at(17))
 	g.Expect(*changes).To(Equal([]string{"begins ", "changes ", "ends "}))
 	g.Expect(table.Room("r", 100, at(17))).To(BeTrue())
 	table.Hear("r", names(2, at(18)), at(19))
@@ -99,7 +101,7 @@
 	tell()
 	g.Expect(b.Room("r", 1, now)).To(BeFalse(), "the other gateway used what there was")
 	now = now.Add(time.Second)
-	a.Hear("r", Statement{Kind: Run, Asked: now}, now.Add(time.Millisecond))
+	a.Hear("r", Statement{Kind: Run, Asked: now, Own: true}, now.Add(time.Millisecond))
 	tell()
 	g.Expect(*changes).To(Equal([]string{"begins a", "ends a"}))
 	// What is older than the end does not bring the limit back.
@@ -152,3 +154,35 @@
 	g.Expect(table.Room("r", 2, now)).To(BeTrue(), "a quarter of four a second, for two seconds")
 	g.Expect(table.limits["r"].level).To(BeNumerically("~", 2, 0.01))
 }
+
+func TestALimitThatIsNoNumberChangesNothingAndIsToldOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	table, changes := told(New("a"))
+	unreadable := Statement{Kind: Run, Asked: now, Unreadable: true, Own: true}
+	table.Hear("r", names(2, now), now)
+	for range 3 {
+		table.Hear("r", unreadable, now.Add(time.Second))
+	}
+	g.Expect(*changes).To(Equal([]string{"begins ", "unreadable "}))
+	g.Expect(table.Room("r", 100, now.Add(time.Second))).To(BeFalse(), "the limit that it named before")
+	table.Hear("r", names(2, now), now.Add(2*time.Second))
+	table.Hear("r", unreadable, now.Add(3*time.Second))
+	g.Expect(*changes).To(HaveLen(3))
+	table.Sweep(now.Add(5 * time.Minute))
+	table.Hear("r", unreadable, now.Add(5*time.Minute))
+	g.Expect((*changes)[len(*changes)-1]).To(Equal("unreadable "))
+}
+
+// What asks when there will be room is no choice that passed the runner over.
+func TestChoicesThatPassTheRunnerOverAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	table := New("a")
+	table.Hear("r", names(1, now), now)
+	g.Expect(table.Room("r", 1, now)).To(BeFalse())
+	g.Expect(table.After("r", 1, now)).To(Equal(time.Second))
+	status, ok := table.Of("r", now)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(status.Withheld).To(Equal(uint64(1)))
+}
--- a/pkg/runnerlimit/users.go
+++ b/pkg/runnerlimit/users.go
@@ -2,10 +2,9 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/hopwell/hopwell/pkg/subset"
 )
 
 const (
@@ -24,10 +23,7 @@
 
 // members are the gateways that are known.
 type members struct {
-	self string
-	// names are all, the silent ones too, and hashes those of the names.
-	names  []string
-	hashes []uint64
+	*subset.Subset
 	// heard is when each was heard of last.
 	heard map[string]time.Time
 	// version counts the changes of the names.
@@ -35,25 +31,15 @@
 }
 
 func newMembers(self string) members {
-	m := members{self: self, heard: map[string]time.Time{}}
-	m.set(nil)
-	return m
-}
-
-func (m *members) set(others []string) {
-	m.names = append([]string{m.self}, others...)
-	m.hashes = make([]uint64, len(m.names))
-	for i, name := range m.names {
-		m.hashes[i] = xxhash.Sum64String(name)
-	}
-	m.version++
+	return members{Subset: subset.New(self, nil), heard: map[string]time.Time{}, version: 1}
 }
 
 // Members says which other gateways there are, the silent ones too.
 func (t *Table) Members(others []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.members.set(others)
+	t.members.Subset = subset.New(t.self, others)
+	t.members.version++
 }
 
 // HeardOf records that something came from another gateway.
@@ -87,52 +73,12 @@
 func (t *Table) usersOf(runner string, l *limit) *users {
 	most := l.mostUsers()
 	if l.users.version != t.members.version || l.users.most != most {
-		names := t.members.first(runner, most)
+		names := t.members.First(runner, most)
 		l.users = users{names: names, own: slices.Contains(names, t.self), most: most, version: t.members.version}
 	}
 	return &l.users
 }
 
-// first returns the gateways that come first for a runner by rendezvous hashing: one that comes or
-// goes changes the users of the runners that it uses alone.
-func (m *members) first(runner string, most int) []string {
-	if len(m.names) <= most {
-		return m.names
-	}
-	hash := xxhash.Sum64String(runner)
-	type ranked struct {
-		name   string
-		weight uint64
-	}
-	all := make([]ranked, len(m.names))
-	for i, name := range m.names {
-		all[i] = ranked{name, mix(hash ^ m.hashes[i])}
-	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		if a.weight != b.weight {
-			if a.weight > b.weight {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a.name, b.name)
-	})
-	out := make([]string, most)
-	for i := range out {
-		out[i] = all[i].name
-	}
-	return out
-}
-
-// mix spreads the bits of two hashes that were joined: the finalizer of MurmurHash3.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
-
 // share returns the part of a limit that this gateway may count as its bucket's: that of the users
 // that it hears. Gateways that are cut off from each other never use the same part twice.
 func (t *Table) share(runner string, l *limit, now time.Time) float64 {
--- a/pkg/subset/subset.go
+++ b/pkg/subset/subset.go
@@ -67,7 +67,7 @@
 	if list := s.users[engine]; list != nil {
 		return list
 	}
-	list := s.rank(engine)
+	list := s.First(engine, Users)
 	s.users[engine] = list
 	return list
 }
@@ -78,7 +78,7 @@
 	if len(s.gateways) <= Users {
 		return s.gateways
 	}
-	return s.rank(key)
+	return s.First(key, Users)
 }
 
 // ranked is a gateway's place in the order of an engine's users.
@@ -100,16 +100,19 @@
 	return h ^ h>>33
 }
 
-// rank picks an engine's users by rendezvous hashing: when a gateway comes or goes,
-// only the engines that it uses change their users, by one each.
-func (s *Subset) rank(engine string) []string {
-	hash := xxhash.Sum64String(engine)
+// First returns the n gateways that a key falls to first, all if they are fewer, by rendezvous hashing:
+// when a gateway comes or goes, only the keys that it had change, by one gateway each.
+func (s *Subset) First(key string, n int) []string {
+	if len(s.gateways) <= n {
+		return s.gateways
+	}
+	hash := xxhash.Sum64String(key)
 	all := make([]ranked, len(s.gateways))
 	for i, name := range s.gateways {
 		all[i] = ranked{name, mix(hash ^ s.hashes[i])}
 	}
 	slices.SortFunc(all, compare)
-	out := make([]string, Users)
+	out := make([]string, n)
 	for i := range out {
 		out[i] = all[i].name
 	}
--- a/pkg/subset/subset_test.go
+++ b/pkg/subset/subset_test.go
@@ -96,3 +96,12 @@
 		s.Uses("e")
 	}
 }
+
+// Fewer gateways share a key the fewer are asked for, and the first stay the first.
+func TestTheFirstOfMoreAreTheFirstOfFewer(t *testing.T) {
+	g := NewWithT(t)
+	s := view(names(40), 0)
+	g.Expect(s.First("e", 40)).To(ConsistOf(names(40)))
+	g.Expect(s.First("e", 5)).To(Equal(s.First("e", 12)[:5]))
+	g.Expect(s.First("e", Users)).To(Equal(s.Of("e")))
+}
