notice, platform: read and log in one place what runners say of themselves in their answers

Every call to a runner is made by one function now, which decodes its answer into one value (limit, leaving, pause, unknown Server-… headers; state and leaves_ms of reports). The value is recorded and logged: runner_leaving_told, runner_pause_begins, runner_pause_ends, runner_notice_unknown; hopwell why names the first two.

No choice asks yet: this only shows.

--- a/pkg/decisionlog/story.go
+++ b/pkg/decisionlog/story.go
@@ -81,6 +81,9 @@
 	}
 }
 
+// noteworthy are the events that a request's end is explained with.
+var noteworthy = []string{"store_lost", "runner_leaving", "runner_gone", "runner_leaving_told", "runner_pause_begins"}
+
 // conclude puts the end and its cause into words.
 func (s *Explanation) conclude() {
 	last := &s.Lines[len(s.Lines)-1]
@@ -100,7 +103,7 @@
 		}
 	}
 	for i := range s.Context {
-		if l := &s.Context[i]; l.Event == "store_lost" || l.Event == "runner_leaving" || l.Event == "runner_gone" {
+		if l := &s.Context[i]; slices.Contains(noteworthy, l.Event) {
 			s.Cause += "\n  meanwhile: " + l.String()
 		}
 	}
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -95,6 +95,27 @@
 	}
 }
 
+// shownNotices bounds the runners whose notices the metrics name.
+const shownNotices = 20
+
+// writeNotices writes which runners said that they leave, and which want a pause.
+func (g *Ingress) writeNotices(w io.Writer) {
+	all := g.Directory.Notices.All(time.Now())
+	leaving := 0
+	for _, n := range all {
+		if n.Leaving {
+			leaving++
+		}
+	}
+	fmt.Fprintf(w, "hopwell_runners_leaving %d\n", leaving)
+	fmt.Fprintf(w, "hopwell_runners_paused %d\n", len(all)-leaving)
+	for _, n := range all[:min(len(all), shownNotices)] {
+		if !n.Leaving {
+			fmt.Fprintf(w, "hopwell_runner_pause_left_seconds{runner=%q} %.3f\n", n.Runner, n.Left.Seconds())
+		}
+	}
+}
+
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (g *Ingress) WriteMetrics(w io.Writer) {
 	fmt.Fprintf(w, "hopwell_ingress_open_requests %d\n", g.open.Load())
@@ -114,5 +135,6 @@
 	}
 	g.writeQuota(w)
 	g.writeLimits(w)
+	g.writeNotices(w)
 	g.metrics.set.WritePrometheus(w)
 }
--- /dev/null
+++ b/pkg/notice/notice_test.go
@@ -0,0 +1,150 @@
+package notice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hopwell/hopwell/pkg/spectest"
+)
+
+func at(s float64) time.Time {
+	return time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(s * float64(time.Second)))
+}
+
+func asksFor(length time.Duration) Notice { return Notice{Pause: length} }
+
+// Guards against a notice that a later answer or reading takes back, or that outlives its start.
+func TestLeavingIsKeptByStartAndNeverTakenBack(t *testing.T) {
+	g := NewWithT(t)
+	table := New()
+	table.Observe("a@1", Notice{Leaving: true}, at(0))
+	table.Observe("a@1", Notice{Accepted: true, Sent: at(1)}, at(1))
+	table.Forget("a@1")
+	table.Sweep(at(100))
+	var leaving *ErrLeaving
+	g.Expect(table.Admits("a@1", Work, at(100))).To(BeAssignableToTypeOf(leaving))
+	g.Expect(table.Admits("a@1", Upkeep, at(100))).To(Succeed(), "what was reserved there can be given back")
+	g.Expect(table.Admits("a@2", Work, at(100))).To(Succeed())
+	table.Sweep(at(0).Add(2 * rememberLeaving))
+	g.Expect(table.Leaves("a@1")).To(BeFalse())
+}
+
+// Guards against a pause that ends early because a later answer named a shorter one.
+func TestTheLatestEndOfSeveralPausesHolds(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		table := New()
+		until, now := time.Time{}, at(0)
+		for range rapid.IntRange(1, 20).Draw(t, "answers") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			length := time.Duration(rapid.IntRange(1, 5000).Draw(t, "pause")) * time.Millisecond
+			table.Observe("a", asksFor(length), now)
+			if now.Add(length).After(until) {
+				until = now.Add(length)
+			}
+			if left := table.PausedFor("a", now); left != until.Sub(now) {
+				t.Fatalf("left=%s want=%s", left, until.Sub(now))
+			}
+			for _, purpose := range []Purpose{Work, Upkeep} {
+				if table.Admits("a", purpose, until.Add(-1)) == nil {
+					t.Fatal("a call is admitted in the pause")
+				}
+				if err := table.Admits("a", purpose, until); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	})
+}
+
+// Guards against the whole load coming back to a runner at the end of its pause.
+func TestAfterAPauseRequestsComeBackByDoubling(t *testing.T) {
+	g := NewWithT(t)
+	table := New()
+	table.Observe("a", asksFor(2*time.Second), at(0))
+	g.Expect(table.Claim("a", "in the pause", at(1.9))).To(BeFalse())
+	taken := 0
+	for round, want := range []int{1, 2, 4, 8, 16} {
+		now := at(2 + float64(round)*0.1)
+		first := taken
+		for table.Claim("a", fmt.Sprint(taken), now) {
+			taken++
+		}
+		g.Expect(taken-first).To(Equal(want), "round %d", round)
+		for i := first; i < taken; i++ {
+			table.Release("a", fmt.Sprint(i))
+		}
+		table.Observe("a", Notice{Accepted: true, Sent: now}, now)
+	}
+	for i := range 100 {
+		g.Expect(table.Claim("a", fmt.Sprint("open", i), at(3))).To(BeTrue(), "no bound is left")
+	}
+}
+
+// Guards against a runner that stays out after its pause because a request there ended without a trace.
+func TestTheSlowStartForgetsRequestsThatNeverEnd(t *testing.T) {
+	g := NewWithT(t)
+	table := New()
+	table.Observe("a", asksFor(time.Second), at(0))
+	g.Expect(table.Claim("a", "lost", at(1))).To(BeTrue())
+	g.Expect(table.Room("a", at(1.1))).To(BeFalse())
+	table.Observe("a", Notice{Accepted: true, Sent: at(0.9)}, at(1.3))
+	g.Expect(table.Room("a", at(1.3))).To(BeFalse(), "it was sent before the pause was over")
+	g.Expect(table.Room("a", at(1).Add(unsentFor))).To(BeTrue())
+}
+
+// Guards against a slow start that goes on although the runner asked again.
+func TestARefusalInTheSlowStartBeginsAnotherPause(t *testing.T) {
+	g := NewWithT(t)
+	table := New()
+	var told []string
+	table.Changed = func(c Change) { told = append(told, fmt.Sprintf("%s %s %d", c.What, c.For, c.Asked)) }
+	table.Observe("a", asksFor(time.Second), at(0))
+	table.Observe("a", asksFor(2*time.Second), at(0.5))
+	table.Observe("a", asksFor(time.Second), at(3))
+	g.Expect(table.PausedFor("a", at(3.5))).To(Equal(500 * time.Millisecond))
+	table.Sweep(at(4))
+	table.Sweep(at(5))
+	g.Expect(told).To(Equal([]string{"pause_begins 1s 1", "pause_ends 2.5s 2", "pause_begins 1s 1", "pause_ends 1s 1"}))
+	table.Sweep(at(4).Add(2 * startFor))
+	g.Expect(table.Room("a", at(4).Add(2*startFor))).To(BeTrue())
+	g.Expect(table.some.Load()).To(BeFalse())
+}
+
+// Guards against a gateway that never hears of a notice because it does not know the runner yet.
+func TestReportsOfOtherGatewaysHoldForStartsThatAreNotKnownYet(t *testing.T) {
+	g := NewWithT(t)
+	table := New()
+	table.Receive("front-2", []string{"b", "a"}, at(0))
+	table.Receive("front-3", []string{"a"}, at(1))
+	g.Expect(table.Leaves("a")).To(BeTrue())
+	g.Expect(table.Admits("a", Work, at(2))).To(MatchError(&ErrLeaving{Runner: "a", From: "front-2", Known: 2 * time.Second}))
+	table.Observe("c", Notice{Leaving: true}, at(3))
+	g.Expect(table.Leaving(time.Minute, at(3))).To(Equal([]string{"c", "a", "b"}))
+	g.Expect(table.Leaving(time.Second, at(3))).To(Equal([]string{"c"}))
+	g.Expect(table.All(at(3))).To(HaveLen(3))
+}
+
+// Guards against memory that grows with what runners, or somebody in their place, say.
+func TestWhatIsRememberedIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	table := New()
+	headers := 0
+	table.Changed = func(c Change) {
+		if c.What == Unknown {
+			headers++
+		}
+	}
+	for i := range 2 * maxLeaving {
+		table.Receive("front-2", []string{fmt.Sprint(i)}, at(float64(i)))
+	}
+	g.Expect(table.leaving).To(HaveLen(maxLeaving))
+	g.Expect(table.Leaves(fmt.Sprint(2*maxLeaving - 1))).To(BeTrue())
+	for i := range 100 {
+		table.Observe("a", Notice{Unknown: []string{fmt.Sprintf("Server-%d", i%50)}}, at(0))
+	}
+	g.Expect(headers).To(Equal(maxUnknown))
+}
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -10,6 +10,7 @@
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/ingress"
+	"github.com/hopwell/hopwell/pkg/notice"
 	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runnerlimit"
@@ -73,6 +74,7 @@
 			decisionlog.F("address", c.Runner.Address), decisionlog.F("domain", c.Runner.Domain), decisionlog.F("stage", string(c.Runner.Stage)))
 	}
 	g.Directory.Limits.Changed = func(c runnerlimit.Change) { logLimit(l, c) }
+	g.Directory.Notices.Changed = func(c notice.Change) { logNotice(l, c) }
 	return f
 }
 
@@ -85,6 +87,19 @@
 	l.Write(decisionlog.KindState, "limit_"+c.What, fields...)
 }
 
+// logNotice writes what a runner said of itself.
+func logNotice(l *decisionlog.Log, c notice.Change) {
+	runner := decisionlog.F("runner", c.Runner)
+	switch c.What {
+	case notice.Leaving:
+		l.Write(decisionlog.KindState, "runner_leaving_told", runner, decisionlog.F("told_by", c.From))
+	case notice.PauseBegins, notice.PauseEnds:
+		l.Write(decisionlog.KindState, "runner_"+c.What, runner, decisionlog.F("for", c.For), decisionlog.F("answers", c.Asked))
+	default:
+		l.Write(decisionlog.KindState, "runner_notice_unknown", runner, decisionlog.F("header", c.Header))
+	}
+}
+
 // use follows another store from now on.
 func (f *feed) use(s store.Store, address string) {
 	f.mu.Lock()
--- a/pkg/runners/directory.go
+++ b/pkg/runners/directory.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/notice"
 	"github.com/hopwell/hopwell/pkg/runnerlimit"
 )
 
@@ -35,8 +36,9 @@
 	// ColdShare returns how many requests in any coldstart.Window a cold runner may get from this
 	// gateway, false for any number. It is set before the first entry is put; nil for no limit.
 	ColdShare func(Runner) (share int, bounded bool)
-	// Limits are those that runners name.
-	Limits *runnerlimit.Table
+	// Limits are those that runners name, Notices what else they say in their answers.
+	Limits  *runnerlimit.Table
+	Notices *notice.Table
 }
 
 // Change says what was learned about a runner.
@@ -56,7 +58,8 @@
 func NewDirectory(gateway string) *Directory {
 	return &Directory{
 		all: map[string]*State{}, current: map[string]*State{}, services: map[string][]*State{},
-		evacuated: &evacuations{domains: map[string]bool{}, restored: map[string]time.Time{}}, Limits: runnerlimit.New(gateway),
+		evacuated: &evacuations{domains: map[string]bool{}, restored: map[string]time.Time{}},
+		Limits:    runnerlimit.New(gateway), Notices: notice.New(),
 	}
 }
 
@@ -87,7 +90,7 @@
 	}
 	d.mu.Lock()
 	old := d.all[r.ID]
-	s := &State{Runner: r, knowledge: &knowledge{leaving: r.Leaving, evacuated: d.evacuated, coldShare: d.ColdShare, limits: d.Limits}}
+	s := &State{Runner: r, knowledge: &knowledge{leaving: r.Leaving, evacuated: d.evacuated, coldShare: d.ColdShare, limits: d.Limits, notices: d.Notices}}
 	what := "new"
 	if old != nil {
 		r.Leaving = r.Leaving || old.Leaving
@@ -122,6 +125,7 @@
 	before.mu.Lock()
 	defer before.mu.Unlock()
 	before.replaced, before.goneAt = true, now
+	d.Notices.Forget(before.ID)
 	return before
 }
 
@@ -183,6 +187,7 @@
 // of the rest and is no longer used.
 func (d *Directory) Sweep(now time.Time) {
 	d.Limits.Sweep(now)
+	d.Notices.Sweep(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := false
--- a/pkg/runners/room.go
+++ b/pkg/runners/room.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/notice"
 	"github.com/hopwell/hopwell/pkg/runnerlimit"
 )
 
@@ -19,10 +20,11 @@
 	return 1
 }
 
-// HearLimit takes what an answer of the runner says of the requests that it bears.
-func (s *State) HearLimit(said runnerlimit.Statement, now time.Time) {
-	said.Calls = s.calls()
-	s.limits.Hear(s.ID, said, now)
+// Observe takes what an answer of the runner says of it.
+func (s *State) Observe(n notice.Notice, now time.Time) {
+	n.Limit.Calls = s.calls()
+	s.limits.Hear(s.ID, n.Limit, now)
+	s.notices.Observe(s.ID, n, now)
 }
 
 // Room reports whether the runner may get one more request from this gateway now: one that is cold,
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/notice"
 	"github.com/hopwell/hopwell/pkg/runnerlimit"
 )
 
@@ -77,9 +78,10 @@
 	// evacuated are the domains whose runners get no more work.
 	evacuated *evacuations
 	cold      coldness
-	// coldShare is Directory.ColdShare, limits Directory.Limits.
+	// coldShare is Directory.ColdShare, limits Directory.Limits, notices Directory.Notices.
 	coldShare func(Runner) (share int, bounded bool)
 	limits    *runnerlimit.Table
+	notices   *notice.Table
 }
 
 // unusableFor is how long a runner gets no work that answered that it is another one, or
