runners, peers, platform: a runner that says in an answer that it leaves gets no more work

What callers saw: none of it; operators saw requests at a runner more than two seconds after an answer had said that it leaves (2,053 to 2,403 ms, 2,000 allowed), for as long as the store was away and its entry could not say so. Cause: that a runner leaves was read from its entry alone; Server-Leaving stood nowhere. Change: a start that said so is kept as leaving, whatever its entry or later answers say, for an hour, so that an outage in which its entry goes and returns changes nothing. Usable asks it at each choice, Admits right before each call (requests, prompts, reservations, orders; what gives back goes on), so that a runner that was chosen before gets nothing either. Gateways tell each other by datagram, pass on what they were told, and hand it to a gateway that starts while the store is away. A later start under the name is another runner. Admits heeds pauses too; the choices do not yet.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -81,8 +81,8 @@
 	Tokens int
 }
 
-// Engines is how runners are called. Calls fail with *upstream.ErrDial when
-// nothing was sent, *upstream.ErrExchange when the call may have run, and
+// Engines is how runners are called. Calls fail with *upstream.ErrDial, *notice.ErrLeaving or
+// *notice.ErrPaused when nothing was sent, *upstream.ErrExchange when the call may have run, and
 // *ErrDeclined when the runner refused.
 type Engines interface {
 	// Send sends a call to be run.
--- a/pkg/ingress/errors.go
+++ b/pkg/ingress/errors.go
@@ -1,9 +1,11 @@
 package ingress
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/notice"
 	"github.com/hopwell/hopwell/pkg/request"
 	"github.com/hopwell/hopwell/pkg/runnerlimit"
 )
@@ -171,6 +173,13 @@
 // Error implements error.
 func (e *ErrLeft) Error() string { return "runner takes no more work: runner=" + e.Runner }
 
+// notAdmitted reports whether a call was not made because its runner leaves, or wants a pause.
+func notAdmitted(err error) bool {
+	var leaving *notice.ErrLeaving
+	var paused *notice.ErrPaused
+	return errors.As(err, &leaving) || errors.As(err, &paused)
+}
+
 // errGone reports that the client left.
 type errGone struct{}
 
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -170,6 +170,12 @@
 	if gone := x.over(); gone != nil {
 		return mayHaveRun, gone
 	}
+	if notAdmitted(err) {
+		life.Withdraw(n)
+		x.sends--
+		x.step("not_sent", decisionlog.F("runner", runner.ID), decisionlog.F("error", err))
+		return notRun, err
+	}
 	x.trouble("send_failed", runner.ID, err, decisionlog.F("address", runner.Address), decisionlog.F("asked", x.digest()))
 	var dial *upstream.ErrDial
 	if errors.As(err, &dial) {
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -88,6 +88,7 @@
 	var dial *upstream.ErrDial
 	var declined *ErrDeclined
 	switch {
+	case notAdmitted(err):
 	case errors.As(err, &dial):
 		runner.Unreachable(time.Now())
 	case errors.As(err, &declined):
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/notice"
 	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/relay"
@@ -95,6 +96,8 @@
 	Quota *quota.Ledger
 	// Limits are those that runners name for all gateways; nil for nobody.
 	Limits *runnerlimit.Table
+	// Notices are what runners said of themselves; nil for nothing.
+	Notices *notice.Table
 	// Version returns the version of the configuration in force.
 	Version func() uint64
 	// Changed is called when a gateway becomes Alive or Silent.
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/notice"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/spectest"
 	"github.com/hopwell/hopwell/pkg/subset"
@@ -66,7 +67,7 @@
 			defer w.mu.Unlock()
 			w.received[from] = snapshot
 		},
-		Store:   w.known,
+		Store: w.known, Notices: notice.New(),
 		Changed: func(string, string, int) {}, Failed: func(err error) { t.Log(err) },
 	})
 	return w
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -56,6 +56,7 @@
 	if len(s.Outcomes) > 0 {
 		x.options.ReceiveOutcomes(s.Name, sameDomain, decodeOutcomes(s.Outcomes))
 	}
+	x.receiveLeaving(s, now)
 	if len(s.StageChanges) > 0 {
 		x.options.ReceiveStageChanges(decodeStageChanges(s.StageChanges))
 	}
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -63,12 +63,12 @@
 // long, and heartbeats to those that had nothing for a while. Outcomes go to some at a
 // time.
 func (x *Exchange) sendDue(now time.Time) {
-	outcomes := x.outcomes()
+	outcomes, leaving := x.reports(now)
 	var all map[string]enginepool.Snapshot
 	x.mu.Lock()
 	heartbeat := x.heartbeat()
 	fullPause := max(fullEvery, time.Duration(len(x.members))*heartbeatShare)
-	informed := x.outcomeReceivers(len(outcomes) > 0)
+	informed := x.outcomeReceivers(len(outcomes)+len(leaving) > 0)
 	var out []datagram
 	for _, m := range x.members {
 		full := m.wantFull && now.Sub(m.lastFull) >= period || now.Sub(m.lastFull) >= fullPause
@@ -84,7 +84,7 @@
 		}
 		state.WantFull = m.missing
 		if informed[m.name] {
-			state.Outcomes = outcomes
+			state.Outcomes, state.LeavingRunners = outcomes, leaving
 		}
 		out = append(out, x.datagram(m, state, now))
 	}
@@ -92,13 +92,13 @@
 	x.write(out)
 }
 
-// outcomes returns the outcomes at runners in every outcomesEvery-th period.
-func (x *Exchange) outcomes() []*wirepb.RunnerOutcome {
+// reports returns the outcomes at runners, and the runners that leave, in every outcomesEvery-th period.
+func (x *Exchange) reports(now time.Time) (outcomes []*wirepb.RunnerOutcome, leaving []string) {
 	x.periods++
 	if x.periods%outcomesEvery != 0 {
-		return nil
+		return nil, nil
 	}
-	return encodeOutcomes(worst(x.options.Outcomes()))
+	return encodeOutcomes(worst(x.options.Outcomes())), x.leaving(now)
 }
 
 // worst returns the outcomes that say most: of runners that refused, and of those that
--- a/pkg/peers/traffic.go
+++ b/pkg/peers/traffic.go
@@ -19,7 +19,7 @@
 	{"stage_changes", func(s *wirepb.GatewayState) bool { return len(s.StageChanges) > 0 }},
 	{"suspicions", func(s *wirepb.GatewayState) bool { return len(s.Suspicions) > 0 }},
 	{"reservations", func(s *wirepb.GatewayState) bool { return len(s.Pools) > 0 }},
-	{"outcomes", func(s *wirepb.GatewayState) bool { return len(s.Outcomes) > 0 }},
+	{"outcomes", func(s *wirepb.GatewayState) bool { return len(s.Outcomes)+len(s.LeavingRunners) > 0 }},
 	{"spending", func(s *wirepb.GatewayState) bool { return len(s.Spent) > 0 }},
 	{"limits", func(s *wirepb.GatewayState) bool { return len(s.Limits) > 0 }},
 	{"heartbeat", func(*wirepb.GatewayState) bool { return true }},
--- a/pkg/process/ports.go
+++ b/pkg/process/ports.go
@@ -67,6 +67,7 @@
 		ReceiveSuspicion:    p.Ingress.ReceiveSuspicion,
 		Quota:               p.quota,
 		Limits:              p.Ingress.Directory.Limits,
+		Notices:             p.Ingress.Directory.Notices,
 		ReceiveStageChanges: p.Ingress.ReceiveStageChanges,
 		Snapshots:           p.Ingress.Snapshots, ReceiveSnapshot: p.Ingress.ReceiveSnapshot, Version: p.Ingress.Version,
 		Failed: func(err error) { p.log.Write(decisionlog.KindProcess, "datagram_failed", decisionlog.F("error", err)) },
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -49,6 +49,8 @@
 	At    uint64       `json:"at"`
 	AgeMs int64        `json:"age_ms"`
 	Items []store.Item `json:"items"`
+	// Leaving are the starts of runners that said in their answers that they leave.
+	Leaving []string `json:"leaving,omitempty"`
 	// AssuredUs is how long before this was sent the store surely held nothing else, in
 	// microseconds; 0 if that is not known.
 	AssuredUs int64 `json:"assured_us,omitempty"`
@@ -79,6 +81,7 @@
 		return
 	}
 	s, _ := p.feed.copy.state(time.Now())
+	s.Leaving = p.Ingress.Directory.Notices.Leaving(maxStateAge, time.Now())
 	if assured := p.feed.history.Assured(); !assured.IsZero() {
 		s.AssuredUs = boottime.Since(assured).Microseconds() + 1
 	}
@@ -138,6 +141,7 @@
 		p.log.Write(decisionlog.KindState, "state_learned", decisionlog.F("gateway", address), decisionlog.F("at", s.At),
 			decisionlog.F("age", time.Duration(s.AgeMs)*time.Millisecond), decisionlog.F("items", len(s.Items)))
 		p.feed.learn(s)
+		p.Ingress.Directory.Notices.Receive(address, s.Leaving, time.Now())
 		return
 	}
 }
--- a/pkg/process/state_test.go
+++ b/pkg/process/state_test.go
@@ -13,6 +13,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/ingress"
+	"github.com/hopwell/hopwell/pkg/notice"
 	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/platform"
 )
@@ -95,7 +97,7 @@
 // them, and with its clients.
 func TestAStateIsHandedToAFewAtATime(t *testing.T) {
 	g := NewWithT(t)
-	p := &Ingress{feed: &feed{}, log: decisionlog.New("a", io.Discard)}
+	p := &Ingress{feed: &feed{}, log: decisionlog.New("a", io.Discard), Ingress: ingress.New(ingress.Options{Name: "a"})}
 	ask := func() int {
 		w := httptest.NewRecorder()
 		p.serveState(w, httptest.NewRequest(http.MethodGet, statePath, nil))
@@ -109,3 +111,17 @@
 	g.Expect(ask()).To(Equal(http.StatusServiceUnavailable), "others are being told")
 	g.Expect(p.handing.Load()).To(Equal(int32(stateHanded)))
 }
+
+// Guards against a gateway that starts while the store is away and sends work to runners of which the
+// others know that they leave.
+func TestAStartingGatewayIsToldWhichRunnersLeave(t *testing.T) {
+	g := NewWithT(t)
+	p := &Ingress{feed: &feed{}, log: decisionlog.New("a", io.Discard), Ingress: ingress.New(ingress.Options{Name: "a"})}
+	p.feed.copy.replace([]store.Item{{Key: platform.ConfigKey, Revision: 1}}, 1)
+	p.Ingress.Directory.Notices.Observe("r@1", notice.Notice{Leaving: true}, time.Now())
+	server := httptest.NewServer(http.HandlerFunc(p.serveState))
+	defer server.Close()
+	s, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Leaving).To(ConsistOf("r@1"))
+}
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -63,7 +63,7 @@
 	// refusal is the runner's answer that it is another one, or has another stage.
 	refusal refusal
 	// leaving is set when its entry says that it takes no more work, also in
-	// states that were handed out before. replaced is set when its entry is that of a
+	// states that were handed out before. Its answers may say so earlier, see notices. replaced is set when its entry is that of a
 	// later start: it is no more.
 	leaving, replaced bool
 	// change is the stage change that the engine was ordered to make.
@@ -115,12 +115,24 @@
 
 // present reports whether the runner is there and stays. The caller holds the lock.
 func (s *State) present(now time.Time) bool {
-	if s.leaving || s.replaced || s.evacuated.covers(s.Domain) || s.refusal.active(s.Stage, now) {
+	if s.leaving || s.replaced || s.notices.Leaves(s.ID) || s.evacuated.covers(s.Domain) || s.refusal.active(s.Stage, now) {
 		return false
 	}
 	return s.goneAt.IsZero() || now.Sub(s.goneAt) < goneGrace
 }
 
+// Admits returns why the runner gets no call for a purpose now, nil if it may get one. It is asked right
+// before each call, whatever was known when the runner was chosen.
+func (s *State) Admits(purpose notice.Purpose, now time.Time) error {
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	if leaving && purpose == notice.Work {
+		return &notice.ErrLeaving{Runner: s.ID}
+	}
+	return s.notices.Admits(s.ID, purpose, now)
+}
+
 // MarkUnusable records that the runner itself refused, as the one or in the stage that
 // this state says. A later state of it may have another stage.
 func (s *State) MarkUnusable(now time.Time) {
--- a/pkg/runners/runners_test.go
+++ b/pkg/runners/runners_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/hopwell/hopwell/pkg/notice"
 	"github.com/hopwell/hopwell/pkg/spectest"
 )
 
@@ -172,3 +173,39 @@
 	d.Put(Runner{ID: "r@2", Name: "r", Service: "s", Leaving: true}, now)
 	g.Expect(d.Usable("s", "", now)).To(BeEmpty())
 }
+
+// Guards against an entry that still says ready, or an answer without the notice, and takes back that a
+// runner leaves; and against a later start under its name that is kept out with it.
+func TestWhatARunnerSaidInAnAnswerOutlastsItsEntry(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDirectory("a")
+	now := time.Now()
+	entry := Runner{ID: "r@1", Name: "r", Service: "s", Slots: 1}
+	d.Put(entry, now)
+	first := d.Find("r@1")
+	first.Observe(notice.Notice{Leaving: true}, now)
+	first.Observe(notice.Notice{Accepted: true, Sent: now}, now)
+	entry.Slots = 2
+	d.Put(entry, now)
+	g.Expect(d.Usable("s", "", now)).To(BeEmpty())
+	d.Gone("r", now)
+	d.Sweep(now.Add(2 * forgetAfter))
+	entry.Slots = 3
+	d.Put(entry, now.Add(2*forgetAfter))
+	g.Expect(d.Usable("s", "", now.Add(2*forgetAfter))).To(BeEmpty(), "its entry was away for long")
+	d.Put(Runner{ID: "r@2", Name: "r", Service: "s"}, now.Add(2*forgetAfter))
+	g.Expect(ids(d.Usable("s", "", now.Add(2*forgetAfter)))).To(Equal([]string{"r@2"}))
+}
+
+// Guards against a call to a runner that was chosen before it said that it leaves.
+func TestACallIsAskedForAgainRightBeforeItIsMade(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDirectory("a")
+	now := time.Now()
+	d.Put(Runner{ID: "r", Service: "s"}, now)
+	chosen := d.Usable("s", "", now)[0]
+	d.Put(Runner{ID: "r", Service: "s", Leaving: true}, now)
+	var leaving *notice.ErrLeaving
+	g.Expect(chosen.Admits(notice.Work, now)).To(BeAssignableToTypeOf(leaving))
+	g.Expect(chosen.Admits(notice.Upkeep, now)).To(Succeed())
+}
