runners, ingress, notice: a runner that asks for a pause gets no calls in it

What callers saw: requests that went to a runner which turned them away, and were sent on, and where all copies of a service paused, refusals with a time to come back that had nothing to do with the pauses. Operators saw up to six requests in three seconds of which the runner had asked for none. Cause: the Retry-After of a runner's 503 stood nowhere in the code; a refusal only raised the runner's cost, by a rate that fades within about a second. Usable asks it at each choice; Admits lets no call through, upkeep included, so that a runner that can't be asked whether it lives isn't taken for crashed. After its end a runner gets one request at once, then doubles with each that it takes, so that the load doesn't come back in one burst. Where all runners of a service leave or pause, requests are refused at once (runners_unavailable) with the time of the first end, unless that comes within the time that they may wait. Stage orders to a pausing engine wait. Steps passed_over tell who was left out and why.

--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -14,6 +14,7 @@
 	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/request"
 	"github.com/hopwell/hopwell/pkg/routetable"
+	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/workspace"
 )
 
@@ -199,8 +200,11 @@
 		region *ErrNoRegion
 		domain *ErrEvacuated
 		full   *ErrLimited
+		away   *runners.ErrUnavailable
 	)
 	switch {
+	case errors.As(err, &away):
+		return "runners_unavailable"
 	case errors.As(err, &full):
 		return "runner_limit"
 	case errors.As(err, &region):
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -66,7 +66,6 @@
 		final := runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
 		var v verdict
 		v, err = x.sendPlain(life, n, runner, final)
-		runner.Release(x.call.ID)
 		if v == answered {
 			return
 		}
@@ -85,13 +84,7 @@
 }
 
 // comeBackToService returns when a client may come back whom no plain runner took.
-func comeBackToService(last error) time.Duration {
-	var limited *ErrLimited
-	if errors.As(last, &limited) {
-		return max(limited.After, serviceWait)
-	}
-	return serviceWait
-}
+func comeBackToService(last error) time.Duration { return max(roomAfter(last), serviceWait) }
 
 // firstOf returns the first error that is one.
 func firstOf(errs ...error) error {
@@ -107,6 +100,7 @@
 // if the try is the final one.
 func (x *exchange) sendPlain(life *request.Life, n int, runner *runners.State, final bool) (verdict, error) {
 	began := time.Now()
+	defer runner.Release(x.call.ID)
 	if err := x.reconfirm(); err != nil {
 		return notRun, err
 	}
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -148,7 +148,8 @@
 		}
 		last = err
 		var noRoom *enginepool.ErrNoRoom
-		if errors.As(err, &noRoom) || notAllowed(err) {
+		var unavailable *runners.ErrUnavailable
+		if errors.As(err, &noRoom) || errors.As(err, &unavailable) || notAllowed(err) {
 			break
 		}
 		if v == notRun {
@@ -172,12 +173,15 @@
 		s.g.metrics.broken.Inc()
 		panic(http.ErrAbortHandler)
 	}
-	s.giveUp(s.life, last, s.comeBack())
+	s.giveUp(s.life, last, s.comeBack(last))
 }
 
-// comeBack returns when a refused client should ask again: not all at once, and
-// well before its time is over.
-func (s *generation) comeBack() time.Duration {
+// comeBack returns when a refused client should ask again: after the first pause where all runners have
+// one, otherwise not all at once, and well before its time is over.
+func (s *generation) comeBack(last error) time.Duration {
+	if after := roomAfter(last); after > 0 {
+		return max(after, shortWait)
+	}
 	longest := min(longestReturn, time.Duration(float64(s.left())*returnPart))
 	if longest <= shortestReturn {
 		return max(longest/2, shortWait)
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -95,12 +95,16 @@
 	}
 }
 
-// shownNotices bounds the runners whose notices the metrics name.
-const shownNotices = 20
+const (
+	// shownNotices bounds the runners whose notices the metrics name.
+	shownNotices = 20
+	// shownLeaving is how long the metrics count a runner that said that it leaves.
+	shownLeaving = time.Minute
+)
 
 // writeNotices writes which runners said that they leave, and which want a pause.
 func (g *Ingress) writeNotices(w io.Writer) {
-	all := g.Directory.Notices.All(time.Now())
+	all := g.Directory.Notices.Withheld(shownLeaving, time.Now())
 	leaving := 0
 	for _, n := range all {
 		if n.Leaving {
--- a/pkg/ingress/plain.go
+++ b/pkg/ingress/plain.go
@@ -9,26 +9,41 @@
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
-// claim chooses a plain runner and keeps a place there. Where all name limits it waits for the next
-// place as long as a new request may wait for room, and fails with *ErrLimited if there is none by
-// then.
+// claim chooses a plain runner and keeps a place there. Where all name limits, or want a pause, it waits
+// for the next place as long as a new request may wait for room, and fails with *ErrLimited or
+// *runners.ErrUnavailable if there is none by then.
 func (x *exchange) claim(avoid map[string]bool) (*runners.State, error) {
 	latest := x.arrived.Add(time.Duration(freshPart * float64(x.route.Latency)))
 	w := plainWork{id: x.call.ID, service: x.service, domain: x.g.options.Domain, repeatable: x.route.Repeatable(), avoid: avoid, allows: x.allowing()}
+	x.notePassedOver("")
 	for {
 		runner, err := x.g.choose(w)
-		var limited *ErrLimited
-		if err == nil || !errors.As(err, &limited) || time.Now().Add(limited.After).After(latest) {
+		after := roomAfter(err)
+		if after == 0 || time.Now().Add(after).After(latest) {
 			return runner, err
 		}
 		select {
-		case <-time.After(limited.After):
+		case <-time.After(after):
 		case <-x.ctx.Done():
 			return nil, err
 		}
 	}
 }
 
+// roomAfter returns after what time there may be room where an error says that there is none now; 0 if
+// it doesn't say.
+func roomAfter(err error) time.Duration {
+	var limited *ErrLimited
+	var unavailable *runners.ErrUnavailable
+	switch {
+	case errors.As(err, &limited):
+		return limited.After
+	case errors.As(err, &unavailable):
+		return unavailable.After
+	}
+	return 0
+}
+
 // plainWork is a request that a plain runner is wanted for.
 type plainWork struct {
 	// id is the request's.
@@ -45,8 +60,9 @@
 
 // choose keeps a place at the plain runner with the least work, in the own domain first, of those
 // that this gateway uses and that may serve the request. Where no healthy one is left of all, one
-// that rests is chosen for a request that may be repeated. It fails with *ErrLimited if runners are
-// left that take no more now, and *enginepool.ErrNoRunner if none is.
+// that rests is chosen for a request that may be repeated. It fails with *runners.ErrUnavailable if all
+// leave or pause, *ErrLimited if runners are left that take no more now, and *enginepool.ErrNoRunner if
+// none is.
 func (g *Ingress) choose(w plainWork) (*runners.State, error) {
 	now := time.Now()
 	usable := g.Directory.Usable(w.service, "", now)
@@ -65,10 +81,13 @@
 	if best == nil && w.repeatable {
 		best = w.leastWork(usable, cost, now)
 	}
-	if best == nil {
-		return nil, w.noRoom(usable, now)
+	if best != nil {
+		return best, nil
+	}
+	if err := g.Directory.Unavailable(w.service, "", w.allows, now); err != nil {
+		return nil, err
 	}
-	return best, nil
+	return nil, w.noRoom(usable, now)
 }
 
 // noRoom returns why no runner of a list was chosen.
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -31,7 +31,11 @@
 	if s.rank == enginepool.Returning {
 		w.LateFrom(s.arrived.Add(s.route.Latency - serveTime))
 	}
+	s.notePassedOver(runners.Decode)
 	for {
+		if err := s.unavailable(latest); err != nil {
+			return nil, firstOf(s.over(), err)
+		}
 		runner, err := s.waitForRoom(w, latest)
 		if err != nil {
 			return nil, firstOf(s.over(), err)
@@ -59,6 +63,18 @@
 	}
 }
 
+// unavailable returns *runners.ErrUnavailable if all decode runners leave or pause for longer than the
+// request may wait. What has begun waits for a runner that may start.
+func (s *generation) unavailable(latest time.Time) error {
+	now := time.Now()
+	err := s.g.Directory.Unavailable(s.service, runners.Decode, s.job.Allows, now)
+	after := roomAfter(err)
+	if err == nil || after > 0 && now.Add(after).Before(latest) || after == 0 && s.rank == enginepool.Begun {
+		return nil
+	}
+	return err
+}
+
 // waitForRoom waits for room on a decode runner until a time.
 func (s *generation) waitForRoom(w *enginepool.Waiter, latest time.Time) (*runners.State, error) {
 	ctx, cancel := context.WithDeadline(s.ctx, latest)
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -39,6 +39,8 @@
 	Evacuated Cause = "evacuated"
 	// RunnerLimit: refused, since all runners name limits and took no more.
 	RunnerLimit Cause = "runner_limit"
+	// RunnersUnavailable: refused, since all runners leave, or asked for a pause.
+	RunnersUnavailable Cause = "runners_unavailable"
 	// Refused: refused for another reason.
 	Refused Cause = "refused"
 	// EngineLost: the stream broke at its engine, and was ended or resumed.
@@ -194,6 +196,8 @@
 		return Evacuated
 	case "runner_limit":
 		return RunnerLimit
+	case "runners_unavailable":
+		return RunnersUnavailable
 	case "refused":
 		return Refused
 	}
--- a/pkg/notice/notice_test.go
+++ b/pkg/notice/notice_test.go
@@ -125,7 +125,7 @@
 	table.Observe("c", Notice{Leaving: true}, at(3))
 	g.Expect(table.Leaving(time.Minute, at(3))).To(Equal([]string{"c", "a", "b"}))
 	g.Expect(table.Leaving(time.Second, at(3))).To(Equal([]string{"c"}))
-	g.Expect(table.All(at(3))).To(HaveLen(3))
+	g.Expect(table.Withheld(time.Minute, at(3))).To(HaveLen(3))
 }
 
 // Guards against memory that grows with what runners, or somebody in their place, say.
--- a/pkg/notice/pause.go
+++ b/pkg/notice/pause.go
@@ -1,9 +1,6 @@
 package notice
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 const (
 	// firstWindow is how many requests a runner gets at once from this gateway after a pause. Each
@@ -12,6 +9,8 @@
 	lastWindow  = 16
 	// unsentFor bounds how long a place in the window is kept for a request that doesn't give it up.
 	unsentFor = 5 * time.Second
+	// answerTime is about how long a runner takes to answer one of the first requests after a pause.
+	answerTime = 10 * time.Millisecond
 	// startFor bounds the slow start of a runner that gets no requests.
 	startFor = time.Minute
 )
@@ -47,8 +46,13 @@
 	if p.active(now) {
 		return false
 	}
-	maps.DeleteFunc(p.claims, func(_ string, at time.Time) bool { return now.Sub(at) >= unsentFor })
-	return len(p.claims) < p.window
+	open := 0
+	for _, at := range p.claims {
+		if now.Sub(at) < unsentFor {
+			open++
+		}
+	}
+	return open < p.window
 }
 
 // accepted records that the runner took work that was sent at a time, and reports whether the slow
--- a/pkg/notice/table.go
+++ b/pkg/notice/table.go
@@ -37,7 +37,7 @@
 	// some is set while anything is known: most of the time nothing is.
 	some atomic.Bool
 
-	mu      sync.Mutex
+	mu      sync.RWMutex
 	leaving map[string]announcement
 	pauses  map[string]*pause
 	unknown map[string]bool
@@ -130,14 +130,17 @@
 // settle notes whether anything is known. The caller holds the lock.
 func (t *Table) settle() { t.some.Store(len(t.leaving)+len(t.pauses) > 0) }
 
+// Any reports whether anything is known of any runner.
+func (t *Table) Any() bool { return t.some.Load() }
+
 // Admits returns why a start of a runner gets no call for a purpose now: *ErrLeaving or *ErrPaused;
 // nil if it may get one. Calls of upkeep go to runners that leave.
 func (t *Table) Admits(runner string, purpose Purpose, now time.Time) error {
 	if !t.some.Load() {
 		return nil
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
 	if a, leaves := t.leaving[runner]; leaves && purpose == Work {
 		return &ErrLeaving{Runner: runner, From: a.from, Known: now.Sub(a.at)}
 	}
@@ -152,8 +155,8 @@
 	if !t.some.Load() {
 		return false
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
 	_, leaves := t.leaving[runner]
 	return leaves
 }
@@ -163,8 +166,8 @@
 	if !t.some.Load() {
 		return 0
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
 	if p := t.pauses[runner]; p != nil && p.active(now) {
 		return p.until.Sub(now)
 	}
@@ -176,12 +179,20 @@
 	if !t.some.Load() {
 		return true
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
 	p := t.pauses[runner]
 	return p == nil || p.room(now)
 }
 
+// RoomAfter returns after what time it is worth asking again whether a runner has room; 0 if it has.
+func (t *Table) RoomAfter(runner string, now time.Time) time.Duration {
+	if t.Room(runner, now) {
+		return 0
+	}
+	return max(t.PausedFor(runner, now), answerTime)
+}
+
 // Claim keeps a place for a request in the slow start of a runner, and reports whether there is one.
 func (t *Table) Claim(runner, request string, now time.Time) bool {
 	if !t.some.Load() {
@@ -231,8 +242,8 @@
 	if !t.some.Load() {
 		return nil
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
 	var out []string
 	for runner, a := range t.leaving {
 		if now.Sub(a.at) <= within {
@@ -245,15 +256,19 @@
 	return out
 }
 
-// All returns the runners that get no work now for what they said, by name.
-func (t *Table) All(now time.Time) []Withheld {
+// Withheld returns the runners that get no work now for what they said, by name; of those that leave,
+// the ones that were learned of within a time.
+func (t *Table) Withheld(within time.Duration, now time.Time) []Withheld {
 	if !t.some.Load() {
 		return nil
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := make([]Withheld, 0, len(t.leaving)+len(t.pauses))
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var out []Withheld
 	for runner, a := range t.leaving {
+		if now.Sub(a.at) > within {
+			continue
+		}
 		out = append(out, Withheld{Runner: runner, Leaving: true, From: a.from, Known: now.Sub(a.at)})
 	}
 	for runner, p := range t.pauses {
--- a/pkg/peers/notices_test.go
+++ b/pkg/peers/notices_test.go
@@ -39,5 +39,5 @@
 	b := newGateway(t, "b", 1)
 	b.receiveLeaving(&wirepb.GatewayState{Name: "a", LeavingRunners: make([]string, 1000)}, now)
 	b.receiveLeaving(&wirepb.GatewayState{Name: "a"}, now)
-	g.Expect(len(b.options.Notices.All(now))).To(BeNumerically("<=", maxLeaving))
+	g.Expect(len(b.options.Notices.Withheld(time.Hour, now))).To(BeNumerically("<=", maxLeaving))
 }
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -10,6 +10,7 @@
 	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/ingress"
+	"github.com/hopwell/hopwell/pkg/notice"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/staging"
@@ -213,7 +214,8 @@
 		}
 		out = append(out, s.policy.Plan(s.situation(name, now), now)...)
 	}
-	return out
+	// An engine that pauses counts in its stage, and is ordered to another one later.
+	return slices.DeleteFunc(out, func(c staging.Change) bool { return c.Runner.Admits(notice.Work, now) != nil })
 }
 
 // situation is what the stages of a service's engines are planned for.
--- a/pkg/runners/room.go
+++ b/pkg/runners/room.go
@@ -28,19 +28,22 @@
 }
 
 // Room reports whether the runner may get one more request from this gateway now: one that is cold,
-// or names a limit, bears less than others.
+// names a limit, or had a pause a moment ago, bears less than others.
 func (s *State) Room(now time.Time) bool {
 	s.mu.Lock()
 	room := s.coldRoom(now)
 	s.mu.Unlock()
-	return room && s.limits.Room(s.ID, s.calls(), now)
+	return room && s.limits.Room(s.ID, s.calls(), now) && s.notices.Room(s.ID, now)
 }
 
 // Limit returns the limit that the runner names, false for none.
 func (s *State) Limit(now time.Time) (runnerlimit.Status, bool) { return s.limits.Of(s.ID, now) }
 
-// RoomAfter returns in what time a runner that names a limit will bear one more request; 0 for now.
-func (s *State) RoomAfter(now time.Time) time.Duration { return s.limits.After(s.ID, s.calls(), now) }
+// RoomAfter returns in what time a runner that names a limit, or had a pause a moment ago, will bear one
+// more request; 0 for now.
+func (s *State) RoomAfter(now time.Time) time.Duration {
+	return max(s.limits.After(s.ID, s.calls(), now), s.notices.RoomAfter(s.ID, now))
+}
 
 // Claim keeps a place for a request at the runner until it is sent there, and reports whether there
 // is one.
@@ -52,6 +55,11 @@
 		s.releaseCold(request)
 		return false
 	}
+	if !s.notices.Claim(s.ID, request, now) {
+		s.releaseCold(request)
+		s.limits.Release(s.ID, request)
+		return false
+	}
 	return true
 }
 
@@ -68,4 +76,5 @@
 func (s *State) Release(request string) {
 	s.releaseCold(request)
 	s.limits.Release(s.ID, request)
+	s.notices.Release(s.ID, request)
 }
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -110,7 +110,7 @@
 }
 
 func (s *State) usable(now time.Time) bool {
-	return !s.change.active(now) && s.present(now)
+	return !s.change.active(now) && s.present(now) && s.notices.PausedFor(s.ID, now) == 0
 }
 
 // present reports whether the runner is there and stays. The caller holds the lock.
--- /dev/null
+++ b/pkg/runners/unavailable_test.go
@@ -0,0 +1,42 @@
+package runners
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/notice"
+)
+
+// Guards against a service that counts as unavailable while a runner is left, and against a wait that is
+// told by a pause that ends later than another.
+func TestAServiceIsUnavailableOnlyWhenAllItsRunnersLeaveOrPause(t *testing.T) {
+	g := NewWithT(t)
+	d, now := NewDirectory("a"), time.Now()
+	for _, id := range []string{"a", "b", "c"} {
+		d.Put(Runner{ID: id, Service: "s", Domain: id}, now)
+	}
+	g.Expect(d.Unavailable("s", "", nil, now)).To(Succeed())
+	d.Find("a").Observe(notice.Notice{Pause: 3 * time.Second}, now)
+	d.Find("b").Observe(notice.Notice{Pause: time.Second}, now)
+	g.Expect(d.Unavailable("s", "", nil, now)).To(Succeed())
+	left := func(domain string) bool { return domain != "c" }
+	g.Expect(d.Unavailable("s", "", left, now)).To(MatchError(&ErrUnavailable{Service: "s", Paused: 2, After: time.Second}))
+	d.Find("c").Observe(notice.Notice{Leaving: true}, now)
+	g.Expect(d.Unavailable("s", "", nil, now)).To(MatchError(&ErrUnavailable{Service: "s", Paused: 2, Leaving: 1, After: time.Second}))
+	g.Expect(d.Unavailable("s", "", nil, now.Add(time.Second))).To(Succeed())
+	g.Expect(d.Unavailable("none", "", nil, now)).To(Succeed())
+}
+
+// Guards against a pause that outlives its runner, or one that another start inherits.
+func TestAPauseEndsWithTheStartThatAskedForIt(t *testing.T) {
+	g := NewWithT(t)
+	d, now := NewDirectory("a"), time.Now()
+	d.Put(Runner{ID: "r@1", Name: "r", Service: "s"}, now)
+	d.Find("r@1").Observe(notice.Notice{Pause: time.Minute}, now)
+	g.Expect(d.Usable("s", "", now)).To(BeEmpty())
+	g.Expect(d.Present("s", now)).To(HaveLen(1), "it stays where it is")
+	d.Put(Runner{ID: "r@2", Name: "r", Service: "s"}, now)
+	g.Expect(ids(d.Usable("s", "", now))).To(Equal([]string{"r@2"}))
+}
