ingress: a request that an engine turned away goes to another one

What callers saw: refusals while two engines had room for them. An engine that grants reservations, or has the most room because it turns work away, got the request again at each try, until none was left; each try also threw a prompt away that had been read for it. Change: the request leaves out the engine that refused it as long as another is usable; alone it is asked again, since the refusal may be of the KV cache that it was to fetch. Tried and left out: ranking an engine lower by its refusals, as plain runners are.

--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -256,6 +256,7 @@
 	if answer.NotRun || answer.Elsewhere {
 		s.life.Withdraw(n)
 		s.declined(runner, answer)
+		s.avoidRefusing(runner)
 		s.useless(reader, source)
 		return notRun, &ErrDeclined{Runner: runner.ID, Status: answer.Status, Elsewhere: answer.Elsewhere}
 	}
@@ -265,6 +266,17 @@
 	return s.take(n, runner, answer)
 }
 
+// avoidRefusing keeps the request from a runner that turned it away, as long as another is left.
+func (s *generation) avoidRefusing(runner *runners.State) {
+	now := time.Now()
+	for _, other := range s.g.Directory.Stage(s.service, runners.Decode) {
+		if other.ID != runner.ID && !s.unfit[other.ID] && s.allows(other.Domain) && other.Usable(now) {
+			s.unfit[runner.ID] = true
+			return
+		}
+	}
+}
+
 // readAnew records a prompt that the decode runner has to read although a runner read
 // it before: that of a resumed stream.
 func (s *generation) readAnew(runner *runners.State) {
