--- a/pkg/notice/notice.go
+++ b/pkg/notice/notice.go
@@ -21,6 +21,8 @@
 	Leaving bool
 	// Pause is how long the runner wants no call from this gateway; 0 for none.
 	Pause time.Duration
+	// ColdFor is how much longer the runner bears less than it will; 0 if it says nothing of it.
+	ColdFor time.Duration
 	// Sent is when the call was sent that the answer belongs to, Accepted whether that was work
 	// and the runner took it.
 	Sent     time.Time
--- a/pkg/runners/cold.go
+++ b/pkg/runners/cold.go
@@ -23,8 +23,9 @@
 
 // coldness is what a runner bears while it is cold; the zero value is that of a warm one.
 type coldness struct {
-	// until is when the runner will be warm.
-	until time.Time
+	// until is when the runner will be warm by its entry, told when by its answers: an entry that is
+	// older than an answer takes nothing back.
+	until, told time.Time
 	// share is how many requests in any coldstart.Window it may get from this gateway, as it was
 	// asked for at the time sharedAt; bounded is false for any number.
 	share    int
@@ -56,7 +57,7 @@
 }
 
 func (s *State) isCold(now time.Time) bool {
-	if now.Before(s.cold.until) {
+	if now.Before(s.cold.until) || now.Before(s.cold.told) {
 		return true
 	}
 	restored := s.evacuated.restoredAt(s.Domain)
@@ -113,6 +114,15 @@
 	s.cold.claims = slices.DeleteFunc(s.cold.claims, func(k claim) bool { return k.request == request && !k.sent })
 }
 
+// tellCold records how much longer an answer says that the runner stays cold.
+func (s *State) tellCold(left time.Duration, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until := now.Add(left); until.After(s.cold.told) {
+		s.cold.told = until
+	}
+}
+
 // setCold records how much longer the runner's entry says that it stays cold.
 func (s *State) setCold(left time.Duration, now time.Time) {
 	s.mu.Lock()
--- a/pkg/runners/cold_test.go
+++ b/pkg/runners/cold_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hopwell/hopwell/pkg/coldstart"
+	"github.com/hopwell/hopwell/pkg/notice"
 )
 
 // bounded returns a directory whose cold runners get two requests in each window from here.
@@ -67,3 +68,17 @@
 	g.Expect(d.Find("b").Cold(back)).To(BeFalse())
 	g.Expect(d.Find("a").Cold(now.Add(time.Minute + coldAfterRestore))).To(BeFalse())
 }
+
+// Guards against a runner that turns cold again and is used as a warm one until its entry says so.
+func TestARunnerIsColdAsSoonAsAnAnswerSaysSo(t *testing.T) {
+	g := NewWithT(t)
+	d, now := bounded(), time.Now()
+	entry := Entry{Runner: Runner{ID: "a"}}
+	d.PutEntry(entry, now)
+	s := d.Find("a")
+	s.Observe(notice.Notice{ColdFor: 3 * time.Second}, now)
+	s.Observe(notice.Notice{ColdFor: time.Second}, now)
+	d.PutEntry(entry, now)
+	g.Expect(s.Cold(now.Add(2*time.Second))).To(BeTrue(), "an entry of before takes nothing back")
+	g.Expect(s.Cold(now.Add(3 * time.Second))).To(BeFalse())
+}
--- a/pkg/runners/room.go
+++ b/pkg/runners/room.go
@@ -25,6 +25,9 @@
 	n.Limit.Calls = s.calls()
 	s.limits.Hear(s.ID, n.Limit, now)
 	s.notices.Observe(s.ID, n, now)
+	if n.ColdFor > 0 {
+		s.tellCold(n.ColdFor, now)
+	}
 }
 
 // Room reports whether the runner may get one more request from this gateway now: one that is cold,
