notice: after a pause the requests at once grow as a congestion window does

Cause of the difference: the load that comes back at once meets fewer slots than before the pause, and the runners ask for the next one.

--- a/pkg/notice/notice_test.go
+++ b/pkg/notice/notice_test.go
@@ -76,8 +76,8 @@
 		g.Expect(taken-first).To(Equal(want), "round %d", round)
 		for i := first; i < taken; i++ {
 			table.Release("a", fmt.Sprint(i))
+			table.Observe("a", Notice{Accepted: true, Sent: now}, now)
 		}
-		table.Observe("a", Notice{Accepted: true, Sent: now}, now)
 	}
 	for i := range 100 {
 		g.Expect(table.Claim("a", fmt.Sprint("open", i), at(3))).To(BeTrue(), "no bound is left")
@@ -148,3 +148,38 @@
 	}
 	g.Expect(headers).To(Equal(maxUnknown))
 }
+
+// Guards against a slow start that runs into the same refusals again and again.
+func TestAfterARefusalTheWindowDoublesOnlyToHalfOfWhatWasTooMuch(t *testing.T) {
+	g := NewWithT(t)
+	table := New()
+	claim := func(now time.Time) (n int) {
+		for table.Claim("a", fmt.Sprint(now, n), now) {
+			n++
+		}
+		return n
+	}
+	accept := func(n int, now time.Time) {
+		for i := range n {
+			table.Release("a", fmt.Sprint(now, i))
+			table.Observe("a", Notice{Accepted: true, Sent: now}, now)
+		}
+	}
+	table.Observe("a", asksFor(time.Second), at(0))
+	for _, s := range []float64{1, 1.1, 1.2} {
+		accept(claim(at(s)), at(s))
+	}
+	g.Expect(claim(at(1.3))).To(Equal(8))
+	table.Observe("a", asksFor(time.Second), at(1.3))
+	for i := range 8 {
+		table.Release("a", fmt.Sprint(at(1.3), i))
+	}
+	var windows []int
+	for i := range 5 {
+		now := at(2.3 + float64(i)*0.1)
+		n := claim(now)
+		windows = append(windows, n)
+		accept(n, now)
+	}
+	g.Expect(windows).To(Equal([]int{1, 2, 4, 5, 6}), "doubling to half of eight, then one at a time")
+}
--- a/pkg/notice/table.go
+++ b/pkg/notice/table.go
@@ -87,22 +87,20 @@
 
 // pause records that a runner asks for a pause. The caller holds the lock.
 func (t *Table) pause(runner string, length time.Duration, now time.Time) []Change {
-	var changes []Change
-	p := t.pauses[runner]
-	if p != nil && !p.active(now) {
-		changes = t.end(runner, p)
-		p = nil
+	before := t.pauses[runner]
+	if before != nil && before.active(now) {
+		before.extend(length, now)
+		return nil
 	}
-	begins := p == nil
-	if begins {
-		p = newPause(now)
-		t.pauses[runner] = p
+	var changes []Change
+	p := newPause(now)
+	if before != nil {
+		changes = t.end(runner, before)
+		p.follow(before)
 	}
 	p.extend(length, now)
-	if begins {
-		changes = append(changes, Change{Runner: runner, What: PauseBegins, For: length, Asked: p.asked})
-	}
-	return changes
+	t.pauses[runner] = p
+	return append(changes, Change{Runner: runner, What: PauseBegins, For: length, Asked: p.asked})
 }
 
 // end returns the change of a pause that is over, nothing if it was told before.
