--- a/pkg/coldstart/coldstart_test.go
+++ b/pkg/coldstart/coldstart_test.go
@@ -28,11 +28,8 @@
 	return out
 }
 
-// Pattern: a limit that all share and nobody counts.
-//
-// Seen: a runner that came back cold was sent what each of 27 gateways thought it could bear.
-// Grounds: 22 requests a second, times 1.5, and 5 more, is what operators with 27 gateways and 49
-// runners set; 356 gateways are the most that were served.
+// Guards against gateways that each send a cold runner what one of them could send alone. The limits are
+// those of a deployment with 27 gateways and 49 runners.
 func TestAllGatewaysTogetherStayWithinWhatAColdRunnerBears(t *testing.T) {
 	g := NewWithT(t)
 	r := rand.New(rand.NewPCG(1, 2))
--- a/pkg/delta/delta_test.go
+++ b/pkg/delta/delta_test.go
@@ -25,10 +25,8 @@
 	return []byte(b.String())
 }
 
-// Pattern: what changes is small, what is sent is the whole.
-//
-// Seen: a configuration of 259 routes is larger than a datagram, so that each of 356 gateways read
-// each new one from the store.
+// Guards against a change of a large configuration that doesn't fit a datagram, so that each gateway reads
+// it from the store.
 func TestAChangeOfALargeDocumentIsSmall(t *testing.T) {
 	for _, routes := range []int{60, 259, 518, 5000} {
 		g := NewWithT(t)
--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -413,13 +413,8 @@
 	g.Expect(s.ID).To(Equal("cold"), "what was not sent there gave its place up")
 }
 
-// Pattern: a mean that is planned for as if it were the most.
-//
-// Seen: engines whose memory was filled with the expected lengths of answers put one request in five
-// back, which read its prompt anew: 1.25 M tokens on a calm day. Most of what an engine runs is of
-// other gateways, and what they reported is seconds old.
-// Grounds: prompts of 5,000 tokens, answers of 3,500 whose lengths spread by 0.45 around the guess,
-// 73,000 tokens of memory: an engine of a deployment with 46.
+// Guards against engines that are filled up to the expected lengths of answers and run out of memory. The
+// figures are those of an engine of a deployment with 46.
 func TestEnginesAreFilledSoThatAnswersFewRunOutOfMemory(t *testing.T) {
 	g := NewWithT(t)
 	const memory, prompt, guess = 73000, 5000, 3500
--- a/pkg/ingress/forward_test.go
+++ b/pkg/ingress/forward_test.go
@@ -77,11 +77,7 @@
 	g.Expect(chosen(in, plainWork{service: "s"}).ID).To(Equal("bad"), "the other can't carry it all")
 }
 
-// Pattern: a limit that all share and nobody knows to share.
-//
-// Seen: 300 gateways before three plain runners that take 250 connections each; what a gateway opened
-// beyond was reset, and requests that must not be repeated were lost with it.
-// Cause: each gateway kept connections to all runners.
+// Guards against gateways that together open more connections to plain runners than these take.
 func TestManyGatewaysShareOutTheRunnersConnections(t *testing.T) {
 	g := NewWithT(t)
 	const most, gateways = 250, 300
--- a/pkg/ingress/identity_test.go
+++ b/pkg/ingress/identity_test.go
@@ -76,10 +76,8 @@
 	g.Expect(notAllowed(x.reconfirm())).To(BeTrue())
 }
 
-// Pattern: an age that stands still over a suspension.
-//
-// A machine that is suspended for longer than keys may go unconfirmed would serve with keys that
-// were taken away meanwhile: the clock by which it aged what it knows stood still.
+// Guards against keys that are taken away while the machine is suspended and accepted when it is back: the
+// steady clock stands still meanwhile.
 func TestKeysAreNotReliedOnOverASuspension(t *testing.T) {
 	g := NewWithT(t)
 	confirmed := boottime.Now()
--- a/pkg/ingress/slow_test.go
+++ b/pkg/ingress/slow_test.go
@@ -84,11 +84,8 @@
 	return in, l
 }
 
-// Pattern: a slow reader holds the place of the one who serves it.
-//
-// Seen: clients that stop to read an answer held a gateway's memory for it, and their runner's
-// place, until their time was over: up to a minute.
-// Grounds: 2,000 requests are served at once, with 112 MB in the smallest gateway.
+// Guards against clients that stop reading and hold memory, and their runner's place, for as long as a
+// request may take.
 func TestClientsThatStopReadingHoldNeitherMemoryNorPlaces(t *testing.T) {
 	const clients, maxHeld = 2000, 32 << 20
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/peers/limits.go
+++ b/pkg/peers/limits.go
@@ -44,7 +44,7 @@
 	if x.options.Limits == nil {
 		return
 	}
-	x.options.Limits.HeardOf(s.Name, now)
+	x.options.Limits.GatewaySeen(s.Name, now)
 	if len(s.Limits) > 0 {
 		x.options.Limits.Receive(s.Name, s.Incarnation, decodeLimits(s.Limits), now)
 	}
--- a/pkg/process/relay_test.go
+++ b/pkg/process/relay_test.go
@@ -261,10 +261,7 @@
 	})
 }
 
-// Pattern: one reader's trouble makes all read.
-//
-// Seen: when the store forgot its history, its few watchers read it anew, and each of 356 gateways
-// that relied on them did so too: what they were told began with the new reading.
+// Guards against subscribers that all read the store anew after a relay had to.
 func TestAReadingAnewIsPassedOnAsChanges(t *testing.T) {
 	g := NewWithT(t)
 	f := newFixture(t, 10, entry("e1", "prefill", 5), entry("e2", "decode", 6), entry("e3", "decode", 7))
@@ -287,9 +284,7 @@
 	g.Expect(other.Reached()).To(Equal(uint64(20)))
 }
 
-// Pattern: a safeguard that costs each member the same grows with the fleet.
-//
-// Seen: 356 gateways asked the store 12 times a second whether their relays had told them all.
+// Guards against confirmations whose rate grows with the number of gateways.
 func TestAllGatewaysTogetherConfirmAtABoundedRate(t *testing.T) {
 	g := NewWithT(t)
 	f := newFixture(t, 10)
@@ -350,9 +345,7 @@
 	g.Expect(stranger.stage("e1")).To(BeEmpty(), "with what came after it")
 }
 
-// Pattern: all go where one would do.
-//
-// Seen: when the store forgot its history, each of 356 gateways read all of it, three pages each.
+// Guards against gateways that all read the store when it forgets its history.
 func TestWhatTheStoreForgotIsReadByRelays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/pkg/process/state_test.go
+++ b/pkg/process/state_test.go
@@ -19,12 +19,7 @@
 	"github.com/hopwell/hopwell/platform"
 )
 
-// Pattern: a time-out that ends what goes well.
-//
-// Seen: gateways that start in an outage of the store ask others that know it, over links on which
-// the answer takes longer than they wait: 2,904 answers were cut off in the middle, and asked for again.
-// Cause: the whole call was bounded by 0.3 s, and an answer has hundreds of kilobytes.
-// Proof: this spec; the log named "not readable" for each of them.
+// Guards against a bound on the whole call, which ends answers that are coming over a slow link.
 func TestAStateThatKeepsComingIsWaitedFor(t *testing.T) {
 	g := NewWithT(t)
 	const parts = 8
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -39,11 +39,7 @@
 	return held
 }
 
-// Pattern: a fault that is taken for a crash.
-//
-// Seen: one runner reset every connection for seconds, clients repeated at once, and their
-// harmless requests were quarantined after three resets by it.
-// Cause: broken runs were counted, not the runners that they broke off at.
+// Guards against harmless requests that are quarantined because one runner resets its connections.
 func TestARunnerThatResetsAndGoesOnCountsOnce(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(broke(newTable(), early(1, 0), early(1, 1), early(1, 2), early(2, 3), early(1, 4))).To(BeFalse())
--- a/pkg/relay/history_test.go
+++ b/pkg/relay/history_test.go
@@ -137,10 +137,7 @@
 	return b.Bytes()
 }
 
-// Pattern: what all need is larger than what carries it.
-//
-// Seen: a configuration of 259 routes did not fit a datagram, so that each of 356 gateways read each
-// new one from the store: 4,000 of 5,800 calls on a day.
+// Guards against a configuration that is larger than a datagram and is read from the store by each gateway.
 func TestAChangeOfALargeValueFitsADatagram(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
--- a/pkg/runnerlimit/limit.go
+++ b/pkg/runnerlimit/limit.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// spokenOf returns when an answer last said something of the limit.
-func (l *limit) spokenOf() time.Time {
+// lastUpdated returns when an answer last named the limit, or ended it.
+func (l *limit) lastUpdated() time.Time {
 	if l.over {
 		return l.endedAt
 	}
--- a/pkg/runnerlimit/runnerlimit.go
+++ b/pkg/runnerlimit/runnerlimit.go
@@ -102,18 +102,18 @@
 	return &Table{self: self, limits: map[string]*limit{}, unreadable: map[string]time.Time{}, members: newMembers(self)}
 }
 
-// Hear takes what an answer of a runner says, by the runner's ID.
-func (t *Table) Hear(runner string, s Statement, now time.Time) {
+// Observe takes what an answer of a runner says, by the runner's ID.
+func (t *Table) Observe(runner string, s Statement, now time.Time) {
 	if !s.Named && !s.Unreadable && !t.some.Load() {
 		return
 	}
 	t.mu.Lock()
-	change := t.hear(runner, s, now)
+	change := t.observe(runner, s, now)
 	t.mu.Unlock()
 	t.notify(change)
 }
 
-func (t *Table) hear(runner string, s Statement, now time.Time) *Change {
+func (t *Table) observe(runner string, s Statement, now time.Time) *Change {
 	l := t.limits[runner]
 	switch {
 	case s.Unreadable:
@@ -182,7 +182,7 @@
 	t.mu.Lock()
 	maps.DeleteFunc(t.unreadable, func(_ string, at time.Time) bool { return now.Sub(at) > remembered })
 	for runner, l := range t.limits {
-		if now.Sub(l.spokenOf()) <= remembered {
+		if now.Sub(l.lastUpdated()) <= remembered {
 			continue
 		}
 		if !l.over {
--- a/pkg/runnerlimit/simulation_test.go
+++ b/pkg/runnerlimit/simulation_test.go
@@ -107,7 +107,7 @@
 			return false
 		}
 		if d.from.island == d.to.island {
-			d.to.table.HeardOf(d.from.name, s.now)
+			d.to.table.GatewaySeen(d.from.name, s.now)
 			d.to.table.Receive(d.from.name, d.incarnation, d.reports, s.now)
 		}
 		return true
@@ -128,7 +128,7 @@
 		s.arrivals = append(s.arrivals, s.now)
 	}
 	g.table.Release("runner", request)
-	g.table.Hear("runner", Statement{Kind: Run, Asked: s.now, Named: s.limit > 0, PerSecond: s.limit, Calls: s.calls}, s.now)
+	g.table.Observe("runner", Statement{Kind: Run, Asked: s.now, Named: s.limit > 0, PerSecond: s.limit, Calls: s.calls}, s.now)
 }
 
 // talk sends what others should hear.
--- a/pkg/runnerlimit/users.go
+++ b/pkg/runnerlimit/users.go
@@ -42,8 +42,8 @@
 	t.members.version++
 }
 
-// HeardOf records that something came from another gateway.
-func (t *Table) HeardOf(gateway string, now time.Time) {
+// GatewaySeen records that something came from another gateway.
+func (t *Table) GatewaySeen(gateway string, now time.Time) {
 	if !t.some.Load() {
 		return
 	}
--- a/pkg/runners/cold_test.go
+++ b/pkg/runners/cold_test.go
@@ -17,10 +17,7 @@
 	return d
 }
 
-// Pattern: a runner that has just started is full before it is warm.
-//
-// Seen: an empty runner has the most room of all, so that all gateways sent it what came; it fell
-// over.
+// Guards against a cold runner that gets all requests because it has the most room.
 func TestAColdRunnerGetsNoMoreThanTheShareOfThisGateway(t *testing.T) {
 	g := NewWithT(t)
 	d, now := bounded(), time.Now()
--- a/pkg/runners/evacuation_test.go
+++ b/pkg/runners/evacuation_test.go
@@ -7,11 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// Pattern: work that goes on to be sent where operators want none.
-//
-// Seen: 2,818 requests reached the runners of a failure domain later than 5 s after operators had
-// asked that it gets nothing; nothing read the evacuation.
-// Cause: whether a runner takes work was decided by its own entry alone.
+// Guards against runners that get work by their own entries alone although their domain is evacuated.
 func TestTheRunnersOfAnEvacuatedDomainGetNoWork(t *testing.T) {
 	g := NewWithT(t)
 	d := NewDirectory("a")
--- a/pkg/runners/room.go
+++ b/pkg/runners/room.go
@@ -23,7 +23,7 @@
 // Observe takes what an answer of the runner says of it.
 func (s *State) Observe(n notice.Notice, now time.Time) {
 	n.Limit.Calls = s.calls()
-	s.limits.Hear(s.ID, n.Limit, now)
+	s.limits.Observe(s.ID, n.Limit, now)
 	s.notices.Observe(s.ID, n, now)
 	if n.ColdFor > 0 {
 		s.tellCold(n.ColdFor, now)
--- a/pkg/runners/runners_test.go
+++ b/pkg/runners/runners_test.go
@@ -121,11 +121,7 @@
 	g.Expect(Healthy(all, now)).To(HaveLen(3))
 }
 
-// Pattern: state that outlives its owner.
-//
-// Seen: a runner that had announced its end, or was changing its stage, crashed and started again
-// under its name; it got no more work for as long as it lived.
-// Cause: what is known of a runner was kept under its name, which it had again.
+// Guards against what is known of a runner being kept by its name, and holding for a later start.
 func TestARunnerThatStartsAgainIsAnother(t *testing.T) {
 	g := NewWithT(t)
 	d := NewDirectory("a")
--- a/pkg/store/herd_test.go
+++ b/pkg/store/herd_test.go
@@ -69,12 +69,7 @@
 	return herdLink * herdSlice.Seconds() / float64(s.reading)
 }
 
-// Pattern: a time-out that ends what goes well.
-//
-// Seen: of 300 gateways that lost power together none served for 10 s, and once not for 30 s, while
-// the store answered all of them.
-// Cause: a whole reading was bounded by 0.4 s, growing to 2.5 s, and began anew each time.
-// Proof: of 297 first readings that were logged, 244 ended in the middle of an answer that was coming.
+// Guards against a bound on a whole reading, which ends readings that are coming and begins them anew.
 func TestGatewaysThatStartTogetherReadTheStoreInTheTimeThatItsLinkTakes(t *testing.T) {
 	for _, n := range []int{30, 300, 712} {
 		t.Run(fmt.Sprintf("%d gateways", n), func(t *testing.T) {
--- a/pkg/store/store_test.go
+++ b/pkg/store/store_test.go
@@ -259,10 +259,7 @@
 	})
 }
 
-// Pattern: a lease that is believed over a suspension.
-//
-// A machine that is suspended for seconds comes back with the right to give orders while another
-// has it by then: the clock by which it timed its lease stood still.
+// Guards against a lease that is believed after a suspension, in which the steady clock stood still.
 func TestLockIsNotHeldOverASuspension(t *testing.T) {
 	g := NewWithT(t)
 	l := newLock(&script{commit: func(Change) (uint64, error) { return 9, nil }})
--- a/pkg/upstream/slow_test.go
+++ b/pkg/upstream/slow_test.go
@@ -35,10 +35,7 @@
 	return took, err
 }
 
-// Pattern: a slow reader makes its sender hold what it sends.
-//
-// Seen: a request's body stayed in the gateway for as long as its client had patience, when its
-// runner read a byte a second of it.
+// Guards against a body that stays in memory while its runner reads next to nothing of it.
 func TestABodyThatItsRunnerDoesNotReadIsGivenUp(t *testing.T) {
 	for _, size := range []int{1000, 200 << 10} {
 		synctest.Test(t, func(t *testing.T) {
