--- a/pkg/enginepool/choice.go
+++ b/pkg/enginepool/choice.go
@@ -11,7 +11,7 @@
 const (
 	// maxLooked bounds the runners that one choice looks at, and compared how many
 	// that can take a job are compared: the cost of a choice does not grow with the
-	// number of runners. Comparing more was worth nothing; docs/QUITO.md.
+	// number of runners.
 	maxLooked = 32
 	compared  = 16
 	// leastUsed is how many runners of a stage that take work a gateway needs at least to
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -42,14 +42,13 @@
 	Pick func(n int) int
 }
 
-// DefaultOptions are those that were measured best; docs/POLICY.md.
+// DefaultOptions are those of a gateway.
 func DefaultOptions() Options {
 	return Options{Fill: 0.98, Deviations: keptDeviations, Refused: 60 * time.Millisecond}
 }
 
-// keptDeviations is Options.Deviations as it was measured best. Against none, the worth of a calm day
-// rose by 0.08 and 0.08 where prompts of 5,000 tokens are read anew, preemptions fell by half; where
-// they have 1,500 to 3,000 nothing changed by more than 0.01 (six days each). Four left places empty.
+// keptDeviations is Options.Deviations: without it engines put requests back, and read long prompts anew;
+// with more, places stay empty.
 const keptDeviations = 2
 
 // Pool is the engines of one service as this gateway sees them.
@@ -199,7 +198,7 @@
 }
 
 // failureCost is the part of its memory by which a runner that fails all
-// requests ranks below another; measured, docs/POLICY.md.
+// requests ranks below another.
 const failureCost = 3
 
 // sameDomainBonus is the part of its memory by which a runner in the gateway's failure
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -45,7 +45,7 @@
 	overflowAfter = 900 * time.Millisecond
 	// localAbove is the failure rate of the best prefill runner above which the decode
 	// runner reads the prompt itself: one answer then may be lost instead of two, and a
-	// lost prefill costs a second. Measured, docs/QUITO.md.
+	// lost prefill costs a second.
 	localAbove = 0.1
 	// freeCall bounds the giving back of what is not needed.
 	freeCall = time.Second
--- a/pkg/ingress/kept.go
+++ b/pkg/ingress/kept.go
@@ -17,8 +17,8 @@
 	// one that does not is of no use for the resumption either.
 	keptCall = 120 * time.Millisecond
 	// maxKeptAsked bounds the engines that are asked for one prompt, so that the cost of
-	// a resumption does not grow with the fleet: as many as the largest site that was
-	// measured has. Of more, some are asked, and the prompt may be computed again.
+	// a resumption does not grow with the fleet. Of more, some are asked, and the prompt may
+	// be computed again.
 	maxKeptAsked = 64
 )
 
--- a/pkg/ingress/returns.go
+++ b/pkg/ingress/returns.go
@@ -8,8 +8,7 @@
 	returnMargin = 150 * time.Millisecond
 	// commonPart is the part of a route's requests that must have the longest time for the
 	// others to be taken for returning ones. Where clients' times differ by themselves few
-	// have the longest; where they are alike, even in an overload most are new. Measured:
-	// with clients' times spread over 15 in 100, 0.8 of all were taken for returning.
+	// have the longest; where they are alike, even in an overload most are new.
 	commonPart = 0.5
 	// returnsMemory is over how many requests, about, a route's clients are looked at, and
 	// leastSeen how many are needed to say anything: of 31 gateways each sees one request a
--- a/pkg/ingress/suspicion.go
+++ b/pkg/ingress/suspicion.go
@@ -48,9 +48,9 @@
 const aliveCall = 400 * time.Millisecond
 
 // broke records a run that broke off with its runner's connection, before anything of its answer
-// had come if early, if the runner crashed. Without asking it, runners that reset connections and
-// go on had harmless requests quarantined, on 1 of 60 days with faults. A connection that only timed
-// out says nothing of a crash. Prefills that break off are not counted: the decode engine that
+// had come if early, if the runner crashed. It is asked, since runners that reset connections and
+// go on would have harmless requests quarantined. A connection that only timed out says nothing of a
+// crash. Prefills that break off are not counted: the decode engine that
 // reads the prompt in their place crashes in the same moment, or serves the request.
 func (x *exchange) broke(runner *runners.State, early bool, err error) {
 	var timeout net.Error
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -43,8 +43,7 @@
 	leastAlive      = 1500 * time.Millisecond
 	// fullEvery is the time between two datagrams with everything to one gateway: estimates
 	// of what answers take drift apart. Each gateway adds heartbeatShare to it, so that
-	// of many no more come than of a hundred: at 300 with limits they were 58 in 100 of the
-	// bytes between gateways.
+	// of many no more come than of a hundred.
 	fullEvery = 3 * time.Second
 	// RememberFor is how long a silent peer is kept and sent to.
 	RememberFor = 60 * time.Second
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -33,7 +33,7 @@
 	// meetFor is how long a process gets to know the others before it may come first.
 	meetFor = 600 * time.Millisecond
 	// nextTry is how much later each next process by name tries: the one before has won
-	// by then, and all know it. A hundred that tried together made 300 calls.
+	// by then, and all know it.
 	nextTry = 2 * stagerLook
 	// renewals is how often the right is renewed in its time.
 	renewals = 3
@@ -92,8 +92,8 @@
 }
 
 // look keeps the right, if this process has it or may try for it, and orders what is
-// wanted and not so. While another process has it nothing is planned: at 300 gateways before 3,000
-// engines plans took 73 in 100 of each gateway's processor.
+// wanted and not so. While another process has it nothing is planned: plans for thousands of
+// engines are costly, and only one is used.
 func (s *stager) look(ctx context.Context, now time.Time) {
 	fence, since, held := s.lock.Held(boottime.Now())
 	if !held && !s.free.Load() {
--- a/pkg/quota/fleet.go
+++ b/pkg/quota/fleet.go
@@ -73,8 +73,8 @@
 }
 
 // advanceEvery is how long what others fill in may stay uncounted when one of them is heard of; it
-// is counted before anything is taken. At 300 gateways 100 datagrams a second come, each of which
-// looked through all gateways: 21 in 100 of a gateway's processor.
+// is counted before anything is taken. Datagrams come from hundreds of gateways, and counting looks through
+// all of them.
 const advanceEvery = 20 * time.Millisecond
 
 // upToDate reports whether hearing of a gateway changes nothing for the others: it was there all the
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -16,8 +16,8 @@
 
 const (
 	// leastRelays is how many gateways watch the store at least, although nobody may have
-	// subscribed to them: the first living ones in an order that all share. Four and six
-	// measured alike; each costs one call for each WatchWait and one for each change.
+	// subscribed to them: the first living ones in an order that all share. Each
+	// costs one call for each WatchWait and one for each change.
 	leastRelays = 4
 	// gatewaysEach is for how many gateways there is one relay more at the shortest bound. A
 	// relay then sends to 48 subscribers, some 10 KB a second without changes.
--- a/pkg/staging/staging.go
+++ b/pkg/staging/staging.go
@@ -29,7 +29,7 @@
 	Pause time.Duration
 }
 
-// DefaultPolicy is the one that was measured best; docs/POLICY.md.
+// DefaultPolicy is the policy of a gateway.
 func DefaultPolicy() Policy {
 	return Policy{Share: 0.19, Margin: 0.5, Load: 0.8, Least: 2, Patience: 4 * time.Second, Pause: 15 * time.Second}
 }
