ingress: who met the refusals of all runners is told when the first pause ends

A request that was turned away by all copies of a service, each asking for a pause, was told to come back after 0.3 s, and met the pause: the first failure was kept as the reason.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -55,7 +55,9 @@
 		}
 		runner, err := x.claim(avoid)
 		if err != nil {
-			last = firstOf(last, err)
+			if last == nil || roomAfter(err) > 0 {
+				last = err
+			}
 			break
 		}
 		if x.sends > 0 && !budget.Spend(time.Now()) {
