--- a/pkg/peers/members.go
+++ b/pkg/peers/members.go
@@ -109,19 +109,6 @@
 	return out
 }
 
-// Place returns this gateway's place among all that are known, alive or not, by name, 0 first, and their
-// number.
-func (x *Exchange) Place() (place, of int) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for name := range x.members {
-		if name < x.options.Name {
-			place++
-		}
-	}
-	return place, len(x.members) + 1
-}
-
 // Holders returns the addresses of up to n gateways that know a configuration, chosen at random; of all
 // where none is known to.
 func (x *Exchange) Holders(n int) []string {
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -69,7 +69,7 @@
 
 func newFeed(g *ingress.Ingress, l *decisionlog.Log, address string, p relay.Pace) *feed {
 	f := &feed{ingress: g, log: l, address: address, pace: p, restart: make(chan struct{}), woken: make(chan struct{}, 1)}
-	f.store = platform.NewStore(address)
+	f.store = f.open(address)
 	g.Directory.Changed = func(c runners.Change) {
 		if c.What == runners.Replaced {
 			f.forget(c.Runner.Address)
@@ -106,7 +106,7 @@
 
 // use follows another store from now on.
 func (f *feed) use(address string) {
-	s := platform.NewStore(address)
+	s := f.open(address)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if address == f.address {
@@ -126,7 +126,6 @@
 
 // run follows the store until the context ends.
 func (f *feed) run(ctx context.Context) {
-	f.meet(ctx)
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		s, restart := f.store, f.restart
@@ -157,7 +156,7 @@
 // besides the configuration and the runners change seldom.
 func (f *feed) follower(s store.Store) *store.Follower {
 	return &store.Follower{
-		Store: s, Gather: f.gather, Relayed: f.relayed, Forgotten: f.forgotten, Turn: f.awaitTurn, Reset: f.reset, Apply: f.apply, Assured: f.history.Assure,
+		Store: s, Gather: f.gather, Relayed: f.relayed, Forgotten: f.forgotten, Reset: f.reset, Apply: f.apply, Assured: f.history.Assure,
 		Lost: func(err error) {
 			f.copy.answers(false)
 			f.log.Write(decisionlog.KindProcess, "store_lost", decisionlog.F("error", err))
--- a/pkg/process/relay_test.go
+++ b/pkg/process/relay_test.go
@@ -30,14 +30,13 @@
 	isRelay  bool
 	coverage peers.Coverage
 	others   int
-	place    int
 	passedOn int
 	met      []string
 }
 
 func (f *fixture) Relay(time.Time) bool              { return f.isRelay }
 func (f *fixture) Coverage(time.Time) peers.Coverage { return f.coverage }
-func (f *fixture) Place() (place, of int)            { return f.place, f.others + 1 }
+func (f *fixture) Rank() int                         { return f.others }
 func (f *fixture) Known() int                        { return f.others }
 func (f *fixture) StoreAnswers(time.Time)            {}
 func (f *fixture) SendStoreUpdates(time.Time)        { f.passedOn++ }
--- a/pkg/process/start.go
+++ b/pkg/process/start.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/boottime"
-	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/progress"
 	"github.com/hopwell/hopwell/pkg/store"
+	"github.com/hopwell/hopwell/platform"
 )
 
 const (
@@ -16,56 +15,48 @@
 	// reads it hands on to others, so that few read; without it all share the store's link, and none
 	// knows anything before all do.
 	readingShare = 20 * time.Millisecond
-	// leastInTurn is the number of gateways from which they read in turn: fewer readings are done sooner
-	// than handed on.
-	leastInTurn = 16
 	// turnLook is the time between two looks at whether it is this gateway's turn to read.
 	turnLook = 10 * time.Millisecond
-	// meetCall bounds the silence of the call for the list of gateways.
-	meetCall = 400 * time.Millisecond
 	// freshState is, at the shortest bound, how old a state of another gateway may be while the store
 	// answers this one.
 	freshState = time.Second
 )
 
-// meet reads which gateways there are: a small part of the store, by which those that start together know
-// in which order to read the rest.
-func (f *feed) meet(ctx context.Context) {
-	ctx, cancel := progress.Bound(ctx, meetCall)
-	defer cancel()
-	items, _, err := f.current().Range(ctx, gatewayPrefix)
-	if err != nil {
-		f.log.Write(decisionlog.KindProcess, "gateways_not_read", decisionlog.F("error", err))
-		return
-	}
-	for _, i := range items {
-		f.gateway(strings.TrimPrefix(i.Key, gatewayPrefix), string(i.Value))
-	}
+// open returns a client of the store, whose first reading waits for its turn.
+func (f *feed) open(address string) store.Store {
+	s := platform.NewStore(address)
+	s.Reading = f.reading
+	return s
 }
 
-// awaitTurn waits until this gateway may read the store: the first time after those that come before it by
-// name. It fails with *store.ErrOvertaken once another gateway has told what the store holds. It implements
-// store.Follower.Turn.
-func (f *feed) awaitTurn(ctx context.Context) error {
+// reading is called when a reading of the store begins. It returns what is asked before each further
+// page: a store that holds little is read in one, and by all at once.
+func (f *feed) reading() func(ctx context.Context) error {
 	if f.Reached() > 0 {
-		return nil
+		return func(context.Context) error { return nil }
 	}
 	began := time.Now()
+	return func(ctx context.Context) error { return f.awaitTurn(ctx, began) }
+}
+
+// awaitTurn waits until this gateway may go on with its first reading: after those that come before it by
+// name. It fails with *store.ErrOvertaken once another gateway has told what the store holds.
+func (f *feed) awaitTurn(ctx context.Context, began time.Time) error {
+	f.waiting.Store(true)
 	tick := time.NewTicker(turnLook)
 	defer tick.Stop()
-	for now := began; ; {
+	for now := time.Now(); ; {
 		if at := f.Reached(); at > 0 {
 			return &store.ErrOvertaken{At: at}
 		}
-		place, of := f.relays.Place()
-		if of < leastInTurn || now.Sub(began) >= time.Duration(place)*readingShare {
+		if now.Sub(began) >= time.Duration(f.relays.Rank())*readingShare {
 			return nil
 		}
-		f.waiting.Store(true)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case now = <-tick.C:
+			progress.Note(ctx)
 		}
 	}
 }
--- a/pkg/process/start_test.go
+++ b/pkg/process/start_test.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	// startBytes is what a whole reading of the store has, startEntry what a gateway's entry has in it,
-	// and startStateBytes what a gateway hands on, compressed.
+	// startBytes is what a whole reading of the store has, startPage what its first page has, and
+	// startStateBytes what a gateway hands on, compressed.
 	startBytes      = 1_500_000
-	startEntry      = 150
+	startPage       = 300_000
 	startStateBytes = 150_000
 	// startStoreLink and startLink are what the store, and a gateway, send a second.
 	startStoreLink = 125_000_000
@@ -65,27 +65,29 @@
 	return l.perSecond * startSlice.Seconds() / float64(l.users)
 }
 
-// linkedStore is a store whose readings share its link.
-type linkedStore struct {
+// pagedStore is a store whose readings have two pages and share its link.
+type pagedStore struct {
 	store.Store
-	link *sharedLink
-	// gateways is how many it lists.
-	gateways int
+	link  *sharedLink
+	pages func() func(context.Context) error
 }
 
-func (s *linkedStore) Range(ctx context.Context, prefix string) ([]store.Item, uint64, error) {
-	bytes := float64(startBytes)
-	if prefix == gatewayPrefix {
-		bytes = float64(s.gateways * startEntry)
+func (s *pagedStore) Range(ctx context.Context, _ string) ([]store.Item, uint64, error) {
+	next := s.pages()
+	if err := s.link.send(ctx, startPage); err != nil {
+		return nil, 0, &store.ErrUnavailable{Call: "range", Err: err}
 	}
-	if err := s.link.send(ctx, bytes); err != nil {
+	if err := next(ctx); err != nil {
+		return nil, 0, err
+	}
+	if err := s.link.send(ctx, startBytes-startPage); err != nil {
 		return nil, 0, &store.ErrUnavailable{Call: "range", Err: err}
 	}
 	return []store.Item{entry("e1", "prefill", 5)}, 5, nil
 }
 
 // Watch waits for as long as it may.
-func (s *linkedStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
+func (s *pagedStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
 	select {
 	case <-ctx.Done():
 		return nil, 0, ctx.Err()
@@ -109,10 +111,12 @@
 	var fleet []*starting
 	for i := range n {
 		f := &starting{fixture: unread(t), link: &sharedLink{perSecond: startLink}}
-		if inTurn {
-			f.place, f.others = i, n-1
+		f.others = i
+		s := &pagedStore{link: storeLink, pages: f.reading}
+		if !inTurn {
+			s.pages = func() func(context.Context) error { return func(context.Context) error { return nil } }
 		}
-		f.store = &linkedStore{link: storeLink, gateways: n}
+		f.store = s
 		fleet = append(fleet, f)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -206,15 +210,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := unread(t)
-		f.place, f.others = 1000, 1000
+		f.others = 1000
+		next := f.reading()
 		go func() {
 			time.Sleep(time.Second)
 			f.learn(sharedState{At: 5, assured: boottime.Now()})
 		}()
 		var overtaken *store.ErrOvertaken
-		g.Expect(errors.As(f.awaitTurn(t.Context()), &overtaken)).To(BeTrue())
+		g.Expect(errors.As(next(t.Context()), &overtaken)).To(BeTrue())
 		g.Expect(f.copy.lostNow()).To(BeFalse())
-		g.Expect(f.awaitTurn(t.Context())).To(Succeed(), "a later reading waits for no turn")
+		g.Expect(f.reading()(t.Context())).To(Succeed(), "a later reading waits for no turn")
 	})
 }
 
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -48,9 +48,6 @@
 	// Forgotten, if set, waits for others to bring what the store's history no longer shows after
 	// a revision. It returns the revision that they reached, 0 if all must be read anew.
 	Forgotten func(ctx context.Context, after uint64) uint64
-	// Turn, if set, waits until the prefix may be read whole. It fails with *ErrOvertaken where others
-	// brought what the reading would show.
-	Turn func(ctx context.Context) error
 	// Reset takes a whole reading. Apply takes what every watch brings, also none. Both
 	// get what the store holds now or held later than what they got before; Reset
 	// refuses a reading that others have overtaken.
@@ -165,11 +162,6 @@
 
 // read reads the whole prefix.
 func (f *Follower) read(ctx context.Context, p *position) (uint64, error) {
-	if f.Turn != nil {
-		if err := f.Turn(ctx); err != nil {
-			return 0, err
-		}
-	}
 	ctx, end := context.WithTimeout(ctx, longestReading)
 	defer end()
 	ctx, cancel := progress.Bound(ctx, p.limit)
