process, peers, store: the readings in turn are taken back

A gateway that learned its state from another at its start misses a later configuration; why was not found.

--- a/pkg/peers/members.go
+++ b/pkg/peers/members.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -109,23 +108,6 @@
 	return out
 }
 
-// Holders returns the addresses of up to n gateways that know a configuration, chosen at random; of all
-// where none is known to.
-func (x *Exchange) Holders(n int) []string {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	list := slices.DeleteFunc(slices.Clone(x.sorted()), func(m *member) bool { return !m.alive || m.version == 0 })
-	if len(list) == 0 {
-		list = slices.Clone(x.sorted())
-	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	out := make([]string, 0, n)
-	for _, m := range list[:min(n, len(list))] {
-		out = append(out, m.address.String())
-	}
-	return out
-}
-
 // Uses reports whether this gateway uses an engine; see package subset.
 func (x *Exchange) Uses(engine string) bool { return x.subset.Load().Uses(engine) }
 
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -101,10 +101,7 @@
 	m.missing = !whole && (m.missing || lost)
 	m.wantFull = m.wantFull || s.WantFull || s.Incarnation != m.incarnation
 	if whole {
-		m.domain = s.Domain
-	}
-	if whole || s.ConfigVersion > 0 {
-		m.version = s.ConfigVersion
+		m.domain, m.version = s.Domain, s.ConfigVersion
 	}
 	m.incarnation, m.sequence, m.lastSeen = s.Incarnation, s.Sequence, now
 	if m.alive {
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -158,7 +158,7 @@
 // the lock.
 func (x *Exchange) full(m *member, all map[string]enginepool.Snapshot, now time.Time) *wirepb.GatewayState {
 	state := encode(x.partFor(m.name, all))
-	state.Address, state.Domain = x.options.Address, x.options.Domain
+	state.Address, state.Domain, state.ConfigVersion = x.options.Address, x.options.Domain, x.options.Version()
 	list := x.sorted()
 	for i := range min(namedPeers, len(list)) {
 		p := list[(int(m.sent)+i)%len(list)]
@@ -175,7 +175,6 @@
 	m.sent++
 	m.lastSent = now
 	state.Name, state.Incarnation, state.Sequence = x.options.Name, x.incarnation, m.sent
-	state.ConfigVersion = x.options.Version()
 	return datagram{to: m.address, name: m.name, state: state}
 }
 
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -6,7 +6,6 @@
 	"log"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
@@ -46,8 +45,6 @@
 	applying sync.Mutex
 	// woken holds a value when the store is to be looked at now.
 	woken chan struct{}
-	// waiting is set once the first reading has waited for its turn.
-	waiting atomic.Bool
 
 	mu      sync.Mutex
 	store   store.Store
@@ -67,9 +64,8 @@
 	restart chan struct{}
 }
 
-func newFeed(g *ingress.Ingress, l *decisionlog.Log, address string, p relay.Pace) *feed {
-	f := &feed{ingress: g, log: l, address: address, pace: p, restart: make(chan struct{}), woken: make(chan struct{}, 1)}
-	f.store = f.open(address)
+func newFeed(g *ingress.Ingress, l *decisionlog.Log, s store.Store, address string, p relay.Pace) *feed {
+	f := &feed{ingress: g, log: l, store: s, address: address, pace: p, restart: make(chan struct{}), woken: make(chan struct{}, 1)}
 	g.Directory.Changed = func(c runners.Change) {
 		if c.What == runners.Replaced {
 			f.forget(c.Runner.Address)
@@ -105,8 +101,7 @@
 }
 
 // use follows another store from now on.
-func (f *feed) use(address string) {
-	s := f.open(address)
+func (f *feed) use(s store.Store, address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if address == f.address {
@@ -225,11 +220,7 @@
 	f.history.Restart(s.At, time.Now().Add(-time.Duration(s.AgeMs)*time.Millisecond))
 	f.takeAll(s.Items, s.At)
 	f.history.Assure(s.assured)
-	if s.AgeMs > 0 {
-		f.copy.answers(false)
-		return
-	}
-	f.readOnce(time.Now())
+	f.copy.answers(false)
 }
 
 // apply takes what a watch brought.
--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -35,8 +35,6 @@
 	Coverage(now time.Time) peers.Coverage
 	// StoreAnswers notes that the store answered this gateway.
 	StoreAnswers(now time.Time)
-	// Rank returns this gateway's place among those that are alive, by name, 0 first.
-	Rank() int
 	// Known returns how many other gateways there are.
 	Known() int
 	// SendStoreUpdates passes on what is new.
--- a/pkg/process/relay_test.go
+++ b/pkg/process/relay_test.go
@@ -36,27 +36,20 @@
 
 func (f *fixture) Relay(time.Time) bool              { return f.isRelay }
 func (f *fixture) Coverage(time.Time) peers.Coverage { return f.coverage }
-func (f *fixture) Rank() int                         { return f.others }
 func (f *fixture) Known() int                        { return f.others }
 func (f *fixture) StoreAnswers(time.Time)            {}
 func (f *fixture) SendStoreUpdates(time.Time)        { f.passedOn++ }
 
 func newFixture(t *testing.T, at uint64, items ...store.Item) *fixture {
-	f := unread(t)
-	if err := f.reset(items, at); err != nil {
-		panic(err)
-	}
-	return f
-}
-
-// unread returns a feed that has not read the store.
-func unread(t *testing.T) *fixture {
 	log := decisionlog.New("test", io.Discard)
 	t.Cleanup(func() { log.Close(time.Second) })
-	f := &fixture{feed: newFeed(ingress.New(ingress.Options{Log: log}), log, "", pace)}
+	f := &fixture{feed: newFeed(ingress.New(ingress.Options{Log: log}), log, nil, "", pace)}
 	f.orders = func(bool) {}
 	f.gateway = func(name, _ string) { f.met = append(f.met, name) }
 	f.relays, f.forget = f, func(string) {}
+	if err := f.reset(items, at); err != nil {
+		panic(err)
+	}
 	return f
 }
 
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -26,10 +26,8 @@
 	stateCall  = 300 * time.Millisecond
 	stateRetry = 200 * time.Millisecond
 	// stateAsked is how many gateways are asked in a round, besides the seeds: where all start at
-	// once none knows anything, and each would ask all others. stateAskedInTurn is how many are while
-	// the store answers.
-	stateAsked       = 4
-	stateAskedInTurn = 2
+	// once none knows anything, and each would ask all others.
+	stateAsked = 4
 	// stateHanded is how many gateways are handed the state at a time: more would share the link of
 	// this one with its clients.
 	stateHanded = 2
@@ -110,8 +108,8 @@
 	return z.Close()
 }
 
-// learnFromPeers asks other gateways for what they know of the store while nothing is known yet, and the
-// store does not answer or many read it. What the store says later replaces it.
+// learnFromPeers asks other gateways for what they know of the store, as long as the
+// store does not answer and nothing is known yet. What the store says later replaces it.
 func (p *Ingress) learnFromPeers(ctx context.Context) {
 	client := stateClient()
 	tick := time.NewTicker(stateRetry)
@@ -122,7 +120,7 @@
 			return
 		case <-tick.C:
 		}
-		if p.feed.wantsState() {
+		if p.feed.copy.unknown() {
 			p.askPeers(ctx, client)
 		}
 	}
@@ -134,11 +132,8 @@
 // askPeers takes the state of the first gateway that has one: of those with the newest configuration,
 // some others, and the seeds.
 func (p *Ingress) askPeers(ctx context.Context, client *http.Client) {
-	for _, address := range p.stateHolders() {
+	for _, address := range append(someOf(p.peers.Addresses(), stateAsked), p.seeds()...) {
 		s, err := fetchState(ctx, client, address)
-		if err == nil && !p.feed.mayLearn(s) {
-			err = &ErrState{Address: address, Why: "not confirmed lately, while the store answers"}
-		}
 		if err != nil {
 			p.log.Write(decisionlog.KindProcess, "state_not_learned", decisionlog.F("error", err))
 			continue
@@ -151,15 +146,6 @@
 	}
 }
 
-// stateHolders returns the gateways to be asked in a round. While the store answers, which all may read
-// in turn, those are few and no seeds, of which all would ask the same.
-func (p *Ingress) stateHolders() []string {
-	if !p.feed.copy.unknown() {
-		return p.peers.Holders(stateAskedInTurn)
-	}
-	return append(someOf(p.peers.Addresses(), stateAsked), p.seeds()...)
-}
-
 // someOf returns n of a list: the first half of them in order, the rest at random.
 func someOf(list []string, n int) []string {
 	if len(list) <= n {
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/boottime"
@@ -89,10 +88,6 @@
 			}
 			continue
 		}
-		var overtaken *ErrOvertaken
-		if errors.As(err, &overtaken) {
-			continue
-		}
 		f.failed(ctx, &p, err)
 	}
 }
@@ -187,17 +182,6 @@
 	}
 }
 
-// ErrOvertaken reports that a reading was given up, since others brought what it would have shown.
-type ErrOvertaken struct {
-	// At is the revision that they reached.
-	At uint64
-}
-
-// Error implements error.
-func (e *ErrOvertaken) Error() string {
-	return "reading given up: others brought revision " + strconv.FormatUint(e.At, 10)
-}
-
 // ErrOld reports that an answer is older than what is known.
 type ErrOld struct {
 	Have, Got uint64
