notice, platform, ingress: what a notice means is decided in pkg/notice

platform/ held two decisions: how long a pause is believed, and how long before its end a runner gets no more work. It decodes into fields that say what they hold now (Refused, RetryAfter, Leaving, Ends, LeavesIn), and pkg/notice bounds and weighs them. The assertions moved with the code. A plain runner in the slow start after a pause was reported as one that names a limit (cause runner_limit, an empty limit in the error); it is reported as unavailable now. A report of a runner without a name is dropped. Comments in plainer words.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -85,7 +85,7 @@
 	x.giveUp(life, firstOf(x.over(), last), comeBackToService(last))
 }
 
-// comeBackToService returns when a client may come back whom no plain runner took.
+// comeBackToService returns the Retry-After for a request that no plain runner accepted.
 func comeBackToService(last error) time.Duration { return max(roomAfter(last), serviceWait) }
 
 // firstOf returns the first error that is one.
--- a/pkg/ingress/plain.go
+++ b/pkg/ingress/plain.go
@@ -61,7 +61,7 @@
 // choose keeps a place at the plain runner with the least work, in the own domain first, of those
 // that this gateway uses and that may serve the request. Where no healthy one is left of all, one
 // that rests is chosen for a request that may be repeated. It fails with *runners.ErrUnavailable if all
-// leave or pause, *ErrLimited if runners are left that take no more now, and *enginepool.ErrNoRunner if
+// leave, pause or had a pause a moment ago, *ErrLimited if runners are left that take no more now, and *enginepool.ErrNoRunner if
 // none is.
 func (g *Ingress) choose(w plainWork) (*runners.State, error) {
 	now := time.Now()
@@ -92,20 +92,20 @@
 
 // noRoom returns why no runner of a list was chosen.
 func (w plainWork) noRoom(list []*runners.State, now time.Time) error {
-	var limited *ErrLimited
+	var first *runners.State
+	var least time.Duration
 	for _, s := range list {
-		if w.avoid[s.ID] {
-			continue
-		}
-		if after := s.RoomAfter(now); after > 0 && (limited == nil || after < limited.After) {
-			limited = &ErrLimited{Service: w.service, Runner: s.ID, After: after}
-			limited.Limit, _ = s.Limit(now)
+		if after := s.RoomAfter(now); !w.avoid[s.ID] && after > 0 && (first == nil || after < least) {
+			first, least = s, after
 		}
 	}
-	if limited == nil {
+	if first == nil {
 		return &enginepool.ErrNoRunner{Service: w.service}
 	}
-	return limited
+	if limit, named := first.Limit(now); named {
+		return &ErrLimited{Service: w.service, Runner: first.ID, After: least, Limit: limit}
+	}
+	return &runners.ErrUnavailable{Service: w.service, Paused: 1, After: least}
 }
 
 // leastWork keeps a place at the plain runner of a list that is expected to answer first, and
--- a/pkg/notice/notice.go
+++ b/pkg/notice/notice.go
@@ -17,10 +17,15 @@
 type Notice struct {
 	// Limit is what it says of the requests that the runner takes.
 	Limit runnerlimit.Statement
-	// Leaving says that the runner takes no more work.
-	Leaving bool
-	// Pause is how long the runner wants no call from this gateway; 0 for none.
-	Pause time.Duration
+	// Leaving says that the runner takes no more work. LeavesIn is in what time it ends, where Ends says
+	// that it told so.
+	Leaving  bool
+	Ends     bool
+	LeavesIn time.Duration
+	// Refused says that the runner turned the call away, RetryAfter after what time it wants the next
+	// one; 0 if it doesn't say.
+	Refused    bool
+	RetryAfter time.Duration
 	// ColdFor is how much longer the runner bears less than it will; 0 if it says nothing of it.
 	ColdFor time.Duration
 	// Sent is when the call was sent that the answer belongs to, Accepted whether that was work
@@ -31,6 +36,25 @@
 	Unknown []string
 }
 
+const (
+	// longestPause bounds a pause that a runner is believed to ask for: a longer one is a mistake, and
+	// would keep the runner out for good.
+	longestPause = time.Hour
+	// leaveSoon is how long before its end a runner gets no more work: longer than requests take.
+	leaveSoon = 30 * time.Second
+)
+
+// pause returns how long the runner wants no call from this gateway; 0 for none.
+func (n *Notice) pause() time.Duration {
+	if !n.Refused {
+		return 0
+	}
+	return min(n.RetryAfter, longestPause)
+}
+
+// leaves reports whether the runner gets no more work.
+func (n *Notice) leaves() bool { return n.Leaving || n.Ends && n.LeavesIn <= leaveSoon }
+
 // Purpose is what a call to a runner is for.
 type Purpose uint8
 
--- a/pkg/notice/notice_test.go
+++ b/pkg/notice/notice_test.go
@@ -15,7 +15,7 @@
 	return time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(s * float64(time.Second)))
 }
 
-func asksFor(length time.Duration) Notice { return Notice{Pause: length} }
+func asksFor(length time.Duration) Notice { return Notice{Refused: true, RetryAfter: length} }
 
 // Guards against a notice that a later answer or reading takes back, or that outlives its start.
 func TestLeavingIsKeptByStartAndNeverTakenBack(t *testing.T) {
@@ -114,7 +114,7 @@
 	g.Expect(table.some.Load()).To(BeFalse())
 }
 
-// Guards against a gateway that never hears of a notice because it does not know the runner yet.
+// Guards against a report that is dropped because the receiver does not know the runner yet.
 func TestReportsOfOtherGatewaysHoldForStartsThatAreNotKnownYet(t *testing.T) {
 	g := NewWithT(t)
 	table := New()
@@ -183,3 +183,17 @@
 	}
 	g.Expect(windows).To(Equal([]int{1, 2, 4, 5, 6}), "doubling to half of eight, then one at a time")
 }
+
+// Guards against a pause that is taken from an answer that turned nothing away, or believed for ever, and
+// against an end that a runner tells and nobody heeds.
+func TestWhatANoticeMeans(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect((&Notice{RetryAfter: time.Second}).pause()).To(BeZero())
+	g.Expect((&Notice{Refused: true, RetryAfter: time.Second}).pause()).To(Equal(time.Second))
+	g.Expect((&Notice{Refused: true, RetryAfter: 900 * time.Second}).pause()).To(Equal(15 * time.Minute))
+	g.Expect((&Notice{Refused: true, RetryAfter: 24 * time.Hour}).pause()).To(Equal(longestPause))
+	g.Expect((&Notice{}).leaves()).To(BeFalse())
+	g.Expect((&Notice{Leaving: true}).leaves()).To(BeTrue())
+	g.Expect((&Notice{Ends: true, LeavesIn: leaveSoon}).leaves()).To(BeTrue())
+	g.Expect((&Notice{Ends: true, LeavesIn: time.Hour}).leaves()).To(BeFalse())
+}
--- a/pkg/notice/pause.go
+++ b/pkg/notice/pause.go
@@ -22,7 +22,7 @@
 type pause struct {
 	since, until time.Time
 	asked        int
-	// ended is set once Changed was told.
+	// ended is set once the end was reported to Changed.
 	ended bool
 	// window bounds the requests at once after the pause, claims are those, by request. The window
 	// doubles in the time of an answer up to threshold, and grows by one beyond.
--- a/pkg/notice/simulation_test.go
+++ b/pkg/notice/simulation_test.go
@@ -89,8 +89,8 @@
 	r.runs = left
 }
 
-// arrive sends a request to the runner with the least work of those that its gateway may use, and to the
-// next one where it is turned away.
+// arrive sends a request to the least loaded runner that its gateway may use, and retries it at others
+// after a refusal.
 func (s *simulation) arrive(gateway int) {
 	s.serial++
 	request, table := fmt.Sprint(s.serial), s.gateways[gateway]
--- a/pkg/notice/table.go
+++ b/pkg/notice/table.go
@@ -15,7 +15,7 @@
 	rememberLeaving = time.Hour
 	// maxLeaving bounds the starts that are kept as leaving: the oldest are dropped.
 	maxLeaving = 4096
-	// maxUnknown bounds the names of unknown headers that Changed is told of.
+	// maxUnknown bounds the names of unknown headers that are reported to Changed.
 	maxUnknown = 16
 	// maxName bounds such a name, in bytes.
 	maxName = 64
@@ -50,16 +50,17 @@
 
 // Observe takes what an answer of a start of a runner says.
 func (t *Table) Observe(runner string, n Notice, now time.Time) {
-	if !n.Leaving && n.Pause <= 0 && len(n.Unknown) == 0 && !(n.Accepted && t.some.Load()) {
+	leaves, length := n.leaves(), n.pause()
+	if !leaves && length <= 0 && len(n.Unknown) == 0 && !(n.Accepted && t.some.Load()) {
 		return
 	}
 	var changes []Change
 	t.mu.Lock()
-	if n.Leaving && t.learn(runner, announcement{at: now}) {
+	if leaves && t.learn(runner, announcement{at: now}) {
 		changes = append(changes, Change{Runner: runner, What: Leaving})
 	}
-	if n.Pause > 0 {
-		changes = append(changes, t.pause(runner, n.Pause, now)...)
+	if length > 0 {
+		changes = append(changes, t.pause(runner, length, now)...)
 	} else if p := t.pauses[runner]; p != nil && n.Accepted && p.accepted(n.Sent) {
 		changes = append(changes, t.end(runner, p)...)
 		delete(t.pauses, runner)
@@ -103,7 +104,7 @@
 	return append(changes, Change{Runner: runner, What: PauseBegins, For: length, Asked: p.asked})
 }
 
-// end returns the change of a pause that is over, nothing if it was told before.
+// end returns the change for a pause that is over, or nothing if it was reported before.
 func (t *Table) end(runner string, p *pause) []Change {
 	if p.ended {
 		return nil
@@ -226,7 +227,7 @@
 	var changes []Change
 	t.mu.Lock()
 	for _, runner := range leaving {
-		if t.learn(runner, announcement{at: now, from: gateway}) {
+		if runner != "" && t.learn(runner, announcement{at: now, from: gateway}) {
 			changes = append(changes, Change{Runner: runner, What: Leaving, From: gateway})
 		}
 	}
@@ -254,8 +255,8 @@
 	return out
 }
 
-// Withheld returns the runners that get no work now for what they said, by name; of those that leave,
-// the ones that were learned of within a time.
+// Withheld returns the runners that are paused or leaving, sorted by name. Leaving runners are included
+// for a limited time after their notice was received.
 func (t *Table) Withheld(within time.Duration, now time.Time) []Withheld {
 	if !t.some.Load() {
 		return nil
--- a/pkg/peers/limits.go
+++ b/pkg/peers/limits.go
@@ -8,8 +8,8 @@
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
-// sharedEvery is the time between two datagrams to a gateway that shares a runner's limit: one that
-// is not heard of leaves its part of the limit unused.
+// sharedEvery is the time between two datagrams to a gateway that shares a runner's limit. The share of a
+// gateway from which no datagrams arrive stays unused.
 const sharedEvery = 300 * time.Millisecond
 
 // addLimits adds to a datagram what its receiver has not been told of runners' limits: everything
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -63,8 +63,8 @@
 	// refusal is the runner's answer that it is another one, or has another stage.
 	refusal refusal
 	// leaving is set when its entry says that it takes no more work, also in
-	// states that were handed out before. Its answers may say so earlier, see notices. replaced is set when its entry is that of a
-	// later start: it is no more.
+	// states that were handed out before; notices has what its answers say. replaced is set when its
+	// entry is that of a later start: it is no more.
 	leaving, replaced bool
 	// change is the stage change that the engine was ordered to make.
 	change pendingChange
--- a/pkg/runners/unavailable_test.go
+++ b/pkg/runners/unavailable_test.go
@@ -18,8 +18,8 @@
 		d.Put(Runner{ID: id, Service: "s", Domain: id}, now)
 	}
 	g.Expect(d.Unavailable("s", "", nil, now)).To(Succeed())
-	d.Find("a").Observe(notice.Notice{Pause: 3 * time.Second}, now)
-	d.Find("b").Observe(notice.Notice{Pause: time.Second}, now)
+	d.Find("a").Observe(notice.Notice{Refused: true, RetryAfter: 3 * time.Second}, now)
+	d.Find("b").Observe(notice.Notice{Refused: true, RetryAfter: time.Second}, now)
 	g.Expect(d.Unavailable("s", "", nil, now)).To(Succeed())
 	left := func(domain string) bool { return domain != "c" }
 	g.Expect(d.Unavailable("s", "", left, now)).To(MatchError(&ErrUnavailable{Service: "s", Paused: 2, After: time.Second}))
@@ -34,7 +34,7 @@
 	g := NewWithT(t)
 	d, now := NewDirectory("a"), time.Now()
 	d.Put(Runner{ID: "r@1", Name: "r", Service: "s"}, now)
-	d.Find("r@1").Observe(notice.Notice{Pause: time.Minute}, now)
+	d.Find("r@1").Observe(notice.Notice{Refused: true, RetryAfter: time.Minute}, now)
 	g.Expect(d.Usable("s", "", now)).To(BeEmpty())
 	g.Expect(d.Present("s", now)).To(HaveLen(1), "it stays where it is")
 	d.Put(Runner{ID: "r@2", Name: "r", Service: "s"}, now)
