--- a/pkg/losses/losses_test.go
+++ b/pkg/losses/losses_test.go
@@ -114,3 +114,14 @@
 	g.Expect(r.Windows[0].Generations.Lost).To(Equal(map[Cause]int{OverLimit: 1}))
 	g.Expect(r.Windows[0].Lookups.Lost).To(Equal(map[Cause]int{NoKey: 1, KeyUnconfirmed: 1, NoRegion: 1, Evacuated: 1, RunnerLimit: 1}))
 }
+
+// Guards against a cause that the log has but no table shows, so that its requests seem to have been served.
+func TestTablesShowEveryRefusal(t *testing.T) {
+	for _, cause := range []Cause{NoRoom, OverLimit, NoKey, KeyUnconfirmed, Quarantined, NoRegion, Evacuated, RunnerLimit, RunnersUnavailable, Refused} {
+		g := NewWithT(t)
+		r := newReport(t, `time=2026-12-02T10:00:00.100Z process=a kind=failed event=request_end request=q1 status=503 took=0.0ms service=app cause=`+string(cause)+` error="refused"`)
+		var text strings.Builder
+		g.Expect(r.Write(&text)).To(Succeed())
+		g.Expect(text.String()).To(ContainSubstring(string(cause)))
+	}
+}
