--- a/pkg/ingressdemo/demo_test.go
+++ b/pkg/ingressdemo/demo_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -78,6 +79,32 @@
 		Eventually(func() int { all, _ := d.tally.read(time.Now()); return all[inTime] }).Should(BeNumerically(">", before[inTime]+30))
 	})
 
+	// Guards against a runner that is removed, after its drain, without the lock under which the view reads the list.
+	It("replaces drained runners while the view is read", func() {
+		d, _ := start()
+		views, stop := context.WithCancel(context.Background())
+		var readers sync.WaitGroup
+		for range 4 {
+			readers.Go(func() {
+				for views.Err() == nil {
+					d.WriteView(io.Discard)
+				}
+			})
+		}
+		for range 20 {
+			_, err := d.Strike(Leaving, "engine-2", time.Millisecond)
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(func() bool {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				_, faulty := d.faultEnds["engine-2"]
+				return faulty
+			}).WithPolling(time.Millisecond).Should(BeFalse())
+		}
+		stop()
+		readers.Wait()
+	})
+
 	It("shows a killed runner as gone", func() {
 		_, url := start()
 		status, text := post(url + "/faults/kill?target=engine-2&for=10s")
--- a/pkg/ingressdemo/faults.go
+++ b/pkg/ingressdemo/faults.go
@@ -113,7 +113,7 @@
 		return target, nil
 	case Leaving:
 		d.standIns.Drain(target)
-		d.afterDelay(lasts, func() { d.standIns.Kill(target); d.replaceRunner(r) })
+		d.afterDelay(lasts, func() { d.killRunner(target); d.replaceRunner(r) })
 		return target, nil
 	case Silent:
 		r.Break(standin.Mute, allRequests)
@@ -141,6 +141,13 @@
 	return up[rand.IntN(len(up))]
 }
 
+// killRunner stops a runner.
+func (d *Demo) killRunner(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.standIns.Kill(id)
+}
+
 // replaceRunner starts a runner with an empty cache in place of a stopped one.
 func (d *Demo) replaceRunner(old *standin.Runner) {
 	stage, _ := old.Stage()
