process: the ordering gateway stops work before it records changes

Callers saw a request refused by an engine that had just been ordered to another stage. The gateway that orders recorded and reported a batch of changes first, and marked each engine as changing only right before its own order, up to 16 ms later; until then it sent that engine new work. Now it marks the whole batch before the record.

--- a/pkg/process/order.go
+++ b/pkg/process/order.go
@@ -35,6 +35,14 @@
 	}
 }
 
+// stopWork ends this gateway's own use of engines before their changes are recorded and reported. The
+// orders follow some milliseconds later, one after the other, and an engine refuses work from its order on.
+func (s *stager) stopWork(changes []staging.Change, now time.Time) {
+	for _, c := range changes {
+		c.Runner.BeginStageChange(c.Stage, s.changeLimit(c.Runner.Service), now)
+	}
+}
+
 // pending returns the recorded changes that are in progress.
 func (s *stager) pending(now time.Time) []staging.Change {
 	s.recorded = slices.DeleteFunc(s.recorded, func(c staging.Change) bool {
@@ -95,8 +103,8 @@
 	return err
 }
 
-// order orders one engine to change its stage. The engine gets no new work from shortly before the
-// order is sent. orderAll has already reported the change to the other gateways.
+// order orders one engine to change its stage. orderAll has already stopped its new work and reported
+// the change to the other gateways.
 func (s *stager) order(ctx context.Context, c staging.Change, fence store.Revision) {
 	call, cancel := context.WithTimeout(ctx, orderCallTimeout)
 	defer cancel()
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -147,6 +147,7 @@
 		if !s.holdLock(ctx) {
 			return
 		}
+		s.stopWork(batch, time.Now())
 		s.record(ctx, batch)
 		s.recorded = append(s.pending(time.Now()), batch...)
 		s.report(s.announcement(batch), time.Now())
