enginepool: forecast memory as a distribution, place by it, and take turns on scarce room

Callers saw pauses of up to a second: engines without memory preempt a response, and all responses of the engine wait while its prompt is processed again. Gateways placed by estimates that were wrong for the responses of other gateways: aged with one speed for all engines, and taken as just ending once they outlived their estimate. And when room appeared, all gateways with waiting jobs took it in one report.

The memory of an engine is now the distribution over time that follows from the estimated lengths, given what has been generated (EngineLoad.generated); an engine that preempted lately keeps more free; a refused hold shows memory that nobody has reported. Speeds and preemptions of others are received. Gateways with waiting jobs take turns on an engine that was full. A random one of the best engines is chosen if others are expected to choose at the same time. Jobs that begin or cease to wait are reported.

--- a/pkg/enginepool/choice.go
+++ b/pkg/enginepool/choice.go
@@ -34,6 +34,15 @@
 	return slices.MaxFunc(list, func(a, b candidate) int { return cmp.Compare(a.score, b.score) }).runner
 }
 
+// oneOfBest returns the best candidate, or a random one of the best if other gateways are expected to
+// choose the same one before they report it: as many as are expected to compare it among theirs, of a
+// number of runners. The list must not be empty. The caller holds the lock.
+func (p *Pool) oneOfBest(list []candidate, of int, now time.Time) *runners.State {
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
+	others := p.unreported(now) * min(1, maxCandidates/float64(max(1, of)))
+	return list[p.options.Pick(min(len(list), max(1, int(others))))].runner
+}
+
 // stageSubset is the cached subset of a stage's runners that this gateway uses.
 type stageSubset struct {
 	list       []*runners.State
--- a/pkg/enginepool/demand.go
+++ b/pkg/enginepool/demand.go
@@ -71,10 +71,8 @@
 func (p *Pool) meanPrefillRate() float64 {
 	sum, n := 0.0, 0
 	for _, r := range p.prefillRunners {
-		if r.rate > 0 {
-			sum += r.rate
-			n++
-		}
+		sum += r.rate
+		n++
 	}
 	if n == 0 {
 		return initialPrefillRate
--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -1,9 +1,6 @@
 package enginepool
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Job is a request that needs memory on a decode runner.
 type Job struct {
@@ -22,6 +19,11 @@
 // allows reports whether the job may run in a failure domain.
 func (j Job) allows(domain string) bool { return j.Allows == nil || j.Allows(domain) }
 
+// footprint returns the memory that the job takes when it begins.
+func (j Job) footprint() footprint {
+	return footprint{now: float64(j.Prompt), left: j.Length.expected(0), length: j.Length}
+}
+
 // size is the memory that the job is expected to take when it ends, in tokens.
 func (j Job) size() int { return j.Prompt + int(j.Length.Expected(0)) }
 
@@ -39,17 +41,39 @@
 }
 
 // Load is a reservation as it is reported to other gateways: the memory that it takes
-// now, and how much its response is expected to add, in tokens.
+// now, how much its response is expected to add, and how much of the response has been received,
+// in tokens.
 type Load struct {
-	Now, Left int
+	Now, Left, Generated int
 }
 
 // peerLoads holds another gateway's reservations at one engine, as reported at a time.
 type peerLoads struct {
-	loads []Load
+	loads []peerLoad
 	at    time.Time
 }
 
+// peerLoad is a reservation of another gateway, with the estimate of the response's length that
+// follows from the report, and the longest length that is assumed.
+type peerLoad struct {
+	Load
+	length  Estimate
+	longest float64
+}
+
+// footprint returns the memory that the response takes when it has grown by a number of tokens
+// since it was reported. Ends are reported at once, so that a response that outlives its estimate
+// is still running. It is not assumed to be longer than nearly all responses are: then the report
+// of its end was lost.
+func (l peerLoad) footprint(grown float64) footprint {
+	generated := float64(l.Generated) + grown
+	if generated > l.longest {
+		grown = max(0, l.longest-float64(l.Generated))
+		return footprint{now: float64(l.Now) + grown}
+	}
+	return footprint{float64(l.Now) + grown, l.length.expected(generated) - generated, generated, l.length}
+}
+
 // engine is this gateway's model of one engine: its own reservations and prefills, and
 // those that other gateways reported.
 type engine struct {
@@ -68,8 +92,23 @@
 	// refusedUntil is when the runner becomes a candidate again after it refused a
 	// reservation.
 	refusedUntil time.Time
+	// fullAt is when a job last found no room on the engine, and endedAt when a response of this
+	// gateway last ended there.
+	fullAt, endedAt time.Time
+	// idHash is the hash of id.
+	idHash uint64
+	// unseen is memory that must be in use by requests that no gateway reported, in tokens: the
+	// engine refused a reservation for which it seemed to have room.
+	unseen decayed
 	// speed is the learned decode speed.
 	speed decodeSpeed
+	// footprintList is the result of footprints at a time and a rate.
+	footprintList []footprint
+	footprintsAt  time.Time
+	footprintRate float64
+	// profile is computed from footprintList for a typical length, 0 if it is not.
+	profile        profile
+	profileTypical float64
 }
 
 // remaining estimates how many more tokens the response will have.
@@ -77,52 +116,45 @@
 	return max(0, int(b.job.Length.Expected(b.generated))-b.generated)
 }
 
-// footprint is the memory of one request: tokens now, tokens still to come, and the
-// variance of the latter.
-type footprint struct{ now, left, variance float64 }
+// footprint returns the memory that the response takes.
+func (b *reservation) footprint() footprint {
+	return footprint{float64(b.job.Prompt + b.generated), float64(b.remaining()), float64(b.generated), b.job.Length}
+}
+
+// footprint is the memory of one request: tokens now, tokens expected to come, the tokens generated
+// so far and the estimated length of the response. Without an estimate the response is about to end.
+type footprint struct {
+	now, left, generated float64
+	length               Estimate
+}
 
-// footprints lists the memory use of all requests on the runner. Those of other gateways
-// are assumed to have grown since they were reported, at a rate in tokens per second.
-// spread is the standard deviation of the logarithm of response lengths. It is used for
-// the requests of other gateways; this gateway's own have theirs in Job.Length.
-func (e *engine) footprints(now time.Time, rate, spread float64) []footprint {
-	out := make([]footprint, 0, len(e.own)+8)
+// footprints lists the memory use of all requests on the engine, at a time.
+// Requests of other gateways are assumed to have grown since they were reported, at a rate in tokens
+// per second. The list is valid until the next call.
+func (e *engine) footprints(now time.Time, rate float64) []footprint {
+	if !e.footprintsAt.IsZero() && now.Sub(e.footprintsAt).Abs() < footprintTTL && rate == e.footprintRate {
+		return e.footprintList
+	}
+	out := e.footprintList[:0]
 	for _, b := range e.own {
-		left := float64(b.remaining())
-		out = append(out, footprint{float64(b.job.Prompt + b.generated), left, variance(left, b.job.Length.spread)})
+		out = append(out, b.footprint())
 	}
 	for _, reported := range e.peers {
 		grown := max(0, rate*now.Sub(reported.at).Seconds())
 		for _, l := range reported.loads {
-			generated := min(grown, float64(l.Left))
-			left := float64(l.Left) - generated
-			out = append(out, footprint{float64(l.Now) + generated, left, variance(left, spread)})
+			out = append(out, l.footprint(grown))
 		}
 	}
+	e.footprintList, e.footprintsAt, e.footprintRate, e.profileTypical = out, now, rate, 0
 	return out
 }
 
-// peak returns the most memory that all requests will take together if one more is
-// added. All responses are assumed to grow at the same rate, and each request frees its
-// memory when its response is complete. The maximum is reached just before one of them ends.
-func peak(footprints []footprint, add footprint) float64 {
-	all := append(footprints, add)
-	most := 0.0
-	for _, at := range all {
-		sum := 0.0
-		for _, p := range all {
-			if p.left >= at.left {
-				sum += p.now + at.left
-			}
-		}
-		most = math.Max(most, sum)
-	}
-	return most
-}
+// footprintTTL is how long the list of footprints is reused, as long as the reservations don't change.
+// Responses grow little in it, compared with the error of the estimates.
+const footprintTTL = 20 * time.Millisecond
 
-// variance returns the variance of the remaining length of a response, in tokens squared,
-// for a spread (standard deviation) of the logarithm of lengths.
-func variance(left, spread float64) float64 { return left * left * math.Expm1(spread*spread) }
+// changed makes the next call of footprints compute them again.
+func (e *engine) changed() { e.footprintsAt = time.Time{} }
 
 // reservationCount returns the number of reservations of all gateways.
 func (e *engine) reservationCount() int {
@@ -133,27 +165,50 @@
 	return n
 }
 
-// room returns how much memory is left at the peak with a job added, in tokens. A
+// profileOf returns the profile of all requests on the engine.
+func (e *engine) profileOf(now time.Time, rate, typical float64) *profile {
+	if list := e.footprints(now, rate); e.profileTypical != typical {
+		e.profile, e.profileTypical = profile{}, typical
+		for _, f := range list {
+			e.profile.add(f, typical)
+		}
+	}
+	return &e.profile
+}
+
+// room returns how much memory is left with a job added, in tokens, at the time when least is. A
 // negative value means that the job does not fit.
 //
-// About half of the responses are longer than expected, and the reports of other gateways are
-// up to seconds old. A runner that is out of memory preempts a request and prefills its
-// prompt again. To avoid that, room reserves a margin: deviations times the standard
-// deviation of all tokens still to come.
-func (e *engine) room(j Job, now time.Time, rate, spread, deviations float64) float64 {
+// An engine that is out of memory preempts a request and prefills its prompt again. To bound the
+// probability of that, room reserves a margin: deviations times the standard deviation of the memory
+// in use. An engine that preempted requests lately gets a larger one: the estimates don't hold there.
+func (e *engine) room(job *profile, now time.Time, rate, typical, deviations float64) float64 {
 	if e.reservationCount() >= e.slots {
 		return -1
 	}
-	footprints := e.footprints(now, rate, spread)
-	expected := j.Length.Expected(0)
-	used, sumVariance := float64(j.Prompt), variance(expected, j.Length.spread)
-	for _, s := range footprints {
-		used += s.now
-		sumVariance += s.variance
+	deviations *= 1 + min(maxPreemptionMargin, preemptionMargin*e.speed.preemptions(now))
+	return float64(e.capacity) - e.unseen.value(now) - e.profileOf(now, rate, typical).most(job, deviations)
+}
+
+const (
+	// preemptionMargin is the part by which each recent preemption raises an engine's margin, and
+	// maxPreemptionMargin the most.
+	preemptionMargin    = 0.25
+	maxPreemptionMargin = 1
+)
+
+// unseenTime is the time in which memory of unknown requests is forgotten to a third (1/e). Reports
+// of other gateways arrive sooner unless they are lost.
+const unseenTime = 200 * time.Millisecond
+
+// addUnseen records that the engine refused a reservation of a job. If there seemed to be room, as
+// much memory must be taken by requests that were not reported.
+func (e *engine) addUnseen(j Job, now time.Time, rate float64) {
+	free := float64(e.capacity - j.Prompt)
+	for _, f := range e.footprints(now, rate) {
+		free -= f.now
 	}
-	if left := float64(e.capacity) - used; left < 0 {
-		return left
+	if free > e.unseen.value(now) {
+		e.unseen = decayed{free, now, unseenTime}
 	}
-	add := footprint{now: float64(j.Prompt), left: expected}
-	return float64(e.capacity) - peak(footprints, add) - deviations*math.Sqrt(sumVariance)
 }
--- a/pkg/enginepool/length.go
+++ b/pkg/enginepool/length.go
@@ -63,6 +63,15 @@
 	return spread
 }
 
+// Typical returns a length in the middle of those learned, in tokens. It changes in steps of a
+// quarter, so that what is computed from it can be kept.
+func (l *Lengths) Typical() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	step := math.Log(1.25)
+	return math.Exp(math.Round(l.y/l.n/step) * step)
+}
+
 // Learn records the length hint and the actual length of a response, in tokens.
 func (l *Lengths) Learn(hint, length int) {
 	if hint <= 0 || length <= 0 {
@@ -107,24 +116,107 @@
 // Expected returns the mean total length, in tokens, of a response that has generated
 // tokens already and is not complete: the mean of a log-normal distribution truncated
 // below at that number.
-func (b Estimate) Expected(generated int) float64 {
-	// fractionAbove returns the fraction of the normal distribution of the log length, with
-	// its mean raised by shift, that lies above the log of generated.
-	fractionAbove := func(shift float64) float64 {
-		if generated <= 0 {
-			return 1
-		}
-		z := (math.Log(float64(generated)/b.median) - shift) / b.spread
-		return math.Erfc(z/math.Sqrt2) / 2
+func (b Estimate) Expected(generated int) float64 { return b.expected(float64(generated)) }
+
+func (b Estimate) expected(generated float64) float64 {
+	z := b.deviations(generated)
+	tail := normalAbove(z)
+	if tail < minTail {
+		return b.bounded(generated * tailFactor)
+	}
+	mean := b.median * math.Exp(b.spread*b.spread/2) * normalAbove(z-b.spread) / tail
+	return b.bounded(max(mean, generated))
+}
+
+// deviations returns by how many standard deviations of the logarithm a length lies above the
+// median.
+func (b Estimate) deviations(length float64) float64 {
+	if length <= 0 {
+		return math.Inf(-1)
+	}
+	return math.Log(length/b.median) / b.spread
+}
+
+// normalAbove returns the fraction of the standard normal distribution above z. It interpolates in a
+// table: profiles need it for each response and time.
+func normalAbove(z float64) float64 {
+	at := (z + normalRange) * normalSteps
+	switch {
+	case !(at > 0):
+		return 1
+	case at >= 2*normalRange*normalSteps:
+		return 0
+	}
+	i := int(at)
+	return normalTable[i] + (normalTable[i+1]-normalTable[i])*(at-float64(i))
+}
+
+const (
+	// normalRange is the value beyond which normalAbove is 0 or 1, and normalSteps the number of
+	// entries of its table for a difference of 1.
+	normalRange = 6
+	normalSteps = 64
+)
+
+var normalTable = func() (out [2*normalRange*normalSteps + 1]float64) {
+	for i := range out {
+		out[i] = math.Erfc((float64(i)/normalSteps-normalRange)/math.Sqrt2) / 2
 	}
-	tail := fractionAbove(0)
-	if tail < 1e-6 {
-		return b.bounded(float64(generated) * tailFactor)
+	return out
+}()
+
+// running returns the probability that a response is longer than length, given the fraction tail of
+// responses that are longer than what it has generated.
+func (b Estimate) running(generated, tail, length float64) float64 {
+	switch {
+	case length <= generated:
+		return 1
+	case b.maxTokens > 0 && length >= b.maxTokens:
+		return 0
+	case tail < minTail:
+		// The expected rest is that of Expected, and ends at an even rate.
+		return math.Exp(-(length - generated) / (generated * (tailFactor - 1)))
 	}
-	mean := b.median * math.Exp(b.spread*b.spread/2) * fractionAbove(b.spread*b.spread) / tail
-	return b.bounded(max(mean, float64(generated)))
+	return normalAbove(b.deviations(length)) / tail
+}
+
+// longest returns a length that hardly any response exceeds of those that have generated tokens already
+// and are not complete.
+func (b Estimate) longest(generated float64) float64 {
+	return b.bounded(max(b.median*math.Exp(longestSpreads*b.spread), generated+longestRest*(b.expected(generated)-generated)))
 }
 
+// estimateFrom returns the estimate of a response of which the mean total length is known, given
+// that it has generated tokens already and is not complete: the inverse of Expected. spread is the
+// standard deviation of the logarithm of lengths.
+func estimateFrom(generated, total, spread float64) Estimate {
+	b := Estimate{median: max(1, total) * math.Exp(-spread*spread/2), spread: spread}
+	if generated <= 0 {
+		return b
+	}
+	low, high := b.median*math.Exp(-longestSpreads*spread), b.median*math.Exp(spread*spread/2)
+	for range inverseSteps {
+		b.median = math.Sqrt(low * high)
+		if b.expected(generated) < total {
+			low = b.median
+		} else {
+			high = b.median
+		}
+	}
+	return b
+}
+
+const (
+	// minTail is the least fraction of responses longer than generated that is divided by.
+	minTail = 1e-6
+	// longestSpreads is how many spreads above the median longest lies at least, and longestRest how
+	// many times the expected rest above what is generated.
+	longestSpreads = 3
+	longestRest    = 4
+	// inverseSteps bisects a range of lengths to less than 1% of the length.
+	inverseSteps = 8
+)
+
 // tailFactor is the ratio of the expected to the current length of a response that is far
 // longer than estimated.
 const tailFactor = 1.1
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -34,6 +34,10 @@
 	// Changed is called, with the pool locked, after a change that should be reported to
 	// other gateways at once; nil for none.
 	Changed func()
+	// Gateway is the name under which this gateway reports to others, and TurnInterval how long it
+	// takes until they know of a reservation; see Pool.ourTurn.
+	Gateway      string
+	TurnInterval time.Duration
 	// Domain is the gateway's failure domain, empty for none.
 	Domain string
 	// Connected reports whether an idle connection to an address exists; nil if that
@@ -45,12 +49,12 @@
 
 // DefaultOptions returns the options that a gateway uses.
 func DefaultOptions() Options {
-	return Options{Fill: 0.98, Deviations: defaultDeviations, RefusalPause: 60 * time.Millisecond}
+	return Options{Fill: 0.98, Deviations: defaultDeviations, RefusalPause: 60 * time.Millisecond, TurnInterval: turnInterval}
 }
 
 // defaultDeviations is the default of Options.Deviations: with no margin engines preempt
 // requests and prefill long prompts again, with a larger one slots stay empty.
-const defaultDeviations = 2
+const defaultDeviations = 1.75
 
 // Pool is this gateway's model of the engines of one service.
 type Pool struct {
@@ -71,8 +75,14 @@
 	// uses only a few of thousands of engines, and its whole report is replaced every few
 	// seconds.
 	peerEngines map[string]map[string]*engine
+	// peerPlaced counts the jobs that other gateways placed lately.
+	peerPlaced decayed
 	// revision counts the changes of this gateway's own reservations and prefills.
 	revision uint64
+	// waitingRevision is the revision at which jobs began or ceased to wait; reportedWaiting is
+	// whether they did.
+	waitingRevision uint64
+	reportedWaiting bool
 	// rate is the learned mean speed of one response, in tokens per second.
 	rate float64
 	// Lengths learns the lengths of responses.
@@ -83,6 +93,9 @@
 
 // New returns an empty pool of a service.
 func New(service string, d *runners.Directory, o Options) *Pool {
+	if o.TurnInterval == 0 {
+		o.TurnInterval = turnInterval
+	}
 	if o.Pick == nil {
 		o.Pick = rand.IntN
 	}
@@ -116,7 +129,7 @@
 func (p *Pool) engine(id string) *engine {
 	e := p.engines[id]
 	if e == nil {
-		e = &engine{id: id, capacity: p.capacity(), slots: p.spec.Slots, own: map[string]*reservation{}, peers: map[string]peerLoads{}, prefillTokens: map[string]int{}}
+		e = &engine{id: id, idHash: hashID(id), capacity: p.capacity(), slots: p.spec.Slots, own: map[string]*reservation{}, peers: map[string]peerLoads{}, prefillTokens: map[string]int{}}
 		p.engines[id] = e
 	}
 	return e
@@ -132,7 +145,7 @@
 		if len(fit) == 0 {
 			return nil
 		}
-		runner = best(fit)
+		runner = p.oneOfBest(fit, len(p.subsetOf(runners.Decode, now)), now)
 	}
 	if !runner.Claim(w.job.ID, now) {
 		return nil
@@ -174,19 +187,27 @@
 }
 
 // score rates a runner for a job. It returns false if the job does not fit: the runner is
-// excluded, accepts no request now (State.Room) or lacks memory (engine.room). The score is
-// the memory left in tokens, less a penalty for failed requests, plus bonuses for the
-// gateway's own failure domain and for an idle connection. The caller holds the lock.
+// excluded, accepts no request now (State.Room), lacks memory (engine.room), or it is the turn of
+// other gateways (ourTurn). The score is the memory left in tokens. It is reduced by the memory that
+// the job takes for longer than on an engine of mean speed, until it ends, and by a penalty for failed
+// requests. It is raised by bonuses for the gateway's own failure domain and for an idle connection.
+// The caller holds the lock.
 func (p *Pool) score(s *runners.State, w *Waiter, now time.Time) (float64, bool) {
 	e := p.engine(s.ID)
 	if w.avoid[s.ID] || now.Before(e.refusedUntil) || !w.job.allows(s.Domain) || !s.Room(now) {
 		return 0, false
 	}
-	room := e.room(w.job, now, p.rate, p.Lengths.Spread(), p.options.Deviations)
+	rate, typical := p.decodeRate(e, now), p.Lengths.Typical()
+	room := e.room(w.profileFor(typical), now, rate, typical, p.options.Deviations)
 	if room < 0 {
+		e.fullAt = now
+		return 0, false
+	}
+	if !p.ourTurn(e, w.job, room, now) {
 		return 0, false
 	}
-	score := room - failurePenalty*s.Failures(now)*float64(e.capacity)
+	longer := min(maxLonger, p.rate/rate) - 1
+	score := room - longer*float64(w.job.size()) - failurePenalty*s.Failures(now)*float64(e.capacity)
 	if s.Domain == p.options.Domain {
 		score += sameDomainBonus * float64(e.capacity)
 	}
@@ -196,11 +217,23 @@
 	return score, true
 }
 
+// profileFor returns the profile of the job.
+func (w *Waiter) profileFor(typical float64) *profile {
+	if w.typical != typical {
+		w.profile, w.typical = profile{}, typical
+		w.profile.add(w.job.footprint(), typical)
+	}
+	return &w.profile
+}
+
 // connected reports whether an idle connection to a runner exists.
 func (p *Pool) connected(s *runners.State) bool {
 	return p.options.Connected != nil && p.options.Connected(s.Address)
 }
 
+// maxLonger bounds how many times longer a job counts on a slow engine.
+const maxLonger = 10
+
 // failurePenalty is what is subtracted from the score of a runner that fails all
 // requests, as a multiple of its memory.
 const failurePenalty = 3
@@ -220,7 +253,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.engine(runner)
-	delete(e.own, id)
+	if b := e.own[id]; b != nil {
+		delete(e.own, id)
+		e.changed()
+		e.addUnseen(b.job, now, p.decodeRate(e, now))
+	}
 	p.release(runner, id)
 	p.recordChange(e)
 	e.refusedUntil = now.Add(p.options.RefusalPause)
@@ -242,7 +279,6 @@
 	if added := tokens - b.generated; added > 0 && !b.lastEventAt.IsZero() {
 		took := now.Sub(b.lastEventAt)
 		b.eventTokens = added
-		p.learnRate(added, took)
 		if e.speed.observe(added, took, now) {
 			p.recordChange(e)
 		}
@@ -257,9 +293,11 @@
 	p.mu.Lock()
 	e := p.engine(runner)
 	if b := e.own[id]; b != nil {
+		p.learnRate(b, now)
 		delete(e.own, id)
 		p.release(runner, id)
 		p.recordChange(e)
+		e.endedAt = now
 	}
 	p.mu.Unlock()
 	p.Dispatch(now)
@@ -275,16 +313,19 @@
 const (
 	// initialRate is assumed before a response was measured, in tokens per second.
 	initialRate = 150
-	// rateTime is the measured time after which the learned mean has followed a change to two
-	// thirds.
-	rateTime = 10 * time.Second
+	// rateWeight is the weight of the newest response in the learned rate.
+	// minLearnedTokens is the least length of a response that is measured.
+	rateWeight       = 0.1
+	minLearnedTokens = 50
 )
 
-// learnRate updates the learned mean speed of responses. The caller holds the lock.
-func (p *Pool) learnRate(tokens int, took time.Duration) {
-	perToken := 1 / p.rate
-	perToken += (took.Seconds()/float64(tokens) - perToken) * min(1, took.Seconds()/rateTime.Seconds())
-	p.rate = 1 / perToken
+// learnRate updates the learned rate from a finished response. The caller holds the lock.
+func (p *Pool) learnRate(b *reservation, now time.Time) {
+	took := now.Sub(b.firstTokenAt).Seconds()
+	if b.firstTokenAt.IsZero() || b.generated < minLearnedTokens || took <= 0 {
+		return
+	}
+	p.rate += (float64(b.generated)/took - p.rate) * rateWeight
 }
 
 // Sweep removes the models of runners that left the directory and have no requests.
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -9,9 +9,11 @@
 // prefillRunner is this gateway's model of one prefill runner.
 type prefillRunner struct {
 	jobs map[string]prefillJob
-	// rate is the learned speed of prefill, in tokens per second; 0 is unknown. measuredAt is when
-	// this gateway last measured it.
-	rate       float64
+	// rate is the speed of prefill that this gateway learned, in tokens per second, and known the one
+	// that all gateways did; 0 is unknown.
+	rate, known float64
+	// measured is the speed that this gateway measured last, at measuredAt.
+	measured   float64
 	measuredAt time.Time
 }
 
@@ -52,7 +54,7 @@
 func (p *Pool) prefillRunner(id string) *prefillRunner {
 	r := p.prefillRunners[id]
 	if r == nil {
-		r = &prefillRunner{jobs: map[string]prefillJob{}}
+		r = &prefillRunner{jobs: map[string]prefillJob{}, rate: initialPrefillRate}
 		p.prefillRunners[id] = r
 	}
 	return r
@@ -128,7 +130,7 @@
 // prefillTime estimates how long a runner takes to process its backlog and one more
 // prompt. The caller holds the lock.
 func (p *Pool) prefillTime(id string, tokens int) time.Duration {
-	return time.Duration(float64(p.backlog(id)+tokens) / p.prefillRate(id) * float64(time.Second))
+	return time.Duration(float64(p.backlog(id)+tokens) / p.prefillRunner(id).rate * float64(time.Second))
 }
 
 // backlog returns the prompt tokens of all gateways that wait or are being processed at a
@@ -164,26 +166,35 @@
 	if !ok || !processed || took <= 0 {
 		return
 	}
-	r.learn(float64(j.tokens+j.ahead) / took)
-	r.measuredAt = now
+	r.measured, r.measuredAt = float64(j.tokens+j.ahead)/took, now
+	r.rate += (r.measured - r.rate) * prefillRateWeight
+	r.learn(r.measured)
 }
 
-// learn updates the learned speed from a measured one; one that is not known (0) is left out.
-func (r *prefillRunner) learn(rate float64) {
-	switch {
-	case rate <= 0:
-	case r.rate == 0:
-		r.rate = rate
-	default:
-		r.rate += (rate - r.rate) * prefillRateWeight
+// learn updates the known speed from a measured one.
+func (r *prefillRunner) learn(measured float64) {
+	if r.known == 0 {
+		r.known = measured
+		return
 	}
+	r.known += (measured - r.known) * prefillRateWeight
 }
 
 // prefillRate returns the learned speed of prefill on an engine, in tokens per second, or the mean
 // of the service if it is unknown. The caller holds the lock.
 func (p *Pool) prefillRate(id string) float64 {
-	if r := p.prefillRunners[id]; r != nil && r.rate > 0 {
-		return r.rate
+	if r := p.prefillRunners[id]; r != nil && r.known > 0 {
+		return r.known
+	}
+	sum, n := 0.0, 0
+	for _, r := range p.prefillRunners {
+		if r.known > 0 {
+			sum += r.known
+			n++
+		}
+	}
+	if n == 0 {
+		return initialPrefillRate
 	}
-	return p.meanPrefillRate()
+	return sum / float64(n)
 }
--- a/pkg/enginepool/queue.go
+++ b/pkg/enginepool/queue.go
@@ -39,6 +39,9 @@
 	granted chan *runners.State
 	// lateAt is when the job can no longer meet its latency target; zero for never.
 	lateAt time.Time
+	// profile is the job's memory, computed for a typical length.
+	profile profile
+	typical float64
 }
 
 // LateFrom sets the time from which a job is ranked Late. It must be called before Wait.
@@ -128,6 +131,7 @@
 	at := slices.Index(p.waiting, w)
 	if at >= 0 {
 		p.waiting = slices.Delete(p.waiting, at, at+1)
+		p.reportWaiting()
 		return at, nil
 	}
 	select {
@@ -164,6 +168,7 @@
 	}
 	clear(p.waiting[len(left):])
 	p.waiting = left
+	p.reportWaiting()
 }
 
 // demote moves waiting jobs that have become late to the end. The caller holds the lock.
--- a/pkg/enginepool/snapshot.go
+++ b/pkg/enginepool/snapshot.go
@@ -10,6 +10,8 @@
 	Engines []EngineLoad
 	// Waiting is how many jobs wait at the reporting gateway.
 	Waiting int
+	// WaitingChanged means that jobs began or ceased to wait since the last snapshot. It isn't sent.
+	WaitingChanged bool
 }
 
 // EngineLoad is the load that one gateway has on one engine.
@@ -19,26 +21,60 @@
 	Loads  []Load
 	// PrefillTokens is the number of prompt tokens that the engine prefills for the gateway.
 	PrefillTokens int
+	// Speed is the decode speed of one response that the gateway measured, in tokens per second,
+	// and SpeedAge how long ago; 0 is unknown. PrefillSpeed is the measured speed of prefill.
+	Speed        float64
+	SpeedAge     time.Duration
+	PrefillSpeed float64
+	// Preempted is the recent number of the gateway's responses that the engine preempted.
+	Preempted float64
 }
 
 // Snapshot returns the engines that changed after a revision, and the current revision.
 // For revision 0 it returns all engines with load.
-func (p *Pool) Snapshot(since uint64) (Snapshot, uint64) {
+func (p *Pool) Snapshot(since uint64, now time.Time) (Snapshot, uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := Snapshot{Full: since == 0, Waiting: len(p.waiting)}
+	out := Snapshot{Full: since == 0, Waiting: len(p.waiting), WaitingChanged: p.waitingRevision > since}
 	for id, e := range p.engines {
 		load := EngineLoad{Runner: id, PrefillTokens: p.ownPrefillTokens(id)}
 		for _, b := range e.own {
-			load.Loads = append(load.Loads, Load{Now: b.job.Prompt + b.generated, Left: b.remaining()})
+			load.Loads = append(load.Loads, Load{Now: b.job.Prompt + b.generated, Left: b.remaining(), Generated: b.generated})
 		}
 		if out.Full && (len(load.Loads) > 0 || load.PrefillTokens > 0) || !out.Full && e.changedRevision > since {
+			p.addSpeed(&load, e, now)
 			out.Engines = append(out.Engines, load)
 		}
 	}
 	return out, p.revision
 }
 
+// addSpeed adds what this gateway measured lately of an engine to its report. What others reported
+// is left out: it would seem to be measured again. The caller holds the lock.
+func (p *Pool) addSpeed(load *EngineLoad, e *engine, now time.Time) {
+	if own := e.speed.own; own.perToken > 0 && now.Sub(own.at) < steadyTime {
+		load.Speed, load.SpeedAge = 1/own.perToken, max(0, now.Sub(own.at))
+	}
+	load.Preempted = e.speed.preempted.value(now)
+	if r := p.prefillRunners[e.id]; r != nil && !r.measuredAt.IsZero() && now.Sub(r.measuredAt) < steadyTime {
+		load.PrefillSpeed = r.measured
+	}
+}
+
+// receiveSpeed learns from what another gateway measured of an engine. The caller holds the lock.
+func (p *Pool) receiveSpeed(gateway string, e *engine, l EngineLoad, now time.Time) {
+	e.speed.receive(l.Speed, now.Add(-l.SpeedAge))
+	if l.Preempted > 0 {
+		if e.speed.peersPreempted == nil {
+			e.speed.peersPreempted = map[string]decayed{}
+		}
+		e.speed.peersPreempted[gateway] = decayed{l.Preempted, now, preemptionTime}
+	}
+	if l.PrefillSpeed > 0 {
+		p.prefillRunner(e.id).learn(l.PrefillSpeed)
+	}
+}
+
 // ReceiveSnapshot applies a report of another gateway. A full one replaces all earlier
 // ones, others only what was reported of the engines that they contain.
 func (p *Pool) ReceiveSnapshot(gateway string, s Snapshot, now time.Time) {
@@ -53,12 +89,17 @@
 		reported = map[string]*engine{}
 		p.peerEngines[gateway] = reported
 	}
+	spread := p.Lengths.Spread()
 	for _, l := range s.Engines {
 		e := p.engine(l.Runner)
+		p.receiveSpeed(gateway, e, l, now)
+		if placed := len(l.Loads) - len(e.peers[gateway].loads); placed > 0 && !s.Full {
+			p.peerPlaced = decayed{p.peerPlaced.value(now) + float64(placed), now, placementTime}
+		}
 		e.dropGateway(gateway)
 		delete(reported, l.Runner)
 		if len(l.Loads) > 0 {
-			e.peers[gateway] = peerLoads{loads: l.Loads, at: now}
+			e.peers[gateway] = peerLoads{loads: peerLoadsOf(l.Loads, spread), at: now}
 			reported[l.Runner] = e
 		}
 		if l.PrefillTokens > 0 {
@@ -68,10 +109,21 @@
 	}
 }
 
+// peerLoadsOf adds the estimates of lengths to reported loads.
+func peerLoadsOf(loads []Load, spread float64) []peerLoad {
+	out := make([]peerLoad, 0, len(loads))
+	for _, l := range loads {
+		length := estimateFrom(float64(l.Generated), float64(l.Generated+l.Left), spread)
+		out = append(out, peerLoad{l, length, length.longest(float64(l.Generated))})
+	}
+	return out
+}
+
 // dropGateway removes another gateway's reservations and prefills from this engine only.
 func (e *engine) dropGateway(gateway string) {
 	delete(e.peers, gateway)
 	delete(e.prefillTokens, gateway)
+	e.changed()
 }
 
 // DropGateway removes all reports of a gateway that no longer sends any.
@@ -95,6 +147,7 @@
 // engine. The caller holds the lock.
 func (p *Pool) recordChange(e *engine) {
 	p.revision++
+	e.changed()
 	e.changedRevision = p.revision
 	if p.options.Changed != nil {
 		p.options.Changed()
--- a/pkg/enginepool/speed.go
+++ b/pkg/enginepool/speed.go
@@ -27,8 +27,9 @@
 	// staleSpeed is the age from which a measured speed is replaced by the next interval, instead
 	// of averaged with it.
 	staleSpeed = 2 * time.Second
-	// pauseFactor is how many times the usual interval a pause must last to be no variation of
-	// the speed: the response was preempted, or the engine turned slow.
+	// slowFactor is how many times the usual interval a slow one lasts at least, and pauseFactor a
+	// pause, in which the prompt of a preempted response is processed again.
+	slowFactor  = 2
 	pauseFactor = 4
 	// reportedChange is the factor by which a speed must differ from the reported one to be
 	// reported at once.
@@ -59,31 +60,35 @@
 	own, known pace
 	// steady is the long-term time per token, in seconds; 0 is unknown.
 	steady float64
-	// paused is set if the last interval was a pause.
-	paused bool
+	// slow is set if the last interval was slow, and paused if it was a pause.
+	slow, paused bool
 	// reported is the own time per token that was last reported.
 	reported float64
 	// preempted counts this gateway's responses that the engine preempted, peersPreempted those of
 	// each other gateway.
-	preempted      decayedCount
-	peersPreempted map[string]decayedCount
+	preempted      decayed
+	peersPreempted map[string]decayed
 }
 
-// observe learns from the time between two events of a response. The first pause counts as a
-// preemption of the response; a second one in a row shows that the engine is slow, and its speed
-// is followed at once. It returns true if the speed should be reported now.
+// observe learns from the time between two events of a response. The first slow interval is left out:
+// the response was preempted if it is a pause. A second one in a row shows that the engine is slow, and
+// its speed is followed at once. It returns true if there is something to be reported now.
 func (d *decodeSpeed) observe(tokens int, took time.Duration, now time.Time) bool {
 	perToken := took.Seconds() / float64(tokens)
-	if d.known.perToken > 0 && perToken > pauseFactor*d.known.perToken {
-		if !d.paused {
-			d.paused = true
-			d.preempted.add(1, now)
-			return true
+	if d.known.perToken > 0 && perToken > slowFactor*d.known.perToken {
+		if !d.slow {
+			d.slow, d.paused = true, perToken > pauseFactor*d.known.perToken
+			if d.paused {
+				d.preempted = decayed{d.preempted.value(now) + 1, now, preemptionTime}
+			}
+			return d.paused
+		}
+		if d.paused {
+			d.preempted = decayed{max(0, d.preempted.value(now)-1), now, preemptionTime}
 		}
-		d.preempted.add(-1, now)
 		d.own, d.known = pace{}, pace{}
 	}
-	d.paused = false
+	d.slow, d.paused = false, false
 	d.own.learn(perToken, speedWeight, now)
 	d.known.learn(perToken, speedWeight, now)
 	d.follow(perToken, took)
@@ -129,28 +134,25 @@
 
 // preemptions returns the recent number of preempted responses of all gateways.
 func (d *decodeSpeed) preemptions(now time.Time) float64 {
-	n := d.preempted.count(now)
+	n := d.preempted.value(now)
 	for _, c := range d.peersPreempted {
-		n += c.count(now)
+		n += c.value(now)
 	}
 	return n
 }
 
-// decayedCount counts events and forgets them within preemptionTime.
-type decayedCount struct {
-	n  float64
-	at time.Time
+// decayed is an amount that falls to a third (1/e) within a time.
+type decayed struct {
+	n    float64
+	at   time.Time
+	time time.Duration
 }
 
-func (c *decayedCount) count(now time.Time) float64 {
+func (c decayed) value(now time.Time) float64 {
 	if c.n == 0 {
 		return 0
 	}
-	return c.n * math.Exp(-max(0, now.Sub(c.at).Seconds())/preemptionTime.Seconds())
-}
-
-func (c *decayedCount) add(n float64, now time.Time) {
-	c.n, c.at = max(0, c.count(now)+n), now
+	return c.n * math.Exp(-max(0, now.Sub(c.at).Seconds())/c.time.Seconds())
 }
 
 // decodeRate returns the speed of one response on an engine, in tokens per second, or the learned
@@ -210,7 +212,7 @@
 			continue
 		}
 		rate := p.decodeRate(e, now)
-		for _, f := range e.footprints(now, rate, p.Lengths.Spread()) {
+		for _, f := range e.footprints(now, rate) {
 			out = append(out, Running{Runner: s.ID, Memory: int(f.now), Left: time.Duration(f.left / rate * float64(time.Second))})
 		}
 	}
--- a/pkg/enginepool/status.go
+++ b/pkg/enginepool/status.go
@@ -37,7 +37,8 @@
 			s.PrefillTokens += p.backlog(r.ID)
 		case r.Stage == runners.Decode:
 			s.Decode++
-			s.Reserved += p.engine(r.ID).usedShare(now, p.rate)
+			e := p.engine(r.ID)
+			s.Reserved += e.usedShare(now, p.decodeRate(e, now))
 		}
 	}
 	s.Reserved /= float64(max(1, s.Decode))
@@ -50,8 +51,8 @@
 func (p *Pool) RemainingWork(runner string, now time.Time) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	most := float64(p.backlog(runner))
-	for _, s := range p.engine(runner).footprints(now, p.rate, 0) {
+	most, e := float64(p.backlog(runner)), p.engine(runner)
+	for _, s := range e.footprints(now, p.decodeRate(e, now)) {
 		most = max(most, s.left)
 	}
 	return most
@@ -60,7 +61,7 @@
 // usedShare returns the fraction of the engine's memory that is in use now.
 func (e *engine) usedShare(now time.Time, rate float64) float64 {
 	sum := 0.0
-	for _, p := range e.footprints(now, rate, 0) {
+	for _, p := range e.footprints(now, rate) {
 		sum += p.now
 	}
 	return sum / float64(max(1, e.capacity))
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -152,9 +152,9 @@
 // Snapshots returns, by service, the changes of this gateway's reservations since the given
 // revisions, and the new revisions. It returns all reservations for nil.
 func (g *Ingress) Snapshots(since map[string]uint64) (map[string]enginepool.Snapshot, map[string]uint64) {
-	out, reached := map[string]enginepool.Snapshot{}, map[string]uint64{}
+	out, reached, now := map[string]enginepool.Snapshot{}, map[string]uint64{}, time.Now()
 	for service, p := range g.Pools() {
-		out[service], reached[service] = p.Snapshot(since[service])
+		out[service], reached[service] = p.Snapshot(since[service], now)
 	}
 	return out, reached
 }
--- a/pkg/peers/convert.go
+++ b/pkg/peers/convert.go
@@ -16,10 +16,11 @@
 	for service, s := range snapshots {
 		pool := &wirepb.GatewayPool{Service: service, Waiting: uint32(s.Waiting), Full: s.Full}
 		for _, l := range s.Engines {
-			e := &wirepb.EngineLoad{Runner: l.Runner, Reading: uint32(l.PrefillTokens)}
+			e := &wirepb.EngineLoad{Runner: l.Runner, Reading: uint32(l.PrefillTokens), Speed: uint32(l.Speed), SpeedAgeMs: uint32(l.SpeedAge.Milliseconds()), Preempted: uint32(l.Preempted / outcomeUnit), PrefillSpeed: uint32(l.PrefillSpeed)}
 			for _, r := range l.Loads {
 				e.Now = append(e.Now, uint32(r.Now))
 				e.Left = append(e.Left, uint32(r.Left))
+				e.Generated = append(e.Generated, uint32(r.Generated))
 			}
 			pool.Engines = append(pool.Engines, e)
 		}
@@ -28,27 +29,40 @@
 	return state
 }
 
-// decodeSnapshots returns the snapshots of a message, by service. It drops the loads of an engine
-// whose lists Now and Left differ in length.
+// decodeSnapshots returns the snapshots of a message, by service.
 func decodeSnapshots(s *wirepb.GatewayState) map[string]enginepool.Snapshot {
 	out := map[string]enginepool.Snapshot{}
 	for _, pool := range s.Pools {
 		p := enginepool.Snapshot{Full: pool.Full, Waiting: int(pool.Waiting)}
 		for _, e := range pool.Engines {
-			load := enginepool.EngineLoad{Runner: e.Runner, PrefillTokens: int(e.Reading)}
-			for i := range min(len(e.Now), len(e.Left)) {
-				if len(e.Now) == len(e.Left) {
-					load.Loads = append(load.Loads, enginepool.Load{Now: int(e.Now[i]), Left: int(e.Left[i])})
-				}
-			}
-			p.Engines = append(p.Engines, load)
+			p.Engines = append(p.Engines, decodeEngineLoad(e))
 		}
 		out[pool.Service] = p
 	}
 	return out
 }
 
-// outcomeUnit is the resolution of the counts of outcomes on the wire, which are multiples of it.
+// decodeEngineLoad returns the load of one engine. It drops the loads if the lists Now and Left differ
+// in length. An earlier build doesn't send Generated, which is then 0.
+func decodeEngineLoad(e *wirepb.EngineLoad) enginepool.EngineLoad {
+	load := enginepool.EngineLoad{
+		Runner: e.Runner, PrefillTokens: int(e.Reading), Speed: float64(e.Speed), SpeedAge: time.Duration(e.SpeedAgeMs) * time.Millisecond,
+		PrefillSpeed: float64(e.PrefillSpeed), Preempted: float64(e.Preempted) * outcomeUnit,
+	}
+	if len(e.Now) != len(e.Left) {
+		return load
+	}
+	for i := range e.Now {
+		l := enginepool.Load{Now: int(e.Now[i]), Left: int(e.Left[i])}
+		if len(e.Generated) == len(e.Now) {
+			l.Generated = int(e.Generated[i])
+		}
+		load.Loads = append(load.Loads, l)
+	}
+	return load
+}
+
+// outcomeUnit is the resolution of decayed counts on the wire, which are multiples of it.
 const outcomeUnit = 1.0 / 16
 
 func encodeOutcomes(reported []runners.Outcome) []*wirepb.RunnerOutcome {
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -45,13 +45,13 @@
 	subset := x.subset.Load()
 	out := map[string]enginepool.Snapshot{}
 	for service, s := range changed {
-		part := enginepool.Snapshot{Full: s.Full, Waiting: s.Waiting}
+		part := enginepool.Snapshot{Full: s.Full, Waiting: s.Waiting, WaitingChanged: s.WaitingChanged}
 		for _, e := range s.Engines {
 			if slices.Contains(subset.GatewaysOf(e.Runner), name) {
 				part.Engines = append(part.Engines, e)
 			}
 		}
-		if part.Full || len(part.Engines) > 0 {
+		if part.Full || part.WaitingChanged || len(part.Engines) > 0 {
 			out[service] = part
 		}
 	}
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -153,7 +153,7 @@
 // poolOptions returns the settings of the engine pools.
 func (p *Ingress) poolOptions(c *config.Ingress) enginepool.Options {
 	o := enginepool.DefaultOptions()
-	o.Domain = c.Instance.Domain
+	o.Domain, o.Gateway = c.Instance.Domain, c.Instance.Name
 	o.Uses = func(runner string) bool { return p.peers.Uses(runner) }
 	o.Changed = func() { p.peers.Notify() }
 	o.Connected = p.client.HasIdle
