--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -21,7 +21,7 @@
 
 // footprint returns the memory that the job takes when it begins.
 func (j Job) footprint() footprint {
-	return footprint{now: float64(j.Prompt), left: j.Length.expected(0), length: j.Length}
+	return footprint{now: float64(j.Prompt), length: j.Length}
 }
 
 // size is the memory that the job is expected to take when it ends, in tokens.
@@ -71,7 +71,7 @@
 		grown = max(0, l.longest-float64(l.Generated))
 		return footprint{now: float64(l.Now) + grown}
 	}
-	return footprint{float64(l.Now) + grown, l.length.expected(generated) - generated, generated, l.length}
+	return footprint{float64(l.Now) + grown, generated, l.length}
 }
 
 // engine is this gateway's model of one engine: its own reservations and prefills, and
@@ -118,14 +118,22 @@
 
 // footprint returns the memory that the response takes.
 func (b *reservation) footprint() footprint {
-	return footprint{float64(b.job.Prompt + b.generated), float64(b.remaining()), float64(b.generated), b.job.Length}
+	return footprint{float64(b.job.Prompt + b.generated), float64(b.generated), b.job.Length}
 }
 
-// footprint is the memory of one request: tokens now, tokens expected to come, the tokens generated
-// so far and the estimated length of the response. Without an estimate the response is about to end.
+// footprint is the memory of one request: tokens now, the tokens generated so far and the estimated
+// length of the response. Without an estimate the response is about to end.
 type footprint struct {
-	now, left, generated float64
-	length               Estimate
+	now, generated float64
+	length         Estimate
+}
+
+// left returns the number of tokens that are expected to come.
+func (f footprint) left() float64 {
+	if f.length.median <= 0 {
+		return 0
+	}
+	return max(0, f.length.expected(f.generated)-f.generated)
 }
 
 // footprints lists the memory use of all requests on the engine, at a time.
--- a/pkg/enginepool/enginepool_bench_test.go
+++ b/pkg/enginepool/enginepool_bench_test.go
@@ -93,3 +93,45 @@
 		})
 	}
 }
+
+// BenchmarkPlaceAmongGateways measures a choice of an engine with a number of gateways that have waiting
+// jobs, and 24 responses on each of 33 engines. The models of half of the engines are out of date.
+func BenchmarkPlaceAmongGateways(b *testing.B) {
+	for _, n := range []int{25, 103, 356} {
+		b.Run(fmt.Sprintf("%d gateways", n), func(b *testing.B) {
+			const engines = 33
+			d, now := runners.NewDirectory("a"), time.Now()
+			for i := range engines {
+				d.Put(runners.Runner{ID: fmt.Sprintf("d%d", i), Service: "llm", Stage: runners.Decode}, now)
+			}
+			o := DefaultOptions()
+			o.Gateway = "g"
+			p := New("llm", d, o)
+			p.Configure(Spec{Memory: 73000, Slots: 1 << 20})
+			for k := range n {
+				s := Snapshot{Full: true, Waiting: 1}
+				if k < 2*12 {
+					for i := range engines {
+						s.Engines = append(s.Engines, EngineLoad{Runner: fmt.Sprintf("d%d", i), Loads: []Load{{Now: 4000, Left: 500, Generated: 1000}}})
+					}
+				}
+				p.ReceiveSnapshot(fmt.Sprintf("g%d", k), s, now)
+			}
+			j := job("a", 5000, 3000)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.mu.Lock()
+				for _, e := range p.engines {
+					if e.idHash%2 == 0 {
+						e.changed()
+					}
+					e.fullAt = now
+				}
+				if s := p.place(&Waiter{job: j}, now); s != nil {
+					delete(p.engine(s.ID).own, "a")
+				}
+				p.mu.Unlock()
+			}
+		})
+	}
+}
--- a/pkg/enginepool/speed.go
+++ b/pkg/enginepool/speed.go
@@ -213,7 +213,7 @@
 		}
 		rate := p.decodeRate(e, now)
 		for _, f := range e.footprints(now, rate) {
-			out = append(out, Running{Runner: s.ID, Memory: int(f.now), Left: time.Duration(f.left / rate * float64(time.Second))})
+			out = append(out, Running{Runner: s.ID, Memory: int(f.now), Left: time.Duration(f.left() / rate * float64(time.Second))})
 		}
 	}
 	return out
--- a/pkg/enginepool/status.go
+++ b/pkg/enginepool/status.go
@@ -17,6 +17,11 @@
 	// Waiting is how many jobs wait at all gateways; PrefillTokens is how many prompt tokens
 	// wait or are being processed at prefill engines.
 	Waiting, PrefillTokens int
+	// Slowest and Fastest are the lowest and the highest speed of one response on the decode engines, in
+	// tokens per second.
+	Slowest, Fastest float64
+	// Preempted is the recent number of preempted responses of all gateways.
+	Preempted float64
 }
 
 // Status returns the current state of the service's engines.
@@ -38,7 +43,13 @@
 		case r.Stage == runners.Decode:
 			s.Decode++
 			e := p.engine(r.ID)
-			s.Reserved += e.usedShare(now, p.decodeRate(e, now))
+			rate := p.decodeRate(e, now)
+			s.Reserved += e.usedShare(now, rate)
+			s.Fastest = max(s.Fastest, rate)
+			if s.Slowest == 0 || rate < s.Slowest {
+				s.Slowest = rate
+			}
+			s.Preempted += e.speed.preemptions(now)
 		}
 	}
 	s.Reserved /= float64(max(1, s.Decode))
@@ -53,7 +64,7 @@
 	defer p.mu.Unlock()
 	most, e := float64(p.backlog(runner)), p.engine(runner)
 	for _, s := range e.footprints(now, p.decodeRate(e, now)) {
-		most = max(most, s.left)
+		most = max(most, s.left())
 	}
 	return most
 }
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -281,7 +281,8 @@
 		share, _ := p.PrefillShare()
 		g.options.Log.Write(decisionlog.KindState, "pool", decisionlog.F("service", service),
 			decisionlog.F("prefill", s.Prefill), decisionlog.F("decode", s.Decode), decisionlog.F("changing", s.Changing),
-			decisionlog.F("reserved", s.Reserved), decisionlog.F("waiting", s.Waiting), decisionlog.F("reading", s.PrefillTokens), decisionlog.F("prefill_share", share))
+			decisionlog.F("reserved", s.Reserved), decisionlog.F("waiting", s.Waiting), decisionlog.F("reading", s.PrefillTokens), decisionlog.F("prefill_share", share),
+			decisionlog.F("slowest", s.Slowest), decisionlog.F("fastest", s.Fastest), decisionlog.F("preempted", s.Preempted))
 	}
 }
 
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -160,6 +160,15 @@
 	})
 }
 
+// An earlier build sends no tokens generated and no speeds: they are unknown, and its loads still count.
+func TestEngineLoadOfEarlierBuildIsUnderstood(t *testing.T) {
+	g := NewWithT(t)
+	l := decodeEngineLoad(&wirepb.EngineLoad{Runner: "e", Now: []uint32{10, 20}, Left: []uint32{1, 2}})
+	g.Expect(l).To(Equal(enginepool.EngineLoad{Runner: "e", Loads: []enginepool.Load{{Now: 10, Left: 1}, {Now: 20, Left: 2}}}))
+	l = decodeEngineLoad(&wirepb.EngineLoad{Runner: "e", Now: []uint32{10}, Left: []uint32{1}, Generated: []uint32{3, 4}})
+	g.Expect(l.Loads).To(Equal([]enginepool.Load{{Now: 10, Left: 1}}))
+}
+
 // A change must be sent at once, in a datagram with the changes alone.
 func TestChangesAreSentAtOnce(t *testing.T) {
 	g := NewWithT(t)
