enginepool: a preferred engine takes no turns

A resumed stream or a prompt with a KV cache asked ourTurn for its own engine, and was placed on another when other gateways had waiting jobs, where its prompt is processed again. Room alone decides now (Pool.fits).

--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -157,7 +157,8 @@
 }
 
 // preferred returns the runner that a job prefers, nil if there is none or the job does
-// not fit there. The caller holds the lock.
+// not fit there. It takes no turns: on another runner the prompt would be processed again. The caller
+// holds the lock.
 func (p *Pool) preferred(w *Waiter, now time.Time) *runners.State {
 	if w.prefer == "" {
 		return nil
@@ -166,7 +167,7 @@
 	if s == nil || s.Stage != runners.Decode || !s.Usable(now) || s.Ejected(now) {
 		return nil
 	}
-	if _, fits := p.score(s, w, now); !fits {
+	if _, fits := p.fits(s, w, now); !fits {
 		return nil
 	}
 	return s
@@ -186,27 +187,35 @@
 	return out
 }
 
-// score rates a runner for a job. It returns false if the job does not fit: the runner is
-// excluded, accepts no request now (State.Room), lacks memory (engine.room), or it is the turn of
-// other gateways (ourTurn). The score is the memory left in tokens. It is reduced by the memory that
-// the job takes for longer than on an engine of mean speed, until it ends, and by a penalty for failed
-// requests. It is raised by bonuses for the gateway's own failure domain and for an idle connection.
-// The caller holds the lock.
-func (p *Pool) score(s *runners.State, w *Waiter, now time.Time) (float64, bool) {
+// fits returns the memory that is left on a runner with a job added, in tokens. It returns false if the
+// job does not fit: the runner is excluded, accepts no request now (State.Room), or lacks memory
+// (engine.room). The caller holds the lock.
+func (p *Pool) fits(s *runners.State, w *Waiter, now time.Time) (float64, bool) {
 	e := p.engine(s.ID)
 	if w.avoid[s.ID] || now.Before(e.refusedUntil) || !w.job.allows(s.Domain) || !s.Room(now) {
 		return 0, false
 	}
-	rate, typical := p.decodeRate(e, now), p.Lengths.Typical()
-	room := e.room(w.profileFor(typical), now, rate, typical, p.options.Deviations)
+	typical := p.Lengths.Typical()
+	room := e.room(w.profileFor(typical), now, p.decodeRate(e, now), typical, p.options.Deviations)
 	if room < 0 {
 		e.fullAt = now
 		return 0, false
 	}
-	if !p.ourTurn(e, w.job, room, now) {
+	return room, true
+}
+
+// score rates a runner for a job. It returns false if the job does not fit, or if it is the turn of
+// other gateways (ourTurn). The score is the memory left in tokens. It is reduced by the memory that
+// the job takes for longer than on an engine of mean speed, until it ends, and by a penalty for failed
+// requests. It is raised by bonuses for the gateway's own failure domain and for an idle connection.
+// The caller holds the lock.
+func (p *Pool) score(s *runners.State, w *Waiter, now time.Time) (float64, bool) {
+	e := p.engine(s.ID)
+	room, fits := p.fits(s, w, now)
+	if !fits || !p.ourTurn(e, w.job, room, now) {
 		return 0, false
 	}
-	longer := min(maxLonger, p.rate/rate) - 1
+	longer := min(maxLonger, p.rate/p.decodeRate(e, now)) - 1
 	score := room - longer*float64(w.job.size()) - failurePenalty*s.Failures(now)*float64(e.capacity)
 	if s.Domain == p.options.Domain {
 		score += sameDomainBonus * float64(e.capacity)
