enginepool: a large job that fits nowhere doesn't delay the turns of smaller ones

A smaller job of the same gateway, for which there was room, never got its turn, and the room stayed empty. The same test covers a time before the engine was full, which counted as negative turns.

--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -93,8 +93,10 @@
 	// reservation.
 	refusedUntil time.Time
 	// fullAt is when a job last found no room on the engine, and endedAt when a response of this
-	// gateway last ended there.
+	// gateway last ended there. turnSize is the size of the smallest job that has found room since,
+	// and waits for the turn of this gateway; 0 is none.
 	fullAt, endedAt time.Time
+	turnSize        int
 	// idHash is the hash of id.
 	idHash uint64
 	// unseen is memory that must be in use by requests that no gateway reported, in tokens: the
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -198,7 +198,7 @@
 	typical := p.Lengths.Typical()
 	room := e.room(w.profileFor(typical), now, p.decodeRate(e, now), typical, p.options.Deviations)
 	if room < 0 {
-		e.fullAt = now
+		p.foundFull(e, w.job, now)
 		return 0, false
 	}
 	return room, true
--- a/pkg/enginepool/turn.go
+++ b/pkg/enginepool/turn.go
@@ -22,7 +22,7 @@
 	if e.endedAt.Equal(now) {
 		return true
 	}
-	at := int(room)/max(1, j.size()) + int(now.Sub(e.fullAt)/p.options.TurnInterval)
+	at := int(room)/max(1, j.size()) + int(max(0, now.Sub(e.fullAt))/p.options.TurnInterval)
 	if len(p.peerWaiting) <= at {
 		return true
 	}
@@ -32,7 +32,24 @@
 			ahead++
 		}
 	}
-	return ahead <= at
+	if ahead <= at {
+		return true
+	}
+	if e.turnSize == 0 || j.size() < e.turnSize {
+		e.turnSize = j.size()
+	}
+	return false
+}
+
+// foundFull records that a job found no room on an engine, and begins the turns anew. A job that is
+// larger than one that waits for its turn doesn't until all turns have passed: it would keep the
+// smaller one out for as long as it waits itself. The caller holds the lock.
+func (p *Pool) foundFull(e *engine, j Job, now time.Time) {
+	turns := time.Duration(len(p.peerWaiting)+1) * p.options.TurnInterval
+	if e.turnSize > 0 && j.size() > e.turnSize && now.Sub(e.fullAt) <= turns {
+		return
+	}
+	e.fullAt, e.turnSize = now, 0
 }
 
 // turnOrder orders the gateways for an engine, given by the hash of its ID: a lower value goes first.
--- a/pkg/enginepool/turn_test.go
+++ b/pkg/enginepool/turn_test.go
@@ -34,3 +34,22 @@
 	w.Prefer("d0")
 	g.Expect(p.place(w, now)).NotTo(BeNil())
 }
+
+// A large job that fits nowhere is tried again and again. A smaller one for which there is room must still
+// get its turn.
+func TestLargeJobDoesNotDelayTurnsOfSmallOnes(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	p := scarce(now)
+	large, small := &Waiter{job: job("a", 20000, 100)}, &Waiter{job: job("b", 6000, 100)}
+	for range 12 {
+		g.Expect(p.place(large, now)).To(BeNil())
+		g.Expect(p.place(small, now)).To(BeNil())
+		now = now.Add(turnInterval)
+	}
+	g.Expect(p.place(large, now)).To(BeNil())
+	g.Expect(p.place(small, now)).NotTo(BeNil())
+	// It is full now, so that the turns begin anew.
+	g.Expect(p.place(small, now)).To(BeNil())
+	g.Expect(p.engine("d0").fullAt).To(Equal(now))
+}
