enginepool: one pause of an engine is one, and late delivery is none

All responses of an engine wait while it processes a preempted prompt. The second of them counted as a second slow interval: the engine's speed fell to that of the pause at all gateways, and the preemption was forgotten. Now a slow interval counts as the second only if it began after the first. After a stall of the gateway or a link the late event counted as preemption, and the events that arrived with it raised the speed manyfold; they are left out now, and the preemption with them.

--- a/pkg/enginepool/speed.go
+++ b/pkg/enginepool/speed.go
@@ -31,6 +31,9 @@
 	// pause, in which the prompt of a preempted response is processed again.
 	slowFactor  = 2
 	pauseFactor = 4
+	// burstFactor is how many times shorter than usual the interval to an event is that was generated
+	// together with the one before, or delayed with it.
+	burstFactor = 16
 	// reportedChange is the factor by which a speed must differ from the reported one to be
 	// reported at once.
 	reportedChange = 1.5
@@ -60,8 +63,9 @@
 	own, known pace
 	// steady is the long-term time per token, in seconds; 0 is unknown.
 	steady float64
-	// slow is set if the last interval was slow, and paused if it was a pause.
+	// slow is set if the last interval was slow, and paused if it was a pause. slowAt is when it ended.
 	slow, paused bool
+	slowAt       time.Time
 	// reported is the own time per token that was last reported.
 	reported float64
 	// preempted counts this gateway's responses that the engine preempted, peersPreempted those of
@@ -71,21 +75,28 @@
 }
 
 // observe learns from the time between two events of a response. The first slow interval is left out:
-// the response was preempted if it is a pause. A second one in a row shows that the engine is slow, and
-// its speed is followed at once. It returns true if there is something to be reported now.
+// the response was preempted if it is a pause. Intervals of other responses that began before it ended
+// are of the same pause. A slow one that began later shows that the engine is slow, and its speed is
+// followed at once. An event that follows a late one immediately shows that the engine had generated it
+// before, and that only the delivery was late. It returns true if there is something to be reported now.
 func (d *decodeSpeed) observe(tokens int, took time.Duration, now time.Time) bool {
 	perToken := took.Seconds() / float64(tokens)
+	if perToken*burstFactor < d.known.perToken && now.Sub(d.known.at) < staleSpeed {
+		d.retractPause(now)
+		return false
+	}
 	if d.known.perToken > 0 && perToken > slowFactor*d.known.perToken {
 		if !d.slow {
-			d.slow, d.paused = true, perToken > pauseFactor*d.known.perToken
+			d.slow, d.slowAt, d.paused = true, now, perToken > pauseFactor*d.known.perToken
 			if d.paused {
 				d.preempted = decayed{d.preempted.value(now) + 1, now, preemptionTime}
 			}
 			return d.paused
 		}
-		if d.paused {
-			d.preempted = decayed{max(0, d.preempted.value(now)-1), now, preemptionTime}
+		if now.Add(-took).Before(d.slowAt) {
+			return false
 		}
+		d.retractPause(now)
 		d.own, d.known = pace{}, pace{}
 	}
 	d.slow, d.paused = false, false
@@ -99,6 +110,14 @@
 	return changed
 }
 
+// retractPause forgets the last pause: it was no preemption.
+func (d *decodeSpeed) retractPause(now time.Time) {
+	if d.paused {
+		d.preempted = decayed{max(0, d.preempted.value(now)-1), now, preemptionTime}
+	}
+	d.slow, d.paused = false, false
+}
+
 // receive learns a speed that another gateway measured at a time, unless a newer one is known.
 func (d *decodeSpeed) receive(speed float64, at time.Time) {
 	if speed <= 0 || !at.After(d.known.at) {
--- a/pkg/enginepool/speed_test.go
+++ b/pkg/enginepool/speed_test.go
@@ -126,3 +126,42 @@
 	g.Expect(free(turnInterval)).To(Equal(2))
 	g.Expect(free(gateways * turnInterval)).To(Equal(gateways))
 }
+
+// streams returns the events of several responses on d0 in turn, each at the interval, and a stall in
+// which all of them wait.
+func streams(p *Pool, n int, interval time.Duration, now time.Time) {
+	for i := range n {
+		stream(p, fmt.Sprint("s", i), 1, interval*time.Duration(i)/time.Duration(n), now)
+	}
+}
+
+// While an engine processes the prompt of a preempted response, all responses wait. Their late events are
+// one pause, not an engine that turned slow.
+func TestPauseOfAllResponsesIsOnePreemption(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 0, 1<<30)
+	const interval = 40 * time.Millisecond
+	now := time.Now()
+	for range 10 {
+		now = now.Add(interval)
+		streams(p, 4, interval, now)
+	}
+	now = now.Add(interval + 500*time.Millisecond)
+	streams(p, 4, interval, now)
+	at := now.Add(interval)
+	g.Expect(p.Speed("d0", at).Decode).To(BeNumerically("~", 1850, 1))
+	g.Expect(p.engine("d0").speed.preemptions(at)).To(BeNumerically("~", 1, 0.02))
+}
+
+// A gateway, or a link, that stalls receives late events together. Neither is the engine slow or faster
+// afterwards, nor has it preempted anything.
+func TestLateDeliveryIsNoPreemption(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 0, 1<<30)
+	now := stream(p, "a", 20, 40*time.Millisecond, time.Now())
+	now = stream(p, "a", 1, 400*time.Millisecond, now)
+	now = stream(p, "a", 9, 20*time.Microsecond, now)
+	now = stream(p, "a", 1, 40*time.Millisecond, now)
+	g.Expect(p.Speed("d0", now).Decode).To(BeNumerically("~", 1850, 1))
+	g.Expect(p.engine("d0").speed.preemptions(now)).To(BeNumerically("<", 0.01))
+}
