enginepool: bound the reports of speeds and what reports can do

A speed was reported on each change by half, at most once for each event; other gateways kept one that was a third too low until the next. Now on a change by a quarter, at most every 100 ms an engine. Preemptions of gateways that are gone stayed in memory with the engine, and a huge number widened the margin for minutes. The time left on a silent engine overflowed to a negative one.

--- a/pkg/enginepool/snapshot.go
+++ b/pkg/enginepool/snapshot.go
@@ -61,6 +61,10 @@
 	}
 }
 
+// maxReported bounds the preemptions that one gateway reports of an engine: no report keeps the margin
+// wide for long.
+const maxReported = 16
+
 // receiveSpeed learns from what another gateway measured of an engine. The caller holds the lock.
 func (p *Pool) receiveSpeed(gateway string, e *engine, l EngineLoad, now time.Time) {
 	e.speed.receive(l.Speed, now.Add(-l.SpeedAge))
@@ -68,7 +72,7 @@
 		if e.speed.peersPreempted == nil {
 			e.speed.peersPreempted = map[string]decayed{}
 		}
-		e.speed.peersPreempted[gateway] = decayed{l.Preempted, now, preemptionTime}
+		e.speed.peersPreempted[gateway] = decayed{min(l.Preempted, maxReported), now, preemptionTime}
 	}
 	if l.PrefillSpeed > 0 {
 		p.prefillRunner(e.id).learn(l.PrefillSpeed)
--- a/pkg/enginepool/speed.go
+++ b/pkg/enginepool/speed.go
@@ -36,7 +36,10 @@
 	burstFactor = 16
 	// reportedChange is the factor by which a speed must differ from the reported one to be
 	// reported at once.
-	reportedChange = 1.5
+	reportedChange = 1.25
+	// speedInterval is the least time between two reports of an engine's speed, so that events of many
+	// responses cause few datagrams.
+	speedInterval = 100 * time.Millisecond
 	// preemptionTime is the time in which a count of preemptions falls to a third (1/e).
 	preemptionTime = 10 * time.Second
 )
@@ -66,8 +69,9 @@
 	// slow is set if the last interval was slow, and paused if it was a pause. slowAt is when it ended.
 	slow, paused bool
 	slowAt       time.Time
-	// reported is the own time per token that was last reported.
-	reported float64
+	// reported is the own time per token that was last reported, at reportedAt.
+	reported   float64
+	reportedAt time.Time
 	// preempted counts this gateway's responses that the engine preempted, peersPreempted those of
 	// each other gateway.
 	preempted      decayed
@@ -103,11 +107,12 @@
 	d.own.learn(perToken, speedWeight, now)
 	d.known.learn(perToken, speedWeight, now)
 	d.follow(perToken, took)
-	changed := d.own.perToken > reportedChange*d.reported || d.own.perToken*reportedChange < d.reported
-	if changed {
-		d.reported = d.own.perToken
+	differs := d.own.perToken > reportedChange*d.reported || d.own.perToken*reportedChange < d.reported
+	if !differs || now.Sub(d.reportedAt) < speedInterval {
+		return false
 	}
-	return changed
+	d.reported, d.reportedAt = d.own.perToken, now
+	return true
 }
 
 // retractPause forgets the last pause: it was no preemption.
@@ -154,8 +159,13 @@
 // preemptions returns the recent number of preempted responses of all gateways.
 func (d *decodeSpeed) preemptions(now time.Time) float64 {
 	n := d.preempted.value(now)
-	for _, c := range d.peersPreempted {
-		n += c.value(now)
+	for gateway, c := range d.peersPreempted {
+		v := c.value(now)
+		if v < negligible {
+			delete(d.peersPreempted, gateway)
+			continue
+		}
+		n += v
 	}
 	return n
 }
@@ -220,6 +230,9 @@
 	return out
 }
 
+// maxLeft bounds Running.Left on an engine that is silent.
+const maxLeft = 24 * time.Hour
+
 // Running returns the responses of all gateways on the decode engines of the service.
 func (p *Pool) Running(now time.Time) []Running {
 	p.mu.Lock()
@@ -232,7 +245,8 @@
 		}
 		rate := p.decodeRate(e, now)
 		for _, f := range e.footprints(now, rate) {
-			out = append(out, Running{Runner: s.ID, Memory: int(f.now), Left: time.Duration(f.left() / rate * float64(time.Second))})
+			left := min(f.left()/rate, maxLeft.Seconds())
+			out = append(out, Running{Runner: s.ID, Memory: int(f.now), Left: time.Duration(left * float64(time.Second))})
 		}
 	}
 	return out
--- a/pkg/enginepool/speed_test.go
+++ b/pkg/enginepool/speed_test.go
@@ -165,3 +165,48 @@
 	g.Expect(p.Speed("d0", now).Decode).To(BeNumerically("~", 1850, 1))
 	g.Expect(p.engine("d0").speed.preemptions(now)).To(BeNumerically("<", 0.01))
 }
+
+// Events of many responses at alternating speeds cause few reports.
+func TestSpeedIsReportedAtMostOncePerInterval(t *testing.T) {
+	g := NewWithT(t)
+	var d decodeSpeed
+	now, reports := time.Now(), 0
+	for i := range 1000 {
+		now = now.Add(time.Millisecond)
+		perEvent := 10 * time.Millisecond
+		if i/10%2 == 1 {
+			perEvent *= 2
+		}
+		if d.observe(10, perEvent, now) {
+			reports++
+		}
+	}
+	g.Expect(reports).To(BeNumerically("<=", int(time.Second/speedInterval)))
+}
+
+// Gateways come and go, and a report may hold any number: neither the memory nor the margin stays.
+func TestReportedPreemptionsAreBoundedAndForgotten(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 0, 1000)
+	now := time.Now()
+	for i := range 50 {
+		p.ReceiveSnapshot(fmt.Sprint("g", i), Snapshot{Engines: []EngineLoad{{Runner: "d0", Preempted: 1 << 28}}}, now)
+	}
+	d := &p.engine("d0").speed
+	g.Expect(d.preemptions(now)).To(BeNumerically("<=", 50*maxReported))
+	g.Expect(d.preemptions(now.Add(2 * time.Minute))).To(BeZero())
+	g.Expect(d.peersPreempted).To(BeEmpty())
+}
+
+// The time left on an engine that is silent, or as reported by a faulty gateway, is bounded.
+func TestTimeLeftIsNeverNegative(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 0, 1000)
+	now := stream(p, "a", 3, 40*time.Millisecond, time.Now())
+	stream(p, "b", 3, 40*time.Millisecond, now)
+	p.ReceiveSnapshot("x", Snapshot{Engines: []EngineLoad{{Runner: "d0", Loads: []Load{{Now: 1, Left: 1<<32 - 1}}}}}, now)
+	for _, r := range p.Running(now.Add(100 * time.Hour)) {
+		g.Expect(r.Left).To(BeNumerically(">=", 0))
+		g.Expect(r.Left).To(BeNumerically("<=", maxLeft))
+	}
+}
