enginepool: only a runner without room shows memory in use

A hold that got no response, or was refused for another reason than room, counted all free memory of the engine as in use and kept jobs off it for up to half a second, also after the runner was reachable again. The same when the last slots were taken and not the memory.

--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -211,13 +211,16 @@
 // of other gateways arrive sooner unless they are lost.
 const unseenTime = 200 * time.Millisecond
 
-// addUnseen records that the engine refused a reservation of a job. If there seemed to be room, as
-// much memory must be taken by requests that were not reported.
+// addUnseen records that the engine had no room for a job. If there seemed to be room, as much memory
+// must be taken by requests that were not reported, unless fewer of them take the last slots.
 func (e *engine) addUnseen(j Job, now time.Time, rate float64) {
 	free := float64(e.capacity - j.Prompt)
 	for _, f := range e.footprints(now, rate) {
 		free -= f.now
 	}
+	if slots := e.slots - e.reservationCount(); float64(slots*max(1, j.size())) < free {
+		return
+	}
 	if free > e.unseen.value(now) {
 		e.unseen = decayed{free, now, unseenTime}
 	}
--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -114,7 +114,7 @@
 	now := time.Now()
 	s, err := wait(p, job("a", 1000, 100), Fresh, time.Second)
 	g.Expect(err).NotTo(HaveOccurred())
-	p.Refused(s.ID, "a", now)
+	p.Refused(s.ID, "a", true, now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g.Expect(p.place(&Waiter{job: job("b", 1, 1)}, now)).To(BeNil())
--- a/pkg/enginepool/load_test.go
+++ b/pkg/enginepool/load_test.go
@@ -149,7 +149,7 @@
 				used += other.memory()
 			}
 			if used > clusterMemory || len(e.active) >= clusterSlots {
-				p.Refused(s.ID, q.waiter.job.ID, c.now)
+				p.Refused(s.ID, q.waiter.job.ID, true, c.now)
 				p.enqueue(q.waiter)
 				kept = append(kept, q)
 				continue
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -256,16 +256,19 @@
 // runner.
 const connectedBonus = 0.1
 
-// Refused removes a reservation that the runner refused for lack of room, and skips the
-// runner for Options.Refused.
-func (p *Pool) Refused(runner, id string, now time.Time) {
+// Refused removes a reservation that the runner did not confirm, and skips the runner for
+// Options.RefusalPause. noRoom is set if the runner responded that it has no room, and not if it
+// was unreachable or takes no work for another reason.
+func (p *Pool) Refused(runner, id string, noRoom bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.engine(runner)
 	if b := e.own[id]; b != nil {
 		delete(e.own, id)
 		e.changed()
-		e.addUnseen(b.job, now, p.decodeRate(e, now))
+		if noRoom {
+			e.addUnseen(b.job, now, p.decodeRate(e, now))
+		}
 	}
 	p.release(runner, id)
 	p.recordChange(e)
--- a/pkg/enginepool/speed_test.go
+++ b/pkg/enginepool/speed_test.go
@@ -89,7 +89,7 @@
 	p.mu.Lock()
 	s := p.place(&Waiter{job: job("a", 1000, 100)}, now)
 	p.mu.Unlock()
-	p.Refused(s.ID, "a", now)
+	p.Refused(s.ID, "a", true, now)
 	e := p.engine(s.ID)
 	g.Expect(e.unseen.value(now)).To(BeNumerically("~", 9000, 1))
 	g.Expect(e.unseen.value(now.Add(time.Second))).To(BeNumerically("<", 100))
@@ -210,3 +210,27 @@
 		g.Expect(r.Left).To(BeNumerically("<=", maxLeft))
 	}
 }
+
+// A hold without a response, or refused for lack of slots, shows nothing about memory.
+func TestOtherRefusalsShowNoMemory(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		noRoom      bool
+		slots, peer int
+	}{{false, 64, 1}, {true, 4, 3}} {
+		p, _ := pool(1, 0, 10000)
+		p.Configure(Spec{Memory: 10000, Slots: c.slots})
+		now := time.Now()
+		var loads []Load
+		for range c.peer {
+			loads = append(loads, Load{Now: 100, Left: 10})
+		}
+		p.ReceiveSnapshot("g", Snapshot{Engines: []EngineLoad{{Runner: "d0", Loads: loads}}}, now)
+		p.mu.Lock()
+		s := p.place(&Waiter{job: job("a", 1000, 100)}, now)
+		p.mu.Unlock()
+		g.Expect(s).NotTo(BeNil())
+		p.Refused(s.ID, "a", c.noRoom, now)
+		g.Expect(p.engine("d0").unseen.value(now)).To(BeZero())
+	}
+}
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
@@ -48,7 +49,7 @@
 			s.fields = append(s.fields, decisionlog.F("decode", runner.ID), decisionlog.F("room_after", time.Since(s.arrived)))
 			return &reservation{runner, hold}, nil
 		}
-		s.pool.Refused(runner.ID, s.job.ID, time.Now())
+		s.pool.Refused(runner.ID, s.job.ID, noRoom(err), time.Now())
 		s.logStep("hold_refused", decisionlog.F("runner", runner.ID), decisionlog.F("error", err))
 		s.recordFailure(runner, err)
 		if noResponse(err) && unanswered < maxUnansweredHolds {
@@ -98,6 +99,12 @@
 	return errors.As(err, &exchange)
 }
 
+// noRoom reports whether a runner responded to a hold that it has no room.
+func noRoom(err error) bool {
+	var declined *ErrDeclined
+	return errors.As(err, &declined) && declined.Status == http.StatusServiceUnavailable
+}
+
 // recordFailure records a runner's failure of a call.
 func (s *generation) recordFailure(runner *runners.State, err error) {
 	if s.ctx.Err() != nil {
