enginepool: only gateways that use an engine take turns on it

With more than 24 gateways an engine is used by some of them. The turns of the others were waited for too: with 356 gateways that have waiting jobs, room on an engine stayed empty for up to seven seconds before the last one could use it, and each candidate cost a hash for each gateway.

--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -31,6 +31,9 @@
 	RefusalPause time.Duration
 	// Uses reports whether a runner is in this gateway's subset; nil uses all runners.
 	Uses func(runner string) bool
+	// GatewaysOf returns the gateways that use a runner, of those that report to this one; nil if all
+	// use all.
+	GatewaysOf func(runner string) []string
 	// Changed is called, with the pool locked, after a change that should be reported to
 	// other gateways at once; nil for none.
 	Changed func()
--- a/pkg/enginepool/turn.go
+++ b/pkg/enginepool/turn.go
@@ -26,13 +26,7 @@
 	if len(p.peerWaiting) <= at {
 		return true
 	}
-	ahead, own := 0, turnOrder(p.options.Gateway, e.idHash)
-	for gateway, n := range p.peerWaiting {
-		if n > 0 && turnOrder(gateway, e.idHash) < own {
-			ahead++
-		}
-	}
-	if ahead <= at {
+	if p.ahead(e) <= at {
 		return true
 	}
 	if e.turnSize == 0 || j.size() < e.turnSize {
@@ -41,6 +35,27 @@
 	return false
 }
 
+// ahead returns the number of gateways with waiting jobs that use an engine and go before this one. The
+// caller holds the lock.
+func (p *Pool) ahead(e *engine) int {
+	n, own := 0, turnOrder(p.options.Gateway, e.idHash)
+	count := func(gateway string, waiting int) {
+		if waiting > 0 && turnOrder(gateway, e.idHash) < own {
+			n++
+		}
+	}
+	if p.options.GatewaysOf == nil {
+		for gateway, waiting := range p.peerWaiting {
+			count(gateway, waiting)
+		}
+		return n
+	}
+	for _, gateway := range p.options.GatewaysOf(e.id) {
+		count(gateway, p.peerWaiting[gateway])
+	}
+	return n
+}
+
 // foundFull records that a job found no room on an engine, and begins the turns anew. A job that is
 // larger than one that waits for its turn doesn't until all turns have passed: it would keep the
 // smaller one out for as long as it waits itself. The caller holds the lock.
--- a/pkg/enginepool/turn_test.go
+++ b/pkg/enginepool/turn_test.go
@@ -53,3 +53,18 @@
 	g.Expect(p.place(small, now)).To(BeNil())
 	g.Expect(p.engine("d0").fullAt).To(Equal(now))
 }
+
+// Of hundreds of gateways only some use an engine. The turns of the others would leave its room empty.
+func TestOnlyGatewaysOfTheEngineTakeTurns(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	p := scarce(now)
+	w := &Waiter{job: job("a", 6000, 100)}
+	var users []string
+	p.options.GatewaysOf = func(string) []string { return users }
+	for name := range p.peerWaiting {
+		users = []string{name, "a", "idle"}
+	}
+	g.Expect(p.place(w, now)).To(BeNil())
+	g.Expect(p.place(w, now.Add(turnInterval))).NotTo(BeNil())
+}
--- a/pkg/peers/members.go
+++ b/pkg/peers/members.go
@@ -122,6 +122,9 @@
 // Uses reports whether this gateway uses an engine; see package subset.
 func (x *Exchange) Uses(engine string) bool { return x.subset.Load().Uses(engine) }
 
+// GatewaysOf returns the gateways that use an engine, including this one. The list must not be modified.
+func (x *Exchange) GatewaysOf(engine string) []string { return x.subset.Load().GatewaysOf(engine) }
+
 // sortedMembers returns the members sorted by name. The caller holds the lock, and must not modify
 // the list.
 func (x *Exchange) sortedMembers() []*member {
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -155,6 +155,7 @@
 	o := enginepool.DefaultOptions()
 	o.Domain, o.Gateway = c.Instance.Domain, c.Instance.Name
 	o.Uses = func(runner string) bool { return p.peers.Uses(runner) }
+	o.GatewaysOf = func(runner string) []string { return p.peers.GatewaysOf(runner) }
 	o.Changed = func() { p.peers.Notify() }
 	o.Connected = p.client.HasIdle
 	return o
