peers: bound the rate of datagrams about waiting jobs

Each time jobs began or ceased to wait, a datagram went to all gateways at once: 355 datagrams each, several times a second. At most 50 a second now; what is left out goes with the next change.

--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -36,6 +36,9 @@
 	// that a gateway sends at most 33 heartbeats a second, some 1.5 KB.
 	minHeartbeat        = 300 * time.Millisecond
 	heartbeatPerGateway = 30 * time.Millisecond
+	// waitingPerGateway times the number of members is the least time between two datagrams that
+	// jobs began or ceased to wait: at most 50 datagrams a second, some 2.5 KB.
+	waitingPerGateway = 20 * time.Millisecond
 	// limitedHeartbeatPerGateway replaces heartbeatPerGateway when workspaces have limits: the
 	// unused share of a quota may be spent by others only while datagrams arrive from its gateway,
 	// so that datagrams of most gateways must arrive at short intervals.
@@ -176,7 +179,11 @@
 	relaysChosenAt time.Time
 	// sentRevisions is the revisions up to which changes were sent, by service.
 	sentRevisions map[string]uint64
-	intervals     uint64
+	// waitingSent is when the gateways were last sent that jobs began or ceased to wait, and
+	// waitingLeft holds the services for which that was left out.
+	waitingSent time.Time
+	waitingLeft map[string]bool
+	intervals   uint64
 	// sources are the relays of this gateway. subscribers are the gateways that it relays
 	// changes of the store to, and relayAllowance bounds the bytes that it sends them.
 	sources        *relay.Sources
@@ -189,7 +196,7 @@
 
 // New returns an exchange with an empty membership list.
 func New(o Options) *Exchange {
-	x := &Exchange{options: o, incarnation: uint64(time.Now().UnixNano()), members: map[string]*member{}, changed: make(chan struct{}, 1), sentRevisions: map[string]uint64{}}
+	x := &Exchange{options: o, incarnation: uint64(time.Now().UnixNano()), members: map[string]*member{}, changed: make(chan struct{}, 1), sentRevisions: map[string]uint64{}, waitingLeft: map[string]bool{}}
 	if o.Pace == (relay.Pace{}) {
 		o.Pace = relay.PaceFor(relay.ShortestBound)
 		x.options.Pace = o.Pace
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -315,3 +315,28 @@
 	g.Expect(a.outcomeReceivers(true)).To(HaveLen(minReceivers))
 	g.Expect(a.outcomeReceivers(false)).To(BeEmpty())
 }
+
+// Jobs that begin and cease to wait many times a second must not cause a datagram to all gateways each.
+func TestWaitingIsSentAtBoundedRate(t *testing.T) {
+	g := NewWithT(t)
+	for _, n := range []int{24, 102, 355} {
+		a := newGateway(t, "a", 1)
+		for i := range n {
+			name := fmt.Sprintf("g%03d", i)
+			g.Expect(a.Add(name, fmt.Sprintf("127.0.0.1:%d", 1000+i))).To(Succeed())
+			a.members[name].alive = true
+		}
+		a.updateSubset()
+		now, datagrams := time.Now(), 0
+		for i := range 1000 {
+			// The last change is not followed by another, but by a change of load.
+			changed := map[string]enginepool.Snapshot{"llm": {WaitingChanged: i < 500}}
+			a.limitWaiting(changed, now.Add(time.Duration(i)*20*time.Millisecond))
+			for name := range a.members {
+				datagrams += len(a.changesFor(name, changed))
+			}
+		}
+		g.Expect(datagrams).To(And(BeNumerically(">", n), BeNumerically("<=", 50*20+n)))
+		g.Expect(a.waitingLeft["llm"]).To(BeFalse())
+	}
+}
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -27,6 +27,7 @@
 	x.mu.Lock()
 	changed, reached := x.options.Snapshots(x.sentRevisions)
 	x.sentRevisions = reached
+	x.limitWaiting(changed, now)
 	var out []datagram
 	for _, m := range x.members {
 		if !m.alive || m.needsFull {
@@ -40,6 +41,22 @@
 	x.write(out)
 }
 
+// limitWaiting leaves out that jobs began or ceased to wait if that was sent lately: it goes to all
+// gateways. It is then sent with the next change. The caller holds the lock.
+func (x *Exchange) limitWaiting(changed map[string]enginepool.Snapshot, now time.Time) {
+	due := now.Sub(x.waitingSent) >= time.Duration(len(x.members))*waitingPerGateway
+	for service, s := range changed {
+		if !s.WaitingChanged && !x.waitingLeft[service] {
+			continue
+		}
+		s.WaitingChanged = due
+		changed[service] = s
+		if x.waitingLeft[service] = !due; due {
+			x.waitingSent = now
+		}
+	}
+}
+
 // changesFor returns the changes at the engines that a gateway uses.
 func (x *Exchange) changesFor(name string, changed map[string]enginepool.Snapshot) map[string]enginepool.Snapshot {
 	subset := x.subset.Load()
