enginepool: a client that reads slowly doesn't make its engine slow

The time between two events included the time in which the gateway wrote the first to the client. Two slow writes in a row set the engine's speed to that of the client, at all gateways.

--- a/pkg/enginepool/demand_test.go
+++ b/pkg/enginepool/demand_test.go
@@ -14,7 +14,7 @@
 		id := "job" + string(rune('a'+i%26))
 		e := p.engine("d1")
 		e.own[id] = &reservation{job: Job{ID: id, Prompt: prompt, Length: p.Lengths.Estimate(hint, 0)}}
-		p.RecordTokens("d1", id, 1, now)
+		p.RecordTokens("d1", id, 1, now, now)
 		delete(e.own, id)
 	}
 }
--- a/pkg/enginepool/load_test.go
+++ b/pkg/enginepool/load_test.go
@@ -195,7 +195,7 @@
 		used += grown
 		for q.made >= float64((q.events+1)*eventTokens) || q.events == 0 {
 			q.events++
-			c.pools[q.gateway].RecordTokens(e.id, q.waiter.job.ID, q.events*eventTokens, c.now)
+			c.pools[q.gateway].RecordTokens(e.id, q.waiter.job.ID, q.events*eventTokens, time.Time{}, c.now)
 		}
 		if q.made >= q.length {
 			c.pools[q.gateway].End(e.id, q.waiter.job.ID, c.now)
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -278,8 +278,9 @@
 	e.refusedUntil = now.Add(p.options.RefusalPause)
 }
 
-// RecordTokens records how many tokens of a response have been received so far.
-func (p *Pool) RecordTokens(runner, id string, tokens int, now time.Time) {
+// RecordTokens records how many tokens of a response have been received so far. readyAt is from when
+// the event was waited for: nothing is learned of the engine's speed if the client delayed that.
+func (p *Pool) RecordTokens(runner, id string, tokens int, readyAt, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.engine(runner).own[id]
@@ -294,7 +295,7 @@
 	if added := tokens - b.generated; added > 0 && !b.lastEventAt.IsZero() {
 		took := now.Sub(b.lastEventAt)
 		b.eventTokens = added
-		if e.speed.observe(added, took, now) {
+		if readyAt.Sub(b.lastEventAt) <= took/2 && e.speed.observe(added, took, now) {
 			p.recordChange(e)
 		}
 	}
--- a/pkg/enginepool/speed_test.go
+++ b/pkg/enginepool/speed_test.go
@@ -20,7 +20,7 @@
 	p.mu.Unlock()
 	for range events {
 		now = now.Add(interval)
-		p.RecordTokens("d0", id, b.generated+eventTokens, now)
+		p.RecordTokens("d0", id, b.generated+eventTokens, b.lastEventAt, now)
 	}
 	return now
 }
@@ -234,3 +234,17 @@
 		g.Expect(p.engine("d0").unseen.value(now)).To(BeZero())
 	}
 }
+
+// A client that reads slowly delays the events of its response. The engine isn't slow.
+func TestSlowClientIsNoSlowEngine(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 0, 1<<30)
+	now := stream(p, "a", 20, 40*time.Millisecond, time.Now())
+	b := p.engine("d0").own["a"]
+	for range 20 {
+		now = now.Add(400 * time.Millisecond)
+		p.RecordTokens("d0", "a", b.generated+eventTokens, now.Add(-time.Millisecond), now)
+	}
+	g.Expect(p.Speed("d0", now).Decode).To(BeNumerically("~", 1850, 1))
+	g.Expect(p.engine("d0").speed.preemptions(now)).To(BeZero())
+}
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -49,6 +49,7 @@
 	began, before := time.Now(), r.events
 	in := bufio.NewReaderSize(a.Body, eventBuffer)
 	for {
+		readyAt := time.Now()
 		event, err := readEvent(in)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			return r.complete(n, runner, a, began)
@@ -56,7 +57,7 @@
 		if err != nil {
 			return r.streamBroken(runner, r.events == before, err)
 		}
-		r.s.pool.RecordTokens(runner.ID, r.s.job.ID, (r.events+1)*max(1, r.s.engine.TokensPerEvent), time.Now())
+		r.s.pool.RecordTokens(runner.ID, r.s.job.ID, (r.events+1)*max(1, r.s.engine.TokensPerEvent), readyAt, time.Now())
 		if err := r.write(a, event); err != nil {
 			return mayHaveRun, errClientGone{}
 		}
