enginepool: report the speed as known, not each gateway's own mean

A gateway with few responses on an engine reported its own slow mean as the newest measurement, which replaced a better one that others had made: an engine that had turned six times slower was taken for half as fast at all gateways. Each measurement now moves the speed that all know.

--- a/pkg/enginepool/speed.go
+++ b/pkg/enginepool/speed.go
@@ -62,7 +62,8 @@
 
 // decodeSpeed is the learned decode speed of one response on an engine.
 type decodeSpeed struct {
-	// own is measured by this gateway, and known also by others that reported it.
+	// known is measured by this gateway and others that reported it, and own is known at the last
+	// measurement of this gateway, which is reported.
 	own, known pace
 	// steady is the long-term time per token, in seconds; 0 is unknown.
 	steady float64
@@ -104,8 +105,8 @@
 		d.own, d.known = pace{}, pace{}
 	}
 	d.slow, d.paused = false, false
-	d.own.learn(perToken, speedWeight, now)
 	d.known.learn(perToken, speedWeight, now)
+	d.own = d.known
 	d.follow(perToken, took)
 	differs := d.own.perToken > reportedChange*d.reported || d.own.perToken*reportedChange < d.reported
 	if !differs || now.Sub(d.reportedAt) < speedInterval {
