enginepool: reuse the model of an engine while its learned speed drifts

A learned speed returns to the long-term one all the time, so that the list of footprints was computed anew at each instant for every engine whose speed is known; the 20 ms never applied.

--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -1,6 +1,9 @@
 package enginepool
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Job is a request that needs memory on a decode runner.
 type Job struct {
@@ -142,7 +145,8 @@
 // Requests of other gateways are assumed to have grown since they were reported, at a rate in tokens
 // per second. The list is valid until the next call.
 func (e *engine) footprints(now time.Time, rate float64) []footprint {
-	if !e.footprintsAt.IsZero() && now.Sub(e.footprintsAt).Abs() < footprintTTL && rate == e.footprintRate {
+	if !e.footprintsAt.IsZero() && now.Sub(e.footprintsAt).Abs() < footprintTTL &&
+		math.Abs(rate-e.footprintRate) <= footprintRateChange*e.footprintRate {
 		return e.footprintList
 	}
 	out := e.footprintList[:0]
@@ -163,6 +167,10 @@
 // Responses grow little in it, compared with the error of the estimates.
 const footprintTTL = 20 * time.Millisecond
 
+// footprintRateChange is the relative change of the rate up to which the list is reused: a learned rate
+// changes a little all the time.
+const footprintRateChange = 0.05
+
 // changed makes the next call of footprints compute them again.
 func (e *engine) changed() { e.footprintsAt = time.Time{} }
 
--- a/pkg/enginepool/speed_test.go
+++ b/pkg/enginepool/speed_test.go
@@ -248,3 +248,20 @@
 	g.Expect(p.Speed("d0", now).Decode).To(BeNumerically("~", 1850, 1))
 	g.Expect(p.engine("d0").speed.preemptions(now)).To(BeZero())
 }
+
+// The learned speed returns to the long-term one all the time. The model of the engine must not be computed
+// anew for each choice because of it, but must be for another speed.
+func TestFootprintsAreReusedWhileSpeedDrifts(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 0, 1<<30)
+	now := stream(p, "a", 20, 40*time.Millisecond, time.Now())
+	now = stream(p, "a", 5, 50*time.Millisecond, now)
+	e := p.engine("d0")
+	e.footprints(now, p.decodeRate(e, now))
+	later := now.Add(footprintTTL / 2)
+	g.Expect(p.decodeRate(e, later)).NotTo(Equal(p.decodeRate(e, now)))
+	e.footprints(later, p.decodeRate(e, later))
+	g.Expect(e.footprintsAt).To(Equal(now))
+	e.footprints(later, 2*p.decodeRate(e, later))
+	g.Expect(e.footprintsAt).To(Equal(later))
+}
