--- a/pkg/enginepool/speed_test.go
+++ b/pkg/enginepool/speed_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// stream places a response of another ID on d0 and receives events at an interval.
+// stream places a response on d0 and receives events at an interval.
 func stream(p *Pool, id string, events int, interval time.Duration, now time.Time) time.Time {
 	p.mu.Lock()
 	e := p.engine("d0")
@@ -127,8 +127,7 @@
 	g.Expect(free(gateways * turnInterval)).To(Equal(gateways))
 }
 
-// streams returns the events of several responses on d0 in turn, each at the interval, and a stall in
-// which all of them wait.
+// streams receives one event of each of several responses on d0, spread over an interval.
 func streams(p *Pool, n int, interval time.Duration, now time.Time) {
 	for i := range n {
 		stream(p, fmt.Sprint("s", i), 1, interval*time.Duration(i)/time.Duration(n), now)
