--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -31,9 +31,16 @@
 	RefusalPause time.Duration
 	// Uses reports whether a runner is in this gateway's subset; nil uses all runners.
 	Uses func(runner string) bool
+	// GatewaysOf returns the gateways that use a runner, of those that report to this one; nil if all
+	// use all.
+	GatewaysOf func(runner string) []string
 	// Changed is called, with the pool locked, after a change that should be reported to
 	// other gateways at once; nil for none.
 	Changed func()
+	// Gateway is the name under which this gateway reports to others, and TurnInterval how long it
+	// takes until they know of a reservation; see Pool.ourTurn.
+	Gateway      string
+	TurnInterval time.Duration
 	// Domain is the gateway's failure domain, empty for none.
 	Domain string
 	// Connected reports whether an idle connection to an address exists; nil if that
@@ -45,12 +52,12 @@
 
 // DefaultOptions returns the options that a gateway uses.
 func DefaultOptions() Options {
-	return Options{Fill: 0.98, Deviations: defaultDeviations, RefusalPause: 60 * time.Millisecond}
+	return Options{Fill: 0.98, Deviations: defaultDeviations, RefusalPause: 60 * time.Millisecond, TurnInterval: turnInterval}
 }
 
 // defaultDeviations is the default of Options.Deviations: with no margin engines preempt
 // requests and prefill long prompts again, with a larger one slots stay empty.
-const defaultDeviations = 2
+const defaultDeviations = 1.75
 
 // Pool is this gateway's model of the engines of one service.
 type Pool struct {
@@ -71,9 +78,15 @@
 	// uses only a few of thousands of engines, and its whole report is replaced every few
 	// seconds.
 	peerEngines map[string]map[string]*engine
+	// peerPlaced counts the jobs that other gateways placed lately.
+	peerPlaced decayed
 	// revision counts the changes of this gateway's own reservations and prefills.
 	revision uint64
-	// rate is the learned speed of one response, in tokens per second.
+	// waitingRevision is the revision at which jobs began or ceased to wait; reportedWaiting is
+	// whether they did.
+	waitingRevision uint64
+	reportedWaiting bool
+	// rate is the learned mean speed of one response, in tokens per second.
 	rate float64
 	// Lengths learns the lengths of responses.
 	Lengths *Lengths
@@ -83,6 +96,9 @@
 
 // New returns an empty pool of a service.
 func New(service string, d *runners.Directory, o Options) *Pool {
+	if o.TurnInterval == 0 {
+		o.TurnInterval = turnInterval
+	}
 	if o.Pick == nil {
 		o.Pick = rand.IntN
 	}
@@ -116,7 +132,7 @@
 func (p *Pool) engine(id string) *engine {
 	e := p.engines[id]
 	if e == nil {
-		e = &engine{id: id, capacity: p.capacity(), slots: p.spec.Slots, own: map[string]*reservation{}, peers: map[string]peerLoads{}, prefillTokens: map[string]int{}}
+		e = &engine{id: id, idHash: hashID(id), capacity: p.capacity(), slots: p.spec.Slots, own: map[string]*reservation{}, peers: map[string]peerLoads{}, prefillTokens: map[string]int{}}
 		p.engines[id] = e
 	}
 	return e
@@ -132,7 +148,7 @@
 		if len(fit) == 0 {
 			return nil
 		}
-		runner = best(fit)
+		runner = p.oneOfBest(fit, len(p.subsetOf(runners.Decode, now)), now)
 	}
 	if !runner.Claim(w.job.ID, now) {
 		return nil
@@ -144,7 +160,8 @@
 }
 
 // preferred returns the runner that a job prefers, nil if there is none or the job does
-// not fit there. The caller holds the lock.
+// not fit there. It takes no turns: on another runner the prompt would be processed again. The caller
+// holds the lock.
 func (p *Pool) preferred(w *Waiter, now time.Time) *runners.State {
 	if w.prefer == "" {
 		return nil
@@ -153,7 +170,7 @@
 	if s == nil || s.Stage != runners.Decode || !s.Usable(now) || s.Ejected(now) {
 		return nil
 	}
-	if _, fits := p.score(s, w, now); !fits {
+	if _, fits := p.fits(s, w, now); !fits {
 		return nil
 	}
 	return s
@@ -173,20 +190,36 @@
 	return out
 }
 
-// score rates a runner for a job. It returns false if the job does not fit: the runner is
-// excluded, accepts no request now (State.Room) or lacks memory (engine.room). The score is
-// the memory left in tokens, less a penalty for failed requests, plus bonuses for the
-// gateway's own failure domain and for an idle connection. The caller holds the lock.
-func (p *Pool) score(s *runners.State, w *Waiter, now time.Time) (float64, bool) {
+// fits returns the memory that is left on a runner with a job added, in tokens. It returns false if the
+// job does not fit: the runner is excluded, accepts no request now (State.Room), or lacks memory
+// (engine.room). The caller holds the lock.
+func (p *Pool) fits(s *runners.State, w *Waiter, now time.Time) (float64, bool) {
 	e := p.engine(s.ID)
 	if w.avoid[s.ID] || now.Before(e.refusedUntil) || !w.job.allows(s.Domain) || !s.Room(now) {
 		return 0, false
 	}
-	room := e.room(w.job, now, p.rate, p.Lengths.Spread(), p.options.Deviations)
+	typical := p.Lengths.Typical()
+	room := e.room(w.profileFor(typical), now, p.decodeRate(e, now), typical, p.options.Deviations)
 	if room < 0 {
+		p.foundFull(e, w.job, now)
+		return 0, false
+	}
+	return room, true
+}
+
+// score rates a runner for a job. It returns false if the job does not fit, or if it is the turn of
+// other gateways (ourTurn). The score is the memory left in tokens. It is reduced by the memory that
+// the job takes for longer than on an engine of mean speed, until it ends, and by a penalty for failed
+// requests. It is raised by bonuses for the gateway's own failure domain and for an idle connection.
+// The caller holds the lock.
+func (p *Pool) score(s *runners.State, w *Waiter, now time.Time) (float64, bool) {
+	e := p.engine(s.ID)
+	room, fits := p.fits(s, w, now)
+	if !fits || !p.ourTurn(e, w.job, room, now) {
 		return 0, false
 	}
-	score := room - failurePenalty*s.Failures(now)*float64(e.capacity)
+	longer := min(maxLonger, p.rate/p.decodeRate(e, now)) - 1
+	score := room - longer*float64(w.job.size()) - failurePenalty*s.Failures(now)*float64(e.capacity)
 	if s.Domain == p.options.Domain {
 		score += sameDomainBonus * float64(e.capacity)
 	}
@@ -196,11 +229,23 @@
 	return score, true
 }
 
+// profileFor returns the profile of the job.
+func (w *Waiter) profileFor(typical float64) *profile {
+	if w.typical != typical {
+		w.profile, w.typical = profile{}, typical
+		w.profile.add(w.job.footprint(), typical)
+	}
+	return &w.profile
+}
+
 // connected reports whether an idle connection to a runner exists.
 func (p *Pool) connected(s *runners.State) bool {
 	return p.options.Connected != nil && p.options.Connected(s.Address)
 }
 
+// maxLonger bounds how many times longer a job counts on a slow engine.
+const maxLonger = 10
+
 // failurePenalty is what is subtracted from the score of a runner that fails all
 // requests, as a multiple of its memory.
 const failurePenalty = 3
@@ -214,20 +259,28 @@
 // runner.
 const connectedBonus = 0.1
 
-// Refused removes a reservation that the runner refused for lack of room, and skips the
-// runner for Options.Refused.
-func (p *Pool) Refused(runner, id string, now time.Time) {
+// Refused removes a reservation that the runner did not confirm, and skips the runner for
+// Options.RefusalPause. noRoom is set if the runner responded that it has no room, and not if it
+// was unreachable or takes no work for another reason.
+func (p *Pool) Refused(runner, id string, noRoom bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.engine(runner)
-	delete(e.own, id)
+	if b := e.own[id]; b != nil {
+		delete(e.own, id)
+		e.changed()
+		if noRoom {
+			e.addUnseen(b.job, now, p.decodeRate(e, now))
+		}
+	}
 	p.release(runner, id)
 	p.recordChange(e)
 	e.refusedUntil = now.Add(p.options.RefusalPause)
 }
 
-// RecordTokens records how many tokens of a response have been received so far.
-func (p *Pool) RecordTokens(runner, id string, tokens int, now time.Time) {
+// RecordTokens records how many tokens of a response have been received so far. readyAt is from when
+// the event was waited for: nothing is learned of the engine's speed if the client delayed that.
+func (p *Pool) RecordTokens(runner, id string, tokens int, readyAt, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	b := p.engine(runner).own[id]
@@ -238,6 +291,15 @@
 		b.firstTokenAt = now
 		p.learnDemand(b.job, now)
 	}
+	e := p.engine(runner)
+	if added := tokens - b.generated; added > 0 && !b.lastEventAt.IsZero() {
+		took := now.Sub(b.lastEventAt)
+		b.eventTokens = added
+		if readyAt.Sub(b.lastEventAt) <= took/2 && e.speed.observe(added, took, now) {
+			p.recordChange(e)
+		}
+	}
+	b.lastEventAt = now
 	b.generated = tokens
 }
 
@@ -251,6 +313,7 @@
 		delete(e.own, id)
 		p.release(runner, id)
 		p.recordChange(e)
+		e.endedAt = now
 	}
 	p.mu.Unlock()
 	p.Dispatch(now)
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -9,8 +9,12 @@
 // prefillRunner is this gateway's model of one prefill runner.
 type prefillRunner struct {
 	jobs map[string]prefillJob
-	// rate is the learned speed of prefill, in tokens per second.
-	rate float64
+	// rate is the speed of prefill that this gateway learned, in tokens per second, and known the one
+	// that all gateways did; 0 is unknown.
+	rate, known float64
+	// measured is the speed that this gateway measured last, at measuredAt.
+	measured   float64
+	measuredAt time.Time
 }
 
 // prefillJob is a prompt on a prefill runner.
@@ -162,5 +166,35 @@
 	if !ok || !processed || took <= 0 {
 		return
 	}
-	r.rate += (float64(j.tokens+j.ahead)/took - r.rate) * prefillRateWeight
+	r.measured, r.measuredAt = float64(j.tokens+j.ahead)/took, now
+	r.rate += (r.measured - r.rate) * prefillRateWeight
+	r.learn(r.measured)
+}
+
+// learn updates the known speed from a measured one.
+func (r *prefillRunner) learn(measured float64) {
+	if r.known == 0 {
+		r.known = measured
+		return
+	}
+	r.known += (measured - r.known) * prefillRateWeight
+}
+
+// prefillRate returns the learned speed of prefill on an engine, in tokens per second, or the mean
+// of the service if it is unknown. The caller holds the lock.
+func (p *Pool) prefillRate(id string) float64 {
+	if r := p.prefillRunners[id]; r != nil && r.known > 0 {
+		return r.known
+	}
+	sum, n := 0.0, 0
+	for _, r := range p.prefillRunners {
+		if r.known > 0 {
+			sum += r.known
+			n++
+		}
+	}
+	if n == 0 {
+		return initialPrefillRate
+	}
+	return sum / float64(n)
 }
--- a/pkg/enginepool/status.go
+++ b/pkg/enginepool/status.go
@@ -17,6 +17,11 @@
 	// Waiting is how many jobs wait at all gateways; PrefillTokens is how many prompt tokens
 	// wait or are being processed at prefill engines.
 	Waiting, PrefillTokens int
+	// Slowest and Fastest are the lowest and the highest speed of one response on the decode engines, in
+	// tokens per second.
+	Slowest, Fastest float64
+	// Preempted is the recent number of preempted responses of all gateways.
+	Preempted float64
 }
 
 // Status returns the current state of the service's engines.
@@ -37,7 +42,14 @@
 			s.PrefillTokens += p.backlog(r.ID)
 		case r.Stage == runners.Decode:
 			s.Decode++
-			s.Reserved += p.engine(r.ID).usedShare(now, p.rate)
+			e := p.engine(r.ID)
+			rate := p.decodeRate(e, now)
+			s.Reserved += e.usedShare(now, rate)
+			s.Fastest = max(s.Fastest, rate)
+			if s.Slowest == 0 || rate < s.Slowest {
+				s.Slowest = rate
+			}
+			s.Preempted += e.speed.preemptions(now)
 		}
 	}
 	s.Reserved /= float64(max(1, s.Decode))
@@ -50,9 +62,9 @@
 func (p *Pool) RemainingWork(runner string, now time.Time) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	most := float64(p.backlog(runner))
-	for _, s := range p.engine(runner).footprints(now, p.rate, 0) {
-		most = max(most, s.left)
+	most, e := float64(p.backlog(runner)), p.engine(runner)
+	for _, s := range e.footprints(now, p.decodeRate(e, now)) {
+		most = max(most, s.left())
 	}
 	return most
 }
@@ -60,7 +72,7 @@
 // usedShare returns the fraction of the engine's memory that is in use now.
 func (e *engine) usedShare(now time.Time, rate float64) float64 {
 	sum := 0.0
-	for _, p := range e.footprints(now, rate, 0) {
+	for _, p := range e.footprints(now, rate) {
 		sum += p.now
 	}
 	return sum / float64(max(1, e.capacity))
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -148,9 +148,11 @@
 		g := NewWithT(t)
 		s := enginepool.Snapshot{Full: rapid.Bool().Draw(t, "full"), Waiting: rapid.IntRange(0, 9).Draw(t, "waiting")}
 		for i := range rapid.IntRange(0, 4).Draw(t, "engines") {
-			e := enginepool.EngineLoad{Runner: string(rune('a' + i)), PrefillTokens: rapid.IntRange(0, 999).Draw(t, "reading")}
+			e := enginepool.EngineLoad{Runner: string(rune('a' + i)), PrefillTokens: rapid.IntRange(0, 999).Draw(t, "reading"),
+				Speed: float64(rapid.IntRange(0, 9999).Draw(t, "speed")), SpeedAge: time.Duration(rapid.IntRange(0, 9999).Draw(t, "age")) * time.Millisecond,
+				PrefillSpeed: float64(rapid.IntRange(0, 99999).Draw(t, "prefill speed")), Preempted: float64(rapid.IntRange(0, 99).Draw(t, "preempted")) * outcomeUnit}
 			for range rapid.IntRange(0, 3).Draw(t, "loads") {
-				e.Loads = append(e.Loads, enginepool.Load{Now: rapid.IntRange(0, 9999).Draw(t, "now"), Left: rapid.IntRange(0, 999).Draw(t, "left")})
+				e.Loads = append(e.Loads, enginepool.Load{Now: rapid.IntRange(0, 9999).Draw(t, "now"), Left: rapid.IntRange(0, 999).Draw(t, "left"), Generated: rapid.IntRange(0, 999).Draw(t, "generated")})
 			}
 			s.Engines = append(s.Engines, e)
 		}
@@ -158,6 +160,15 @@
 	})
 }
 
+// An earlier build sends no tokens generated and no speeds: they are unknown, and its loads still count.
+func TestEngineLoadOfEarlierBuildIsUnderstood(t *testing.T) {
+	g := NewWithT(t)
+	l := decodeEngineLoad(&wirepb.EngineLoad{Runner: "e", Now: []uint32{10, 20}, Left: []uint32{1, 2}})
+	g.Expect(l).To(Equal(enginepool.EngineLoad{Runner: "e", Loads: []enginepool.Load{{Now: 10, Left: 1}, {Now: 20, Left: 2}}}))
+	l = decodeEngineLoad(&wirepb.EngineLoad{Runner: "e", Now: []uint32{10}, Left: []uint32{1}, Generated: []uint32{3, 4}})
+	g.Expect(l.Loads).To(Equal([]enginepool.Load{{Now: 10, Left: 1}}))
+}
+
 // A change must be sent at once, in a datagram with the changes alone.
 func TestChangesAreSentAtOnce(t *testing.T) {
 	g := NewWithT(t)
@@ -304,3 +315,28 @@
 	g.Expect(a.outcomeReceivers(true)).To(HaveLen(minReceivers))
 	g.Expect(a.outcomeReceivers(false)).To(BeEmpty())
 }
+
+// Jobs that begin and cease to wait many times a second must not cause a datagram to all gateways each.
+func TestWaitingIsSentAtBoundedRate(t *testing.T) {
+	g := NewWithT(t)
+	for _, n := range []int{24, 102, 355} {
+		a := newGateway(t, "a", 1)
+		for i := range n {
+			name := fmt.Sprintf("g%03d", i)
+			g.Expect(a.Add(name, fmt.Sprintf("127.0.0.1:%d", 1000+i))).To(Succeed())
+			a.members[name].alive = true
+		}
+		a.updateSubset()
+		now, datagrams := time.Now(), 0
+		for i := range 1000 {
+			// The last change is not followed by another, but by a change of load.
+			changed := map[string]enginepool.Snapshot{"llm": {WaitingChanged: i < 500}}
+			a.limitWaiting(changed, now.Add(time.Duration(i)*20*time.Millisecond))
+			for name := range a.members {
+				datagrams += len(a.changesFor(name, changed))
+			}
+		}
+		g.Expect(datagrams).To(And(BeNumerically(">", n), BeNumerically("<=", 50*20+n)))
+		g.Expect(a.waitingLeft["llm"]).To(BeFalse())
+	}
+}
