--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -42,13 +42,8 @@
 	// holdOutputTokens is the number of output tokens held in addition to the prompt. The rest of
 	// the output is reserved only in the model of the pool.
 	holdOutputTokens = 256
-	// localPrefillAfter is the expected time of a prefill above which the decode runner computes
-	// the prompt itself.
-	localPrefillAfter = 900 * time.Millisecond
-	// localPrefillFailureRate is the failure rate of the best prefill runner above which the decode
-	// runner computes the prompt itself. Only one response can be lost then instead of two, and a
-	// lost prefill costs a second.
-	localPrefillFailureRate = 0.1
+	// defaultFirstEventTarget is the target for the first event of a stream whose route has none.
+	defaultFirstEventTarget = 900 * time.Millisecond
 	// releaseTimeout limits calls that release a hold or a KV cache.
 	releaseTimeout = time.Second
 	// defaultOutputTokens is the expected output, in tokens, of a request without a length hint.
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -19,9 +19,11 @@
 	wait       *metrics.Histogram
 	prefill    *metrics.Histogram
 	// prefilled counts the prompt tokens that prefill runners computed, wasted those whose
-	// computation was wasted or has to be repeated.
-	prefilled *metrics.Counter
-	wasted    *metrics.Counter
+	// computation was wasted or has to be repeated. prefilledLocally counts the prompts that decode
+	// runners computed because a prefill runner would have cost callers more.
+	prefilled        *metrics.Counter
+	wasted           *metrics.Counter
+	prefilledLocally *metrics.Counter
 	// resumed counts the times that this gateway resumed a stream on another runner, broken the
 	// streams that were aborted.
 	resumed *metrics.Counter
@@ -36,16 +38,17 @@
 func newMeters() *meters {
 	set := metrics.NewSet()
 	return &meters{
-		set:         set,
-		firstEvent:  set.NewHistogram("hopwell_ingress_first_event_seconds"),
-		wait:        set.NewHistogram("hopwell_ingress_room_wait_seconds"),
-		prefill:     set.NewHistogram("hopwell_ingress_prefill_seconds"),
-		prefilled:   set.NewCounter("hopwell_ingress_prefilled_tokens_total"),
-		wasted:      set.NewCounter("hopwell_ingress_wasted_prefill_tokens_total"),
-		resumed:     set.NewCounter("hopwell_ingress_resumed_streams_total"),
-		broken:      set.NewCounter("hopwell_ingress_broken_streams_total"),
-		notBuffered: set.NewCounter("hopwell_ingress_answers_not_held_total"),
-		quarantines: set.NewCounter("hopwell_ingress_quarantines_total"),
+		set:              set,
+		firstEvent:       set.NewHistogram("hopwell_ingress_first_event_seconds"),
+		wait:             set.NewHistogram("hopwell_ingress_room_wait_seconds"),
+		prefill:          set.NewHistogram("hopwell_ingress_prefill_seconds"),
+		prefilled:        set.NewCounter("hopwell_ingress_prefilled_tokens_total"),
+		wasted:           set.NewCounter("hopwell_ingress_wasted_prefill_tokens_total"),
+		prefilledLocally: set.NewCounter("hopwell_ingress_local_prefills_total"),
+		resumed:          set.NewCounter("hopwell_ingress_resumed_streams_total"),
+		broken:           set.NewCounter("hopwell_ingress_broken_streams_total"),
+		notBuffered:      set.NewCounter("hopwell_ingress_answers_not_held_total"),
+		quarantines:      set.NewCounter("hopwell_ingress_quarantines_total"),
 	}
 }
 
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -8,6 +8,7 @@
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/staging"
 )
 
 // prefill computes the prompt on the prefill runner that is expected to finish first. If there is
@@ -20,9 +21,8 @@
 			s.logStep("no_prefill_runner", decisionlog.F("error", err))
 			return PrefilledCache{}, nil, nil
 		}
-		if failures := prefillRunner.Failures(time.Now()); expected > localPrefillAfter || failures > localPrefillFailureRate {
+		if s.prefersLocal(prefillRunner, expected, room) {
 			s.pool.EndPrefill(prefillRunner.ID, s.job.ID, false, time.Now())
-			s.logStep("prefill_local", decisionlog.F("expected", expected), decisionlog.F("failures", failures))
 			return PrefilledCache{}, nil, nil
 		}
 		if (tries > 0 || len(s.failedPrefill) > 0) && !s.mayPrefillAgain() {
@@ -55,6 +55,38 @@
 	}
 }
 
+// prefersLocal reports whether the decode runner should compute the prompt itself, because a prefill
+// on the best prefill runner would cost callers more; see staging.Place.
+func (s *generation) prefersLocal(prefillRunner *runners.State, expected time.Duration, room *reservation) bool {
+	now := time.Now()
+	target := s.route.LatencyTarget
+	if target == 0 {
+		target = defaultFirstEventTarget
+	}
+	prompt := staging.Prompt{Tokens: s.job.Prompt, TargetLeft: target - now.Sub(s.arrived), GapTarget: s.route.GapTarget}
+	apart := staging.Prefiller{Expected: expected, Failures: prefillRunner.Failures(now), Timeout: prefillTimeout(prefillRunner, expected)}
+	work := s.pool.Decoding(room.runner.ID, now)
+	local := staging.Decoder{PrefillSpeed: work.Speed.Prefill, Running: work.Running, Short: work.Waiting > 0}
+	if work.Known {
+		local.EventInterval = tokenTime(s.engine.TokensPerEvent, work.Speed.Decode)
+		local.AnswerTime = tokenTime(int(s.job.Length.Expected(0)), work.Speed.Decode)
+	}
+	costs := staging.Place(prompt, apart, local)
+	if !costs.UseLocal() {
+		return false
+	}
+	s.g.metrics.prefilledLocally.Inc()
+	s.logStep("prefill_local", decisionlog.F("expected", expected), decisionlog.F("failures", apart.Failures),
+		decisionlog.F("runner", room.runner.ID), decisionlog.F("running", local.Running), decisionlog.F("interval", local.EventInterval),
+		decisionlog.F("apart_cost", costs.Apart), decisionlog.F("local_cost", costs.Local))
+	return true
+}
+
+// tokenTime returns how long a runner takes for a number of tokens, at a speed in tokens per second.
+func tokenTime(tokens int, speed float64) time.Duration {
+	return time.Duration(float64(tokens) / speed * float64(time.Second))
+}
+
 // beginPrefill assigns the prompt to a prefill runner: to the given one, whose response was lost,
 // or else to the best.
 func (s *generation) beginPrefill(room *reservation, again *runners.State) (*runners.State, time.Duration, error) {
--- /dev/null
+++ b/pkg/staging/prompt.go
@@ -0,0 +1,93 @@
+package staging
+
+import "time"
+
+// Prompt is a prompt that is to be computed.
+type Prompt struct {
+	Tokens int
+	// TargetLeft is the time left until the first event is late, GapTarget the longest gap between two
+	// events that callers accept; 0 for none.
+	TargetLeft, GapTarget time.Duration
+}
+
+// Prefiller is the prefill engine that would compute a prompt.
+type Prefiller struct {
+	// Expected is the time until the prompt is computed, including the prompts ahead of it.
+	Expected time.Duration
+	// Failures is the fraction of its prefills that fail, and Timeout the time after which one without
+	// a response is given up.
+	Failures float64
+	Timeout  time.Duration
+}
+
+// Decoder is the decode engine on which memory is reserved for the answer.
+type Decoder struct {
+	// PrefillSpeed is how fast the engine would compute prompts in the prefill stage, in tokens a second.
+	PrefillSpeed float64
+	// Running is the number of answers in progress there, without the one of the prompt. EventInterval
+	// is the usual time between two events of an answer, 0 for unknown.
+	Running       int
+	EventInterval time.Duration
+	// AnswerTime is how long an answer takes, 0 for unknown.
+	AnswerTime time.Duration
+	// Short reports whether requests wait for room.
+	Short bool
+}
+
+// localSlowdown is how much longer a prompt takes at a decode engine than at a prefill engine: it is
+// computed in pieces between the tokens of the running answers.
+const localSlowdown = 2
+
+// Placement compares the two ways to compute a prompt.
+type Placement struct {
+	// Apart and Local are the expected numbers of callers that miss a target if a prefill engine or the
+	// decode engine computes the prompt.
+	Apart, Local float64
+}
+
+// UseLocal reports whether the decode engine should compute the prompt.
+func (p Placement) UseLocal() bool { return p.Local < p.Apart }
+
+// Place returns what it costs callers to compute a prompt at a prefill engine and at the decode engine.
+// The first one risks that the prefill is lost and repeated; the second one delays all answers in progress
+// on the decode engine. If requests wait for room, both cost room: memory is reserved while a prefill
+// engine computes, and answers hold theirs for longer if they are delayed.
+func Place(p Prompt, at Prefiller, d Decoder) Placement {
+	local := localTime(p.Tokens, d.PrefillSpeed)
+	repeated := at.Timeout + at.Expected
+	out := Placement{
+		Apart: (1-at.Failures)*missed(at.Expected, p.TargetLeft) + at.Failures*missed(repeated, p.TargetLeft),
+		Local: missed(local, p.TargetLeft) + float64(d.Running)*missed(d.EventInterval+local, p.GapTarget),
+	}
+	if d.Short && d.AnswerTime > 0 {
+		out.Apart += at.Expected.Seconds() / d.AnswerTime.Seconds()
+		out.Local += float64(1+d.Running) * local.Seconds() / d.AnswerTime.Seconds()
+	}
+	return out
+}
+
+// localTime returns how long a decode engine takes to compute a prompt. It may fall into a single event
+// of the running answers, which take many tokens each.
+func localTime(tokens int, speed float64) time.Duration {
+	if speed <= 0 {
+		return 0
+	}
+	return time.Duration(localSlowdown * float64(tokens) / speed * float64(time.Second))
+}
+
+// missed returns how many callers are expected to miss a target if something is expected to take a time.
+// Times vary, so that a target may be missed from half of it on. Beyond the target, each further one is
+// missed by a caller that waits behind.
+func missed(expected, target time.Duration) float64 {
+	switch {
+	case target == 0:
+		return 0
+	case target < 0:
+		return 1
+	}
+	ratio := expected.Seconds() / target.Seconds()
+	if ratio >= 1 {
+		return ratio
+	}
+	return max(0, 2*ratio-1)
+}
