enginepool: a prefill behind stale backlog teaches no speed

Rates of 100 k tokens a second were learned for engines that do 55 k: the prompts ahead, as other gateways reported them, were mostly completed.

--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -28,6 +28,9 @@
 	initialPrefillRate = 30000
 	// prefillRateWeight is the weight of the newest measurement in the learned rate.
 	prefillRateWeight = 0.2
+	// measuredRateTTL is how long prefills behind others are not measured after one that was: the prompts
+	// ahead, as last reported, are often completed already, and the runner would seem faster than it is.
+	measuredRateTTL = 30 * time.Second
 	// crossDomainPenalty is added to the cost of a runner that is not in the failure domain
 	// of the prompt's decode runner.
 	crossDomainPenalty = 150 * time.Millisecond
@@ -164,6 +167,9 @@
 	if !ok || !processed || took <= 0 {
 		return
 	}
+	if j.ahead > 0 && now.Sub(r.measuredAt) < measuredRateTTL {
+		return
+	}
 	r.learn(float64(j.tokens+j.ahead) / took)
 	r.measuredAt = now
 }
