staging: engines count by their speed, and only as many change at once as a stage can spare

A third of the engines of a deployment takes 2.4 times as long. Slow engines prefill if the latency target allows it, fast ones decode; engines change places while the load is low. A plan moved two of three decode engines at once, 30 ms before the last one asked for a pause: a stage now keeps two engines, and what the requests in progress need, or gives one engine at a time. While the engines are idle the pause between plans is short, so that the stages are right when the load begins. Changes whose orders were not sent are canceled when the order lock is lost. The learned share uses the current rates, not those of the past.

--- a/pkg/enginepool/demand.go
+++ b/pkg/enginepool/demand.go
@@ -7,12 +7,12 @@
 
 // demand learns from the requests served how an engine's time divides between prefill and
 // decode. The ratio is a property of the requests, whatever number of engines serves them.
+// All numbers are exponentially decayed sums.
 type demand struct {
-	// prefill is the engine time that prompts take, in seconds. decode is the memory that
-	// responses occupy, as a fraction of one engine's memory, times the duration in seconds.
-	// Both are exponentially decayed sums.
-	prefill, decode float64
-	// responses is the decayed number of responses; at is when the last one began.
+	// prompts is the number of prompt tokens. decode is the memory that responses occupy, as a fraction
+	// of one engine's memory, times their length in tokens.
+	prompts, decode float64
+	// responses is the number of responses; at is when the last one began.
 	responses float64
 	at        time.Time
 }
@@ -27,26 +27,27 @@
 	minResponses = 12
 )
 
-// add records a response that begins, with the expected engine time of its prompt and the
-// expected occupation of memory, both in seconds.
-func (d *demand) add(prefill, decode float64, now time.Time) {
+// add records a response that begins, with the length of its prompt in tokens and its expected
+// occupation of memory, as a fraction of one engine's memory times its length in tokens.
+func (d *demand) add(prompt int, decode float64, now time.Time) {
 	decay := 1.0
 	if !d.at.IsZero() {
 		decay = math.Exp(-max(0, now.Sub(d.at).Seconds()) / demandDecayTime.Seconds())
 	}
-	d.prefill = d.prefill*decay + prefill
+	d.prompts = d.prompts*decay + float64(prompt)
 	d.decode = d.decode*decay + decode
 	d.responses = d.responses*decay + 1
 	d.at = now
 }
 
-// share returns the fraction of the engines' time that prefill takes, false if fewer than
-// minResponses responses count.
-func (d *demand) share() (float64, bool) {
-	if d.responses < minResponses || d.prefill+d.decode <= 0 {
+// share returns the fraction of the engines' time that prefill takes, for engines that prefill and
+// decode at given rates in tokens per second; false if fewer than minResponses responses count.
+func (d *demand) share(prefillRate, decodeRate float64) (float64, bool) {
+	prefill, decode := d.prompts/prefillRate, d.decode/decodeRate
+	if d.responses < minResponses || prefill+decode <= 0 {
 		return 0, false
 	}
-	return d.prefill / (d.prefill + d.decode), true
+	return prefill / (prefill + decode), true
 }
 
 // PrefillShare returns the fraction of the engines' time that prefill takes, learned from
@@ -54,7 +55,19 @@
 func (p *Pool) PrefillShare() (float64, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.demand.share()
+	return p.demand.share(p.meanPrefillRate(), p.rate)
+}
+
+// PromptTime returns how long an engine of a speed takes for the mean prompt, where the mean speed is 1;
+// 0 if too few requests were served recently.
+func (p *Pool) PromptTime(speed float64) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.demand.responses < minResponses || speed <= 0 {
+		return 0
+	}
+	mean := p.demand.prompts / p.demand.responses
+	return time.Duration(mean / (speed * p.meanPrefillRate()) * float64(time.Second))
 }
 
 // learnDemand records a response that begins. The length of a finished response would be
@@ -63,7 +76,7 @@
 	generated := j.Length.Expected(0)
 	// The response grows at an even rate, so that on average half of it occupies memory.
 	memory := (float64(j.Prompt) + generated/2) / float64(max(1, p.capacity()))
-	p.demand.add(float64(j.Prompt)/p.meanPrefillRate(), memory*generated/p.rate, now)
+	p.demand.add(j.Prompt, memory*generated, now)
 }
 
 // meanPrefillRate returns the mean of the learned rates of the prefill runners, in tokens
--- a/pkg/enginepool/demand_test.go
+++ b/pkg/enginepool/demand_test.go
@@ -50,3 +50,23 @@
 	g.Expect(known).To(BeTrue())
 	g.Expect(after).To(BeNumerically(">", 1.5*before), "old requests hardly count")
 }
+
+// Guards against prefill engines that seem twice as fast as they are: of the prompts that other gateways
+// reported ahead most are completed by the time the prompt is assigned.
+func TestPrefillRateIsNotLearnedFromStaleBacklog(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 1, 40000)
+	now := time.Now()
+	prefillOne := func(ahead int) {
+		p.ReceiveSnapshot("other", Snapshot{Engines: []EngineLoad{{Runner: "p0", PrefillTokens: ahead}}}, now)
+		_, _, err := p.BeginPrefill(Prompt{ID: "a", Tokens: 5000}, now)
+		g.Expect(err).NotTo(HaveOccurred())
+		now = now.Add(100 * time.Millisecond)
+		p.EndPrefill("p0", "a", true, now)
+	}
+	prefillOne(0)
+	for range 20 {
+		prefillOne(10000)
+	}
+	g.Expect(p.Speed("p0", now).Prefill).To(BeNumerically("~", 50000, 1))
+}
--- /dev/null
+++ b/pkg/enginepool/relative.go
@@ -0,0 +1,83 @@
+package enginepool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+// RelativeSpeeds returns the measured speeds of the service's engines as multiples of their mean, by
+// runner ID. Engines without a measured speed are left out. An engine is measured in its own stage; speeds
+// of prefill are converted to those of decode by the ratio of engines that were measured in both stages,
+// or of the fastest of each.
+func (p *Pool) RelativeSpeeds(now time.Time) map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	measured := map[string]Speed{}
+	var decode, prefill, both []float64
+	for _, r := range p.directory.Present(p.service, now) {
+		s := p.measured(r, now)
+		measured[r.ID] = s
+		if s.Decode > 0 {
+			decode = append(decode, s.Decode)
+		}
+		if s.Prefill > 0 {
+			prefill = append(prefill, s.Prefill)
+		}
+		if s.Decode > 0 && s.Prefill > 0 {
+			both = append(both, s.Prefill/s.Decode)
+		}
+	}
+	ratio := quantile(both, 0.5)
+	if fastest := quantile(decode, fastQuantile); ratio == 0 && fastest > 0 {
+		ratio = quantile(prefill, fastQuantile) / fastest
+	}
+	return relative(p.directory.Present(p.service, now), measured, ratio)
+}
+
+// fastQuantile is the quantile that stands for the fastest engines: a single one may be measured wrongly.
+const fastQuantile = 0.9
+
+// measured returns the measured speeds of an engine. The caller holds the lock.
+func (p *Pool) measured(r *runners.State, now time.Time) Speed {
+	var out Speed
+	if e := p.engines[r.ID]; e != nil {
+		out.Decode = e.speed.rate(now)
+	}
+	if m := p.prefillRunners[r.ID]; m != nil {
+		out.Prefill = m.rate
+	}
+	return out
+}
+
+// relative returns the speeds of engines as multiples of their mean, for a ratio of prefill speed to decode
+// speed; 0 is unknown.
+func relative(engines []*runners.State, measured map[string]Speed, ratio float64) map[string]float64 {
+	out := map[string]float64{}
+	sum := 0.0
+	for _, r := range engines {
+		s := measured[r.ID]
+		v := s.Decode
+		if ratio > 0 && s.Prefill > 0 && (v == 0 || r.Stage == runners.Prefill) {
+			v = s.Prefill / ratio
+		}
+		if v > 0 {
+			out[r.ID] = v
+			sum += v
+		}
+	}
+	for id := range out {
+		out[id] *= float64(len(out)) / sum
+	}
+	return out
+}
+
+// quantile returns a quantile of values, 0 if there are none.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
--- a/pkg/process/order.go
+++ b/pkg/process/order.go
@@ -17,8 +17,9 @@
 
 // record writes the changes to the store before their orders are sent, so that gateways which start
 // before the changes are done read them, even if this process ends between two orders. The lease of
-// the keys lasts as long as the slowest of the changes may take.
-func (s *stager) record(ctx context.Context, changes []staging.Change) {
+// the keys lasts as long as the slowest of the changes may take. It returns the revision of the records, 0
+// if they are not known to be written.
+func (s *stager) record(ctx context.Context, changes []staging.Change) store.Revision {
 	ctx, cancel := context.WithTimeout(ctx, orderCallTimeout)
 	defer cancel()
 	limit := time.Duration(0)
@@ -29,10 +30,33 @@
 	for _, c := range changes {
 		puts = append(puts, store.Put{Key: changePrefix + c.Runner.ID, Value: []byte(c.Stage)})
 	}
-	_, err := store.PutLeased(ctx, s.lock.Store, limit, store.Change{Put: puts})
+	written, err := store.PutLeased(ctx, s.lock.Store, limit, store.Change{Put: puts})
 	if err != nil {
 		s.log.Write(decisionlog.KindProcess, "restage_not_recorded", decisionlog.F("orders", len(changes)), decisionlog.F("error", err))
 	}
+	return written.Revision
+}
+
+// cancel ends changes that were recorded at a revision and not ordered, so that their engines get work
+// again. It leaves those that another holder of the lock has recorded since.
+func (s *stager) cancel(ctx context.Context, changes []staging.Change, recorded store.Revision) {
+	ctx, done := context.WithTimeout(ctx, orderCallTimeout)
+	defer done()
+	ended := 0
+	var last error
+	for _, c := range changes {
+		key := changePrefix + c.Runner.ID
+		change := store.Change{If: []store.Condition{{Key: key, Revision: recorded}}, Remove: []string{key}}
+		if recorded > 0 {
+			if _, err := s.lock.Store.Commit(ctx, change); err != nil {
+				last = err
+				continue
+			}
+		}
+		c.Runner.EndStageChange()
+		ended++
+	}
+	s.log.Write(decisionlog.KindState, "restage_canceled", decisionlog.F("orders", len(changes)), decisionlog.F("ended", ended), decisionlog.F("error", last))
 }
 
 // stopWork ends this gateway's own use of engines before their changes are recorded and reported. The
@@ -114,5 +138,5 @@
 		err = s.sendOrder(call, c, fence, sequence)
 	}
 	s.log.Write(decisionlog.KindState, "restage", decisionlog.F("runner", c.Runner.ID), decisionlog.F("domain", c.Runner.Domain),
-		decisionlog.F("stage", string(c.Stage)), decisionlog.F("fence", fence), decisionlog.F("sequence", sequence), decisionlog.F("error", err))
+		decisionlog.F("stage", string(c.Stage)), decisionlog.F("swap", c.Swap), decisionlog.F("fence", fence), decisionlog.F("sequence", sequence), decisionlog.F("error", err))
 }
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/notice"
 	"github.com/hopwell/hopwell/pkg/routetable"
@@ -132,7 +134,7 @@
 		return
 	}
 	s.holdLock(ctx)
-	paused := !s.orderedAt.IsZero() && now.Sub(s.orderedAt) < s.policy.Pause
+	paused := !s.orderedAt.IsZero() && now.Sub(s.orderedAt) < s.pause(changes, now)
 	if len(changes) == 0 || paused && !urgent(changes) || boottime.Since(since) < s.wait || now.Sub(s.mismatchSince) < s.patience(changes, now) {
 		return
 	}
@@ -141,18 +143,19 @@
 }
 
 // orderAll records, reports and orders changes, in batches as large as one change of the store allows.
-// It ends when the lock is lost: its next holder plans the rest again.
+// When the lock is lost it cancels the changes not yet ordered: the next holder plans them again.
 func (s *stager) orderAll(ctx context.Context, changes []staging.Change, fence store.Revision) {
 	for batch := range slices.Chunk(changes, store.MaxEntries) {
 		if !s.holdLock(ctx) {
 			return
 		}
 		s.stopWork(batch, time.Now())
-		s.record(ctx, batch)
+		revision := s.record(ctx, batch)
 		s.recorded = append(s.pending(time.Now()), batch...)
 		s.report(s.announcement(batch), time.Now())
-		for _, c := range batch {
+		for i, c := range batch {
 			if !s.holdLock(ctx) {
+				s.cancel(ctx, batch[i:], revision)
 				return
 			}
 			s.order(ctx, c, fence)
@@ -194,6 +197,16 @@
 	return slices.ContainsFunc(changes, func(c staging.Change) bool { return c.Urgent })
 }
 
+// pause returns the least time between the last orders and those of the changes.
+func (s *stager) pause(changes []staging.Change, now time.Time) time.Duration {
+	for _, c := range changes {
+		if !s.idle(c.Runner.Service, now) {
+			return s.policy.Pause
+		}
+	}
+	return s.policy.IdlePause
+}
+
 // patience returns how long the stages must differ from the plan before one is changed.
 func (s *stager) patience(changes []staging.Change, now time.Time) time.Duration {
 	if urgent(changes) {
@@ -257,10 +270,28 @@
 	if pool := s.ingress.Pools()[service]; pool != nil {
 		out.LearnedShare, _ = pool.PrefillShare()
 		out.Load = func(r *runners.State) float64 { return pool.RemainingWork(r.ID, now) }
+		status, speeds := pool.Status(now), pool.RelativeSpeeds(now)
+		out.Reserved, out.Waiting = status.Reserved, status.Waiting
+		out.Speed = func(r *runners.State) float64 { return speeds[r.ID] }
+		out.SlowPrefill = s.slowPrefill(service, pool, speeds)
 	}
 	return out
 }
 
+// slowPrefillShare is the share of the latency target that a slow engine may take for the mean prompt:
+// prompts wait for others, and some are longer.
+const slowPrefillShare = 0.35
+
+// slowPrefill reports whether the slowest engine prefills the mean prompt well within the latency target.
+func (s *stager) slowPrefill(service string, pool *enginepool.Pool, speeds map[string]float64) bool {
+	slowest := math.Inf(1)
+	for _, v := range speeds {
+		slowest = min(slowest, v)
+	}
+	target, took := s.ingress.Table().ShortestLatencyTarget(service), pool.PromptTime(slowest)
+	return took > 0 && (target == 0 || took.Seconds() < slowPrefillShare*target.Seconds())
+}
+
 // refusalSpan is a period in which an engine accepts no work, apart from single requests between two
 // pauses.
 type refusalSpan struct{ first, last time.Time }
--- a/pkg/routetable/routetable.go
+++ b/pkg/routetable/routetable.go
@@ -210,6 +210,21 @@
 	return longest
 }
 
+// ShortestLatencyTarget returns the shortest latency target of the routes to a service, 0 if none
+// of them has one.
+func (t *Table) ShortestLatencyTarget(service string) time.Duration {
+	shortest := time.Duration(0)
+	for i := range t.Config.Routes {
+		r := &t.Config.Routes[i]
+		for _, target := range r.Targets {
+			if target.Service == service && r.LatencyTarget > 0 && (shortest == 0 || r.LatencyTarget < shortest) {
+				shortest = r.LatencyTarget
+			}
+		}
+	}
+	return shortest
+}
+
 // Match returns the route for a host and path, or nil if there is none.
 func (t *Table) Match(host, path string) *Route {
 	if h, _, ok := strings.Cut(host, ":"); ok {
--- a/pkg/staging/prompt_test.go
+++ b/pkg/staging/prompt_test.go
@@ -18,7 +18,9 @@
 	return Decoder{PrefillSpeed: 55000, Running: answers, EventInterval: 45 * ms, AnswerTime: 3 * time.Second}
 }
 
-func prompt(tokens int) Prompt { return Prompt{Tokens: tokens, TargetLeft: 750 * ms, GapTarget: 300 * ms} }
+func prompt(tokens int) Prompt {
+	return Prompt{Tokens: tokens, TargetLeft: 750 * ms, GapTarget: 300 * ms}
+}
 
 // Guards against prompts that delay ten answers because a prefill engine fails one prefill in six.
 func TestBusyDecodeEngineReadsNoPromptForSmallRisk(t *testing.T) {
--- a/pkg/staging/staging.go
+++ b/pkg/staging/staging.go
@@ -26,13 +26,13 @@
 	// is applied by the caller of Plan, as is Pause.
 	Patience time.Duration
 	// Pause is the least time between two changes, except between those that the same plan
-	// contains.
-	Pause time.Duration
+	// contains. IdlePause is used instead while the engines have no work.
+	Pause, IdlePause time.Duration
 }
 
 // DefaultPolicy returns the policy that a gateway uses.
 func DefaultPolicy() Policy {
-	return Policy{Share: 0.19, Margin: 0.5, LearnedFactor: 0.8, MinPrefill: 2, Patience: 4 * time.Second, Pause: 15 * time.Second}
+	return Policy{Share: 0.19, Margin: 0.5, LearnedFactor: 0.8, MinPrefill: 2, Patience: 4 * time.Second, Pause: 15 * time.Second, IdlePause: 2 * time.Second}
 }
 
 // Change is the change of one engine to a new stage.
@@ -42,6 +42,8 @@
 	// Urgent means that the stage has no engine and none is changing to it, so that no
 	// request can be served.
 	Urgent bool
+	// Swap means that the engine changes places with one of another speed; see Policy.swaps.
+	Swap bool
 }
 
 // Wanted returns how many of a number of engines should prefill. learned is the learned
@@ -92,6 +94,15 @@
 	// Load returns how much work an engine must finish before it can change: the engine
 	// with the least work serves again first. Nil means the same load everywhere.
 	Load func(*runners.State) float64
+	// Speed returns the speed of an engine as a multiple of the mean, 0 for unknown. Nil means that
+	// all are as fast.
+	Speed func(*runners.State) float64
+	// SlowPrefill reports whether slow engines prefill fast enough for the targets of callers.
+	SlowPrefill bool
+	// Reserved is the fraction of the memory of the decode engines that is in use, and Waiting the
+	// number of requests that wait for room.
+	Reserved float64
+	Waiting  int
 }
 
 func (s Situation) load(r *runners.State) float64 {
@@ -101,32 +112,59 @@
 	return s.Load(r)
 }
 
-// Plan returns the changes that lead to the wanted stages. An engine that is changing
-// counts in its new stage and gets no further change. Engines are taken from the failure
-// domains with the most engines of the stage that has too many, and within a domain those
-// with the least load.
-func (p Policy) Plan(x Situation, now time.Time) []Change {
-	counts := map[runners.Stage]int{}
-	eligible := map[runners.Stage][]*runners.State{}
-	for _, s := range x.Engines {
-		if to, changing := s.Changing(now); changing {
-			counts[to]++
-			continue
-		}
-		counts[s.Stage]++
-		if x.Admits == nil || x.Admits(s) {
-			eligible[s.Stage] = append(eligible[s.Stage], s)
+// speed returns the speed of an engine, and whether it is known.
+func (s Situation) speed(r *runners.State) (float64, bool) {
+	if s.Speed != nil {
+		if v := s.Speed(r); v > 0 {
+			return v, true
 		}
 	}
-	prefill, decode := counts[runners.Prefill], counts[runners.Decode]
-	delta := p.Wanted(prefill+decode, x.LearnedShare) - prefill
+	return 1, false
+}
+
+// admits reports whether an engine serves, and may get a stage change.
+func (s Situation) admits(r *runners.State) bool { return s.Admits == nil || s.Admits(r) }
+
+// Plan returns the changes that lead to the wanted stages. Engines count by their speed. An engine
+// that is changing counts in its new stage and gets no further change. Slow engines are preferred for
+// prefill and fast ones for decode; among those of the same speed, engines are taken from the failure
+// domains with the most engines of the stage that has too many, and within a domain those with the
+// least load.
+//
+// Only as many engines of a stage change at once as it can spare; see stages.spare. The rest
+// of the changes are planned again once these are done, if they are still wanted by then.
+func (p Policy) Plan(x Situation, now time.Time) []Change {
+	s := newStages(x, now)
+	missing := float64(p.Wanted(s.prefill.count+s.decode.count, x.LearnedShare)) - s.prefill.speed
 	if !x.Exact {
-		delta = p.excess(delta, prefill, decode)
+		missing = p.excess(missing, s.prefill.count, s.decode.count)
 	}
-	if delta > 0 {
-		return x.pick(eligible[runners.Decode], min(delta, decode-1), Change{Stage: runners.Prefill, Urgent: prefill == 0})
+	if missing > 0 {
+		return p.move(x, &s.decode, p.need(x, s, runners.Decode), missing, Change{Stage: runners.Prefill, Urgent: s.prefill.count == 0})
 	}
-	return x.pick(eligible[runners.Prefill], min(-delta, prefill-1), Change{Stage: runners.Decode, Urgent: decode == 0})
+	to := Change{Stage: runners.Decode, Urgent: s.decode.count == 0}
+	if out := p.move(x, &s.prefill, p.need(x, s, runners.Prefill), -missing, to); len(out) > 0 {
+		return out
+	}
+	return p.swaps(x, s)
+}
+
+// move returns changes of engines of a stage that together have a speed.
+func (p Policy) move(x Situation, from *stage, need, speed float64, to Change) []Change {
+	if speed <= 0 {
+		return nil
+	}
+	var out []Change
+	for _, c := range x.pick(from.eligible, from.count-1, to) {
+		v, _ := x.speed(c.Runner)
+		if (speed < v/2 || !from.spare(v, need)) && !(to.Urgent && len(out) == 0) {
+			break
+		}
+		speed -= v
+		from.take(v)
+		out = append(out, c)
+	}
+	return out
 }
 
 // tolerance is the difference from the wanted number of engines that remains uncorrected
@@ -138,14 +176,14 @@
 // load takes an engine out of service for a while, and a difference due to lost engines
 // often disappears when they return. The minimum of prefill engines and one decode engine
 // are ensured in any case.
-func (p Policy) excess(delta, prefill, decode int) int {
+func (p Policy) excess(missing float64, prefill, decode int) float64 {
 	switch {
-	case delta > 0:
-		return max(delta-tolerance, min(delta, p.MinPrefill-prefill), 0)
-	case delta < 0 && decode == 0:
-		return min(delta+tolerance, -1)
-	case delta < 0:
-		return min(delta+tolerance, 0)
+	case missing > 0:
+		return max(missing-tolerance, min(missing, float64(p.MinPrefill-prefill)), 0)
+	case missing < 0 && decode == 0:
+		return min(missing+tolerance, -1)
+	case missing < 0:
+		return min(missing+tolerance, 0)
 	}
 	return 0
 }
@@ -162,12 +200,22 @@
 	return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.runner.ID, b.runner.ID))
 }
 
-// pick chooses n engines for a change, one at a time from the domain with the most.
+// pick chooses n engines for a change: the slow ones first for prefill, the fast ones first for decode, and
+// of each kind one at a time from the domain with the most.
 func (s Situation) pick(from []*runners.State, n int, to Change) []Change {
 	n = min(n, len(from))
 	if n <= 0 {
 		return nil
 	}
+	out := make([]Change, 0, n)
+	for _, kind := range s.bySpeed(from, to.Stage) {
+		out = s.pickSpread(kind, n-len(out), to, out)
+	}
+	return out
+}
+
+// pickSpread appends the changes of up to n engines, one at a time from the domain with the most.
+func (s Situation) pickSpread(from []*runners.State, n int, to Change, out []Change) []Change {
 	domains := map[string][]engineLoad{}
 	for _, r := range from {
 		domains[r.Domain] = append(domains[r.Domain], engineLoad{r, s.load(r)})
@@ -175,8 +223,7 @@
 	for _, list := range domains {
 		slices.SortFunc(list, compareLoads)
 	}
-	out := make([]Change, 0, n)
-	for range n {
+	for range min(n, len(from)) {
 		domain := largestDomain(domains)
 		to.Runner = domains[domain][0].runner
 		out = append(out, to)
