--- a/pkg/enginepool/demand.go
+++ b/pkg/enginepool/demand.go
@@ -80,17 +80,16 @@
 }
 
 // meanPrefillRate returns the mean of the learned rates of the prefill runners, in tokens
-// per second. The caller holds the lock.
+// per second, including one runner of the initial rate. It is the rate of their mean time per
+// token: a prompt that was found in the KV cache makes a rate far too high, and hardly changes that
+// time. The caller holds the lock.
 func (p *Pool) meanPrefillRate() float64 {
-	sum, n := 0.0, 0
+	perToken, n := 1.0/initialPrefillRate, 1
 	for _, r := range p.prefillRunners {
 		if r.rate > 0 {
-			sum += r.rate
+			perToken += 1 / r.rate
 			n++
 		}
 	}
-	if n == 0 {
-		return initialPrefillRate
-	}
-	return sum / float64(n)
+	return float64(n) / perToken
 }
