--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -110,6 +110,8 @@
 	Requests []Request
 	Wasted   []Waste
 	Pools    []Pool
+	// LocalPrefills are the times at which decode engines were chosen to compute a prompt.
+	LocalPrefills []time.Time
 	// Malformed is the number of fields that could not be parsed. They count as 0.
 	Malformed int
 }
@@ -131,6 +133,8 @@
 				Time: line.Time, Request: line.Get("request"), Runner: line.Get("runner"),
 				Reason: line.Get("reason"), Tokens: l.number(line, "tokens"),
 			})
+		case "prefill_local":
+			l.LocalPrefills = append(l.LocalPrefills, line.Time)
 		case "pool":
 			l.Pools = append(l.Pools, l.parsePool(line))
 		}
--- a/pkg/losses/losses_test.go
+++ b/pkg/losses/losses_test.go
@@ -27,6 +27,7 @@
 time=2026-12-02T10:00:02.600Z process=a kind=done event=request_end request=l1 status=500 took=80.0ms service=app target=300.0ms
 time=2026-12-02T10:00:02.700Z process=a kind=failed event=request_end request=l2 status=502 took=80.0ms service=app target=300.0ms cause=answer_lost error=lost
 time=2026-12-02T10:00:02.700Z process=a kind=failed event=request_end request=n1 status=404 took=0.0ms service="" cause=refused error="no route"
+time=2026-12-02T10:00:02.550Z process=a kind=step event=prefill_local request=g7 expected=90.0ms failures=0.300 runner=e1 running=0
 time=2026-12-02T10:00:02.000Z process=a kind=state event=pool service=llm prefill=3 decode=6 changing=0 reserved=0.500 waiting=2 reading=100
 time=2026-12-02T10:00:02.200Z process=b kind=state event=pool service=llm prefill=3 decode=6 changing=0 reserved=0.700 waiting=4 reading=x
 `
@@ -48,6 +49,7 @@
 	g.Expect(second.Generations.Lost).To(Equal(map[Cause]int{Resumed: 1, Returned: 1}))
 	g.Expect(second.Lookups.Lost).To(Equal(map[Cause]int{ServiceFailed: 1, AnswerLost: 1}))
 	g.Expect(second.Wasted).To(Equal(map[string]int{"resumed_by_client": 3000}))
+	g.Expect([]int{first.LocalPrefills, second.LocalPrefills}).To(Equal([]int{0, 1}))
 	g.Expect(second.Engines.Reserved).To(BeNumerically("~", 0.6, 1e-9))
 	g.Expect(second.Engines.Waiting).To(BeNumerically("~", 3, 1e-9))
 }
--- a/pkg/losses/text.go
+++ b/pkg/losses/text.go
@@ -79,10 +79,10 @@
 }
 
 func (r *Report) writeEngines(w io.Writer) {
-	fmt.Fprint(w, "\nENGINES\tprefill\tdecode\tchanging\treserved\twaiting\treading\t\n")
+	fmt.Fprint(w, "\nENGINES\tprefill\tdecode\tchanging\treserved\twaiting\treading\tlocal\t\n")
 	for i := range r.Windows {
 		e := &r.Windows[i].Engines
-		fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.1f\t%.2f\t%.1f\t%.0f\t\n", r.Windows[i].From, e.Prefill, e.Decode, e.Changing, e.Reserved, e.Waiting, e.PrefillTokens)
+		fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.1f\t%.2f\t%.1f\t%.0f\t%s\t\n", r.Windows[i].From, e.Prefill, e.Decode, e.Changing, e.Reserved, e.Waiting, e.PrefillTokens, blankIfZero(r.Windows[i].LocalPrefills))
 	}
 }
 
--- a/pkg/losses/window.go
+++ b/pkg/losses/window.go
@@ -38,6 +38,8 @@
 	Generations, Lookups Count
 	// Wasted is the number of prompt tokens that were computed in vain, by reason.
 	Wasted map[string]int
+	// LocalPrefills is the number of prompts that decode engines computed.
+	LocalPrefills int
 	// Engines is the mean state of the engines.
 	Engines Engines
 }
@@ -83,6 +85,11 @@
 			w.Wasted[l.Wasted[i].Reason] += l.Wasted[i].Tokens
 		}
 	}
+	for _, at := range l.LocalPrefills {
+		if w := r.window(at); w != nil {
+			w.LocalPrefills++
+		}
+	}
 	r.averageEngines()
 	return r
 }
--- a/pkg/staging/staging_test.go
+++ b/pkg/staging/staging_test.go
@@ -233,3 +233,23 @@
 		DefaultPolicy().Plan(x, time.Now())
 	}
 }
+
+// BenchmarkPlanOfTwoSpeeds plans for engines of two speeds under load, when nothing is to be changed.
+func BenchmarkPlanOfTwoSpeeds(b *testing.B) {
+	for _, count := range []int{46, 3000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			p, now := DefaultPolicy(), time.Now()
+			wanted := p.Wanted(count, 0)
+			x := Situation{Engines: engines(wanted, count-wanted), SlowPrefill: true, Reserved: 0.4, Speed: func(r *runners.State) float64 {
+				if r.Stage == runners.Prefill {
+					return 0.9
+				}
+				return 1.1
+			}}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Plan(x, now)
+			}
+		})
+	}
+}
