--- a/pkg/enginepool/relative.go
+++ b/pkg/enginepool/relative.go
@@ -17,7 +17,7 @@
 	measured := map[string]Speed{}
 	var decode, prefill, both []float64
 	for _, r := range p.directory.Present(p.service, now) {
-		s := p.measured(r, now)
+		s := p.measured(r)
 		measured[r.ID] = s
 		if s.Decode > 0 {
 			decode = append(decode, s.Decode)
@@ -39,11 +39,12 @@
 // fastQuantile is the quantile that stands for the fastest engines: a single one may be measured wrongly.
 const fastQuantile = 0.9
 
-// measured returns the measured speeds of an engine. The caller holds the lock.
-func (p *Pool) measured(r *runners.State, now time.Time) Speed {
+// measured returns the measured long-term speeds of an engine: a slow phase is no reason for a stage
+// change, which takes as long. The caller holds the lock.
+func (p *Pool) measured(r *runners.State) Speed {
 	var out Speed
-	if e := p.engines[r.ID]; e != nil {
-		out.Decode = e.speed.rate(now)
+	if e := p.engines[r.ID]; e != nil && e.speed.steady > 0 {
+		out.Decode = 1 / e.speed.steady
 	}
 	if m := p.prefillRunners[r.ID]; m != nil {
 		out.Prefill = m.rate
