--- a/pkg/enginepool/demand_test.go
+++ b/pkg/enginepool/demand_test.go
@@ -70,3 +70,15 @@
 	}
 	g.Expect(p.Speed("p0", now).Prefill).To(BeNumerically("~", 50000, 1))
 }
+
+// Guards against too few prefill engines after a start: responses that began before the first rates were
+// measured counted with ten times their true duration for a minute.
+func TestPrefillShareUsesMeasuredRates(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(2, 1, 75000)
+	recordResponses(p, 2*minResponses, 5000, 4500, time.Now())
+	before, _ := p.PrefillShare()
+	p.rate = 1500
+	after, _ := p.PrefillShare()
+	g.Expect(after).To(BeNumerically(">", 3*before))
+}
