--- a/pkg/enginepool/demand.go
+++ b/pkg/enginepool/demand.go
@@ -25,6 +25,9 @@
 	// the mean of 12 differs by a fifth from the true mean if the logarithm of the lengths
 	// has a standard deviation of 0.7.
 	minResponses = 12
+	// minPrompts is the least decayed number of responses from which the mean length of prompts is
+	// known: it differs less between the requests of a service.
+	minPrompts = 3
 )
 
 // add records a response that begins, with the length of its prompt in tokens and its expected
@@ -63,7 +66,7 @@
 func (p *Pool) PromptTime(speed float64) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.demand.responses < minResponses || speed <= 0 {
+	if p.demand.responses < minPrompts || speed <= 0 {
 		return 0
 	}
 	mean := p.demand.prompts / p.demand.responses
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -282,13 +281,14 @@
 // prompts wait for others, and some are longer.
 const slowPrefillShare = 0.35
 
-// slowPrefill reports whether the slowest engine prefills the mean prompt well within the latency target.
+// slowPrefill reports whether slow engines prefill the mean prompt well within the latency target. One in
+// ten may be slower still: it may be measured wrongly.
 func (s *stager) slowPrefill(service string, pool *enginepool.Pool, speeds map[string]float64) bool {
-	slowest := math.Inf(1)
-	for _, v := range speeds {
-		slowest = min(slowest, v)
+	if len(speeds) == 0 {
+		return false
 	}
-	target, took := s.ingress.Table().ShortestLatencyTarget(service), pool.PromptTime(slowest)
+	slow := slices.Sorted(maps.Values(speeds))[len(speeds)/10]
+	target, took := s.ingress.Table().ShortestLatencyTarget(service), pool.PromptTime(slow)
 	return took > 0 && (target == 0 || took.Seconds() < slowPrefillShare*target.Seconds())
 }
 
