--- a/pkg/staging/speed.go
+++ b/pkg/staging/speed.go
@@ -12,7 +12,7 @@
 	// speeds of equal engines differ by less.
 	clearlyFaster = 1.5
 	// calmReserved is the largest fraction of the decode engines' memory in use at which engines change
-	// places, and swapPart the part of the engines of a stage that may do so at once: a burst may
+	// places, and swapPart the part of the prefill engines that may be replaced at once: a burst may
 	// begin before they serve again.
 	calmReserved = 0.5
 	swapPart     = 4
@@ -56,29 +56,54 @@
 	return all[len(all)*9/10]
 }
 
-// swaps returns changes by which slow decode engines and fast prefill engines change places, if the load
-// is low and both stages can spare them.
-func (p Policy) swaps(x Situation, s stages) []Change {
-	if !x.SlowPrefill || x.Speed == nil || !x.Exact && (x.Waiting > 0 || x.Reserved > calmReserved) || s.prefill.leaving+s.decode.leaving > 0 {
+// swaps returns changes by which slow decode engines and fast prefill engines change places. Slow engines
+// leave the decode stage while the load is low. Fast ones leave the prefill stage when slow ones serve there in
+// their place, so that prompts don't queue if a burst begins meanwhile.
+func (p Policy) swaps(x Situation, s stages, wanted float64) []Change {
+	if !x.SlowPrefill || x.Speed == nil || s.prefill.leaving+s.decode.leaving > 0 {
 		return nil
 	}
 	slow, fast := x.known(s.decode.eligible), x.known(s.prefill.eligible)
 	slices.Reverse(fast)
+	if out := x.replaced(fast, s.prefill.serving-wanted); len(out) > 0 {
+		return out
+	}
+	if !x.Exact && (x.Waiting > 0 || x.Reserved > calmReserved) || s.prefill.count > s.prefill.servingCount {
+		return nil
+	}
 	var out []Change
-	most := min(max(1, s.prefill.count/swapPart), max(1, s.decode.count/swapPart), len(slow), len(fast))
-	for i := range most {
-		slowSpeed, _ := x.speed(slow[i])
-		fastSpeed, _ := x.speed(fast[i])
-		if fastSpeed < clearlyFaster*slowSpeed || !s.decode.spares(slowSpeed, p.need(x, s, runners.Decode)) || !s.prefill.spares(fastSpeed, p.need(x, s, runners.Prefill)) {
+	for i := range min(max(1, int(wanted)/swapPart), len(slow), len(fast)) {
+		v, _ := x.speed(slow[i])
+		if x.clearlyFaster(fast[i], slow[i]) && s.decode.spares(v, p.need(x, s, runners.Decode)) {
+			s.decode.take(v)
+			out = append(out, Change{Runner: slow[i], Stage: runners.Prefill, Swap: true})
+		}
+	}
+	return out
+}
+
+// replaced returns the changes of the fast prefill engines for which slow ones serve in addition to the
+// wanted speed.
+func (s Situation) replaced(fast []*runners.State, surplus float64) []Change {
+	var out []Change
+	for _, r := range fast {
+		v, _ := s.speed(r)
+		if surplus < v/2 || !s.clearlyFaster(r, fast[len(fast)-1]) {
 			break
 		}
-		s.decode.take(slowSpeed)
-		s.prefill.take(fastSpeed)
-		out = append(out, Change{Runner: slow[i], Stage: runners.Prefill, Swap: true}, Change{Runner: fast[i], Stage: runners.Decode, Swap: true})
+		surplus -= v
+		out = append(out, Change{Runner: r, Stage: runners.Decode, Swap: true})
 	}
 	return out
 }
 
+// clearlyFaster reports whether the engine a is clearly faster than b.
+func (s Situation) clearlyFaster(a, b *runners.State) bool {
+	va, _ := s.speed(a)
+	vb, _ := s.speed(b)
+	return va >= clearlyFaster*vb
+}
+
 // known returns the engines of known speed, the slowest first.
 func (s Situation) known(from []*runners.State) []*runners.State {
 	var out []*runners.State
--- a/pkg/staging/stages.go
+++ b/pkg/staging/stages.go
@@ -13,9 +13,11 @@
 	count int
 	speed float64
 	// serving is the sum of the speeds of the engines that serve the stage now, and servingCount their
-	// number. leaving is the number of engines that are changing from the stage.
+	// number. joining is the sum of the speeds of the engines that are changing to the stage, and leaving the
+	// number of those that are changing from it.
 	serving      float64
 	servingCount int
+	joining      float64
 	leaving      int
 	// eligible are the engines that may get a change.
 	eligible []*runners.State
@@ -40,6 +42,7 @@
 			out.of(r.Stage).leaving++
 			out.of(to).count++
 			out.of(to).speed += v
+			out.of(to).joining += v
 			continue
 		}
 		s := out.of(r.Stage)
--- a/pkg/staging/staging.go
+++ b/pkg/staging/staging.go
@@ -135,7 +135,11 @@
 // of the changes are planned again once these are done, if they are still wanted by then.
 func (p Policy) Plan(x Situation, now time.Time) []Change {
 	s := newStages(x, now)
-	missing := float64(p.Wanted(s.prefill.count+s.decode.count, x.LearnedShare)) - s.prefill.speed
+	wanted := float64(p.Wanted(s.prefill.count+s.decode.count, x.LearnedShare))
+	missing := wanted - s.prefill.speed
+	if missing < 0 {
+		missing = min(0, missing+s.prefill.joining)
+	}
 	if !x.Exact {
 		missing = p.excess(missing, s.prefill.count, s.decode.count)
 	}
@@ -146,7 +150,7 @@
 	if out := p.move(x, &s.prefill, p.need(x, s, runners.Prefill), -missing, to); len(out) > 0 {
 		return out
 	}
-	return p.swaps(x, s)
+	return p.swaps(x, s, wanted)
 }
 
 // move returns changes of engines of a stage that together have a speed.
