--- a/pkg/staging/speed.go
+++ b/pkg/staging/speed.go
@@ -12,9 +12,9 @@
 	// speeds of equal engines differ by less.
 	clearlyFaster = 1.5
 	// calmReserved is the largest fraction of the decode engines' memory in use at which engines change
-	// places, and swapPart the part of the prefill engines that may be replaced at once: a burst may
-	// begin before they serve again.
-	calmReserved = 0.5
+	// places, and swapPart the part of the prefill engines that may be replaced at once. A slow engine
+	// finishes its answers first, and a burst may begin before it serves again.
+	calmReserved = 0.2
 	swapPart     = 4
 )
 
