--- a/pkg/enginepool/decoding.go
+++ b/pkg/enginepool/decoding.go
@@ -8,7 +8,7 @@
 	Running int
 	// Speed is the learned speed of the engine, or the mean of the service.
 	Speed Speed
-	// Known reports whether the decode speed was measured, on this engine or on others.
+	// Known reports whether the decode speed was measured on the engine.
 	Known bool
 	// Waiting is how many jobs wait for room at all gateways.
 	Waiting int
@@ -22,7 +22,7 @@
 	out := Decoding{
 		Running: max(0, e.reservationCount()-1),
 		Speed:   Speed{Decode: p.decodeRate(e, now), Prefill: p.prefillRate(runner)},
-		Known:   e.speed.rate(now) > 0 || p.rate != initialRate,
+		Known:   e.speed.rate(now) > 0,
 		Waiting: len(p.waiting),
 	}
 	for _, n := range p.peerWaiting {
--- a/pkg/enginepool/demand.go
+++ b/pkg/enginepool/demand.go
@@ -58,7 +58,7 @@
 func (p *Pool) PrefillShare() (float64, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.demand.share(p.meanPrefillRate(), p.rate)
+	return p.demand.share(p.meanPrefillRate(), p.meanDecodeRate())
 }
 
 // PromptTime returns how long an engine of a speed takes for the mean prompt, where the mean speed is 1;
@@ -89,10 +89,26 @@
 func (p *Pool) meanPrefillRate() float64 {
 	perToken, n := 1.0/initialPrefillRate, 1
 	for _, r := range p.prefillRunners {
-		if r.rate > 0 {
-			perToken += 1 / r.rate
+		if r.known > 0 {
+			perToken += 1 / r.known
 			n++
 		}
 	}
 	return float64(n) / perToken
 }
+
+// meanDecodeRate returns the rate of the mean time per token on the engines whose speed is known, in tokens
+// per second, or the learned mean if there are none. The caller holds the lock.
+func (p *Pool) meanDecodeRate() float64 {
+	perToken, n := 0.0, 0
+	for _, e := range p.engines {
+		if e.speed.steady > 0 {
+			perToken += e.speed.steady
+			n++
+		}
+	}
+	if n == 0 {
+		return p.rate
+	}
+	return float64(n) / perToken
+}
--- a/pkg/enginepool/demand_test.go
+++ b/pkg/enginepool/demand_test.go
@@ -78,7 +78,7 @@
 	p, _ := pool(2, 1, 75000)
 	recordResponses(p, 2*minResponses, 5000, 4500, time.Now())
 	before, _ := p.PrefillShare()
-	p.rate = 1500
+	p.engine("d1").speed.observe(70, 70*time.Second/1500, time.Now())
 	after, _ := p.PrefillShare()
 	g.Expect(after).To(BeNumerically(">", 3*before))
 }
--- a/pkg/enginepool/relative.go
+++ b/pkg/enginepool/relative.go
@@ -47,7 +47,7 @@
 		out.Decode = 1 / e.speed.steady
 	}
 	if m := p.prefillRunners[r.ID]; m != nil {
-		out.Prefill = m.rate
+		out.Prefill = m.known
 	}
 	return out
 }
--- a/pkg/enginepool/relative_test.go
+++ b/pkg/enginepool/relative_test.go
@@ -10,8 +10,8 @@
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
-// twoSpeeds returns a pool of engines, a third of which take twice as long, in both stages.
-func twoSpeeds(prefill, decode int, now time.Time) *Pool {
+// enginesOfTwoSpeeds returns a pool of engines, a third of which take twice as long, in both stages.
+func enginesOfTwoSpeeds(prefill, decode int, now time.Time) *Pool {
 	d := runners.NewDirectory("a")
 	p := New("s", d, DefaultOptions())
 	for i := range prefill + decode {
@@ -22,7 +22,7 @@
 		}
 		if i < prefill {
 			r.Stage = runners.Prefill
-			p.prefillRunner(r.ID).rate = 50000 * speed
+			p.prefillRunner(r.ID).known = 50000 * speed
 		} else {
 			p.engine(r.ID).speed.observe(70, time.Duration(float64(40*time.Millisecond)/speed), now)
 		}
@@ -35,7 +35,7 @@
 func TestRelativeSpeedsOfBothStagesAreComparable(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
-	p := twoSpeeds(12, 24, now)
+	p := enginesOfTwoSpeeds(12, 24, now)
 	speeds := p.RelativeSpeeds(now)
 	g.Expect(speeds).To(HaveLen(36))
 	g.Expect(speeds["e0000"]).To(BeNumerically("~", 0.6, 0.01), "slow, prefill")
@@ -48,12 +48,12 @@
 func TestEnginesMeasuredInBothStagesGiveTheRatio(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
-	p := twoSpeeds(0, 24, now)
+	p := enginesOfTwoSpeeds(0, 24, now)
 	for _, id := range []string{"e0000", "e0003", "e0006"} {
 		changed := p.directory.Find(id).Runner
 		changed.Stage = runners.Prefill
 		p.directory.Put(changed, now)
-		p.prefillRunner(id).rate = 25000
+		p.prefillRunner(id).known = 25000
 	}
 	speeds := p.RelativeSpeeds(now)
 	g.Expect(speeds["e0003"]).To(BeNumerically("~", 0.6, 0.01))
@@ -71,7 +71,7 @@
 	for _, engines := range []int{46, 3000} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
 			now := time.Now()
-			p := twoSpeeds(engines/4, engines-engines/4, now)
+			p := enginesOfTwoSpeeds(engines/4, engines-engines/4, now)
 			b.ReportAllocs()
 			for b.Loop() {
 				p.RelativeSpeeds(now)
