--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -63,7 +63,7 @@
 	if target == 0 {
 		target = defaultFirstEventTarget
 	}
-	prompt := staging.Prompt{Tokens: s.job.Prompt, TargetLeft: target - now.Sub(s.arrived), GapTarget: s.route.GapTarget}
+	prompt := staging.Prompt{Tokens: s.job.Prompt, Target: target, TargetLeft: target - now.Sub(s.arrived), GapTarget: s.route.GapTarget}
 	apart := staging.Prefiller{Expected: expected, Failures: prefillRunner.Failures(now), Timeout: prefillTimeout(prefillRunner, expected)}
 	work := s.pool.Decoding(room.runner.ID, now)
 	local := staging.Decoder{PrefillSpeed: work.Speed.Prefill, Running: work.Running, Short: work.Waiting > 0}
--- a/pkg/staging/prompt.go
+++ b/pkg/staging/prompt.go
@@ -5,9 +5,9 @@
 // Prompt is a prompt that is to be computed.
 type Prompt struct {
 	Tokens int
-	// TargetLeft is the time left until the first event is late, GapTarget the longest gap between two
-	// events that callers accept; 0 for none.
-	TargetLeft, GapTarget time.Duration
+	// Target is the time in which callers expect the first event, TargetLeft what is left of it, and GapTarget
+	// the longest gap between two events that callers accept; 0 for none.
+	Target, TargetLeft, GapTarget time.Duration
 }
 
 // Prefiller is the prefill engine that would compute a prompt.
@@ -56,8 +56,8 @@
 	local := localTime(p.Tokens, d.PrefillSpeed)
 	repeated := at.Timeout + at.Expected
 	out := Placement{
-		Apart: (1-at.Failures)*missed(at.Expected, p.TargetLeft) + at.Failures*missed(repeated, p.TargetLeft),
-		Local: missed(local, p.TargetLeft) + float64(d.Running)*missed(d.EventInterval+local, p.GapTarget),
+		Apart: (1-at.Failures)*late(at.Expected, p) + at.Failures*late(repeated, p),
+		Local: late(local, p) + float64(d.Running)*missed(d.EventInterval+local, p.GapTarget),
 	}
 	if d.Short && d.AnswerTime > 0 {
 		out.Apart += at.Expected.Seconds() / d.AnswerTime.Seconds()
@@ -75,19 +75,20 @@
 	return time.Duration(localSlowdown * float64(tokens) / speed * float64(time.Second))
 }
 
-// missed returns how many callers are expected to miss a target if something is expected to take a time.
-// Times vary, so that a target may be missed from half of it on. Beyond the target, each further one is
-// missed by a caller that waits behind.
+// late returns how many callers are expected to get their first event late if a prompt takes a time. Beyond
+// what is left of the target, each further target is missed by a caller that waits behind.
+func late(expected time.Duration, p Prompt) float64 {
+	if p.Target == 0 || expected < p.TargetLeft {
+		return missed(expected, p.TargetLeft)
+	}
+	return 1 + (expected-max(0, p.TargetLeft)).Seconds()/p.Target.Seconds()
+}
+
+// missed returns the part of callers that are expected to miss a target if something is expected to take a
+// time. Times vary, so that a target may be missed from half of it on.
 func missed(expected, target time.Duration) float64 {
-	switch {
-	case target == 0:
+	if target <= 0 {
 		return 0
-	case target < 0:
-		return 1
-	}
-	ratio := expected.Seconds() / target.Seconds()
-	if ratio >= 1 {
-		return ratio
 	}
-	return max(0, 2*ratio-1)
+	return min(1, max(0, 2*expected.Seconds()/target.Seconds()-1))
 }
--- a/pkg/staging/prompt_test.go
+++ b/pkg/staging/prompt_test.go
@@ -19,7 +19,7 @@
 }
 
 func prompt(tokens int) Prompt {
-	return Prompt{Tokens: tokens, TargetLeft: 750 * ms, GapTarget: 300 * ms}
+	return Prompt{Tokens: tokens, Target: 800 * ms, TargetLeft: 750 * ms, GapTarget: 300 * ms}
 }
 
 // Guards against prompts that delay ten answers because a prefill engine fails one prefill in six.
@@ -32,6 +32,14 @@
 	g.Expect(Place(prompt(200), failing, busy(10)).UseLocal()).To(BeTrue(), "a short prompt delays nobody noticeably")
 }
 
+// Guards against a request with little time left, whose lateness counted as that of many callers.
+func TestRequestThatIsAlmostLateDelaysNoOthers(t *testing.T) {
+	g := NewWithT(t)
+	p := prompt(5000)
+	p.TargetLeft = 40 * ms
+	g.Expect(Place(p, Prefiller{Expected: 320 * ms, Timeout: 900 * ms}, busy(9)).UseLocal()).To(BeFalse())
+}
+
 // A queue of several targets' length at the prefill engines is relieved by decode engines with few answers.
 func TestLongPrefillQueueIsRelieved(t *testing.T) {
 	g := NewWithT(t)
@@ -53,7 +61,7 @@
 func TestLackOfRoomCounts(t *testing.T) {
 	g := NewWithT(t)
 	at, free := Prefiller{Expected: 100 * ms, Failures: 0.3, Timeout: 500 * ms}, busy(8)
-	p := Prompt{Tokens: 2000, TargetLeft: 750 * ms, GapTarget: 2 * time.Second}
+	p := Prompt{Tokens: 2000, Target: 800 * ms, TargetLeft: 750 * ms, GapTarget: 2 * time.Second}
 	full := free
 	full.Short = true
 	g.Expect(Place(p, at, free).UseLocal()).To(BeTrue())
@@ -64,7 +72,7 @@
 // more often the prefill engine fails.
 func TestPlacementIsMonotonic(t *testing.T) {
 	spectest.Check(t, func(t *rapid.T) {
-		p := Prompt{Tokens: rapid.IntRange(1, 20000).Draw(t, "tokens"), TargetLeft: time.Duration(rapid.IntRange(-500, 2000).Draw(t, "left")) * ms, GapTarget: time.Duration(rapid.IntRange(0, 1000).Draw(t, "gap")) * ms}
+		p := Prompt{Target: 800 * ms, Tokens: rapid.IntRange(1, 20000).Draw(t, "tokens"), TargetLeft: time.Duration(rapid.IntRange(-500, 2000).Draw(t, "left")) * ms, GapTarget: time.Duration(rapid.IntRange(0, 1000).Draw(t, "gap")) * ms}
 		at := Prefiller{Expected: time.Duration(rapid.IntRange(1, 3000).Draw(t, "expected")) * ms, Failures: rapid.Float64Range(0, 0.9).Draw(t, "failures")}
 		at.Timeout = 300*ms + 2*at.Expected
 		d := busy(rapid.IntRange(0, 30).Draw(t, "running"))
