staging: an engine that fails all prefills, or a speed near zero, counts what it costs

Callers whose best prefill engine fails nearly all prefills waited for two lost ones, and the decode engine then read the prompt anyway: the repeat was taken to succeed always. From a failure rate of a half on the second one may be lost too. A speed of zero counted as no time at the decode engine, and one near zero overflowed to a negative time: all prompts were read there. Such a prompt now counts as an hour.

--- a/pkg/staging/prompt.go
+++ b/pkg/staging/prompt.go
@@ -38,6 +38,9 @@
 // computed in pieces between the tokens of the running answers.
 const localSlowdown = 2
 
+// maxLocalTime bounds the time that a prompt takes at a decode engine; no caller waits for longer.
+const maxLocalTime = time.Hour
+
 // Placement compares the two ways to compute a prompt.
 type Placement struct {
 	// Apart and Local are the expected numbers of callers that miss a target if a prefill engine or the
@@ -49,15 +52,17 @@
 func (p Placement) UseLocal() bool { return p.Local < p.Apart }
 
 // Place returns what it costs callers to compute a prompt at a prefill engine and at the decode engine.
-// The first one risks that the prefill is lost and repeated; the second one delays all answers in progress
-// on the decode engine. If requests wait for room, both cost room: memory is reserved while a prefill
+// The first one risks that the prefill is lost and repeated, and that the decode engine computes it after
+// all if the second one is lost too; the second one delays all answers in progress on the decode engine. If requests wait for room, both cost room: memory is reserved while a prefill
 // engine computes, and answers hold theirs for longer if they are delayed.
 func Place(p Prompt, at Prefiller, d Decoder) Placement {
 	local := localTime(p.Tokens, d.PrefillSpeed)
-	repeated := at.Timeout + at.Expected
+	delayed := float64(d.Running) * missed(d.EventInterval+local, p.GapTarget)
+	again := at.secondFails()
+	repeated := (1-again)*late(at.Timeout+at.Expected, p) + again*(late(2*at.Timeout+local, p)+delayed)
 	out := Placement{
-		Apart: (1-at.Failures)*late(at.Expected, p) + at.Failures*late(repeated, p),
-		Local: late(local, p) + float64(d.Running)*missed(d.EventInterval+local, p.GapTarget),
+		Apart: (1-at.Failures)*late(at.Expected, p) + at.Failures*repeated,
+		Local: late(local, p) + delayed,
 	}
 	if d.Short && d.AnswerTime > 0 {
 		out.Apart += at.Expected.Seconds() / d.AnswerTime.Seconds()
@@ -66,13 +71,17 @@
 	return out
 }
 
+// secondFails returns the probability that a prefill is lost again on another engine. The first engine is the
+// best one: if it fails most prefills, so do the others.
+func (p Prefiller) secondFails() float64 { return max(0, 2*p.Failures-1) }
+
 // localTime returns how long a decode engine takes to compute a prompt. It may fall into a single event
-// of the running answers, which take many tokens each.
+// of the running answers, which take many tokens each. At an unknown speed it takes maxLocalTime.
 func localTime(tokens int, speed float64) time.Duration {
-	if speed <= 0 {
-		return 0
+	if seconds := localSlowdown * float64(tokens) / speed; speed > 0 && seconds < maxLocalTime.Seconds() {
+		return time.Duration(seconds * float64(time.Second))
 	}
-	return time.Duration(localSlowdown * float64(tokens) / speed * float64(time.Second))
+	return maxLocalTime
 }
 
 // late returns how many callers are expected to get their first event late if a prompt takes a time. Beyond
--- a/pkg/staging/prompt_test.go
+++ b/pkg/staging/prompt_test.go
@@ -68,6 +68,30 @@
 	g.Expect(Place(p, at, full).UseLocal()).To(BeFalse())
 }
 
+// Guards against prompts that are sent twice to a prefill engine that answers none, and are then computed at
+// the decode engine anyway.
+func TestPrefillEngineThatAlwaysFailsGetsNoPrompts(t *testing.T) {
+	g := NewWithT(t)
+	at := Prefiller{Expected: 150 * ms, Failures: 1, Timeout: 600 * ms}
+	g.Expect(Place(prompt(5000), at, busy(10)).UseLocal()).To(BeTrue())
+}
+
+// Guards against a speed near zero, whose duration overflowed and counted as no time.
+func TestSlowestDecodeEngineGetsNoPrompts(t *testing.T) {
+	g := NewWithT(t)
+	for _, speed := range []float64{0, 1e-300, 1e-9, 1} {
+		d := busy(10)
+		d.PrefillSpeed = speed
+		g.Expect(Place(prompt(5000), Prefiller{Expected: 600 * ms, Timeout: time.Second}, d).UseLocal()).To(BeFalse(), "%g", speed)
+	}
+}
+
+// A route without targets keeps the prefill engines.
+func TestPromptWithoutTargetsIsComputedApart(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Place(Prompt{Tokens: 5000}, Prefiller{Expected: time.Second, Failures: 0.5, Timeout: time.Second}, busy(10)).UseLocal()).To(BeFalse())
+}
+
 // A decode engine gets a prompt the less readily the more answers it runs, and the more readily the
 // more often the prefill engine fails.
 func TestPlacementIsMonotonic(t *testing.T) {
