staging: measured speeds don't move equal engines, or leave one prefill engine

With 1,250 equal engines whose prefill speed is measured 8% too low, 18 engines changed their stage under load, and back when the measure moved. A stage's speed counts beyond a tenth of its engines only (or the tolerance). An engine measured 1.3 in prefill and 0.7 in decode changed back and forth while idle; three quarters of its speed must be missing for a change. Two fast prefill engines were one too many by speed, and one was left: the least number of prefill engines counts engines.

--- a/pkg/staging/load_test.go
+++ b/pkg/staging/load_test.go
@@ -282,3 +282,99 @@
 		g.Expect(c.Stage).To(Equal(runners.Decode), "the second change is no longer wanted")
 	}
 }
+
+// Guards against engines that change stages and back as the measured speed of a stage varies, in a large
+// service of equal engines.
+func TestMeasuringErrorOfAStageChangesNoEngines(t *testing.T) {
+	for _, error := range []float64{0.92, 1.08} {
+		for _, exact := range []bool{false, true} {
+			g := NewWithT(t)
+			p, now := DefaultPolicy(), time.Now()
+			wanted := p.Wanted(1250, 0)
+			x := Situation{Engines: engines(wanted, 1250-wanted), Reserved: 0.4, Exact: exact, Speed: func(r *runners.State) float64 {
+				if r.Stage == runners.Prefill {
+					return error
+				}
+				return 1
+			}}
+			g.Expect(p.Plan(x, now)).To(BeEmpty(), "error %g, exact %t", error, exact)
+		}
+	}
+}
+
+// Guards against an engine that changes back and forth, because its speed differs between the stages.
+func TestEngineMeasuredAnewStaysInItsStage(t *testing.T) {
+	g := NewWithT(t)
+	dir, p, now := runners.NewDirectory("a"), DefaultPolicy(), time.Now()
+	for i := range 9 {
+		stage := runners.Decode
+		if i < 2 {
+			stage = runners.Prefill
+		}
+		dir.Put(runners.Runner{ID: fmt.Sprintf("e%02d", i), Service: "s", Stage: stage}, now)
+	}
+	speed := func(r *runners.State) float64 {
+		if r.Stage == runners.Prefill {
+			return 1.3
+		}
+		return 0.7
+	}
+	changes := 0
+	for range 20 {
+		for _, c := range p.Plan(Situation{Engines: dir.Present("s", now), Exact: true, Speed: speed}, now) {
+			changes++
+			changed := c.Runner.Runner
+			changed.Stage = c.Stage
+			dir.Put(changed, now)
+		}
+	}
+	g.Expect(changes).To(BeNumerically("<=", 1))
+}
+
+// Guards against a service with one prefill engine because that one is fast.
+func TestFastEnginesLeaveLeastNumberOfPrefillEngines(t *testing.T) {
+	p, now := DefaultPolicy(), time.Now()
+	for _, prefill := range []int{1, 2} {
+		g := NewWithT(t)
+		x := Situation{Engines: engines(prefill, 6-prefill), Exact: true, Speed: func(r *runners.State) float64 {
+			if r.Stage == runners.Prefill {
+				return 2
+			}
+			return 0.6
+		}}
+		g.Expect(p.Wanted(6, 0)).To(Equal(2))
+		g.Expect(p.Plan(x, now)).To(HaveLen(2-prefill), "%d prefill engines", prefill)
+	}
+}
+
+// Where speeds differ ten times, the stages of an idle service come to rest.
+func TestStagesOfVeryDifferentEnginesComeToRest(t *testing.T) {
+	for _, count := range []int{2, 3, 5, 9, 46, 300} {
+		g := NewWithT(t)
+		dir, p, now := runners.NewDirectory("a"), DefaultPolicy(), time.Now()
+		for i := range count {
+			dir.Put(runners.Runner{ID: fmt.Sprintf("e%03d", i), Service: "s", Domain: fmt.Sprintf("z%d", i%4), Stage: runners.Decode}, now)
+		}
+		speed := func(r *runners.State) float64 {
+			if r.ID[3]%2 == 0 {
+				return 0.18
+			}
+			return 1.82
+		}
+		plans := 0
+		for ; plans < 200; plans++ {
+			changes := p.Plan(Situation{Engines: dir.Present("s", now), Exact: true, Speed: speed, SlowPrefill: true}, now)
+			if len(changes) == 0 {
+				break
+			}
+			for _, c := range changes {
+				changed := c.Runner.Runner
+				changed.Stage = c.Stage
+				dir.Put(changed, now)
+			}
+		}
+		g.Expect(plans).To(BeNumerically("<", 100), "%d engines", count)
+		g.Expect(dir.Stage("s", runners.Prefill)).NotTo(BeEmpty())
+		g.Expect(dir.Stage("s", runners.Decode)).NotTo(BeEmpty())
+	}
+}
--- a/pkg/staging/stages.go
+++ b/pkg/staging/stages.go
@@ -23,6 +23,19 @@
 	eligible []*runners.State
 }
 
+// measuredPart is the part by which the measured speed of a stage may differ from the true one, since the
+// two stages are measured in different ways.
+const measuredPart = 0.1
+
+// strength returns the number of engines of mean speed that are as fast as the stage. A difference from the
+// number of its engines counts only beyond measuredPart, or the tolerance of a plan if that is larger.
+func (s *stage) strength() float64 {
+	count := float64(s.count)
+	ignored := max(0, measuredPart*count-tolerance)
+	difference := s.speed - count
+	return count + max(0, difference-ignored) - max(0, -difference-ignored)
+}
+
 // stages holds the engines of a service by stage.
 type stages struct{ prefill, decode stage }
 
--- a/pkg/staging/staging.go
+++ b/pkg/staging/staging.go
@@ -136,7 +136,7 @@
 func (p Policy) Plan(x Situation, now time.Time) []Change {
 	s := newStages(x, now)
 	wanted := float64(p.Wanted(s.prefill.count+s.decode.count, x.LearnedShare))
-	missing := wanted - s.prefill.speed
+	missing := max(wanted-s.prefill.strength(), min(wanted, float64(p.MinPrefill))-float64(s.prefill.count))
 	if missing < 0 {
 		missing = min(0, missing+s.prefill.joining)
 	}
@@ -144,24 +144,28 @@
 		missing = p.excess(missing, s.prefill.count, s.decode.count)
 	}
 	if missing > 0 {
-		return p.move(x, &s.decode, p.need(x, s, runners.Decode), missing, Change{Stage: runners.Prefill, Urgent: s.prefill.count == 0})
+		return p.move(x, &s.decode, p.need(x, s, runners.Decode), missing, 1, Change{Stage: runners.Prefill, Urgent: s.prefill.count == 0})
 	}
 	to := Change{Stage: runners.Decode, Urgent: s.decode.count == 0}
-	if out := p.move(x, &s.prefill, p.need(x, s, runners.Prefill), -missing, to); len(out) > 0 {
+	if out := p.move(x, &s.prefill, p.need(x, s, runners.Prefill), -missing, min(int(wanted), p.MinPrefill), to); len(out) > 0 {
 		return out
 	}
 	return p.swaps(x, s, wanted)
 }
 
-// move returns changes of engines of a stage that together have a speed.
-func (p Policy) move(x Situation, from *stage, need, speed float64, to Change) []Change {
+// movedPart is the part of an engine's speed that must be missing for a change. Engines are measured anew
+// in the other stage, and shouldn't return for a small difference.
+const movedPart = 0.75
+
+// move returns changes of engines of a stage that together have a speed, and leaves the stage some engines.
+func (p Policy) move(x Situation, from *stage, need, speed float64, keep int, to Change) []Change {
 	if speed <= 0 {
 		return nil
 	}
 	var out []Change
-	for _, c := range x.pick(from.eligible, from.count-1, to) {
+	for _, c := range x.pick(from.eligible, from.count-keep, to) {
 		v, _ := x.speed(c.Runner)
-		if (speed < v/2 || !from.spare(v, need)) && !(to.Urgent && len(out) == 0) {
+		if (speed < movedPart*v || !from.spare(v, need)) && !(to.Urgent && len(out) == 0) {
 			break
 		}
 		speed -= v
