process: a refused order removes the record that it wrote, no other

A gateway that lost the order lock between a refused order and the removal of its record removed the record of the next holder, and gateways sent work to an engine that was changing. When the lock was lost mid-batch, the records of orders refused before stayed until their lease ended. Both removals now ask for the revision that was written.

--- a/pkg/process/order.go
+++ b/pkg/process/order.go
@@ -45,13 +45,9 @@
 	ended := 0
 	var last error
 	for _, c := range changes {
-		key := changePrefix + c.Runner.ID
-		change := store.Change{If: []store.Condition{{Key: key, Revision: recorded}}, Remove: []string{key}}
-		if recorded > 0 {
-			if _, err := s.lock.Store.Commit(ctx, change); err != nil {
-				last = err
-				continue
-			}
+		if err := s.removeRecord(ctx, c, recorded); err != nil {
+			last = err
+			continue
 		}
 		c.Runner.EndStageChange()
 		ended++
@@ -59,6 +55,17 @@
 	s.log.Write(decisionlog.KindState, "restage_canceled", decisionlog.F("orders", len(changes)), decisionlog.F("ended", ended), decisionlog.F("error", last))
 }
 
+// removeRecord removes the record of a change that was written at a revision, 0 if it is not known to be
+// written. It fails if the record has changed since.
+func (s *stager) removeRecord(ctx context.Context, c staging.Change, recorded store.Revision) error {
+	if recorded == 0 {
+		return nil
+	}
+	key := changePrefix + c.Runner.ID
+	_, err := s.lock.Store.Commit(ctx, store.Change{If: []store.Condition{{Key: key, Revision: recorded}}, Remove: []string{key}})
+	return err
+}
+
 // stopWork ends this gateway's own use of engines before their changes are recorded and reported. The
 // orders follow some milliseconds later, one after the other, and an engine refuses work from its order on.
 func (s *stager) stopWork(changes []staging.Change, now time.Time) {
@@ -92,21 +99,24 @@
 	return out
 }
 
-// removeRefused removes the records of the changes whose orders were refused.
-func (s *stager) removeRefused(ctx context.Context, changes []staging.Change) {
-	var refused []string
+// removeRefused removes the records, written at a revision, of the changes whose orders were refused. It
+// leaves those that another holder of the lock has recorded since.
+func (s *stager) removeRefused(ctx context.Context, changes []staging.Change, recorded store.Revision) {
+	ctx, cancel := context.WithTimeout(ctx, orderCallTimeout)
+	defer cancel()
+	failed := 0
+	var last error
 	for _, c := range changes {
-		if _, changing := c.Runner.Changing(time.Now()); !changing {
-			refused = append(refused, changePrefix+c.Runner.ID)
+		if _, changing := c.Runner.Changing(time.Now()); changing {
+			continue
+		}
+		if err := s.removeRecord(ctx, c, recorded); err != nil {
+			failed++
+			last = err
 		}
 	}
-	if len(refused) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, orderCallTimeout)
-	defer cancel()
-	if _, err := s.lock.Store.Commit(ctx, store.Change{Remove: refused}); err != nil {
-		s.log.Write(decisionlog.KindProcess, "restage_not_removed", decisionlog.F("orders", len(refused)), decisionlog.F("error", err))
+	if failed > 0 {
+		s.log.Write(decisionlog.KindProcess, "restage_not_removed", decisionlog.F("orders", failed), decisionlog.F("error", last))
 	}
 }
 
--- a/pkg/process/order_test.go
+++ b/pkg/process/order_test.go
@@ -53,3 +53,19 @@
 	g.Expect(second).To(BeTrue(), "another holder recorded this change")
 	g.Expect(keys.of).To(Equal(map[string]store.Revision{changePrefix + "e2": 8}))
 }
+
+// Guards against a gateway whose order was refused and that removes the record of the next holder.
+func TestRefusedOrderRemovesItsOwnRecordOnly(t *testing.T) {
+	g := NewWithT(t)
+	d, now := runners.NewDirectory("a"), time.Now()
+	var changes []staging.Change
+	for _, id := range []string{"e1", "e2", "e3"} {
+		d.Put(runners.Runner{ID: id, Service: "s", Stage: runners.Decode}, now)
+		changes = append(changes, staging.Change{Runner: d.Find(id), Stage: runners.Prefill})
+	}
+	d.Find("e3").BeginStageChange(runners.Prefill, time.Minute, now)
+	keys := &revisions{of: map[string]store.Revision{changePrefix + "e1": 7, changePrefix + "e2": 8, changePrefix + "e3": 7}}
+	s := &stager{lock: &store.Lock{Store: keys}, log: decisionlog.New("g", io.Discard)}
+	s.removeRefused(context.Background(), changes, 7)
+	g.Expect(keys.of).To(Equal(map[string]store.Revision{changePrefix + "e2": 8, changePrefix + "e3": 7}))
+}
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -154,12 +154,13 @@
 		s.report(s.announcement(batch), time.Now())
 		for i, c := range batch {
 			if !s.holdLock(ctx) {
+				s.removeRefused(ctx, batch[:i], revision)
 				s.cancel(ctx, batch[i:], revision)
 				return
 			}
 			s.order(ctx, c, fence)
 		}
-		s.removeRefused(ctx, batch)
+		s.removeRefused(ctx, batch, revision)
 	}
 }
 
