--- a/pkg/enginepool/relative.go
+++ b/pkg/enginepool/relative.go
@@ -12,13 +12,10 @@
 // of prefill are converted to those of decode by the ratio of engines that were measured in both stages,
 // or of the fastest of each.
 func (p *Pool) RelativeSpeeds(now time.Time) map[string]float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	measured := map[string]Speed{}
+	engines := p.directory.Present(p.service, now)
+	measured := p.measuredSpeeds(engines)
 	var decode, prefill, both []float64
-	for _, r := range p.directory.Present(p.service, now) {
-		s := p.measured(r)
-		measured[r.ID] = s
+	for _, s := range measured {
 		if s.Decode > 0 {
 			decode = append(decode, s.Decode)
 		}
@@ -33,7 +30,19 @@
 	if fastest := quantile(decode, fastQuantile); ratio == 0 && fastest > 0 {
 		ratio = quantile(prefill, fastQuantile) / fastest
 	}
-	return relative(p.directory.Present(p.service, now), measured, ratio)
+	return relative(engines, measured, ratio)
+}
+
+// measuredSpeeds returns the measured speeds of engines, in their order. It alone holds the lock, which
+// requests wait for.
+func (p *Pool) measuredSpeeds(engines []*runners.State) []Speed {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]Speed, len(engines))
+	for i, r := range engines {
+		out[i] = p.measured(r)
+	}
+	return out
 }
 
 // fastQuantile is the quantile that stands for the fastest engines: a single one may be measured wrongly.
@@ -54,11 +63,11 @@
 
 // relative returns the speeds of engines as multiples of their mean, for a ratio of prefill speed to decode
 // speed; 0 is unknown.
-func relative(engines []*runners.State, measured map[string]Speed, ratio float64) map[string]float64 {
+func relative(engines []*runners.State, measured []Speed, ratio float64) map[string]float64 {
 	out := map[string]float64{}
 	sum := 0.0
-	for _, r := range engines {
-		s := measured[r.ID]
+	for i, r := range engines {
+		s := measured[i]
 		v := s.Decode
 		if ratio > 0 && s.Prefill > 0 && (v == 0 || r.Stage == runners.Prefill) {
 			v = s.Prefill / ratio
