--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -199,12 +199,10 @@
 
 // pause returns the least time between the last orders and those of the changes.
 func (s *stager) pause(changes []staging.Change, now time.Time) time.Duration {
-	for _, c := range changes {
-		if !s.idle(c.Runner.Service, now) {
-			return s.policy.Pause
-		}
+	if s.allIdle(changes, now) {
+		return s.policy.IdlePause
 	}
-	return s.policy.IdlePause
+	return s.policy.Pause
 }
 
 // patience returns how long the stages must differ from the plan before one is changed.
@@ -212,12 +210,25 @@
 	if urgent(changes) {
 		return urgentPatience
 	}
+	if s.allIdle(changes, now) {
+		return 0
+	}
+	return s.policy.Patience
+}
+
+// allIdle reports whether the services of all changes are idle. It asks each service once: that
+// iterates over all of its engines.
+func (s *stager) allIdle(changes []staging.Change, now time.Time) bool {
+	asked := map[string]bool{}
 	for _, c := range changes {
-		if !s.idle(c.Runner.Service, now) {
-			return s.policy.Patience
+		if service := c.Runner.Service; !asked[service] {
+			asked[service] = true
+			if !s.idle(service, now) {
+				return false
+			}
 		}
 	}
-	return 0
+	return true
 }
 
 // restageTime returns the longest time that a stage change takes, apart from the work that the engine
