enginepool: an engine measured far too fast doesn't make the others slow

One prompt found in the KV cache made a prefill engine seem a hundred times as fast: beside the mean all others seemed slow, prefill engines too few, and decode engines changed their stage. An engine counts as at most 1.5 times as fast as the one that a tenth of the engines exceed, and no quantile is the largest of several.

--- a/pkg/enginepool/relative.go
+++ b/pkg/enginepool/relative.go
@@ -1,6 +1,7 @@
 package enginepool
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -65,7 +66,6 @@
 // speed; 0 is unknown.
 func relative(engines []*runners.State, measured []Speed, ratio float64) map[string]float64 {
 	out := map[string]float64{}
-	sum := 0.0
 	for i, r := range engines {
 		s := measured[i]
 		v := s.Decode
@@ -74,20 +74,28 @@
 		}
 		if v > 0 {
 			out[r.ID] = v
-			sum += v
 		}
 	}
+	sum, most := 0.0, fastestFactor*quantile(slices.Collect(maps.Values(out)), fastQuantile)
+	for id, v := range out {
+		out[id] = min(v, most)
+		sum += out[id]
+	}
 	for id := range out {
 		out[id] *= float64(len(out)) / sum
 	}
 	return out
 }
 
-// quantile returns a quantile of values, 0 if there are none.
+// fastestFactor bounds the speed of an engine as a multiple of that at fastQuantile: a prompt that was found
+// in the KV cache makes a prefill engine seem many times as fast, and all others slow beside the mean.
+const fastestFactor = 1.5
+
+// quantile returns a quantile of values, 0 if there are none. Below 1 it is not the largest of several.
 func quantile(values []float64, q float64) float64 {
 	if len(values) == 0 {
 		return 0
 	}
 	sorted := slices.Sorted(slices.Values(values))
-	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+	return sorted[int(q*float64(len(sorted)-1))]
 }
--- a/pkg/enginepool/relative_test.go
+++ b/pkg/enginepool/relative_test.go
@@ -60,6 +60,22 @@
 	g.Expect(speeds["e0004"]).To(BeNumerically("~", 1.2, 0.01))
 }
 
+// Guards against engines that all seem slow beside one whose prompts were found in the KV cache.
+func TestOneEngineMeasuredFarTooFastHardlyMovesTheOthers(t *testing.T) {
+	for _, count := range []int{3, 6, 34} {
+		g := NewWithT(t)
+		now := time.Now()
+		p := enginesOfTwoSpeeds(count, 2*count, now)
+		before := p.RelativeSpeeds(now)
+		p.prefillRunner("e0001").known *= 100
+		for id, v := range p.RelativeSpeeds(now) {
+			if id != "e0001" {
+				g.Expect(v).To(BeNumerically("~", before[id], 0.1), "%s of %d", id, 3*count)
+			}
+		}
+	}
+}
+
 // An engine without a measurement has no relative speed.
 func TestUnmeasuredEngineHasNoRelativeSpeed(t *testing.T) {
 	g := NewWithT(t)
