--- a/pkg/enginepool/demand.go
+++ b/pkg/enginepool/demand.go
@@ -7,12 +7,12 @@
 
 // demand learns from the requests served how an engine's time divides between prefill and
 // decode. The ratio is a property of the requests, whatever number of engines serves them.
+// All numbers are exponentially decayed sums.
 type demand struct {
-	// prefill is the engine time that prompts take, in seconds. decode is the memory that
-	// responses occupy, as a fraction of one engine's memory, times the duration in seconds.
-	// Both are exponentially decayed sums.
-	prefill, decode float64
-	// responses is the decayed number of responses; at is when the last one began.
+	// prompts is the number of prompt tokens. decode is the memory that responses occupy, as a fraction
+	// of one engine's memory, times their length in tokens.
+	prompts, decode float64
+	// responses is the number of responses; at is when the last one began.
 	responses float64
 	at        time.Time
 }
@@ -25,28 +25,32 @@
 	// the mean of 12 differs by a fifth from the true mean if the logarithm of the lengths
 	// has a standard deviation of 0.7.
 	minResponses = 12
+	// minPrompts is the least decayed number of responses from which the mean length of prompts is
+	// known: it differs less between the requests of a service.
+	minPrompts = 3
 )
 
-// add records a response that begins, with the expected engine time of its prompt and the
-// expected occupation of memory, both in seconds.
-func (d *demand) add(prefill, decode float64, now time.Time) {
+// add records a response that begins, with the length of its prompt in tokens and its expected
+// occupation of memory, as a fraction of one engine's memory times its length in tokens.
+func (d *demand) add(prompt int, decode float64, now time.Time) {
 	decay := 1.0
 	if !d.at.IsZero() {
 		decay = math.Exp(-max(0, now.Sub(d.at).Seconds()) / demandDecayTime.Seconds())
 	}
-	d.prefill = d.prefill*decay + prefill
+	d.prompts = d.prompts*decay + float64(prompt)
 	d.decode = d.decode*decay + decode
 	d.responses = d.responses*decay + 1
 	d.at = now
 }
 
-// share returns the fraction of the engines' time that prefill takes, false if fewer than
-// minResponses responses count.
-func (d *demand) share() (float64, bool) {
-	if d.responses < minResponses || d.prefill+d.decode <= 0 {
+// share returns the fraction of the engines' time that prefill takes, for engines that prefill and
+// decode at given rates in tokens per second; false if fewer than minResponses responses count.
+func (d *demand) share(prefillRate, decodeRate float64) (float64, bool) {
+	prefill, decode := d.prompts/prefillRate, d.decode/decodeRate
+	if d.responses < minResponses || prefill+decode <= 0 {
 		return 0, false
 	}
-	return d.prefill / (d.prefill + d.decode), true
+	return prefill / (prefill + decode), true
 }
 
 // PrefillShare returns the fraction of the engines' time that prefill takes, learned from
@@ -54,7 +58,19 @@
 func (p *Pool) PrefillShare() (float64, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.demand.share()
+	return p.demand.share(p.meanPrefillRate(), p.meanDecodeRate())
+}
+
+// PromptTime returns how long an engine of a speed takes for the mean prompt, where the mean speed is 1;
+// 0 if too few requests were served recently.
+func (p *Pool) PromptTime(speed float64) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.demand.responses < minPrompts || speed <= 0 {
+		return 0
+	}
+	mean := p.demand.prompts / p.demand.responses
+	return time.Duration(mean / (speed * p.meanPrefillRate()) * float64(time.Second))
 }
 
 // learnDemand records a response that begins. The length of a finished response would be
@@ -63,19 +79,36 @@
 	generated := j.Length.Expected(0)
 	// The response grows at an even rate, so that on average half of it occupies memory.
 	memory := (float64(j.Prompt) + generated/2) / float64(max(1, p.capacity()))
-	p.demand.add(float64(j.Prompt)/p.meanPrefillRate(), memory*generated/p.rate, now)
+	p.demand.add(j.Prompt, memory*generated, now)
 }
 
 // meanPrefillRate returns the mean of the learned rates of the prefill runners, in tokens
-// per second. The caller holds the lock.
+// per second, including one runner of the initial rate. It is the rate of their mean time per
+// token: a prompt that was found in the KV cache makes a rate far too high, and hardly changes that
+// time. The caller holds the lock.
 func (p *Pool) meanPrefillRate() float64 {
-	sum, n := 0.0, 0
+	perToken, n := 1.0/initialPrefillRate, 1
 	for _, r := range p.prefillRunners {
-		sum += r.rate
-		n++
+		if r.known > 0 {
+			perToken += 1 / r.known
+			n++
+		}
+	}
+	return float64(n) / perToken
+}
+
+// meanDecodeRate returns the rate of the mean time per token on the engines whose speed is known, in tokens
+// per second, or the learned mean if there are none. The caller holds the lock.
+func (p *Pool) meanDecodeRate() float64 {
+	perToken, n := 0.0, 0
+	for _, e := range p.engines {
+		if e.speed.steady > 0 {
+			perToken += e.speed.steady
+			n++
+		}
 	}
 	if n == 0 {
-		return initialPrefillRate
+		return p.rate
 	}
-	return sum / float64(n)
+	return float64(n) / perToken
 }
--- a/pkg/enginepool/demand_test.go
+++ b/pkg/enginepool/demand_test.go
@@ -50,3 +50,35 @@
 	g.Expect(known).To(BeTrue())
 	g.Expect(after).To(BeNumerically(">", 1.5*before), "old requests hardly count")
 }
+
+// Guards against prefill engines that seem twice as fast as they are: of the prompts that other gateways
+// reported ahead most are completed by the time the prompt is assigned.
+func TestPrefillRateIsNotLearnedFromStaleBacklog(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 1, 40000)
+	now := time.Now()
+	prefillOne := func(ahead int) {
+		p.ReceiveSnapshot("other", Snapshot{Engines: []EngineLoad{{Runner: "p0", PrefillTokens: ahead}}}, now)
+		_, _, err := p.BeginPrefill(Prompt{ID: "a", Tokens: 5000}, now)
+		g.Expect(err).NotTo(HaveOccurred())
+		now = now.Add(100 * time.Millisecond)
+		p.EndPrefill("p0", "a", true, now)
+	}
+	prefillOne(0)
+	for range 20 {
+		prefillOne(10000)
+	}
+	g.Expect(p.Speed("p0", now).Prefill).To(BeNumerically("~", 50000, 1))
+}
+
+// Guards against too few prefill engines after a start: responses that began before the first rates were
+// measured counted with ten times their true duration for a minute.
+func TestPrefillShareUsesMeasuredRates(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(2, 1, 75000)
+	recordResponses(p, 2*minResponses, 5000, 4500, time.Now())
+	before, _ := p.PrefillShare()
+	p.engine("d1").speed.observe(70, 70*time.Second/1500, time.Now())
+	after, _ := p.PrefillShare()
+	g.Expect(after).To(BeNumerically(">", 3*before))
+}
