--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -28,6 +28,9 @@
 	restartTime = time.Second
 )
 
+// retryAfterSpread is the factor by which the random part lengthens a Retry-After at most.
+const retryAfterSpread = 1.25
+
 // refuse responds with 503 and Retry-After to a request that has not run and will not run.
 func (x *exchange) refuse(err error, after time.Duration) {
 	x.respond(http.StatusServiceUnavailable, err, decisionlog.F("retry_after", x.setRetryAfter(after)))
@@ -36,7 +39,7 @@
 // setRetryAfter sets Retry-After to the given time plus a random part of up to a quarter of it, so
 // that refused clients do not all retry at once. It returns the time that was set.
 func (x *exchange) setRetryAfter(after time.Duration) time.Duration {
-	after += time.Duration(rand.Int64N(int64(after)/4 + 1))
+	after += time.Duration(rand.Int64N(int64(float64(after)*(retryAfterSpread-1)) + 1))
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	return after
 }
@@ -201,8 +204,11 @@
 		evacuated   *ErrEvacuated
 		limited     *ErrLimited
 		unavailable *runners.ErrUnavailable
+		full        *ErrFull
 	)
 	switch {
+	case errors.As(err, &full):
+		return "runners_full"
 	case errors.As(err, &unavailable):
 		return "runners_unavailable"
 	case errors.As(err, &limited):
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/plainload"
 	"github.com/hopwell/hopwell/pkg/request"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/upstream"
@@ -43,7 +45,10 @@
 	x.life = life
 	budget := x.g.budget(x.service)
 	budget.Request(x.arrived)
-	avoid := map[string]bool{}
+	avoid, full := map[string]bool{}, map[string]bool{}
+	if x.g.returning(x.route.Name, x.call.Timeout) {
+		x.rank = enginepool.Returning
+	}
 	var last error
 	runs, refusals := 0, 0
 	for runs < max(1, x.route.MaxAttempts) && refusals <= maxRefused {
@@ -54,7 +59,7 @@
 		if err != nil {
 			break
 		}
-		runner, err := x.claimPlain(avoid)
+		runner, err := x.claimPlain(avoid, full)
 		if err != nil {
 			if last == nil || roomAfter(err) > 0 {
 				last = err
@@ -63,16 +68,21 @@
 		}
 		if x.sends > 0 && !budget.Spend(time.Now()) {
 			runner.Release(x.call.ID)
+			x.endPlace(runner, notRun, nil, 0)
 			last = &ErrRetryBudget{Service: x.service}
 			break
 		}
 		final := runs+1 >= x.route.MaxAttempts || !x.route.Repeatable()
 		var v sendResult
-		v, err = x.sendPlain(life, n, runner, final)
+		v, err = x.sendToPlace(life, n, runner, final)
 		if v == responded {
 			return
 		}
-		avoid[runner.ID] = true
+		if placeOutcome(v, err) == plainload.TurnedAway {
+			full[runner.ID] = true
+		} else {
+			avoid[runner.ID] = true
+		}
 		last = err
 		if notAllowed(err) {
 			break
@@ -99,6 +109,13 @@
 	return nil
 }
 
+// sendToPlace makes one attempt at a runner that the request has a place at, and gives the place back.
+func (x *exchange) sendToPlace(life *request.Life, n int, runner *runners.State, final bool) (v sendResult, err error) {
+	began := time.Now()
+	defer func() { x.endPlace(runner, v, err, time.Since(began)) }()
+	return x.sendPlain(life, n, runner, final)
+}
+
 // sendPlain makes one attempt to send the request to a runner. A 5xx response of the runner is
 // forwarded to the client only in the final attempt.
 func (x *exchange) sendPlain(life *request.Life, n int, runner *runners.State, final bool) (sendResult, error) {
@@ -183,6 +200,7 @@
 	}
 	runner.Failed(time.Now())
 	if noResponse(err) {
+		runner.Lost(time.Now())
 		x.reportBrokenRun(runner, true, err)
 	}
 	return mayHaveRun, err
@@ -205,6 +223,7 @@
 	buffered, whole, err := x.bufferBody(a.Body)
 	if err != nil {
 		runner.Failed(time.Now())
+		runner.Lost(time.Now())
 		x.logFailedStep("answer_broken", runner.ID, err)
 		x.reportBrokenRun(runner, false, err)
 		return mayHaveRun, firstError(x.endReason(), &ErrAnswer{Runner: runner.ID, Status: a.Status, Why: "broken off: " + err.Error()})
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/httpd"
+	"github.com/hopwell/hopwell/pkg/plainload"
 	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
 	"github.com/hopwell/hopwell/pkg/routetable"
@@ -57,9 +58,11 @@
 type Ingress struct {
 	options Options
 	// Directory holds the runners. It is filled by the watcher of the store.
-	Directory    *runners.Directory
-	table        atomic.Pointer[routetable.Table]
-	metrics      *meters
+	Directory *runners.Directory
+	table     atomic.Pointer[routetable.Table]
+	metrics   *meters
+	// plain holds the load of the plain runners.
+	plain        *plainload.Table
 	drain        drain
 	promptCaches *promptCaches
 	open         atomic.Int64
@@ -78,7 +81,7 @@
 // New returns an Ingress without routes.
 func New(o Options) *Ingress {
 	return &Ingress{
-		options: o, promptCaches: newPromptCaches(o.Runners, o.Log), Directory: runners.NewDirectory(o.Name), metrics: newMeters(), gateways: o.Gateways,
+		options: o, promptCaches: newPromptCaches(o.Runners, o.Log), Directory: runners.NewDirectory(o.Name), metrics: newMeters(), plain: plainload.NewTable(false), gateways: o.Gateways,
 		pools: map[string]*enginepool.Pool{}, budgets: map[string]*retrybudget.Budget{}, returnDetectors: map[string]*returnDetector{},
 	}
 }
@@ -266,6 +269,7 @@
 	}
 	if sweep {
 		g.Directory.Sweep(now)
+		g.plain.Sweep(now)
 		if t := g.options.Suspicion.Table; t != nil {
 			t.Sweep(now)
 		}
--- a/pkg/ingress/plain.go
+++ b/pkg/ingress/plain.go
@@ -6,20 +6,20 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/plainload"
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
-// claimPlain chooses a plain runner and claims room for one request on it. If all runners have
+// claimUnlimited chooses a plain runner and claims room for one request on it. If all runners have
 // reached their rate limits or are paused, it waits for room, for as long as a new request may. It
-// fails with *ErrLimited or *runners.ErrUnavailable if there is still no room.
-func (x *exchange) claimPlain(avoid map[string]bool) (*runners.State, error) {
+// fails with *ErrLimited or *runners.ErrUnavailable if there is still no room, and with *ErrFull at
+// once if runners are full.
+func (x *exchange) claimUnlimited(w plainRequest) (*runners.State, error) {
 	latest := x.arrived.Add(time.Duration(newRequestWaitShare * float64(x.route.LatencyTarget)))
-	w := plainRequest{id: x.call.ID, service: x.service, domain: x.g.options.Domain, repeatable: x.route.Repeatable(), avoid: avoid, allows: x.domainFilter()}
-	x.logPassedOver("")
 	for {
 		runner, err := x.g.choosePlain(w)
 		after := roomAfter(err)
-		if after == 0 || time.Now().Add(after).After(latest) {
+		if isFull(err) || after == 0 || time.Now().Add(after).After(latest) {
 			return runner, err
 		}
 		select {
@@ -35,7 +35,10 @@
 func roomAfter(err error) time.Duration {
 	var limited *ErrLimited
 	var unavailable *runners.ErrUnavailable
+	var full *ErrFull
 	switch {
+	case errors.As(err, &full):
+		return full.After
 	case errors.As(err, &limited):
 		return limited.After
 	case errors.As(err, &unavailable):
@@ -52,15 +55,18 @@
 	// domain is the failure domain of the gateway.
 	domain     string
 	repeatable bool
-	// avoid holds the IDs of runners that are not candidates.
-	avoid map[string]bool
+	// avoid holds the IDs of runners that are not candidates, full those that are none since they
+	// turned the request away.
+	avoid, full map[string]bool
 	// allows reports whether the request may be served in a failure domain; nil allows all.
 	allows func(domain string) bool
 }
 
 // choosePlain claims room on the plain runner with the lowest cost, which favors the gateway's
 // own failure domain. The candidates are first the healthy runners of this gateway's subset, then
-// all healthy ones, and for a repeatable request also those in backoff. It fails with
+// all healthy ones, and for a repeatable request also those in backoff. A request that must not be
+// repeated gets no runner that loses responses while another one is only full. It fails with *ErrFull
+// if a runner would take the request but for the number that it has, and otherwise with
 // *runners.ErrUnavailable if all runners are leaving, paused, or admit few requests because a pause
 // has just ended, with *ErrLimited if the remaining ones accept no request now, and with
 // *enginepool.ErrNoRunner if none remains.
@@ -74,13 +80,15 @@
 	cost := failureCost
 	if !w.repeatable {
 		cost = nonRepeatableFailureCost
+		healthy = sound(healthy, now)
+		usable = healthy
 	}
-	best := w.claimBest(g.plainSubset(w.service, healthy), cost, now)
+	best := g.claimBest(w, g.plainSubset(w.service, healthy), cost, now)
 	if best == nil {
-		best = w.claimBest(healthy, cost, now)
+		best = g.claimBest(w, healthy, cost, now)
 	}
 	if best == nil && w.repeatable {
-		best = w.claimBest(usable, cost, now)
+		best = g.claimBest(w, usable, cost, now)
 	}
 	if best != nil {
 		return best, nil
@@ -88,9 +96,34 @@
 	if err := g.Directory.Unavailable(w.service, "", w.allows, now); err != nil {
 		return nil, err
 	}
+	if w.anyFull(usable, g.plain, now) {
+		return nil, &ErrFull{Service: w.service}
+	}
 	return nil, w.noRoomError(usable, now)
 }
 
+// sound returns the runners that hardly lose responses, or the whole list if there are none.
+func sound(list []*runners.State, now time.Time) []*runners.State {
+	out := make([]*runners.State, 0, len(list))
+	for _, s := range list {
+		if s.Losses(now) < lossThreshold {
+			out = append(out, s)
+		}
+	}
+	if len(out) == 0 {
+		return list
+	}
+	return out
+}
+
+// anyFull reports whether a runner of a list would take the request but for the number of requests
+// that it has.
+func (w plainRequest) anyFull(list []*runners.State, load *plainload.Table, now time.Time) bool {
+	return slices.ContainsFunc(list, func(s *runners.State) bool {
+		return !w.avoid[s.ID] && s.Room(now) && (w.full[s.ID] || !load.Room(s.ID, now))
+	})
+}
+
 // noRoomError returns why no runner of a list was chosen.
 func (w plainRequest) noRoomError(list []*runners.State, now time.Time) error {
 	var first *runners.State
@@ -111,11 +144,17 @@
 
 // claimBest claims room on the runner of a list with the lowest cost and returns it; nil if all
 // are avoided or accept no request now.
-func (w plainRequest) claimBest(list []*runners.State, failureWeight float64, now time.Time) *runners.State {
+func (g *Ingress) claimBest(w plainRequest, list []*runners.State, failureWeight float64, now time.Time) *runners.State {
 	for {
-		best := w.lowestCost(list, failureWeight, now)
-		if best == nil || best.Claim(w.id, now) {
-			return best
+		best := w.lowestCost(list, g.plain, failureWeight, now)
+		if best == nil {
+			return nil
+		}
+		if best.Claim(w.id, now) {
+			if g.plain.Claim(w.service, best.ID, now) {
+				return best
+			}
+			best.Release(w.id)
 		}
 		// Another request claimed the remaining room meanwhile.
 		list = slices.DeleteFunc(slices.Clone(list), func(s *runners.State) bool { return s == best })
@@ -125,14 +164,14 @@
 // lowestCost returns the runner of a list with the lowest cost, which is the expected time until
 // its response, weighted by its failures, refusals and failure domain; nil if all are avoided or
 // accept no request now.
-func (w plainRequest) lowestCost(list []*runners.State, failureWeight float64, now time.Time) *runners.State {
+func (w plainRequest) lowestCost(list []*runners.State, load *plainload.Table, failureWeight float64, now time.Time) *runners.State {
 	var best *runners.State
 	var least float64
 	for _, s := range list {
-		if w.avoid[s.ID] || !s.Room(now) {
+		if w.avoid[s.ID] || w.full[s.ID] || !s.Room(now) || !load.Room(s.ID, now) {
 			continue
 		}
-		cost := (float64(s.Outstanding()) + 1) * (s.Latency().Seconds() + baseLatency) * (1 + failureWeight*s.Failures(now) + refusalCost*s.Refusals(now))
+		cost := (float64(s.Outstanding()) + 1) * (s.Latency().Seconds() + baseLatency) * (1 + failureWeight*s.Failures(now) + lossCost*s.Losses(now) + refusalCost*s.Refusals(now))
 		if s.Domain != w.domain {
 			cost *= otherDomainCost
 		}
@@ -154,6 +193,12 @@
 	// most about five times as long (which is the factor for a failure rate of 0.4).
 	failureCost              = 4.0
 	nonRepeatableFailureCost = 10.0
+	// lossCost is the weight of the rate of lost responses, above refusalCost: a runner that is full
+	// is better than one that loses requests.
+	lossCost = 20
+	// lossThreshold is the rate of lost responses from which a runner gets no request that must not
+	// be repeated.
+	lossThreshold = 0.2
 	// refusalCost is the weight of a runner's refusal rate in its cost. Without it, a runner that
 	// refuses all requests would attract them, since it has the fewest outstanding.
 	refusalCost = 10
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -44,6 +44,8 @@
 	RunnerLimit Cause = "runner_limit"
 	// RunnersUnavailable: refused, since all runners were leaving or paused.
 	RunnersUnavailable Cause = "runners_unavailable"
+	// RunnersFull: refused, since all plain runners had as many requests as they take.
+	RunnersFull Cause = "runners_full"
 	// Refused: refused for another reason.
 	Refused Cause = "refused"
 	// EngineLost: the stream from its engine broke. The gateway ended or resumed it.
@@ -204,6 +206,8 @@
 		return RunnerLimit
 	case "runners_unavailable":
 		return RunnersUnavailable
+	case "runners_full":
+		return RunnersFull
 	case "refused":
 		return Refused
 	}
--- a/pkg/runners/health.go
+++ b/pkg/runners/health.go
@@ -37,8 +37,11 @@
 	refusals  float64
 	refusedAt time.Time
 	// failures is the share of requests that the runner failed, as of failuresAt.
-	failures     float64
-	failuresAt   time.Time
+	failures   float64
+	failuresAt time.Time
+	// losses is the share of requests whose responses were lost, as of lostAt.
+	losses       float64
+	lostAt       time.Time
 	coolDown     time.Duration
 	ejectedUntil time.Time
 	// latency is the mean response time in seconds; 0 is unknown.
@@ -94,6 +97,32 @@
 	h.ejectedUntil = now.Add(h.coolDown)
 }
 
+// Lost records that the response to a request was lost, in addition to Failed. A response with a
+// failure status is not lost.
+func (s *State) Lost(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := &s.health
+	h.losses = h.lossRate(now) + (1-h.lossRate(now))*newestWeight
+	h.lostAt = now
+}
+
+// Losses returns the share of requests whose responses were lost. Recent requests count most, and the
+// share decays with time.
+func (s *State) Losses(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health.lossRate(now)
+}
+
+// lossRate returns the rate of lost responses at the time now.
+func (h *health) lossRate(now time.Time) float64 {
+	if h.lostAt.IsZero() {
+		return 0
+	}
+	return h.losses * math.Exp(-now.Sub(h.lostAt).Seconds()/failureDecay.Seconds())
+}
+
 // Unreachable records that a connection could not be established. The runner is ejected at once.
 func (s *State) Unreachable(now time.Time) {
 	s.mu.Lock()
@@ -117,6 +146,7 @@
 	h.failures = h.failureRate(now) * (1 - newestWeight)
 	h.failuresAt = now
 	h.refusals *= 1 - newestWeight
+	h.losses *= 1 - newestWeight
 	if h.failures < ejectThreshold/2 && now.Sub(h.ejectedUntil) > coolDownResetAfter {
 		h.coolDown = 0
 	}
