--- a/pkg/plainload/forecast.go
+++ b/pkg/plainload/forecast.go
@@ -44,7 +44,7 @@
 	early := w.Arrived.Add(time.Duration(earlyShare * float64(w.Target.Sub(w.Arrived))))
 	limit := w.Target
 	if w.Returning || w.committed {
-		limit = w.Deadline
+		limit = w.Arrived.Add(time.Duration(lateShare * float64(w.Deadline.Sub(w.Arrived))))
 	}
 	last := limit.Add(-q.serviceTime())
 	fits := known && !now.Add(room).After(last)
@@ -55,9 +55,6 @@
 		w.committed = true
 		return Verdict{Until: earliest(last, now.Add(judgeInterval))}
 	}
-	if !w.Returning {
-		q.refusedAt = now
-	}
 	return Verdict{RetryAfter: q.promise(now)}
 }
 
@@ -65,6 +62,9 @@
 	// earlyShare is the share of the latency target within which a client is refused that would not
 	// be served in time, so that it can return.
 	earlyShare = 0.22
+	// lateShare is the share of the time to its deadline that a request waits which is late in any
+	// case. A longer wait rarely ends with room.
+	lateShare = 0.4
 	// judgeInterval is the time between two decisions on a request that waits beyond that.
 	judgeInterval = 10 * time.Millisecond
 )
--- a/pkg/plainload/queue.go
+++ b/pkg/plainload/queue.go
@@ -9,9 +9,12 @@
 // rateWindow is the time over which the rate of responses is averaged.
 const rateWindow = 500 * time.Millisecond
 
-// yieldTime is how long requests that are late in any case wait after one was refused that could
-// have been served in time.
-const yieldTime = 100 * time.Millisecond
+// yieldTime is how long requests that are late in any case wait after one waited that could be served
+// in time: the room is needed for those.
+const yieldTime = 200 * time.Millisecond
+
+// serviceMargin is the factor on the mean time at a runner within which most responses come.
+const serviceMargin = 1.3
 
 // minResponses is the number of responses in rateWindow below which a forecast is unknown.
 const minResponses = 2
@@ -75,8 +78,8 @@
 	countedAt time.Time
 	// service is the mean time from sending a request to its response, in seconds.
 	service float64
-	// refusedAt is when a request that could have been served in time was last refused.
-	refusedAt time.Time
+	// inTimeAt is when a request last waited that could be served in time.
+	inTimeAt time.Time
 	// promised are the times at which refused clients were told to return.
 	promised []time.Time
 }
@@ -160,6 +163,9 @@
 // sort sorts the waiting requests. The caller holds the lock.
 func (q *Queue) sort(now time.Time) {
 	for _, w := range q.waiting {
+		if w.InTime {
+			q.inTimeAt = now
+		}
 		w.InTime = !w.Returning && !now.Add(q.serviceTime()).After(w.Target)
 	}
 	slices.SortStableFunc(q.waiting, func(a, b *Waiter) int { return q.order.Compare(a.Request, b.Request) })
@@ -170,18 +176,20 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.sort(now)
-	if !w.InTime && now.Sub(q.refusedAt) < yieldTime {
+	if !w.InTime && now.Sub(q.inTimeAt) < yieldTime {
 		return false
 	}
 	i := slices.Index(q.waiting, w)
 	return i >= 0 && q.first(i)
 }
 
+// serviceTime returns the time from sending a request within which most responses come. The caller
+// holds the lock.
 func (q *Queue) serviceTime() time.Duration {
 	if q.service == 0 {
 		return defaultLatency
 	}
-	return time.Duration(q.service * float64(time.Second))
+	return time.Duration(serviceMargin * q.service * float64(time.Second))
 }
 
 // responded records a response of any runner of the service.
