ingress: requests wait for plain runners that turn requests away

Callers saw: with two plain runners left, one of which went down and up, the other turned 1,991 calls away in 8 s, and requests that must not be repeated went to the one that loses them.

A runner that is full and one that loses responses are now told apart: losses are counted apart from failures, and a request that must not be repeated gets no runner that loses responses while another is usable. A runner that turns requests away gets a limit at each gateway, learned from its responses, and requests wait for room in order of urgency, or are refused early with a Retry-After that clients honor.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -81,7 +81,7 @@
 // New returns an Ingress without routes.
 func New(o Options) *Ingress {
 	return &Ingress{
-		options: o, promptCaches: newPromptCaches(o.Runners, o.Log), Directory: runners.NewDirectory(o.Name), metrics: newMeters(), plain: plainload.NewTable(false), gateways: o.Gateways,
+		options: o, promptCaches: newPromptCaches(o.Runners, o.Log), Directory: runners.NewDirectory(o.Name), metrics: newMeters(), plain: plainload.NewTable(), gateways: o.Gateways,
 		pools: map[string]*enginepool.Pool{}, budgets: map[string]*retrybudget.Budget{}, returnDetectors: map[string]*returnDetector{},
 	}
 }
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -103,6 +103,24 @@
 	}
 }
 
+// shownPressed limits the plain runners under pressure in the metrics.
+const shownPressed = 20
+
+// writePlainLoad writes the requests that wait for plain runners, and the limits of those that turned
+// requests away.
+func (g *Ingress) writePlainLoad(w io.Writer) {
+	for service, n := range g.plain.Waiting() {
+		fmt.Fprintf(w, "hopwell_plain_waiting{service=%q} %d\n", service, n)
+	}
+	all := g.plain.Statuses(time.Now())
+	fmt.Fprintf(w, "hopwell_plain_runners_full %d\n", len(all))
+	for _, s := range all[:min(len(all), shownPressed)] {
+		fmt.Fprintf(w, "hopwell_plain_in_flight{runner=%q} %d\n", s.Runner, s.InFlight)
+		fmt.Fprintf(w, "hopwell_plain_limit{runner=%q} %.1f\n", s.Runner, s.Limit)
+		fmt.Fprintf(w, "hopwell_plain_turned_away{runner=%q} %d\n", s.Runner, s.TurnedAway)
+	}
+}
+
 const (
 	// shownNotices limits the runners whose pauses are in the metrics.
 	shownNotices = 20
@@ -148,6 +166,7 @@
 	}
 	g.writeQuota(w)
 	g.writeLimits(w)
+	g.writePlainLoad(w)
 	g.writeNotices(w)
 	g.metrics.set.WritePrometheus(w)
 }
--- /dev/null
+++ b/pkg/ingress/plainwait_test.go
@@ -0,0 +1,139 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/httpd"
+	"github.com/hopwell/hopwell/pkg/plainload"
+	"github.com/hopwell/hopwell/pkg/routetable"
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+func newLog(t *testing.T) *decisionlog.Log {
+	log := decisionlog.New("g", io.Discard)
+	t.Cleanup(func() { log.Close(time.Second) })
+	return log
+}
+
+// newFullIngress returns an ingress with the plain runners "full", which has one request and just
+// turned another one away, and "losing", which loses responses.
+func newFullIngress(t *testing.T) *Ingress {
+	g := New(Options{Log: newLog(t)})
+	now := time.Now()
+	for _, id := range []string{"full", "losing"} {
+		g.Directory.Put(runners.Runner{ID: id, Service: "s"}, now)
+	}
+	full, losing := g.Directory.Find("full"), g.Directory.Find("losing")
+	for range 3 {
+		full.Declined(now)
+		losing.Failed(now)
+		losing.Lost(now)
+	}
+	turnAway(g, "full", now)
+	return g
+}
+
+// turnAway leaves one request at a runner, which turned another one away.
+func turnAway(g *Ingress, runner string, now time.Time) {
+	g.plain.Claim("s", runner, now)
+	g.plain.Claim("s", runner, now)
+	g.plain.End(runner, plainload.TurnedAway, 0, 120*time.Millisecond, now)
+}
+
+// newPlainExchange returns a request with a latency target of 120 ms.
+func newPlainExchange(ctx context.Context, g *Ingress, kind routetable.Kind) *exchange {
+	table, err := routetable.New(routetable.Config{Version: 1, Services: map[string]routetable.Service{"s": {Name: "s"}}})
+	if err != nil {
+		panic(err)
+	}
+	g.SetTable(table)
+	return &exchange{
+		g: g, ctx: ctx, w: httpd.NewStallWriter(httptest.NewRecorder(), time.Second), service: "s", arrived: time.Now(),
+		call: &Call{ID: "q", Timeout: 1500 * time.Millisecond}, route: &routetable.Route{Name: "r", Kind: kind, LatencyTarget: 120 * time.Millisecond},
+	}
+}
+
+// A request that must not be repeated is not lost at a runner that loses responses because another
+// one is full.
+func TestNonRepeatableRequestIsNotSentToLosingRunner(t *testing.T) {
+	g := NewWithT(t)
+	in := newFullIngress(t)
+	g.Expect(chosen(in, plainRequest{id: "a", service: "s"})).To(BeNil())
+	_, err := in.choosePlain(plainRequest{id: "a", service: "s"})
+	g.Expect(isFull(err)).To(BeTrue())
+	g.Expect(chosen(in, plainRequest{id: "b", service: "s", repeatable: true}).ID).To(Equal("losing"), "it can be sent again")
+}
+
+func TestRequestWaitsForPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		in := newFullIngress(t)
+		x := newPlainExchange(t.Context(), in, routetable.Unsafe)
+		go func() {
+			time.Sleep(15 * time.Millisecond)
+			x.endPlace(in.Directory.Find("full"), responded, nil, 15*time.Millisecond)
+		}()
+		runner, err := x.claimPlain(map[string]bool{}, map[string]bool{})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(runner.ID).To(Equal("full"))
+		g.Expect(time.Since(x.arrived)).To(Equal(15 * time.Millisecond))
+	})
+}
+
+// Guards against a refusal that comes so late that the client's return is late in any case, and
+// against a Retry-After beyond what clients honor.
+func TestRequestIsRefusedWhileItCanReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		x := newPlainExchange(t.Context(), newFullIngress(t), routetable.Unsafe)
+		_, err := x.claimPlain(map[string]bool{}, map[string]bool{})
+		g.Expect(isFull(err)).To(BeTrue())
+		g.Expect(cause(err)).To(Equal("runners_full"))
+		g.Expect(time.Since(x.arrived)).To(BeNumerically("<=", 30*time.Millisecond))
+		after := float64(plainRetryAfter(err)) * retryAfterSpread
+		g.Expect(after).To(BeNumerically("<=", retryAfterShare*float64(x.call.Timeout)))
+		g.Expect(x.g.plain.Queue("s").Len()).To(BeZero())
+	})
+}
+
+// Guards against requests of clients that left and still wait.
+func TestGoneClientLeavesQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		x := newPlainExchange(ctx, newFullIngress(t), routetable.Unsafe)
+		x.rank = enginepool.Returning
+		time.AfterFunc(5*time.Millisecond, cancel)
+		_, err := x.claimPlain(map[string]bool{}, map[string]bool{})
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(time.Since(x.arrived)).To(Equal(5 * time.Millisecond))
+		g.Expect(x.g.plain.Queue("s").Len()).To(BeZero())
+	})
+}
+
+// A runner that turned a request away is asked again after a wait, one that failed it is not.
+func TestRunnerThatTurnedRequestAwayIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		in := New(Options{Log: newLog(t)})
+		in.Directory.Put(runners.Runner{ID: "a", Service: "s"}, time.Now())
+		x := newPlainExchange(t.Context(), in, routetable.Safe)
+		full := map[string]bool{"a": true}
+		runner, err := x.claimPlain(map[string]bool{}, full)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(runner.ID).To(Equal("a"))
+		in.plain.End("a", plainload.NotSent, 0, 0, time.Now())
+		_, err = x.claimPlain(map[string]bool{"a": true}, full)
+		g.Expect(isFull(err)).To(BeFalse())
+		g.Expect(err).To(HaveOccurred())
+	})
+}
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -69,7 +69,7 @@
 )
 
 // Causes lists the causes that the tables and charts show, in their order.
-var Causes = []Cause{GatewayLost, EngineLost, NoRoom, OverLimit, NoKey, KeyUnconfirmed, Quarantined, NoRegion, Evacuated, RunnerLimit, RunnersUnavailable, Refused, Returned, Resumed, LateFirst, LongPause, ServiceFailed, AnswerLost, TimedOut, ClientGone}
+var Causes = []Cause{GatewayLost, EngineLost, NoRoom, OverLimit, NoKey, KeyUnconfirmed, Quarantined, NoRegion, Evacuated, RunnerLimit, RunnersUnavailable, RunnersFull, Refused, Returned, Resumed, LateFirst, LongPause, ServiceFailed, AnswerLost, TimedOut, ClientGone}
 
 // Request is one request, as its gateway logged it.
 type Request struct {
--- a/pkg/plainload/plainload.go
+++ b/pkg/plainload/plainload.go
@@ -2,13 +2,16 @@
 // away, and orders the requests that wait for room. It does no I/O and reads no clock.
 //
 // A runner has no limit until it turns a request away. The limit then follows its responses: it falls
-// with each request that is turned away and grows slowly while requests wait. All gateways exchange
-// what they have open, so that each uses the part of the runner that corresponds to its demand. A
-// runner that turned nothing away for pressureTime has no limit again.
+// to what the gateway has open when a request is turned away, grows slowly with responses, and falls
+// while the time in the runner's own queue is long. Each gateway learns its limits alone: at all
+// gateways together they add up to what the runner takes. A runner that turned nothing away for
+// pressureTime has no limit again.
 package plainload
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -43,19 +46,16 @@
 	Lost
 )
 
-// Table holds the load of the plain runners as far as this gateway knows it. It is safe for
-// concurrent use.
+// Table holds the load that this gateway has at plain runners. It is safe for concurrent use.
 type Table struct {
 	mu      sync.Mutex
-	shared  bool
 	runners map[string]*runner
 	queues  map[string]*Queue
 }
 
-// NewTable returns an empty table. If shared is set, the reports of other gateways are part of the
-// limits.
-func NewTable(shared bool) *Table {
-	return &Table{shared: shared, runners: map[string]*runner{}, queues: map[string]*Queue{}}
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{runners: map[string]*runner{}, queues: map[string]*Queue{}}
 }
 
 // runner is the load of one plain runner.
@@ -64,42 +64,26 @@
 	// queue is the queue of the runner's service.
 	queue *Queue
 	// limit bounds inFlight while the runner is under pressure. refusedAt is when the runner last
-	// turned a request of this gateway away.
-	limit     float64
-	refusedAt time.Time
-	// turnedAwayAt is when the runner last turned a request of any gateway away; turnedAway counts
-	// those of this one.
-	turnedAwayAt time.Time
-	turnedAway   uint64
+	// turned a request away, turnedAway how many it has.
+	limit      float64
+	refusedAt  time.Time
+	turnedAway uint64
 	// latency is the mean response time in seconds; 0 is unknown.
 	latency float64
-	// total is the number of open requests of all gateways that the runner is believed to take;
-	// 0 is unknown. peers are the reports of other gateways, by name.
-	total float64
-	peers map[string]peerLoad
 }
 
 func (t *Table) runner(id string) *runner {
 	r := t.runners[id]
 	if r == nil {
-		r = &runner{peers: map[string]peerLoad{}}
+		r = &runner{}
 		t.runners[id] = r
 	}
 	return r
 }
 
-// waiting returns the number of requests that wait for room at the runner or at another one of its
-// service.
-func (r *runner) waiting() int {
-	if r.queue == nil {
-		return 0
-	}
-	return r.queue.Len()
-}
-
-// pressed reports whether the runner turned a request of this gateway away lately.
+// pressed reports whether the runner turned a request away lately.
 func (r *runner) pressed(now time.Time) bool {
-	return !r.turnedAwayAt.IsZero() && now.Sub(r.turnedAwayAt) < pressureTime
+	return !r.refusedAt.IsZero() && now.Sub(r.refusedAt) < pressureTime
 }
 
 // room reports whether one more request may be sent to the runner.
@@ -107,7 +91,7 @@
 	if !r.pressed(now) {
 		return true
 	}
-	return now.Sub(r.refusedAt) >= refusalPause && float64(r.inFlight+1) <= max(1, r.bound(now))
+	return now.Sub(r.refusedAt) >= refusalPause && float64(r.inFlight+1) <= r.limit
 }
 
 // Room reports whether the gateway may send a runner one more request now.
@@ -152,22 +136,14 @@
 	}
 }
 
-// fall lowers the limit to what the runner has of this gateway: it takes no more.
+// fall lowers the limit to what the gateway has open at the runner, which takes no more.
 func (r *runner) fall(now time.Time) {
-	open := float64(r.inFlight)
-	r.press(now)
-	r.refusedAt = now
-	r.limit = max(1, min(r.limit, open))
-	r.turnedAway++
-	r.fallTotal(now)
-}
-
-// press puts the runner under pressure, or keeps it there.
-func (r *runner) press(now time.Time) {
 	if !r.pressed(now) {
-		r.limit, r.total = math.Inf(1), 0
+		r.limit = math.Inf(1)
 	}
-	r.turnedAwayAt = now
+	r.limit = max(1, min(r.limit, float64(r.inFlight)))
+	r.refusedAt = now
+	r.turnedAway++
 }
 
 func (r *runner) answered(took, target time.Duration, now time.Time) {
@@ -183,9 +159,6 @@
 		step = -growth
 	}
 	r.limit = max(1, r.limit+step)
-	if r.total > 0 {
-		r.total = max(1, r.total+step)
-	}
 }
 
 // Sweep forgets runners that are idle and not under pressure.
@@ -193,9 +166,43 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, r := range t.runners {
-		r.dropStale(now)
-		if r.inFlight == 0 && !r.pressed(now) && len(r.peers) == 0 {
+		if r.inFlight == 0 && !r.pressed(now) {
 			delete(t.runners, id)
 		}
 	}
 }
+
+// Status is the load of one runner under pressure.
+type Status struct {
+	Runner string
+	// InFlight is the number of open requests of this gateway, Limit their limit.
+	InFlight int
+	Limit    float64
+	// TurnedAway counts the requests that the runner turned away from this gateway.
+	TurnedAway uint64
+}
+
+// Statuses returns the load of the runners under pressure, by name.
+func (t *Table) Statuses(now time.Time) []Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Status
+	for id, r := range t.runners {
+		if r.pressed(now) {
+			out = append(out, Status{id, r.inFlight, r.limit, r.turnedAway})
+		}
+	}
+	slices.SortFunc(out, func(a, b Status) int { return strings.Compare(a.Runner, b.Runner) })
+	return out
+}
+
+// Waiting returns the number of waiting requests, by service.
+func (t *Table) Waiting() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]int, len(t.queues))
+	for service, q := range t.queues {
+		out[service] = q.Len()
+	}
+	return out
+}
