--- a/pkg/plainload/load_test.go
+++ b/pkg/plainload/load_test.go
@@ -93,3 +93,18 @@
 	g.Expect(float64(limited.inTime)).To(BeNumerically(">", 1.1*float64(unlimited.inTime)))
 	g.Expect(float64(limited.turnedAway)).To(BeNumerically("<", 0.1*float64(limited.sends)))
 }
+
+// Guards against limits that outlive the load for which they were learned, so that requests wait for
+// runners with free slots.
+func TestLimitsOpenAfterOverload(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(7, 25, 1, true)
+	s.load(1.5*simCapacity, time.Second)
+	// The refused clients of the overload return for half a second, and wait for a third of one.
+	s.load(0.5*simCapacity, time.Second)
+	s.counts = simCounts{}
+	s.load(0.6*simCapacity, 2*time.Second)
+	t.Log(s.counts)
+	g.Expect(float64(s.counts.inTime)).To(BeNumerically(">", 0.97*float64(s.counts.asked)))
+	g.Expect(s.counts.refused).To(BeZero())
+}
--- a/pkg/plainload/plainload.go
+++ b/pkg/plainload/plainload.go
@@ -21,11 +21,15 @@
 	pressureTime = 3 * time.Second
 	// refusalPause is the time after a refusal until the gateway sends the runner another request.
 	refusalPause = 10 * time.Millisecond
-	// growth is the part of a request by which the limit grows with each response.
-	growth = 0.05
+	// growth is the part of a request by which the limit changes with each response, and fastGrowth
+	// that by which it grows while responses are so fast that the runner has no queue.
+	growth     = 0.05
+	fastGrowth = 0.5
 	// runnerShare is the share of the latency target that a request may take at the runner. The rest
-	// is for the wait at the gateway, where the most urgent request goes first.
+	// is for the wait at the gateway, where the most urgent request goes first. At freeShare or less
+	// the runner has room.
 	runnerShare = 0.5
+	freeShare   = 0.25
 	// latencyWeight is the weight of the newest response in the mean response time.
 	latencyWeight = 0.2
 	// defaultLatency is the response time that is assumed before the first response.
@@ -155,8 +159,11 @@
 		return
 	}
 	step := growth
-	if r.latency > runnerShare*target.Seconds() {
+	switch share := r.latency / target.Seconds(); {
+	case share > runnerShare:
 		step = -growth
+	case share < freeShare:
+		step = fastGrowth
 	}
 	r.limit = max(1, r.limit+step)
 }
