--- a/pkg/ingress/plainwait.go
+++ b/pkg/ingress/plainwait.go
@@ -64,8 +64,10 @@
 	for {
 		if queue.First(waiter, time.Now()) {
 			runner, err := x.g.choosePlain(w)
+			if err == nil {
+				x.logStep("waited_for_place", decisionlog.F("for", time.Since(began)), decisionlog.F("runner", runner.ID))
+			}
 			if !isFull(err) {
-				x.logStep("waited_for_place", decisionlog.F("for", time.Since(began)))
 				return runner, err
 			}
 		}
--- a/pkg/plainload/plainload.go
+++ b/pkg/plainload/plainload.go
@@ -123,7 +123,7 @@
 }
 
 // End records the end of a request that had a place at a runner, the time that it took there, and the
-// latency target of its route.
+// latency target of its route, 0 for none.
 func (t *Table) End(id string, o Outcome, took, target time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -158,14 +158,20 @@
 	if !r.pressed(now) {
 		return
 	}
-	step := growth
+	r.limit = max(1, r.limit+r.step(target))
+}
+
+// step returns the change of the limit with a response. Without a latency target it is growth.
+func (r *runner) step(target time.Duration) float64 {
 	switch share := r.latency / target.Seconds(); {
+	case target <= 0:
+		return growth
 	case share > runnerShare:
-		step = -growth
+		return -growth
 	case share < freeShare:
-		step = fastGrowth
+		return fastGrowth
 	}
-	r.limit = max(1, r.limit+step)
+	return growth
 }
 
 // Sweep forgets runners that are idle and not under pressure.
--- a/pkg/plainload/queue_test.go
+++ b/pkg/plainload/queue_test.go
@@ -164,3 +164,16 @@
 	table.Sweep(start.Add(pressureTime))
 	g.Expect(table.runners).To(BeEmpty())
 }
+
+// Guards against a limit that never grows for routes without a latency target.
+func TestLimitGrowsWithoutTarget(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	for range 2 {
+		table.Claim("s", "r", start)
+	}
+	table.End("r", TurnedAway, time.Millisecond, 0, start)
+	before := table.Statuses(start)[0].Limit
+	table.End("r", Answered, time.Second, 0, start)
+	g.Expect(table.Statuses(start)[0].Limit).To(BeNumerically(">", before))
+}
