--- a/pkg/ingress/plainflap_test.go
+++ b/pkg/ingress/plainflap_test.go
@@ -135,13 +135,14 @@
 			all = append(all, newPlainGateway(t, fmt.Sprint("g", i), fleet))
 		}
 		var mu sync.Mutex
+		var open sync.WaitGroup
 		unsafe, inTime := map[int]int{}, 0
 		for i := range perSecond * seconds {
 			kind := routetable.Unsafe
 			if i%5 < 2 {
 				kind = routetable.Safe
 			}
-			go func() {
+			open.Go(func() {
 				r := httptest.NewRequest(http.MethodPost, "http://h/"+string(kind), nil)
 				r.Header.Set("X-Request-Id", fmt.Sprint("r", i))
 				w, began := httptest.NewRecorder(), time.Now()
@@ -154,10 +155,10 @@
 				if w.Code == http.StatusOK && time.Since(began) <= 120*time.Millisecond {
 					inTime++
 				}
-			}()
+			})
 			time.Sleep(time.Second / perSecond)
 		}
-		time.Sleep(2 * time.Second)
+		open.Wait()
 		t.Log("unsafe requests by status:", unsafe, "in time:", inTime)
 		g.Expect(unsafe[http.StatusBadGateway]).To(BeNumerically("<", 3*gateways), "one at each gateway, each time that the runner goes down")
 		g.Expect(unsafe[http.StatusOK]).To(BeNumerically(">", unsafe[http.StatusServiceUnavailable]))
