--- a/pkg/ingress/plainwait.go
+++ b/pkg/ingress/plainwait.go
@@ -40,7 +40,7 @@
 	}
 	x.logPassedOver("")
 	queue := x.g.plain.Queue(x.service)
-	if queue.Len() == 0 {
+	if !queue.Busy(x.rank == enginepool.Returning, time.Now()) {
 		runner, err := x.claimUnlimited(w)
 		if !isFull(err) {
 			return runner, err
--- a/pkg/plainload/plainload.go
+++ b/pkg/plainload/plainload.go
@@ -28,7 +28,7 @@
 	// runnerShare is the share of the latency target that a request may take at the runner. The rest
 	// is for the wait at the gateway, where the most urgent request goes first. At freeShare or less
 	// the runner has room.
-	runnerShare = 0.5
+	runnerShare = 0.4
 	freeShare   = 0.25
 	// latencyWeight is the weight of the newest response in the mean response time.
 	latencyWeight = 0.2
--- a/pkg/plainload/queue.go
+++ b/pkg/plainload/queue.go
@@ -114,6 +114,18 @@
 	return len(q.waiting)
 }
 
+// Busy reports whether a request that arrives now has to wait behind others: any if some wait, and one
+// of a returning client also if one needed the room lately that can be served in time.
+func (q *Queue) Busy(returning bool, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting) > 0 || returning && q.contested(now)
+}
+
+// contested reports whether a request waited lately that could be served in time. The caller holds the
+// lock.
+func (q *Queue) contested(now time.Time) bool { return now.Sub(q.inTimeAt) < yieldTime }
+
 // Enter adds a request. Leave must be called when it no longer waits.
 func (q *Queue) Enter(r Request) *Waiter {
 	w := &Waiter{Request: r, Turn: make(chan struct{}, 1)}
@@ -176,7 +188,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.sort(now)
-	if !w.InTime && now.Sub(q.inTimeAt) < yieldTime {
+	if !w.InTime && q.contested(now) {
 		return false
 	}
 	i := slices.Index(q.waiting, w)
--- a/pkg/plainload/simulation_test.go
+++ b/pkg/plainload/simulation_test.go
@@ -63,6 +63,12 @@
 	return fmt.Sprintf("asked=%d in_time=%d served_on_return=%d late=%d refused=%d sends=%d turned_away=%d", c.asked, c.inTime, c.again, c.late, c.refused, c.sends, c.turnedAway)
 }
 
+// place is where a gateway has open requests.
+type place struct {
+	gateway int
+	runner  *simRunner
+}
+
 // sim plays gateways and plain runners in virtual time.
 type sim struct {
 	now      time.Time
@@ -72,6 +78,7 @@
 	arrivals *rand.Rand
 	tables   []*Table
 	runners  []*simRunner
+	open     map[place]int
 	counts   simCounts
 	limited  bool
 	// weights is the share of the requests that each gateway gets.
@@ -81,7 +88,7 @@
 }
 
 func newSim(seed uint64, gateways, runners int, limited bool) *sim {
-	s := &sim{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)), limited: limited}
+	s := &sim{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)), limited: limited, open: map[place]int{}}
 	for range gateways {
 		s.tables = append(s.tables, NewTable())
 		s.weights = append(s.weights, 1/float64(gateways))
@@ -145,7 +152,7 @@
 		}
 		open := 0.0
 		if l := t.runners[r.id]; l != nil {
-			open = float64(l.inFlight) * (l.latency + 0.01)
+			open = float64(s.open[place{c.gateway, r}]) * (l.latency + 0.01)
 		}
 		if open < least {
 			best, least = r, open
@@ -159,7 +166,7 @@
 
 func (s *sim) arrive(c *simClient) {
 	q := s.tables[c.gateway].Queue("s")
-	if s.limited && q.Len() > 0 {
+	if s.limited && q.Busy(c.returned, s.now) {
 		s.wait(c)
 		return
 	}
@@ -222,8 +229,10 @@
 	t := s.tables[c.gateway]
 	s.counts.sends++
 	c.sends++
+	s.open[place{c.gateway, r}]++
 	sent := s.now
 	end := func(o Outcome) {
+		s.open[place{c.gateway, r}]--
 		t.End(r.id, o, s.now.Sub(sent), simTarget, s.now)
 	}
 	s.after(simHop, func() {
