plainload: waiting requests are sorted when one comes or room does

Now the queue is sorted anew when a request comes, room does, the order is replaced, or a request gets late; the last is looked for once in a millisecond.

--- a/pkg/plainload/bench_test.go
+++ b/pkg/plainload/bench_test.go
@@ -22,7 +22,7 @@
 
 // BenchmarkJudge decides on one of several waiting requests.
 func BenchmarkJudge(b *testing.B) {
-	for _, n := range []int{4, 32} {
+	for _, n := range []int{4, 32, 200} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			q := NewTable().Queue("s")
 			var w *Waiter
--- a/pkg/plainload/forecast.go
+++ b/pkg/plainload/forecast.go
@@ -39,7 +39,7 @@
 func (q *Queue) Judge(w *Waiter, now time.Time) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.sort(now)
+	q.look(w, now)
 	room, known := q.after(slices.Index(q.waiting, w), now)
 	early := w.Arrived.Add(time.Duration(earlyShare * float64(w.Target.Sub(w.Arrived))))
 	limit := w.Target
--- a/pkg/plainload/queue.go
+++ b/pkg/plainload/queue.go
@@ -19,6 +19,9 @@
 // minResponses is the number of responses in rateWindow below which a forecast is unknown.
 const minResponses = 2
 
+// sortInterval is how long the order of the waiting requests holds while none comes and no room does.
+const sortInterval = time.Millisecond
+
 // Request is a request that waits for room at the plain runners of a service.
 type Request struct {
 	// Priority is that of the route; 0 is the most urgent.
@@ -73,6 +76,9 @@
 	mu      sync.Mutex
 	order   Order
 	waiting []*Waiter
+	// sortedAt is when the waiting requests were sorted, unsorted that they have to be sorted anew.
+	sortedAt time.Time
+	unsorted bool
 	// responses is the number of responses in about rateWindow, as of countedAt.
 	responses float64
 	countedAt time.Time
@@ -104,7 +110,7 @@
 func (q *Queue) SetOrder(o Order) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.order = o
+	q.order, q.unsorted = o, true
 }
 
 // Len returns the number of waiting requests.
@@ -131,7 +137,7 @@
 	w := &Waiter{Request: r, Turn: make(chan struct{}, 1)}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.waiting = append(q.waiting, w)
+	q.waiting, q.unsorted = append(q.waiting, w), true
 	return w
 }
 
@@ -151,6 +157,7 @@
 }
 
 func (q *Queue) wake(now time.Time) {
+	q.unsorted = true
 	q.sort(now)
 	for i, w := range q.waiting {
 		if q.first(i) {
@@ -172,22 +179,42 @@
 	return true
 }
 
-// sort sorts the waiting requests. The caller holds the lock.
+// sort sorts the waiting requests, unless they were sorted within sortInterval. The caller holds the
+// lock.
 func (q *Queue) sort(now time.Time) {
+	if !q.unsorted && now.Sub(q.sortedAt) < sortInterval {
+		return
+	}
+	due := now.Add(q.serviceTime())
 	for _, w := range q.waiting {
 		if w.InTime {
 			q.inTimeAt = now
 		}
-		w.InTime = !w.Returning && !now.Add(q.serviceTime()).After(w.Target)
+		if inTime := !w.Returning && !due.After(w.Target); inTime != w.InTime {
+			w.InTime, q.unsorted = inTime, true
+		}
+	}
+	q.sortedAt = now
+	if !q.unsorted {
+		return
 	}
+	q.unsorted = false
 	slices.SortStableFunc(q.waiting, func(a, b *Waiter) int { return q.order.Compare(a.Request, b.Request) })
 }
 
+// look sorts the waiting requests for one of them that looks for room. The caller holds the lock.
+func (q *Queue) look(w *Waiter, now time.Time) {
+	if w.InTime {
+		q.inTimeAt = now
+	}
+	q.sort(now)
+}
+
 // First reports whether it is the turn of a request, so that none that goes before it is overtaken.
 func (q *Queue) First(w *Waiter, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.sort(now)
+	q.look(w, now)
 	if !w.InTime && q.contested(now) {
 		return false
 	}
--- a/pkg/plainload/queue_test.go
+++ b/pkg/plainload/queue_test.go
@@ -177,3 +177,42 @@
 	table.End("r", Answered, time.Second, 0, start)
 	g.Expect(table.Statuses(start)[0].Limit).To(BeNumerically(">", before))
 }
+
+// countingOrder counts the comparisons.
+type countingOrder struct{ n *int }
+
+func (o countingOrder) Compare(a, b Request) int {
+	*o.n++
+	return ByUrgency{}.Compare(a, b)
+}
+
+// Guards against a queue that is sorted for each look of each waiting request.
+func TestManyLooksSortOnce(t *testing.T) {
+	g := NewWithT(t)
+	q := NewTable().Queue("s")
+	var all []*Waiter
+	for range 200 {
+		all = append(all, q.Enter(newRequest()))
+	}
+	n := 0
+	q.SetOrder(countingOrder{&n})
+	q.First(all[0], start)
+	once := n
+	for _, w := range all {
+		q.First(w, start.Add(5*time.Millisecond))
+		q.Judge(w, start.Add(5*time.Millisecond))
+	}
+	g.Expect(n).To(Equal(once), "no request came, no room did")
+}
+
+// A request that gets too late while others wait goes behind those that can be in time.
+func TestOrderFollowsTime(t *testing.T) {
+	g := NewWithT(t)
+	q := NewTable().Queue("s")
+	newer := newRequest()
+	newer.Target = newer.Target.Add(100 * time.Millisecond)
+	a, b := q.Enter(newRequest()), q.Enter(newer)
+	g.Expect(q.First(a, start)).To(BeTrue())
+	g.Expect(q.First(b, start.Add(100*time.Millisecond))).To(BeTrue())
+	g.Expect(q.First(a, start.Add(100*time.Millisecond))).To(BeFalse())
+}
