ingress: a request that no sound runner can take goes to a losing one

A request that must not be repeated was refused, as if there were no runner, if the only runner that lost no responses had failed it before (no connection): the list of sound runners held just that one. Runners that failed the request no longer count as sound.

--- a/pkg/ingress/plain.go
+++ b/pkg/ingress/plain.go
@@ -80,7 +80,7 @@
 	cost := failureCost
 	if !w.repeatable {
 		cost = nonRepeatableFailureCost
-		healthy = sound(healthy, now)
+		healthy = w.sound(healthy, now)
 		usable = healthy
 	}
 	best := g.claimBest(w, g.plainSubset(w.service, healthy), cost, now)
@@ -102,11 +102,12 @@
 	return nil, w.noRoomError(usable, now)
 }
 
-// sound returns the runners that hardly lose responses, or the whole list if there are none.
-func sound(list []*runners.State, now time.Time) []*runners.State {
+// sound returns the runners that may take the request and hardly lose responses, or the whole list if
+// there are none.
+func (w plainRequest) sound(list []*runners.State, now time.Time) []*runners.State {
 	out := make([]*runners.State, 0, len(list))
 	for _, s := range list {
-		if s.Losses(now) < lossThreshold {
+		if !w.avoid[s.ID] && s.Losses(now) < lossThreshold {
 			out = append(out, s)
 		}
 	}
--- a/pkg/ingress/plainwait_test.go
+++ b/pkg/ingress/plainwait_test.go
@@ -73,6 +73,15 @@
 	g.Expect(chosen(in, plainRequest{id: "b", service: "s", repeatable: true}).ID).To(Equal("losing"), "it can be sent again")
 }
 
+// Guards against a refusal because the only runner that loses nothing can't be reached.
+func TestNonRepeatableRequestIsSentToLosingRunnerIfOthersFailedIt(t *testing.T) {
+	g := NewWithT(t)
+	in := newFullIngress(t)
+	runner := chosen(in, plainRequest{id: "a", service: "s", avoid: map[string]bool{"full": true}})
+	g.Expect(runner).NotTo(BeNil())
+	g.Expect(runner.ID).To(Equal("losing"))
+}
+
 func TestRequestWaitsForPlace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
