ingress: a response that its client did not wait for is not lost by the runner

A client that left, or whose time ended, while its response was read counted as a loss of the runner; one loss keeps requests that must not be repeated from it for a second. Now as in sendFailed.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -223,7 +223,9 @@
 	buffered, whole, err := x.bufferBody(a.Body)
 	if err != nil {
 		runner.Failed(time.Now())
-		runner.Lost(time.Now())
+		if x.endReason() == nil {
+			runner.Lost(time.Now())
+		}
 		x.logFailedStep("answer_broken", runner.ID, err)
 		x.reportBrokenRun(runner, false, err)
 		return mayHaveRun, firstError(x.endReason(), &ErrAnswer{Runner: runner.ID, Status: a.Status, Why: "broken off: " + err.Error()})
--- a/pkg/ingress/plainwait_test.go
+++ b/pkg/ingress/plainwait_test.go
@@ -146,3 +146,34 @@
 		g.Expect(err).To(HaveOccurred())
 	})
 }
+
+// leavingBody is a response whose client leaves before its end.
+type leavingBody struct{ leave context.CancelFunc }
+
+func (b leavingBody) Read([]byte) (int, error) {
+	b.leave()
+	return 0, context.Canceled
+}
+
+// brokenBody is a response that breaks off.
+type brokenBody struct{}
+
+func (brokenBody) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// Guards against a runner that gets no requests because clients leave.
+func TestGoneClientIsNoLoss(t *testing.T) {
+	g := NewWithT(t)
+	in := New(Options{Log: newLog(t), MaxBuffered: 1 << 20})
+	in.Directory.Put(runners.Runner{ID: "a", Service: "s"}, time.Now())
+	runner := in.Directory.Find("a")
+	ctx, cancel := context.WithCancel(t.Context())
+	x := newPlainExchange(ctx, in, routetable.Safe)
+	_, err := x.forwardResponse(nil, 0, &Response{Status: 200, Body: io.NopCloser(leavingBody{cancel})}, runner)
+	g.Expect(err).To(Equal(errClientGone{}))
+	g.Expect(runner.Losses(time.Now())).To(BeZero())
+
+	x = newPlainExchange(t.Context(), in, routetable.Safe)
+	_, err = x.forwardResponse(nil, 0, &Response{Status: 200, Body: io.NopCloser(brokenBody{})}, runner)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(runner.Losses(time.Now())).To(BeNumerically(">=", lossThreshold))
+}
