ingress: Retry-After of full plain runners stays within what impatient clients honor

placeRetryAfter keeps to a third of the client's time, but plainRetryAfter raised the result to 0.3 s again: a client with less than 1.1 s was told a time that it doesn't wait for.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -97,7 +97,12 @@
 }
 
 // plainRetryAfter returns the Retry-After for a request that no plain runner accepted.
-func plainRetryAfter(last error) time.Duration { return max(roomAfter(last), minPlainRetryAfter) }
+func plainRetryAfter(last error) time.Duration {
+	if isFull(last) {
+		return roomAfter(last)
+	}
+	return max(roomAfter(last), minPlainRetryAfter)
+}
 
 // firstError returns the first non-nil error.
 func firstError(errs ...error) error {
--- a/pkg/ingress/plainwait_test.go
+++ b/pkg/ingress/plainwait_test.go
@@ -114,6 +114,20 @@
 	})
 }
 
+// Guards against a Retry-After beyond what a client with little time honors.
+func TestImpatientClientCanReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		x := newPlainExchange(t.Context(), newFullIngress(t), routetable.Unsafe)
+		x.call.Timeout = 600 * time.Millisecond
+		_, err := x.claimPlain(map[string]bool{}, map[string]bool{})
+		g.Expect(isFull(err)).To(BeTrue())
+		after := float64(plainRetryAfter(err)) * retryAfterSpread
+		g.Expect(after).To(BeNumerically("<=", retryAfterShare*float64(x.call.Timeout)))
+		g.Expect(after).To(BeNumerically(">=", shortRetryAfter))
+	})
+}
+
 // Guards against requests of clients that left and still wait.
 func TestGoneClientLeavesQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
