ingress: requests behind others wait for rate limits as before

A request that found others waiting, or whose client returned under pressure, was refused at once with ErrLimited or ErrUnavailable where it would have waited for the rate limit or the pause if alone.

--- a/pkg/ingress/plainwait.go
+++ b/pkg/ingress/plainwait.go
@@ -63,7 +63,7 @@
 	defer func() { queue.Leave(waiter, time.Now()) }()
 	for {
 		if queue.First(waiter, time.Now()) {
-			runner, err := x.g.choosePlain(w)
+			runner, err := x.claimUnlimited(w)
 			if err == nil {
 				x.logStep("waited_for_place", decisionlog.F("for", time.Since(began)), decisionlog.F("runner", runner.ID))
 			}
--- a/pkg/ingress/plainwait_test.go
+++ b/pkg/ingress/plainwait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http/httptest"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/hopwell/hopwell/pkg/httpd"
 	"github.com/hopwell/hopwell/pkg/plainload"
 	"github.com/hopwell/hopwell/pkg/routetable"
+	"github.com/hopwell/hopwell/pkg/runnerlimit"
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
@@ -82,6 +84,28 @@
 	g.Expect(runner.ID).To(Equal("losing"))
 }
 
+// A request that finds others waiting waits for a runner at its rate limit like one that comes alone.
+func TestRequestBehindOthersWaitsForRateLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		in := New(Options{Log: newLog(t)})
+		in.Directory.Put(runners.Runner{ID: "a", Service: "s"}, time.Now())
+		in.Directory.Limits.Observe("a", runnerlimit.Statement{Kind: runnerlimit.RunCall, Named: true, PerSecond: 100, Calls: 1}, time.Now())
+		runner := in.Directory.Find("a")
+		for i := 0; runner.Claim(fmt.Sprint("r", i), time.Now()); i++ {
+			runner.Sent(fmt.Sprint("r", i), time.Now())
+		}
+		x := newPlainExchange(t.Context(), in, routetable.Unsafe)
+		x.route.LatencyTarget = time.Second
+		other := in.plain.Queue("s").Enter(plainload.Request{Lane: 7})
+		defer in.plain.Queue("s").Leave(other, time.Now())
+		got, err := x.claimPlain(map[string]bool{}, map[string]bool{})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got).To(Equal(runner))
+		g.Expect(time.Since(x.arrived)).To(BeNumerically(">", 0))
+	})
+}
+
 func TestRequestWaitsForPlace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
