--- a/pkg/plainload/plainload.go
+++ b/pkg/plainload/plainload.go
@@ -21,15 +21,13 @@
 	pressureTime = 3 * time.Second
 	// refusalPause is the time after a refusal until the gateway sends the runner another request.
 	refusalPause = 10 * time.Millisecond
-	// growth is the part of a request by which the limit changes with each response, and fastGrowth
-	// that by which it grows while responses are so fast that the runner has no queue.
-	growth     = 0.05
-	fastGrowth = 0.5
+	// growth is the part of a request by which the limit grows with each response while the runner's
+	// queue is short, and decline that by which it falls otherwise.
+	growth  = 0.25
+	decline = 0.05
 	// runnerShare is the share of the latency target that a request may take at the runner. The rest
-	// is for the wait at the gateway, where the most urgent request goes first. At freeShare or less
-	// the runner has room.
-	runnerShare = 0.4
-	freeShare   = 0.25
+	// is for the wait at the gateway, where the most urgent request goes first.
+	runnerShare = 0.5
 	// latencyWeight is the weight of the newest response in the mean response time.
 	latencyWeight = 0.2
 	// defaultLatency is the response time that is assumed before the first response.
@@ -163,13 +161,8 @@
 
 // step returns the change of the limit with a response. Without a latency target it is growth.
 func (r *runner) step(target time.Duration) float64 {
-	switch share := r.latency / target.Seconds(); {
-	case target <= 0:
-		return growth
-	case share > runnerShare:
-		return -growth
-	case share < freeShare:
-		return fastGrowth
+	if target > 0 && r.latency > runnerShare*target.Seconds() {
+		return -decline
 	}
 	return growth
 }
