ingress: requests wait only behind those that may use the same runners

All requests that are bound to regions had one lane: one whose region was full held up those of regions with room, and one that runners had failed held up those that may use these runners. The lane is now made of the regions and the runners that failed the request.

--- a/pkg/ingress/plainwait.go
+++ b/pkg/ingress/plainwait.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
@@ -100,12 +102,7 @@
 	if end, ok := x.ctx.Deadline(); ok {
 		r.Deadline = end
 	}
-	if w.repeatable {
-		r.Lane |= 1
-	}
-	if w.allows != nil {
-		r.Lane |= 2
-	}
+	r.Lane = fmt.Sprint(w.repeatable, x.regionLists(), slices.Sorted(maps.Keys(w.avoid)))
 	return r
 }
 
--- a/pkg/ingress/plainwait_test.go
+++ b/pkg/ingress/plainwait_test.go
@@ -97,7 +97,7 @@
 		}
 		x := newPlainExchange(t.Context(), in, routetable.Unsafe)
 		x.route.LatencyTarget = time.Second
-		other := in.plain.Queue("s").Enter(plainload.Request{Lane: 7})
+		other := in.plain.Queue("s").Enter(plainload.Request{Lane: "other"})
 		defer in.plain.Queue("s").Leave(other, time.Now())
 		got, err := x.claimPlain(map[string]bool{}, map[string]bool{})
 		g.Expect(err).NotTo(HaveOccurred())
@@ -152,6 +152,25 @@
 	})
 }
 
+// Guards against a request that holds up others which may use runners that it may not.
+func TestRequestsOfDifferentRegionsDoNotWaitForEachOther(t *testing.T) {
+	g := NewWithT(t)
+	in := newFullIngress(t)
+	lane := func(region string, failed ...string) string {
+		x := newPlainExchange(t.Context(), in, routetable.Safe)
+		x.version = in.table.Load().Config.Version
+		x.route.Regions = []string{region}
+		avoid := map[string]bool{}
+		for _, id := range failed {
+			avoid[id] = true
+		}
+		return x.waitingRequest(plainRequest{repeatable: true, avoid: avoid, allows: x.domainFilter()}).Lane
+	}
+	g.Expect(lane("north", "a", "b")).To(Equal(lane("north", "b", "a")))
+	g.Expect(lane("north")).NotTo(Equal(lane("south")))
+	g.Expect(lane("north", "a")).NotTo(Equal(lane("north")))
+}
+
 // Guards against requests of clients that left and still wait.
 func TestGoneClientLeavesQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/plainload/forecast.go
+++ b/pkg/plainload/forecast.go
@@ -34,8 +34,9 @@
 
 // Judge decides whether a waiting request keeps waiting. A client that can return is refused early,
 // within earlyShare of the time to its target, unless the forecast says that it will be served in
-// time. Later a refusal would make its response late in any case, so that from then on it waits as
-// long as it can be served by its deadline, like one whose client will not return once more.
+// time. Later a refusal would make its response late in any case, so that from then on it waits while
+// it will be served within lateShare of the time to its deadline, like one whose client will not return
+// once more.
 func (q *Queue) Judge(w *Waiter, now time.Time) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/pkg/plainload/queue.go
+++ b/pkg/plainload/queue.go
@@ -35,7 +35,7 @@
 	// and will not return once more.
 	Returning bool
 	// Lane tells requests apart that may use different runners.
-	Lane int
+	Lane string
 	// InTime is set by the queue while the request can be served by its target.
 	InTime bool
 }
--- a/pkg/plainload/queue_test.go
+++ b/pkg/plainload/queue_test.go
@@ -58,7 +58,7 @@
 	g := NewWithT(t)
 	q := NewTable().Queue("s")
 	other := newRequest()
-	other.Lane = 1
+	other.Lane = "other"
 	a, b := q.Enter(newRequest()), q.Enter(other)
 	q.Wake(start)
 	g.Expect(hasTurn(a)).To(BeTrue())
