--- a/pkg/plainload/queue_test.go
+++ b/pkg/plainload/queue_test.go
@@ -216,3 +216,20 @@
 	g.Expect(q.First(b, start.Add(100*time.Millisecond))).To(BeTrue())
 	g.Expect(q.First(a, start.Add(100*time.Millisecond))).To(BeFalse())
 }
+
+// Guards against a limit that stays low while the runner's queue is short, and one that fills it.
+func TestLimitFollowsQueueOfRunner(t *testing.T) {
+	const target = 120 * time.Millisecond
+	limitAfter := func(took time.Duration) float64 {
+		table := NewTable()
+		for range 9 {
+			table.Claim("s", "r", start)
+		}
+		table.End("r", TurnedAway, 0, target, start)
+		table.End("r", Answered, took, target, start)
+		return table.Statuses(start)[0].Limit
+	}
+	g := NewWithT(t)
+	g.Expect(limitAfter(target * 45 / 100)).To(BeNumerically(">", 8))
+	g.Expect(limitAfter(target * 55 / 100)).To(BeNumerically("<", 8))
+}
