ingress: requests without a latency target wait for full runners

They were refused at once while the runners were full, and for 10 ms after each refusal, although their clients wait: now their target is their deadline.

--- a/pkg/ingress/plainwait.go
+++ b/pkg/ingress/plainwait.go
@@ -89,7 +89,8 @@
 	}
 }
 
-// waitingRequest describes the request for the queue.
+// waitingRequest describes the request for the queue. Without a latency target its response is due by
+// its deadline.
 func (x *exchange) waitingRequest(w plainRequest) plainload.Request {
 	r := plainload.Request{
 		Priority: x.route.Priority, Arrived: x.arrived, Target: x.arrived.Add(x.route.LatencyTarget),
@@ -102,6 +103,9 @@
 	if end, ok := x.ctx.Deadline(); ok {
 		r.Deadline = end
 	}
+	if x.route.LatencyTarget == 0 {
+		r.Target = r.Deadline
+	}
 	r.Lane = fmt.Sprint(w.repeatable, x.regionLists(), slices.Sorted(maps.Keys(w.avoid)))
 	return r
 }
--- a/pkg/ingress/plainwait_test.go
+++ b/pkg/ingress/plainwait_test.go
@@ -138,6 +138,22 @@
 	})
 }
 
+// Guards against requests that are refused at once since their route has no latency target.
+func TestRequestWithoutTargetWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		in := newFullIngress(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 800*time.Millisecond)
+		defer cancel()
+		x := newPlainExchange(ctx, in, routetable.Unsafe)
+		x.route.LatencyTarget = 0
+		time.AfterFunc(100*time.Millisecond, func() { x.endPlace(in.Directory.Find("full"), responded, nil, 15*time.Millisecond) })
+		runner, err := x.claimPlain(map[string]bool{}, map[string]bool{})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(runner.ID).To(Equal("full"))
+	})
+}
+
 // Guards against a Retry-After beyond what a client with little time honors.
 func TestImpatientClientCanReturn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
