--- a/pkg/ingress/plainwait.go
+++ b/pkg/ingress/plainwait.go
@@ -80,9 +80,13 @@
 			queue.Promised(after, now)
 			return nil, &ErrFull{Service: x.service, Waiting: queue.Len() - 1, After: after}
 		}
+		wait := v.Until.Sub(now)
+		if v.First {
+			wait = min(wait, placePollInterval)
+		}
 		select {
 		case <-waiter.Turn:
-		case <-time.After(min(time.Until(v.Until), placePollInterval)):
+		case <-time.After(wait):
 		case <-x.ctx.Done():
 			return nil, &ErrFull{Service: x.service, Waiting: queue.Len() - 1, After: x.placeRetryAfter(0)}
 		}
--- a/pkg/plainload/forecast.go
+++ b/pkg/plainload/forecast.go
@@ -28,6 +28,8 @@
 type Verdict struct {
 	// Until is when to ask again; zero if the request is to be refused now.
 	Until time.Time
+	// First is set if no request goes before this one, so that it may look for room meanwhile.
+	First bool
 	// RetryAfter is the time after which there should be room for the client, if it is refused.
 	RetryAfter time.Duration
 }
@@ -41,7 +43,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.look(w, now)
-	room, known := q.after(slices.Index(q.waiting, w), now)
+	i := slices.Index(q.waiting, w)
+	room, known := q.after(i, now)
+	first := i >= 0 && q.first(i)
 	early := w.Arrived.Add(time.Duration(earlyShare * float64(w.Target.Sub(w.Arrived))))
 	limit := w.Target
 	if w.Returning || w.committed {
@@ -51,10 +55,10 @@
 	fits := known && !now.Add(room).After(last)
 	switch {
 	case now.Before(early) && (fits || !known):
-		return Verdict{Until: early}
+		return Verdict{Until: early, First: first}
 	case fits && now.Before(last):
 		w.committed = true
-		return Verdict{Until: earliest(last, now.Add(judgeInterval))}
+		return Verdict{Until: earliest(last, now.Add(max(judgeInterval, last.Sub(now)/judgeParts))), First: first}
 	}
 	return Verdict{RetryAfter: q.promise(now)}
 }
@@ -66,8 +70,10 @@
 	// lateShare is the share of the time to its deadline that a request waits which is late in any
 	// case. A longer wait rarely ends with room.
 	lateShare = 0.4
-	// judgeInterval is the time between two decisions on a request that waits beyond that.
+	// judgeInterval is the shortest time between two decisions on a request that waits beyond that;
+	// it is judged again after one of judgeParts of the time that it may still wait.
 	judgeInterval = 10 * time.Millisecond
+	judgeParts    = 4
 )
 
 func earliest(a, b time.Time) time.Time {
--- a/pkg/plainload/queue.go
+++ b/pkg/plainload/queue.go
@@ -159,6 +159,11 @@
 func (q *Queue) wake(now time.Time) {
 	q.unsorted = true
 	q.sort(now)
+	q.giveTurns()
+}
+
+// giveTurns gives the turn to the first waiting request of each lane. The caller holds the lock.
+func (q *Queue) giveTurns() {
 	for i, w := range q.waiting {
 		if q.first(i) {
 			select {
@@ -179,18 +184,19 @@
 	return true
 }
 
-// sort sorts the waiting requests, unless they were sorted within sortInterval. The caller holds the
-// lock.
+// sort sorts the waiting requests, unless they were sorted within sortInterval. If one got late, so that
+// others go before it now, it gives turns. The caller holds the lock.
 func (q *Queue) sort(now time.Time) {
 	if !q.unsorted && now.Sub(q.sortedAt) < sortInterval {
 		return
 	}
-	due := now.Add(q.serviceTime())
+	due, late := now.Add(q.serviceTime()), false
 	for _, w := range q.waiting {
 		if w.InTime {
 			q.inTimeAt = now
 		}
 		if inTime := !w.Returning && !due.After(w.Target); inTime != w.InTime {
+			late = late || w.InTime
 			w.InTime, q.unsorted = inTime, true
 		}
 	}
@@ -200,6 +206,9 @@
 	}
 	q.unsorted = false
 	slices.SortStableFunc(q.waiting, func(a, b *Waiter) int { return q.order.Compare(a.Request, b.Request) })
+	if late {
+		q.giveTurns()
+	}
 }
 
 // look sorts the waiting requests for one of them that looks for room. The caller holds the lock.
--- a/pkg/plainload/queue_test.go
+++ b/pkg/plainload/queue_test.go
@@ -213,6 +213,9 @@
 	newer.Target = newer.Target.Add(100 * time.Millisecond)
 	a, b := q.Enter(newRequest()), q.Enter(newer)
 	g.Expect(q.First(a, start)).To(BeTrue())
+	g.Expect(hasTurn(b)).To(BeFalse())
+	q.Judge(a, start.Add(100*time.Millisecond))
+	g.Expect(hasTurn(b)).To(BeTrue(), "its turn comes without a look of its own")
 	g.Expect(q.First(b, start.Add(100*time.Millisecond))).To(BeTrue())
 	g.Expect(q.First(a, start.Add(100*time.Millisecond))).To(BeFalse())
 }
@@ -233,3 +236,22 @@
 	g.Expect(limitAfter(target * 45 / 100)).To(BeNumerically(">", 8))
 	g.Expect(limitAfter(target * 55 / 100)).To(BeNumerically("<", 8))
 }
+
+// Guards against the work of hundreds of requests that look for room while others go before them.
+func TestOnlyFirstLooksOften(t *testing.T) {
+	g := NewWithT(t)
+	q := NewTable().Queue("s")
+	for range 100 {
+		q.responded(10*time.Millisecond, start)
+	}
+	back := newRequest()
+	back.Returning = true
+	a, b := q.Enter(back), q.Enter(back)
+	g.Expect(q.Judge(a, start).First).To(BeTrue())
+	at := start.Add(30 * time.Millisecond)
+	v := q.Judge(b, at)
+	g.Expect(v.First).To(BeFalse())
+	g.Expect(v.Until).To(BeTemporally(">", at.Add(5*judgeInterval)))
+	late := start.Add(time.Duration(lateShare*float64(800*time.Millisecond)) - 30*time.Millisecond)
+	g.Expect(q.Judge(b, late).Until).To(BeTemporally("<=", late.Add(judgeInterval)))
+}
