--- a/pkg/ingress/plainflap_test.go
+++ b/pkg/ingress/plainflap_test.go
@@ -165,3 +165,38 @@
 		g.Expect(inTime).To(BeNumerically(">", seconds*plainSlots*int(time.Second/plainWork)), "what the steady runner can serve")
 	})
 }
+
+// decliningOnce is a runner that is full when the first request comes.
+type decliningOnce struct {
+	RunnerClient
+	sends int
+}
+
+func (d *decliningOnce) Send(context.Context, *runners.State, *Call, CallOptions) (*Response, error) {
+	d.sends++
+	if d.sends == 1 {
+		return &Response{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, NotRun: true}, nil
+	}
+	return &Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok")), Verified: true}, nil
+}
+
+// Guards against a refusal by the gateway because the only runner was full for a moment.
+func TestRequestReturnsToRunnerThatWasFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		in := newPlainGateway(t, "g", newPlainFleet())
+		runner := &decliningOnce{}
+		in.options.Runners = runner
+		in.Directory.Remove("flaps", time.Now())
+		time.Sleep(2 * time.Second)
+		r := httptest.NewRequest(http.MethodPost, "http://h/unsafe", nil)
+		r.Header.Set("X-Request-Id", "r1")
+		w, began := httptest.NewRecorder(), time.Now()
+		in.ServeHTTP(w, r)
+		g.Expect(w.Code).To(Equal(http.StatusOK))
+		g.Expect(runner.sends).To(Equal(2))
+		g.Expect(time.Since(began)).To(BeNumerically("<=", 20*time.Millisecond))
+		g.Expect(in.plain.Statuses(time.Now())).To(HaveLen(1))
+		g.Expect(in.plain.Statuses(time.Now())[0].InFlight).To(BeZero(), "each place is given back")
+	})
+}
--- a/pkg/plainload/queue_test.go
+++ b/pkg/plainload/queue_test.go
@@ -255,3 +255,19 @@
 	late := start.Add(time.Duration(lateShare*float64(800*time.Millisecond)) - 30*time.Millisecond)
 	g.Expect(q.Judge(b, late).Until).To(BeTemporally("<=", late.Add(judgeInterval)))
 }
+
+// Guards against a request that arrives and overtakes those that wait.
+func TestArrivalsWaitBehindOthers(t *testing.T) {
+	g := NewWithT(t)
+	q := NewTable().Queue("s")
+	g.Expect(q.Busy(false, start)).To(BeFalse())
+	g.Expect(q.Busy(true, start)).To(BeFalse())
+	w := q.Enter(newRequest())
+	g.Expect(q.Busy(false, start)).To(BeTrue())
+	q.First(w, start)
+	q.Judge(w, start)
+	q.Leave(w, start)
+	g.Expect(q.Busy(false, start)).To(BeFalse())
+	g.Expect(q.Busy(true, start)).To(BeTrue(), "a request that can be in time needed the room")
+	g.Expect(q.Busy(true, start.Add(yieldTime))).To(BeFalse())
+}
