--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -44,6 +44,8 @@
 	RunnerLimit Cause = "runner_limit"
 	// RunnersUnavailable: refused, since all runners were leaving or paused.
 	RunnersUnavailable Cause = "runners_unavailable"
+	// RunnersFull: refused, since all plain runners had as many requests as they take.
+	RunnersFull Cause = "runners_full"
 	// Refused: refused for another reason.
 	Refused Cause = "refused"
 	// EngineLost: the stream from its engine broke. The gateway ended or resumed it.
@@ -67,7 +69,7 @@
 )
 
 // Causes lists the causes that the tables and charts show, in their order.
-var Causes = []Cause{GatewayLost, EngineLost, NoRoom, OverLimit, NoKey, KeyUnconfirmed, Quarantined, NoRegion, Evacuated, RunnerLimit, RunnersUnavailable, Refused, Returned, Resumed, LateFirst, LongPause, ServiceFailed, AnswerLost, TimedOut, ClientGone}
+var Causes = []Cause{GatewayLost, EngineLost, NoRoom, OverLimit, NoKey, KeyUnconfirmed, Quarantined, NoRegion, Evacuated, RunnerLimit, RunnersUnavailable, RunnersFull, Refused, Returned, Resumed, LateFirst, LongPause, ServiceFailed, AnswerLost, TimedOut, ClientGone}
 
 // Request is one request, as its gateway logged it.
 type Request struct {
@@ -208,6 +210,8 @@
 		return RunnerLimit
 	case "runners_unavailable":
 		return RunnersUnavailable
+	case "runners_full":
+		return RunnersFull
 	case "refused":
 		return Refused
 	}
