enginepool: learn the speed of each engine from the events of its responses

A third of the engines of a deployment may take 2.4 times as long per token. One learned speed for all made responses on slow engines seem to end too early.

--- a/pkg/enginepool/demand.go
+++ b/pkg/enginepool/demand.go
@@ -71,8 +71,10 @@
 func (p *Pool) meanPrefillRate() float64 {
 	sum, n := 0.0, 0
 	for _, r := range p.prefillRunners {
-		sum += r.rate
-		n++
+		if r.rate > 0 {
+			sum += r.rate
+			n++
+		}
 	}
 	if n == 0 {
 		return initialPrefillRate
--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -32,6 +32,10 @@
 	generated int
 	// firstTokenAt is when the first token was received; zero before.
 	firstTokenAt time.Time
+	// lastEventAt is when the last event was received, and eventTokens how many tokens it added;
+	// 0 before there were two events.
+	lastEventAt time.Time
+	eventTokens int
 }
 
 // Load is a reservation as it is reported to other gateways: the memory that it takes
@@ -64,6 +68,8 @@
 	// refusedUntil is when the runner becomes a candidate again after it refused a
 	// reservation.
 	refusedUntil time.Time
+	// speed is the learned decode speed.
+	speed decodeSpeed
 }
 
 // remaining estimates how many more tokens the response will have.
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -73,7 +73,7 @@
 	peerEngines map[string]map[string]*engine
 	// revision counts the changes of this gateway's own reservations and prefills.
 	revision uint64
-	// rate is the learned speed of one response, in tokens per second.
+	// rate is the learned mean speed of one response, in tokens per second.
 	rate float64
 	// Lengths learns the lengths of responses.
 	Lengths *Lengths
@@ -238,6 +238,16 @@
 		b.firstTokenAt = now
 		p.learnDemand(b.job, now)
 	}
+	e := p.engine(runner)
+	if added := tokens - b.generated; added > 0 && !b.lastEventAt.IsZero() {
+		took := now.Sub(b.lastEventAt)
+		b.eventTokens = added
+		p.learnRate(added, took)
+		if e.speed.observe(added, took, now) {
+			p.recordChange(e)
+		}
+	}
+	b.lastEventAt = now
 	b.generated = tokens
 }
 
@@ -247,7 +257,6 @@
 	p.mu.Lock()
 	e := p.engine(runner)
 	if b := e.own[id]; b != nil {
-		p.learnRate(b, now)
 		delete(e.own, id)
 		p.release(runner, id)
 		p.recordChange(e)
@@ -266,19 +275,16 @@
 const (
 	// initialRate is assumed before a response was measured, in tokens per second.
 	initialRate = 150
-	// rateWeight is the weight of the newest response in the learned rate.
-	// minLearnedTokens is the least length of a response that is measured.
-	rateWeight       = 0.1
-	minLearnedTokens = 50
+	// rateTime is the measured time after which the learned mean has followed a change to two
+	// thirds.
+	rateTime = 10 * time.Second
 )
 
-// learnRate updates the learned rate from a finished response. The caller holds the lock.
-func (p *Pool) learnRate(b *reservation, now time.Time) {
-	took := now.Sub(b.firstTokenAt).Seconds()
-	if b.firstTokenAt.IsZero() || b.generated < minLearnedTokens || took <= 0 {
-		return
-	}
-	p.rate += (float64(b.generated)/took - p.rate) * rateWeight
+// learnRate updates the learned mean speed of responses. The caller holds the lock.
+func (p *Pool) learnRate(tokens int, took time.Duration) {
+	perToken := 1 / p.rate
+	perToken += (took.Seconds()/float64(tokens) - perToken) * min(1, took.Seconds()/rateTime.Seconds())
+	p.rate = 1 / perToken
 }
 
 // Sweep removes the models of runners that left the directory and have no requests.
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -9,8 +9,10 @@
 // prefillRunner is this gateway's model of one prefill runner.
 type prefillRunner struct {
 	jobs map[string]prefillJob
-	// rate is the learned speed of prefill, in tokens per second.
-	rate float64
+	// rate is the learned speed of prefill, in tokens per second; 0 is unknown. measuredAt is when
+	// this gateway last measured it.
+	rate       float64
+	measuredAt time.Time
 }
 
 // prefillJob is a prompt on a prefill runner.
@@ -50,7 +52,7 @@
 func (p *Pool) prefillRunner(id string) *prefillRunner {
 	r := p.prefillRunners[id]
 	if r == nil {
-		r = &prefillRunner{jobs: map[string]prefillJob{}, rate: initialPrefillRate}
+		r = &prefillRunner{jobs: map[string]prefillJob{}}
 		p.prefillRunners[id] = r
 	}
 	return r
@@ -126,7 +128,7 @@
 // prefillTime estimates how long a runner takes to process its backlog and one more
 // prompt. The caller holds the lock.
 func (p *Pool) prefillTime(id string, tokens int) time.Duration {
-	return time.Duration(float64(p.backlog(id)+tokens) / p.prefillRunner(id).rate * float64(time.Second))
+	return time.Duration(float64(p.backlog(id)+tokens) / p.prefillRate(id) * float64(time.Second))
 }
 
 // backlog returns the prompt tokens of all gateways that wait or are being processed at a
@@ -162,5 +164,26 @@
 	if !ok || !processed || took <= 0 {
 		return
 	}
-	r.rate += (float64(j.tokens+j.ahead)/took - r.rate) * prefillRateWeight
+	r.learn(float64(j.tokens+j.ahead) / took)
+	r.measuredAt = now
+}
+
+// learn updates the learned speed from a measured one; one that is not known (0) is left out.
+func (r *prefillRunner) learn(rate float64) {
+	switch {
+	case rate <= 0:
+	case r.rate == 0:
+		r.rate = rate
+	default:
+		r.rate += (rate - r.rate) * prefillRateWeight
+	}
+}
+
+// prefillRate returns the learned speed of prefill on an engine, in tokens per second, or the mean
+// of the service if it is unknown. The caller holds the lock.
+func (p *Pool) prefillRate(id string) float64 {
+	if r := p.prefillRunners[id]; r != nil && r.rate > 0 {
+		return r.rate
+	}
+	return p.meanPrefillRate()
 }
