--- a/pkg/enginepool/snapshot.go
+++ b/pkg/enginepool/snapshot.go
@@ -10,6 +10,11 @@
 	Engines []EngineLoad
 	// Waiting is how many jobs wait at the reporting gateway.
 	Waiting int
+	// Promised is how many refused clients the reporting gateway told to come back, by slots of
+	// forecast.SlotLength, the first of which began PromisedAge ago. It is empty if there are none
+	// or if they are unknown.
+	Promised    []int
+	PromisedAge time.Duration
 }
 
 // EngineLoad is the load that one gateway has on one engine.
--- /dev/null
+++ b/pkg/forecast/forecast.go
@@ -0,0 +1,152 @@
+// Package forecast predicts when the engines of a service have room, from the answers in progress,
+// the requests that wait and the returns that were promised to refused clients. It decides whether
+// a new request waits or is refused at once, and when a refused client should come back. It does
+// no I/O; the caller passes the time and the random numbers.
+package forecast
+
+import (
+	"time"
+)
+
+const (
+	// SlotLength is the resolution of a forecast, and Slots the number of slots in it.
+	SlotLength = 200 * time.Millisecond
+	Slots      = 30
+	// Horizon is how far a forecast reaches.
+	Horizon = Slots * SlotLength
+)
+
+// Load is one answer in progress: the memory that it holds, in tokens, and the time until it is
+// expected to end.
+type Load struct {
+	Memory int
+	Left   time.Duration
+}
+
+// State is what a forecast starts from. Memory is in tokens.
+type State struct {
+	// Capacity is the memory that can be in use at once.
+	Capacity float64
+	Running  []Load
+	// Full means that a request waits for memory now, so that none is free whatever Capacity says.
+	Full bool
+	// Waiting is the memory that requests ahead of a new one wait for, and Late that of requests
+	// behind it.
+	Waiting, Late float64
+	// Promised is the memory that promised returns need, by slots from now.
+	Promised [Slots]float64
+	// Arriving is the memory that new requests ask for, per second.
+	Arriving float64
+	// Hold is the mean time for which an answer holds its memory.
+	Hold time.Duration
+}
+
+// Forecast is the predicted room of a service by slots from the time of its State.
+type Forecast struct {
+	// ahead is the memory that a new request finds up to the end of each slot: what is free and what
+	// becomes free, less what promised and waiting requests take. It is negative while they
+	// don't have room themselves.
+	ahead [Slots]float64
+	// spare is the memory that nobody takes in each slot: neither promised, nor waiting, nor new
+	// requests. Unused memory is counted once, in the first slot where it is free.
+	spare [Slots]float64
+	// freed is the memory that answers in progress free in each slot.
+	freed [Slots]float64
+}
+
+// New predicts the room from a state.
+func New(s State) *Forecast {
+	f := &Forecast{}
+	used := 0.0
+	for _, l := range s.Running {
+		used += float64(l.Memory)
+		if k := slotOf(l.Left); k < Slots {
+			f.freed[k] += float64(l.Memory)
+		}
+	}
+	free := s.Capacity - used
+	if s.Full {
+		free = min(free, 0)
+	}
+	f.predict(s, free)
+	return f
+}
+
+// slotOf returns the slot that contains a time from now.
+func slotOf(after time.Duration) int { return int(max(0, after) / SlotLength) }
+
+// predict passes the free memory of each slot to the promised, the waiting and the new requests, in
+// that order. An answer admitted in a slot frees its memory after State.Hold.
+func (f *Forecast) predict(s State, free float64) {
+	var admitted [Slots]float64
+	hold := slotOf(s.Hold)
+	promised, waiting, late, accounted := 0.0, s.Waiting, s.Late, 0.0
+	cumulative := free - s.Waiting
+	for k := range Slots {
+		gained := f.freed[k]
+		if hold > 0 && k >= hold {
+			gained += admitted[k-hold]
+		}
+		free += gained
+		cumulative += gained - s.Promised[k]
+		f.ahead[k] = cumulative
+		take := func(wanted float64) float64 {
+			n := max(0, min(free, wanted))
+			free -= n
+			admitted[k] += n
+			return n
+		}
+		promised += s.Promised[k]
+		promised -= take(promised)
+		waiting -= take(waiting)
+		// New requests that find no room soon are refused, and are not carried over.
+		take(s.Arriving * SlotLength.Seconds())
+		late -= take(late)
+		f.spare[k] = max(0, free-accounted)
+		accounted = max(accounted, free)
+	}
+}
+
+// Wait returns the time until a new request of a size has room, false if it has none within the
+// forecast.
+func (f *Forecast) Wait(size int) (time.Duration, bool) {
+	for k, room := range f.ahead {
+		if room >= float64(size) {
+			return time.Duration(k) * SlotLength, true
+		}
+	}
+	return 0, false
+}
+
+// WaitBehindNew returns the time until a request of a size has room that goes behind new requests,
+// false if it has none within the forecast.
+func (f *Forecast) WaitBehindNew(size int) (time.Duration, bool) {
+	room := 0.0
+	for k, spare := range f.spare {
+		room += spare
+		if room >= float64(size) {
+			return time.Duration(k) * SlotLength, true
+		}
+	}
+	return 0, false
+}
+
+// Spare returns the memory that nobody is expected to take in the slot that contains a time from
+// now.
+func (f *Forecast) Spare(after time.Duration) float64 {
+	k := slotOf(after)
+	if k >= Slots {
+		return 0
+	}
+	return f.spare[k]
+}
+
+// Freed returns the memory that the answers in progress free in the slot that contains a time from
+// now.
+func (f *Forecast) Freed(after time.Duration) float64 {
+	k := slotOf(after)
+	if k >= Slots {
+		return 0
+	}
+	return f.freed[k]
+}
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/forecast"
 	"github.com/hopwell/hopwell/pkg/request"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
 	"github.com/hopwell/hopwell/pkg/routetable"
@@ -53,11 +53,8 @@
 	releaseTimeout = time.Second
 	// defaultOutputTokens is the expected output, in tokens, of a request without a length hint.
 	defaultOutputTokens = 512
-	// minStreamRetryAfter and maxStreamRetryAfter are the range of Retry-After for refused streams,
-	// and retryAfterShare limits it to a share of the time that the client has left. It is half of
-	// that share if the share is less than the minimum, and the time until the first pause ends if
-	// all runners are paused.
-	minStreamRetryAfter = 3000 * time.Millisecond
+	// maxStreamRetryAfter is the longest Retry-After of refused streams, and retryAfterShare limits
+	// it to a share of the time that the client has left.
 	maxStreamRetryAfter = 4600 * time.Millisecond
 	retryAfterShare     = 0.33
 	// maxPrefills limits the prefills of one attempt.
@@ -67,11 +64,12 @@
 // generation is the state of one request to model engines while it is served.
 type generation struct {
 	*exchange
-	pool   *enginepool.Pool
-	budget *retrybudget.Budget
-	life   *request.Life
-	engine *routetable.Engine
-	job    enginepool.Job
+	pool    *enginepool.Pool
+	planner *forecast.Planner
+	budget  *retrybudget.Budget
+	life    *request.Life
+	engine  *routetable.Engine
+	job     enginepool.Job
 	// failedPrefill holds the IDs of the prefill runners that failed or whose KV cache could not be
 	// fetched.
 	failedPrefill map[string]bool
@@ -94,7 +92,7 @@
 		x.rank = enginepool.Returning
 	}
 	s := &generation{
-		exchange: x, pool: x.g.pool(x.service), budget: x.g.budget(x.service),
+		exchange: x, pool: x.g.pool(x.service), planner: x.g.planner(x.service), budget: x.g.budget(x.service),
 		life: request.NewLife(x.call.ID, x.route.Repeatable()), engine: engine,
 		failedPrefill: map[string]bool{}, failedDecode: map[string]bool{},
 	}
@@ -106,6 +104,11 @@
 		s.fields = append(s.fields, decisionlog.F("resumed_by", "client"))
 		s.findCachedPrompt()
 	}
+	if s.rank == enginepool.Returning {
+		s.fields = append(s.fields, decisionlog.F("prompt_id", s.call.PromptID))
+	} else {
+		s.planner.Arrived(s.job.MeanMemory(), x.arrived)
+	}
 	s.budget.Request(x.arrived)
 	s.run()
 }
@@ -182,21 +185,6 @@
 	s.giveUp(s.life, last, s.streamRetryAfter(last))
 }
 
-// streamRetryAfter returns the Retry-After of a refused stream: the end of the first pause if all
-// runners are paused, otherwise a random time, so that clients do not all retry at once, and well
-// before the client's timeout.
-func (s *generation) streamRetryAfter(last error) time.Duration {
-	s.g.recordRefusal(s.service, time.Now())
-	if after := roomAfter(last); after > 0 {
-		return max(after, shortRetryAfter)
-	}
-	longest := min(maxStreamRetryAfter, time.Duration(float64(s.timeLeft())*retryAfterShare))
-	if longest <= minStreamRetryAfter {
-		return max(longest/2, shortRetryAfter)
-	}
-	return minStreamRetryAfter + time.Duration(rand.Int64N(int64(longest-minStreamRetryAfter)))
-}
-
 // try makes one attempt: it reserves room, runs the prefill and then the decode.
 func (s *generation) try(n int) (sendResult, error) {
 	if err := s.checkQuarantine(); err != nil {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -15,6 +15,7 @@
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/forecast"
 	"github.com/hopwell/hopwell/pkg/httpd"
 	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
@@ -73,15 +74,15 @@
 	gateways int
 	// returnDetectors detects returning clients, by route.
 	returnDetectors map[string]*returnDetector
-	// refusedAt is when a request was last refused for lack of room, by service.
-	refusedAt map[string]time.Time
+	// planners predict the room of services that run on engines.
+	planners map[string]*forecast.Planner
 }
 
 // New returns an Ingress without routes.
 func New(o Options) *Ingress {
 	return &Ingress{
 		options: o, promptCaches: newPromptCaches(o.Runners, o.Log), Directory: runners.NewDirectory(o.Name), metrics: newMeters(), gateways: o.Gateways,
-		pools: map[string]*enginepool.Pool{}, budgets: map[string]*retrybudget.Budget{}, returnDetectors: map[string]*returnDetector{}, refusedAt: map[string]time.Time{},
+		pools: map[string]*enginepool.Pool{}, budgets: map[string]*retrybudget.Budget{}, returnDetectors: map[string]*returnDetector{}, planners: map[string]*forecast.Planner{},
 	}
 }
 
@@ -156,7 +157,11 @@
 func (g *Ingress) Snapshots(since map[string]uint64) (map[string]enginepool.Snapshot, map[string]uint64) {
 	out, reached := map[string]enginepool.Snapshot{}, map[string]uint64{}
 	for service, p := range g.Pools() {
-		out[service], reached[service] = p.Snapshot(since[service])
+		snapshot, revision := p.Snapshot(since[service])
+		now := time.Now()
+		promised := g.planner(service).Promises.Own(now)
+		snapshot.Promised, snapshot.PromisedAge = promised.Counts, now.Sub(promised.Since)
+		out[service], reached[service] = snapshot, revision
 	}
 	return out, reached
 }
@@ -165,14 +170,17 @@
 // configuration doesn't contain are ignored.
 func (g *Ingress) ReceiveSnapshot(gateway, service string, snapshot enginepool.Snapshot) {
 	if p := g.Pools()[service]; p != nil {
-		p.ReceiveSnapshot(gateway, snapshot, time.Now())
+		now := time.Now()
+		p.ReceiveSnapshot(gateway, snapshot, now)
+		g.planner(service).Promises.Receive(gateway, forecast.Report{Since: now.Add(-snapshot.PromisedAge), Counts: snapshot.Promised}, now)
 	}
 }
 
 // DropGateway drops the reservations of a peer that no longer sends reports.
 func (g *Ingress) DropGateway(gateway string) {
-	for _, p := range g.Pools() {
+	for service, p := range g.Pools() {
 		p.DropGateway(gateway)
+		g.planner(service).Promises.Drop(gateway)
 	}
 }
 
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -36,9 +36,15 @@
 		if err := s.unavailable(latest); err != nil {
 			return nil, firstError(s.endReason(), err)
 		}
-		runner, err := s.waitForRoom(w, latest)
-		if err != nil {
-			return nil, firstError(s.endReason(), err)
+		runner := s.roomNow(w)
+		if runner == nil && s.hopeless(latest, time.Now()) {
+			return nil, firstError(s.endReason(), &enginepool.ErrNoRoom{ID: s.job.ID, Waited: time.Since(began)})
+		}
+		if runner == nil {
+			var err error
+			if runner, err = s.waitForRoom(w, latest); err != nil {
+				return nil, firstError(s.endReason(), err)
+			}
 		}
 		// A call that began before the deadline may end after it: if it were cut off, that would
 		// show nothing about the runner.
--- a/pkg/ingress/returns.go
+++ b/pkg/ingress/returns.go
@@ -81,13 +81,10 @@
 	r.shortest = least - returnMargin - time.Duration(spreadMargin*float64(longest-least))
 }
 
-// retriesExpectedFor is the time after a refusal in which the client's retry is expected: the longest
-// Retry-After and the random part that is added to it.
-const retriesExpectedFor = maxStreamRetryAfter * 5 / 4
-
 // returning records the timeout of a request on a route, and reports whether its client is
 // retrying.
 func (g *Ingress) returning(route, service string, timeout time.Duration, now time.Time) bool {
+	expected := g.planner(service).Promises.Expected(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.returnDetectors[route]
@@ -95,12 +92,5 @@
 		r = &returnDetector{}
 		g.returnDetectors[route] = r
 	}
-	return r.observe(timeout, now.Before(g.refusedAt[service].Add(retriesExpectedFor)))
-}
-
-// recordRefusal records that a request for engines of a service was refused for lack of room.
-func (g *Ingress) recordRefusal(service string, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.refusedAt[service] = now
+	return r.observe(timeout, expected)
 }
--- /dev/null
+++ b/pkg/ingress/room.go
@@ -0,0 +1,89 @@
+package ingress
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/forecast"
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+// planner returns the planner of a service and creates it if needed.
+func (g *Ingress) planner(service string) *forecast.Planner {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.planners[service]
+	if p == nil {
+		p = forecast.NewPlanner()
+		g.planners[service] = p
+	}
+	return p
+}
+
+// forecast returns the forecast of room for the request's service.
+func (s *generation) forecast(now time.Time) *forecast.Forecast {
+	s.g.mu.Lock()
+	gateways := s.g.gateways
+	s.g.mu.Unlock()
+	return s.planner.Forecast(func() forecast.Observation {
+		b := s.pool.Backlog(now)
+		o := forecast.Observation{Capacity: b.Capacity, Here: b.Here, Waiting: b.Ahead, Late: b.Late, Peers: b.Peers, Gateways: gateways}
+		for _, r := range s.pool.Running(now) {
+			o.Running = append(o.Running, forecast.Load{Memory: r.Memory, Left: r.Left})
+		}
+		return o
+	}, now)
+}
+
+// roomNow returns a runner that has room for the request now, nil if there is none.
+func (s *generation) roomNow(w *enginepool.Waiter) *runners.State {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	runner, err := s.pool.Wait(ended, w)
+	if err != nil {
+		return nil
+	}
+	return runner
+}
+
+// hopeless reports whether the forecast shows that the request gets no room until a time, so that
+// it is refused at once. A request that has begun is never refused for a forecast.
+func (s *generation) hopeless(latest, now time.Time) bool {
+	if s.rank == enginepool.Begun {
+		return false
+	}
+	f, memory := s.forecast(now), s.job.MeanMemory()
+	wait, ok := f.Wait(memory)
+	if s.rank == enginepool.Returning {
+		wait, ok = f.WaitBehindNew(memory)
+	}
+	if ok {
+		s.fields = append(s.fields, decisionlog.F("forecast_wait", wait))
+	} else {
+		s.fields = append(s.fields, decisionlog.F("forecast_wait", "none"))
+	}
+	return !ok || now.Add(wait).After(latest)
+}
+
+// streamRetryAfter returns the Retry-After of a refused stream: the end of the first pause if all
+// runners are paused, otherwise a time at which room is expected, well before the client's
+// timeout. The return is counted, so that all gateways expect it.
+func (s *generation) streamRetryAfter(last error) time.Duration {
+	now := time.Now()
+	if after := roomAfter(last); after > 0 {
+		after = max(after, shortRetryAfter)
+		s.planner.Promises.Add(now.Add(after))
+		return after
+	}
+	longest := min(maxStreamRetryAfter, time.Duration(float64(s.timeLeft())*retryAfterShare))
+	r := s.planner.Promise(s.forecast(now), s.job.MeanMemory(), minReturnAfter, longest, rand.Float64, now)
+	s.fields = append(s.fields, decisionlog.F("kept", r.Kept), decisionlog.F("prompt_id", s.call.PromptID))
+	return max(r.After, shortRetryAfter)
+}
+
+// minReturnAfter is the shortest Retry-After of a refused stream: a client needs some time to
+// return, and a place that is free earlier is filled by those who wait.
+const minReturnAfter = time.Second
--- a/pkg/peers/convert.go
+++ b/pkg/peers/convert.go
@@ -14,7 +14,10 @@
 func encodeSnapshots(snapshots map[string]enginepool.Snapshot) *wirepb.GatewayState {
 	state := &wirepb.GatewayState{}
 	for service, s := range snapshots {
-		pool := &wirepb.GatewayPool{Service: service, Waiting: uint32(s.Waiting), Full: s.Full}
+		pool := &wirepb.GatewayPool{Service: service, Waiting: uint32(s.Waiting), Full: s.Full, PromisedSinceMs: uint32(s.PromisedAge.Milliseconds())}
+		for _, n := range s.Promised {
+			pool.Promised = append(pool.Promised, uint32(n))
+		}
 		for _, l := range s.Engines {
 			e := &wirepb.EngineLoad{Runner: l.Runner, Reading: uint32(l.PrefillTokens)}
 			for _, r := range l.Loads {
@@ -33,7 +36,10 @@
 func decodeSnapshots(s *wirepb.GatewayState) map[string]enginepool.Snapshot {
 	out := map[string]enginepool.Snapshot{}
 	for _, pool := range s.Pools {
-		p := enginepool.Snapshot{Full: pool.Full, Waiting: int(pool.Waiting)}
+		p := enginepool.Snapshot{Full: pool.Full, Waiting: int(pool.Waiting), PromisedAge: time.Duration(pool.PromisedSinceMs) * time.Millisecond}
+		for _, n := range pool.Promised {
+			p.Promised = append(p.Promised, int(n))
+		}
 		for _, e := range pool.Engines {
 			load := enginepool.EngineLoad{Runner: e.Runner, PrefillTokens: int(e.Reading)}
 			for i := range min(len(e.Now), len(e.Left)) {
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -45,7 +45,7 @@
 	subset := x.subset.Load()
 	out := map[string]enginepool.Snapshot{}
 	for service, s := range changed {
-		part := enginepool.Snapshot{Full: s.Full, Waiting: s.Waiting}
+		part := enginepool.Snapshot{Full: s.Full, Waiting: s.Waiting, Promised: s.Promised, PromisedAge: s.PromisedAge}
 		for _, e := range s.Engines {
 			if slices.Contains(subset.GatewaysOf(e.Runner), name) {
 				part.Engines = append(part.Engines, e)
