--- a/pkg/forecast/forecast.go
+++ b/pkg/forecast/forecast.go
@@ -52,11 +52,13 @@
 	spare [Slots]float64
 	// freed is the memory that answers in progress free in each slot.
 	freed [Slots]float64
+	// late is the memory that late requests wait for.
+	late int
 }
 
 // New predicts the room from a state.
 func New(s State) *Forecast {
-	f := &Forecast{}
+	f := &Forecast{late: int(s.Late)}
 	used := 0.0
 	for _, l := range s.Running {
 		used += float64(l.Memory)
@@ -118,18 +120,10 @@
 	return 0, false
 }
 
-// WaitBehindNew returns the time until a request of a size has room that goes behind new requests,
-// false if it has none within the forecast.
-func (f *Forecast) WaitBehindNew(size int) (time.Duration, bool) {
-	room := 0.0
-	for k, spare := range f.spare {
-		room += spare
-		if room >= float64(size) {
-			return time.Duration(k) * SlotLength, true
-		}
-	}
-	return 0, false
-}
+// WaitBehindAll returns the time until a request of a size has room that goes behind all that wait,
+// also the late ones, but ahead of those that arrive later; false if it has none within the
+// forecast.
+func (f *Forecast) WaitBehindAll(size int) (time.Duration, bool) { return f.Wait(size + f.late) }
 
 // Spare returns the memory that nobody is expected to take in the slot that contains a time from
 // now.
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -81,7 +81,10 @@
 	cachedTokens int
 	// failedDecode holds the IDs of the decode runners that failed the request.
 	failedDecode map[string]bool
-	relay        relay
+	// forecastMade is set once the forecast was asked for the request, and refusedAtOnce if it
+	// showed that no room comes in time.
+	forecastMade, refusedAtOnce bool
+	relay                       relay
 }
 
 // generate serves a request by engines. It reserves room for the decode first, then runs the
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -21,30 +21,14 @@
 func (s *generation) reserve() (*reservation, error) {
 	began := time.Now()
 	latest, unanswered := s.roomDeadline(), 0
-	w := s.pool.NewWaiter(s.job, s.rank)
-	for id := range s.failedDecode {
-		w.Avoid(id)
-	}
-	if s.cacheHolder != nil {
-		w.Prefer(s.cacheHolder.ID)
-	}
-	if s.rank == enginepool.Returning {
-		w.LateFrom(s.arrived.Add(s.route.LatencyTarget - serveReserve))
-	}
 	s.logPassedOver(runners.Decode)
 	for {
 		if err := s.unavailable(latest); err != nil {
 			return nil, firstError(s.endReason(), err)
 		}
-		runner := s.roomNow(w)
-		if runner == nil && s.hopeless(latest, time.Now()) {
-			return nil, firstError(s.endReason(), &enginepool.ErrNoRoom{ID: s.job.ID, Waited: time.Since(began)})
-		}
-		if runner == nil {
-			var err error
-			if runner, err = s.waitForRoom(w, latest); err != nil {
-				return nil, firstError(s.endReason(), err)
-			}
+		runner, err := s.room(latest)
+		if err != nil {
+			return nil, firstError(s.endReason(), err)
 		}
 		// A call that began before the deadline may end after it: if it were cut off, that would
 		// show nothing about the runner.
@@ -82,13 +66,6 @@
 	return err
 }
 
-// waitForRoom waits until the given time for room on a decode runner.
-func (s *generation) waitForRoom(w *enginepool.Waiter, latest time.Time) (*runners.State, error) {
-	ctx, cancel := context.WithDeadline(s.ctx, latest)
-	defer cancel()
-	return s.pool.Wait(ctx, w)
-}
-
 const (
 	// maxUnansweredHolds is the number of holds without a response that don't end the wait.
 	// Connections to several runners may be dead while there is room.
--- a/pkg/ingress/room.go
+++ b/pkg/ingress/room.go
@@ -38,6 +38,51 @@
 	}, now)
 }
 
+// room returns a decode runner that has room for the request. It waits for one until a time, unless
+// the forecast shows that none has room until then. A returning request first waits behind new
+// ones: it is late already, while they can still be in time. In the last part of its wait it goes
+// ahead of them, as it was promised a place.
+func (s *generation) room(latest time.Time) (*runners.State, error) {
+	if s.rank != enginepool.Returning {
+		return s.wait(s.rank, latest)
+	}
+	urgent := latest.Add(-time.Duration(urgentShare * float64(latest.Sub(s.arrived))))
+	if time.Now().Before(urgent) {
+		runner, err := s.wait(enginepool.Late, urgent)
+		if err == nil || s.ctx.Err() != nil || s.refusedAtOnce {
+			return runner, err
+		}
+	}
+	return s.wait(enginepool.Returning, latest)
+}
+
+// urgentShare is the last part of the wait of a returning request, in which it goes ahead of new
+// ones.
+const urgentShare = 1.0 / 3
+
+// wait waits for room with a rank until a time.
+func (s *generation) wait(rank enginepool.Rank, until time.Time) (*runners.State, error) {
+	w := s.pool.NewWaiter(s.job, rank)
+	for id := range s.failedDecode {
+		w.Avoid(id)
+	}
+	if s.cacheHolder != nil {
+		w.Prefer(s.cacheHolder.ID)
+	}
+	if runner := s.roomNow(w); runner != nil {
+		return runner, nil
+	}
+	now := time.Now()
+	if s.hopeless(now) {
+		s.refusedAtOnce = true
+		s.fields = append(s.fields, decisionlog.F("refused_at_once", true))
+		return nil, &enginepool.ErrNoRoom{ID: s.job.ID}
+	}
+	ctx, cancel := context.WithDeadline(s.ctx, until)
+	defer cancel()
+	return s.pool.Wait(ctx, w)
+}
+
 // roomNow returns a runner that has room for the request now, nil if there is none.
 func (s *generation) roomNow(w *enginepool.Waiter) *runners.State {
 	ended, cancel := context.WithCancel(context.Background())
@@ -49,23 +94,25 @@
 	return runner
 }
 
-// hopeless reports whether the forecast shows that the request gets no room until a time, so that
-// it is refused at once. A request that has begun is never refused for a forecast.
-func (s *generation) hopeless(latest, now time.Time) bool {
-	if s.rank == enginepool.Begun {
+// hopeless reports whether the forecast shows that the request gets no room before its deadline, so
+// that it is refused at once. This is determined once per request, and a request that has begun is
+// never refused for a forecast.
+func (s *generation) hopeless(now time.Time) bool {
+	if s.rank == enginepool.Begun || s.forecastMade {
 		return false
 	}
+	s.forecastMade = true
 	f, memory := s.forecast(now), s.job.MeanMemory()
 	wait, ok := f.Wait(memory)
 	if s.rank == enginepool.Returning {
-		wait, ok = f.WaitBehindNew(memory)
+		wait, ok = f.WaitBehindAll(memory)
 	}
-	if ok {
-		s.fields = append(s.fields, decisionlog.F("forecast_wait", wait))
-	} else {
+	if !ok {
 		s.fields = append(s.fields, decisionlog.F("forecast_wait", "none"))
+		return true
 	}
-	return !ok || now.Add(wait).After(latest)
+	s.fields = append(s.fields, decisionlog.F("forecast_wait", wait))
+	return now.Add(wait).After(s.roomDeadline())
 }
 
 // streamRetryAfter returns the Retry-After of a refused stream: the end of the first pause if all
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -112,6 +112,7 @@
 	Pools    []Pool
 	// Malformed is the number of fields that could not be parsed. They count as 0.
 	Malformed int
+	forecasts []forecastLine
 }
 
 // New extracts the data from the lines of all processes, which must be sorted by time.
@@ -162,6 +163,7 @@
 		r.Why = describeServed(line)
 	}
 	l.Requests = append(l.Requests, r)
+	l.addForecast(line, r.Arrived)
 }
 
 // describeServed summarizes the line of a lost request that has no error of the gateway.
--- a/pkg/losses/text.go
+++ b/pkg/losses/text.go
@@ -19,6 +19,7 @@
 	r.writeCounts(out, "LOOKUPS", func(w *Window) *Count { return &w.Lookups })
 	r.writeWasted(out)
 	r.writeEngines(out)
+	r.writeForecasts(out)
 	return out.Flush()
 }
 
--- a/pkg/losses/window.go
+++ b/pkg/losses/window.go
@@ -40,6 +40,8 @@
 	Wasted map[string]int
 	// Engines is the mean state of the engines.
 	Engines Engines
+	// Forecast compares the forecasts of room with the outcomes.
+	Forecast Forecast
 }
 
 // Engines is the state of the engines in a window, as means over all Pool entries of all
@@ -83,6 +85,11 @@
 			w.Wasted[l.Wasted[i].Reason] += l.Wasted[i].Tokens
 		}
 	}
+	for i := range l.forecasts {
+		if w := r.window(l.forecasts[i].arrived); w != nil {
+			w.Forecast.add(&l.forecasts[i])
+		}
+	}
 	r.averageEngines()
 	return r
 }
