--- a/pkg/ingress/room.go
+++ b/pkg/ingress/room.go
@@ -46,7 +46,7 @@
 	if s.rank != enginepool.Returning {
 		return s.wait(s.rank, latest)
 	}
-	urgent := latest.Add(-time.Duration(urgentShare * float64(latest.Sub(s.arrived))))
+	urgent := forecast.Urgent(s.arrived, latest)
 	if time.Now().Before(urgent) {
 		runner, err := s.wait(enginepool.Late, urgent)
 		if err == nil || s.ctx.Err() != nil || s.refusedAtOnce {
@@ -56,10 +56,6 @@
 	return s.wait(enginepool.Returning, latest)
 }
 
-// urgentShare is the last part of the wait of a returning request, in which it goes ahead of new
-// ones.
-const urgentShare = 1.0 / 3
-
 // wait waits for room with a rank until a time.
 func (s *generation) wait(rank enginepool.Rank, until time.Time) (*runners.State, error) {
 	w := s.pool.NewWaiter(s.job, rank)
