--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -81,10 +81,9 @@
 	cachedTokens int
 	// failedDecode holds the IDs of the decode runners that failed the request.
 	failedDecode map[string]bool
-	// forecastMade is set once the forecast was asked for the request, and refusedAtOnce if it
-	// showed that no room comes in time.
-	forecastMade, refusedAtOnce bool
-	relay                       relay
+	// forecastMade is set once the request was compared with the forecast.
+	forecastMade bool
+	relay        relay
 }
 
 // generate serves a request by engines. It reserves room for the decode first, then runs the
--- a/pkg/ingress/room.go
+++ b/pkg/ingress/room.go
@@ -39,25 +39,39 @@
 }
 
 // room returns a decode runner that has room for the request. It waits for one until a time, unless
-// the forecast shows that none has room until then. A returning request first waits behind new
-// ones: it is late already, while they can still be in time. In the last part of its wait it goes
-// ahead of them, as it was promised a place.
+// the forecast shows that none has room until then. A returning request first waits for room that
+// no new one needs: it is late already, while they can still be in time. In the last part of its
+// wait it goes ahead of them, as it was promised a place.
 func (s *generation) room(latest time.Time) (*runners.State, error) {
 	if s.rank != enginepool.Returning {
 		return s.wait(s.rank, latest)
 	}
 	urgent := forecast.Urgent(s.arrived, latest)
-	if time.Now().Before(urgent) {
-		runner, err := s.wait(enginepool.Late, urgent)
-		if err == nil || s.ctx.Err() != nil || s.refusedAtOnce {
-			return runner, err
+	if now := time.Now(); now.Before(urgent) && s.hopeless(now) {
+		return nil, &enginepool.ErrNoRoom{ID: s.job.ID}
+	}
+	tick := time.NewTicker(spareInterval)
+	defer tick.Stop()
+	for now := time.Now(); now.Before(urgent); {
+		if s.forecast(now).Spare(0) >= float64(s.job.MeanMemory()) {
+			if runner := s.roomNow(s.newWaiter(enginepool.Late)); runner != nil {
+				return runner, nil
+			}
+		}
+		select {
+		case <-s.ctx.Done():
+			return nil, s.ctx.Err()
+		case now = <-tick.C:
 		}
 	}
 	return s.wait(enginepool.Returning, latest)
 }
 
-// wait waits for room with a rank until a time.
-func (s *generation) wait(rank enginepool.Rank, until time.Time) (*runners.State, error) {
+// spareInterval is the interval at which a returning request looks for room that no new one needs.
+const spareInterval = 50 * time.Millisecond
+
+// newWaiter returns a waiter for the request with a rank.
+func (s *generation) newWaiter(rank enginepool.Rank) *enginepool.Waiter {
 	w := s.pool.NewWaiter(s.job, rank)
 	for id := range s.failedDecode {
 		w.Avoid(id)
@@ -65,13 +79,16 @@
 	if s.cacheHolder != nil {
 		w.Prefer(s.cacheHolder.ID)
 	}
+	return w
+}
+
+// wait waits for room with a rank until a time.
+func (s *generation) wait(rank enginepool.Rank, until time.Time) (*runners.State, error) {
+	w := s.newWaiter(rank)
 	if runner := s.roomNow(w); runner != nil {
 		return runner, nil
 	}
-	now := time.Now()
-	if s.hopeless(now) {
-		s.refusedAtOnce = true
-		s.fields = append(s.fields, decisionlog.F("refused_at_once", true))
+	if s.hopeless(time.Now()) {
 		return nil, &enginepool.ErrNoRoom{ID: s.job.ID}
 	}
 	ctx, cancel := context.WithDeadline(s.ctx, until)
@@ -103,14 +120,26 @@
 	if s.rank == enginepool.Returning {
 		wait, ok = f.WaitBehindAll(memory)
 	}
-	if !ok {
+	if ok {
+		s.fields = append(s.fields, decisionlog.F("forecast_wait", wait))
+	} else {
 		s.fields = append(s.fields, decisionlog.F("forecast_wait", "none"))
-		return true
 	}
-	s.fields = append(s.fields, decisionlog.F("forecast_wait", wait))
-	return now.Add(wait).After(s.roomDeadline())
+	latest := s.roomDeadline()
+	if s.rank == enginepool.Fresh {
+		latest = latest.Add(forecastMargin)
+	}
+	if ok && !now.Add(wait).After(latest) {
+		return false
+	}
+	s.fields = append(s.fields, decisionlog.F("refused_at_once", true))
+	return true
 }
 
+// forecastMargin is how much longer than a new request may wait the forecast wait must be for the
+// request to be refused at once: room may come sooner than forecast, and a wait in vain is short.
+const forecastMargin = time.Second
+
 // streamRetryAfter returns the Retry-After of a refused stream: the end of the first pause if all
 // runners are paused, otherwise a time at which room is expected, well before the client's
 // timeout. The return is counted, so that all gateways expect it.
