--- a/pkg/forecast/forecast.go
+++ b/pkg/forecast/forecast.go
@@ -31,7 +31,7 @@
 	// Full means that a request waits for memory now, so that none is free whatever Capacity says.
 	Full bool
 	// Waiting is the memory that requests ahead of a new one wait for, and Late that of requests
-	// behind it.
+	// behind new ones.
 	Waiting, Late float64
 	// Promised is the memory that promised returns need, by slots from now.
 	Promised [Slots]float64
@@ -44,66 +44,67 @@
 // Forecast is the predicted room of a service by slots from the time of its State.
 type Forecast struct {
 	// ahead is the memory that a new request finds up to the end of each slot: what is free and what
-	// becomes free, less what promised and waiting requests take. It is negative while they
-	// don't have room themselves.
+	// becomes free, less what those wait for that go before it.
 	ahead [Slots]float64
-	// spare is the memory that nobody takes in each slot: neither promised, nor waiting, nor new
+	// behind is the memory that a returning request finds up to the end of each slot: what new
+	// requests and those that came back before leave.
+	behind [Slots]float64
+	// spare is the memory that nobody takes in each slot: neither waiting, nor new, nor promised
 	// requests. Unused memory is counted once, in the first slot where it is free.
 	spare [Slots]float64
-	// freed is the memory that answers in progress free in each slot.
-	freed [Slots]float64
-	// late is the memory that late requests wait for.
-	late int
 }
 
 // New predicts the room from a state.
 func New(s State) *Forecast {
-	f := &Forecast{late: int(s.Late)}
+	f := &Forecast{}
 	used := 0.0
+	var freed [Slots]float64
 	for _, l := range s.Running {
 		used += float64(l.Memory)
 		if k := slotOf(l.Left); k < Slots {
-			f.freed[k] += float64(l.Memory)
+			freed[k] += float64(l.Memory)
 		}
 	}
 	free := s.Capacity - used
 	if s.Full {
 		free = min(free, 0)
 	}
-	f.predict(s, free)
+	f.predict(s, free, freed)
 	return f
 }
 
 // slotOf returns the slot that contains a time from now.
 func slotOf(after time.Duration) int { return int(max(0, after) / SlotLength) }
 
-// predict passes the free memory of each slot to the promised, the waiting and the new requests, in
-// that order. An answer admitted in a slot frees its memory after State.Hold.
-func (f *Forecast) predict(s State, free float64) {
+// predict passes the memory that is free or becomes free in each slot to the waiting, the new, the
+// late and the promised requests, in that order. An answer admitted in a slot frees its memory
+// after State.Hold.
+func (f *Forecast) predict(s State, free float64, freed [Slots]float64) {
 	var admitted [Slots]float64
 	hold := slotOf(s.Hold)
-	promised, waiting, late, accounted := 0.0, s.Waiting, s.Late, 0.0
-	cumulative := free - s.Waiting
+	waiting, late, promised, accounted := s.Waiting, s.Late, 0.0, 0.0
+	ahead, behind := free-s.Waiting, free-s.Waiting-s.Late
 	for k := range Slots {
-		gained := f.freed[k]
+		gained := freed[k]
 		if hold > 0 && k >= hold {
 			gained += admitted[k-hold]
 		}
 		free += gained
-		cumulative += gained - s.Promised[k]
-		f.ahead[k] = cumulative
 		take := func(wanted float64) float64 {
 			n := max(0, min(free, wanted))
 			free -= n
 			admitted[k] += n
 			return n
 		}
-		promised += s.Promised[k]
-		promised -= take(promised)
 		waiting -= take(waiting)
 		// New requests that find no room soon are refused, and are not carried over.
-		take(s.Arriving * SlotLength.Seconds())
+		taken := take(s.Arriving * SlotLength.Seconds())
 		late -= take(late)
+		promised += s.Promised[k]
+		promised -= take(promised)
+		ahead += gained
+		behind += gained - taken
+		f.ahead[k], f.behind[k] = ahead, behind
 		f.spare[k] = max(0, free-accounted)
 		accounted = max(accounted, free)
 	}
@@ -111,20 +112,22 @@
 
 // Wait returns the time until a new request of a size has room, false if it has none within the
 // forecast.
-func (f *Forecast) Wait(size int) (time.Duration, bool) {
-	for k, room := range f.ahead {
-		if room >= float64(size) {
+func (f *Forecast) Wait(size int) (time.Duration, bool) { return firstWith(f.ahead, size) }
+
+// WaitBehindNew returns the time until a returning request of a size has room that new requests
+// leave, false if it has none within the forecast.
+func (f *Forecast) WaitBehindNew(size int) (time.Duration, bool) { return firstWith(f.behind, size) }
+
+// firstWith returns the begin of the first slot with room for a size.
+func firstWith(room [Slots]float64, size int) (time.Duration, bool) {
+	for k, r := range room {
+		if r >= float64(size) {
 			return time.Duration(k) * SlotLength, true
 		}
 	}
 	return 0, false
 }
 
-// WaitBehindAll returns the time until a request of a size has room that goes behind all that wait,
-// also the late ones, but ahead of those that arrive later; false if it has none within the
-// forecast.
-func (f *Forecast) WaitBehindAll(size int) (time.Duration, bool) { return f.Wait(size + f.late) }
-
 // Spare returns the memory that nobody is expected to take in the slot that contains a time from
 // now.
 func (f *Forecast) Spare(after time.Duration) float64 {
@@ -134,13 +137,3 @@
 	}
 	return f.spare[k]
 }
-
-// Freed returns the memory that the answers in progress free in the slot that contains a time from
-// now.
-func (f *Forecast) Freed(after time.Duration) float64 {
-	k := slotOf(after)
-	if k >= Slots {
-		return 0
-	}
-	return f.freed[k]
-}
--- /dev/null
+++ b/pkg/forecast/load_test.go
@@ -0,0 +1,272 @@
+package forecast
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// load is a simulated service with its clients and gateways.
+type load struct {
+	// rate returns the new requests per second at a time from the start.
+	rate func(at time.Duration) float64
+	// planned uses the planner; otherwise requests wait for a fixed time, Retry-After is random, and
+	// returning requests are not told from new ones.
+	planned bool
+	// lostAt is when half of the gateways end; 0 for never.
+	lostAt time.Duration
+	length time.Duration
+}
+
+const (
+	step        = 10 * time.Millisecond
+	gateways    = 24
+	places      = 300
+	jobMemory   = 8000
+	newPatience = 400 * time.Millisecond
+	maxPatience = 3100 * time.Millisecond
+	longestBack = 4600 * time.Millisecond
+	exchange    = 60 * time.Millisecond
+)
+
+// capacityRate is the number of answers per second that the service can serve: answers take 1 to 5 s.
+const capacityRate = places / 3.0
+
+// result counts clients by how they were served.
+type result struct {
+	asked, inTime, late, lost int
+	// held is the mean time for which a client that was lost in the end was kept waiting at gateways.
+	held time.Duration
+	// most is the largest number of answers at once.
+	most int
+	// keptServed and kept count the clients with a kept place that came back, and how many of them
+	// were served.
+	kept, keptServed int
+}
+
+type client struct {
+	gateway   int
+	arrived   time.Duration
+	returning bool
+	kept      bool
+	held      time.Duration
+}
+
+// play simulates the load. All gateways place requests in the same order; only their forecasts
+// differ.
+func (l *load) play(seed uint64) result {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	start := time.Unix(1000, 0)
+	planners := make([]*Planner, gateways)
+	for i := range planners {
+		planners[i] = NewPlanner()
+	}
+	alive := gateways
+	var running []time.Duration
+	var queue []*client
+	returns := map[time.Duration][]*client{}
+	var r result
+	held := time.Duration(0)
+	patience := func(c *client) time.Duration {
+		switch {
+		case !l.planned:
+			return 200 * time.Millisecond
+		case c.returning:
+			return maxPatience
+		}
+		return newPatience
+	}
+	rank := func(c *client) int {
+		if l.planned && c.returning {
+			return 2
+		}
+		return 1
+	}
+	refuse := func(c *client, now time.Duration) {
+		c.held += now - c.arrived
+		if c.returning {
+			r.lost++
+			held += c.held
+			return
+		}
+		after := 3*time.Second + time.Duration(rng.Int64N(int64(longestBack-3*time.Second)))
+		if l.planned {
+			p := planners[c.gateway]
+			back := p.Promise(l.forecast(p, c.gateway, queue, running, alive, start, now), jobMemory, 3*time.Second, longestBack, rng.Float64, start.Add(now))
+			after, c.kept = back.After, back.Kept
+		}
+		at := (now + after).Truncate(step) + step
+		returns[at] = append(returns[at], c)
+	}
+	for now := time.Duration(0); now < l.length || len(returns) > 0 || len(queue) > 0; now += step {
+		if l.lostAt > 0 && now == l.lostAt {
+			alive = gateways / 2
+			for _, p := range planners[:alive] {
+				for k := alive; k < gateways; k++ {
+					p.Promises.Drop(fmt.Sprint(k))
+				}
+			}
+			queue = slices.DeleteFunc(queue, func(c *client) bool {
+				if c.gateway >= alive {
+					r.lost++
+				}
+				return c.gateway >= alive
+			})
+		}
+		running = slices.DeleteFunc(running, func(end time.Duration) bool { return end <= now })
+		if now%exchange == 0 && l.planned {
+			for i := range alive {
+				report := planners[i].Promises.Own(start.Add(now))
+				for k := range alive {
+					if k != i && rng.Float64() < 0.9 {
+						planners[k].Promises.Receive(fmt.Sprint(i), report, start.Add(now))
+					}
+				}
+			}
+		}
+		var arrivals []*client
+		if now < l.length {
+			n := l.rate(now) * step.Seconds()
+			for n > 0 && rng.Float64() < n {
+				arrivals = append(arrivals, &client{})
+				r.asked++
+				n--
+			}
+		}
+		for _, c := range returns[now] {
+			c.returning = true
+			if c.kept {
+				r.kept++
+			}
+			arrivals = append(arrivals, c)
+		}
+		delete(returns, now)
+		for _, c := range arrivals {
+			c.gateway, c.arrived = rng.IntN(alive), now
+			if l.planned && !c.returning {
+				planners[c.gateway].Arrived(jobMemory, start.Add(now))
+			}
+		}
+		queue = append(queue, arrivals...)
+		slices.SortStableFunc(queue, func(a, b *client) int { return cmp.Compare(rank(a), rank(b)) })
+		left := queue[:0:0]
+		for _, c := range queue {
+			if len(running) < places {
+				running = append(running, now+time.Second+time.Duration(rng.Int64N(int64(4*time.Second))))
+				switch {
+				case c.returning:
+					r.late++
+				default:
+					r.inTime++
+				}
+				if c.returning && c.kept {
+					r.keptServed++
+				}
+				continue
+			}
+			left = append(left, c)
+		}
+		queue = left
+		r.most = max(r.most, len(running))
+		queue = slices.DeleteFunc(queue, func(c *client) bool {
+			over := now-c.arrived >= patience(c)
+			if l.planned && c.arrived == now {
+				f := l.forecast(planners[c.gateway], c.gateway, queue, running, alive, start, now)
+				wait, ok := f.Wait(jobMemory)
+				if c.returning {
+					wait, ok = f.WaitBehindNew(jobMemory)
+				}
+				over = over || !ok || wait > 2*patience(c)
+			}
+			if over {
+				refuse(c, now)
+			}
+			return over
+		})
+	}
+	if r.lost > 0 {
+		r.held = held / time.Duration(r.lost)
+	}
+	return r
+}
+
+// forecast returns the forecast of one gateway, which knows its own queue, the number of waiting
+// requests of the others, and the answers of all, whose ends it knows only roughly.
+func (l *load) forecast(p *Planner, gateway int, queue []*client, running []time.Duration, alive int, start time.Time, now time.Duration) *Forecast {
+	return p.Forecast(func() Observation {
+		o := Observation{Capacity: places * jobMemory, Gateways: alive}
+		for i, end := range running {
+			factor := 0.7 + 0.6*float64(i%7)/6
+			o.Running = append(o.Running, Load{Memory: jobMemory, Left: time.Duration(factor * float64(end-now))})
+		}
+		for _, c := range queue {
+			switch {
+			case c.gateway != gateway && !c.returning:
+				o.Peers++
+			case c.gateway != gateway:
+			case c.returning:
+				o.Late += jobMemory
+			default:
+				o.Here++
+				o.Waiting += jobMemory
+			}
+		}
+		return o
+	}, start.Add(now))
+}
+
+func burst(from, to time.Duration, factor float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= from && at < to {
+			return factor * capacityRate
+		}
+		return 0.5 * capacityRate
+	}
+}
+
+// Loads: a burst of twice the capacity for 4 s, waves of it, a burst that does not end, and half of
+// the gateways lost in a burst.
+func TestForecastServesMoreClientsUnderLoad(t *testing.T) {
+	waves := func(at time.Duration) float64 {
+		return burst(2*time.Second, 6*time.Second, 1.8)(at % (9 * time.Second))
+	}
+	for _, c := range []struct {
+		name string
+		load load
+	}{
+		{"burst", load{rate: burst(5*time.Second, 9*time.Second, 2), length: 20 * time.Second}},
+		{"waves", load{rate: waves, length: 36 * time.Second}},
+		{"no end", load{rate: burst(5*time.Second, time.Hour, 2), length: 30 * time.Second}},
+		{"gateways lost", load{rate: burst(5*time.Second, 9*time.Second, 2), length: 20 * time.Second, lostAt: 7 * time.Second}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var before, after result
+			for seed := range uint64(3) {
+				for _, planned := range []bool{false, true} {
+					l := c.load
+					l.planned = planned
+					r, sum := l.play(seed), &before
+					if planned {
+						sum = &after
+					}
+					sum.asked += r.asked
+					sum.inTime += r.inTime
+					sum.late += r.late
+					sum.lost += r.lost
+					sum.kept += r.kept
+					sum.keptServed += r.keptServed
+					sum.held += r.held / 3
+					g.Expect(r.most).To(BeNumerically("<=", places))
+				}
+			}
+			t.Logf("before %+v", before)
+			t.Logf("after  %+v", after)
+		})
+	}
+}
--- a/pkg/forecast/planner.go
+++ b/pkg/forecast/planner.go
@@ -172,14 +172,3 @@
 	}
 	return 0
 }
-
-// urgentShare is the last part of the wait of a returning request, in which it goes ahead of new
-// ones.
-const urgentShare = 1.0 / 3
-
-// Urgent returns the time from which a returning request goes ahead of new ones, if it waits from
-// arrived to latest. Until then it waits behind them: it is late already, while they can still be
-// in time.
-func Urgent(arrived, latest time.Time) time.Time {
-	return latest.Add(-time.Duration(urgentShare * float64(latest.Sub(arrived))))
-}
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// newRequestWaitShare is the share of its latency target that a new request may wait for room
-	// before it is refused with Retry-After.
+	// newRequestWaitShare is the share of its latency target that a new request may at least wait
+	// for room before it is refused with Retry-After, if less than serveReserve is left otherwise.
 	newRequestWaitShare = 0.22
 	// minClientTimeout and the two factors estimate how long clients wait for the first event of a
 	// stream: the longest of minClientTimeout, latencyFactor times the latency target and gapFactor
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -105,7 +105,8 @@
 func (s *generation) roomDeadline() time.Time {
 	switch s.rank {
 	case enginepool.Fresh:
-		return s.arrived.Add(time.Duration(newRequestWaitShare * float64(s.route.LatencyTarget)))
+		share := time.Duration(newRequestWaitShare * float64(s.route.LatencyTarget))
+		return s.arrived.Add(max(share, s.route.LatencyTarget-serveReserve))
 	default:
 		clientTimeout := max(minClientTimeout, latencyFactor*s.route.LatencyTarget, gapFactor*s.route.GapTarget)
 		return s.arrived.Add(clientTimeout - serveReserve)
--- a/pkg/ingress/room.go
+++ b/pkg/ingress/room.go
@@ -39,40 +39,53 @@
 }
 
 // room returns a decode runner that has room for the request. It waits for one until a time, unless
-// the forecast shows that none has room until then. A returning request first waits for room that
-// no new one needs: it is late already, while they can still be in time. In the last part of its
-// wait it goes ahead of them, as it was promised a place.
+// the forecast shows that none has room even much later.
 func (s *generation) room(latest time.Time) (*runners.State, error) {
-	if s.rank != enginepool.Returning {
-		return s.wait(s.rank, latest)
+	if s.rank == enginepool.Returning {
+		return s.waitForSpare(latest)
+	}
+	w := s.newWaiter()
+	if runner := s.roomNow(w); runner != nil {
+		return runner, nil
 	}
-	urgent := forecast.Urgent(s.arrived, latest)
-	if now := time.Now(); now.Before(urgent) && s.hopeless(now) {
+	if s.hopeless(latest, time.Now()) {
 		return nil, &enginepool.ErrNoRoom{ID: s.job.ID}
 	}
+	ctx, cancel := context.WithDeadline(s.ctx, latest)
+	defer cancel()
+	return s.pool.Wait(ctx, w)
+}
+
+// spareInterval is the interval at which a returning request looks for room that no new one needs.
+const spareInterval = 50 * time.Millisecond
+
+// waitForSpare waits until a time for room that new requests leave: a returning request is late
+// already, while they can still be in time.
+func (s *generation) waitForSpare(latest time.Time) (*runners.State, error) {
+	began := time.Now()
 	tick := time.NewTicker(spareInterval)
 	defer tick.Stop()
-	for now := time.Now(); now.Before(urgent); {
+	for now := began; now.Before(latest); {
 		if s.forecast(now).Spare(0) >= float64(s.job.MeanMemory()) {
-			if runner := s.roomNow(s.newWaiter(enginepool.Late)); runner != nil {
+			if runner := s.roomNow(s.newWaiter()); runner != nil {
 				return runner, nil
 			}
 		}
+		if s.hopeless(latest, now) {
+			break
+		}
 		select {
 		case <-s.ctx.Done():
 			return nil, s.ctx.Err()
 		case now = <-tick.C:
 		}
 	}
-	return s.wait(enginepool.Returning, latest)
+	return nil, &enginepool.ErrNoRoom{ID: s.job.ID, Waited: time.Since(began)}
 }
 
-// spareInterval is the interval at which a returning request looks for room that no new one needs.
-const spareInterval = 50 * time.Millisecond
-
-// newWaiter returns a waiter for the request with a rank.
-func (s *generation) newWaiter(rank enginepool.Rank) *enginepool.Waiter {
-	w := s.pool.NewWaiter(s.job, rank)
+// newWaiter returns a waiter for the request.
+func (s *generation) newWaiter() *enginepool.Waiter {
+	w := s.pool.NewWaiter(s.job, s.rank)
 	for id := range s.failedDecode {
 		w.Avoid(id)
 	}
@@ -82,20 +95,6 @@
 	return w
 }
 
-// wait waits for room with a rank until a time.
-func (s *generation) wait(rank enginepool.Rank, until time.Time) (*runners.State, error) {
-	w := s.newWaiter(rank)
-	if runner := s.roomNow(w); runner != nil {
-		return runner, nil
-	}
-	if s.hopeless(time.Now()) {
-		return nil, &enginepool.ErrNoRoom{ID: s.job.ID}
-	}
-	ctx, cancel := context.WithDeadline(s.ctx, until)
-	defer cancel()
-	return s.pool.Wait(ctx, w)
-}
-
 // roomNow returns a runner that has room for the request now, nil if there is none.
 func (s *generation) roomNow(w *enginepool.Waiter) *runners.State {
 	ended, cancel := context.WithCancel(context.Background())
@@ -107,10 +106,11 @@
 	return runner
 }
 
-// hopeless reports whether the forecast shows that the request gets no room before its deadline, so
-// that it is refused at once. This is determined once per request, and a request that has begun is
-// never refused for a forecast.
-func (s *generation) hopeless(now time.Time) bool {
+// hopeless reports whether a request that may wait until a time is refused at once: room is forecast
+// for more than twice that wait, or not at all. A forecast that is a little later than the request
+// can wait is no reason, since it is not that exact. Each request is compared with the forecast
+// once, and a request that has begun is never refused for it.
+func (s *generation) hopeless(latest, now time.Time) bool {
 	if s.rank == enginepool.Begun || s.forecastMade {
 		return false
 	}
@@ -118,28 +118,20 @@
 	f, memory := s.forecast(now), s.job.MeanMemory()
 	wait, ok := f.Wait(memory)
 	if s.rank == enginepool.Returning {
-		wait, ok = f.WaitBehindAll(memory)
+		wait, ok = f.WaitBehindNew(memory)
 	}
+	atOnce := !ok || wait > 2*latest.Sub(now)
 	if ok {
 		s.fields = append(s.fields, decisionlog.F("forecast_wait", wait))
 	} else {
 		s.fields = append(s.fields, decisionlog.F("forecast_wait", "none"))
 	}
-	latest := s.roomDeadline()
-	if s.rank == enginepool.Fresh {
-		latest = latest.Add(forecastMargin)
+	if atOnce {
+		s.fields = append(s.fields, decisionlog.F("refused_at_once", true))
 	}
-	if ok && !now.Add(wait).After(latest) {
-		return false
-	}
-	s.fields = append(s.fields, decisionlog.F("refused_at_once", true))
-	return true
+	return atOnce
 }
 
-// forecastMargin is how much longer than a new request may wait the forecast wait must be for the
-// request to be refused at once: room may come sooner than forecast, and a wait in vain is short.
-const forecastMargin = time.Second
-
 // streamRetryAfter returns the Retry-After of a refused stream: the end of the first pause if all
 // runners are paused, otherwise a time at which room is expected, well before the client's
 // timeout. The return is counted, so that all gateways expect it.
@@ -151,11 +143,11 @@
 		return after
 	}
 	longest := min(maxStreamRetryAfter, time.Duration(float64(s.timeLeft())*retryAfterShare))
-	r := s.planner.Promise(s.forecast(now), s.job.MeanMemory(), minReturnAfter, longest, rand.Float64, now)
+	r := s.planner.Promise(s.forecast(now), s.job.MeanMemory(), min(minReturnAfter, longest/2), longest, rand.Float64, now)
 	s.fields = append(s.fields, decisionlog.F("kept", r.Kept), decisionlog.F("prompt_id", s.call.PromptID))
 	return max(r.After, shortRetryAfter)
 }
 
-// minReturnAfter is the shortest Retry-After of a refused stream: a client needs some time to
-// return, and a place that is free earlier is filled by those who wait.
-const minReturnAfter = time.Second
+// minReturnAfter is the shortest Retry-After of a refused stream whose client has time enough. A
+// client that comes back sooner takes part in the burst in which it was refused.
+const minReturnAfter = 3 * time.Second
