--- a/pkg/forecast/load_test.go
+++ b/pkg/forecast/load_test.go
@@ -230,7 +230,9 @@
 }
 
 // Loads: a burst of twice the capacity for 4 s, waves of it, a burst that does not end, and half of
-// the gateways lost in a burst.
+// the gateways lost in a burst. With a fixed wait of 0.2 s and a random Retry-After, clients that came
+// back were refused for good when there was room, and new ones that could still be in time were
+// refused.
 func TestForecastServesMoreClientsUnderLoad(t *testing.T) {
 	waves := func(at time.Duration) float64 {
 		return burst(2*time.Second, 6*time.Second, 1.8)(at % (9 * time.Second))
@@ -238,35 +240,40 @@
 	for _, c := range []struct {
 		name string
 		load load
+		// lost is the largest share of the clients lost before that may still be lost.
+		lost float64
 	}{
-		{"burst", load{rate: burst(5*time.Second, 9*time.Second, 2), length: 20 * time.Second}},
-		{"waves", load{rate: waves, length: 36 * time.Second}},
-		{"no end", load{rate: burst(5*time.Second, time.Hour, 2), length: 30 * time.Second}},
-		{"gateways lost", load{rate: burst(5*time.Second, 9*time.Second, 2), length: 20 * time.Second, lostAt: 7 * time.Second}},
+		{"burst", load{rate: burst(2*time.Second, 6*time.Second, 2), length: 12 * time.Second}, 0.3},
+		{"waves", load{rate: waves, length: 27 * time.Second}, 1},
+		{"no end", load{rate: burst(2*time.Second, time.Hour, 2), length: 12 * time.Second}, 1},
+		{"gateways lost", load{rate: burst(2*time.Second, 6*time.Second, 2), length: 12 * time.Second, lostAt: 4 * time.Second}, 0.7},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			var before, after result
-			for seed := range uint64(3) {
-				for _, planned := range []bool{false, true} {
-					l := c.load
-					l.planned = planned
-					r, sum := l.play(seed), &before
-					if planned {
-						sum = &after
-					}
-					sum.asked += r.asked
-					sum.inTime += r.inTime
-					sum.late += r.late
-					sum.lost += r.lost
-					sum.kept += r.kept
-					sum.keptServed += r.keptServed
-					sum.held += r.held / 3
-					g.Expect(r.most).To(BeNumerically("<=", places))
-				}
-			}
-			t.Logf("before %+v", before)
-			t.Logf("after  %+v", after)
+			before, planned := c.load, c.load
+			planned.planned = true
+			old, now := before.play(1), planned.play(1)
+			t.Logf("fixed wait: %s", old)
+			t.Logf("forecast:   %s", now)
+			g.Expect(now.share(now.lost)).To(BeNumerically("<=", c.lost*old.share(old.lost)))
+			g.Expect(now.share(now.inTime)).To(BeNumerically(">=", 1.02*old.share(old.inTime)))
+			g.Expect(now.most).To(BeNumerically("<=", places))
 		})
 	}
 }
+
+// A client that can't be served is refused for good at once when it comes back to a burst that does
+// not end, instead of after the longest wait.
+func TestHopelessReturnsAreRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	l := load{rate: burst(0, time.Hour, 2), length: 10 * time.Second, planned: true}
+	r := l.play(1)
+	g.Expect(r.lost).To(BeNumerically(">", 100))
+	g.Expect(r.held).To(BeNumerically("<", newPatience+maxPatience/2))
+}
+
+func (r result) share(n int) float64 { return float64(n) / float64(r.asked) }
+
+func (r result) String() string {
+	return fmt.Sprintf("asked %d, in time %.3f, late %.3f, lost %.3f after %s at gateways", r.asked, r.share(r.inTime), r.share(r.late), r.share(r.lost), r.held)
+}
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -60,6 +60,17 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`hopwell_ingress_request_seconds{kind=%q}`, kind)).Update(took.Seconds())
 }
 
+// promised counts a refused client that was told when to come back. kept says that room is expected
+// then.
+func (m *meters) promised(kept bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`hopwell_ingress_promised_returns_total{kept="%t"}`, kept)).Inc()
+}
+
+// forecast counts a request that found no room at once, by whether the forecast let it wait.
+func (m *meters) forecast(refused bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`hopwell_ingress_forecasts_total{refused="%t"}`, refused)).Inc()
+}
+
 // declined counts a runner's refusal.
 func (m *meters) declined(status int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`hopwell_ingress_declined_total{status="%d"}`, status)).Inc()
--- a/pkg/ingress/room.go
+++ b/pkg/ingress/room.go
@@ -126,6 +126,7 @@
 	} else {
 		s.fields = append(s.fields, decisionlog.F("forecast_wait", "none"))
 	}
+	s.g.metrics.forecast(atOnce)
 	if atOnce {
 		s.fields = append(s.fields, decisionlog.F("refused_at_once", true))
 	}
@@ -144,6 +145,7 @@
 	}
 	longest := min(maxStreamRetryAfter, time.Duration(float64(s.timeLeft())*retryAfterShare))
 	r := s.planner.Promise(s.forecast(now), s.job.MeanMemory(), min(minReturnAfter, longest/2), longest, rand.Float64, now)
+	s.g.metrics.promised(r.Kept)
 	s.fields = append(s.fields, decisionlog.F("kept", r.Kept), decisionlog.F("prompt_id", s.call.PromptID))
 	return max(r.After, shortRetryAfter)
 }
