--- a/pkg/forecast/planner.go
+++ b/pkg/forecast/planner.go
@@ -39,6 +39,7 @@
 // It is safe for concurrent use.
 type Planner struct {
 	Promises *Promises
+	Serving  Serving
 
 	mu sync.Mutex
 	// arrivals is the decayed memory that new requests asked for, as of arrivedAt; size is the mean
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -18,7 +18,8 @@
 
 const (
 	// newRequestWaitShare is the share of its latency target that a new request may at least wait
-	// for room before it is refused with Retry-After, if less than serveReserve is left otherwise.
+	// for room before it is refused with Retry-After. It waits longer if serving it is expected to
+	// take less than the rest.
 	newRequestWaitShare = 0.22
 	// minClientTimeout and the two factors estimate how long clients wait for the first event of a
 	// stream: the longest of minClientTimeout, latencyFactor times the latency target and gapFactor
@@ -26,8 +27,8 @@
 	minClientTimeout = 2 * time.Second
 	latencyFactor    = 4
 	gapFactor        = 8
-	// serveReserve is the part of the client's timeout, or of the latency target, that is kept for
-	// the prefill and the first event.
+	// serveReserve is the part of the client's timeout that is at least kept for the prefill and the
+	// first event, and that of the latency target until the time that they take is known.
 	serveReserve = 500 * time.Millisecond
 	// holdTimeout limits the call that takes a hold.
 	holdTimeout = 400 * time.Millisecond
@@ -83,7 +84,9 @@
 	failedDecode map[string]bool
 	// forecastMade is set once the request was compared with the forecast.
 	forecastMade bool
-	relay        relay
+	// roomAt is when the request got room for its last attempt.
+	roomAt time.Time
+	relay  relay
 }
 
 // generate serves a request by engines. It reserves room for the decode first, then runs the
@@ -197,6 +200,7 @@
 		return notRun, err
 	}
 	defer func() { s.pool.End(room.runner.ID, s.job.ID, time.Now()) }()
+	s.roomAt = room.at
 	var source PrefilledCache
 	var prefillRunner *runners.State
 	if !s.relay.begun && s.call.After == "" {
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -95,6 +95,7 @@
 func (r *relay) writeHeader(a *Response) {
 	r.begun = true
 	r.s.g.metrics.firstEvent.UpdateDuration(r.s.arrived)
+	r.s.planner.Serving.Learn(time.Since(r.s.roomAt))
 	r.s.fields = append(r.s.fields, decisionlog.F("first_event", time.Since(r.s.arrived)))
 	r.s.copyHeader(a)
 	r.s.w.WriteHeader(a.Status)
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -15,6 +15,7 @@
 type reservation struct {
 	runner *runners.State
 	hold   string
+	at     time.Time
 }
 
 // reserve waits for room on a decode runner and takes a hold there.
@@ -36,7 +37,7 @@
 		if err == nil {
 			s.g.metrics.wait.UpdateDuration(began)
 			s.fields = append(s.fields, decisionlog.F("decode", runner.ID), decisionlog.F("room_after", time.Since(s.arrived)))
-			return &reservation{runner, hold}, nil
+			return &reservation{runner: runner, hold: hold, at: time.Now()}, nil
 		}
 		s.pool.Refused(runner.ID, s.job.ID, time.Now())
 		s.logStep("hold_refused", decisionlog.F("runner", runner.ID), decisionlog.F("error", err))
@@ -103,13 +104,14 @@
 
 // roomDeadline returns the time until which the request may wait for room.
 func (s *generation) roomDeadline() time.Time {
+	reserve := s.planner.Serving.Reserve(serveReserve)
 	switch s.rank {
 	case enginepool.Fresh:
 		share := time.Duration(newRequestWaitShare * float64(s.route.LatencyTarget))
-		return s.arrived.Add(max(share, s.route.LatencyTarget-serveReserve))
+		return s.arrived.Add(max(share, s.route.LatencyTarget-reserve))
 	default:
 		clientTimeout := max(minClientTimeout, latencyFactor*s.route.LatencyTarget, gapFactor*s.route.GapTarget)
-		return s.arrived.Add(clientTimeout - serveReserve)
+		return s.arrived.Add(clientTimeout - max(serveReserve, min(reserve, clientTimeout/2)))
 	}
 }
 
