--- /dev/null
+++ b/pkg/ingress/room_test.go
@@ -0,0 +1,36 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/enginepool"
+)
+
+// A client that one gateway told to come back may come back to any other.
+func TestPromisedReturnsAreExpectedAtOtherGateways(t *testing.T) {
+	g := NewWithT(t)
+	a, b := New(Options{Name: "a"}), New(Options{Name: "b"})
+	for _, i := range []*Ingress{a, b} {
+		i.pool("llm").Configure(enginepool.Spec{Memory: 1000, Slots: 8})
+	}
+	now := time.Now()
+	a.planner("llm").Promises.Add(now.Add(3 * time.Second))
+	g.Expect(b.planner("llm").Promises.Expected(now)).To(BeFalse())
+	snapshots, _ := a.Snapshots(nil)
+	b.ReceiveSnapshot("a", "llm", snapshots["llm"])
+	g.Expect(b.planner("llm").Promises.Expected(now)).To(BeTrue())
+	due := b.planner("llm").Promises.Due(now)
+	sum := 0.0
+	for _, n := range due {
+		sum += n
+	}
+	g.Expect(sum).To(BeNumerically("~", 1, 0.01))
+	b.DropGateway("a")
+	due = b.planner("llm").Promises.Due(now)
+	for _, n := range due {
+		g.Expect(n).To(BeZero())
+	}
+}
