--- a/pkg/losses/forecast_test.go
+++ b/pkg/losses/forecast_test.go
@@ -28,6 +28,9 @@
 	var out strings.Builder
 	g.Expect(r.Write(&out)).To(Succeed())
 	g.Expect(out.String()).To(ContainSubstring("FORECAST"))
+	out.Reset()
+	g.Expect(r.WriteSVG(&out)).To(Succeed())
+	g.Expect(out.String()).To(ContainSubstring("mean absolute error"))
 }
 
 func TestNoForecastTableWithoutForecasts(t *testing.T) {
--- a/pkg/losses/plot.go
+++ b/pkg/losses/plot.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"image/color"
 	"io"
+	"time"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -18,6 +19,8 @@
 	plotWidth   = 26 * vg.Centimeter
 	plotHeight  = 18 * vg.Centimeter
 	panelHeight = 11 * vg.Centimeter
+	// forecastHeight is the height of the chart of forecasts, which is added below.
+	forecastHeight = 7 * vg.Centimeter
 	// barFill is the share of a window's width that its bar fills.
 	barFill = 0.8
 )
@@ -35,7 +38,8 @@
 func (e *ErrPlot) Unwrap() error { return e.Err }
 
 // WriteSVG draws a bar chart of the generations by cause over time, and below it a chart of
-// the engines by stage, their reserved memory and the waiting requests.
+// the engines by stage, their reserved memory and the waiting requests. If there were forecasts of
+// room, a chart of their errors follows.
 func (r *Report) WriteSVG(w io.Writer) error {
 	bars, err := r.causeChart()
 	if err != nil {
@@ -45,10 +49,21 @@
 	if err != nil {
 		return err
 	}
-	canvas := vgsvg.New(plotWidth, plotHeight)
+	extra := vg.Length(0)
+	if len(r.log.forecasts) > 0 {
+		extra = forecastHeight
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight+extra)
 	whole := draw.New(canvas)
-	bars.Draw(draw.Crop(whole, 0, 0, plotHeight-panelHeight, 0))
-	engines.Draw(draw.Crop(whole, 0, 0, 0, -panelHeight))
+	bars.Draw(draw.Crop(whole, 0, 0, plotHeight+extra-panelHeight, 0))
+	engines.Draw(draw.Crop(whole, 0, 0, extra, -panelHeight))
+	if extra > 0 {
+		forecasts, err := r.forecastChart()
+		if err != nil {
+			return err
+		}
+		forecasts.Draw(draw.Crop(whole, 0, 0, 0, -plotHeight))
+	}
 	_, err = canvas.WriteTo(w)
 	return err
 }
@@ -122,17 +137,47 @@
 		{"waiting", func(e *Engines) float64 { return e.Waiting }},
 	}
 	for i, s := range series {
-		points := make(plotter.XYs, len(r.Windows))
-		for n := range r.Windows {
-			points[n] = plotter.XY{X: float64(n), Y: s.value(&r.Windows[n].Engines)}
+		if err := r.addLine(p, s.name, paletteColor(i, len(series)), func(w *Window) float64 { return s.value(&w.Engines) }); err != nil {
+			return nil, err
 		}
-		line, err := plotter.NewLine(points)
-		if err != nil {
-			return nil, &ErrPlot{Part: s.name, Err: err}
+	}
+	p.X.Tick.Marker = r.ticks()
+	return p, nil
+}
+
+// addLine adds a line with one value for each window.
+func (r *Report) addLine(p *plot.Plot, name string, c color.Color, value func(*Window) float64) error {
+	points := make(plotter.XYs, len(r.Windows))
+	for n := range r.Windows {
+		points[n] = plotter.XY{X: float64(n), Y: value(&r.Windows[n])}
+	}
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return &ErrPlot{Part: name, Err: err}
+	}
+	line.Color = c
+	p.Add(line)
+	p.Legend.Add(name, line)
+	return nil
+}
+
+// forecastChart draws the mean errors of the forecasts of room over time.
+func (r *Report) forecastChart() (*plot.Plot, error) {
+	p := plot.New()
+	p.X.Label.Text = "seconds since " + r.Start.Format("15:04:05")
+	p.Y.Label.Text = "wait less its forecast, ms"
+	p.Legend.Top = true
+	for i, s := range []struct {
+		name  string
+		value func(*Forecast) time.Duration
+	}{
+		{"mean error", func(f *Forecast) time.Duration { return f.Error }},
+		{"mean absolute error", func(f *Forecast) time.Duration { return f.AbsoluteError }},
+		{"wait of returning clients", func(f *Forecast) time.Duration { return f.ReturnWait }},
+	} {
+		if err := r.addLine(p, s.name, paletteColor(i, 3), func(w *Window) float64 { return float64(s.value(&w.Forecast).Milliseconds()) }); err != nil {
+			return nil, err
 		}
-		line.Color = paletteColor(i, len(series))
-		p.Add(line)
-		p.Legend.Add(s.name, line)
 	}
 	p.X.Tick.Marker = r.ticks()
 	return p, nil
