--- a/pkg/forecast/forecast.go
+++ b/pkg/forecast/forecast.go
@@ -30,8 +30,8 @@
 	Running  []Load
 	// Full means that a request waits for memory now, so that none is free whatever Capacity says.
 	Full bool
-	// Waiting is the memory that requests ahead of a new one wait for, and Late that which returning
-	// requests wait for.
+	// Waiting is the memory that requests ahead of a new one wait for, and Late that of requests
+	// behind new ones.
 	Waiting, Late float64
 	// Promised is the memory that promised returns need, by slots from now.
 	Promised [Slots]float64
@@ -46,8 +46,8 @@
 	// ahead is the memory that a new request finds up to the end of each slot: what is free and what
 	// becomes free, less what those wait for that go before it.
 	ahead [Slots]float64
-	// behind is the memory that returning requests find up to the end of each slot: what new ones
-	// leave.
+	// behind is the memory that a returning request finds up to the end of each slot: what new
+	// requests and those that came back before leave.
 	behind [Slots]float64
 	// spare is the memory that nobody takes in each slot: neither waiting, nor new, nor promised
 	// requests. Unused memory is counted once, in the first slot where it is free.
@@ -83,7 +83,7 @@
 	var admitted [Slots]float64
 	hold := slotOf(s.Hold)
 	waiting, late, promised, accounted := s.Waiting, s.Late, 0.0, 0.0
-	ahead, behind := free-s.Waiting, free-s.Waiting
+	ahead, behind := free-s.Waiting, free-s.Waiting-s.Late
 	for k := range Slots {
 		gained := freed[k]
 		if hold > 0 && k >= hold {
@@ -115,8 +115,7 @@
 func (f *Forecast) Wait(size int) (time.Duration, bool) { return firstWith(f.ahead, size) }
 
 // WaitBehindNew returns the time until a returning request of a size has room that new requests
-// leave, false if it has none within the forecast. It is the best case, without other returns: a
-// client refused in error is lost, while a wait in vain costs it seconds.
+// leave, false if it has none within the forecast.
 func (f *Forecast) WaitBehindNew(size int) (time.Duration, bool) { return firstWith(f.behind, size) }
 
 // firstWith returns the begin of the first slot with room for a size.
@@ -135,3 +134,13 @@
 func (f *Forecast) Take(size, gateways int, random float64) bool {
 	return f.behind[0] >= float64(size) && random*float64(size*max(1, gateways)) < f.behind[0]
 }
+
+// Spare returns the memory that nobody is expected to take in the slot that contains a time from
+// now.
+func (f *Forecast) Spare(after time.Duration) float64 {
+	k := slotOf(after)
+	if k >= Slots {
+		return 0
+	}
+	return f.spare[k]
+}
--- a/pkg/forecast/forecast_test.go
+++ b/pkg/forecast/forecast_test.go
@@ -48,6 +48,9 @@
 	wait, ok = New(s).WaitBehindNew(100)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(wait).To(Equal(400 * time.Millisecond))
+	s.Late = 100
+	wait, _ = New(s).WaitBehindNew(100)
+	g.Expect(wait).To(Equal(3 * time.Second))
 }
 
 func TestEmptyServiceHasRoomAtOnce(t *testing.T) {
@@ -69,13 +72,13 @@
 	f := New(s)
 	sum := 0.0
 	for k := range 10 {
-		sum += f.spare[k]
+		sum += f.Spare(time.Duration(k) * SlotLength)
 	}
 	g.Expect(sum).To(BeNumerically("~", 400, 1))
 	s.Arriving *= 2
 	f = New(s)
 	for k := range 10 {
-		g.Expect(f.spare[k]).To(BeZero())
+		g.Expect(f.Spare(time.Duration(k) * SlotLength)).To(BeZero())
 	}
 }
 
--- a/pkg/forecast/load_test.go
+++ b/pkg/forecast/load_test.go
@@ -199,7 +199,7 @@
 // requests of the others, and the answers of all, whose ends it knows only roughly.
 func (l *load) forecast(p *Planner, gateway int, queue []*client, running []time.Duration, alive int, start time.Time, now time.Duration) *Forecast {
 	return p.Forecast(func() Observation {
-		o, returns := Observation{Capacity: places * jobMemory, Gateways: alive}, 0
+		o := Observation{Capacity: places * jobMemory, Gateways: alive}
 		for i, end := range running {
 			factor := 0.7 + 0.6*float64(i%7)/6
 			o.Running = append(o.Running, Load{Memory: jobMemory, Left: time.Duration(factor * float64(end-now))})
@@ -210,13 +210,12 @@
 				o.Peers++
 			case c.gateway != gateway:
 			case c.returning:
-				returns += jobMemory
+				o.Late += jobMemory
 			default:
 				o.Here++
 				o.Waiting += jobMemory
 			}
 		}
-		p.returns = returns
 		return o
 	}, start.Add(now))
 }
--- a/pkg/forecast/planner.go
+++ b/pkg/forecast/planner.go
@@ -27,8 +27,9 @@
 	// Capacity is the memory of the engines that this gateway uses.
 	Capacity int
 	Running  []Load
-	// Here is the number of requests that wait in this gateway's queue, and Waiting their memory.
-	Here, Waiting int
+	// Here is the number of requests that wait at this gateway, and Waiting their memory without
+	// those that are late, whose memory is Late.
+	Here, Waiting, Late int
 	// Peers is the number of requests that wait at other gateways, and Gateways the number of
 	// gateways that share the engines, with this one.
 	Peers, Gateways int
@@ -46,8 +47,6 @@
 	arrivals  float64
 	arrivedAt time.Time
 	size      float64
-	// returns is the memory that returning requests at this gateway wait for.
-	returns int
 	// usable is the learned share of the engines' memory that is in use when requests wait.
 	usable   float64
 	forecast *Forecast
@@ -69,14 +68,6 @@
 	p.size += (float64(memory) - p.size) * usableWeight
 }
 
-// ReturnWaits records that a returning request begins to wait, or ends with a negative memory.
-// Returns are spread over the gateways like new requests.
-func (p *Planner) ReturnWaits(memory int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.returns += memory
-}
-
 func (p *Planner) decayed(now time.Time) float64 {
 	return p.arrivals * math.Exp(-max(0, now.Sub(p.arrivedAt).Seconds())/arrivalTime.Seconds())
 }
@@ -103,7 +94,7 @@
 	state := State{
 		Capacity: p.usable * float64(o.Capacity), Running: o.Running, Full: o.Here > 0,
 		Waiting:  float64(o.Waiting) + share*float64(o.Peers)*p.size,
-		Late:     float64(p.returns) * float64(max(1, o.Gateways)) * share,
+		Late:     float64(o.Late),
 		Arriving: p.decayed(now) / arrivalTime.Seconds() * float64(max(1, o.Gateways)) * share,
 		Hold:     meanHold(o.Running),
 	}
--- a/pkg/ingress/room.go
+++ b/pkg/ingress/room.go
@@ -35,7 +35,7 @@
 	gateways := s.g.gatewayCount()
 	return s.planner.Forecast(func() forecast.Observation {
 		b := s.pool.Backlog(now)
-		o := forecast.Observation{Capacity: b.Capacity, Here: b.Here, Waiting: b.Waiting, Peers: b.Peers, Gateways: gateways}
+		o := forecast.Observation{Capacity: b.Capacity, Here: b.Here, Waiting: b.Ahead, Late: b.Late, Peers: b.Peers, Gateways: gateways}
 		for _, r := range s.pool.Running(now) {
 			o.Running = append(o.Running, forecast.Load{Memory: r.Memory, Left: r.Left})
 		}
@@ -67,25 +67,18 @@
 // waitForSpare waits until a time for room that new requests leave: a returning request is late
 // already, while they can still be in time.
 func (s *generation) waitForSpare(latest time.Time) (*runners.State, error) {
-	began, memory := time.Now(), s.job.MeanMemory()
-	if _, waiting := s.pool.Waiting(); waiting == 0 {
-		if runner := s.roomNow(s.newWaiter()); runner != nil {
-			return runner, nil
-		}
-	}
-	if s.hopeless(latest, began) {
-		return nil, &enginepool.ErrNoRoom{ID: s.job.ID}
-	}
-	s.planner.ReturnWaits(memory)
-	defer s.planner.ReturnWaits(-memory)
+	began := time.Now()
 	tick := time.NewTicker(spareInterval)
 	defer tick.Stop()
 	for now := began; now.Before(latest); {
-		if s.forecast(now).Take(memory, s.g.gatewayCount(), rand.Float64()) {
+		if s.forecast(now).Take(s.job.MeanMemory(), s.g.gatewayCount(), rand.Float64()) {
 			if runner := s.roomNow(s.newWaiter()); runner != nil {
 				return runner, nil
 			}
 		}
+		if s.hopeless(latest, now) {
+			break
+		}
 		select {
 		case <-s.ctx.Done():
 			return nil, s.ctx.Err()
