--- a/pkg/forecast/forecast.go
+++ b/pkg/forecast/forecast.go
@@ -128,13 +128,6 @@
 	return 0, false
 }
 
-// Take reports whether a returning request of a size should try to take room now: there is room that
-// new requests don't need soon. Many gateways see the same room; each takes its share of it by
-// chance. random is a number from 0 to 1.
-func (f *Forecast) Take(size, gateways int, random float64) bool {
-	return f.behind[0] >= float64(size) && random*float64(size*max(1, gateways)) < f.behind[0]
-}
-
 // Spare returns the memory that nobody is expected to take in the slot that contains a time from
 // now.
 func (f *Forecast) Spare(after time.Duration) float64 {
--- a/pkg/ingress/room.go
+++ b/pkg/ingress/room.go
@@ -23,16 +23,11 @@
 	return p
 }
 
-// gatewayCount returns the number of gateways.
-func (g *Ingress) gatewayCount() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.gateways
-}
-
 // forecast returns the forecast of room for the request's service.
 func (s *generation) forecast(now time.Time) *forecast.Forecast {
-	gateways := s.g.gatewayCount()
+	s.g.mu.Lock()
+	gateways := s.g.gateways
+	s.g.mu.Unlock()
 	return s.planner.Forecast(func() forecast.Observation {
 		b := s.pool.Backlog(now)
 		o := forecast.Observation{Capacity: b.Capacity, Here: b.Here, Waiting: b.Ahead, Late: b.Late, Peers: b.Peers, Gateways: gateways}
@@ -71,7 +66,7 @@
 	tick := time.NewTicker(spareInterval)
 	defer tick.Stop()
 	for now := began; now.Before(latest); {
-		if s.forecast(now).Take(s.job.MeanMemory(), s.g.gatewayCount(), rand.Float64()) {
+		if s.forecast(now).Spare(0) >= float64(s.job.MeanMemory()) {
 			if runner := s.roomNow(s.newWaiter()); runner != nil {
 				return runner, nil
 			}
