--- a/pkg/enginepool/backlog.go
+++ b/pkg/enginepool/backlog.go
@@ -11,9 +11,8 @@
 type Backlog struct {
 	// Capacity is the memory of the usable decode engines of this gateway's subset.
 	Capacity int
-	// Ahead is the memory that this gateway's waiting requests need that are not Late, and Late
-	// that of the others; Here is the number of the former.
-	Ahead, Late, Here int
+	// Waiting is the memory that the requests need that wait at this gateway, Here their number.
+	Waiting, Here int
 	// Peers is the number of requests that wait at other gateways.
 	Peers int
 }
@@ -33,11 +32,7 @@
 		}
 	}
 	for _, w := range p.waiting {
-		if w.rank == Late {
-			b.Late += w.job.MeanMemory()
-			continue
-		}
-		b.Ahead += w.job.MeanMemory()
+		b.Waiting += w.job.MeanMemory()
 		b.Here++
 	}
 	for _, n := range p.peerWaiting {
--- a/pkg/forecast/forecast.go
+++ b/pkg/forecast/forecast.go
@@ -30,9 +30,8 @@
 	Running  []Load
 	// Full means that a request waits for memory now, so that none is free whatever Capacity says.
 	Full bool
-	// Waiting is the memory that requests ahead of a new one wait for, and Late that of requests
-	// behind new ones.
-	Waiting, Late float64
+	// Waiting is the memory that requests ahead of a new one wait for.
+	Waiting float64
 	// Promised is the memory that promised returns need, by slots from now.
 	Promised [Slots]float64
 	// Arriving is the memory that new requests ask for, per second.
@@ -47,7 +46,7 @@
 	// becomes free, less what those wait for that go before it.
 	ahead [Slots]float64
 	// behind is the memory that a returning request finds up to the end of each slot: what new
-	// requests and those that came back before leave.
+	// requests leave.
 	behind [Slots]float64
 	// spare is the memory that nobody takes in each slot: neither waiting, nor new, nor promised
 	// requests. Unused memory is counted once, in the first slot where it is free.
@@ -76,14 +75,14 @@
 // slotOf returns the slot that contains a time from now.
 func slotOf(after time.Duration) int { return int(max(0, after) / SlotLength) }
 
-// predict passes the memory that is free or becomes free in each slot to the waiting, the new, the
-// late and the promised requests, in that order. An answer admitted in a slot frees its memory
-// after State.Hold.
+// predict passes the memory that is free or becomes free in each slot to the waiting, the new and
+// the promised requests, in that order. An answer admitted in a slot frees its memory after
+// State.Hold.
 func (f *Forecast) predict(s State, free float64, freed [Slots]float64) {
 	var admitted [Slots]float64
 	hold := slotOf(s.Hold)
-	waiting, late, promised, accounted := s.Waiting, s.Late, 0.0, 0.0
-	ahead, behind := free-s.Waiting, free-s.Waiting-s.Late
+	waiting, promised, accounted := s.Waiting, 0.0, 0.0
+	ahead, behind := free-s.Waiting, free-s.Waiting
 	for k := range Slots {
 		gained := freed[k]
 		if hold > 0 && k >= hold {
@@ -99,7 +98,6 @@
 		waiting -= take(waiting)
 		// New requests that find no room soon are refused, and are not carried over.
 		taken := take(s.Arriving * SlotLength.Seconds())
-		late -= take(late)
 		promised += s.Promised[k]
 		promised -= take(promised)
 		ahead += gained
--- a/pkg/forecast/planner.go
+++ b/pkg/forecast/planner.go
@@ -27,9 +27,8 @@
 	// Capacity is the memory of the engines that this gateway uses.
 	Capacity int
 	Running  []Load
-	// Here is the number of requests that wait at this gateway, and Waiting their memory without
-	// those that are late, whose memory is Late.
-	Here, Waiting, Late int
+	// Here is the number of requests that wait in this gateway's queue, and Waiting their memory.
+	Here, Waiting int
 	// Peers is the number of requests that wait at other gateways, and Gateways the number of
 	// gateways that share the engines, with this one.
 	Peers, Gateways int
@@ -94,7 +93,6 @@
 	state := State{
 		Capacity: p.usable * float64(o.Capacity), Running: o.Running, Full: o.Here > 0,
 		Waiting:  float64(o.Waiting) + share*float64(o.Peers)*p.size,
-		Late:     float64(o.Late),
 		Arriving: p.decayed(now) / arrivalTime.Seconds() * float64(max(1, o.Gateways)) * share,
 		Hold:     meanHold(o.Running),
 	}
--- a/pkg/ingress/room.go
+++ b/pkg/ingress/room.go
@@ -30,7 +30,7 @@
 	s.g.mu.Unlock()
 	return s.planner.Forecast(func() forecast.Observation {
 		b := s.pool.Backlog(now)
-		o := forecast.Observation{Capacity: b.Capacity, Here: b.Here, Waiting: b.Ahead, Late: b.Late, Peers: b.Peers, Gateways: gateways}
+		o := forecast.Observation{Capacity: b.Capacity, Here: b.Here, Waiting: b.Waiting, Peers: b.Peers, Gateways: gateways}
 		for _, r := range s.pool.Running(now) {
 			o.Running = append(o.Running, forecast.Load{Memory: r.Memory, Left: r.Left})
 		}
