forecast: slots of promises follow the monotonic clock; reports are bounded

A step of the time of day by an hour back made returns expected for an hour, in which no timeouts are learned, and made reports of 18,000 slots, more than a datagram holds. A step ahead dropped all promises. A promise to the end of a long pause made long reports too.

--- a/pkg/forecast/promises.go
+++ b/pkg/forecast/promises.go
@@ -18,8 +18,11 @@
 // Promises counts the clients that were told to come back, by slots of time, for this gateway and
 // others. It is safe for concurrent use.
 type Promises struct {
-	mu  sync.Mutex
-	own map[int64]int
+	mu sync.Mutex
+	// base is the begin of slot 0. Slots are counted from it, so that they follow the monotonic
+	// clock of the times passed.
+	base time.Time
+	own  map[int64]int
 	// others is the latest report of each other gateway.
 	others map[string]Report
 	// last is the end of the latest slot in which a promise of any gateway falls.
@@ -29,44 +32,58 @@
 // NewPromises returns a table without promises.
 func NewPromises() *Promises { return &Promises{own: map[int64]int{}, others: map[string]Report{}} }
 
-// slotNumber returns the number of the slot that contains a time.
-func slotNumber(at time.Time) int64 { return at.UnixNano() / int64(SlotLength) }
+// slotNumber returns the number of the slot that contains a time. The caller holds the lock.
+func (p *Promises) slotNumber(at time.Time) int64 {
+	if p.base.IsZero() {
+		p.base = at
+	}
+	after := at.Sub(p.base)
+	n := int64(after / SlotLength)
+	if after%SlotLength < 0 {
+		n--
+	}
+	return n
+}
 
-// slotStart returns when a slot begins.
-func slotStart(n int64) time.Time { return time.Unix(0, n*int64(SlotLength)) }
+// slotStart returns when a slot begins. The caller holds the lock.
+func (p *Promises) slotStart(n int64) time.Time { return p.base.Add(time.Duration(n) * SlotLength) }
 
 // Add records that a client was told to come back at a time.
 func (p *Promises) Add(at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.own[slotNumber(at)]++
+	p.own[p.slotNumber(at)]++
 	p.extend(at)
 }
 
 // extend moves the end of all promises. The caller holds the lock.
 func (p *Promises) extend(at time.Time) {
-	if end := slotStart(slotNumber(at) + 1); end.After(p.last) {
+	if end := p.slotStart(p.slotNumber(at) + 1); end.After(p.last) {
 		p.last = end
 	}
 }
 
-// Own returns this gateway's promises that are not past, for a report to other gateways.
+// Own returns this gateway's promises that are not past, for a report to other gateways. Slots beyond
+// twice the horizon are left out; a later report has them.
 func (p *Promises) Own(now time.Time) Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	first := slotNumber(now)
+	first := p.slotNumber(now)
 	var counts []int
 	for n, count := range p.own {
 		if n < first {
 			delete(p.own, n)
 			continue
 		}
+		if n-first >= 2*Slots {
+			continue
+		}
 		for int64(len(counts)) <= n-first {
 			counts = append(counts, 0)
 		}
 		counts[n-first] = count
 	}
-	return Report{Since: slotStart(first), Counts: counts}
+	return Report{Since: p.slotStart(first), Counts: counts}
 }
 
 // Receive replaces the promises of another gateway. An empty report says nothing, since other builds
@@ -120,7 +137,7 @@
 		}
 	}
 	for n, count := range p.own {
-		add(slotStart(n), count)
+		add(p.slotStart(n), count)
 	}
 	for _, r := range p.others {
 		for i, count := range r.Counts {
--- a/pkg/forecast/promises_test.go
+++ b/pkg/forecast/promises_test.go
@@ -59,3 +59,36 @@
 	p.Receive("a", Report{Since: now, Counts: make([]int, 100000)}, now)
 	g.Expect(len(p.others["a"].Counts)).To(BeNumerically("<=", 2*Slots))
 }
+
+// A report must fit into a datagram however long the pause that a client waits for.
+func TestDistantPromiseIsReportedLater(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	p := NewPromises()
+	p.Add(now.Add(time.Hour))
+	p.Add(now.Add(time.Second))
+	g.Expect(len(p.Own(now).Counts)).To(BeNumerically("<=", 2*Slots))
+	g.Expect(p.Own(now.Add(time.Hour - time.Second)).Counts).To(ContainElement(1))
+}
+
+// Slots follow the monotonic clock: a step of the time of day, which String shows but Sub ignores,
+// neither ends promises nor makes them last.
+func TestSlotsAreMonotonic(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	p := NewPromises()
+	p.Add(now.Add(time.Second))
+	g.Expect(p.last.String()).To(ContainSubstring("m=+"), "end of promises has a monotonic reading")
+	g.Expect(p.Own(now).Since.String()).To(ContainSubstring("m=+"), "report has a monotonic reading")
+}
+
+func TestPromiseBeforeTheFirstIsCounted(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	p := NewPromises()
+	p.Add(now.Add(3 * time.Second))
+	p.Add(now.Add(3*time.Second - SlotLength/2))
+	counts := p.Own(now).Counts
+	g.Expect(sum(p.Due(now))).To(BeNumerically("~", 2, 1e-9))
+	g.Expect(counts[len(counts)-2:]).To(Equal([]int{1, 1}))
+}
