ingress: answers on engines that take no new ones don't count in the forecast

Only the memory of usable engines was counted, but the answers of all: while engines left or paused, their answers filled the others in the forecast, returns found no spare room, and the learned usable share rose to 1.

--- a/pkg/enginepool/backlog.go
+++ b/pkg/enginepool/backlog.go
@@ -11,6 +11,8 @@
 type Backlog struct {
 	// Capacity is the memory of the usable decode engines of this gateway's subset.
 	Capacity int
+	// Engines holds the IDs of these engines.
+	Engines map[string]bool
 	// Waiting is the memory that the requests need that wait at this gateway, Here their number.
 	Waiting, Here int
 	// Peers is the number of requests that wait at other gateways.
@@ -25,10 +27,11 @@
 func (p *Pool) Backlog(now time.Time) Backlog {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var b Backlog
+	b := Backlog{Engines: map[string]bool{}}
 	for _, r := range p.subsetOf(runners.Decode, now) {
 		if r.Usable(now) {
 			b.Capacity += p.capacity()
+			b.Engines[r.ID] = true
 		}
 	}
 	for _, w := range p.waiting {
--- a/pkg/ingress/room.go
+++ b/pkg/ingress/room.go
@@ -29,13 +29,20 @@
 	gateways := s.g.gateways
 	s.g.mu.Unlock()
 	return s.planner.Forecast(func() forecast.Observation {
-		b := s.pool.Backlog(now)
-		o := forecast.Observation{Capacity: b.Capacity, Here: b.Here, Waiting: b.Waiting, Peers: b.Peers, Gateways: gateways}
-		for _, r := range s.pool.Running(now) {
+		return observation(s.pool.Backlog(now), s.pool.Running(now), gateways)
+	}, now)
+}
+
+// observation returns what a forecast is made from. Answers on engines that take no new ones, such as
+// those that leave, neither use nor free memory that a request could get.
+func observation(b enginepool.Backlog, running []enginepool.Running, gateways int) forecast.Observation {
+	o := forecast.Observation{Capacity: b.Capacity, Here: b.Here, Waiting: b.Waiting, Peers: b.Peers, Gateways: gateways}
+	for _, r := range running {
+		if b.Engines[r.Runner] {
 			o.Running = append(o.Running, forecast.Load{Memory: r.Memory, Left: r.Left})
 		}
-		return o
-	}, now)
+	}
+	return o
 }
 
 // room returns a decode runner that has room for the request. It waits for one until a time, unless
--- a/pkg/ingress/room_test.go
+++ b/pkg/ingress/room_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/forecast"
 )
 
 // A client that one gateway told to come back may come back to any other.
@@ -34,3 +35,12 @@
 		g.Expect(n).To(BeZero())
 	}
 }
+
+// Load: one of two engines leaves. Its answers run for long, and the other has room.
+func TestAnswersOnLeavingEnginesUseNoRoom(t *testing.T) {
+	g := NewWithT(t)
+	b := enginepool.Backlog{Capacity: 1000, Engines: map[string]bool{"a": true}}
+	running := []enginepool.Running{{Runner: "a", Memory: 100, Left: time.Second}, {Runner: "leaving", Memory: 900, Left: time.Minute}}
+	f := forecast.NewPlanner().Forecast(func() forecast.Observation { return observation(b, running, 1) }, time.Unix(1000, 0))
+	g.Expect(f.Spare(0)).To(BeNumerically(">", 500))
+}
