ingress: a return waits only while its whole answer fits before its client's deadline

Most clients of generations that left were returns: they got room after 1 to 3 s, and the deadline cut the answer off, for which an engine had worked. The wait now ends in time for the first event and the expected length at the service's usual speed. A return looks for room once in any case.

--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -111,8 +111,27 @@
 		return s.arrived.Add(max(share, s.route.LatencyTarget-reserve))
 	default:
 		clientTimeout := max(minClientTimeout, latencyFactor*s.route.LatencyTarget, gapFactor*s.route.GapTarget)
-		return s.arrived.Add(clientTimeout - max(serveReserve, min(reserve, clientTimeout/2)))
+		latest := s.arrived.Add(clientTimeout - max(serveReserve, min(reserve, clientTimeout/2)))
+		if s.rank == enginepool.Returning {
+			return s.boundByAnswer(latest, reserve)
+		}
+		return latest
+	}
+}
+
+// boundByAnswer returns the earlier of a time and the latest one at which room leaves time for the
+// whole answer before the request's deadline: for its first event, and for its expected length at
+// the service's usual speed.
+func (s *generation) boundByAnswer(latest time.Time, firstEvent time.Duration) time.Time {
+	end, ok := s.ctx.Deadline()
+	if !ok {
+		return latest
+	}
+	seconds := s.job.Length.Expected(0) / s.pool.Speed("", time.Now()).Decode
+	if last := end.Add(-firstEvent - time.Duration(seconds*float64(time.Second))); last.Before(latest) {
+		return last
 	}
+	return latest
 }
 
 func (s *generation) hold(runner *runners.State) (string, error) {
--- a/pkg/ingress/room.go
+++ b/pkg/ingress/room.go
@@ -67,19 +67,19 @@
 const spareInterval = 50 * time.Millisecond
 
 // waitForSpare waits until a time for room that new requests leave: a returning request is late
-// already, while they can still be in time.
+// already, while they can still be in time. It looks once even if the time is past.
 func (s *generation) waitForSpare(latest time.Time) (*runners.State, error) {
 	began := time.Now()
 	tick := time.NewTicker(spareInterval)
 	defer tick.Stop()
-	for now := began; now.Before(latest); {
+	for now := began; ; {
 		if s.forecast(now).Spare(0) >= float64(s.job.MeanMemory()) {
 			if runner := s.roomNow(s.newWaiter()); runner != nil {
 				return runner, nil
 			}
 		}
-		if s.hopeless(latest, now) {
-			break
+		if s.hopeless(latest, now) || !now.Before(latest) {
+			return nil, &enginepool.ErrNoRoom{ID: s.job.ID, Waited: time.Since(began)}
 		}
 		select {
 		case <-s.ctx.Done():
@@ -87,7 +87,6 @@
 		case now = <-tick.C:
 		}
 	}
-	return nil, &enginepool.ErrNoRoom{ID: s.job.ID, Waited: time.Since(began)}
 }
 
 // newWaiter returns a waiter for the request.
--- a/pkg/ingress/room_test.go
+++ b/pkg/ingress/room_test.go
@@ -1,13 +1,17 @@
 package ingress
 
 import (
+	"context"
+	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/forecast"
+	"github.com/hopwell/hopwell/pkg/routetable"
 )
 
 // A client that one gateway told to come back may come back to any other.
@@ -44,3 +48,41 @@
 	f := forecast.NewPlanner().Forecast(func() forecast.Observation { return observation(b, running, 1) }, time.Unix(1000, 0))
 	g.Expect(f.Spare(0)).To(BeNumerically(">", 500))
 }
+
+// newTestGeneration returns a request with an expected answer of 1000 tokens and a deadline, whose
+// service has no engines.
+func newTestGeneration(t *testing.T, timeout time.Duration) *generation {
+	t.Helper()
+	in, now := New(Options{Gateways: 1}), time.Now()
+	p := in.pool("llm")
+	p.Configure(enginepool.Spec{Memory: 10000, Slots: 8})
+	ctx, cancel := context.WithDeadline(t.Context(), now.Add(timeout))
+	t.Cleanup(cancel)
+	x := &exchange{g: in, arrived: now, ctx: ctx, service: "llm", rank: enginepool.Returning, call: &Call{Timeout: timeout}, route: &routetable.Route{LatencyTarget: 3 * time.Second}}
+	return &generation{exchange: x, pool: p, planner: in.planner("llm"), job: enginepool.Job{ID: "1", Prompt: 100, Length: p.Lengths.Estimate(1000, 1000)}}
+}
+
+// A return that gets room so late that its deadline cuts the answer off occupies an engine for
+// nothing.
+func TestReturnWaitsWhileItsAnswerFitsBeforeTheDeadline(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestGeneration(t, 9*time.Second)
+	answer := time.Duration(s.job.Length.Expected(0) / s.pool.Speed("", s.arrived).Decode * float64(time.Second))
+	g.Expect(s.roomDeadline()).To(BeTemporally("~", s.arrived.Add(9*time.Second-answer-serveReserve), time.Microsecond))
+	patience := s.arrived.Add(latencyFactor*s.route.LatencyTarget - serveReserve)
+	s.rank = enginepool.Begun
+	g.Expect(s.roomDeadline()).To(Equal(patience), "an engine may have spent time on it")
+	s = newTestGeneration(t, time.Hour)
+	g.Expect(s.roomDeadline()).To(Equal(s.arrived.Add(latencyFactor*s.route.LatencyTarget - serveReserve)))
+}
+
+func TestReturnWithoutTimeToWaitIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newTestGeneration(t, time.Second)
+		_, err := s.room(s.roomDeadline())
+		var full *enginepool.ErrNoRoom
+		g.Expect(errors.As(err, &full)).To(BeTrue())
+		g.Expect(time.Since(s.arrived)).To(BeZero())
+	})
+}
