ingress: a refused client is told the promised time, and promises are made to refused clients only

Retry-After was the promised time plus up to a quarter: the client came up to 1.15 s after its slot and up to 0.41 of its time, instead of 0.33. Requests that ended with 502 or 504, or whose client had left, were counted as promised returns too.

--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -29,14 +29,21 @@
 )
 
 // refuse responds with 503 and Retry-After to a request that has not run and will not run.
-func (x *exchange) refuse(err error, after time.Duration) {
+func (x *exchange) refuse(err error, after time.Duration) { x.refuseFor(err, spread(after)) }
+
+// refuseFor responds with 503 and exactly the given Retry-After.
+func (x *exchange) refuseFor(err error, after time.Duration) {
 	x.respond(http.StatusServiceUnavailable, err, decisionlog.F("retry_after", x.setRetryAfter(after)))
 }
 
-// setRetryAfter sets Retry-After to the given time plus a random part of up to a quarter of it, so
-// that refused clients do not all retry at once. It returns the time that was set.
+// spread returns a time plus a random part of up to a quarter of it, so that refused clients do not
+// all retry at once.
+func spread(after time.Duration) time.Duration {
+	return after + time.Duration(rand.Int64N(int64(after)/4+1))
+}
+
+// setRetryAfter sets Retry-After to the given time and returns it.
 func (x *exchange) setRetryAfter(after time.Duration) time.Duration {
-	after += time.Duration(rand.Int64N(int64(after)/4 + 1))
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	return after
 }
@@ -124,7 +131,7 @@
 
 // giveUp ends a request whose attempts have all failed. Only if no attempt can have run does the
 // response promise that the request has not run.
-func (x *exchange) giveUp(life *request.Life, last error, after time.Duration) {
+func (x *exchange) giveUp(life *request.Life, last error, after func() time.Duration) {
 	outcome := life.GiveUp()
 	if gone, ok := last.(errClientGone); ok {
 		x.finish(0, gone)
@@ -136,7 +143,7 @@
 		return
 	}
 	if outcome == request.NotRun {
-		x.refuse(err, after)
+		x.refuseFor(err, after())
 		return
 	}
 	x.fail(err)
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -83,7 +83,7 @@
 		}
 		runs++
 	}
-	x.giveUp(life, firstError(x.endReason(), last), plainRetryAfter(last))
+	x.giveUp(life, firstError(x.endReason(), last), func() time.Duration { return spread(plainRetryAfter(last)) })
 }
 
 // plainRetryAfter returns the Retry-After for a request that no plain runner accepted.
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -187,7 +187,7 @@
 		s.g.metrics.broken.Inc()
 		panic(http.ErrAbortHandler)
 	}
-	s.giveUp(s.life, last, s.streamRetryAfter(last))
+	s.giveUp(s.life, last, func() time.Duration { return s.streamRetryAfter(last) })
 }
 
 // try makes one attempt: it reserves room, runs the prefill and then the decode.
--- a/pkg/ingress/quota.go
+++ b/pkg/ingress/quota.go
@@ -30,5 +30,5 @@
 
 // respondOverQuota responds with 429 and the time until the workspace's quota has room again.
 func (x *exchange) respondOverQuota(err *quota.ErrQuota) {
-	x.respond(http.StatusTooManyRequests, err, decisionlog.F("retry_after", x.setRetryAfter(max(err.After, shortRetryAfter))))
+	x.respond(http.StatusTooManyRequests, err, decisionlog.F("retry_after", x.setRetryAfter(spread(max(err.After, shortRetryAfter)))))
 }
--- a/pkg/ingress/room.go
+++ b/pkg/ingress/room.go
@@ -145,7 +145,7 @@
 func (s *generation) streamRetryAfter(last error) time.Duration {
 	now := time.Now()
 	if after := roomAfter(last); after > 0 {
-		after = max(after, shortRetryAfter)
+		after = spread(max(after, shortRetryAfter))
 		s.planner.Promises.Add(now.Add(after))
 		return after
 	}
--- a/pkg/ingress/room_test.go
+++ b/pkg/ingress/room_test.go
@@ -3,14 +3,21 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/forecast"
+	"github.com/hopwell/hopwell/pkg/httpd"
+	"github.com/hopwell/hopwell/pkg/request"
 	"github.com/hopwell/hopwell/pkg/routetable"
 )
 
@@ -53,7 +60,9 @@
 // service has no engines.
 func newTestGeneration(t *testing.T, timeout time.Duration) *generation {
 	t.Helper()
-	in, now := New(Options{Gateways: 1}), time.Now()
+	log := decisionlog.New("g", io.Discard)
+	t.Cleanup(func() { log.Close(time.Second) })
+	in, now := New(Options{Gateways: 1, Log: log}), time.Now()
 	p := in.pool("llm")
 	p.Configure(enginepool.Spec{Memory: 10000, Slots: 8})
 	ctx, cancel := context.WithDeadline(t.Context(), now.Add(timeout))
@@ -86,3 +95,37 @@
 		g.Expect(time.Since(s.arrived)).To(BeZero())
 	})
 }
+
+// A client is told the time at which its return is expected, within its share of the time that it
+// has left.
+func TestClientIsToldThePromisedTime(t *testing.T) {
+	g := NewWithT(t)
+	for range 50 {
+		s := newTestGeneration(t, 9*time.Second)
+		w := httptest.NewRecorder()
+		s.w, s.life = httpd.NewStallWriter(w, time.Second), request.NewLife("1", true)
+		s.finishIncomplete(&enginepool.ErrNoRoom{ID: "1"})
+		g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+		told, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(told).To(BeNumerically("<=", 9*retryAfterShare+0.005))
+		due, mean := s.planner.Promises.Due(s.arrived), 0.0
+		for k, n := range due {
+			mean += n * (float64(k) + 0.5) * forecast.SlotLength.Seconds()
+		}
+		g.Expect(mean).To(BeNumerically("~", told, 2*forecast.SlotLength.Seconds()))
+	}
+}
+
+func TestRequestThatMayHaveRunIsPromisedNothing(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestGeneration(t, 9*time.Second)
+	w := httptest.NewRecorder()
+	s.w, s.life = httpd.NewStallWriter(w, time.Second), request.NewLife("1", true)
+	n, err := s.life.Begin()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.life.Send(n)).To(Succeed())
+	s.finishIncomplete(&enginepool.ErrNoRoom{ID: "1"})
+	g.Expect(w.Code).To(Equal(http.StatusBadGateway))
+	g.Expect(s.planner.Promises.Expected(s.arrived)).To(BeFalse())
+}
