forecast: once all answers have ended, all of the capacity is free

While a request waits, no memory counts as free, and what the answers hold was all that became free. Where they hold much less than the capacity, such as on one engine with large requests, the forecast showed no room within the horizon, and requests were refused at once although the engine was empty soon.

--- a/pkg/forecast/forecast.go
+++ b/pkg/forecast/forecast.go
@@ -65,6 +65,12 @@
 		}
 	}
 	free := s.Capacity - used
+	if s.Full && free > 0 && used > 0 {
+		// The answers in progress keep others from all of the capacity, and leave all of it.
+		for k := range freed {
+			freed[k] *= s.Capacity / used
+		}
+	}
 	if s.Full {
 		free = min(free, 0)
 	}
--- a/pkg/forecast/forecast_test.go
+++ b/pkg/forecast/forecast_test.go
@@ -159,3 +159,11 @@
 		g.Expect(total).To(BeNumerically(">=", 18*10*8/10), "18 slots lie between 1 and 4.6 s")
 	}
 }
+
+// Load: one engine, whose only answer leaves too little room for the requests that wait.
+func TestAllIsFreeAfterTheLastAnswer(t *testing.T) {
+	g := NewWithT(t)
+	wait, ok := New(State{Capacity: 900, Running: loads(300, 450*time.Millisecond), Full: true}).Wait(800)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(wait).To(Equal(400 * time.Millisecond))
+}
