forecast: returns share the spare memory; promises need no new observation

All returns that wait at a gateway looked at one forecast, reused for 50 ms, and took the same spare memory, also what new requests need. Each refusal dropped the forecast, so that the next request scanned all engines and answers again, under the pool's lock.

--- a/pkg/forecast/forecast_test.go
+++ b/pkg/forecast/forecast_test.go
@@ -167,3 +167,41 @@
 	g.Expect(ok).To(BeTrue())
 	g.Expect(wait).To(Equal(400 * time.Millisecond))
 }
+
+// Returns that wait look at the same forecast, and must not take the same memory.
+func TestReturnsShareSpareMemory(t *testing.T) {
+	g := NewWithT(t)
+	p, now := NewPlanner(), time.Unix(1000, 0)
+	observe := func() Observation { return Observation{Capacity: 1000} }
+	f := p.Forecast(observe, now)
+	taken := 0
+	for range 100 {
+		if p.TakeSpare(f, 100) {
+			taken++
+		}
+	}
+	g.Expect(taken).To(Equal(9))
+	p.GiveBack(100)
+	g.Expect(p.TakeSpare(f, 100)).To(BeTrue())
+	g.Expect(p.TakeSpare(p.Forecast(observe, now.Add(reuse)), 100)).To(BeTrue(), "a new observation contains what was taken")
+}
+
+// Load: a gateway refuses a hundred requests at a moment.
+func TestPromisesNeedNoNewObservation(t *testing.T) {
+	g := NewWithT(t)
+	p, now, observed := NewPlanner(), time.Unix(1000, 0), 0
+	p.Arrived(100, now)
+	observe := func() Observation {
+		observed++
+		return Observation{Capacity: 3000, Running: loads(100, time.Second, 2*time.Second), Gateways: 1}
+	}
+	rng, kept := rand.New(rand.NewPCG(1, 1)), 0
+	for range 100 {
+		if p.Promise(p.Forecast(observe, now), 100, 0, 4*time.Second, rng.Float64, now).Kept {
+			kept++
+		}
+	}
+	g.Expect(observed).To(Equal(1))
+	g.Expect(kept).To(BeNumerically("<=", 60), "each place is used at most twice, since answers take 3 s")
+	g.Expect(kept).To(BeNumerically(">", 10))
+}
--- a/pkg/forecast/planner.go
+++ b/pkg/forecast/planner.go
@@ -47,9 +47,14 @@
 	arrivedAt time.Time
 	size      float64
 	// usable is the learned share of the engines' memory that is in use when requests wait.
-	usable   float64
-	forecast *Forecast
-	at       time.Time
+	usable float64
+	// forecast is the last forecast, made from state, which was observed at a time. promisedMemory is
+	// the memory that each promise counts with in it, and taken the spare memory that returns took.
+	forecast       *Forecast
+	state          State
+	at             time.Time
+	promisedMemory float64
+	taken          float64
 }
 
 // NewPlanner returns a planner that has learned nothing.
@@ -96,13 +101,33 @@
 		Arriving: p.decayed(now) / arrivalTime.Seconds() * float64(max(1, o.Gateways)) * share,
 		Hold:     meanHold(o.Running),
 	}
+	p.promisedMemory = share * p.size
 	for k, n := range p.Promises.Due(now) {
-		state.Promised[k] = n * share * p.size
+		state.Promised[k] = n * p.promisedMemory
 	}
-	p.forecast, p.at = New(state), now
+	p.state, p.forecast, p.at, p.taken = state, New(state), now, 0
 	return p.forecast
 }
 
+// TakeSpare reports whether memory for a returning request is spare now, and takes it until the next
+// observation: all returns that wait look at the same forecast.
+func (p *Planner) TakeSpare(f *Forecast, memory int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f.Spare(0)-p.taken < float64(memory) {
+		return false
+	}
+	p.taken += float64(memory)
+	return true
+}
+
+// GiveBack returns spare memory that was taken but found no engine.
+func (p *Planner) GiveBack(memory int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.taken = max(0, p.taken-float64(memory))
+}
+
 // meanHold returns the mean time for which an answer holds its memory. Running answers have on
 // average half of it left.
 func meanHold(running []Load) time.Duration {
@@ -141,9 +166,12 @@
 	}
 	p.Promises.Add(now.Add(out.After))
 	p.mu.Lock()
-	// The promise is not in the forecast.
-	p.forecast = nil
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	// Until the next observation, this gateway's next promises take this one into account.
+	if k := slotOf(now.Add(out.After).Sub(p.at)); p.forecast != nil && k < Slots {
+		p.state.Promised[k] += p.promisedMemory
+		p.forecast = New(p.state)
+	}
 	return out
 }
 
--- a/pkg/ingress/room.go
+++ b/pkg/ingress/room.go
@@ -73,10 +73,11 @@
 	tick := time.NewTicker(spareInterval)
 	defer tick.Stop()
 	for now := began; ; {
-		if s.forecast(now).Spare(0) >= float64(s.job.MeanMemory()) {
+		if memory := s.job.MeanMemory(); s.planner.TakeSpare(s.forecast(now), memory) {
 			if runner := s.roomNow(s.newWaiter()); runner != nil {
 				return runner, nil
 			}
+			s.planner.GiveBack(memory)
 		}
 		if s.hopeless(latest, now) || !now.Before(latest) {
 			return nil, &enginepool.ErrNoRoom{ID: s.job.ID, Waited: time.Since(began)}
