--- a/pkg/enginepool/snapshot.go
+++ b/pkg/enginepool/snapshot.go
@@ -12,6 +12,11 @@
 	Waiting int
 	// WaitingChanged means that jobs began or ceased to wait since the last snapshot. It isn't sent.
 	WaitingChanged bool
+	// Promised is how many refused clients the reporting gateway told to come back, by slots of
+	// forecast.SlotLength, the first of which began PromisedAge ago. It is empty if there are none
+	// or if they are unknown.
+	Promised    []int
+	PromisedAge time.Duration
 }
 
 // EngineLoad is the load that one gateway has on one engine.
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -46,7 +46,7 @@
 	budget := x.g.budget(x.service)
 	budget.Request(x.arrived)
 	avoid, full := map[string]bool{}, map[string]bool{}
-	if x.g.returning(x.route.Name, x.call.Timeout) {
+	if x.g.returning(x.route.Name, x.service, x.call.Timeout, x.arrived) {
 		x.rank = enginepool.Returning
 	}
 	var last error
@@ -93,7 +93,7 @@
 		}
 		runs++
 	}
-	x.giveUp(life, firstError(x.endReason(), last), plainRetryAfter(last))
+	x.giveUp(life, firstError(x.endReason(), last), func() time.Duration { return spread(plainRetryAfter(last)) })
 }
 
 // plainRetryAfter returns the Retry-After for a request that no plain runner accepted.
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/forecast"
 	"github.com/hopwell/hopwell/pkg/request"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
 	"github.com/hopwell/hopwell/pkg/routetable"
@@ -17,8 +17,9 @@
 )
 
 const (
-	// newRequestWaitShare is the share of its latency target that a new request may wait for room
-	// before it is refused with Retry-After.
+	// newRequestWaitShare is the share of its latency target that a new request may at least wait
+	// for room before it is refused with Retry-After. It waits longer if serving it is expected to
+	// take less than the rest.
 	newRequestWaitShare = 0.22
 	// minClientTimeout and the two factors estimate how long clients wait for the first event of a
 	// stream: the longest of minClientTimeout, latencyFactor times the latency target and gapFactor
@@ -26,8 +27,8 @@
 	minClientTimeout = 2 * time.Second
 	latencyFactor    = 4
 	gapFactor        = 8
-	// serveReserve is the part of the client's timeout, or of the latency target, that is kept for
-	// the prefill and the first event.
+	// serveReserve is the part of the client's timeout that is at least kept for the prefill and the
+	// first event, and that of the latency target until the time that they take is known.
 	serveReserve = 500 * time.Millisecond
 	// holdTimeout limits the call that takes a hold.
 	holdTimeout = 400 * time.Millisecond
@@ -48,11 +49,8 @@
 	releaseTimeout = time.Second
 	// defaultOutputTokens is the expected output, in tokens, of a request without a length hint.
 	defaultOutputTokens = 512
-	// minStreamRetryAfter and maxStreamRetryAfter are the range of Retry-After for refused streams,
-	// and retryAfterShare limits it to a share of the time that the client has left. It is half of
-	// that share if the share is less than the minimum, and the time until the first pause ends if
-	// all runners are paused.
-	minStreamRetryAfter = 3000 * time.Millisecond
+	// maxStreamRetryAfter is the longest Retry-After of refused streams, and retryAfterShare limits
+	// it to a share of the time that the client has left.
 	maxStreamRetryAfter = 4600 * time.Millisecond
 	retryAfterShare     = 0.33
 	// maxPrefills limits the prefills of one attempt.
@@ -62,11 +60,12 @@
 // generation is the state of one request to model engines while it is served.
 type generation struct {
 	*exchange
-	pool   *enginepool.Pool
-	budget *retrybudget.Budget
-	life   *request.Life
-	engine *routetable.Engine
-	job    enginepool.Job
+	pool    *enginepool.Pool
+	planner *forecast.Planner
+	budget  *retrybudget.Budget
+	life    *request.Life
+	engine  *routetable.Engine
+	job     enginepool.Job
 	// failedPrefill holds the IDs of the prefill runners that failed or whose KV cache could not be
 	// fetched.
 	failedPrefill map[string]bool
@@ -78,29 +77,38 @@
 	cachedTokens int
 	// failedDecode holds the IDs of the decode runners that failed the request.
 	failedDecode map[string]bool
-	relay        relay
+	// forecastMade is set once the request was compared with the forecast.
+	forecastMade bool
+	// roomAt is when the request got room for its last attempt.
+	roomAt time.Time
+	relay  relay
 }
 
 // generate serves a request by engines. It reserves room for the decode first, then runs the
 // prefill, then the decode.
 func (x *exchange) generate(engine *routetable.Engine) {
 	x.rank = enginepool.Fresh
-	if x.g.returning(x.route.Name, x.call.Timeout) {
+	if x.g.returning(x.route.Name, x.service, x.call.Timeout, x.arrived) {
 		x.rank = enginepool.Returning
 	}
 	s := &generation{
-		exchange: x, pool: x.g.pool(x.service), budget: x.g.budget(x.service),
+		exchange: x, pool: x.g.pool(x.service), planner: x.g.planner(x.service), budget: x.g.budget(x.service),
 		life: request.NewLife(x.call.ID, x.route.Repeatable()), engine: engine,
 		failedPrefill: map[string]bool{}, failedDecode: map[string]bool{},
 	}
 	x.life = s.life
 	s.relay = relay{s: s, last: x.call.After}
 	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, Length: s.pool.Lengths.Estimate(s.lengthHint(), x.call.MaxOut), Priority: x.priority(), Allows: x.domainFilter()}
-	s.fields = append(s.fields, decisionlog.F("gap", s.route.GapTarget), decisionlog.F("prompt", s.job.Prompt), decisionlog.F("guess", s.lengthHint()), decisionlog.F("expected", s.job.Length.Expected(0)))
+	s.fields = append(s.fields, decisionlog.F("gap", s.route.GapTarget), decisionlog.F("timeout", s.call.Timeout), decisionlog.F("prompt", s.job.Prompt), decisionlog.F("guess", s.lengthHint()), decisionlog.F("expected", s.job.Length.Expected(0)))
 	if x.call.After != "" {
 		s.fields = append(s.fields, decisionlog.F("resumed_by", "client"))
 		s.findCachedPrompt()
 	}
+	if s.rank == enginepool.Returning {
+		s.fields = append(s.fields, decisionlog.F("prompt_id", s.call.PromptID))
+	} else {
+		s.planner.Arrived(s.job.MeanMemory(), x.arrived)
+	}
 	s.budget.Request(x.arrived)
 	s.run()
 }
@@ -174,21 +182,7 @@
 		s.g.metrics.broken.Inc()
 		panic(http.ErrAbortHandler)
 	}
-	s.giveUp(s.life, last, s.streamRetryAfter(last))
-}
-
-// streamRetryAfter returns the Retry-After of a refused stream: the end of the first pause if all
-// runners are paused, otherwise a random time, so that clients do not all retry at once, and well
-// before the client's timeout.
-func (s *generation) streamRetryAfter(last error) time.Duration {
-	if after := roomAfter(last); after > 0 {
-		return max(after, shortRetryAfter)
-	}
-	longest := min(maxStreamRetryAfter, time.Duration(float64(s.timeLeft())*retryAfterShare))
-	if longest <= minStreamRetryAfter {
-		return max(longest/2, shortRetryAfter)
-	}
-	return minStreamRetryAfter + time.Duration(rand.Int64N(int64(longest-minStreamRetryAfter)))
+	s.giveUp(s.life, last, func() time.Duration { return s.streamRetryAfter(last) })
 }
 
 // try makes one attempt: it reserves room, runs the prefill and then the decode.
@@ -201,6 +195,7 @@
 		return notRun, err
 	}
 	defer func() { s.pool.End(room.runner.ID, s.job.ID, time.Now()) }()
+	s.roomAt = room.at
 	var source PrefilledCache
 	var prefillRunner *runners.State
 	if !s.relay.begun && s.call.After == "" {
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -16,28 +16,19 @@
 type reservation struct {
 	runner *runners.State
 	hold   string
+	at     time.Time
 }
 
 // reserve waits for room on a decode runner and takes a hold there.
 func (s *generation) reserve() (*reservation, error) {
 	began := time.Now()
 	latest, unanswered := s.roomDeadline(), 0
-	w := s.pool.NewWaiter(s.job, s.rank)
-	for id := range s.failedDecode {
-		w.Avoid(id)
-	}
-	if s.cacheHolder != nil {
-		w.Prefer(s.cacheHolder.ID)
-	}
-	if s.rank == enginepool.Returning {
-		w.LateFrom(s.arrived.Add(s.route.LatencyTarget - serveReserve))
-	}
 	s.logPassedOver(runners.Decode)
 	for {
 		if err := s.unavailable(latest); err != nil {
 			return nil, firstError(s.endReason(), err)
 		}
-		runner, err := s.waitForRoom(w, latest)
+		runner, err := s.room(latest)
 		if err != nil {
 			return nil, firstError(s.endReason(), err)
 		}
@@ -47,7 +38,7 @@
 		if err == nil {
 			s.g.metrics.wait.UpdateDuration(began)
 			s.fields = append(s.fields, decisionlog.F("decode", runner.ID), decisionlog.F("room_after", time.Since(s.arrived)))
-			return &reservation{runner, hold}, nil
+			return &reservation{runner: runner, hold: hold, at: time.Now()}, nil
 		}
 		s.pool.Refused(runner.ID, s.job.ID, noRoom(err), time.Now())
 		s.logStep("hold_refused", decisionlog.F("runner", runner.ID), decisionlog.F("error", err))
@@ -77,13 +68,6 @@
 	return err
 }
 
-// waitForRoom waits until the given time for room on a decode runner.
-func (s *generation) waitForRoom(w *enginepool.Waiter, latest time.Time) (*runners.State, error) {
-	ctx, cancel := context.WithDeadline(s.ctx, latest)
-	defer cancel()
-	return s.pool.Wait(ctx, w)
-}
-
 const (
 	// maxUnansweredHolds is the number of holds without a response that don't end the wait.
 	// Connections to several runners may be dead while there is room.
@@ -127,13 +111,34 @@
 
 // roomDeadline returns the time until which the request may wait for room.
 func (s *generation) roomDeadline() time.Time {
+	reserve := s.planner.Serving.Reserve(serveReserve)
 	switch s.rank {
 	case enginepool.Fresh:
-		return s.arrived.Add(time.Duration(newRequestWaitShare * float64(s.route.LatencyTarget)))
+		share := time.Duration(newRequestWaitShare * float64(s.route.LatencyTarget))
+		return s.arrived.Add(max(share, s.route.LatencyTarget-reserve))
 	default:
 		clientTimeout := max(minClientTimeout, latencyFactor*s.route.LatencyTarget, gapFactor*s.route.GapTarget)
-		return s.arrived.Add(clientTimeout - serveReserve)
+		latest := s.arrived.Add(clientTimeout - max(serveReserve, min(reserve, clientTimeout/2)))
+		if s.rank == enginepool.Returning {
+			return s.boundByAnswer(latest, reserve)
+		}
+		return latest
+	}
+}
+
+// boundByAnswer returns the earlier of a time and the latest one at which room leaves time for the
+// whole answer before the request's deadline: for its first event, and for its expected length at
+// the service's usual speed.
+func (s *generation) boundByAnswer(latest time.Time, firstEvent time.Duration) time.Time {
+	end, ok := s.ctx.Deadline()
+	if !ok {
+		return latest
+	}
+	seconds := s.job.Length.Expected(0) / s.pool.Speed("", time.Now()).Decode
+	if last := end.Add(-firstEvent - time.Duration(seconds*float64(time.Second))); last.Before(latest) {
+		return last
 	}
+	return latest
 }
 
 func (s *generation) hold(runner *runners.State) (string, error) {
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -116,6 +116,7 @@
 	LocalPrefills []time.Time
 	// Malformed is the number of fields that could not be parsed. They count as 0.
 	Malformed int
+	forecasts []forecastLine
 }
 
 // New extracts the data from the lines of all processes, which must be sorted by time.
@@ -168,6 +169,7 @@
 		r.Why = describeServed(line)
 	}
 	l.Requests = append(l.Requests, r)
+	l.addForecast(line, r.Arrived)
 }
 
 // describeServed summarizes the line of a lost request that has no error of the gateway.
