--- a/pkg/ingress/room_test.go
+++ b/pkg/ingress/room_test.go
@@ -99,22 +99,24 @@
 // A client is told the time at which its return is expected, within its share of the time that it
 // has left.
 func TestClientIsToldThePromisedTime(t *testing.T) {
-	g := NewWithT(t)
-	for range 50 {
-		s := newTestGeneration(t, 9*time.Second)
-		w := httptest.NewRecorder()
-		s.w, s.life = httpd.NewStallWriter(w, time.Second), request.NewLife("1", true)
-		s.finishIncomplete(&enginepool.ErrNoRoom{ID: "1"})
-		g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
-		told, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(told).To(BeNumerically("<=", 9*retryAfterShare+0.005))
-		due, mean := s.planner.Promises.Due(s.arrived), 0.0
-		for k, n := range due {
-			mean += n * (float64(k) + 0.5) * forecast.SlotLength.Seconds()
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		for range 50 {
+			s := newTestGeneration(t, 9*time.Second)
+			w := httptest.NewRecorder()
+			s.w, s.life = httpd.NewStallWriter(w, time.Second), request.NewLife("1", true)
+			s.finishIncomplete(&enginepool.ErrNoRoom{ID: "1"})
+			g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+			told, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(told).To(BeNumerically("<=", 9*retryAfterShare+0.005))
+			due, mean := s.planner.Promises.Due(s.arrived), 0.0
+			for k, n := range due {
+				mean += n * (float64(k) + 0.5) * forecast.SlotLength.Seconds()
+			}
+			g.Expect(mean).To(BeNumerically("~", told, 2*forecast.SlotLength.Seconds()))
 		}
-		g.Expect(mean).To(BeNumerically("~", told, 2*forecast.SlotLength.Seconds()))
-	}
+	})
 }
 
 func TestRequestThatMayHaveRunIsPromisedNothing(t *testing.T) {
