--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -15,6 +15,8 @@
 	Length Estimate
 	// Priority is the priority that operators gave the job, 0 for the most urgent.
 	Priority int
+	// Workspace is the hash of the name of the workspace that sent the job, 0 if there is none.
+	Workspace uint64
 	// Allows reports whether the job may run in a failure domain; nil allows all.
 	Allows func(domain string) bool
 }
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -79,6 +79,8 @@
 	Lengths *Lengths
 	// demand learns how the requests divide the engines' time between prefill and decode.
 	demand demand
+	// order is what decides which of the jobs of all gateways gets room first.
+	order fairOrder
 }
 
 // New returns an empty pool of a service.
@@ -86,7 +88,7 @@
 	if o.Pick == nil {
 		o.Pick = rand.IntN
 	}
-	return &Pool{service: service, directory: d, options: o, engines: map[string]*engine{}, prefillRunners: map[string]*prefillRunner{}, subsets: map[runners.Stage]stageSubset{}, peerWaiting: map[string]int{}, peerEngines: map[string]map[string]*engine{}, rate: initialRate, Lengths: NewLengths()}
+	return &Pool{service: service, directory: d, options: o, engines: map[string]*engine{}, prefillRunners: map[string]*prefillRunner{}, subsets: map[runners.Stage]stageSubset{}, peerWaiting: map[string]int{}, peerEngines: map[string]map[string]*engine{}, rate: initialRate, Lengths: NewLengths(), order: newFairOrder()}
 }
 
 // Configure sets the properties that all engines share.
@@ -182,7 +184,7 @@
 	if w.avoid[s.ID] || now.Before(e.refusedUntil) || !w.job.allows(s.Domain) || !s.Room(now) {
 		return 0, false
 	}
-	room := e.room(w.job, now, p.rate, p.Lengths.Spread(), p.options.Deviations)
+	room := e.room(w.job, now, p.rate, p.Lengths.Spread(), p.options.Deviations) - p.order.reserve.KeepFree(w.job.size(), s.ID)
 	if room < 0 {
 		return 0, false
 	}
--- a/pkg/enginepool/queue.go
+++ b/pkg/enginepool/queue.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/fairness"
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
@@ -39,6 +40,12 @@
 	granted chan *runners.State
 	// lateAt is when the job can no longer meet its latency target; zero for never.
 	lateAt time.Time
+	// since is when it began to wait, mayWait how long it may.
+	since   time.Time
+	mayWait time.Duration
+	// held is how long it left room to requests of other gateways, heldAt when it last did so.
+	held   time.Duration
+	heldAt time.Time
 }
 
 // LateFrom sets the time from which a job is ranked Late. It must be called before Wait.
@@ -72,10 +79,35 @@
 // Prefer sets the runner that is chosen if it has room, even if others have more.
 func (w *Waiter) Prefer(runner string) { w.prefer = runner }
 
+// maxWait is how long a job is taken to wait if its context has no deadline.
+const maxWait = time.Second
+
+// recordHold records that the job leaves room to others.
+func (w *Waiter) recordHold(now time.Time) {
+	if !w.heldAt.IsZero() {
+		w.held += min(now.Sub(w.heldAt), maxHoldStep)
+	}
+	w.heldAt = now
+}
+
+// Held returns how long a job has left room to requests of other gateways.
+func (p *Pool) Held(w *Waiter) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return w.held
+}
+
+// maxHoldStep is the longest time between two dispatches that counts as one hold.
+const maxHoldStep = 50 * time.Millisecond
+
 // Wait returns the decode runner on which memory is reserved for the job, as soon as
 // there is room. It fails with *ErrNoRoom when the context ends first.
 func (p *Pool) Wait(ctx context.Context, w *Waiter) (*runners.State, error) {
 	began := time.Now()
+	w.since, w.mayWait = began, maxWait
+	if deadline, ok := ctx.Deadline(); ok {
+		w.mayWait = deadline.Sub(began)
+	}
 	p.enqueue(w)
 	p.Dispatch(began)
 	select {
@@ -116,6 +148,7 @@
 func (p *Pool) enqueue(w *Waiter) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.order.sizes.Observe(w.job.size())
 	at, _ := slices.BinarySearchFunc(p.waiting, w, compareWaiters)
 	p.waiting = slices.Insert(p.waiting, at, w)
 }
@@ -128,6 +161,7 @@
 	at := slices.Index(p.waiting, w)
 	if at >= 0 {
 		p.waiting = slices.Delete(p.waiting, at, at+1)
+		p.reportClasses()
 		return at, nil
 	}
 	select {
@@ -138,32 +172,85 @@
 	}
 }
 
-// Dispatch reserves memory for waiting jobs, in order. A job that does not fit is
+// Dispatch reserves memory for waiting jobs, in the order of all gateways. A job that does not fit is
 // skipped, and smaller jobs may pass it. Jobs of the same or a larger size than the first
-// job that does not fit wait too, so that they do not starve it.
+// job that does not fit wait too, so that they do not starve it. Large jobs, for which memory is kept
+// free on some engines, wait only for large ones. A job leaves room to more urgent
+// requests of other gateways; see package fairness.
 func (p *Pool) Dispatch(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.waiting) == 0 {
+		return
+	}
 	p.demote(now)
-	left := p.waiting[:0]
-	blockedSize := 0
-	for _, w := range p.waiting {
-		if blockedSize > 0 && w.job.size() >= blockedSize {
-			left = append(left, w)
-			continue
-		}
-		s := p.place(w, now)
+	p.updateReserve(now)
+	shares := p.shares(now)
+	sortWaiting(p.waiting, shares)
+	promoted := p.promote()
+	var left []*Waiter
+	var blocked blockedSizes
+	for rest := p.waiting; len(rest) > 0; {
+		w := rest[0]
+		rest = rest[1:]
+		first := promoted && len(left)+len(rest)+1 == len(p.waiting)
+		s := p.dispatch(w, &blocked, shares, first, now)
 		if s == nil {
-			if blockedSize == 0 {
-				blockedSize = w.job.size()
-			}
 			left = append(left, w)
 			continue
 		}
-		w.granted <- s
+		p.granted(w, s, shares, now)
+		if slices.ContainsFunc(left, w.precedes) || slices.ContainsFunc(rest, w.precedes) {
+			p.order.floor.Granted(w.job.size())
+		}
+		sortWaiting(rest, shares)
+	}
+	clear(p.waiting)
+	p.waiting = append(p.waiting[:0], left...)
+	p.reportClasses()
+}
+
+// dispatch reserves memory for one waiting job. It returns nil if the job does not fit, is blocked by
+// one ahead of it or leaves the room to others. A promoted job leaves it to none. The caller holds the lock.
+func (p *Pool) dispatch(w *Waiter, blocked *blockedSizes, shares *fairness.Shares, promoted bool, now time.Time) *runners.State {
+	large := p.order.sizes.Large(w.job.size())
+	if blocked.blocks(w.job.size(), large) {
+		return nil
+	}
+	if !promoted && p.mustHold(w, shares, now) {
+		w.recordHold(now)
+		return nil
+	}
+	s := p.place(w, now)
+	switch {
+	case s == nil:
+		blocked.add(w.job.size(), large)
+	case promoted:
+		p.order.floor.Repay(w.job.size())
+	}
+	return s
+}
+
+// blockedSizes holds the size of the first job that did not fit, for large jobs and for the others; 0
+// for none.
+type blockedSizes struct{ large, other int }
+
+func (b *blockedSizes) of(large bool) *int {
+	if large {
+		return &b.large
+	}
+	return &b.other
+}
+
+func (b *blockedSizes) blocks(size int, large bool) bool {
+	first := *b.of(large)
+	return first > 0 && size >= first
+}
+
+func (b *blockedSizes) add(size int, large bool) {
+	if first := b.of(large); *first == 0 {
+		*first = size
 	}
-	clear(p.waiting[len(left):])
-	p.waiting = left
 }
 
 // demote moves waiting jobs that have become late to the end. The caller holds the lock.
--- a/pkg/enginepool/snapshot.go
+++ b/pkg/enginepool/snapshot.go
@@ -1,6 +1,10 @@
 package enginepool
 
-import "time"
+import (
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/fairness"
+)
 
 // Snapshot holds one gateway's reservations and prefills, as reported to other gateways.
 type Snapshot struct {
@@ -10,6 +14,9 @@
 	Engines []EngineLoad
 	// Waiting is how many jobs wait at the reporting gateway.
 	Waiting int
+	// Classes are the jobs that wait, by class. Uses is what workspaces use, nil if nothing waits.
+	Classes []fairness.Waiting
+	Uses    []fairness.Use
 }
 
 // EngineLoad is the load that one gateway has on one engine.
@@ -26,7 +33,8 @@
 func (p *Pool) Snapshot(since uint64) (Snapshot, uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := Snapshot{Full: since == 0, Waiting: len(p.waiting)}
+	now := time.Now()
+	out := Snapshot{Full: since == 0, Waiting: len(p.waiting), Classes: p.waitingClasses(now), Uses: p.reportedUses(now)}
 	for id, e := range p.engines {
 		load := EngineLoad{Runner: id, PrefillTokens: p.ownPrefillTokens(id)}
 		for _, b := range e.own {
@@ -48,6 +56,7 @@
 		p.dropLoads(gateway)
 	}
 	p.peerWaiting[gateway] = s.Waiting
+	p.order.reports.Put(gateway, s.Classes, s.Uses, now)
 	reported := p.peerEngines[gateway]
 	if reported == nil {
 		reported = map[string]*engine{}
@@ -80,6 +89,7 @@
 	defer p.mu.Unlock()
 	p.dropLoads(gateway)
 	delete(p.peerWaiting, gateway)
+	p.order.reports.Drop(gateway)
 }
 
 // dropLoads removes another gateway's reservations and prefills from all engines. The
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -101,6 +101,7 @@
 	for name, s := range t.Config.Services {
 		if s.Engine != nil {
 			g.pool(name).Configure(enginepool.Spec{Memory: s.Engine.Memory, Slots: s.Engine.Slots})
+			g.pool(name).SetWeights(t.Workspaces.Weights())
 		}
 	}
 	return true
@@ -159,11 +160,16 @@
 	return out, reached
 }
 
-// ReceiveSnapshot applies a peer's reservations for a service. Services that this gateway's
+// ReceiveSnapshot applies a peer's reservations for a service, and dispatches waiting requests, since the
+// peer may have released room. Services that this gateway's
 // configuration doesn't contain are ignored.
 func (g *Ingress) ReceiveSnapshot(gateway, service string, snapshot enginepool.Snapshot) {
 	if p := g.Pools()[service]; p != nil {
-		p.ReceiveSnapshot(gateway, snapshot, time.Now())
+		now := time.Now()
+		p.ReceiveSnapshot(gateway, snapshot, now)
+		if here, _ := p.Waiting(); here > 0 && len(snapshot.Engines) > 0 {
+			p.Dispatch(now)
+		}
 	}
 }
 
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -32,6 +32,11 @@
 		w.LateFrom(s.arrived.Add(s.route.LatencyTarget - serveReserve))
 	}
 	s.logPassedOver(runners.Decode)
+	defer func() {
+		if held := s.pool.Held(w); held > 0 {
+			s.fields = append(s.fields, decisionlog.F("held", held))
+		}
+	}()
 	for {
 		if err := s.unavailable(latest); err != nil {
 			return nil, firstError(s.endReason(), err)
--- a/pkg/peers/convert.go
+++ b/pkg/peers/convert.go
@@ -23,6 +23,7 @@
 			}
 			pool.Engines = append(pool.Engines, e)
 		}
+		encodeWaiting(s, pool)
 		state.Pools = append(state.Pools, pool)
 	}
 	return state
@@ -34,6 +35,7 @@
 	out := map[string]enginepool.Snapshot{}
 	for _, pool := range s.Pools {
 		p := enginepool.Snapshot{Full: pool.Full, Waiting: int(pool.Waiting)}
+		p.Classes, p.Uses = decodeWaiting(pool)
 		for _, e := range pool.Engines {
 			load := enginepool.EngineLoad{Runner: e.Runner, PrefillTokens: int(e.Reading)}
 			for i := range min(len(e.Now), len(e.Left)) {
--- a/pkg/peers/members.go
+++ b/pkg/peers/members.go
@@ -29,6 +29,7 @@
 	spendingRevision uint64
 	// limitsRevision is the revision up to which the runners' rate limits were sent to it.
 	limitsRevision uint64
+	waiting        waitingState
 }
 
 // Add adds another gateway to the membership list, unless the list has it.
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -176,7 +176,10 @@
 	relaysChosenAt time.Time
 	// sentRevisions is the revisions up to which changes were sent, by service.
 	sentRevisions map[string]uint64
-	intervals     uint64
+	// waits says that requests waited for engines when changes were last sent. Only Run's goroutine
+	// uses it.
+	waits     bool
+	intervals uint64
 	// sources are the relays of this gateway. subscribers are the gateways that it relays
 	// changes of the store to, and relayAllowance bounds the bytes that it sends them.
 	sources        *relay.Sources
@@ -231,6 +234,9 @@
 			x.sendChanges(time.Now())
 		case now := <-tick.C:
 			x.sendDue(now)
+			if x.waits {
+				x.sendChanges(now)
+			}
 			x.subscribe(now)
 			x.SendStoreUpdates(now)
 			x.sweep(now)
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -44,6 +44,8 @@
 		return
 	}
 	becameAlive := x.updateMember(m, s, from, now)
+	snapshots := decodeSnapshots(s)
+	m.waiting.receiveWaiting(snapshots, now)
 	known, sameDomain, inSync := len(x.members), m.domain == x.options.Domain, !m.lostData
 	x.mu.Unlock()
 	if becameAlive {
@@ -71,7 +73,7 @@
 		update.Confirmed = x.confirmedAt(s.StoreUpdate)
 		x.receiveUpdate(s.Name, update, now)
 	}
-	for service, snapshot := range decodeSnapshots(s) {
+	for service, snapshot := range snapshots {
 		x.options.ReceiveSnapshot(s.Name, service, snapshot)
 	}
 }
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -21,18 +21,19 @@
 	state *wirepb.GatewayState
 }
 
-// sendChanges sends changed reservations to the gateways that use the engines concerned, and changes
+// sendChanges sends changed reservations to the gateways that use the engines concerned, what waits here
+// to those that serve less urgent requests, and changes
 // of runners' rate limits to the gateways that lack them.
 func (x *Exchange) sendChanges(now time.Time) {
 	x.mu.Lock()
 	changed, reached := x.options.Snapshots(x.sentRevisions)
-	x.sentRevisions = reached
+	x.sentRevisions, x.waits = reached, waits(changed)
 	var out []datagram
 	for _, m := range x.members {
 		if !m.alive || m.needsFull {
 			continue
 		}
-		if part := x.changesFor(m.name, changed); len(part) > 0 || x.limitsDue(m) {
+		if part := x.addWaiting(m, x.changesFor(m.name, changed), changed, now); len(part) > 0 || x.limitsDue(m) {
 			out = append(out, x.newDatagram(m, encodeSnapshots(part), now))
 		}
 	}
@@ -155,7 +156,7 @@
 
 // fullState returns a message with the full state for a gateway. The caller holds the lock.
 func (x *Exchange) fullState(m *member, all map[string]enginepool.Snapshot, now time.Time) *wirepb.GatewayState {
-	state := encodeSnapshots(x.changesFor(m.name, all))
+	state := encodeSnapshots(x.addWaiting(m, x.changesFor(m.name, all), all, now))
 	state.Address, state.Domain, state.ConfigVersion = x.options.Address, x.options.Domain, x.options.Version()
 	list := x.sortedMembers()
 	for i := range min(peersPerDatagram, len(list)) {
