enginepool: room is tried on ticks, not on each report

In two islands of gateways each report made waiting requests try engines that the other island had filled, and each refusal skips an engine for 60 ms: urgent requests were served less often than without summaries.

--- a/pkg/enginepool/order.go
+++ b/pkg/enginepool/order.go
@@ -131,7 +131,9 @@
 	if ahead.Count == 0 || fairness.Exempt(w.request()) || !fairness.Hold(ahead, 1, now.Sub(w.since), w.mayWait) {
 		return false
 	}
-	probe := Job{Prompt: ahead.Size, Length: Estimate{spread: minSpread}}
+	// A job of their mean size, with a response as long as that of this one.
+	probe := w.job
+	probe.Prompt = max(1, ahead.Size-(w.job.size()-w.job.Prompt))
 	places := 0
 	for _, c := range p.candidates(w, now) {
 		if p.engine(c.runner.ID).room(probe, now, p.rate, p.Lengths.Spread(), p.options.Deviations) >= 0 {
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -160,16 +160,11 @@
 	return out, reached
 }
 
-// ReceiveSnapshot applies a peer's reservations for a service, and dispatches waiting requests, since the
-// peer may have released room. Services that this gateway's
+// ReceiveSnapshot applies a peer's reservations for a service. Services that this gateway's
 // configuration doesn't contain are ignored.
 func (g *Ingress) ReceiveSnapshot(gateway, service string, snapshot enginepool.Snapshot) {
 	if p := g.Pools()[service]; p != nil {
-		now := time.Now()
-		p.ReceiveSnapshot(gateway, snapshot, now)
-		if here, _ := p.Waiting(); here > 0 && len(snapshot.Engines) > 0 {
-			p.Dispatch(now)
-		}
+		p.ReceiveSnapshot(gateway, snapshot, time.Now())
 	}
 }
 
