--- a/pkg/peers/waiting.go
+++ b/pkg/peers/waiting.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -121,16 +122,19 @@
 	}
 }
 
+// bounded converts a number of tokens, so that sums over all gateways can't overflow.
+func bounded(tokens uint64) int { return int(min(tokens, math.MaxInt32)) }
+
 // decodeWaiting returns what waits at the sender of a message, and the use of workspaces there.
 func decodeWaiting(pool *wirepb.GatewayPool) (classes []fairness.Waiting, uses []fairness.Use) {
 	for _, c := range pool.WaitingClasses {
 		classes = append(classes, fairness.Waiting{
 			Class: fairness.Class{Tier: int(c.Tier), Priority: int(c.Priority), Rank: int(c.Rank)},
-			Count: int(c.Count), Tokens: int(c.Tokens), Longest: time.Duration(c.LongestMs) * time.Millisecond,
+			Count: int(c.Count), Tokens: bounded(c.Tokens), Longest: time.Duration(c.LongestMs) * time.Millisecond,
 		})
 	}
 	for _, u := range pool.Workspaces {
-		uses = append(uses, fairness.Use{Workspace: u.Workspace, Used: int(u.Used), Waiting: int(u.Waiting)})
+		uses = append(uses, fairness.Use{Workspace: u.Workspace, Used: bounded(u.Used), Waiting: bounded(u.Waiting)})
 	}
 	return classes, uses
 }
