--- a/pkg/enginepool/order.go
+++ b/pkg/enginepool/order.go
@@ -99,6 +99,18 @@
 	p.order.reserve = p.order.sizes.Reserve(usable)
 }
 
+// reserveShare is the share of the time for which a job may wait in which it leaves memory to large jobs.
+// After that, it takes what no large job has taken.
+const reserveShare = 0.75
+
+// keepFree returns the memory that a job leaves to large jobs on an engine. The caller holds the lock.
+func (p *Pool) keepFree(w *Waiter, engine string, now time.Time) float64 {
+	if w.mayWait > 0 && float64(now.Sub(w.since)) >= reserveShare*float64(w.mayWait) {
+		return 0
+	}
+	return p.order.reserve.KeepFree(w.job.size(), engine)
+}
+
 // sortWaiting sorts waiters by the order of all gateways.
 func sortWaiting(list []*Waiter, order fairness.Order) {
 	slices.SortStableFunc(list, func(a, b *Waiter) int { return order.Compare(a.request(), b.request()) })
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -184,7 +184,7 @@
 	if w.avoid[s.ID] || now.Before(e.refusedUntil) || !w.job.allows(s.Domain) || !s.Room(now) {
 		return 0, false
 	}
-	room := e.room(w.job, now, p.rate, p.Lengths.Spread(), p.options.Deviations) - p.order.reserve.KeepFree(w.job.size(), s.ID)
+	room := e.room(w.job, now, p.rate, p.Lengths.Spread(), p.options.Deviations) - p.keepFree(w, s.ID, now)
 	if room < 0 {
 		return 0, false
 	}
