fairness: memory for large requests is kept in a heavy shortage only; sums of uses

In a light shortage the kept memory stayed empty at times and more requests found no room. The sum of what workspaces use is kept as reports arrive: with 356 gateways a choice took over a millisecond.

--- a/pkg/enginepool/order.go
+++ b/pkg/enginepool/order.go
@@ -14,7 +14,7 @@
 	// more urgent requests that wait there.
 	servedMemory = time.Second
 	// maxUses limits the workspaces in a report, some 20 bytes each.
-	maxUses = 16
+	maxUses = 8
 )
 
 // fairOrder is what a pool knows of the requests of all gateways that want room. The pool's lock guards
@@ -25,6 +25,8 @@
 	floor   fairness.Floor
 	sizes   fairness.Sizes
 	reserve fairness.Reserve
+	// heavy says that the shortage is heavy, see heavyWaiting.
+	heavy bool
 	// served is the time at which each class last got room.
 	served map[fairness.Class]time.Time
 	// reported holds the classes that waited when a change was last reported.
@@ -87,7 +89,8 @@
 	return out
 }
 
-// updateReserve chooses the engines on which memory is kept free for large jobs. The caller holds the
+// updateReserve chooses the engines on which memory is kept free for large jobs, and finds whether the
+// shortage is heavy. The caller holds the
 // lock.
 func (p *Pool) updateReserve(now time.Time) {
 	var usable []string
@@ -97,15 +100,21 @@
 		}
 	}
 	p.order.reserve = p.order.sizes.Reserve(usable)
+	p.order.heavy = float64(len(p.waiting)+p.order.reports.Waiting(now)) >= heavyWaiting*float64(len(usable))
 }
 
-// reserveShare is the share of the time for which a job may wait in which it leaves memory to large jobs.
-// After that, it takes what no large job has taken.
-const reserveShare = 0.75
+const (
+	// reserveShare is the share of the time for which a job may wait in which it leaves memory to large
+	// jobs if the shortage is light: after that, it takes what no large job has taken.
+	reserveShare = 0.5
+	// heavyWaiting is the number of jobs of all gateways that wait per engine in a heavy shortage. Some of
+	// them are large, so that the memory kept free for them does not stay empty for long.
+	heavyWaiting = 0.25
+)
 
 // keepFree returns the memory that a job leaves to large jobs on an engine. The caller holds the lock.
 func (p *Pool) keepFree(w *Waiter, engine string, now time.Time) float64 {
-	if w.mayWait > 0 && float64(now.Sub(w.since)) >= reserveShare*float64(w.mayWait) {
+	if !p.order.heavy && w.mayWait > 0 && float64(now.Sub(w.since)) >= reserveShare*float64(w.mayWait) {
 		return 0
 	}
 	return p.order.reserve.KeepFree(w.job.size(), engine)
@@ -193,10 +202,10 @@
 	return out
 }
 
-// reportedUses returns what workspaces use at this gateway, the largest first, while jobs wait here or
+// reportedUses returns what workspaces use at this gateway, those that need most first, while jobs wait here or
 // elsewhere; nil otherwise. The caller holds the lock.
 func (p *Pool) reportedUses(now time.Time) []fairness.Use {
-	if len(p.waiting) == 0 && !p.order.reports.Waiting(now) {
+	if len(p.waiting) == 0 && p.order.reports.Waiting(now) == 0 {
 		return nil
 	}
 	uses := p.ownUses()
--- a/pkg/fairness/fairness_test.go
+++ b/pkg/fairness/fairness_test.go
@@ -190,3 +190,36 @@
 		})
 	}
 }
+
+// The sum that is kept must be that of the newest report of each gateway.
+func TestUsesOfGatewaysAddUp(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		r, now, newest := NewReports(), time.Now(), map[string][]Use{}
+		for range rapid.IntRange(1, 20).Draw(t, "reports") {
+			gateway := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "gateway")
+			if rapid.IntRange(0, 4).Draw(t, "drop") == 0 {
+				r.Drop(gateway)
+				delete(newest, gateway)
+				continue
+			}
+			newest[gateway] = drawUses(t)
+			r.Put(gateway, nil, newest[gateway], now)
+		}
+		want := map[uint64]Use{}
+		for _, uses := range newest {
+			for _, u := range uses {
+				want[u.Workspace] = Use{u.Workspace, want[u.Workspace].Used + u.Used, want[u.Workspace].Waiting + u.Waiting}
+			}
+		}
+		got := map[uint64]Use{}
+		for _, u := range r.Uses(now) {
+			got[u.Workspace] = u
+		}
+		for id, u := range want {
+			g.Expect(got[id].Used).To(Equal(u.Used))
+			g.Expect(got[id].Waiting).To(Equal(u.Waiting))
+		}
+		g.Expect(r.Uses(now.Add(maxUseAge + sweepInterval))).To(BeEmpty())
+	})
+}
--- a/pkg/fairness/reports.go
+++ b/pkg/fairness/reports.go
@@ -1,7 +1,9 @@
 package fairness
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -12,6 +14,8 @@
 	// maxUseAge is the age up to which the use of workspaces at another gateway counts. Requests hold
 	// memory for seconds.
 	maxUseAge = 5 * time.Second
+	// sweepInterval is the time between two removals of old uses.
+	sweepInterval = time.Second
 	// holdShare is the share of the time for which a request may wait that it may be held back for
 	// others: the rest is left to find room itself.
 	holdShare = 0.9
@@ -19,8 +23,12 @@
 
 // Reports holds what other gateways reported, by gateway.
 type Reports struct {
+	// classes has no entry for a gateway at which nothing waits.
 	classes map[string]classReport
 	uses    map[string]useReport
+	// total is the sum of uses by workspace, sweptAt the time at which old reports were last removed.
+	total   map[uint64]Use
+	sweptAt time.Time
 }
 
 type classReport struct {
@@ -35,44 +43,70 @@
 
 // NewReports returns an empty collection.
 func NewReports() *Reports {
-	return &Reports{classes: map[string]classReport{}, uses: map[string]useReport{}}
+	return &Reports{classes: map[string]classReport{}, uses: map[string]useReport{}, total: map[uint64]Use{}}
 }
 
 // Put records a report. No uses mean that the gateway did not report them: the earlier ones remain.
 func (r *Reports) Put(gateway string, classes []Waiting, uses []Use, now time.Time) {
-	r.classes[gateway] = classReport{classes, now}
+	delete(r.classes, gateway)
+	if slices.ContainsFunc(classes, func(w Waiting) bool { return w.Count > 0 }) {
+		r.classes[gateway] = classReport{classes, now}
+	}
 	if len(uses) > 0 {
+		r.dropUses(gateway)
 		r.uses[gateway] = useReport{uses, now}
+		r.add(uses, 1)
 	}
 }
 
+// add adds uses to the total, or subtracts them for sign -1.
+func (r *Reports) add(uses []Use, sign int) {
+	for _, u := range uses {
+		t := r.total[u.Workspace]
+		t = Use{u.Workspace, t.Used + sign*u.Used, t.Waiting + sign*u.Waiting}
+		if t.Used == 0 && t.Waiting == 0 {
+			delete(r.total, u.Workspace)
+			continue
+		}
+		r.total[u.Workspace] = t
+	}
+}
+
+func (r *Reports) dropUses(gateway string) {
+	r.add(r.uses[gateway].uses, -1)
+	delete(r.uses, gateway)
+}
+
 // Drop removes the reports of a gateway.
 func (r *Reports) Drop(gateway string) {
 	delete(r.classes, gateway)
-	delete(r.uses, gateway)
+	r.dropUses(gateway)
 }
 
-// Uses returns the uses of workspaces at the other gateways.
+// Uses returns the uses of workspaces at all other gateways together.
 func (r *Reports) Uses(now time.Time) []Use {
-	var out []Use
-	for _, report := range r.uses {
-		if now.Sub(report.at) <= maxUseAge {
-			out = append(out, report.uses...)
+	if now.Sub(r.sweptAt) > sweepInterval {
+		r.sweptAt = now
+		for gateway, report := range r.uses {
+			if now.Sub(report.at) > maxUseAge {
+				r.dropUses(gateway)
+			}
 		}
 	}
-	return out
+	return slices.Collect(maps.Values(r.total))
 }
 
-// Waiting reports whether requests wait at another gateway.
-func (r *Reports) Waiting(now time.Time) bool {
+// Waiting returns the number of requests that wait at other gateways.
+func (r *Reports) Waiting(now time.Time) int {
+	n := 0
 	for _, report := range r.classes {
 		for _, c := range report.classes {
-			if c.Count > 0 && now.Sub(report.at) <= MaxReportAge {
-				return true
+			if now.Sub(report.at) <= MaxReportAge {
+				n += c.Count
 			}
 		}
 	}
-	return false
+	return n
 }
 
 // Ahead is a number of requests that go before another, and their mean size in tokens.
--- a/pkg/fairness/sizes.go
+++ b/pkg/fairness/sizes.go
@@ -23,7 +23,7 @@
 	minLargeRatio = 1.4
 	// reserveFactor is the ratio of the share of engines with memory kept free to the share of tokens that
 	// large requests ask for. Smaller requests hold about half of the memory of these engines.
-	reserveFactor = 2.5
+	reserveFactor = 2
 )
 
 // Sizes learns how many tokens requests need, and keeps memory free for the large ones on a part of the
--- a/pkg/peers/waiting.go
+++ b/pkg/peers/waiting.go
@@ -17,8 +17,8 @@
 	minWaitingInterval = 100 * time.Millisecond
 	waitingPerGateway  = 10 * time.Millisecond
 	// usesPerGateway determines the time between two reports of the use of workspaces to a gateway, at
-	// most 320 bytes each: usesPerGateway times the number of members, and at least minUsesInterval.
-	usesPerGateway  = 40 * time.Millisecond
+	// most 160 bytes each: usesPerGateway times the number of members, and at least minUsesInterval.
+	usesPerGateway  = 60 * time.Millisecond
 	minUsesInterval = 300 * time.Millisecond
 	// leastUrgentTTL is how long the report of a gateway's least urgent class is valid.
 	leastUrgentTTL = 2 * time.Second
