--- a/pkg/enginepool/order.go
+++ b/pkg/enginepool/order.go
@@ -145,11 +145,11 @@
 	return a.Compare(b) < 0
 }
 
-// mustHold reports whether a waiter leaves the room that it would get to requests that wait at other
+// mustYield reports whether a waiter leaves the room that it would get to requests that wait at other
 // gateways. The caller holds the lock.
-func (p *Pool) mustHold(w *Waiter, s *fairness.Shares, now time.Time) bool {
+func (p *Pool) mustYield(w *Waiter, s *fairness.Shares, now time.Time) bool {
 	ahead := p.order.reports.Ahead(w.request(), s, now)
-	if ahead.Count == 0 || fairness.Exempt(w.request()) || !fairness.Hold(ahead, 1, now.Sub(w.since), w.mayWait) {
+	if ahead.Count == 0 || fairness.Exempt(w.request()) || !fairness.Yield(ahead, 1, now.Sub(w.since), w.mayWait) {
 		return false
 	}
 	// A job of their mean size, with a response as long as that of this one.
@@ -161,7 +161,7 @@
 			places++
 		}
 	}
-	return fairness.Hold(ahead, places, now.Sub(w.since), w.mayWait)
+	return fairness.Yield(ahead, places, now.Sub(w.since), w.mayWait)
 }
 
 // granted records that a waiter got room on a runner. The caller holds the lock.
--- a/pkg/enginepool/order_test.go
+++ b/pkg/enginepool/order_test.go
@@ -340,7 +340,7 @@
 }
 
 // A report that is old, or names fewer requests than there are places, holds no request back.
-func TestHoldIsBounded(t *testing.T) {
+func TestYieldIsBounded(t *testing.T) {
 	g := NewWithT(t)
 	p, _ := pool(2, 0, 10000)
 	now := time.Now()
@@ -351,7 +351,7 @@
 	urgent := func(count int) Snapshot {
 		return Snapshot{Classes: []fairness.Waiting{{Class: fairness.Class{Tier: 1, Priority: 0, Rank: int(Fresh)}, Count: count, Tokens: 1100 * count}}}
 	}
-	hold := func(at time.Time) bool { return p.mustHold(w, p.shares(at), at) }
+	hold := func(at time.Time) bool { return p.mustYield(w, p.shares(at), at) }
 	p.ReceiveSnapshot("other", urgent(1), now)
 	g.Expect(hold(now)).To(BeFalse(), "there are two places for one request")
 	p.ReceiveSnapshot("other", urgent(2), now)
--- a/pkg/enginepool/queue.go
+++ b/pkg/enginepool/queue.go
@@ -43,9 +43,9 @@
 	// since is when it began to wait, mayWait how long it may.
 	since   time.Time
 	mayWait time.Duration
-	// held is how long it left room to requests of other gateways, heldAt when it last did so.
-	held   time.Duration
-	heldAt time.Time
+	// yielded is how long it left room to requests of other gateways, yieldedAt when it last did so.
+	yielded   time.Duration
+	yieldedAt time.Time
 }
 
 // LateFrom sets the time from which a job is ranked Late. It must be called before Wait.
@@ -82,23 +82,23 @@
 // maxWait is how long a job is taken to wait if its context has no deadline.
 const maxWait = time.Second
 
-// recordHold records that the job leaves room to others.
-func (w *Waiter) recordHold(now time.Time) {
-	if !w.heldAt.IsZero() {
-		w.held += min(now.Sub(w.heldAt), maxHoldStep)
+// recordYield records that the job leaves room to others.
+func (w *Waiter) recordYield(now time.Time) {
+	if !w.yieldedAt.IsZero() {
+		w.yielded += min(now.Sub(w.yieldedAt), maxYieldStep)
 	}
-	w.heldAt = now
+	w.yieldedAt = now
 }
 
-// Held returns how long a job has left room to requests of other gateways.
-func (p *Pool) Held(w *Waiter) time.Duration {
+// Yielded returns how long a job has left room to requests of other gateways.
+func (p *Pool) Yielded(w *Waiter) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return w.held
+	return w.yielded
 }
 
-// maxHoldStep is the longest time between two dispatches that counts as one hold.
-const maxHoldStep = 50 * time.Millisecond
+// maxYieldStep is the longest time between two dispatches that counts as one yield.
+const maxYieldStep = 50 * time.Millisecond
 
 // Wait returns the decode runner on which memory is reserved for the job, as soon as
 // there is room. It fails with *ErrNoRoom when the context ends first.
@@ -217,8 +217,8 @@
 	if blocked.blocks(w.job.size(), large) {
 		return nil
 	}
-	if !promoted && p.mustHold(w, shares, now) {
-		w.recordHold(now)
+	if !promoted && p.mustYield(w, shares, now) {
+		w.recordYield(now)
 		return nil
 	}
 	s := p.place(w, now)
--- a/pkg/fairness/reports.go
+++ b/pkg/fairness/reports.go
@@ -16,9 +16,9 @@
 	maxUseAge = 5 * time.Second
 	// sweepInterval is the time between two removals of old uses.
 	sweepInterval = time.Second
-	// holdShare is the share of the time for which a request may wait that it may be held back for
+	// yieldShare is the share of the time for which a request may wait that it may leave room to
 	// others: the rest is left to find room itself.
-	holdShare = 0.9
+	yieldShare = 0.9
 )
 
 // Reports holds what other gateways reported, by gateway.
@@ -156,9 +156,9 @@
 	return float64(within) / float64(max(1, all))
 }
 
-// Hold reports whether a request leaves room to the requests ahead of it at other gateways. places is
+// Yield reports whether a request leaves room to the requests ahead of it at other gateways. places is
 // the number of engines with room for a request of their size; those beyond the number of requests
 // ahead are free to use. The request has waited for a part of the time for which it may wait.
-func Hold(a Ahead, places int, waited, mayWait time.Duration) bool {
-	return a.Count > 0 && places > 0 && places <= a.Count && float64(waited) < holdShare*float64(mayWait)
+func Yield(a Ahead, places int, waited, mayWait time.Duration) bool {
+	return a.Count > 0 && places > 0 && places <= a.Count && float64(waited) < yieldShare*float64(mayWait)
 }
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -18,6 +18,8 @@
 	firstEvent *metrics.Histogram
 	wait       *metrics.Histogram
 	prefill    *metrics.Histogram
+	// yielded is the time for which requests left room to requests of other gateways, in seconds.
+	yielded *metrics.Histogram
 	// prefilled counts the prompt tokens that prefill runners computed, wasted those whose
 	// computation was wasted or has to be repeated.
 	prefilled *metrics.Counter
@@ -40,6 +42,7 @@
 		firstEvent:  set.NewHistogram("hopwell_ingress_first_event_seconds"),
 		wait:        set.NewHistogram("hopwell_ingress_room_wait_seconds"),
 		prefill:     set.NewHistogram("hopwell_ingress_prefill_seconds"),
+		yielded:     set.NewHistogram("hopwell_ingress_yielded_seconds"),
 		prefilled:   set.NewCounter("hopwell_ingress_prefilled_tokens_total"),
 		wasted:      set.NewCounter("hopwell_ingress_wasted_prefill_tokens_total"),
 		resumed:     set.NewCounter("hopwell_ingress_resumed_streams_total"),
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -33,8 +33,9 @@
 	}
 	s.logPassedOver(runners.Decode)
 	defer func() {
-		if held := s.pool.Held(w); held > 0 {
-			s.fields = append(s.fields, decisionlog.F("held", held))
+		if yielded := s.pool.Yielded(w); yielded > 0 {
+			s.g.metrics.yielded.Update(yielded.Seconds())
+			s.fields = append(s.fields, decisionlog.F("yielded", yielded))
 		}
 	}()
 	for {
