enginepool: memory kept free for large jobs decides whether a job fits, not which runner is best

Smaller jobs avoided the runners with kept memory even when these were nearly empty, and so chose runners that no longer answer more often: more requests found no room after holds without a response.

--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -184,8 +184,8 @@
 	if w.avoid[s.ID] || now.Before(e.refusedUntil) || !w.job.allows(s.Domain) || !s.Room(now) {
 		return 0, false
 	}
-	room := e.room(w.job, now, p.rate, p.Lengths.Spread(), p.options.Deviations) - p.keepFree(w, s.ID, now)
-	if room < 0 {
+	room := e.room(w.job, now, p.rate, p.Lengths.Spread(), p.options.Deviations)
+	if room < 0 || room < p.keepFree(w, s.ID, now) {
 		return 0, false
 	}
 	score := room - failurePenalty*s.Failures(now)*float64(e.capacity)
