--- a/pkg/peers/convert.go
+++ b/pkg/peers/convert.go
@@ -32,11 +32,14 @@
 	return state
 }
 
+// maxWaiting bounds the number of waiting requests that another gateway may report. Refusals depend on it.
+const maxWaiting = 10_000
+
 // decodeSnapshots returns the snapshots of a message, by service.
 func decodeSnapshots(s *wirepb.GatewayState) map[string]enginepool.Snapshot {
 	out := map[string]enginepool.Snapshot{}
 	for _, pool := range s.Pools {
-		p := enginepool.Snapshot{Full: pool.Full, Waiting: int(pool.Waiting), PromisedAge: time.Duration(pool.PromisedSinceMs) * time.Millisecond}
+		p := enginepool.Snapshot{Full: pool.Full, Waiting: int(min(pool.Waiting, maxWaiting)), PromisedAge: time.Duration(pool.PromisedSinceMs) * time.Millisecond}
 		for _, n := range pool.Promised {
 			p.Promised = append(p.Promised, int(n))
 		}
--- a/pkg/peers/convert_test.go
+++ b/pkg/peers/convert_test.go
@@ -27,3 +27,10 @@
 	got := decodeSnapshots(&wirepb.GatewayState{Pools: []*wirepb.GatewayPool{{Service: "llm", Waiting: 1}}})
 	g.Expect(got["llm"].Promised).To(BeEmpty())
 }
+
+// Guards against a gateway whose absurd number of waiting requests makes all others refuse at once.
+func TestReportedNumberOfWaitingRequestsIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	got := decodeSnapshots(&wirepb.GatewayState{Pools: []*wirepb.GatewayPool{{Service: "llm", Waiting: 1 << 31}}})
+	g.Expect(got["llm"].Waiting).To(Equal(maxWaiting))
+}
