process: plans of stages take a small share of the time

The time between two plans is now at least 30 times what a plan took, 3 s at most. TestPlansTakeASmallShareOfTheTime fails without the pacing.

--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -90,6 +90,7 @@
 	mismatchSince time.Time
 	orderedAt     time.Time
 	retryAt       time.Time
+	pacing        planPacing
 }
 
 // run checks the engines' stages until the context ends.
@@ -120,11 +121,12 @@
 		s.mismatchSince = time.Time{}
 		return
 	}
-	changes := s.plan(now)
-	if len(changes) == 0 {
-		s.mismatchSince = time.Time{}
-	} else if s.mismatchSince.IsZero() {
-		s.mismatchSince = now
+	planned := s.pacing.due(now)
+	var changes []staging.Change
+	if planned {
+		changes = s.plan(now)
+		s.pacing.record(now, time.Since(now))
+		s.recordMismatch(len(changes) > 0, now)
 	}
 	if !held {
 		if s.mayAcquire(now) {
@@ -133,6 +135,9 @@
 		return
 	}
 	s.holdLock(ctx)
+	if !planned {
+		return
+	}
 	paused := !s.orderedAt.IsZero() && now.Sub(s.orderedAt) < s.pause(changes, now)
 	if len(changes) == 0 || paused && !urgent(changes) || boottime.Since(since) < s.wait || now.Sub(s.mismatchSince) < s.patience(changes, now) {
 		return
@@ -141,6 +146,15 @@
 	s.orderedAt, s.mismatchSince = now, time.Time{}
 }
 
+// recordMismatch records whether the plan has changes.
+func (s *stager) recordMismatch(mismatch bool, now time.Time) {
+	if !mismatch {
+		s.mismatchSince = time.Time{}
+	} else if s.mismatchSince.IsZero() {
+		s.mismatchSince = now
+	}
+}
+
 // orderAll records, reports and orders changes, in batches as large as one change of the store allows.
 // When the lock is lost it cancels the changes not yet ordered: the next holder plans them again.
 func (s *stager) orderAll(ctx context.Context, changes []staging.Change, fence store.Revision) {
