runners, ingress: the software version of a runner is kept and logged

Change: Runner.Version and Call.Resumes; decode_begin and runner_* lines name the software version, request_end of a resumed stream the request that brought its first event (64 bytes of it, since clients choose it). Nothing is decided by them yet.

--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -256,6 +256,13 @@
 	return x.call.ID
 }
 
+// maxLoggedID is the number of bytes of a client's ID that are logged, since clients may send IDs of
+// any length.
+const maxLoggedID = 64
+
+// shorten returns an ID of a client for the log.
+func shorten(id string) string { return id[:min(len(id), maxLoggedID)] }
+
 // logStep logs a step of the request.
 func (x *exchange) logStep(event string, fields ...decisionlog.Field) {
 	x.g.options.Log.Write(decisionlog.KindStep, event, append([]decisionlog.Field{
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -101,7 +101,7 @@
 	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, Length: s.pool.Lengths.Estimate(s.lengthHint(), x.call.MaxOut), Priority: x.priority(), Allows: x.domainFilter()}
 	s.fields = append(s.fields, decisionlog.F("gap", s.route.GapTarget), decisionlog.F("timeout", s.call.Timeout), decisionlog.F("prompt", s.job.Prompt), decisionlog.F("guess", s.lengthHint()), decisionlog.F("expected", s.job.Length.Expected(0)))
 	if x.call.After != "" {
-		s.fields = append(s.fields, decisionlog.F("resumed_by", "client"))
+		s.fields = append(s.fields, decisionlog.F("resumed_by", "client"), decisionlog.F("resumes", shorten(x.call.Resumes)))
 		s.findCachedPrompt()
 	}
 	if s.rank == enginepool.Returning {
@@ -237,7 +237,7 @@
 		s.g.metrics.resumed.Inc()
 		s.fields = append(s.fields, decisionlog.F("resumed_by", "gateway"))
 	}
-	s.logStep("decode_begin", decisionlog.F("service", s.service), decisionlog.F("runner", runner.ID))
+	s.logStep("decode_begin", decisionlog.F("service", s.service), decisionlog.F("runner", runner.ID), decisionlog.F("software", runner.Version), decisionlog.F("resumed", s.relay.begun || s.call.After != ""))
 	s.recordRecomputed(runner)
 	s.sends++
 	s.logRunnerLimit(runner)
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -79,7 +79,7 @@
 			f.onRunnerRestart(c.Runner.Address)
 		}
 		l.Write(decisionlog.KindState, "runner_"+c.What, decisionlog.F("runner", c.Runner.ID), decisionlog.F("service", c.Runner.Service),
-			decisionlog.F("address", c.Runner.Address), decisionlog.F("domain", c.Runner.Domain), decisionlog.F("stage", string(c.Runner.Stage)))
+			decisionlog.F("address", c.Runner.Address), decisionlog.F("domain", c.Runner.Domain), decisionlog.F("stage", string(c.Runner.Stage)), decisionlog.F("software", c.Runner.Version))
 	}
 	g.Directory.Limits.Changed = func(c runnerlimit.Change) { logLimit(l, c) }
 	g.Directory.Notices.Changed = func(c notice.Change) { logNotice(l, c) }
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -33,6 +33,9 @@
 	Address string
 	Domain  string
 	Stage   Stage
+	// Version is the version of the runner's software, empty if unknown. A stream continues only at
+	// the version that began it.
+	Version string
 	// Slots is the number of requests that the runner processes concurrently.
 	Slots int
 	// Leaving is set if the runner takes no new work.
