resume: streams continue only at the software version that began them

Cause: the software version of a runner was no part of any choice, and the version at which a stream began was known to nobody once its request had ended.

Change: package resume decides, without I/O, at which version a stream may continue. Each gateway records the version of the runner before it sends it a resumable stream. While runners of several versions serve, it announces that to the other gateways at once (to four by rendezvous hashing if there are more than 24), before the first event goes to the client; when a second version appears, also for the streams that began before. A gateway that does not have the origin of a stream asks those that keep it. While there is only one version nothing is sent; that there were several stands in the store under a lease, for gateways that start. A gateway that is cut off does not guess: it needs an up-to-date copy of the store, or half of the others. A bound request gets only engines of its version, and others don't take the room that it waits for. Before the first event of a resumed stream is forwarded, the runner must confirm its incarnation; streams that began at a runner whose entry was outdated are not resumed. A stream that can't be resumed is refused at once, without a Retry-After if no engine of the version is left.

--- a/pkg/enginepool/choice.go
+++ b/pkg/enginepool/choice.go
@@ -79,18 +79,17 @@
 	return used
 }
 
-// allowed returns the runners of a stage that this gateway uses and that are in allowed
-// failure domains. If fewer than minSubset of its subset qualify, it considers all
-// runners of the stage. If allows is nil, all failure domains are allowed, and the result
+// allowed returns the runners of a stage that this gateway uses and that are allowed. If fewer than minSubset of its subset qualify, it considers all
+// runners of the stage. If allows is nil, all are allowed, and the result
 // includes unusable runners; otherwise it leaves them out. The caller holds the lock.
-func (p *Pool) allowed(stage runners.Stage, allows func(domain string) bool, now time.Time) []*runners.State {
+func (p *Pool) allowed(stage runners.Stage, allows func(*runners.State) bool, now time.Time) []*runners.State {
 	used := p.subsetOf(stage, now)
 	if allows == nil {
 		return used
 	}
 	within := func(list []*runners.State) (out []*runners.State) {
 		for _, r := range list {
-			if allows(r.Domain) && r.Usable(now) {
+			if allows(r) && r.Usable(now) {
 				out = append(out, r)
 			}
 		}
@@ -103,9 +102,9 @@
 }
 
 // sample returns up to maxSampled usable runners of a stage that this gateway uses, in
-// random order, without the ejected ones, see runners.Healthy. Only the failure domains
+// random order, without the ejected ones, see runners.Healthy. Only the runners
 // for which allows returns true are considered; nil allows all. The caller holds the lock.
-func (p *Pool) sample(stage runners.Stage, allows func(domain string) bool, now time.Time) []*runners.State {
+func (p *Pool) sample(stage runners.Stage, allows func(*runners.State) bool, now time.Time) []*runners.State {
 	from := p.allowed(stage, allows, now)
 	order := slices.Clone(from)
 	out := make([]*runners.State, 0, min(len(from), maxSampled))
--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hopwell/hopwell/pkg/runners"
 )
 
 // Job is a request that needs memory on a decode runner.
@@ -17,10 +19,22 @@
 	Priority int
 	// Allows reports whether the job may run in a failure domain; nil allows all.
 	Allows func(domain string) bool
+	// Version is the only software version at which the job may run; empty for any.
+	Version string
+}
+
+// Accepts reports whether the job may run on a runner.
+func (j Job) Accepts(s *runners.State) bool {
+	return (j.Version == "" || j.Version == s.Version) && (j.Allows == nil || j.Allows(s.Domain))
 }
 
-// allows reports whether the job may run in a failure domain.
-func (j Job) allows(domain string) bool { return j.Allows == nil || j.Allows(domain) }
+// filter returns Accepts, or nil if the job may run on all runners.
+func (j Job) filter() func(*runners.State) bool {
+	if j.Version == "" && j.Allows == nil {
+		return nil
+	}
+	return j.Accepts
+}
 
 // footprint returns the memory that the job takes when it begins.
 func (j Job) footprint() footprint {
--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -449,3 +449,36 @@
 	g.Expect(preemptedWith).To(BeNumerically("<", 0.05))
 	g.Expect(runningWith).To(BeNumerically(">=", runningWithout-1.5), "mean number of running requests")
 }
+
+// Guards against a resumed stream that starves behind jobs which could run at other software versions, and against
+// such jobs waiting for it.
+func TestJobBoundToVersionKeepsOnlyRunnersOfThatVersion(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	d := runners.NewDirectory("a")
+	for id, version := range map[string]string{"r1": "v1", "r2": "v2"} {
+		d.Put(runners.Runner{ID: id, Service: "s", Stage: runners.Decode, Version: version}, now)
+	}
+	p := New("s", d, DefaultOptions())
+	p.Configure(Spec{Memory: 1000, Slots: 1})
+	wait := func(id, version string, rank Rank) (*runners.State, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		return p.Wait(ctx, p.NewWaiter(Job{ID: id, Prompt: 100, Version: version}, rank))
+	}
+	first, err := wait("first", "v1", Fresh)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(first.ID).To(Equal("r1"))
+
+	bound := p.NewWaiter(Job{ID: "bound", Prompt: 100, Version: "v1"}, Begun)
+	p.enqueue(bound)
+	free, err := wait("free", "", Fresh)
+	g.Expect(err).NotTo(HaveOccurred(), "the other version has room")
+	g.Expect(free.ID).To(Equal("r2"))
+
+	other := p.NewWaiter(Job{ID: "other", Prompt: 100}, Fresh)
+	p.enqueue(other)
+	p.End("r1", "first", now)
+	g.Expect(bound.granted).To(HaveLen(1), "the room goes to the job that is bound to it")
+	g.Expect(other.granted).To(BeEmpty())
+}
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -72,6 +72,9 @@
 	subsets        map[runners.Stage]stageSubset
 	waiting        []*Waiter
 	serial         uint64
+	// kept is, during a dispatch, the size in tokens of the smallest blocked job of each software
+	// version to which jobs are bound.
+	kept map[string]int
 	// peerWaiting is the number of jobs that wait at each gateway that reported.
 	peerWaiting map[string]int
 	// peerEngines holds the engines on which each other gateway reported load. A gateway
@@ -179,7 +182,7 @@
 // candidates returns runners on which a job fits. The caller holds the lock.
 func (p *Pool) candidates(w *Waiter, now time.Time) []candidate {
 	var out []candidate
-	for _, s := range p.sample(runners.Decode, w.job.Allows, now) {
+	for _, s := range p.sample(runners.Decode, w.job.filter(), now) {
 		if score, fits := p.score(s, w, now); fits {
 			out = append(out, candidate{s, score})
 		}
@@ -195,7 +198,7 @@
 // (engine.room). The caller holds the lock.
 func (p *Pool) fits(s *runners.State, w *Waiter, now time.Time) (float64, bool) {
 	e := p.engine(s.ID)
-	if w.avoid[s.ID] || now.Before(e.refusedUntil) || !w.job.allows(s.Domain) || !s.Room(now) {
+	if w.avoid[s.ID] || now.Before(e.refusedUntil) || !w.job.Accepts(s) || p.keptForOthers(s, w) || !s.Room(now) {
 		return 0, false
 	}
 	typical := p.Lengths.Typical()
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -76,6 +76,14 @@
 	Allows func(domain string) bool
 }
 
+// filter reports whether the prompt may be processed on a runner; nil allows all.
+func (w Prompt) filter() func(*runners.State) bool {
+	if w.Allows == nil {
+		return nil
+	}
+	return func(s *runners.State) bool { return w.Allows(s.Domain) }
+}
+
 // BeginPrefill assigns a prompt to the prefill runner with the lowest estimated cost of
 // those compared, and returns how long the prefill is expected to take there, including
 // the prompts ahead of it. It fails with *ErrNoRunner.
@@ -83,7 +91,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var fit []candidate
-	for _, s := range p.sample(runners.Prefill, w.Allows, now) {
+	for _, s := range p.sample(runners.Prefill, w.filter(), now) {
 		if !w.Avoid[s.ID] && len(fit) < maxCandidates && s.Room(now) {
 			fit = append(fit, candidate{s, -p.prefillCost(s, w.Tokens, w.Domain, now).Seconds()})
 		}
--- a/pkg/enginepool/queue.go
+++ b/pkg/enginepool/queue.go
@@ -144,11 +144,14 @@
 
 // Dispatch reserves memory for waiting jobs, in order. A job that does not fit is
 // skipped, and smaller jobs may pass it. Jobs of the same or a larger size than the first
-// job that does not fit wait too, so that they do not starve it.
+// job that does not fit wait too, so that they do not starve it. A job that is bound to a software
+// version blocks only the runners of that version.
 func (p *Pool) Dispatch(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.demote(now)
+	p.kept = map[string]int{}
+	defer func() { p.kept = nil }()
 	left := p.waiting[:0]
 	blockedSize := 0
 	for _, w := range p.waiting {
@@ -158,7 +161,9 @@
 		}
 		s := p.place(w, now)
 		if s == nil {
-			if blockedSize == 0 {
+			if version := w.job.Version; version != "" {
+				p.keep(version, w.job.size())
+			} else if blockedSize == 0 {
 				blockedSize = w.job.size()
 			}
 			left = append(left, w)
@@ -171,6 +176,20 @@
 	p.reportWaiting()
 }
 
+// keep keeps the runners of a software version for a blocked job. The caller holds the lock.
+func (p *Pool) keep(version string, size int) {
+	if before, ok := p.kept[version]; !ok || size < before {
+		p.kept[version] = size
+	}
+}
+
+// keptForOthers reports whether a runner is kept for a job ahead that is bound to its software version.
+// The caller holds the lock.
+func (p *Pool) keptForOthers(s *runners.State, w *Waiter) bool {
+	size, ok := p.kept[s.Version]
+	return ok && w.job.size() >= size
+}
+
 // demote moves waiting jobs that have become late to the end. The caller holds the lock.
 func (p *Pool) demote(now time.Time) {
 	changed := false
--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -13,6 +13,7 @@
 	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/request"
+	"github.com/hopwell/hopwell/pkg/resume"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/workspace"
@@ -28,6 +29,9 @@
 	restartTime = time.Second
 )
 
+// statusNotRun is the status of a request that has not run and will not run.
+const statusNotRun = http.StatusServiceUnavailable
+
 // retryAfterSpread is the factor by which the random part lengthens a Retry-After at most.
 const retryAfterSpread = 1.25
 
@@ -144,6 +148,10 @@
 		x.reject(last)
 		return
 	}
+	if outcome == request.NotRun && notResumable(last) {
+		x.refuseResumed(last)
+		return
+	}
 	if outcome == request.NotRun {
 		x.refuseFor(err, after())
 		return
@@ -211,8 +219,14 @@
 		limited     *ErrLimited
 		unavailable *runners.ErrUnavailable
 		full        *ErrFull
+		unknown     *resume.ErrUnknown
+		noVersion   *resume.ErrNoRunner
 	)
 	switch {
+	case errors.As(err, &unknown):
+		return "software_unknown"
+	case errors.As(err, &noVersion):
+		return "software_gone"
 	case errors.As(err, &full):
 		return "runners_full"
 	case errors.As(err, &unavailable):
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -46,6 +46,10 @@
 	ctx           context.Context
 	// cachedDigest is the digest of the request's content; nil until it is first needed.
 	cachedDigest *quarantine.Digest
+	// software is the only software version at which the request may run: that at which the stream
+	// began which it resumes; empty for any. announced is the version that was announced to other
+	// gateways for the request's own stream.
+	software, announced string
 	// fields are added to the request's final log line.
 	fields []decisionlog.Field
 }
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -12,6 +12,7 @@
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/plainload"
 	"github.com/hopwell/hopwell/pkg/request"
+	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/upstream"
 )
@@ -134,6 +135,9 @@
 	}
 	runner.BeginRequest()
 	defer runner.EndRequest()
+	if x.route.Kind == routetable.Stream {
+		x.beginStream(runner)
+	}
 	x.sends++
 	x.logRunnerLimit(runner)
 	runner.Sent(x.call.ID, time.Now())
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -79,6 +79,10 @@
 	failedDecode map[string]bool
 	// forecastMade is set once the request was compared with the forecast.
 	forecastMade bool
+	// began is the software version of the runner that brought the first event.
+	began string
+	// decoding is the runner of the current attempt.
+	decoding *runners.State
 	// roomAt is when the request got room for its last attempt.
 	roomAt time.Time
 	relay  relay
@@ -91,6 +95,7 @@
 	if x.g.returning(x.route.Name, x.service, x.call.Timeout, x.arrived) {
 		x.rank = enginepool.Returning
 	}
+	x.rank = x.resumedRank(x.rank)
 	s := &generation{
 		exchange: x, pool: x.g.pool(x.service), planner: x.g.planner(x.service), budget: x.g.budget(x.service),
 		life: request.NewLife(x.call.ID, x.route.Repeatable()), engine: engine,
@@ -98,7 +103,7 @@
 	}
 	x.life = s.life
 	s.relay = relay{s: s, last: x.call.After}
-	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, Length: s.pool.Lengths.Estimate(s.lengthHint(), x.call.MaxOut), Priority: x.priority(), Allows: x.domainFilter()}
+	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, Length: s.pool.Lengths.Estimate(s.lengthHint(), x.call.MaxOut), Priority: x.priority(), Allows: x.domainFilter(), Version: x.software}
 	s.fields = append(s.fields, decisionlog.F("gap", s.route.GapTarget), decisionlog.F("timeout", s.call.Timeout), decisionlog.F("prompt", s.job.Prompt), decisionlog.F("guess", s.lengthHint()), decisionlog.F("expected", s.job.Length.Expected(0)))
 	if x.call.After != "" {
 		s.fields = append(s.fields, decisionlog.F("resumed_by", "client"), decisionlog.F("resumes", shorten(x.call.Resumes)))
@@ -116,7 +121,7 @@
 // findCachedPrompt asks the engines which of them has the prompt of a resumed stream in its KV
 // cache, so that it need not be computed again.
 func (s *generation) findCachedPrompt() {
-	present := slices.DeleteFunc(s.g.Directory.Present(s.service, time.Now()), func(r *runners.State) bool { return !s.allows(r.Domain) })
+	present := slices.DeleteFunc(s.g.Directory.Present(s.service, time.Now()), func(r *runners.State) bool { return !s.job.Accepts(r) })
 	s.cacheHolder, s.cachedTokens = s.g.promptCaches.find(s.ctx, present, s.call.PromptID)
 	if s.cacheHolder != nil {
 		s.fields = append(s.fields, decisionlog.F("kept_at", s.cacheHolder.ID), decisionlog.F("kept", s.cachedTokens))
@@ -157,7 +162,7 @@
 		last = err
 		var noRoom *enginepool.ErrNoRoom
 		var unavailable *runners.ErrUnavailable
-		if errors.As(err, &noRoom) || errors.As(err, &unavailable) || notAllowed(err) {
+		if errors.As(err, &noRoom) || errors.As(err, &unavailable) || notAllowed(err) || notResumable(err) {
 			break
 		}
 		if v == notRun {
@@ -190,6 +195,9 @@
 	if err := s.checkQuarantine(); err != nil {
 		return notRun, err
 	}
+	if err := firstError(s.bindBegun(), s.checkVersion()); err != nil {
+		return notRun, err
+	}
 	room, err := s.reserve()
 	if err != nil {
 		return notRun, err
@@ -239,9 +247,13 @@
 	}
 	s.logStep("decode_begin", decisionlog.F("service", s.service), decisionlog.F("runner", runner.ID), decisionlog.F("software", runner.Version), decisionlog.F("resumed", s.relay.begun || s.call.After != ""))
 	s.recordRecomputed(runner)
+	if !s.relay.begun {
+		s.beginStream(runner)
+	}
 	s.sends++
 	s.logRunnerLimit(runner)
 	runner.Sent(s.job.ID, time.Now())
+	s.decoding = runner
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	response, err := s.g.options.Runners.Send(ctx, runner, s.call, order)
@@ -268,7 +280,7 @@
 func (s *generation) avoidDeclining(runner *runners.State) {
 	now := time.Now()
 	for _, other := range s.g.Directory.Stage(s.service, runners.Decode) {
-		if other.ID != runner.ID && !s.failedDecode[other.ID] && s.allows(other.Domain) && other.Usable(now) {
+		if other.ID != runner.ID && !s.failedDecode[other.ID] && s.job.Accepts(other) && other.Usable(now) {
 			s.failedDecode[runner.ID] = true
 			return
 		}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/hopwell/hopwell/pkg/httpd"
 	"github.com/hopwell/hopwell/pkg/plainload"
 	"github.com/hopwell/hopwell/pkg/quota"
+	"github.com/hopwell/hopwell/pkg/resume"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runners"
@@ -53,6 +54,8 @@
 	Quota *quota.Ledger
 	// Suspicion quarantines requests that crash runners.
 	Suspicion Suspicion
+	// Origins holds what other gateways know of the software versions at which streams began.
+	Origins Origins
 }
 
 // Ingress serves requests. It is safe for concurrent use.
@@ -66,7 +69,11 @@
 	plain        *plainload.Table
 	drain        drain
 	promptCaches *promptCaches
-	open         atomic.Int64
+	// origins holds the software versions at which streams began, versions those that serve.
+	origins   *resume.Table
+	versions  *resume.Versions
+	questions questions
+	open      atomic.Int64
 	// lastArrival is the arrival of the latest request, in nanoseconds of Unix time.
 	lastArrival   atomic.Int64
 	bufferedBytes atomic.Int64
@@ -84,7 +91,7 @@
 // New returns an Ingress without routes.
 func New(o Options) *Ingress {
 	return &Ingress{
-		options: o, promptCaches: newPromptCaches(o.Runners, o.Log), Directory: runners.NewDirectory(o.Name), metrics: newMeters(), plain: plainload.NewTable(), gateways: o.Gateways,
+		options: o, origins: resume.NewTable(o.Name), versions: resume.NewVersions(), questions: questions{open: map[resume.Key][]*question{}}, promptCaches: newPromptCaches(o.Runners, o.Log), Directory: runners.NewDirectory(o.Name), metrics: newMeters(), plain: plainload.NewTable(), gateways: o.Gateways,
 		pools: map[string]*enginepool.Pool{}, budgets: map[string]*retrybudget.Budget{}, returnDetectors: map[string]*returnDetector{}, planners: map[string]*forecast.Planner{},
 	}
 }
@@ -283,6 +290,7 @@
 			t.Sweep(now)
 		}
 		g.promptCaches.sweep(now)
+		g.sweepOrigins(now)
 		g.logPools(now)
 	}
 }
@@ -327,6 +335,10 @@
 	ctx, cancel := x.withDeadline(r.Context())
 	defer cancel()
 	x.ctx = ctx
+	if err := x.bindResumed(); err != nil {
+		x.refuseResumed(err)
+		return
+	}
 	if engine := x.table.Config.Services[x.service].Engine; engine != nil && x.route.Kind == routetable.Stream {
 		g.drain.streams.Add(1)
 		defer g.drain.streams.Add(-1)
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -74,6 +74,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`hopwell_ingress_forecasts_total{refused="%t"}`, refused)).Inc()
 }
 
+// resumption counts a stream that its client resumes, by whether its software version is known.
+func (m *meters) resumption(err error) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`hopwell_ingress_client_resumptions_total{software_known="%t"}`, err == nil)).Inc()
+}
+
 // declined counts a runner's refusal.
 func (m *meters) declined(status int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`hopwell_ingress_declined_total{status="%d"}`, status)).Inc()
@@ -173,6 +178,9 @@
 	if t := g.options.Suspicion.Table; t != nil {
 		fmt.Fprintf(w, "hopwell_ingress_quarantined %d\n", t.Quarantined(time.Now()))
 	}
+	origins, dropped := g.origins.Size()
+	fmt.Fprintf(w, "hopwell_ingress_stream_origins %d\n", origins)
+	fmt.Fprintf(w, "hopwell_ingress_stream_origins_dropped_total %d\n", dropped)
 	for name, p := range g.Pools() {
 		here, all := p.Waiting()
 		fmt.Fprintf(w, "hopwell_ingress_waiting{service=%q,where=\"here\"} %d\n", name, here)
--- a/pkg/ingress/plain.go
+++ b/pkg/ingress/plain.go
@@ -58,8 +58,8 @@
 	// avoid holds the IDs of runners that are not candidates, full those that are none since they
 	// turned the request away.
 	avoid, full map[string]bool
-	// allows reports whether the request may be served in a failure domain; nil allows all.
-	allows func(domain string) bool
+	// allows reports whether a runner may serve the request; nil allows all.
+	allows func(*runners.State) bool
 }
 
 // choosePlain claims room on the plain runner with the lowest cost, which favors the gateway's
@@ -74,7 +74,7 @@
 	now := time.Now()
 	usable := g.Directory.Usable(w.service, "", now)
 	if w.allows != nil {
-		usable = slices.DeleteFunc(usable, func(r *runners.State) bool { return !w.allows(r.Domain) })
+		usable = slices.DeleteFunc(usable, func(r *runners.State) bool { return !w.allows(r) })
 	}
 	healthy := runners.Healthy(usable, now)
 	cost := failureCost
--- a/pkg/ingress/plainwait.go
+++ b/pkg/ingress/plainwait.go
@@ -38,7 +38,7 @@
 func (x *exchange) claimPlain(avoid, full map[string]bool) (*runners.State, error) {
 	w := plainRequest{
 		id: x.call.ID, service: x.service, domain: x.g.options.Domain, repeatable: x.route.Repeatable(),
-		avoid: avoid, full: full, allows: x.domainFilter(),
+		avoid: avoid, full: full, allows: x.runnerFilter(),
 	}
 	x.logPassedOver("")
 	queue := x.g.plain.Queue(x.service)
--- a/pkg/ingress/plainwait_test.go
+++ b/pkg/ingress/plainwait_test.go
@@ -180,7 +180,7 @@
 		for _, id := range failed {
 			avoid[id] = true
 		}
-		return x.waitingRequest(plainRequest{repeatable: true, avoid: avoid, allows: x.domainFilter()}).Lane
+		return x.waitingRequest(plainRequest{repeatable: true, avoid: avoid, allows: x.runnerFilter()}).Lane
 	}
 	g.Expect(lane("north", "a", "b")).To(Equal(lane("north", "b", "a")))
 	g.Expect(lane("north")).NotTo(Equal(lane("south")))
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -46,7 +46,7 @@
 // forwardEvents forwards the events of a response until its end.
 func (r *relay) forwardEvents(n int, runner *runners.State, a *Response) (sendResult, error) {
 	r.runner = runner.ID
-	began, before := time.Now(), r.events
+	began, before, confirmed := time.Now(), r.events, false
 	in := bufio.NewReaderSize(a.Body, eventBuffer)
 	for {
 		readyAt := time.Now()
@@ -57,6 +57,14 @@
 		if err != nil {
 			return r.streamBroken(runner, r.events == before, err)
 		}
+		if r.events == before && r.s.software != "" && !confirmed {
+			if err := r.s.confirmIncarnation(runner); err != nil {
+				r.s.failedDecode[runner.ID] = true
+				r.s.logFailedStep("runner_outdated", runner.ID, err)
+				return mayHaveRun, firstError(r.s.endReason(), err)
+			}
+			confirmed = true
+		}
 		r.s.pool.RecordTokens(runner.ID, r.s.job.ID, (r.events+1)*max(1, r.s.engine.TokensPerEvent), readyAt, time.Now())
 		if err := r.write(a, event); err != nil {
 			return mayHaveRun, errClientGone{}
@@ -95,6 +103,7 @@
 // another runner resumes it.
 func (r *relay) writeHeader(a *Response) {
 	r.begun = true
+	r.s.began = r.s.decoding.Version
 	r.s.g.metrics.firstEvent.UpdateDuration(r.s.arrived)
 	r.s.planner.Serving.Learn(time.Since(r.s.roomAt))
 	r.s.fields = append(r.s.fields, decisionlog.F("first_event", time.Since(r.s.arrived)))
--- a/pkg/ingress/reserve.go
+++ b/pkg/ingress/reserve.go
@@ -60,7 +60,7 @@
 // start.
 func (s *generation) unavailable(latest time.Time) error {
 	now := time.Now()
-	err := s.g.Directory.Unavailable(s.service, runners.Decode, s.job.Allows, now)
+	err := s.g.Directory.Unavailable(s.service, runners.Decode, s.job.Accepts, now)
 	after := roomAfter(err)
 	if err == nil || after > 0 && now.Add(after).Before(latest) || after == 0 && s.rank == enginepool.Begun {
 		return nil
--- a/pkg/ingress/where.go
+++ b/pkg/ingress/where.go
@@ -6,7 +6,9 @@
 	"strings"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/routetable"
+	"github.com/hopwell/hopwell/pkg/runners"
 )
 
 // notServableRetryAfter is the Retry-After of a request that no runner may serve now. Operators
@@ -91,6 +93,15 @@
 	return x.allows
 }
 
+// runnerFilter returns which runners may serve the request, or nil if it is not restricted.
+func (x *exchange) runnerFilter() func(*runners.State) bool {
+	j := enginepool.Job{Allows: x.domainFilter(), Version: x.software}
+	if j.Allows == nil && j.Version == "" {
+		return nil
+	}
+	return j.Accepts
+}
+
 // checkServable fails with *ErrNoRegion or *ErrEvacuated if no runner may serve the request,
 // however long it waits.
 func (x *exchange) checkServable() error {
--- /dev/null
+++ b/pkg/peers/origins.go
@@ -0,0 +1,114 @@
+package peers
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/resume"
+	"github.com/hopwell/hopwell/pkg/subset"
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
+)
+
+const (
+	// originKeepers is the number of gateways that keep the origin of a stream if there are more than
+	// subset.GatewaysPerEngine. If there are fewer, all keep all origins. Some may be lost at the same
+	// time as the gateway that began the stream, or miss the datagram.
+	originKeepers = 4
+	// askedKeepers is the number of gateways that are then asked for an origin. It is larger, because
+	// the gateways' membership lists may differ.
+	askedKeepers = 8
+	// maxOrigins limits the origins in one datagram, at some 25 bytes each.
+	maxOrigins = 400
+)
+
+// keepers returns the names of the gateways that keep the origin of a stream, among them possibly this
+// one: the first n by rendezvous hashing, or all if there are few.
+func (x *Exchange) keepers(k resume.Key, n int) []string {
+	s := x.subset.Load()
+	if s.Gateways() <= subset.GatewaysPerEngine {
+		n = subset.GatewaysPerEngine
+	}
+	return s.First(k.String(), n)
+}
+
+// AnnounceOrigins sends the origins of this gateway's streams to the gateways that keep them. It is
+// called before the first event of a stream is sent to its client, since this gateway may be lost at
+// any time after that.
+func (x *Exchange) AnnounceOrigins(list []resume.Origin, now time.Time) {
+	byKeeper := map[string][]*wirepb.StreamOrigin{}
+	for _, o := range list {
+		encoded := &wirepb.StreamOrigin{Stream: uint64(o.Key), Software: o.Version, LeftMs: uint32(o.Left.Milliseconds())}
+		for _, name := range x.keepers(o.Key, originKeepers) {
+			byKeeper[name] = append(byKeeper[name], encoded)
+		}
+	}
+	var out []datagram
+	x.mu.Lock()
+	for name, origins := range byKeeper {
+		m := x.members[name]
+		if m == nil {
+			continue
+		}
+		for part := range slices.Chunk(origins, maxOrigins) {
+			out = append(out, x.newDatagram(m, &wirepb.GatewayState{StreamOrigins: part}, now))
+		}
+	}
+	x.mu.Unlock()
+	x.write(out)
+}
+
+// AskOrigin asks the gateways that keep the origin of a stream for it, and returns their number.
+func (x *Exchange) AskOrigin(k resume.Key, service string, now time.Time) int {
+	query := []*wirepb.OriginQuery{{Stream: uint64(k), Service: service}}
+	var out []datagram
+	keepers := x.keepers(k, askedKeepers)
+	x.mu.Lock()
+	for _, name := range keepers {
+		if m := x.members[name]; m != nil && m.alive {
+			out = append(out, x.newDatagram(m, &wirepb.GatewayState{OriginQueries: query}, now))
+		}
+	}
+	x.mu.Unlock()
+	x.write(out)
+	return len(out)
+}
+
+// receiveOrigins records the origins and replies of a datagram, and replies to its queries.
+func (x *Exchange) receiveOrigins(s *wirepb.GatewayState, now time.Time) {
+	if x.options.ReceiveOrigins == nil {
+		return
+	}
+	if len(s.StreamOrigins) > 0 {
+		x.options.ReceiveOrigins(s.Name, decodeOrigins(s.StreamOrigins))
+	}
+	for _, r := range s.OriginReplies {
+		x.options.ReceiveOriginReply(s.Name, resume.Reply{Key: resume.Key(r.Stream), Known: r.Known, Version: r.Software, Only: r.Only})
+	}
+	if len(s.OriginQueries) > 0 {
+		x.replyOrigins(s.Name, s.OriginQueries, now)
+	}
+}
+
+func decodeOrigins(list []*wirepb.StreamOrigin) []resume.Origin {
+	out := make([]resume.Origin, 0, len(list))
+	for _, o := range list {
+		out = append(out, resume.Origin{Key: resume.Key(o.Stream), Version: o.Software, Left: time.Duration(o.LeftMs) * time.Millisecond})
+	}
+	return out
+}
+
+// replyOrigins replies to a gateway's queries.
+func (x *Exchange) replyOrigins(to string, queries []*wirepb.OriginQuery, now time.Time) {
+	replies := make([]*wirepb.OriginReply, 0, len(queries))
+	for _, q := range queries[:min(len(queries), maxOrigins)] {
+		r := x.options.OriginOf(resume.Key(q.Stream), q.Service)
+		replies = append(replies, &wirepb.OriginReply{Stream: q.Stream, Known: r.Known, Software: r.Version, Only: r.Only})
+	}
+	var out []datagram
+	x.mu.Lock()
+	if m := x.members[to]; m != nil {
+		out = append(out, x.newDatagram(m, &wirepb.GatewayState{OriginReplies: replies}, now))
+	}
+	x.mu.Unlock()
+	x.write(out)
+}
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -1,7 +1,7 @@
 // Package peers exchanges engine reservations between gateways, so that each gateway takes the
 // reservations of all gateways into account when it chooses engines. It also exchanges stage
 // changes, changes of the store, the spending of workspaces, runners' rate limits, outcomes and
-// notices, and reports of requests that crash runners. It sends small datagrams: changes at once to
+// notices, reports of requests that crash runners, and the software versions at which streams began. It sends small datagrams: changes at once to
 // the gateways that use the same engines, the full state to a gateway that lacks data, and
 // heartbeats. A gateway receives the addresses of the others from the store and from datagrams. No
 // consensus is needed.
@@ -20,6 +20,7 @@
 	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/relay"
+	"github.com/hopwell/hopwell/pkg/resume"
 	"github.com/hopwell/hopwell/pkg/runnerlimit"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/subset"
@@ -97,6 +98,12 @@
 	// ReceiveSuspicion records another gateway's report of a request whose calls to runners
 	// broke off.
 	ReceiveSuspicion func(r quarantine.Report)
+	// ReceiveOrigins records the origins of streams that another gateway announced, OriginOf returns
+	// this gateway's reply to a question about a stream, and ReceiveOriginReply records the reply of
+	// another gateway. All are nil if origins are not exchanged.
+	ReceiveOrigins     func(gateway string, list []resume.Origin)
+	OriginOf           func(k resume.Key, service string) resume.Reply
+	ReceiveOriginReply func(gateway string, r resume.Reply)
 	// Store is this gateway's copy of the store, Pace the timing of the relays that keep it up
 	// to date. The zero value of Pace is the timing for the shortest bound.
 	Store StoreFeed
--- a/pkg/process/copy.go
+++ b/pkg/process/copy.go
@@ -46,7 +46,15 @@
 	_, runner := platform.RunnerName(key)
 	_, evacuation := platform.EvacuatedDomain(key)
 	return runner || evacuation || key == platform.ConfigKey || key == orderKey ||
-		strings.HasPrefix(key, gatewayPrefix) || strings.HasPrefix(key, changePrefix) || strings.HasPrefix(key, quarantinePrefix)
+		strings.HasPrefix(key, gatewayPrefix) || strings.HasPrefix(key, changePrefix) || strings.HasPrefix(key, quarantinePrefix) || strings.HasPrefix(key, mixedPrefix)
+}
+
+// has reports whether the copy has an item.
+func (c *storeCopy) has(key string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.items[key]
+	return ok
 }
 
 // replace replaces the copy by a full read of the store.
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -69,12 +69,16 @@
 	// onRunnerRestart is called with the address of a runner that has restarted. Connections to the
 	// previous incarnation are dead, whether or not an error shows it.
 	onRunnerRestart func(address string)
-	storeReplaced   chan struct{}
+	// restarted holds, by name, the incarnations whose successors are about to be recorded.
+	restartedMu   sync.Mutex
+	restarted     map[string]runners.Runner
+	storeReplaced chan struct{}
 }
 
 func newFeed(g *ingress.Ingress, l *decisionlog.Log, s store.Store, address string, p relay.Pace) *feed {
-	f := &feed{ingress: g, log: l, store: s, address: address, pace: p, storeReplaced: make(chan struct{}), wakeup: make(chan struct{}, 1), deferred: map[string]deferredChange{}}
+	f := &feed{ingress: g, log: l, store: s, address: address, pace: p, storeReplaced: make(chan struct{}), wakeup: make(chan struct{}, 1), deferred: map[string]deferredChange{}, restarted: map[string]runners.Runner{}}
 	g.Directory.Changed = func(c runners.Change) {
+		f.observeVersion(c)
 		if c.What == runners.Replaced {
 			f.onRunnerRestart(c.Runner.Address)
 		}
@@ -305,6 +309,8 @@
 		f.applyRunner(i)
 	} else if name, ok := strings.CutPrefix(i.Key, gatewayPrefix); ok {
 		f.onGateway(name, string(i.Value))
+	} else if service, ok := strings.CutPrefix(i.Key, mixedPrefix); ok {
+		f.ingress.MarkMixed(service)
 	} else if d, ok := parseQuarantineKey(i.Key); ok {
 		f.ingress.ReadQuarantine(d)
 	} else if domain, ok := platform.EvacuatedDomain(i.Key); ok && f.ingress.Directory.Evacuate(domain, time.Now()) {
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -108,7 +108,7 @@
 		Name: c.Instance.Name, Domain: c.Instance.Domain, Regions: c.Regions, Runners: calls, Reader: calls, Log: log,
 		Budget:   budgetLimits(c),
 		Gateways: initialGateways, MaxOpen: c.Limits.OpenRequests, MaxBuffered: int64(heldMemoryFraction * float64(memory)),
-		Pool: p.poolOptions(c), Revocation: p.revocation(c), Quota: p.quota, Suspicion: p.suspicion(), Neighbours: func() int { return p.peers.SameDomainCount() },
+		Pool: p.poolOptions(c), Revocation: p.revocation(c), Quota: p.quota, Suspicion: p.suspicion(), Origins: p.origins(), Neighbours: func() int { return p.peers.SameDomainCount() },
 	})
 	p.Ingress.Directory.ColdShare = p.coldShare
 	p.Ingress.Directory.Limits.ReportsPending = func() { p.peers.Notify() }
@@ -135,6 +135,7 @@
 	p.done.Go(func() { p.announce(ctx) })
 	p.done.Go(func() { p.fetchFromPeers(ctx) })
 	p.done.Go(func() { p.publishQuarantines(ctx) })
+	p.done.Go(func() { p.publishMixed(ctx) })
 	p.done.Go(func() { stager.run(ctx) })
 	p.done.Go(func() { p.sweep(ctx) })
 	log.Write(decisionlog.KindProcess, "start", decisionlog.F("pid", os.Getpid()), decisionlog.F("callers", p.ports.Callers),
--- /dev/null
+++ b/pkg/process/origins.go
@@ -0,0 +1,117 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/boottime"
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/ingress"
+	"github.com/hopwell/hopwell/pkg/resume"
+	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/store"
+)
+
+const (
+	// mixedPrefix is the prefix of the keys of services whose streams may have several software
+	// versions. They are in the store so that a gateway that starts knows of versions that served
+	// before, also after all gateways were lost.
+	mixedPrefix = "hopwell/mixed/"
+	// mixedInterval is the interval between checks for such services, and the time by which each
+	// gateway waits longer than the one before it by name: one write suffices.
+	mixedInterval = 300 * time.Millisecond
+	// maxMixedTurn bounds the number of intervals that a gateway waits for others to write.
+	maxMixedTurn = 10
+	// mixedLeases is the lease of such a key, as a multiple of the time for which origins are kept.
+	mixedLeases = 2
+	// freshPaces is the age, as a multiple of relay.Pace.StaleAfter, up to which the copy of the store
+	// shows the software versions that serve.
+	freshPaces = 2
+)
+
+// originExchange sends origins to other gateways. It implements ingress.OriginExchange.
+type originExchange struct{ p *Ingress }
+
+func (o originExchange) AnnounceOrigins(list []resume.Origin, now time.Time) {
+	o.p.peers.AnnounceOrigins(list, now)
+}
+
+func (o originExchange) AskOrigin(k resume.Key, service string, now time.Time) int {
+	return o.p.peers.AskOrigin(k, service, now)
+}
+
+// origins returns how gateways share the software versions at which streams began.
+func (p *Ingress) origins() ingress.Origins {
+	return ingress.Origins{Exchange: originExchange{p}, Fresh: func() bool {
+		confirmed := p.feed.history.Confirmed()
+		return !confirmed.IsZero() && boottime.Since(confirmed) < freshPaces*p.feed.pace.StaleAfter
+	}}
+}
+
+// observeVersion records the software version of a runner that changed. A runner that restarted under
+// its name may have had the new version before its entry showed it.
+func (f *feed) observeVersion(c runners.Change) {
+	f.ingress.ObserveVersion(&c.Runner)
+	f.restartedMu.Lock()
+	before, restarted := f.restarted[c.Runner.Name]
+	delete(f.restarted, c.Runner.Name)
+	if c.What == runners.Replaced {
+		f.restarted[c.Runner.Name] = c.Runner
+	}
+	f.restartedMu.Unlock()
+	if restarted && before.Version != c.Runner.Version {
+		f.ingress.DoubtOrigins(&before)
+	}
+}
+
+// publishMixed writes to the store which services have streams of several software versions, until the
+// context ends.
+func (p *Ingress) publishMixed(ctx context.Context) {
+	tick := time.NewTicker(mixedInterval)
+	defer tick.Stop()
+	waited := map[string]int{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			for _, service := range p.unpublishedMixed(now) {
+				if waited[service]++; waited[service] > min(p.peers.Rank(), maxMixedTurn) {
+					waited[service] = 0
+					p.writeMixed(ctx, service)
+				}
+			}
+		}
+	}
+}
+
+// unpublishedMixed returns the services that this gateway has observed at several software versions and
+// that the store does not show as such.
+func (p *Ingress) unpublishedMixed(now time.Time) []string {
+	table := p.Ingress.Table()
+	if table == nil {
+		return nil
+	}
+	var out []string
+	for name := range table.Config.Services {
+		if len(p.Ingress.Versions().Recent(name, now)) > 1 && !p.feed.storeCopy.has(mixedPrefix+name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// writeMixed writes the key of one service. A failed call is repeated, since the key stays missing.
+func (p *Ingress) writeMixed(ctx context.Context, service string) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	key, writer := mixedPrefix+service, []byte(p.settings.Load().Instance.Name)
+	ttl := mixedLeases * p.Ingress.Versions().Lifetime(service)
+	_, err := store.PutLeased(ctx, p.feed.currentStore(), ttl, store.Change{If: []store.Condition{{Key: key}}, Put: []store.Put{{Key: key, Value: writer}}})
+	var conflict *store.ErrConflict
+	if errors.As(err, &conflict) {
+		return
+	}
+	p.log.Write(decisionlog.KindState, "software_versions_written", decisionlog.F("service", service), decisionlog.F("for", ttl), decisionlog.F("error", err))
+}
--- /dev/null
+++ b/pkg/resume/decide.go
@@ -0,0 +1,70 @@
+package resume
+
+// Reply is another gateway's reply about a stream.
+type Reply struct {
+	Key Key
+	// Known is set if the gateway has the origin of the stream. Version is then its version, empty if
+	// that is not certain.
+	Known   bool
+	Version string
+	// Only is the single version of the service, empty if the gateway knows of several.
+	Only string
+}
+
+// Evidence is what a gateway knows of a stream whose client resumes it.
+type Evidence struct {
+	Service string
+	Key     Key
+	// Named is set if the client named the request that brought the first event.
+	Named bool
+	// Known is set if the gateway has the origin of the stream. Version is then its version, empty if
+	// that is not certain.
+	Known   bool
+	Version string
+	// Only is the single version of the service, empty if the gateway knows of several. Fresh is set
+	// if the gateway's copy of the store is up to date, so that no other version can have appeared.
+	Only  string
+	Fresh bool
+	// Asked is the number of gateways that were asked, Replies are their replies.
+	Asked   int
+	Replies []Reply
+}
+
+// Decide returns the version at which a stream may continue. It fails with *ErrUnknown.
+func Decide(e Evidence) (string, error) {
+	version, known := e.Version, e.Known
+	only := 0
+	for _, r := range e.Replies {
+		if r.Known && (!known || r.Version == version) {
+			version, known = r.Version, true
+		} else if r.Known {
+			return "", e.unknown(Contradictory)
+		}
+		if r.Only != "" && r.Only == e.Only {
+			only++
+		}
+	}
+	switch {
+	case known && version == "":
+		return "", e.unknown(Contradictory)
+	case known:
+		return version, nil
+	case e.Only != "" && e.Fresh:
+		return e.Only, nil
+	case e.Only != "" && only > 0 && 2*only >= e.Asked && only == len(e.Replies):
+		// While nobody reaches the store, half of the gateways show that this one is not cut off.
+		return e.Only, nil
+	case !e.Named:
+		return "", e.unknown(NotNamed)
+	}
+	return "", e.unknown(NotKnown)
+}
+
+// NeedsReplies reports whether other gateways must be asked before a decision.
+func (e *Evidence) NeedsReplies() bool {
+	return !e.Known && (e.Named || e.Only != "") && !(e.Only != "" && e.Fresh)
+}
+
+func (e *Evidence) unknown(why string) error {
+	return &ErrUnknown{Service: e.Service, Key: e.Key, Why: why, Asked: e.Asked, Replied: len(e.Replies)}
+}
--- /dev/null
+++ b/pkg/resume/table.go
@@ -0,0 +1,159 @@
+package resume
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// shardCount is the number of shards of a Table, a power of two.
+	shardCount = 16
+	// maxPerShard limits the origins in one shard, at about 150 bytes each: some 10 MB in all.
+	maxPerShard = 4096
+)
+
+// Table holds origins of streams by key. It is safe for concurrent use.
+type Table struct {
+	// self is the name of this gateway.
+	self    string
+	dropped atomic.Uint64
+	shards  [shardCount]shard
+}
+
+type shard struct {
+	mu      sync.Mutex
+	origins map[Key]*entry
+}
+
+// entry is what is known of one stream.
+type entry struct {
+	version string
+	// from is the gateway that announced the origin, service and runner those of an own stream.
+	from            string
+	service, runner string
+	expires         time.Time
+	// uncertain is set if the version is contradictory or doubted.
+	uncertain bool
+}
+
+// NewTable returns an empty table of the named gateway.
+func NewTable(gateway string) *Table {
+	t := &Table{self: gateway}
+	for i := range t.shards {
+		t.shards[i].origins = map[Key]*entry{}
+	}
+	return t
+}
+
+func (t *Table) shard(k Key) *shard { return &t.shards[k%shardCount] }
+
+// Begin records that a runner of a version is about to begin a stream of this gateway. It replaces
+// the origin of an earlier attempt, which brought no event.
+func (t *Table) Begin(o Origin, service, runner string, now time.Time) {
+	t.put(o.Key, entry{version: o.Version, from: t.self, service: service, runner: runner, expires: now.Add(o.Left), uncertain: o.Version == ""})
+}
+
+// Receive records an origin that another gateway announced.
+func (t *Table) Receive(gateway string, o Origin, now time.Time) {
+	left := min(max(0, o.Left), maxLifetime)
+	t.put(o.Key, entry{version: o.Version, from: gateway, expires: now.Add(left), uncertain: o.Version == ""})
+}
+
+func (t *Table) put(k Key, e entry) {
+	s := t.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.origins[k]
+	if old == nil && len(s.origins) >= maxPerShard {
+		t.dropped.Add(1)
+		return
+	}
+	if old != nil && old.from != e.from && (old.uncertain || old.version != e.version) {
+		// Two gateways began a stream under the same ID.
+		old.uncertain = true
+		if e.expires.After(old.expires) {
+			old.expires = e.expires
+		}
+		return
+	}
+	s.origins[k] = &e
+}
+
+// Find returns the origin of a stream. Its version is empty if it is not certain.
+func (t *Table) Find(k Key, now time.Time) (Origin, bool) {
+	s := t.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.origins[k]
+	if e == nil || !now.Before(e.expires) {
+		return Origin{}, false
+	}
+	return e.origin(k, now), true
+}
+
+func (e *entry) origin(k Key, now time.Time) Origin {
+	o := Origin{Key: k, Left: e.expires.Sub(now)}
+	if !e.uncertain {
+		o.Version = e.version
+	}
+	return o
+}
+
+// Own returns the origins of this gateway's streams of a service.
+func (t *Table) Own(service string, now time.Time) []Origin {
+	return t.own(now, func(e *entry) bool { return e.service == service })
+}
+
+// Doubt records that a runner restarted at another version, which its entry showed late: the streams
+// that began there may have begun at either version. It returns their origins, without a version.
+func (t *Table) Doubt(runner string, now time.Time) []Origin {
+	return t.own(now, func(e *entry) bool {
+		if e.runner == runner {
+			e.uncertain = true
+			return true
+		}
+		return false
+	})
+}
+
+// own returns the origins of this gateway's streams that match.
+func (t *Table) own(now time.Time, match func(*entry) bool) []Origin {
+	var out []Origin
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for k, e := range s.origins {
+			if e.from == t.self && now.Before(e.expires) && match(e) {
+				out = append(out, e.origin(k, now))
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// Sweep removes expired origins.
+func (t *Table) Sweep(now time.Time) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for k, e := range s.origins {
+			if !now.Before(e.expires) {
+				delete(s.origins, k)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Size returns the number of origins in the table, and the number that did not fit.
+func (t *Table) Size() (origins int, dropped uint64) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		origins += len(s.origins)
+		s.mu.Unlock()
+	}
+	return origins, t.dropped.Load()
+}
--- a/pkg/runners/unavailable.go
+++ b/pkg/runners/unavailable.go
@@ -25,15 +25,15 @@
 }
 
 // Unavailable returns *ErrUnavailable if no runner of a service and stage is usable for a request
-// and at least one is leaving or paused, otherwise nil. allows reports whether the request may be
-// served in a failure domain; nil allows all.
-func (d *Directory) Unavailable(service string, stage Stage, allows func(domain string) bool, now time.Time) error {
+// and at least one is leaving or paused, otherwise nil. allows reports whether a runner may serve the
+// request; nil allows all.
+func (d *Directory) Unavailable(service string, stage Stage, allows func(*State) bool, now time.Time) error {
 	if !d.Notices.Any() {
 		return nil
 	}
 	e := &ErrUnavailable{Service: service, Stage: stage}
 	for _, s := range d.Stage(service, stage) {
-		if allows != nil && !allows(s.Domain) {
+		if allows != nil && !allows(s) {
 			continue
 		}
 		if s.Usable(now) {
--- a/pkg/runners/unavailable_test.go
+++ b/pkg/runners/unavailable_test.go
@@ -21,7 +21,7 @@
 	d.Find("a").Observe(notice.Notice{Refused: true, RetryAfter: 3 * time.Second}, now)
 	d.Find("b").Observe(notice.Notice{Refused: true, RetryAfter: time.Second}, now)
 	g.Expect(d.Unavailable("s", "", nil, now)).To(Succeed())
-	exceptC := func(domain string) bool { return domain != "c" }
+	exceptC := func(s *State) bool { return s.Domain != "c" }
 	g.Expect(d.Unavailable("s", "", exceptC, now)).To(MatchError(&ErrUnavailable{Service: "s", Paused: 2, After: time.Second}))
 	d.Find("c").Observe(notice.Notice{Leaving: true}, now)
 	g.Expect(d.Unavailable("s", "", nil, now)).To(MatchError(&ErrUnavailable{Service: "s", Paused: 2, Leaving: 1, After: time.Second}))
