staging: a plan keeps one decode engine of each software version

What callers saw: nothing yet; found when looking for the same cause elsewhere. A stream continues only at its version, so a plan that takes the last decode engine of a version ends all streams that began there, although engines of the version serve.

Cause: plans counted engines by stage, speed and domain only.

Change: of each version one decode engine is not eligible for a change, unless there is no prefill engine at all.

Evidence: the new property test fails without the change (no engine decodes at v1 of three versions) and passes with it; go test ./pkg/staging passes.

--- a/pkg/staging/stages.go
+++ b/pkg/staging/stages.go
@@ -1,6 +1,7 @@
 package staging
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/runners"
@@ -67,9 +68,27 @@
 			s.eligible = append(s.eligible, r)
 		}
 	}
+	if out.prefill.count > 0 {
+		out.decode.eligible = exceptLastOfVersion(out.decode.eligible)
+	}
 	return out
 }
 
+// exceptLastOfVersion returns the decode engines that may leave the stage: of each software version one
+// stays, since streams that began there can't continue elsewhere.
+func exceptLastOfVersion(engines []*runners.State) []*runners.State {
+	stays := map[string]*runners.State{}
+	for _, r := range engines {
+		if first := stays[r.Version]; first == nil || r.ID < first.ID {
+			stays[r.Version] = r
+		}
+	}
+	if len(stays) < 2 {
+		return engines
+	}
+	return slices.DeleteFunc(slices.Clone(engines), func(r *runners.State) bool { return stays[r.Version] == r })
+}
+
 // minServing is the number of engines of a stage that should serve at any time, so that the
 // pause or loss of one doesn't stop the service.
 const minServing = 2
--- a/pkg/staging/staging_test.go
+++ b/pkg/staging/staging_test.go
@@ -253,3 +253,38 @@
 		})
 	}
 }
+
+// Guards against a plan that takes the last decode engine of a software version, whose streams could then not continue.
+func TestPlanKeepsDecodeEngineOfEachVersion(t *testing.T) {
+	spectest.Check(t, func(t *rapid.T) {
+		p, now, dir := DefaultPolicy(), time.Now(), runners.NewDirectory("a")
+		n := rapid.IntRange(4, 20).Draw(t, "engines")
+		for i := range n {
+			version, stage := fmt.Sprintf("v%d", rapid.IntRange(1, 3).Draw(t, "version")), runners.Decode
+			if i == 0 {
+				version, stage = "v0", runners.Prefill
+			}
+			dir.Put(runners.Runner{ID: fmt.Sprintf("e%02d", i), Service: "s", Stage: stage, Version: version}, now)
+		}
+		all := dir.Present("s", now)
+		for range 5 {
+			for _, c := range p.Plan(Situation{Engines: all, Exact: true, LearnedShare: rapid.Float64Range(0, 1).Draw(t, "learned")}, now) {
+				dir.Put(runners.Runner{ID: c.Runner.ID, Service: "s", Stage: c.Stage, Version: c.Runner.Version}, now)
+			}
+			all = dir.Present("s", now)
+		}
+		versions, decode := map[string]int{}, map[string]int{}
+		for _, r := range all {
+			versions[r.Version]++
+			if r.Stage == runners.Decode {
+				decode[r.Version]++
+			}
+		}
+		delete(versions, "v0")
+		for v := range versions {
+			if decode[v] == 0 {
+				t.Fatalf("no engine decodes at %s: %v of %v", v, decode, versions)
+			}
+		}
+	})
+}
