resume: streams that began at a runner with an outdated entry are not continued elsewhere

Cause: a stream that begins right after such a restart is recorded at the version of the old entry. The doubt came with the new entry only, and was known to the gateway that began the stream alone.

Change: while several versions serve, the gateway asks the runner after the first event, without delaying it, whether it is the incarnation of its entry; one check at a time for each runner. If it is not, the streams that began there and were not confirmed are doubted, here and at the other gateways: origins name the incarnation. A stream that was confirmed is not doubted later, so that those that broke with the restart can go on. Losses and causes: software_unknown, software_gone; metrics of versions, origins and resumptions.

--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -166,6 +166,23 @@
 	}
 }
 
+// writeVersions writes how many runners of each software version serve each service.
+func (g *Ingress) writeVersions(w io.Writer) {
+	t := g.table.Load()
+	if t == nil {
+		return
+	}
+	for name := range t.Config.Services {
+		count := map[string]int{}
+		for _, r := range g.Directory.Present(name, time.Now()) {
+			count[r.Version]++
+		}
+		for version, n := range count {
+			fmt.Fprintf(w, "hopwell_runners_present{service=%q,software=%q} %d\n", name, version, n)
+		}
+	}
+}
+
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (g *Ingress) WriteMetrics(w io.Writer) {
 	fmt.Fprintf(w, "hopwell_ingress_open_requests %d\n", g.open.Load())
@@ -178,6 +195,7 @@
 	if t := g.options.Suspicion.Table; t != nil {
 		fmt.Fprintf(w, "hopwell_ingress_quarantined %d\n", t.Quarantined(time.Now()))
 	}
+	g.writeVersions(w)
 	origins, dropped := g.origins.Size()
 	fmt.Fprintf(w, "hopwell_ingress_stream_origins %d\n", origins)
 	fmt.Fprintf(w, "hopwell_ingress_stream_origins_dropped_total %d\n", dropped)
--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -131,7 +131,7 @@
 // that began there shortly before may have begun at either version.
 func (g *Ingress) DoubtOrigins(before *runners.Runner) {
 	now := time.Now()
-	doubted := g.origins.Doubt(before.ID, now)
+	doubted := g.origins.Doubt(resume.RunnerDigest(before.ID), now)
 	g.announce(doubted, now)
 	if len(doubted) > 0 {
 		g.options.Log.Write(decisionlog.KindState, "origins_doubted", decisionlog.F("runner", before.ID), decisionlog.F("streams", len(doubted)))
@@ -241,9 +241,9 @@
 		return
 	}
 	now := time.Now()
-	o := resume.Origin{Key: resume.KeyOf(x.service, x.workspaceName(), x.call.ID), Version: runner.Version, Left: resume.Lifetime(max(x.call.Timeout, x.route.Timeout))}
+	o := resume.Origin{Key: resume.KeyOf(x.service, x.workspaceName(), x.call.ID), Version: runner.Version, Runner: resume.RunnerDigest(runner.ID), Left: resume.Lifetime(max(x.call.Timeout, x.route.Timeout))}
 	x.g.versions.ObserveLifetime(x.service, o.Left)
-	x.g.origins.Begin(o, x.service, runner.ID, now)
+	x.g.origins.Begin(o, x.service, now)
 	if x.g.versions.Mixed(x.service, now) && o.Version != x.announced {
 		x.announced = o.Version
 		x.g.announce([]resume.Origin{o}, now)
@@ -327,6 +327,69 @@
 // Unwrap returns the cause.
 func (e *ErrOutdated) Unwrap() error { return e.Err }
 
+// confirmBegun confirms, after the first event of a new stream, that its runner is the incarnation of
+// its entry. It does not delay the stream. Only if several versions serve can the runner have another
+// one than its entry, apart from the first runner that restarts at another one.
+func (x *exchange) confirmBegun(runner *runners.State) {
+	if runner.Born == 0 || !x.route.Resumable || !x.g.versions.Mixed(x.service, time.Now()) {
+		return
+	}
+	key := resume.KeyOf(x.service, x.workspaceName(), x.call.ID)
+	x.g.confirmations.run(runner.ID, key, func(keys []resume.Key) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), aliveTimeout)
+		defer cancel()
+		runner.CallSent("", time.Now())
+		alive, err := x.g.options.Runners.Alive(ctx, runner)
+		if err == nil && !alive {
+			runner.MarkUnusable(time.Now())
+			x.g.DoubtOrigins(&runner.Runner)
+		}
+		if err == nil && alive {
+			for _, k := range keys {
+				x.g.origins.Confirm(k)
+			}
+		}
+	})
+}
+
+// confirmations runs one check of each runner at a time.
+type confirmations struct {
+	mu sync.Mutex
+	// waiting holds, for the runners that are being checked, the streams whose first event came after
+	// the current check had started.
+	waiting map[string][]resume.Key
+}
+
+// run checks a runner in the background for a stream. If a check is running, which began before the
+// stream's first event, the next one is for all streams that wait.
+func (c *confirmations) run(runner string, k resume.Key, check func(keys []resume.Key)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if list, running := c.waiting[runner]; running {
+		c.waiting[runner] = append(list, k)
+		return
+	}
+	c.waiting[runner] = nil
+	go func() {
+		for keys := []resume.Key{k}; len(keys) > 0; {
+			check(keys)
+			keys = c.next(runner)
+		}
+	}()
+}
+
+// next returns the streams that wait for the next check of a runner. Without any, no check is running
+// any more.
+func (c *confirmations) next(runner string) []resume.Key {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	keys := c.waiting[runner]
+	if c.waiting[runner] = nil; len(keys) == 0 {
+		delete(c.waiting, runner)
+	}
+	return keys
+}
+
 // confirmIncarnation makes sure that the runner which resumes a stream is the incarnation of its
 // entry, whose software version is known. It is called after the first event has arrived, because the
 // runner could restart before, and before that event is forwarded.
@@ -343,6 +406,7 @@
 	}
 	if err == nil {
 		runner.MarkUnusable(time.Now())
+		s.g.DoubtOrigins(&runner.Runner)
 	}
 	return &ErrOutdated{Runner: runner.ID, Err: err}
 }
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -104,6 +104,9 @@
 func (r *relay) writeHeader(a *Response) {
 	r.begun = true
 	r.s.began = r.s.decoding.Version
+	if r.s.software == "" {
+		r.s.confirmBegun(r.s.decoding)
+	}
 	r.s.g.metrics.firstEvent.UpdateDuration(r.s.arrived)
 	r.s.planner.Serving.Learn(time.Since(r.s.roomAt))
 	r.s.fields = append(r.s.fields, decisionlog.F("first_event", time.Since(r.s.arrived)))
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -46,6 +46,10 @@
 	RunnersUnavailable Cause = "runners_unavailable"
 	// RunnersFull: refused, since all plain runners had as many requests as they take.
 	RunnersFull Cause = "runners_full"
+	// SoftwareUnknown: the resumption of a stream was refused, since the software version at which the
+	// stream began was not known. SoftwareGone: refused, since no engine of that version decoded.
+	SoftwareUnknown Cause = "software_unknown"
+	SoftwareGone    Cause = "software_gone"
 	// Refused: refused for another reason.
 	Refused Cause = "refused"
 	// EngineLost: the stream from its engine broke. The gateway ended or resumed it.
@@ -69,7 +73,7 @@
 )
 
 // Causes lists the causes that the tables and charts show, in their order.
-var Causes = []Cause{GatewayLost, EngineLost, NoRoom, OverLimit, NoKey, KeyUnconfirmed, Quarantined, NoRegion, Evacuated, RunnerLimit, RunnersUnavailable, RunnersFull, Refused, Returned, Resumed, LateFirst, LongPause, ServiceFailed, AnswerLost, TimedOut, ClientGone}
+var Causes = []Cause{GatewayLost, EngineLost, NoRoom, OverLimit, NoKey, KeyUnconfirmed, Quarantined, NoRegion, Evacuated, RunnerLimit, RunnersUnavailable, RunnersFull, SoftwareUnknown, SoftwareGone, Refused, Returned, Resumed, LateFirst, LongPause, ServiceFailed, AnswerLost, TimedOut, ClientGone}
 
 // Request is one request, as its gateway logged it.
 type Request struct {
@@ -214,6 +218,10 @@
 		return RunnersUnavailable
 	case "runners_full":
 		return RunnersFull
+	case "software_unknown":
+		return SoftwareUnknown
+	case "software_gone":
+		return SoftwareGone
 	case "refused":
 		return Refused
 	}
--- a/pkg/losses/losses_test.go
+++ b/pkg/losses/losses_test.go
@@ -119,7 +119,7 @@
 
 // Guards against a cause that the log has but no table shows, so that its requests seem to have been served.
 func TestTablesShowEveryRefusal(t *testing.T) {
-	for _, cause := range []Cause{NoRoom, OverLimit, NoKey, KeyUnconfirmed, Quarantined, NoRegion, Evacuated, RunnerLimit, RunnersUnavailable, RunnersFull, Refused} {
+	for _, cause := range []Cause{NoRoom, OverLimit, NoKey, KeyUnconfirmed, Quarantined, NoRegion, Evacuated, RunnerLimit, RunnersUnavailable, RunnersFull, SoftwareUnknown, SoftwareGone, Refused} {
 		g := NewWithT(t)
 		r := newReport(t, `time=2026-12-02T10:00:00.100Z process=a kind=failed event=request_end request=q1 status=503 took=0.0ms service=app cause=`+string(cause)+` error="refused"`)
 		var text strings.Builder
--- a/pkg/peers/origins.go
+++ b/pkg/peers/origins.go
@@ -17,7 +17,7 @@
 	// askedKeepers is the number of gateways that are then asked for an origin. It is larger, because
 	// the gateways' membership lists may differ.
 	askedKeepers = 8
-	// maxOrigins limits the origins in one datagram, at some 25 bytes each.
+	// maxOrigins limits the origins in one datagram, at some 35 bytes each.
 	maxOrigins = 400
 )
 
@@ -37,7 +37,7 @@
 func (x *Exchange) AnnounceOrigins(list []resume.Origin, now time.Time) {
 	byKeeper := map[string][]*wirepb.StreamOrigin{}
 	for _, o := range list {
-		encoded := &wirepb.StreamOrigin{Stream: uint64(o.Key), Software: o.Version, LeftMs: uint32(o.Left.Milliseconds())}
+		encoded := &wirepb.StreamOrigin{Stream: uint64(o.Key), Software: o.Version, Runner: o.Runner, LeftMs: uint32(o.Left.Milliseconds())}
 		for _, name := range x.keepers(o.Key, originKeepers) {
 			byKeeper[name] = append(byKeeper[name], encoded)
 		}
@@ -92,7 +92,7 @@
 func decodeOrigins(list []*wirepb.StreamOrigin) []resume.Origin {
 	out := make([]resume.Origin, 0, len(list))
 	for _, o := range list {
-		out = append(out, resume.Origin{Key: resume.Key(o.Stream), Version: o.Software, Left: time.Duration(o.LeftMs) * time.Millisecond})
+		out = append(out, resume.Origin{Key: resume.Key(o.Stream), Version: o.Software, Runner: o.Runner, Left: time.Duration(o.LeftMs) * time.Millisecond})
 	}
 	return out
 }
--- a/pkg/resume/resume.go
+++ b/pkg/resume/resume.go
@@ -13,6 +13,8 @@
 	"encoding/binary"
 	"fmt"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -54,10 +56,15 @@
 	Key Key
 	// Version is empty if it is not certain, see Table.Doubt.
 	Version string
+	// Runner is the digest of the incarnation of the runner that brought the event, see RunnerDigest.
+	Runner uint64
 	// Left is the time for which the origin is kept.
 	Left time.Duration
 }
 
+// RunnerDigest returns the digest of an incarnation of a runner.
+func RunnerDigest(id string) uint64 { return xxhash.Sum64String(id) }
+
 // ErrUnknown reports that a stream can't be resumed because its version is not known.
 type ErrUnknown struct {
 	Service string
--- a/pkg/resume/table.go
+++ b/pkg/resume/table.go
@@ -29,14 +29,22 @@
 // entry is what is known of one stream.
 type entry struct {
 	version string
-	// from is the gateway that announced the origin, service and runner those of an own stream.
-	from            string
-	service, runner string
-	expires         time.Time
+	// from is the gateway that announced the origin, service that of an own stream.
+	from, service string
+	runner        uint64
+	expires       time.Time
+	// at is when the origin was recorded. confirmed is set if the runner told after the first event of
+	// an own stream that it is the incarnation of its entry.
+	at        time.Time
+	confirmed bool
 	// uncertain is set if the version is contradictory or doubted.
 	uncertain bool
 }
 
+// confirmTime is the age from which on the origin of another gateway's stream is not doubted: that
+// gateway confirms the origin within some milliseconds after the first event, or announces its doubt.
+const confirmTime = time.Second
+
 // NewTable returns an empty table of the named gateway.
 func NewTable(gateway string) *Table {
 	t := &Table{self: gateway}
@@ -50,17 +58,18 @@
 
 // Begin records that a runner of a version is about to begin a stream of this gateway. It replaces
 // the origin of an earlier attempt, which brought no event.
-func (t *Table) Begin(o Origin, service, runner string, now time.Time) {
-	t.put(o.Key, entry{version: o.Version, from: t.self, service: service, runner: runner, expires: now.Add(o.Left), uncertain: o.Version == ""})
+func (t *Table) Begin(o Origin, service string, now time.Time) {
+	t.put(o.Key, entry{version: o.Version, from: t.self, service: service, runner: o.Runner, expires: now.Add(o.Left), uncertain: o.Version == ""}, now)
 }
 
 // Receive records an origin that another gateway announced.
 func (t *Table) Receive(gateway string, o Origin, now time.Time) {
 	left := min(max(0, o.Left), maxLifetime)
-	t.put(o.Key, entry{version: o.Version, from: gateway, expires: now.Add(left), uncertain: o.Version == ""})
+	t.put(o.Key, entry{version: o.Version, from: gateway, runner: o.Runner, expires: now.Add(left), uncertain: o.Version == ""}, now)
 }
 
-func (t *Table) put(k Key, e entry) {
+func (t *Table) put(k Key, e entry, now time.Time) {
+	e.at = now
 	s := t.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -93,7 +102,7 @@
 }
 
 func (e *entry) origin(k Key, now time.Time) Origin {
-	o := Origin{Key: k, Left: e.expires.Sub(now)}
+	o := Origin{Key: k, Runner: e.runner, Left: e.expires.Sub(now)}
 	if !e.uncertain {
 		o.Version = e.version
 	}
@@ -105,32 +114,51 @@
 	return t.own(now, func(e *entry) bool { return e.service == service })
 }
 
-// Doubt records that a runner restarted at another version, which its entry showed late: the streams
-// that began there may have begun at either version. It returns their origins, without a version.
-func (t *Table) Doubt(runner string, now time.Time) []Origin {
-	return t.own(now, func(e *entry) bool {
-		if e.runner == runner {
-			e.uncertain = true
-			return true
-		}
-		return false
-	})
+// Confirm records that the runner of one of this gateway's streams told, after the first event, that it
+// is the incarnation of its entry.
+func (t *Table) Confirm(k Key) {
+	s := t.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.origins[k]; e != nil && e.from == t.self {
+		e.confirmed = true
+	}
+}
+
+// Doubt records that an incarnation of a runner was replaced, which its entry shows late: the streams
+// that began there and were not confirmed may have begun at the version of the next incarnation. It
+// returns the origins of this gateway's streams among them, without a version.
+func (t *Table) Doubt(runner uint64, now time.Time) []Origin {
+	doubted := func(e *entry) bool {
+		return e.runner == runner && !e.confirmed && (e.from == t.self || now.Sub(e.at) < confirmTime)
+	}
+	t.each(now, func(_ Key, e *entry) { e.uncertain = e.uncertain || doubted(e) })
+	return t.own(now, doubted)
 }
 
 // own returns the origins of this gateway's streams that match.
 func (t *Table) own(now time.Time, match func(*entry) bool) []Origin {
 	var out []Origin
+	t.each(now, func(k Key, e *entry) {
+		if e.from == t.self && match(e) {
+			out = append(out, e.origin(k, now))
+		}
+	})
+	return out
+}
+
+// each calls a function for each entry that has not expired, with its shard locked.
+func (t *Table) each(now time.Time, f func(Key, *entry)) {
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
 		for k, e := range s.origins {
-			if e.from == t.self && now.Before(e.expires) && match(e) {
-				out = append(out, e.origin(k, now))
+			if now.Before(e.expires) {
+				f(k, e)
 			}
 		}
 		s.mu.Unlock()
 	}
-	return out
 }
 
 // Sweep removes expired origins.
--- a/pkg/resume/table_test.go
+++ b/pkg/resume/table_test.go
@@ -13,8 +13,8 @@
 	g := NewWithT(t)
 	now, table, k := time.Now(), NewTable("a"), KeyOf("s", "", "id")
 	for _, version := range []string{"v1", "v2"} {
-		table.Begin(Origin{k, version, time.Minute}, "s", "r-"+version, now)
-		table.Receive("b", Origin{k + 1, version, time.Minute}, now)
+		table.Begin(Origin{Key: k, Version: version, Left: time.Minute}, "s", now)
+		table.Receive("b", Origin{Key: k + 1, Version: version, Left: time.Minute}, now)
 	}
 	for _, key := range []Key{k, k + 1} {
 		o, ok := table.Find(key, now)
@@ -27,27 +27,40 @@
 func TestRepeatedIDAtTwoGatewaysIsUncertain(t *testing.T) {
 	g := NewWithT(t)
 	now, table, k := time.Now(), NewTable("a"), KeyOf("s", "", "id")
-	table.Receive("b", Origin{k, "v1", time.Minute}, now)
-	table.Receive("c", Origin{k, "v1", time.Minute}, now)
+	table.Receive("b", Origin{Key: k, Version: "v1", Left: time.Minute}, now)
+	table.Receive("c", Origin{Key: k, Version: "v1", Left: time.Minute}, now)
 	o, _ := table.Find(k, now)
 	g.Expect(o.Version).To(Equal("v1"))
-	table.Receive("c", Origin{k, "v2", time.Minute}, now)
-	table.Receive("b", Origin{k, "v1", time.Minute}, now)
+	table.Receive("c", Origin{Key: k, Version: "v2", Left: time.Minute}, now)
+	table.Receive("b", Origin{Key: k, Version: "v1", Left: time.Minute}, now)
 	o, ok := table.Find(k, now)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(o.Version).To(BeEmpty())
 }
 
-// Guards against streams recorded at the version of an engine's outdated entry.
+// Guards against streams recorded at the version of an engine's outdated entry, and against doubting those whose engine
+// confirmed its entry.
 func TestDoubtMakesOriginsOfRunnerUncertain(t *testing.T) {
 	g := NewWithT(t)
 	now, table := time.Now(), NewTable("a")
-	table.Begin(Origin{1, "v1", time.Minute}, "s", "r1", now)
-	table.Begin(Origin{2, "v1", time.Minute}, "s", "r2", now)
-	g.Expect(table.Doubt("r1", now)).To(Equal([]Origin{{Key: 1, Left: time.Minute}}))
-	o, _ := table.Find(1, now)
-	g.Expect(o.Version).To(BeEmpty())
-	g.Expect(table.Own("s", now)).To(ConsistOf(Origin{1, "", time.Minute}, Origin{2, "v1", time.Minute}))
+	own := func(k Key, runner string) Origin {
+		return Origin{Key: k, Version: "v1", Runner: RunnerDigest(runner), Left: time.Minute}
+	}
+	table.Begin(own(1, "r1"), "s", now)
+	table.Begin(own(2, "r2"), "s", now)
+	table.Receive("b", own(3, "r1"), now)
+	doubted := own(1, "r1")
+	doubted.Version = ""
+	g.Expect(table.Doubt(RunnerDigest("r1"), now)).To(Equal([]Origin{doubted}))
+	table.Begin(own(4, "r1"), "s", now)
+	table.Confirm(4)
+	table.Receive("b", own(5, "r1"), now.Add(-confirmTime))
+	table.Doubt(RunnerDigest("r1"), now)
+	for k, want := range map[Key]string{1: "", 2: "v1", 3: "", 4: "v1", 5: "v1"} {
+		o, _ := table.Find(k, now)
+		g.Expect(o.Version).To(Equal(want), k.String())
+	}
+	g.Expect(table.Own("s", now)).To(ConsistOf(doubted, own(2, "r2"), own(4, "r1")))
 }
 
 // Guards against memory that grows with IDs that clients invent.
@@ -55,7 +68,7 @@
 	g := NewWithT(t)
 	now, table := time.Now(), NewTable("a")
 	for i := range 2 * shardCount * maxPerShard {
-		table.Receive("b", Origin{KeyOf("s", "w", fmt.Sprint(i)), "v1", time.Hour}, now)
+		table.Receive("b", Origin{Key: KeyOf("s", "w", fmt.Sprint(i)), Version: "v1", Left: time.Hour}, now)
 	}
 	n, dropped := table.Size()
 	g.Expect(n).To(BeNumerically("<=", shardCount*maxPerShard))
