peers: origins are sent by one goroutine, in order

What callers would have seen: resumptions refused for an unknown version under load. Found in review.

Cause: each request numbered and sent its own datagrams. Two that overtake each other count as one lost: the receiver drops the older one, with the origins in it, and asks for the full state.

Change: origins, queries and replies wait in an outbox by gateway, which the exchange sends at once; several together go in one datagram, 200 origins at most.

--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -16,10 +16,10 @@
 // OriginExchange sends origins of streams to other gateways and asks them for origins.
 type OriginExchange interface {
 	// AnnounceOrigins sends origins to the gateways that keep them.
-	AnnounceOrigins(list []resume.Origin, now time.Time)
+	AnnounceOrigins(list []resume.Origin)
 	// AskOrigin asks the gateways that keep the origin of a stream, and returns their number. Their
 	// replies are passed to ReceiveOriginReply.
-	AskOrigin(k resume.Key, service string, now time.Time) int
+	AskOrigin(k resume.Key, service string) int
 }
 
 // Origins connects an Ingress to the origins of streams that other gateways keep.
@@ -121,7 +121,7 @@
 	now := time.Now()
 	if g.versions.Observe(r.Service, r.Version, now) {
 		own := g.origins.Own(r.Service, now)
-		g.announce(own, now)
+		g.announce(own)
 		g.options.Log.Write(decisionlog.KindState, "software_versions", decisionlog.F("service", r.Service),
 			decisionlog.F("new", r.Version), decisionlog.F("announced", len(own)))
 	}
@@ -132,7 +132,7 @@
 func (g *Ingress) DoubtOrigins(before *runners.Runner) {
 	now := time.Now()
 	doubted := g.origins.Doubt(resume.RunnerDigest(before.ID), now)
-	g.announce(doubted, now)
+	g.announce(doubted)
 	if len(doubted) > 0 {
 		g.options.Log.Write(decisionlog.KindState, "origins_doubted", decisionlog.F("runner", before.ID), decisionlog.F("streams", len(doubted)))
 	}
@@ -146,9 +146,9 @@
 // Versions returns the tracker of software versions.
 func (g *Ingress) Versions() *resume.Versions { return g.versions }
 
-func (g *Ingress) announce(list []resume.Origin, now time.Time) {
+func (g *Ingress) announce(list []resume.Origin) {
 	if x := g.options.Origins.Exchange; x != nil && len(list) > 0 {
-		x.AnnounceOrigins(list, now)
+		x.AnnounceOrigins(list)
 	}
 }
 
@@ -160,12 +160,21 @@
 		return
 	}
 	for name := range t.Config.Services {
-		for _, r := range g.Directory.Present(name, now) {
+		for _, r := range g.versionsPresent(name, now) {
 			g.ObserveVersion(&r.Runner)
 		}
 	}
 }
 
+// versionsPresent returns a runner of each software version that serves a service.
+func (g *Ingress) versionsPresent(service string, now time.Time) map[string]*runners.State {
+	out := map[string]*runners.State{}
+	for _, r := range g.Directory.Present(service, now) {
+		out[r.Version] = r
+	}
+	return out
+}
+
 // resumed reports whether the client resumes a stream.
 func (x *exchange) resumed() bool { return x.route.Kind == routetable.Stream && x.call.After != "" }
 
@@ -218,7 +227,7 @@
 	defer cancel()
 	tick := time.NewTicker(originAskInterval)
 	defer tick.Stop()
-	e.Asked = exchange.AskOrigin(e.Key, e.Service, time.Now())
+	e.Asked = exchange.AskOrigin(e.Key, e.Service)
 	for {
 		var known bool
 		e.Replies, known = x.g.questions.list(q)
@@ -230,7 +239,7 @@
 			return
 		case <-q.changed:
 		case <-tick.C:
-			e.Asked = max(e.Asked, exchange.AskOrigin(e.Key, e.Service, time.Now()))
+			e.Asked = max(e.Asked, exchange.AskOrigin(e.Key, e.Service))
 		}
 	}
 }
@@ -246,7 +255,7 @@
 	x.g.origins.Begin(o, x.service, now)
 	if x.g.versions.Mixed(x.service, now) && o.Version != x.announced {
 		x.announced = o.Version
-		x.g.announce([]resume.Origin{o}, now)
+		x.g.announce([]resume.Origin{o})
 	}
 }
 
--- a/pkg/peers/origins.go
+++ b/pkg/peers/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/resume"
@@ -17,8 +18,8 @@
 	// askedKeepers is the number of gateways that are then asked for an origin. It is larger, because
 	// the gateways' membership lists may differ.
 	askedKeepers = 8
-	// maxOrigins limits the origins in one datagram, at some 35 bytes each.
-	maxOrigins = 400
+	// maxOrigins limits the origins in one datagram, at some 35 bytes each, and the queries and replies.
+	maxOrigins = 200
 )
 
 // keepers returns the names of the gateways that keep the origin of a stream, among them possibly this
@@ -31,24 +32,53 @@
 	return s.First(k.String(), n)
 }
 
-// AnnounceOrigins sends the origins of this gateway's streams to the gateways that keep them. It is
-// called before the first event of a stream is sent to its client, since this gateway may be lost at
-// any time after that.
-func (x *Exchange) AnnounceOrigins(list []resume.Origin, now time.Time) {
-	byKeeper := map[string][]*wirepb.StreamOrigin{}
-	for _, o := range list {
-		encoded := &wirepb.StreamOrigin{Stream: uint64(o.Key), Software: o.Version, Runner: o.Runner, LeftMs: uint32(o.Left.Milliseconds())}
-		for _, name := range x.keepers(o.Key, originKeepers) {
-			byKeeper[name] = append(byKeeper[name], encoded)
-		}
+// originOutbox holds what is to be sent of origins, by gateway. Run sends it at once: datagrams that
+// several goroutines send may overtake each other, and a receiver drops those that were overtaken.
+type originOutbox struct {
+	mu      sync.Mutex
+	pending map[string]*wirepb.GatewayState
+	// ready holds a value when something is pending.
+	ready chan struct{}
+}
+
+// add changes what is to be sent to a gateway.
+func (o *originOutbox) add(to string, change func(*wirepb.GatewayState)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.pending[to] == nil {
+		o.pending[to] = &wirepb.GatewayState{}
 	}
+	change(o.pending[to])
+	select {
+	case o.ready <- struct{}{}:
+	default:
+	}
+}
+
+// take removes and returns all that is pending.
+func (o *originOutbox) take() map[string]*wirepb.GatewayState {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := o.pending
+	o.pending = map[string]*wirepb.GatewayState{}
+	return out
+}
+
+// sendOrigins sends what is pending.
+func (x *Exchange) sendOrigins(now time.Time) {
+	pending := x.originOutbox.take()
 	var out []datagram
 	x.mu.Lock()
-	for name, origins := range byKeeper {
+	for name, state := range pending {
 		m := x.members[name]
 		if m == nil {
 			continue
 		}
+		origins := state.StreamOrigins
+		state.StreamOrigins = nil
+		if len(state.OriginQueries)+len(state.OriginReplies) > 0 {
+			out = append(out, x.newDatagram(m, state, now))
+		}
 		for part := range slices.Chunk(origins, maxOrigins) {
 			out = append(out, x.newDatagram(m, &wirepb.GatewayState{StreamOrigins: part}, now))
 		}
@@ -57,24 +87,50 @@
 	x.write(out)
 }
 
-// AskOrigin asks the gateways that keep the origin of a stream for it, and returns their number.
-func (x *Exchange) AskOrigin(k resume.Key, service string, now time.Time) int {
-	query := []*wirepb.OriginQuery{{Stream: uint64(k), Service: service}}
-	var out []datagram
-	keepers := x.keepers(k, askedKeepers)
+// AnnounceOrigins sends the origins of this gateway's streams to the gateways that keep them. It is
+// called before the first event of a stream is sent to its client, since this gateway may be lost at
+// any time after that. It does not wait.
+func (x *Exchange) AnnounceOrigins(list []resume.Origin) {
+	for _, o := range list {
+		encoded := &wirepb.StreamOrigin{Stream: uint64(o.Key), Software: o.Version, Runner: o.Runner, LeftMs: uint32(o.Left.Milliseconds())}
+		for _, name := range x.keepers(o.Key, originKeepers) {
+			if name != x.options.Name {
+				x.originOutbox.add(name, func(s *wirepb.GatewayState) { s.StreamOrigins = append(s.StreamOrigins, encoded) })
+			}
+		}
+	}
+}
+
+// AskOrigin asks the gateways that keep the origin of a stream for it, and returns their number. It
+// does not wait for replies.
+func (x *Exchange) AskOrigin(k resume.Key, service string) int {
+	query := &wirepb.OriginQuery{Stream: uint64(k), Service: service}
+	asked := x.aliveAmong(x.keepers(k, askedKeepers))
+	for _, name := range asked {
+		x.originOutbox.add(name, func(s *wirepb.GatewayState) {
+			if len(s.OriginQueries) < maxOrigins {
+				s.OriginQueries = append(s.OriginQueries, query)
+			}
+		})
+	}
+	return len(asked)
+}
+
+// aliveAmong returns those of the named gateways that are alive, without this one.
+func (x *Exchange) aliveAmong(names []string) []string {
 	x.mu.Lock()
-	for _, name := range keepers {
+	defer x.mu.Unlock()
+	var out []string
+	for _, name := range names {
 		if m := x.members[name]; m != nil && m.alive {
-			out = append(out, x.newDatagram(m, &wirepb.GatewayState{OriginQueries: query}, now))
+			out = append(out, name)
 		}
 	}
-	x.mu.Unlock()
-	x.write(out)
-	return len(out)
+	return out
 }
 
 // receiveOrigins records the origins and replies of a datagram, and replies to its queries.
-func (x *Exchange) receiveOrigins(s *wirepb.GatewayState, now time.Time) {
+func (x *Exchange) receiveOrigins(s *wirepb.GatewayState) {
 	if x.options.ReceiveOrigins == nil {
 		return
 	}
@@ -85,7 +141,7 @@
 		x.options.ReceiveOriginReply(s.Name, resume.Reply{Key: resume.Key(r.Stream), Known: r.Known, Version: r.Software, Only: r.Only})
 	}
 	if len(s.OriginQueries) > 0 {
-		x.replyOrigins(s.Name, s.OriginQueries, now)
+		x.replyOrigins(s.Name, s.OriginQueries)
 	}
 }
 
@@ -98,17 +154,15 @@
 }
 
 // replyOrigins replies to a gateway's queries.
-func (x *Exchange) replyOrigins(to string, queries []*wirepb.OriginQuery, now time.Time) {
+func (x *Exchange) replyOrigins(to string, queries []*wirepb.OriginQuery) {
 	replies := make([]*wirepb.OriginReply, 0, len(queries))
 	for _, q := range queries[:min(len(queries), maxOrigins)] {
 		r := x.options.OriginOf(resume.Key(q.Stream), q.Service)
 		replies = append(replies, &wirepb.OriginReply{Stream: q.Stream, Known: r.Known, Software: r.Version, Only: r.Only})
 	}
-	var out []datagram
-	x.mu.Lock()
-	if m := x.members[to]; m != nil {
-		out = append(out, x.newDatagram(m, &wirepb.GatewayState{OriginReplies: replies}, now))
-	}
-	x.mu.Unlock()
-	x.write(out)
+	x.originOutbox.add(to, func(s *wirepb.GatewayState) {
+		if len(s.OriginReplies) < maxOrigins {
+			s.OriginReplies = append(s.OriginReplies, replies...)
+		}
+	})
 }
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -24,6 +24,7 @@
 	"github.com/hopwell/hopwell/pkg/runnerlimit"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/subset"
+	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
 const (
@@ -197,6 +198,7 @@
 	subscribers    *relay.Subscribers
 	relayAllowance allowance
 	clock          stampClock
+	originOutbox   originOutbox
 	// nextReceiver, modulo the number of members, is the member that outcomes are sent to next.
 	nextReceiver int
 }
@@ -208,6 +210,7 @@
 		o.Pace = relay.PaceFor(relay.ShortestBound)
 		x.options.Pace = o.Pace
 	}
+	x.originOutbox = originOutbox{pending: map[string]*wirepb.GatewayState{}, ready: make(chan struct{}, 1)}
 	x.sources, x.clock = relay.NewSources(o.Name, o.Pace), newStampClock()
 	x.subscribers = relay.NewSubscribers(o.Pace)
 	x.updateSubset()
@@ -243,6 +246,8 @@
 		case <-due:
 			due = nil
 			x.sendChanges(time.Now())
+		case <-x.originOutbox.ready:
+			x.sendOrigins(time.Now())
 		case now := <-tick.C:
 			x.sendDue(now)
 			x.subscribe(now)
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -79,6 +79,12 @@
 
 func start(t *testing.T, name string, load int) *gateway {
 	w := newGateway(t, name, load)
+	run(t, w)
+	return w
+}
+
+// run runs a gateway until the test ends.
+func run(t *testing.T, w *gateway) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -86,7 +92,6 @@
 		w.Run(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	return w
 }
 
 // Three gateways of which each is given the address of at most one other must discover all.
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -63,7 +63,7 @@
 	for _, r := range decodeSuspicions(s.Suspicions, now) {
 		x.options.ReceiveSuspicion(r)
 	}
-	x.receiveOrigins(s, now)
+	x.receiveOrigins(s)
 	if s.StoreSubscription != nil {
 		x.receiveSubscription(s.Name, s.StoreSubscription, now)
 	}
--- a/pkg/process/origins.go
+++ b/pkg/process/origins.go
@@ -30,15 +30,14 @@
 	freshPaces = 2
 )
 
-// originExchange sends origins to other gateways. It implements ingress.OriginExchange.
+// originExchange sends origins to other gateways. It implements ingress.OriginExchange. The exchange
+// of the process does not exist yet when the Ingress is made.
 type originExchange struct{ p *Ingress }
 
-func (o originExchange) AnnounceOrigins(list []resume.Origin, now time.Time) {
-	o.p.peers.AnnounceOrigins(list, now)
-}
+func (o originExchange) AnnounceOrigins(list []resume.Origin) { o.p.peers.AnnounceOrigins(list) }
 
-func (o originExchange) AskOrigin(k resume.Key, service string, now time.Time) int {
-	return o.p.peers.AskOrigin(k, service, now)
+func (o originExchange) AskOrigin(k resume.Key, service string) int {
+	return o.p.peers.AskOrigin(k, service)
 }
 
 // origins returns how gateways share the software versions at which streams began.
--- a/pkg/resume/versions.go
+++ b/pkg/resume/versions.go
@@ -41,9 +41,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(service)
-	before := len(s.recent(now))
+	s.forget(now)
+	before := len(s.seen)
 	s.seen[version] = now
-	return before == 1 && len(s.recent(now)) > 1
+	return before == 1 && len(s.seen) > 1
 }
 
 // ObserveLifetime records how long the origin of a stream is kept: for so long a version that no
@@ -62,9 +63,14 @@
 	v.service(service).mixedUntil = until
 }
 
+// forget removes the versions that no stream can have any more.
+func (s *serviceVersions) forget(now time.Time) {
+	maps.DeleteFunc(s.seen, func(_ string, at time.Time) bool { return now.Sub(at) > s.lifetime })
+}
+
 // recent returns the versions that streams may have.
 func (s *serviceVersions) recent(now time.Time) []string {
-	maps.DeleteFunc(s.seen, func(_ string, at time.Time) bool { return now.Sub(at) > s.lifetime })
+	s.forget(now)
 	return slices.Sorted(maps.Keys(s.seen))
 }
 
