decisionlog, ingress: why tells where a resumed stream began

hopwell why of a request that resumes a stream lists the main steps of the request that brought its first event, with the software version; the last line of a refused resumption names that request too.

--- a/pkg/decisionlog/story.go
+++ b/pkg/decisionlog/story.go
@@ -12,8 +12,9 @@
 type Explanation struct {
 	ID string
 	// Lines are the lines of the request. Context are the lines about the state of the processes
-	// that handled it, of its runners, and of the dependencies of these processes.
-	Lines, Context []Line
+	// that handled it, of its runners, and of the dependencies of these processes. Origin are the main
+	// steps of the request that began the stream, if this one resumes it.
+	Lines, Context, Origin []Line
 	// Outcome and Cause describe how the request ended and why.
 	Outcome, Cause string
 }
@@ -49,11 +50,29 @@
 	if len(s.Lines) == 0 {
 		return nil, &ErrNoRequest{ID: id, Lines: len(lines), LeftOut: leftOut}
 	}
+	s.collectOrigin(lines)
 	s.collectContext(lines)
 	s.summarize()
 	return s, nil
 }
 
+// originEvents are the events of the request that began a stream which are listed with those of a
+// request that resumes it: which runner and software version began it, and how that ended.
+var originEvents = []string{"decode_begin", "stream_broken", "request_end"}
+
+// collectOrigin selects the lines about the request whose stream this one resumes.
+func (e *Explanation) collectOrigin(lines []Line) {
+	began := e.Lines[len(e.Lines)-1].Get("resumes")
+	if began == "" || began == e.ID {
+		return
+	}
+	for i := range lines {
+		if l := &lines[i]; l.Get("request") == began && slices.Contains(originEvents, l.Event) {
+			e.Origin = append(e.Origin, *l)
+		}
+	}
+}
+
 // collectContext selects the lines about the state of the request's processes and runners.
 // Of the config lines, it selects only the one for the version that the request was served
 // with.
@@ -118,6 +137,12 @@
 	for i := range e.Lines {
 		fmt.Fprintln(w, "  "+e.Lines[i].String())
 	}
+	if len(e.Origin) > 0 {
+		fmt.Fprintln(w, "\nthe request that began the stream:")
+	}
+	for i := range e.Origin {
+		fmt.Fprintln(w, "  "+e.Origin[i].String())
+	}
 	if len(e.Context) > 0 {
 		fmt.Fprintf(w, "\nstate changes and events in its processes in the %s before its end:\n", contextBefore)
 	}
--- a/pkg/decisionlog/story_test.go
+++ b/pkg/decisionlog/story_test.go
@@ -47,6 +47,22 @@
   1.2 b time=2026-12-02T10:00:01.200Z process=b kind=done event=request_end request=r2 status=200 outcome=done took=9.0ms
 `
 
+// Guards against an explanation of a resumed stream that does not tell at which version it began.
+func TestExplanationOfResumedStreamHasItsBeginning(t *testing.T) {
+	g := NewWithT(t)
+	lines, err := Read(strings.NewReader(`
+time=2026-12-02T10:00:01.000Z process=a kind=step event=decode_begin request=r1 runner=i-1 software=v1
+time=2026-12-02T10:00:02.000Z process=b kind=failed event=request_end request=r2 resumes=r1 status=503 outcome=not_run took=9.0ms cause=software_gone error="none"
+`))
+	g.Expect(err).NotTo(HaveOccurred())
+	s, err := Explain(lines, "r2")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Origin).To(HaveLen(1))
+	var out bytes.Buffer
+	s.Write(&out)
+	g.Expect(out.String()).To(ContainSubstring("software=v1"))
+}
+
 func TestExplanationHasLinesContextAndCause(t *testing.T) {
 	g := NewWithT(t)
 	lines, err := Read(strings.NewReader(sample))
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -106,7 +106,7 @@
 	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, Length: s.pool.Lengths.Estimate(s.lengthHint(), x.call.MaxOut), Priority: x.priority(), Allows: x.domainFilter(), Version: x.software}
 	s.fields = append(s.fields, decisionlog.F("gap", s.route.GapTarget), decisionlog.F("timeout", s.call.Timeout), decisionlog.F("prompt", s.job.Prompt), decisionlog.F("guess", s.lengthHint()), decisionlog.F("expected", s.job.Length.Expected(0)))
 	if x.call.After != "" {
-		s.fields = append(s.fields, decisionlog.F("resumed_by", "client"), decisionlog.F("resumes", shorten(x.call.Resumes)))
+		s.fields = append(s.fields, decisionlog.F("resumed_by", "client"))
 		s.findCachedPrompt()
 	}
 	if s.rank == enginepool.Returning {
--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -192,6 +192,7 @@
 	if !x.resumed() {
 		return nil
 	}
+	x.fields = append(x.fields, decisionlog.F("resumes", shorten(x.call.Resumes)))
 	e := resume.Evidence{Service: x.service, Named: x.call.Resumes != "", Key: resume.KeyOf(x.service, x.workspaceName(), x.call.Resumes)}
 	now := time.Now()
 	if e.Named {
