--- /dev/null
+++ b/pkg/ingress/resumed.go
@@ -0,0 +1,119 @@
+package ingress
+
+import (
+	"errors"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/resume"
+	"github.com/hopwell/hopwell/pkg/routetable"
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+// resumed reports whether the client resumes a stream.
+func (x *exchange) resumed() bool { return x.route.Kind == routetable.Stream && x.call.After != "" }
+
+// workspaceName returns the name of the request's workspace, empty for none.
+func (x *exchange) workspaceName() string {
+	if x.workspace == nil {
+		return ""
+	}
+	return x.workspace.Name
+}
+
+// bindResumed binds a request that resumes a stream to the software version at which the stream
+// began. It fails with *resume.ErrUnknown or *resume.ErrNoRunner.
+func (x *exchange) bindResumed() error {
+	if !x.resumed() {
+		return nil
+	}
+	x.fields = append(x.fields, decisionlog.F("resumes", shorten(x.call.Resumes)))
+	e := resume.Evidence{Service: x.service, Named: x.call.Resumes != "", Key: resume.KeyOf(x.service, x.workspaceName(), x.call.Resumes)}
+	now := time.Now()
+	if e.Named {
+		o, known := x.g.origins.Find(e.Key, now)
+		e.Known, e.Version = known, o.Version
+	}
+	e.Only = x.g.versions.Only(x.service, now)
+	e.Fresh = x.g.options.Origins.Fresh == nil || x.g.options.Origins.Fresh()
+	from := "own"
+	if e.NeedsReplies() {
+		from = "replies"
+		x.askOrigin(&e)
+	}
+	version, err := resume.Decide(e)
+	x.g.metrics.resumption(err)
+	if err != nil {
+		return err
+	}
+	x.software = version
+	x.fields = append(x.fields, decisionlog.F("software", version), decisionlog.F("software_from", from), decisionlog.F("asked", e.Asked))
+	return nil
+}
+
+// bindBegun binds a stream whose first event this gateway has sent to the software version of the
+// runner that brought it. It fails with *resume.ErrUnknown if that version is doubted.
+func (s *generation) bindBegun() error {
+	if !s.relay.begun || s.software != "" {
+		return nil
+	}
+	key := resume.KeyOf(s.service, s.workspaceName(), s.call.ID)
+	if o, ok := s.g.origins.Find(key, time.Now()); ok && o.Version != s.began {
+		return &resume.ErrUnknown{Service: s.service, Key: key, Why: resume.Contradictory}
+	}
+	s.software = s.began
+	return nil
+}
+
+// checkVersion returns *resume.ErrNoRunner if the request is bound to a software version at which no
+// engine decodes.
+func (s *generation) checkVersion() error {
+	s.job.Version = s.software
+	if s.software == "" {
+		return nil
+	}
+	registered := 0
+	for _, r := range s.g.Directory.Present(s.service, time.Now()) {
+		if !s.job.Accepts(r) {
+			continue
+		}
+		to, changing := r.Changing(time.Now())
+		if r.Stage == runners.Decode && !changing || changing && to == runners.Decode {
+			return nil
+		}
+		registered++
+	}
+	return &resume.ErrNoRunner{Service: s.service, Version: s.software, Registered: registered}
+}
+
+// notResumable reports whether a stream can't be resumed because of its software version.
+func notResumable(err error) bool {
+	var unknown *resume.ErrUnknown
+	var none *resume.ErrNoRunner
+	return errors.As(err, &unknown) || errors.As(err, &none)
+}
+
+// otherStageRetryAfter is the Retry-After of a resumed stream while engines of its software version
+// are registered, but none decodes: about the time that a stage change takes.
+const otherStageRetryAfter = 2 * time.Second
+
+// refuseResumed refuses a stream that can't be resumed because of its software version. There is no
+// Retry-After unless engines of the version are left: it would promise what is not expected.
+func (x *exchange) refuseResumed(err error) {
+	var none *resume.ErrNoRunner
+	if errors.As(err, &none) && none.Registered > 0 {
+		x.refuse(err, otherStageRetryAfter)
+		return
+	}
+	x.respond(statusNotRun, err)
+}
+
+// resumedRank returns the rank of a request. A resumed stream that may use only some of the engines
+// goes before new requests, which may use all.
+func (x *exchange) resumedRank(rank enginepool.Rank) enginepool.Rank {
+	if x.software != "" && x.g.versions.Mixed(x.service, x.arrived) {
+		return enginepool.Begun
+	}
+	return rank
+}
