--- a/pkg/enginepool/choice.go
+++ b/pkg/enginepool/choice.go
@@ -81,8 +81,8 @@
 
 // allowed returns the runners of a stage that this gateway uses and that are allowed. If fewer
 // than minSubset of its subset qualify, it considers all runners of the stage. If allows is
-// nil, all are allowed, and the result
-// includes unusable runners; otherwise it leaves them out. The caller holds the lock.
+// nil, all are allowed, and the result includes unusable runners; otherwise it leaves them
+// out. The caller holds the lock.
 func (p *Pool) allowed(stage runners.Stage, allows func(*runners.State) bool, now time.Time) []*runners.State {
 	used := p.subsetOf(stage, now)
 	if allows == nil {
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -2,10 +2,9 @@
 // reservations of all gateways into account when it chooses engines. It also exchanges stage
 // changes, changes of the store, the spending of workspaces, runners' rate limits, outcomes and
 // notices, reports of requests that crash runners, and the software versions at which streams began.
-// It sends small datagrams: changes at once to
-// the gateways that use the same engines, the full state to a gateway that lacks data, and
-// heartbeats. A gateway receives the addresses of the others from the store and from datagrams. No
-// consensus is needed.
+// It sends small datagrams: changes at once to the gateways that use the same engines, the full
+// state to a gateway that lacks data, and heartbeats. A gateway receives the addresses of the others
+// from the store and from datagrams. No consensus is needed.
 package peers
 
 import (
