ingress: one check of a runner's incarnation, one place for a stream's version

Found when reading the change again. The runner of the current response and the version that a stream is bound to were each kept twice, confirmBegun and confirmIncarnation had the same body, and an error of the background check was dropped: it is now logged (origin_not_confirmed). Call.OriginID and the log key origin_request replace the platform's word. Comments reworded.

--- a/pkg/decisionlog/story.go
+++ b/pkg/decisionlog/story.go
@@ -60,9 +60,9 @@
 // request that resumes it: which runner and software version began it, and how that ended.
 var originEvents = []string{"decode_begin", "stream_broken", "request_end"}
 
-// collectOrigin selects the lines about the request whose stream this one resumes.
+// collectOrigin selects the lines about the request whose stream this request resumes.
 func (e *Explanation) collectOrigin(lines []Line) {
-	began := e.Lines[len(e.Lines)-1].Get("resumes")
+	began := e.Lines[len(e.Lines)-1].Get("origin_request")
 	if began == "" || began == e.ID {
 		return
 	}
--- a/pkg/decisionlog/story_test.go
+++ b/pkg/decisionlog/story_test.go
@@ -52,7 +52,7 @@
 	g := NewWithT(t)
 	lines, err := Read(strings.NewReader(`
 time=2026-12-02T10:00:01.000Z process=a kind=step event=decode_begin request=r1 runner=i-1 software=v1
-time=2026-12-02T10:00:02.000Z process=b kind=failed event=request_end request=r2 resumes=r1 status=503 outcome=not_run took=9.0ms cause=software_gone error="none"
+time=2026-12-02T10:00:02.000Z process=b kind=failed event=request_end request=r2 origin_request=r1 status=503 outcome=not_run took=9.0ms cause=software_gone error="none"
 `))
 	g.Expect(err).NotTo(HaveOccurred())
 	s, err := Explain(lines, "r2")
--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -33,9 +33,9 @@
 	Credentials []string
 	// After is the ID of the last event that the client received, set when it resumes a stream.
 	After string
-	// Resumes is the ID of the request that brought the first event of a resumed stream; empty if
-	// the client did not name it. It is the client's word and may name anything.
-	Resumes string
+	// OriginID is the ID of the request that brought the first event of a resumed stream; empty if
+	// the client did not name it. Clients choose it freely.
+	OriginID string
 }
 
 // CallOptions holds the parameters of one call to a runner.
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -79,10 +79,6 @@
 	failedDecode map[string]bool
 	// forecastMade is set once the request was compared with the forecast.
 	forecastMade bool
-	// began is the software version of the runner that brought the first event.
-	began string
-	// decoding is the runner of the current attempt.
-	decoding *runners.State
 	// roomAt is when the request got room for its last attempt.
 	roomAt time.Time
 	relay  relay
@@ -183,7 +179,7 @@
 		return
 	}
 	if s.relay.begun {
-		s.finish(http.StatusOK, &ErrBroken{Runner: s.relay.runner, After: s.relay.last, Err: last})
+		s.finish(http.StatusOK, &ErrBroken{Runner: s.relay.runner.ID, After: s.relay.last, Err: last})
 		s.g.metrics.broken.Inc()
 		panic(http.ErrAbortHandler)
 	}
@@ -253,7 +249,6 @@
 	s.sends++
 	s.logRunnerLimit(runner)
 	runner.Sent(s.job.ID, time.Now())
-	s.decoding = runner
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	response, err := s.g.options.Runners.Send(ctx, runner, s.call, order)
--- a/pkg/ingress/incarnation.go
+++ b/pkg/ingress/incarnation.go
@@ -13,7 +13,7 @@
 // version is not known.
 type ErrOutdated struct {
 	Runner string
-	// Err is why the runner did not tell its start; nil if it told another one.
+	// Err is the error of the check; nil if the runner reported another start time.
 	Err error
 }
 
@@ -29,24 +29,32 @@
 // Unwrap returns the cause.
 func (e *ErrOutdated) Unwrap() error { return e.Err }
 
-// confirmBegun confirms, after the first event of a new stream, that its runner is the incarnation of
-// its entry. It does not delay the stream. Only if several versions serve can the runner have another
-// one than its entry, apart from the first runner that restarts at another one.
-func (x *exchange) confirmBegun(runner *runners.State) {
+// isCurrent reports whether a runner is still the incarnation of its entry. If it is not, the runner gets
+// no more work, and the origins of streams that began there are doubted.
+func (x *exchange) isCurrent(ctx context.Context, runner *runners.State) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	runner.CallSent("", time.Now())
+	current, err := x.g.options.Runners.Alive(ctx, runner)
+	if err == nil && !current {
+		runner.MarkUnusable(time.Now())
+		x.g.DoubtOrigins(&runner.Runner)
+	}
+	return current && err == nil, err
+}
+
+// confirmOrigin checks in the background, after the first event of a new stream, that its runner is the
+// incarnation of its entry. While only one version serves it checks nothing.
+func (x *exchange) confirmOrigin(runner *runners.State) {
 	if runner.Born == 0 || !x.route.Resumable || !x.g.versions.Mixed(x.service, time.Now()) {
 		return
 	}
-	key := resume.KeyOf(x.service, x.workspaceName(), x.call.ID)
-	x.g.confirmations.run(runner.ID, key, func(keys []resume.Key) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), aliveTimeout)
-		defer cancel()
-		runner.CallSent("", time.Now())
-		alive, err := x.g.options.Runners.Alive(ctx, runner)
-		if err == nil && !alive {
-			runner.MarkUnusable(time.Now())
-			x.g.DoubtOrigins(&runner.Runner)
+	x.g.confirmations.run(runner.ID, x.streamKey(x.call.ID), func(keys []resume.Key) {
+		current, err := x.isCurrent(context.WithoutCancel(x.ctx), runner)
+		if err != nil {
+			x.logFailedStep("origin_not_confirmed", runner.ID, err)
 		}
-		if err == nil && alive {
+		if current {
 			for _, k := range keys {
 				x.g.origins.Confirm(k)
 			}
@@ -80,8 +88,8 @@
 	}()
 }
 
-// next returns the streams that wait for the next check of a runner. Without any, no check is running
-// any more.
+// next returns the streams that wait for the next check of a runner. If there are none, the runner's
+// checks end.
 func (c *confirmations) next(runner string) []resume.Key {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -99,16 +107,9 @@
 	if runner.Born == 0 {
 		return nil // Each start has a new name, which the runner checks itself.
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, aliveTimeout)
-	defer cancel()
-	runner.CallSent("", time.Now())
-	alive, err := s.g.options.Runners.Alive(ctx, runner)
-	if alive && err == nil {
+	current, err := s.isCurrent(s.ctx, runner)
+	if current {
 		return nil
 	}
-	if err == nil {
-		runner.MarkUnusable(time.Now())
-		s.g.DoubtOrigins(&runner.Runner)
-	}
 	return &ErrOutdated{Runner: runner.ID, Err: err}
 }
--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,12 +60,7 @@
 func (q *questions) remove(k resume.Key, one *question) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var left []*question
-	for _, other := range q.open[k] {
-		if other != one {
-			left = append(left, other)
-		}
-	}
+	left := slices.DeleteFunc(q.open[k], func(other *question) bool { return other == one })
 	if q.open[k] = left; len(left) == 0 {
 		delete(q.open, k)
 	}
@@ -207,7 +203,7 @@
 		return
 	}
 	now := time.Now()
-	o := resume.Origin{Key: resume.KeyOf(x.service, x.workspaceName(), x.call.ID), Version: runner.Version, Runner: resume.RunnerDigest(runner.ID), Left: resume.Lifetime(max(x.call.Timeout, x.route.Timeout))}
+	o := resume.Origin{Key: x.streamKey(x.call.ID), Version: runner.Version, Runner: resume.RunnerDigest(runner.ID), Left: resume.Lifetime(max(x.call.Timeout, x.route.Timeout))}
 	x.g.versions.ObserveLifetime(x.service, o.Left)
 	x.g.origins.Begin(o, x.service, now)
 	if x.g.versions.Mixed(x.service, now) && o.Version != x.announced {
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -33,9 +33,12 @@
 	s *generation
 	// begun is set once the response header has been sent to the client.
 	begun bool
+	// origin is the software version of the runner that brought the first event.
+	origin string
 	// last is the ID of the last event sent to the client.
-	last   string
-	runner string
+	last string
+	// runner is the runner of the current response.
+	runner *runners.State
 	events int
 	// written is when the last event was sent. longestGap is the longest time between two events,
 	// which is logged as pause.
@@ -45,7 +48,7 @@
 
 // forwardEvents forwards the events of a response until its end.
 func (r *relay) forwardEvents(n int, runner *runners.State, a *Response) (sendResult, error) {
-	r.runner = runner.ID
+	r.runner = runner
 	began, before, confirmed := time.Now(), r.events, false
 	in := bufio.NewReaderSize(a.Body, eventBuffer)
 	for {
@@ -57,7 +60,7 @@
 		if err != nil {
 			return r.streamBroken(runner, r.events == before, err)
 		}
-		if r.events == before && r.s.software != "" && !confirmed {
+		if r.events == before && r.s.job.Version != "" && !confirmed {
 			if err := r.s.confirmIncarnation(runner); err != nil {
 				r.s.failedDecode[runner.ID] = true
 				r.s.logFailedStep("runner_outdated", runner.ID, err)
@@ -103,9 +106,9 @@
 // another runner resumes it.
 func (r *relay) writeHeader(a *Response) {
 	r.begun = true
-	r.s.began = r.s.decoding.Version
-	if r.s.software == "" {
-		r.s.confirmBegun(r.s.decoding)
+	r.origin = r.runner.Version
+	if r.s.job.Version == "" {
+		r.s.confirmOrigin(r.runner)
 	}
 	r.s.g.metrics.firstEvent.UpdateDuration(r.s.arrived)
 	r.s.planner.Serving.Learn(time.Since(r.s.roomAt))
--- a/pkg/ingress/resumed.go
+++ b/pkg/ingress/resumed.go
@@ -14,12 +14,13 @@
 // resumed reports whether the client resumes a stream.
 func (x *exchange) resumed() bool { return x.route.Kind == routetable.Stream && x.call.After != "" }
 
-// workspaceName returns the name of the request's workspace, empty for none.
-func (x *exchange) workspaceName() string {
-	if x.workspace == nil {
-		return ""
+// streamKey returns the key of the stream whose first event was brought by the request with an ID.
+func (x *exchange) streamKey(id string) resume.Key {
+	workspace := ""
+	if x.workspace != nil {
+		workspace = x.workspace.Name
 	}
-	return x.workspace.Name
+	return resume.KeyOf(x.service, workspace, id)
 }
 
 // bindResumed binds a request that resumes a stream to the software version at which the stream
@@ -28,8 +29,8 @@
 	if !x.resumed() {
 		return nil
 	}
-	x.fields = append(x.fields, decisionlog.F("resumes", shorten(x.call.Resumes)))
-	e := resume.Evidence{Service: x.service, Named: x.call.Resumes != "", Key: resume.KeyOf(x.service, x.workspaceName(), x.call.Resumes)}
+	x.fields = append(x.fields, decisionlog.F("origin_request", shorten(x.call.OriginID)))
+	e := resume.Evidence{Service: x.service, Named: x.call.OriginID != "", Key: x.streamKey(x.call.OriginID)}
 	now := time.Now()
 	if e.Named {
 		o, known := x.g.origins.Find(e.Key, now)
@@ -55,22 +56,21 @@
 // bindBegun binds a stream whose first event this gateway has sent to the software version of the
 // runner that brought it. It fails with *resume.ErrUnknown if that version is doubted.
 func (s *generation) bindBegun() error {
-	if !s.relay.begun || s.software != "" {
+	if !s.relay.begun || s.job.Version != "" {
 		return nil
 	}
-	key := resume.KeyOf(s.service, s.workspaceName(), s.call.ID)
-	if o, ok := s.g.origins.Find(key, time.Now()); ok && o.Version != s.began {
+	key := s.streamKey(s.call.ID)
+	if o, ok := s.g.origins.Find(key, time.Now()); ok && o.Version != s.relay.origin {
 		return &resume.ErrUnknown{Service: s.service, Key: key, Why: resume.Contradictory}
 	}
-	s.software = s.began
+	s.job.Version = s.relay.origin
 	return nil
 }
 
 // checkVersion returns *resume.ErrNoRunner if the request is bound to a software version at which no
 // engine decodes.
 func (s *generation) checkVersion() error {
-	s.job.Version = s.software
-	if s.software == "" {
+	if s.job.Version == "" {
 		return nil
 	}
 	registered := 0
@@ -84,7 +84,7 @@
 		}
 		registered++
 	}
-	return &resume.ErrNoRunner{Service: s.service, Version: s.software, Registered: registered}
+	return &resume.ErrNoRunner{Service: s.service, Version: s.job.Version, Registered: registered}
 }
 
 // notResumable reports whether a stream can't be resumed because of its software version.
--- a/pkg/resume/decide.go
+++ b/pkg/resume/decide.go
@@ -52,7 +52,7 @@
 	case e.Only != "" && e.Fresh:
 		return e.Only, nil
 	case e.Only != "" && only > 0 && 2*only >= e.Asked && only == len(e.Replies):
-		// While nobody reaches the store, half of the gateways show that this one is not cut off.
+		// Without an up-to-date copy of the store, replies of half of the gateways exclude a partition.
 		return e.Only, nil
 	case !e.Named:
 		return "", e.unknown(NotNamed)
--- a/pkg/resume/table.go
+++ b/pkg/resume/table.go
@@ -33,8 +33,8 @@
 	from, service string
 	runner        uint64
 	expires       time.Time
-	// at is when the origin was recorded. confirmed is set if the runner told after the first event of
-	// an own stream that it is the incarnation of its entry.
+	// at is when the origin was recorded. confirmed is set once the runner of an own stream reported,
+	// after the first event, the start time that is in its entry.
 	at        time.Time
 	confirmed bool
 	// uncertain is set if the version is contradictory or doubted.
@@ -114,8 +114,8 @@
 	return t.own(now, func(e *entry) bool { return e.service == service })
 }
 
-// Confirm records that the runner of one of this gateway's streams told, after the first event, that it
-// is the incarnation of its entry.
+// Confirm records that the runner of one of this gateway's streams reported, after the first event, the
+// start time that is in its entry.
 func (t *Table) Confirm(k Key) {
 	s := t.shard(k)
 	s.mu.Lock()
--- a/pkg/resume/versions.go
+++ b/pkg/resume/versions.go
@@ -63,7 +63,7 @@
 	v.service(service).mixedUntil = until
 }
 
-// forget removes the versions that no stream can have any more.
+// forget removes the versions that were last observed longer ago than a stream lasts.
 func (s *serviceVersions) forget(now time.Time) {
 	maps.DeleteFunc(s.seen, func(_ string, at time.Time) bool { return now.Sub(at) > s.lifetime })
 }
