enginepool: a resumed stream gets an ejected engine of its version if no other is left

What callers saw: found by a stronger test of resumption within one response: streams broken off after 3 s without room, although an engine of their version was free.

Cause: engines with many failures were left out of the choice before those that had failed the request itself. Of two engines of a version, one ejected and one that broke the stream, the second alone was left, and then excluded. With many engines to choose from that is rare; bound to a version it is not.

Change: for a bound job those that failed it are left out first, so that the rule that half of a list is never ejected applies to the rest.

Evidence: TestJobBoundToVersionGetsEjectedRunnerIfOthersFailedIt fails without the change (no room) and passes with it; go test ./pkg/enginepool passes.

--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -482,3 +482,27 @@
 	g.Expect(bound.granted).To(HaveLen(1), "the room goes to the job that is bound to it")
 	g.Expect(other.granted).To(BeEmpty())
 }
+
+// Guards against a resumed stream that waits while the only other engine of its software version is ejected for failures,
+// although it serves.
+func TestJobBoundToVersionGetsEjectedRunnerIfOthersFailedIt(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	d := runners.NewDirectory("a")
+	for id, version := range map[string]string{"r1": "v1", "r2": "v1", "r3": "v2"} {
+		d.Put(runners.Runner{ID: id, Service: "s", Stage: runners.Decode, Version: version}, now)
+	}
+	for range 20 {
+		d.Find("r2").Failed(now)
+	}
+	g.Expect(d.Find("r2").Ejected(now)).To(BeTrue())
+	p := New("s", d, DefaultOptions())
+	p.Configure(Spec{Memory: 1000, Slots: 1})
+	w := p.NewWaiter(Job{ID: "bound", Prompt: 100, Version: "v1"}, Begun)
+	w.Avoid("r1")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	s, err := p.Wait(ctx, w)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.ID).To(Equal("r2"))
+}
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -182,7 +182,7 @@
 // candidates returns runners on which a job fits. The caller holds the lock.
 func (p *Pool) candidates(w *Waiter, now time.Time) []candidate {
 	var out []candidate
-	for _, s := range p.sample(runners.Decode, w.job.filter(), now) {
+	for _, s := range p.sample(runners.Decode, w.filter(), now) {
 		if score, fits := p.score(s, w, now); fits {
 			out = append(out, candidate{s, score})
 		}
--- a/pkg/enginepool/queue.go
+++ b/pkg/enginepool/queue.go
@@ -44,6 +44,16 @@
 	typical float64
 }
 
+// filter returns which runners are considered for the job; nil is all. A job bound to a software version
+// has few: those that failed it are left out before runners with many failures are, so that these
+// are used if no others are left.
+func (w *Waiter) filter() func(*runners.State) bool {
+	if w.job.Version == "" {
+		return w.job.filter()
+	}
+	return func(s *runners.State) bool { return w.job.Accepts(s) && !w.avoid[s.ID] }
+}
+
 // LateFrom sets the time from which a job is ranked Late. It must be called before Wait.
 func (w *Waiter) LateFrom(at time.Time) { w.lateAt = at }
 
