resume, process: a gateway that starts takes a mixed service as mixed for 2 minutes

Found in review: it kept the mark for the longest stream that it had seen itself, 15 s right after its start, while streams of others may last longer. The longest time for which an origin is kept bounds all.

Quarantines and mixed services are written to the store by one function; the soak's counters have names that say what they count.

--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -133,7 +133,7 @@
 
 // MarkMixed records that, according to the store, a service has had several software versions.
 func (g *Ingress) MarkMixed(service string) {
-	g.versions.MarkMixed(service, time.Now().Add(g.versions.Lifetime(service)))
+	g.versions.MarkMixed(service, time.Now())
 }
 
 // Versions returns the tracker of software versions.
--- a/pkg/process/origins.go
+++ b/pkg/process/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/boottime"
@@ -10,7 +9,6 @@
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/resume"
 	"github.com/hopwell/hopwell/pkg/runners"
-	"github.com/hopwell/hopwell/pkg/store"
 )
 
 const (
@@ -105,12 +103,8 @@
 func (p *Ingress) writeMixed(ctx context.Context, service string) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	key, writer := mixedPrefix+service, []byte(p.settings.Load().Instance.Name)
 	ttl := mixedLeases * p.Ingress.Versions().Lifetime(service)
-	_, err := store.PutLeased(ctx, p.feed.currentStore(), ttl, store.Change{If: []store.Condition{{Key: key}}, Put: []store.Put{{Key: key, Value: writer}}})
-	var conflict *store.ErrConflict
-	if errors.As(err, &conflict) {
-		return
-	}
-	p.log.Write(decisionlog.KindState, "software_versions_written", decisionlog.F("service", service), decisionlog.F("for", ttl), decisionlog.F("error", err))
+	first, err := p.putIfAbsent(ctx, mixedPrefix+service, ttl)
+	p.log.Write(decisionlog.KindState, "software_versions_written", decisionlog.F("service", service), decisionlog.F("for", ttl),
+		decisionlog.F("first", first), decisionlog.F("error", err))
 }
--- a/pkg/process/quarantine.go
+++ b/pkg/process/quarantine.go
@@ -57,17 +57,22 @@
 func (p *Ingress) publishQuarantine(ctx context.Context, r quarantine.Report) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	key, writer := quarantineKey(r.Digest), []byte(p.settings.Load().Instance.Name)
-	_, err := store.PutLeased(ctx, p.feed.currentStore(), r.Left, store.Change{If: []store.Condition{{Key: key}}, Put: []store.Put{{Key: key, Value: writer}}})
-	// On a conflict another gateway wrote it first, or the response to an earlier attempt was lost.
-	var conflict *store.ErrConflict
-	exists := errors.As(err, &conflict)
-	if exists {
-		err = nil
-	}
-	if exists || err == nil {
+	first, err := p.putIfAbsent(ctx, quarantineKey(r.Digest), r.Left)
+	if err == nil {
 		p.suspects.RecordPublished(r.Digest, time.Now())
 	}
 	p.log.Write(decisionlog.KindState, "quarantine_written", decisionlog.F("asked", r.Digest), decisionlog.F("left", r.Left),
-		decisionlog.F("first", !exists), decisionlog.F("error", err))
+		decisionlog.F("first", first), decisionlog.F("error", err))
+}
+
+// putIfAbsent writes a key with a lease, and reports whether the store did not have it. If it did, another
+// gateway wrote it first, or the response to an earlier attempt was lost.
+func (p *Ingress) putIfAbsent(ctx context.Context, key string, ttl time.Duration) (first bool, err error) {
+	writer := []byte(p.settings.Load().Instance.Name)
+	_, err = store.PutLeased(ctx, p.feed.currentStore(), ttl, store.Change{If: []store.Condition{{Key: key}}, Put: []store.Put{{Key: key, Value: writer}}})
+	var conflict *store.ErrConflict
+	if errors.As(err, &conflict) {
+		return false, nil
+	}
+	return true, err
 }
--- a/pkg/resume/table_test.go
+++ b/pkg/resume/table_test.go
@@ -100,7 +100,8 @@
 	g.Expect(v.Mixed("s", now.Add(59*time.Second))).To(BeTrue())
 	g.Expect(v.Observe("s", "v2", now.Add(2*time.Minute))).To(BeFalse())
 	g.Expect(v.Only("s", now.Add(2*time.Minute))).To(Equal("v2"))
-	v.MarkMixed("s", now.Add(3*time.Minute))
-	g.Expect(v.Only("s", now.Add(2*time.Minute))).To(BeEmpty(), "the store shows several")
-	g.Expect(v.Mixed("s", now.Add(3*time.Minute))).To(BeFalse())
+	marked := now.Add(2 * time.Minute)
+	v.MarkMixed("s", marked)
+	g.Expect(v.Only("s", marked.Add(maxLifetime-1))).To(BeEmpty(), "the store shows several")
+	g.Expect(v.Mixed("s", marked.Add(maxLifetime))).To(BeFalse())
 }
--- a/pkg/resume/versions.go
+++ b/pkg/resume/versions.go
@@ -56,11 +56,12 @@
 	s.lifetime = max(s.lifetime, lifetime)
 }
 
-// MarkMixed records that, according to the store, several versions serve or served a service.
-func (v *Versions) MarkMixed(service string, until time.Time) {
+// MarkMixed records that, according to the store, several versions serve or served a service. It holds
+// for the longest Lifetime of a stream, since this gateway does not know those of earlier streams.
+func (v *Versions) MarkMixed(service string, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.service(service).mixedUntil = until
+	v.service(service).mixedUntil = now.Add(maxLifetime)
 }
 
 // forget removes the versions that were last observed longer ago than a stream lasts.
