ingress: parts of prompts and crashes of runners are logged

No line named the parts, or which broken streams belong to one crash.

Change: the call holds the parts before the last; stream_broken and send_failed name them; runner_crashed names a request whose runner was found to have crashed, with whether it had an event; a counter for what the check of the runner showed. No decision has changed.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
@@ -26,6 +27,8 @@
 	// Prompt is the length of the prompt, MaxOut the limit on the output and Hint the client's
 	// estimate of the output, all in tokens; 0 if not given.
 	Prompt, MaxOut, Hint int
+	// SharedParts are the parts of the prompt before its last, which other requests may share.
+	SharedParts quarantine.Parts
 	// PromptID identifies the last part of the prompt, which follows the parts that other requests
 	// share. It is the same in all tries of a client; empty if not given.
 	PromptID string
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -199,7 +199,8 @@
 		x.logStep("not_sent", decisionlog.F("runner", runner.ID), decisionlog.F("error", err))
 		return notRun, err
 	}
-	x.logFailedStep("send_failed", runner.ID, err, decisionlog.F("address", runner.Address), decisionlog.F("asked", x.digest()))
+	x.logFailedStep("send_failed", runner.ID, err, decisionlog.F("address", runner.Address), decisionlog.F("asked", x.digest()),
+		decisionlog.F("parts", x.call.SharedParts))
 	var dial *upstream.ErrDial
 	if errors.As(err, &dial) {
 		life.Withdraw(n)
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -52,6 +52,18 @@
 	}
 }
 
+// brokenRun counts a run whose connection broke, by what the check of its runner showed.
+func (m *meters) brokenRun(alive bool, err error) {
+	runner := "crashed"
+	switch {
+	case err != nil:
+		runner = "unknown"
+	case alive:
+		runner = "alive"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("hopwell_ingress_broken_runs_total{runner=%q}", runner)).Inc()
+}
+
 // ended records the duration and status of a request that ended; the status is 0 without a
 // response.
 func (m *meters) ended(x *exchange, status int, took time.Duration) {
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -97,7 +97,7 @@
 	}
 	runner.Failed(time.Now())
 	r.s.logFailedStep("stream_broken", runner.ID, err, decisionlog.F("events", r.events), decisionlog.F("last", r.last),
-		decisionlog.F("asked", r.s.digest()))
+		decisionlog.F("asked", r.s.digest()), decisionlog.F("parts", r.s.call.SharedParts))
 	r.s.exchange.reportBrokenRun(runner, early, err)
 	return mayHaveRun, &ErrBroken{Runner: runner.ID, After: r.last, Err: err}
 }
--- a/pkg/ingress/suspicion.go
+++ b/pkg/ingress/suspicion.go
@@ -69,9 +69,12 @@
 		if err != nil {
 			x.logFailedStep("runner_not_asked", runner.ID, err, decisionlog.F("asked", digest))
 		}
+		x.g.metrics.brokenRun(alive, err)
 		if alive || err != nil {
 			return
 		}
+		x.logStep("runner_crashed", decisionlog.F("runner", runner.ID), decisionlog.F("early", early), decisionlog.F("asked", digest),
+			decisionlog.F("parts", x.call.SharedParts))
 		x.g.crashed(digest, quarantine.Break{Runner: xxhash.Sum64String(runner.ID), Early: early, At: at})
 	}()
 }
