quarantine: parts of prompts that crash runners are found from the evidence of all gateways

Cause: the quarantine knew a request by the digest of its whole content, so that requests which share only the part of the prompt that crashes engines were each a new request. Each gateway's evidence went to the gateways that this digest selects, so that evidence on a part never met anywhere. Class: a fault is attributed to what it was seen with (one request), not to what the cases have in common.

Change: each request that has no event when its runner crashes is reported to all gateways with the parts of its prompt; so is a part that is sound after a crash, since a runner wrote events to it. Each gateway decides from that, without I/O (pkg/quarantine, evidence.go): the largest set of parts that at least three crashes of different runners have in common, in at least two requests, none of the parts sound since. Requests that hold the whole set are refused; a set gets smaller as its parts turn out sound, and one request is let through after a minute. Sets are kept in the store. Reports are sent by one goroutine, since a datagram that is overtaken by a later one is dropped by its receiver. A request that broke off is not sent to another runner if two more runners crashed on one of its parts.

--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -85,7 +85,7 @@
 	var credential *workspace.ErrCredential
 	var unconfirmed *ErrUnconfirmed
 	var overQuota *quota.ErrQuota
-	var quarantined *quarantine.ErrQuarantined
+	left, quarantined := quarantineLeft(err)
 	if x.life == nil && x.route != nil && x.route.Kind == routetable.Stream {
 		x.fields = append(x.fields, decisionlog.F("prompt", x.call.Prompt))
 	}
@@ -96,8 +96,8 @@
 		x.unauthorized(err)
 	case errors.As(err, &unconfirmed):
 		x.refuse(err, unconfirmedRetryAfter)
-	case errors.As(err, &quarantined):
-		x.refuse(err, quarantined.Left)
+	case quarantined:
+		x.refuse(err, left)
 	case errors.As(err, &notReady) && !x.g.drain.begun():
 		x.refuse(err, startupRetryAfter)
 	case errors.As(err, &noRoute):
@@ -213,7 +213,7 @@
 		overQuota   *quota.ErrQuota
 		credential  *workspace.ErrCredential
 		unconfirmed *ErrUnconfirmed
-		quarantined *quarantine.ErrQuarantined
+		suspected   *quarantine.ErrSuspectedParts
 		noRegion    *ErrNoRegion
 		evacuated   *ErrEvacuated
 		limited     *ErrLimited
@@ -222,6 +222,7 @@
 		unknown     *resume.ErrUnknown
 		noVersion   *resume.ErrNoRunner
 	)
+	_, quarantined := quarantineLeft(err)
 	switch {
 	case errors.As(err, &unknown):
 		return "software_unknown"
@@ -237,8 +238,10 @@
 		return "no_region"
 	case errors.As(err, &evacuated):
 		return "evacuated"
-	case errors.As(err, &quarantined):
+	case quarantined:
 		return "quarantined"
+	case errors.As(err, &suspected):
+		return "suspected_parts"
 	case errors.As(err, &overQuota):
 		return "over_limit"
 	case errors.As(err, &credential):
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -46,6 +46,8 @@
 	ctx           context.Context
 	// cachedDigest is the digest of the request's content; nil until it is first needed.
 	cachedDigest *quarantine.Digest
+	// probing is the quarantined set of parts that the request was let through for; 0 for none.
+	probing quarantine.SetID
 	// software is the only software version at which the request may run: that at which the stream
 	// began which it resumes; empty for any. announced is the version that was announced to other
 	// gateways for the request's own stream.
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -82,6 +82,8 @@
 	// roomAt is when the request got room for its last attempt.
 	roomAt time.Time
 	relay  relay
+	// brokeEarly is set if a runner broke off before it wrote an event.
+	brokeEarly bool
 }
 
 // generate serves a request by engines. It reserves room for the decode first, then runs the
@@ -158,7 +160,7 @@
 		last = err
 		var noRoom *enginepool.ErrNoRoom
 		var unavailable *runners.ErrUnavailable
-		if errors.As(err, &noRoom) || errors.As(err, &unavailable) || notAllowed(err) || notResumable(err) {
+		if errors.As(err, &noRoom) || errors.As(err, &unavailable) || notAllowed(err) || notResumable(err) || suspectedParts(err) {
 			break
 		}
 		if v == notRun {
@@ -191,6 +193,11 @@
 	if err := s.checkQuarantine(); err != nil {
 		return notRun, err
 	}
+	if s.brokeEarly {
+		if err := s.checkRepeat(); err != nil {
+			return mayHaveRun, err
+		}
+	}
 	if err := firstError(s.bindBegun(), s.checkVersion()); err != nil {
 		return notRun, err
 	}
@@ -255,7 +262,9 @@
 	if err != nil {
 		s.releaseKV(prefillRunner, source, "decode_failed")
 		s.failedDecode[runner.ID] = true
-		return s.sendFailed(s.life, n, runner, err)
+		v, err := s.sendFailed(s.life, n, runner, err)
+		s.brokeEarly = s.brokeEarly || v == mayHaveRun
+		return v, err
 	}
 	defer response.Body.Close()
 	if response.NotRun || response.WrongRunner {
--- a/pkg/ingress/identity.go
+++ b/pkg/ingress/identity.go
@@ -7,7 +7,6 @@
 
 	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/decisionlog"
-	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/workspace"
 )
 
@@ -111,6 +110,6 @@
 func notAllowed(err error) bool {
 	var credential *workspace.ErrCredential
 	var unconfirmed *ErrUnconfirmed
-	var quarantined *quarantine.ErrQuarantined
-	return errors.As(err, &credential) || errors.As(err, &unconfirmed) || errors.As(err, &quarantined)
+	_, quarantined := quarantineLeft(err)
+	return quarantined || errors.As(err, &credential) || errors.As(err, &unconfirmed)
 }
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -271,6 +271,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
+			if n%ticksPerDecision == 0 {
+				g.decideParts(now)
+			}
 			g.onTick(now, n%ticksPerSweep == 0)
 		}
 	}
@@ -290,6 +293,7 @@
 		g.plain.Sweep(now)
 		if t := g.options.Suspicion.Table; t != nil {
 			t.Sweep(now)
+			g.options.Suspicion.Parts.Sweep(now)
 		}
 		g.promptCaches.sweep(now)
 		g.sweepOrigins(now)
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -30,6 +30,8 @@
 	broken  *metrics.Counter
 	// quarantines counts the quarantines that this gateway learned of.
 	quarantines *metrics.Counter
+	// partQuarantines counts the quarantines of parts of prompts that this gateway learned of.
+	partQuarantines *metrics.Counter
 	// notBuffered counts the responses that were streamed because the memory for buffers was used
 	// up.
 	notBuffered *metrics.Counter
@@ -49,6 +51,7 @@
 		broken:           set.NewCounter("hopwell_ingress_broken_streams_total"),
 		notBuffered:      set.NewCounter("hopwell_ingress_answers_not_held_total"),
 		quarantines:      set.NewCounter("hopwell_ingress_quarantines_total"),
+		partQuarantines:  set.NewCounter("hopwell_ingress_part_quarantines_total"),
 	}
 }
 
@@ -206,6 +209,7 @@
 	}
 	if t := g.options.Suspicion.Table; t != nil {
 		fmt.Fprintf(w, "hopwell_ingress_quarantined %d\n", t.Quarantined(time.Now()))
+		fmt.Fprintf(w, "hopwell_ingress_quarantined_part_sets %d\n", len(g.options.Suspicion.Parts.Quarantined(time.Now())))
 	}
 	g.writeVersions(w)
 	origins, dropped := g.origins.Size()
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -55,6 +55,9 @@
 		readyAt := time.Now()
 		event, err := readEvent(in)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
+			if r.events > before {
+				r.s.recordSound()
+			}
 			return r.complete(n, runner, a, began)
 		}
 		if err != nil {
@@ -72,6 +75,9 @@
 		if err := r.write(a, event); err != nil {
 			return mayHaveRun, errClientGone{}
 		}
+		if r.events-before == soundEvents {
+			r.s.recordSound()
+		}
 	}
 }
 
@@ -92,6 +98,7 @@
 // yet.
 func (r *relay) streamBroken(runner *runners.State, early bool, err error) (sendResult, error) {
 	r.s.failedDecode[runner.ID] = true
+	r.s.brokeEarly = r.s.brokeEarly || early
 	if reason := r.s.endReason(); reason != nil {
 		return mayHaveRun, reason
 	}
--- a/pkg/ingress/suspicion.go
+++ b/pkg/ingress/suspicion.go
@@ -21,6 +21,10 @@
 	// Report sends a report on a request to other gateways, to all of them if the request is
 	// quarantined.
 	Report func(r quarantine.Report)
+	// Parts holds the suspected and quarantined parts of prompts, ReportParts sends evidence about them to
+	// all other gateways. Both are set if Table is.
+	Parts       *quarantine.PartTable
+	ReportParts func(e quarantine.Evidence)
 }
 
 // digest returns the digest of the request's content. It is computed on first use.
@@ -36,13 +40,19 @@
 	return *x.cachedDigest
 }
 
-// checkQuarantine returns *quarantine.ErrQuarantined if the request is quarantined.
+// checkQuarantine returns *quarantine.ErrQuarantined or *quarantine.ErrPartsQuarantined if the request, or
+// parts of its prompt, are quarantined.
 func (x *exchange) checkQuarantine() error {
-	table := x.g.options.Suspicion.Table
-	if table == nil || table.Empty() {
+	o := &x.g.options.Suspicion
+	if o.Table == nil {
 		return nil
 	}
-	return table.Check(x.digest(), time.Now())
+	if !o.Table.Empty() {
+		if err := o.Table.Check(x.digest(), time.Now()); err != nil {
+			return err
+		}
+	}
+	return x.checkParts()
 }
 
 // aliveTimeout limits the check whether a runner is still alive. A crashed one refuses a connection
@@ -75,7 +85,11 @@
 		}
 		x.logStep("runner_crashed", decisionlog.F("runner", runner.ID), decisionlog.F("early", early), decisionlog.F("asked", digest),
 			decisionlog.F("parts", x.call.SharedParts))
-		x.g.crashed(digest, quarantine.Break{Runner: xxhash.Sum64String(runner.ID), Early: early, At: at})
+		incarnation := xxhash.Sum64String(runner.ID)
+		x.g.crashed(digest, quarantine.Break{Runner: incarnation, Early: early, At: at})
+		if early && len(x.call.SharedParts) > 0 {
+			x.g.crashedOnParts(quarantine.Crash{Runner: incarnation, Request: digest.Short(), Parts: x.call.SharedParts, At: at})
+		}
 	}()
 }
 
--- a/pkg/peers/origins.go
+++ b/pkg/peers/origins.go
@@ -1,8 +1,6 @@
 package peers
 
 import (
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/resume"
@@ -32,61 +30,6 @@
 	return s.First(k.String(), n)
 }
 
-// originOutbox holds what is to be sent of origins, by gateway. Run sends it at once: datagrams that
-// several goroutines send may overtake each other, and a receiver drops those that were overtaken.
-type originOutbox struct {
-	mu      sync.Mutex
-	pending map[string]*wirepb.GatewayState
-	// ready holds a value when something is pending.
-	ready chan struct{}
-}
-
-// add changes what is to be sent to a gateway.
-func (o *originOutbox) add(to string, change func(*wirepb.GatewayState)) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.pending[to] == nil {
-		o.pending[to] = &wirepb.GatewayState{}
-	}
-	change(o.pending[to])
-	select {
-	case o.ready <- struct{}{}:
-	default:
-	}
-}
-
-// take removes and returns all that is pending.
-func (o *originOutbox) take() map[string]*wirepb.GatewayState {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	out := o.pending
-	o.pending = map[string]*wirepb.GatewayState{}
-	return out
-}
-
-// sendOrigins sends what is pending.
-func (x *Exchange) sendOrigins(now time.Time) {
-	pending := x.originOutbox.take()
-	var out []datagram
-	x.mu.Lock()
-	for name, state := range pending {
-		m := x.members[name]
-		if m == nil {
-			continue
-		}
-		origins := state.StreamOrigins
-		state.StreamOrigins = nil
-		if len(state.OriginQueries)+len(state.OriginReplies) > 0 {
-			out = append(out, x.newDatagram(m, state, now))
-		}
-		for part := range slices.Chunk(origins, maxOrigins) {
-			out = append(out, x.newDatagram(m, &wirepb.GatewayState{StreamOrigins: part}, now))
-		}
-	}
-	x.mu.Unlock()
-	x.write(out)
-}
-
 // AnnounceOrigins sends the origins of this gateway's streams to the gateways that keep them. It is
 // called before the first event of a stream is sent to its client, since this gateway may be lost at
 // any time after that. It does not wait.
@@ -95,7 +38,7 @@
 		encoded := &wirepb.StreamOrigin{Stream: uint64(o.Key), Software: o.Version, Runner: o.Runner, LeftMs: uint32(o.Left.Milliseconds())}
 		for _, name := range x.keepers(o.Key, originKeepers) {
 			if name != x.options.Name {
-				x.originOutbox.add(name, func(s *wirepb.GatewayState) { s.StreamOrigins = append(s.StreamOrigins, encoded) })
+				x.outbox.add(name, func(s *wirepb.GatewayState) { s.StreamOrigins = append(s.StreamOrigins, encoded) })
 			}
 		}
 	}
@@ -107,7 +50,7 @@
 	query := &wirepb.OriginQuery{Stream: uint64(k), Service: service}
 	asked := x.aliveAmong(x.keepers(k, askedKeepers))
 	for _, name := range asked {
-		x.originOutbox.add(name, func(s *wirepb.GatewayState) {
+		x.outbox.add(name, func(s *wirepb.GatewayState) {
 			if len(s.OriginQueries) < maxOrigins {
 				s.OriginQueries = append(s.OriginQueries, query)
 			}
@@ -160,7 +103,7 @@
 		r := x.options.OriginOf(resume.Key(q.Stream), q.Service)
 		replies = append(replies, &wirepb.OriginReply{Stream: q.Stream, Known: r.Known, Software: r.Version, Only: r.Only})
 	}
-	x.originOutbox.add(to, func(s *wirepb.GatewayState) {
+	x.outbox.add(to, func(s *wirepb.GatewayState) {
 		if len(s.OriginReplies) < maxOrigins {
 			s.OriginReplies = append(s.OriginReplies, replies...)
 		}
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -1,7 +1,7 @@
 // Package peers exchanges engine reservations between gateways, so that each gateway takes the
 // reservations of all gateways into account when it chooses engines. It also exchanges stage
 // changes, changes of the store, the spending of workspaces, runners' rate limits, outcomes and
-// notices, reports of requests that crash runners, and the software versions at which streams began.
+// notices, reports of requests and of parts of prompts that crash runners, and the software versions at which streams began.
 // It sends small datagrams: changes at once to the gateways that use the same engines, the full
 // state to a gateway that lacks data, and heartbeats. A gateway receives the addresses of the others
 // from the store and from datagrams. No consensus is needed.
@@ -99,6 +99,9 @@
 	// ReceiveSuspicion records another gateway's report of a request whose calls to runners
 	// broke off.
 	ReceiveSuspicion func(r quarantine.Report)
+	// ReceivePartEvidence records what another gateway knows of parts of prompts that may crash runners;
+	// nil if it is not exchanged.
+	ReceivePartEvidence func(e quarantine.Evidence)
 	// ReceiveOrigins records the origins of streams that another gateway announced, OriginOf returns
 	// this gateway's reply to a question about a stream, and ReceiveOriginReply records the reply of
 	// another gateway. All are nil if origins are not exchanged.
@@ -198,7 +201,7 @@
 	subscribers    *relay.Subscribers
 	relayAllowance allowance
 	clock          stampClock
-	originOutbox   originOutbox
+	outbox         outbox
 	// nextReceiver, modulo the number of members, is the member that outcomes are sent to next.
 	nextReceiver int
 }
@@ -210,7 +213,7 @@
 		o.Pace = relay.PaceFor(relay.ShortestBound)
 		x.options.Pace = o.Pace
 	}
-	x.originOutbox = originOutbox{pending: map[string]*wirepb.GatewayState{}, ready: make(chan struct{}, 1)}
+	x.outbox = outbox{pending: map[string]*wirepb.GatewayState{}, ready: make(chan struct{}, 1)}
 	x.sources, x.clock = relay.NewSources(o.Name, o.Pace), newStampClock()
 	x.subscribers = relay.NewSubscribers(o.Pace)
 	x.updateSubset()
@@ -246,8 +249,8 @@
 		case <-due:
 			due = nil
 			x.sendChanges(time.Now())
-		case <-x.originOutbox.ready:
-			x.sendOrigins(time.Now())
+		case <-x.outbox.ready:
+			x.sendOutbox(time.Now())
 		case now := <-tick.C:
 			x.sendDue(now)
 			x.subscribe(now)
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -63,6 +63,9 @@
 	for _, r := range decodeSuspicions(s.Suspicions, now) {
 		x.options.ReceiveSuspicion(r)
 	}
+	if s.PartEvidence != nil && x.options.ReceivePartEvidence != nil {
+		x.options.ReceivePartEvidence(decodePartEvidence(s.PartEvidence, now))
+	}
 	x.receiveOrigins(s)
 	if s.StoreSubscription != nil {
 		x.receiveSubscription(s.Name, s.StoreSubscription, now)
--- a/pkg/peers/traffic.go
+++ b/pkg/peers/traffic.go
@@ -19,6 +19,7 @@
 	{"store_subscription", func(s *wirepb.GatewayState) bool { return s.StoreSubscription != nil }},
 	{"stage_changes", func(s *wirepb.GatewayState) bool { return len(s.StageChanges) > 0 }},
 	{"suspicions", func(s *wirepb.GatewayState) bool { return len(s.Suspicions) > 0 }},
+	{"part_evidence", func(s *wirepb.GatewayState) bool { return s.PartEvidence != nil }},
 	{"reservations", func(s *wirepb.GatewayState) bool { return len(s.Pools) > 0 }},
 	{"outcomes", func(s *wirepb.GatewayState) bool { return len(s.Outcomes)+len(s.LeavingRunners) > 0 }},
 	{"spending", func(s *wirepb.GatewayState) bool { return len(s.Spent) > 0 }},
--- a/pkg/process/announce.go
+++ b/pkg/process/announce.go
@@ -80,6 +80,7 @@
 // rewriteStoreEntries schedules everything that this process wrote to the store to be written again.
 func (p *Ingress) rewriteStoreEntries() {
 	p.suspects.Republish(time.Now())
+	p.parts.Republish(time.Now())
 	select {
 	case p.reannounce <- struct{}{}:
 	default:
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -10,6 +10,7 @@
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/notice"
+	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runnerlimit"
@@ -285,6 +286,10 @@
 		f.ingress.EndQuarantine(d)
 		return
 	}
+	if id, ok := parsePartsKey(e.Key); ok && e.Removed {
+		f.ingress.EndPartQuarantine(id)
+		return
+	}
 	if name, ok := platform.RunnerName(e.Key); ok && e.Removed {
 		f.ingress.Directory.Remove(name, time.Now())
 		return
@@ -313,11 +318,23 @@
 		f.ingress.MarkMixed(service)
 	} else if d, ok := parseQuarantineKey(i.Key); ok {
 		f.ingress.ReadQuarantine(d)
+	} else if _, ok := parsePartsKey(i.Key); ok {
+		f.applyParts(i)
 	} else if domain, ok := platform.EvacuatedDomain(i.Key); ok && f.ingress.Directory.Evacuate(domain, time.Now()) {
 		f.logEvacuation(domain, true, at)
 	}
 }
 
+// applyParts applies the quarantine of a set of parts of prompts.
+func (f *feed) applyParts(i store.Item) {
+	parts, err := quarantine.ParseParts(string(i.Value))
+	if err != nil {
+		f.log.Write(decisionlog.KindFailed, "parts_refused", decisionlog.F("key", i.Key), decisionlog.F("error", err))
+		return
+	}
+	f.ingress.ReadPartQuarantine(parts)
+}
+
 // maxStageChange bounds the duration of a stage change that is read from the store, since its start is
 // unknown. The lease of the key expires before that.
 const maxStageChange = 20 * time.Second
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -81,6 +81,7 @@
 	peers    *peers.Exchange
 	quota    *quota.Ledger
 	suspects *quarantine.Table
+	parts    *quarantine.PartTable
 	servers  []*http.Server
 	ports    IngressPorts
 	cancel   context.CancelFunc
@@ -101,6 +102,7 @@
 	client := upstream.New(upstream.Options{ConnectTimeout: connectTimeout, DefaultKeepAlive: idleConnTimeout, MaxIdle: maxIdleConns, OnConnect: countOpened})
 	calls := &platform.Runners{Client: client}
 	p := &Ingress{log: log, client: client, suspects: quarantine.New(jitter), stopped: make(chan struct{}), reannounce: make(chan struct{}, 1)}
+	p.parts = quarantine.NewPartTable(jitter, func(id quarantine.SetID) bool { return p.peers.First(id.String()) })
 	p.settings.Store(c)
 	allowance := c.Workspaces.Quota
 	p.quota = quota.New(quota.Allowance{Window: allowance.Window.D(), Overshoot: allowance.Overshoot, Slack: allowance.Slack}, quota.DefaultShares())
@@ -146,9 +148,12 @@
 	return p, nil
 }
 
-// suspicion returns how gateways report to each other requests that crash runners.
+// suspicion returns how gateways report to each other requests and parts of prompts that crash runners.
 func (p *Ingress) suspicion() ingress.Suspicion {
-	return ingress.Suspicion{Table: p.suspects, Report: func(r quarantine.Report) { p.peers.SendSuspicion(r, time.Now()) }}
+	return ingress.Suspicion{
+		Table: p.suspects, Report: func(r quarantine.Report) { p.peers.SendSuspicion(r, time.Now()) },
+		Parts: p.parts, ReportParts: func(e quarantine.Evidence) { p.peers.SendPartEvidence(e, time.Now()) },
+	}
 }
 
 // poolOptions returns the settings of the engine pools.
--- a/pkg/process/origins.go
+++ b/pkg/process/origins.go
@@ -104,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	ttl := mixedLeases * p.Ingress.Versions().Lifetime(service)
-	first, err := p.putIfAbsent(ctx, mixedPrefix+service, ttl)
+	first, err := p.putIfAbsent(ctx, mixedPrefix+service, p.settings.Load().Instance.Name, ttl)
 	p.log.Write(decisionlog.KindState, "software_versions_written", decisionlog.F("service", service), decisionlog.F("for", ttl),
 		decisionlog.F("first", first), decisionlog.F("error", err))
 }
--- a/pkg/process/ports.go
+++ b/pkg/process/ports.go
@@ -65,6 +65,7 @@
 		Domain: instance.Domain, Outcomes: p.Ingress.Outcomes, ReceiveOutcomes: p.Ingress.ReceiveOutcomes,
 		Store: p.feed, Pace: p.feed.pace,
 		ReceiveSuspicion:    p.Ingress.ReceiveSuspicion,
+		ReceivePartEvidence: p.Ingress.ReceivePartEvidence,
 		ReceiveOrigins:      p.Ingress.ReceiveOrigins,
 		OriginOf:            p.Ingress.OriginOf,
 		ReceiveOriginReply:  p.Ingress.ReceiveOriginReply,
--- a/pkg/process/restored.go
+++ b/pkg/process/restored.go
@@ -63,7 +63,7 @@
 
 // deferral returns how long to defer a change that a restored store shows. The caller holds applyMu.
 func (f *feed) deferral(e store.Event) time.Duration {
-	if _, ok := parseQuarantineKey(e.Key); ok && e.Removed {
+	if isQuarantineKey(e.Key) && e.Removed {
 		return dropped // The store lost the quarantine before it ended; the gateways write it again.
 	}
 	if strings.HasPrefix(e.Key, changePrefix) {
--- a/pkg/quarantine/digest.go
+++ b/pkg/quarantine/digest.go
@@ -44,5 +44,8 @@
 	return d
 }
 
+// Short returns a part of the digest, which distinguishes the requests that ran at one runner.
+func (d Digest) Short() uint64 { return binary.BigEndian.Uint64(d[:]) }
+
 // String returns the digest in hexadecimal.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -76,17 +76,8 @@
 
 // suspect is a request that may crash runners: attempts at it broke off.
 type suspect struct {
+	term
 	breaks []Break
-	// quarantinedUntil is the end of the latest quarantine; zero if there was none.
-	quarantinedUntil time.Time
-	// endKnown reports whether quarantinedUntil is exact. It is an upper bound for a quarantine
-	// that was only read from the store.
-	endKnown bool
-	// published reports whether the quarantine is in the store. If it is not, publishAt is the
-	// next time to write it, and publishBackoff the delay after that write.
-	published      bool
-	publishAt      time.Time
-	publishBackoff time.Duration
 	// lastSuccess is when an attempt last completed. Breaks before that time are not counted
 	// against the request.
 	lastSuccess time.Time
@@ -130,8 +121,8 @@
 	for _, b := range r.Breaks {
 		s.add(b)
 	}
-	if r.Left > 0 && s.allowed(now) {
-		s.quarantine(now.Add(min(r.Left, Duration)), now.Add(t.jitter(publishDelay)))
+	if r.Left > 0 && s.over(now) {
+		s.start(now.Add(min(r.Left, Duration)), now.Add(t.jitter(publishDelay)))
 		return true
 	}
 	return s.evaluate(now, now.Add(t.jitter(publishDelay)))
@@ -143,13 +134,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.getOrAdd(d, now)
-	isNew := s.allowed(now)
-	if isNew {
-		s.quarantine(now.Add(Duration), time.Time{})
-		s.endKnown = false
-	}
-	s.published = true
-	return isNew
+	return s.recordRead(now)
 }
 
 // RecordRemoved records that a quarantine is no longer in the store. If its exact end is known, the store
@@ -175,7 +160,7 @@
 	defer t.mu.Unlock()
 	for _, s := range t.suspects {
 		if s.published {
-			s.published, s.publishAt, s.publishBackoff = false, now.Add(t.jitter(publishDelay)), publishDelay
+			s.rewrite(now.Add(t.jitter(publishDelay)))
 		}
 	}
 }
@@ -185,10 +170,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.suspects[d]
-	if s == nil || s.allowed(now) {
+	if s == nil || s.over(now) {
 		return nil
 	}
-	return &ErrQuarantined{Digest: d, Left: s.quarantinedUntil.Sub(now)}
+	return &ErrQuarantined{Digest: d, Left: s.until.Sub(now)}
 }
 
 // RecordCompleted records that an attempt at a request completed. The request did not cause earlier
@@ -196,7 +181,7 @@
 func (t *Table) RecordCompleted(d Digest, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.suspects[d]; s != nil && s.allowed(now) {
+	if s := t.suspects[d]; s != nil && s.over(now) {
 		s.breaks, s.lastSuccess = nil, now
 	}
 }
@@ -208,12 +193,9 @@
 	defer t.mu.Unlock()
 	var out []Report
 	for d, s := range t.suspects {
-		if s.allowed(now) || s.published || now.Before(s.publishAt) {
-			continue
+		if s.due(now, t.jitter) {
+			out = append(out, Report{Digest: d, Left: s.until.Sub(now)})
 		}
-		s.publishAt = now.Add(t.jitter(s.publishBackoff))
-		s.publishBackoff = min(2*s.publishBackoff, maxPublishDelay)
-		out = append(out, Report{Digest: d, Left: s.quarantinedUntil.Sub(now)})
 	}
 	return out
 }
@@ -224,7 +206,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for d, s := range t.suspects {
-		if s.prune(now); s.allowed(now) && len(s.breaks) == 0 && now.Sub(s.lastSuccess) > Duration {
+		if s.prune(now); s.over(now) && len(s.breaks) == 0 && now.Sub(s.lastSuccess) > Duration {
 			t.remove(d)
 		}
 	}
@@ -236,7 +218,7 @@
 	defer t.mu.Unlock()
 	n := 0
 	for _, s := range t.suspects {
-		if !s.allowed(now) {
+		if !s.over(now) {
 			n++
 		}
 	}
@@ -264,7 +246,7 @@
 func (t *Table) evictOne(now time.Time) {
 	var victim Digest
 	for d, s := range t.suspects {
-		if victim = d; s.allowed(now) {
+		if victim = d; s.over(now) {
 			break
 		}
 	}
@@ -277,20 +259,12 @@
 	t.size.Store(int64(len(t.suspects)))
 }
 
-// allowed reports whether the request is not quarantined.
-func (s *suspect) allowed(now time.Time) bool { return !now.Before(s.quarantinedUntil) }
-
-// quarantine starts a quarantine and schedules its first write to the store.
-func (s *suspect) quarantine(until, publishAt time.Time) {
-	s.quarantinedUntil, s.endKnown, s.published, s.publishAt, s.publishBackoff = until, true, false, publishAt, publishDelay
-}
-
 // evaluate quarantines the request if its breaks weigh enough, and reports whether it did.
 func (s *suspect) evaluate(now, publishAt time.Time) bool {
-	if !s.allowed(now) || s.weight() < quarantineWeight {
+	if !s.over(now) || s.weight() < quarantineWeight {
 		return false
 	}
-	s.quarantine(now.Add(Duration), publishAt)
+	s.start(now.Add(Duration), publishAt)
 	return true
 }
 
@@ -348,8 +322,8 @@
 // report returns the state of the request for other gateways.
 func (s *suspect) report(d Digest, now time.Time) Report {
 	r := Report{Digest: d, Breaks: append([]Break(nil), s.breaks...)}
-	if !s.allowed(now) {
-		r.Left = s.quarantinedUntil.Sub(now)
+	if !s.over(now) {
+		r.Left = s.until.Sub(now)
 	}
 	return r
 }
