ingress: a stream that ends with its connection before the first event is not complete

What callers saw: 200 and an empty stream, taken as complete, if a response has neither a length nor chunks and its engine crashes or breaks off before the first event. It also counted as a completed run, which cleared what was held against the request.

Cause: the end of such a body looks like the end of a complete one.

Change: the platform's client tells such responses; without an event they are broken off.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -74,6 +74,9 @@
 	// WrongRunner is set if another runner has the address now, or if the runner is in the wrong
 	// stage.
 	WrongRunner bool
+	// CloseDelimited is set if the body has neither a length nor chunks and ends with the connection. Its end
+	// does not show that it is complete.
+	CloseDelimited bool
 	// Verified is set if the response carries the runner's signature and its body is not encoded.
 	// Successful responses are forwarded only if it is set. It does not mean that the body is
 	// complete.
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -57,8 +57,12 @@
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			if r.events > before {
 				r.s.recordSound()
+				return r.complete(n, runner, a, began)
 			}
-			return r.complete(n, runner, a, began)
+			if !a.CloseDelimited {
+				return r.complete(n, runner, a, began)
+			}
+			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return r.streamBroken(runner, r.events == before, err)
