overload: a crowded gateway closes new connections unread while others are calm

If the balancer hands most new connections of a failure domain to one gateway, it reads more than it can serve: a gateway uses a fifth of its processor time at its usual share.

Change: gateways measure by how much their periodic task runs late and tell each other; one that lags while the median of its failure domain does not closes a growing share of new connections before reading them.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/forecast"
 	"github.com/hopwell/hopwell/pkg/httpd"
+	"github.com/hopwell/hopwell/pkg/overload"
 	"github.com/hopwell/hopwell/pkg/plainload"
 	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/resume"
@@ -54,6 +55,8 @@
 	Quota *quota.Ledger
 	// Suspicion quarantines requests that crash runners.
 	Suspicion Suspicion
+	// Lag measures whether the process gets its processor time; nil if it is not measured.
+	Lag *overload.Meter
 	// Origins holds what other gateways know of the software versions at which streams began.
 	Origins Origins
 }
@@ -256,21 +259,24 @@
 }
 
 const (
-	// dispatchInterval is the interval at which waiting requests are dispatched.
-	dispatchInterval = 20 * time.Millisecond
+	// DispatchInterval is the interval at which waiting requests are dispatched.
+	DispatchInterval = 20 * time.Millisecond
 	// ticksPerSweep is the number of dispatch intervals between two sweeps: one second.
 	ticksPerSweep = 50
 )
 
 // Run dispatches waiting requests and sweeps expired state until the context ends.
 func (g *Ingress) Run(ctx context.Context) {
-	tick := time.NewTicker(dispatchInterval)
+	tick := time.NewTicker(DispatchInterval)
 	defer tick.Stop()
 	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
+			if g.options.Lag != nil {
+				g.options.Lag.Tick(time.Now())
+			}
 			if n%ticksPerDecision == 0 {
 				g.decideParts(now)
 			}
--- a/pkg/peers/members.go
+++ b/pkg/peers/members.go
@@ -29,6 +29,8 @@
 	spendingRevision uint64
 	// limitsRevision is the revision up to which the runners' rate limits were sent to it.
 	limitsRevision uint64
+	// lag is the share of time by which it runs late.
+	lag float64
 }
 
 // Add adds another gateway to the membership list, unless the list has it.
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -108,6 +108,8 @@
 	ReceiveOrigins     func(gateway string, list []resume.Origin)
 	OriginOf           func(k resume.Key, service string) resume.Reply
 	ReceiveOriginReply func(gateway string, r resume.Reply)
+	// Lag returns the share of time by which this gateway runs late; nil if it is not measured.
+	Lag func() float64
 	// Store is this gateway's copy of the store, Pace the timing of the relays that keep it up
 	// to date. The zero value of Pace is the timing for the shortest bound.
 	Store StoreFeed
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -108,7 +108,7 @@
 	if full {
 		m.domain, m.version = s.Domain, s.ConfigVersion
 	}
-	m.incarnation, m.sequence, m.lastSeen = s.Incarnation, s.Sequence, now
+	m.incarnation, m.sequence, m.lastSeen, m.lag = s.Incarnation, s.Sequence, now, float64(s.LagPermille)/permille
 	if m.alive {
 		return false
 	}
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -190,7 +190,7 @@
 	x.addLimits(m, state, now)
 	m.sent++
 	m.lastSent = now
-	state.Name, state.Incarnation, state.Sequence = x.options.Name, x.incarnation, m.sent
+	state.Name, state.Incarnation, state.Sequence, state.LagPermille = x.options.Name, x.incarnation, m.sent, x.lagPermille()
 	return datagram{to: m.address, name: m.name, state: state}
 }
 
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -18,6 +18,7 @@
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/ingress"
+	"github.com/hopwell/hopwell/pkg/overload"
 	"github.com/hopwell/hopwell/pkg/peers"
 	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/quota"
@@ -82,6 +83,8 @@
 	quota    *quota.Ledger
 	suspects *quarantine.Table
 	parts    *quarantine.PartTable
+	lag      *overload.Meter
+	shedder  overload.Shedder
 	servers  []*http.Server
 	ports    IngressPorts
 	cancel   context.CancelFunc
@@ -101,7 +104,7 @@
 	log := decisionlog.New(c.Instance.Name, out)
 	client := upstream.New(upstream.Options{ConnectTimeout: connectTimeout, DefaultKeepAlive: idleConnTimeout, MaxIdle: maxIdleConns, OnConnect: countOpened})
 	calls := &platform.Runners{Client: client}
-	p := &Ingress{log: log, client: client, suspects: quarantine.New(jitter), stopped: make(chan struct{}), reannounce: make(chan struct{}, 1)}
+	p := &Ingress{log: log, client: client, suspects: quarantine.New(jitter), stopped: make(chan struct{}), reannounce: make(chan struct{}, 1), lag: overload.NewMeter(ingress.DispatchInterval)}
 	p.parts = quarantine.NewPartTable(jitter, func(id quarantine.SetID) bool { return p.peers.First(id.String()) })
 	p.settings.Store(c)
 	allowance := c.Workspaces.Quota
@@ -110,7 +113,7 @@
 		Name: c.Instance.Name, Domain: c.Instance.Domain, Regions: c.Regions, Runners: calls, Reader: calls, Log: log,
 		Budget:   budgetLimits(c),
 		Gateways: initialGateways, MaxOpen: c.Limits.OpenRequests, MaxBuffered: int64(heldMemoryFraction * float64(memory)),
-		Pool: p.poolOptions(c), Revocation: p.revocation(c), Quota: p.quota, Suspicion: p.suspicion(), Origins: p.origins(), Neighbours: func() int { return p.peers.SameDomainCount() },
+		Pool: p.poolOptions(c), Revocation: p.revocation(c), Quota: p.quota, Suspicion: p.suspicion(), Lag: p.lag, Origins: p.origins(), Neighbours: func() int { return p.peers.SameDomainCount() },
 	})
 	p.Ingress.Directory.ColdShare = p.coldShare
 	p.Ingress.Directory.Limits.ReportsPending = func() { p.peers.Notify() }
@@ -138,6 +141,7 @@
 	p.done.Go(func() { p.fetchFromPeers(ctx) })
 	p.done.Go(func() { p.publishQuarantines(ctx) })
 	p.done.Go(func() { p.publishMixed(ctx) })
+	p.done.Go(func() { p.shedOverload(ctx) })
 	p.done.Go(func() { stager.run(ctx) })
 	p.done.Go(func() { p.sweep(ctx) })
 	log.Write(decisionlog.KindProcess, "start", decisionlog.F("pid", os.Getpid()), decisionlog.F("callers", p.ports.Callers),
--- a/pkg/process/ports.go
+++ b/pkg/process/ports.go
@@ -27,17 +27,18 @@
 		address string
 		handler http.Handler
 		bound   *string
-	}{{l.Callers, p.Ingress, &p.ports.Callers}, {l.Health, health, &p.ports.Health}, {l.Metrics, metricsHandler, &p.ports.Metrics}} {
-		if err := p.serve(port.address, port.handler, port.bound); err != nil {
+		wrap    func(net.Listener) net.Listener
+	}{{l.Callers, p.Ingress, &p.ports.Callers, p.shedding}, {l.Health, health, &p.ports.Health, nil}, {l.Metrics, metricsHandler, &p.ports.Metrics, nil}} {
+		if err := p.serve(port.address, port.handler, port.bound, port.wrap); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// serve starts an HTTP server on an address. It stores the address that it listens on in bound, unless
-// bound is nil.
-func (p *Ingress) serve(address string, handler http.Handler, bound *string) error {
+// serve starts an HTTP server on an address. It stores the address that it listens on in bound, and wraps the
+// listener, unless they are nil.
+func (p *Ingress) serve(address string, handler http.Handler, bound *string, wrap func(net.Listener) net.Listener) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return &httpd.ErrListen{Address: address, Err: err}
@@ -45,6 +46,9 @@
 	if bound != nil {
 		*bound = listener.Addr().String()
 	}
+	if wrap != nil {
+		listener = wrap(listener)
+	}
 	limits := p.settings.Load().Limits
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: limits.HeaderTime.D(), IdleTimeout: limits.IdleTime.D(), ErrorLog: discardLogger()}
 	p.servers = append(p.servers, server)
@@ -69,6 +73,7 @@
 		ReceiveOrigins:      p.Ingress.ReceiveOrigins,
 		OriginOf:            p.Ingress.OriginOf,
 		ReceiveOriginReply:  p.Ingress.ReceiveOriginReply,
+		Lag:                 p.lag.Lag,
 		Quota:               p.quota,
 		Limits:              p.Ingress.Directory.Limits,
 		Notices:             p.Ingress.Directory.Notices,
@@ -98,7 +103,7 @@
 			return nil, &httpd.ErrListen{Address: address, Err: err}
 		}
 		p.ports.Peers = conn.LocalAddr().String()
-		err = p.serve(p.ports.Peers, http.HandlerFunc(p.serveState), nil)
+		err = p.serve(p.ports.Peers, http.HandlerFunc(p.serveState), nil, nil)
 		if err == nil {
 			return conn, nil
 		}
