ingress: the end of a response without length or chunks is confirmed with its runner

What callers saw: a stream of some events, or the part of a plain answer before its end, as a complete response with 200, if the response has neither a length nor chunks and its runner crashes between two events.

Cause: the end of such a body is the end of the connection, and a crashed runner ends its connections too.

Change: the gateway asks the runner whether it is still the same incarnation before it ends such a response. If it crashed, the response is broken off or resumed. A runner that leaves may have ended after it.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -231,6 +231,9 @@
 // streamed if it is long.
 func (x *exchange) forwardResponse(life *request.Life, n int, a *Response, runner *runners.State) (sendResult, error) {
 	buffered, whole, err := x.bufferBody(a.Body)
+	if err == nil && whole {
+		err = x.confirmComplete(runner, a)
+	}
 	if err != nil {
 		runner.Failed(time.Now())
 		if x.endReason() == nil {
@@ -248,6 +251,7 @@
 	_, err = x.w.Write(buffered)
 	if err == nil && !whole {
 		_, err = io.CopyBuffer(x.w, a.Body, x.copyBuffer(buffered))
+		err = firstError(err, x.confirmComplete(runner, a))
 	}
 	if err != nil {
 		x.finish(a.Status, &ErrBroken{Runner: runner.ID, Err: err})
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -55,14 +55,9 @@
 		readyAt := time.Now()
 		event, err := readEvent(in)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
-			if r.events > before {
-				r.s.recordSound()
+			if err = r.confirmEnd(runner, a, r.events > before); err == nil {
 				return r.complete(n, runner, a, began)
 			}
-			if !a.CloseDelimited {
-				return r.complete(n, runner, a, began)
-			}
-			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return r.streamBroken(runner, r.events == before, err)
@@ -85,6 +80,18 @@
 	}
 }
 
+// confirmEnd returns an error if a stream that ended between two events is not complete.
+func (r *relay) confirmEnd(runner *runners.State, a *Response, hasEvents bool) error {
+	if !hasEvents {
+		if a.CloseDelimited {
+			return io.ErrUnexpectedEOF
+		}
+		return nil
+	}
+	r.s.recordSound()
+	return r.s.confirmComplete(runner, a)
+}
+
 // complete completes the client's response.
 func (r *relay) complete(n int, runner *runners.State, a *Response, began time.Time) (sendResult, error) {
 	if !r.begun {
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -128,6 +128,13 @@
 	return !s.goneAt.IsZero()
 }
 
+// Leaves reports whether the runner is about to end as planned: it said so, or its entry was removed.
+func (s *State) Leaves() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving || !s.goneAt.IsZero() || s.notices.Leaves(s.ID)
+}
+
 // Usable reports whether new work may be sent to the runner.
 func (s *State) Usable(now time.Time) bool {
 	s.mu.Lock()
