stager: only engines that certainly serve are left behind in a stage

What callers saw: after engines ended while the fleet was idle, resumed streams got 503 software_gone, 40 of 40 at a gateway that started since, and new streams were refused too, for a second and more.

Cause: a plan that takes engines from a stage counted on others that were no longer there: an engine counts as present for 1.2 s after its entry is gone, and the ones to stay were chosen among those by ID. Idle was taken from one moment, right after streams broke.

Change: engines that are not registered, leaving, paused or ejected count in their stage, but neither stay for it nor get an order; an order is not sent if its stage would be left without a serving engine, or without one of the version; engines are idle once they had no work for 2 s.

--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -217,7 +217,7 @@
 	lease := p.settings.Load().Lease.D()
 	return &stager{
 		ingress: p.Ingress, calls: r, log: p.log, policy: staging.DefaultPolicy(), wait: lease, rank: p.peers.Rank,
-		report: p.peers.SendStageChanges, refusals: map[string]refusalSpan{},
+		report: p.peers.SendStageChanges, refusals: map[string]refusalSpan{}, busy: map[string]time.Time{},
 		lock: &store.Lock{Store: p.feed.currentStore(), Key: orderKey, Holder: p.settings.Load().Instance.Name, TTL: lease},
 	}
 }
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -44,6 +44,9 @@
 	// unansweredOrderTime is how long an engine gets no new work after the response to its order was
 	// lost: it may carry out the order some seconds later, or never.
 	unansweredOrderTime = 6 * time.Second
+	// idleTime is how long engines must have had no work to count as idle. Clients whose streams broke, all
+	// at once, are back within that time.
+	idleTime = 2 * time.Second
 	// urgentPatience is how long a stage must have had no engine before one is ordered to change to it.
 	urgentPatience = time.Second
 	// rejoinAfter is how long an engine must have refused no work before it counts as serving again. An
@@ -75,6 +78,8 @@
 	// lockFree is set while the store shows the lock as free, restored when the store may have lost the
 	// records of changes.
 	lockFree, restored atomic.Bool
+	// busy holds, by service, when its engines last had work.
+	busy map[string]time.Time
 	// refusals are the current periods in which engines accept no work, by engine ID.
 	refusals map[string]refusalSpan
 	// recorded are the changes that this process recorded, including finished ones.
@@ -172,12 +177,22 @@
 				s.cancel(ctx, batch[i:], revision)
 				return
 			}
+			if !s.spared(c, time.Now()) {
+				s.cancel(ctx, batch[i:i+1], revision)
+				continue
+			}
 			s.order(ctx, c, fence)
 		}
 		s.removeRefused(ctx, batch, revision)
 	}
 }
 
+// spared reports whether the engine of a change may still leave its stage: engines may have ended since the
+// plan. A change to a stage without engines is made in any case.
+func (s *stager) spared(c staging.Change, now time.Time) bool {
+	return c.Urgent || staging.Spares(c.Runner, s.ingress.Directory.Present(c.Runner.Service, now), func(r *runners.State) bool { return r.Serving(now) })
+}
+
 // holdLock renews the lock when a renewal is due, and reports whether this process holds it.
 func (s *stager) holdLock(ctx context.Context) bool {
 	if now := time.Now(); now.Sub(s.renewedAt) > s.wait/renewalsPerLease {
@@ -290,7 +305,7 @@
 func (s *stager) situation(service string, now time.Time) staging.Situation {
 	out := staging.Situation{
 		Engines: s.servingEngines(s.ingress.Directory.Present(service, now), now), Exact: s.idle(service, now),
-		Admits: func(r *runners.State) bool { return r.Admits(notice.Work, now) == nil },
+		Serves: func(r *runners.State) bool { return r.Serving(now) },
 	}
 	if pool := s.ingress.Pools()[service]; pool != nil {
 		out.LearnedShare, _ = pool.PrefillShare()
@@ -339,16 +354,18 @@
 	})
 }
 
-// idle reports whether a service's engines have no work, as before the first load. Stages are then set
-// exactly and at once. A change under load makes an engine unavailable while it finishes its work and
-// restarts.
+// idle reports whether a service's engines have had no work for a while, as before the first load. Stages
+// are then set exactly and at once. A change under load makes an engine unavailable while it finishes its
+// work and restarts.
 func (s *stager) idle(service string, now time.Time) bool {
 	pool := s.ingress.Pools()[service]
 	if pool == nil {
 		return true
 	}
-	status := pool.Status(now)
-	return status.Reserved == 0 && status.PrefillTokens == 0 && status.Waiting == 0
+	if status := pool.Status(now); status.Reserved > 0 || status.PrefillTokens > 0 || status.Waiting > 0 {
+		s.busy[service] = now
+	}
+	return now.Sub(s.busy[service]) >= idleTime
 }
 
 // settled reports whether the number of engines has been unchanged for settleTime.
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -135,6 +135,12 @@
 	return s.leaving || !s.goneAt.IsZero() || s.notices.Leaves(s.ID)
 }
 
+// Serving reports whether the runner certainly serves: it is registered, takes work, and isn't ejected for
+// its failures. A runner may be usable without, see goneGrace.
+func (s *State) Serving(now time.Time) bool {
+	return !s.Leaves() && s.Usable(now) && !s.Ejected(now)
+}
+
 // Usable reports whether new work may be sent to the runner.
 func (s *State) Usable(now time.Time) bool {
 	s.mu.Lock()
--- a/pkg/staging/stages.go
+++ b/pkg/staging/stages.go
@@ -62,7 +62,7 @@
 		s := out.of(r.Stage)
 		s.count++
 		s.speed += v
-		if x.admits(r) {
+		if x.serves(r) {
 			s.serving += v
 			s.servingCount++
 			s.eligible = append(s.eligible, r)
@@ -89,6 +89,21 @@
 	return slices.DeleteFunc(slices.Clone(engines), func(r *runners.State) bool { return stays[r.Version] == r })
 }
 
+// Spares reports whether a stage keeps an engine that serves if one of a list of engines leaves it; for a
+// decode engine also one of its software version, if there are several.
+func Spares(leaving *runners.State, list []*runners.State, serves func(*runners.State) bool) bool {
+	stays, sameVersion, versions := false, false, false
+	for _, r := range list {
+		if r.ID == leaving.ID || r.Stage != leaving.Stage || !serves(r) {
+			continue
+		}
+		stays = true
+		sameVersion = sameVersion || r.Version == leaving.Version
+		versions = versions || r.Version != leaving.Version
+	}
+	return stays && (leaving.Stage != runners.Decode || sameVersion || !versions)
+}
+
 // minServing is the number of engines of a stage that should serve at any time, so that the
 // pause or loss of one doesn't stop the service.
 const minServing = 2
--- a/pkg/staging/staging.go
+++ b/pkg/staging/staging.go
@@ -88,9 +88,9 @@
 	// Exact asks for exactly the wanted stages, as is possible without load; otherwise a
 	// difference within the tolerance remains.
 	Exact bool
-	// Admits reports whether an engine may get a stage change now; other engines only count
-	// in their stage. Nil admits all.
-	Admits func(*runners.State) bool
+	// Serves reports whether an engine certainly serves now. Only such engines may get a stage change,
+	// and only they are left behind in a stage; others only count in their stage. Nil: all serve.
+	Serves func(*runners.State) bool
 	// Load returns how much work an engine must finish before it can change: the engine
 	// with the least work serves again first. Nil means the same load everywhere.
 	Load func(*runners.State) float64
@@ -122,8 +122,8 @@
 	return 1, false
 }
 
-// admits reports whether an engine serves, and may get a stage change.
-func (s Situation) admits(r *runners.State) bool { return s.Admits == nil || s.Admits(r) }
+// serves reports whether an engine serves, and may get a stage change.
+func (s Situation) serves(r *runners.State) bool { return s.Serves == nil || s.Serves(r) }
 
 // Plan returns the changes that lead to the wanted stages. Engines count by their speed. An engine
 // that is changing counts in its new stage and gets no further change. Slow engines are preferred for
--- a/pkg/staging/staging_test.go
+++ b/pkg/staging/staging_test.go
@@ -85,7 +85,7 @@
 func TestEngineThatIsNotAdmittedIsNotChanged(t *testing.T) {
 	g := NewWithT(t)
 	all := engines(4, 1)
-	x := Situation{Engines: all, Exact: true, Admits: func(s *runners.State) bool { return s.ID != "e00" }}
+	x := Situation{Engines: all, Exact: true, Serves: func(s *runners.State) bool { return s.ID != "e00" }}
 	changes := DefaultPolicy().Plan(x, time.Now())
 	g.Expect(changes).NotTo(BeEmpty())
 	for _, c := range changes {
