--- a/pkg/ingress/parts.go
+++ b/pkg/ingress/parts.go
@@ -120,6 +120,30 @@
 	}
 }
 
+// QuarantinedParts returns the quarantined sets of parts.
+func (g *Ingress) QuarantinedParts() []quarantine.Blame {
+	if table := g.options.Suspicion.Parts; table != nil {
+		return table.Quarantined(time.Now())
+	}
+	return nil
+}
+
+// LiftPartQuarantine ends the quarantine of a set of parts at all gateways. It fails with
+// *quarantine.ErrUnknownSet.
+func (g *Ingress) LiftPartQuarantine(id quarantine.SetID) error {
+	table := g.options.Suspicion.Parts
+	if table == nil {
+		return &quarantine.ErrUnknownSet{Set: id}
+	}
+	e, err := table.Lift(id, time.Now())
+	if err != nil {
+		return err
+	}
+	g.options.Log.Write(decisionlog.KindState, "parts_quarantine_lifted", decisionlog.F("set", id))
+	g.reportParts(e)
+	return nil
+}
+
 // partsQuarantined logs and counts a new quarantine.
 func (g *Ingress) partsQuarantined(parts quarantine.Parts, how string, more ...decisionlog.Field) {
 	g.metrics.partQuarantines.Inc()
--- a/pkg/process/ports.go
+++ b/pkg/process/ports.go
@@ -22,13 +22,13 @@
 	settings := p.settings.Load()
 	l := settings.Listen
 	health := http.HandlerFunc(p.serveHealth)
-	metricsHandler := http.HandlerFunc(p.serveMetrics)
+	internal := p.internalHandler()
 	for _, port := range []struct {
 		address string
 		handler http.Handler
 		bound   *string
 		wrap    func(net.Listener) net.Listener
-	}{{l.Callers, p.Ingress, &p.ports.Callers, p.shedding}, {l.Health, health, &p.ports.Health, nil}, {l.Metrics, metricsHandler, &p.ports.Metrics, nil}} {
+	}{{l.Callers, p.Ingress, &p.ports.Callers, p.shedding}, {l.Health, health, &p.ports.Health, nil}, {l.Metrics, internal, &p.ports.Metrics, nil}} {
 		if err := p.serve(port.address, port.handler, port.bound, port.wrap); err != nil {
 			return err
 		}
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -241,6 +241,26 @@
 	return out
 }
 
+// ErrUnknownSet reports that a set of parts is not quarantined.
+type ErrUnknownSet struct{ Set SetID }
+
+// Error implements error.
+func (e *ErrUnknownSet) Error() string {
+	return "set of parts is not quarantined: set=" + e.Set.String()
+}
+
+// Lift ends the quarantine of a set, because an operator found its parts to be sound, and returns the report
+// for the other gateways. Crashes until now no longer count against the parts. It fails with *ErrUnknownSet.
+func (t *PartTable) Lift(id SetID, now time.Time) (Evidence, error) {
+	t.mu.Lock()
+	s := t.sets[id]
+	t.mu.Unlock()
+	if s == nil || s.over(now) {
+		return Evidence{}, &ErrUnknownSet{Set: id}
+	}
+	return t.RecordSound(s.parts, now), nil
+}
+
 // DueForPublish returns the quarantined sets that are due to be written to the store. Each is returned again
 // after a backoff until RecordPublished is called for it.
 func (t *PartTable) DueForPublish(now time.Time) []Blame {
