ingress: a prompt is sound only after its response turned out complete

Cause: a response with neither a length nor chunks counted as proof that the parts of its prompt are sound before the gateway had asked whether its runner crashed, so that a part which crashes runners after an event could not be blamed. Complete responses of plain runners did not count at all.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -259,6 +259,7 @@
 	}
 	x.recordEnd(life, n)
 	x.recordCompleted()
+	x.recordSound()
 	x.finish(a.Status, nil, decisionlog.F("runner", runner.ID))
 	return responded, nil
 }
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -88,8 +88,11 @@
 		}
 		return nil
 	}
+	if err := r.s.confirmComplete(runner, a); err != nil {
+		return err
+	}
 	r.s.recordSound()
-	return r.s.confirmComplete(runner, a)
+	return nil
 }
 
 // complete completes the client's response.
--- a/pkg/quarantine/digest.go
+++ b/pkg/quarantine/digest.go
@@ -3,6 +3,10 @@
 // its connection to the runner breaks before the response is complete and the runner turns out to
 // have crashed. All gateways refuse a request after attempts at it broke off at several runners and
 // none completed since. Breaks before any part of the response arrived weigh more than later ones.
+//
+// Requests that differ may share parts of their prompts that crash runners. PartTable finds these from the
+// requests that had no response yet at each crash of a runner, as all gateways report them.
+//
 // The package does no I/O and takes the current time as an argument.
 package quarantine
 
