quarantine: one gateway writes a set of parts, probes come when they are due

Found in reading the whole change; nobody has seen it.

Each crash on a set's parts, also of requests under way, put its next probe off and doubled the time after it, because a condition on half the interval was always true. A prompt with two quarantined sets used up the probe of one. Lift read a set without the lock.

Change: the gateway that ranks first for a set owns it: it writes and removes it at once, and lets its probes through; others write it after publishDelay if it is missing. A crash only keeps a probe at firstProbe's distance. Lift holds the lock.

Result: TestFirstProbeComesOnTime and TestOnlyOwnerWritesQuarantinedSetAtOnce are new; with the tests of crashing parts they pass under the race detector.

--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -105,7 +105,7 @@
 	client := upstream.New(upstream.Options{ConnectTimeout: connectTimeout, DefaultKeepAlive: idleConnTimeout, MaxIdle: maxIdleConns, OnConnect: countOpened})
 	calls := &platform.Runners{Client: client}
 	p := &Ingress{log: log, client: client, suspects: quarantine.New(jitter), stopped: make(chan struct{}), reannounce: make(chan struct{}, 1), lag: overload.NewMeter(ingress.DispatchInterval)}
-	p.parts = quarantine.NewPartTable(jitter, func(id quarantine.SetID) bool { return p.peers.First(id.String()) })
+	p.parts = quarantine.NewPartTable(jitter, p.ownsParts)
 	p.settings.Store(c)
 	allowance := c.Workspaces.Quota
 	p.quota = quota.New(quota.Allowance{Window: allowance.Window.D(), Overshoot: allowance.Overshoot, Slack: allowance.Slack}, quota.DefaultShares())
--- a/pkg/process/quarantine.go
+++ b/pkg/process/quarantine.go
@@ -106,10 +106,14 @@
 		decisionlog.F("first", first), decisionlog.F("error", err))
 }
 
-// removeParts removes a set of parts that turned out to be sound from the store. If the call fails, the key
-// ends with its lease; until then, gateways that start let a request through after a while.
+// ownsParts reports whether this gateway, of all that are alive, owns a set of parts.
+func (p *Ingress) ownsParts(id quarantine.SetID) bool { return p.peers.First(id.String()) }
+
+// removeParts removes a set of parts that turned out to be sound from the store, if this gateway owns the set:
+// all gateways learn of it at about the same time. If the call fails, the key ends with its lease; until then,
+// gateways that start let a request through after a while.
 func (p *Ingress) removeParts(ctx context.Context, id quarantine.SetID) {
-	if !p.feed.storeCopy.has(partsKey(id)) {
+	if !p.feed.storeCopy.has(partsKey(id)) || !p.ownsParts(id) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -23,8 +23,8 @@
 	// and maxRepeated the number of crashes in one report.
 	repeatTime  = 10 * time.Second
 	maxRepeated = 8
-	// maxBlames limits the quarantined sets.
-	maxBlames = 64
+	// maxSets limits the quarantined sets.
+	maxSets = 64
 	// suspectCrashes is the number of known crashes after which a request with a part that broke off isn't
 	// sent to another runner. That refuses no first attempt.
 	suspectCrashes = 2
@@ -97,8 +97,9 @@
 // concurrent use.
 type PartTable struct {
 	jitter func(time.Duration) time.Duration
-	// probes reports whether this gateway lets through the requests that probe a set.
-	probes func(SetID) bool
+	// owns reports whether this gateway, of all, owns a set: it writes it to the store at once, and lets
+	// through the requests that probe it.
+	owns func(SetID) bool
 	// active is the number of crashes and quarantined sets. Empty reads it without taking the lock.
 	active atomic.Int64
 	mu     sync.Mutex
@@ -110,10 +111,10 @@
 	lifted []SetID
 }
 
-// NewPartTable returns an empty table. jitter randomizes a delay, probes reports whether this gateway, of all,
-// probes a set.
-func NewPartTable(jitter func(time.Duration) time.Duration, probes func(SetID) bool) *PartTable {
-	return &PartTable{jitter: jitter, probes: probes, evidence: evidence{sound: map[Part]time.Time{}}, sets: map[SetID]*quarantinedSet{}}
+// NewPartTable returns an empty table. jitter randomizes a delay, owns reports whether this gateway, of all,
+// owns a set.
+func NewPartTable(jitter func(time.Duration) time.Duration, owns func(SetID) bool) *PartTable {
+	return &PartTable{jitter: jitter, owns: owns, evidence: evidence{sound: map[Part]time.Time{}}, sets: map[SetID]*quarantinedSet{}}
 }
 
 // Empty reports whether the table has neither crashes nor quarantined sets.
@@ -138,6 +139,12 @@
 func (t *PartTable) RecordSound(parts Parts, now time.Time) Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.count()
+	return t.recordSoundParts(parts, now)
+}
+
+// recordSoundParts is RecordSound. The caller holds the lock.
+func (t *PartTable) recordSoundParts(parts Parts, now time.Time) Evidence {
 	t.recordServed(now)
 	var e Evidence
 	for _, p := range parts {
@@ -181,12 +188,12 @@
 	defer t.count()
 	t.prune(now)
 	var out []Blame
-	for len(t.sets) < maxBlames {
+	for len(t.sets) < maxSets {
 		set, ok := t.strongest(func(c Crash) bool { return t.quarantinedBy(c.Parts, now) != nil }, now)
 		if !ok {
 			break
 		}
-		t.quarantine(set.parts, set.since, Duration, now, now)
+		t.quarantine(set.parts, set.since, Duration, now)
 		out = append(out, Blame{Parts: set.parts, Since: set.since, Left: Duration, Crashes: set.crashes})
 	}
 	return out
@@ -201,15 +208,26 @@
 		if s.over(now) || !parts.contains(s.parts) || id == probing {
 			continue
 		}
-		if probing != 0 || now.Before(s.probeAt) || !t.probes(id) {
+		if probing != 0 || now.Before(s.probeAt) || !t.owns(id) || t.holdsOther(parts, id, now) {
 			return probing, &ErrPartsQuarantined{Parts: s.parts, Left: s.until.Sub(now)}
 		}
 		s.scheduleProbe(now)
-		probing = id
+		return id, nil
 	}
 	return probing, nil
 }
 
+// holdsOther reports whether a prompt holds another quarantined set than the given one, so that it shows
+// nothing of that one. The caller holds the lock.
+func (t *PartTable) holdsOther(parts Parts, set SetID, now time.Time) bool {
+	for id, s := range t.sets {
+		if id != set && !s.over(now) && parts.contains(s.parts) {
+			return true
+		}
+	}
+	return false
+}
+
 // CheckRepeat returns *ErrSuspectedParts if a request that broke off must not be sent to another runner.
 func (t *PartTable) CheckRepeat(parts Parts) error {
 	t.mu.Lock()
@@ -253,12 +271,13 @@
 // for the other gateways. Crashes until now no longer count against the parts. It fails with *ErrUnknownSet.
 func (t *PartTable) Lift(id SetID, now time.Time) (Evidence, error) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
+	defer t.count()
 	s := t.sets[id]
-	t.mu.Unlock()
 	if s == nil || s.over(now) {
 		return Evidence{}, &ErrUnknownSet{Set: id}
 	}
-	return t.RecordSound(s.parts, now), nil
+	return t.recordSoundParts(s.parts, now), nil
 }
 
 // DueForPublish returns the quarantined sets that are due to be written to the store. Each is returned again
@@ -292,7 +311,7 @@
 	defer t.count()
 	s := t.sets[parts.ID()]
 	if s == nil {
-		if len(parts) == 0 || len(t.sets) >= maxBlames {
+		if len(parts) == 0 || len(t.sets) >= maxSets {
 			return false
 		}
 		s = &quarantinedSet{parts: parts, since: now, probeInterval: firstProbe}
@@ -347,8 +366,8 @@
 	}
 	if s := t.quarantinedBy(c.Parts, now); s != nil && c.At.After(s.since) {
 		s.until = now.Add(Duration)
-		if now.Before(s.probeAt) && now.After(s.probeAt.Add(-s.probeInterval/2)) {
-			s.scheduleProbe(now)
+		if earliest := now.Add(firstProbe); s.probeAt.Before(earliest) {
+			s.probeAt = earliest // Another gateway has probed the set, and may own it no longer.
 		}
 	}
 	return true
@@ -378,15 +397,20 @@
 // reports whether the set is new. The caller holds the lock.
 func (t *PartTable) adopt(b Blame, now time.Time) bool {
 	parts := t.unsound(b.Parts, b.Since)
-	if len(parts) == 0 || b.Left <= 0 || len(t.sets) >= maxBlames || t.quarantinedBy(parts, now) != nil {
+	if len(parts) == 0 || b.Left <= 0 || len(t.sets) >= maxSets || t.quarantinedBy(parts, now) != nil {
 		return false
 	}
-	t.quarantine(parts, b.Since, min(b.Left, Duration), now, now.Add(t.jitter(publishDelay)))
+	t.quarantine(parts, b.Since, min(b.Left, Duration), now)
 	return true
 }
 
-// quarantine starts the quarantine of a set. The caller holds the lock.
-func (t *PartTable) quarantine(parts Parts, since time.Time, left time.Duration, now, publishAt time.Time) {
+// quarantine starts the quarantine of a set. All gateways decide at about the same time, so that only one
+// writes the set to the store at once. The caller holds the lock.
+func (t *PartTable) quarantine(parts Parts, since time.Time, left time.Duration, now time.Time) {
+	publishAt := now
+	if !t.owns(parts.ID()) {
+		publishAt = now.Add(t.jitter(publishDelay))
+	}
 	s := &quarantinedSet{parts: parts, since: since, probeInterval: firstProbe}
 	s.start(now.Add(left), publishAt)
 	s.scheduleProbe(now)
@@ -404,7 +428,7 @@
 		delete(t.sets, id)
 		t.lifted = append(t.lifted, id)
 		if len(parts) > 0 && !s.over(now) && t.quarantinedBy(parts, now) == nil {
-			t.quarantine(parts, s.since, s.until.Sub(now), now, now.Add(t.jitter(publishDelay)))
+			t.quarantine(parts, s.since, s.until.Sub(now), now)
 		}
 	}
 }
--- a/pkg/quarantine/simulation_test.go
+++ b/pkg/quarantine/simulation_test.go
@@ -363,10 +363,48 @@
 	g.Expect(err).To(BeAssignableToTypeOf(&ErrPartsQuarantined{}))
 }
 
+// Guards against a probe that is put off by crashes of requests that were under way when the set was quarantined, and
+// against one that another quarantined set makes worthless.
+func TestFirstProbeComesOnTime(t *testing.T) {
+	g := NewWithT(t)
+	parts := Parts{PartOf("a")}
+	table := NewPartTable(noJitter, func(SetID) bool { return true })
+	table.Receive(Evidence{Blames: []Blame{{Parts: parts, Since: start, Left: Duration}, {Parts: Parts{PartOf("b")}, Since: start, Left: Duration}}}, start)
+	last := start.Add(time.Second)
+	for i := range uint64(5) {
+		table.RecordCrash(Crash{Runner: i, Request: i, Parts: parts, At: last})
+	}
+	due := last.Add(firstProbe)
+	_, err := table.Check(Parts{PartOf("a"), PartOf("b")}, 0, due)
+	g.Expect(err).To(HaveOccurred(), "a prompt with two quarantined sets")
+	_, err = table.Check(parts, 0, due)
+	g.Expect(err).NotTo(HaveOccurred())
+	table.RecordCrash(Crash{Runner: 9, Request: 9, Parts: parts, At: due.Add(time.Second)})
+	_, err = table.Check(parts, 0, due.Add(2*firstProbe-time.Second))
+	g.Expect(err).To(HaveOccurred())
+	_, err = table.Check(parts, 0, due.Add(2*firstProbe))
+	g.Expect(err).NotTo(HaveOccurred(), "the second probe, after twice the time")
+}
+
+// Guards against a write to the store by each gateway, since all blame a set at the same time.
+func TestOnlyOwnerWritesQuarantinedSetAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	for _, owner := range []bool{true, false} {
+		table := NewPartTable(noJitter, func(SetID) bool { return owner })
+		for i := range uint64(minCrashes) {
+			table.RecordCrash(Crash{Runner: i, Request: i, Parts: Parts{PartOf("a")}, At: start.Add(time.Duration(i) * unservedSpan)})
+		}
+		now := start.Add(3 * unservedSpan)
+		g.Expect(table.Decide(now)).To(HaveLen(1))
+		g.Expect(table.DueForPublish(now)).To(HaveLen(map[bool]int{true: 1, false: 0}[owner]))
+		g.Expect(table.DueForPublish(now.Add(publishDelay))).To(HaveLen(1), "the owner's write may have failed")
+	}
+}
+
 // Guards against a request that is sent to one runner after the other on its first suspicion.
 func TestRepeatIsRefusedAfterTwoCrashes(t *testing.T) {
 	g := NewWithT(t)
-	table := NewPartTable(noJitter, nil)
+	table := NewPartTable(noJitter, notOwner)
 	parts := Parts{PartOf("first"), PartOf("a")}
 	table.RecordCrash(Crash{Runner: 1, Request: 1, Parts: parts, At: start})
 	g.Expect(table.CheckRepeat(parts)).To(Succeed())
@@ -380,7 +418,7 @@
 func TestQuarantinedSetsAreWrittenToStore(t *testing.T) {
 	g := NewWithT(t)
 	parts := Parts{PartOf("a")}
-	detector, reader := NewPartTable(noJitter, nil), NewPartTable(noJitter, nil)
+	detector, reader := NewPartTable(noJitter, notOwner), NewPartTable(noJitter, notOwner)
 	detector.Receive(Evidence{Blames: []Blame{{Parts: parts, Since: start, Left: Duration}}}, start)
 	at := func(d time.Duration) time.Time { return start.Add(d) }
 	g.Expect(detector.DueForPublish(at(0))).To(BeEmpty())
@@ -403,21 +441,23 @@
 // Guards against a table that grows with the parts that clients make up.
 func TestPartTableIsBounded(t *testing.T) {
 	g := NewWithT(t)
-	table := NewPartTable(noJitter, nil)
+	table := NewPartTable(noJitter, notOwner)
 	for i := range uint64(2 * maxCrashes) {
 		table.RecordCrash(Crash{Runner: i, Request: i, Parts: Parts{Part(i)}, At: start.Add(time.Duration(i) * time.Millisecond)})
 		table.Receive(Evidence{Blames: []Blame{{Parts: Parts{Part(i)}, Since: start, Left: Duration}}}, start)
 	}
 	g.Expect(table.crashes).To(HaveLen(maxCrashes))
-	g.Expect(table.sets).To(HaveLen(maxBlames))
+	g.Expect(table.sets).To(HaveLen(maxSets))
 	table.Sweep(start.Add(time.Hour))
 	g.Expect(table.Empty()).To(BeTrue())
 }
 
 func noJitter(d time.Duration) time.Duration { return d }
 
+func notOwner(SetID) bool { return false }
+
 func BenchmarkRecordSound(b *testing.B) {
-	table := NewPartTable(noJitter, nil)
+	table := NewPartTable(noJitter, notOwner)
 	for i := range uint64(maxCrashes) {
 		table.RecordCrash(Crash{Runner: i, Request: i, Parts: Parts{Part(i), Part(i + 1), Part(i + 2)}, At: start})
 	}
