decisionlog: cut long values

What operators saw: nothing yet; a value chosen by a runner or a client could fill the last line of the log's buffer without a bound.

Cause: values are written whole, and requests and responses of others choose some of them.

Change: a value is cut at 4 KiB, with the number of bytes left out. TestLongValuesAreCut fails before.

--- a/pkg/decisionlog/decisionlog.go
+++ b/pkg/decisionlog/decisionlog.go
@@ -152,7 +152,13 @@
 	return appendText(b, fmt.Sprint(v))
 }
 
+// maxValueBytes bounds the text of one value. Requests and responses of others choose some of them.
+const maxValueBytes = 4 << 10
+
 func appendText(b []byte, s string) []byte {
+	if extra := len(s) - maxValueBytes; extra > 0 {
+		s = fmt.Sprintf("%s...(%d more bytes)", s[:maxValueBytes], extra)
+	}
 	if s == "" || strings.ContainsAny(s, " =\"\n\r\t") {
 		return strconv.AppendQuote(b, s)
 	}
--- a/pkg/decisionlog/decisionlog_test.go
+++ b/pkg/decisionlog/decisionlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -73,3 +74,16 @@
 	g.Expect(strings.Count(out.String(), "\n")).To(Equal(1))
 	g.Expect(out.String()).To(ContainSubstring(`text="two\nlines = \"x\"" empty="" took=1.5ms none=none`))
 }
+
+// Guards against text of others, such as the ID of a request, that fills the log.
+func TestLongValuesAreCut(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	l := New("p", &out)
+	l.Write(KindFailed, "e", F("a", strings.Repeat("x", maxValueBytes)), F("b", strings.Repeat("y", 1<<20)), F("c", errors.New(strings.Repeat("z", 1<<20))))
+	l.Close(time.Second)
+	text := out.String()
+	g.Expect(len(text)).To(BeNumerically("<", 4*maxValueBytes))
+	g.Expect(text).To(ContainSubstring("a=" + strings.Repeat("x", maxValueBytes) + " b="))
+	g.Expect(text).To(ContainSubstring(fmt.Sprintf("...(%d more bytes)", 1<<20-maxValueBytes)))
+}
