notice: hand on that a restarted runner leaves

Cause: until its new entry is read, its responses are attributed to the incarnation before. Replace handed on a pause from one to the other, but not the announcement that it leaves.

Change: an announcement is handed on if the call whose response carried it was sent after the new start. One that the incarnation before may have made is not: it is permanent and would exclude a sound runner. The runner's own lock is released before, since listeners are called.

--- a/pkg/notice/notice_test.go
+++ b/pkg/notice/notice_test.go
@@ -63,6 +63,38 @@
 	g.Expect(table.Admits("a@2", Work, at(11.3))).NotTo(Succeed(), "the call was in progress when the new incarnation was listed")
 }
 
+// Guards against work sent to a restarted runner whose leaving notice was attributed to its previous incarnation.
+func TestLeavingBelongsToIncarnationThatAnnouncedIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		sent, again, began, learned float64
+		leaves                      bool
+	}{
+		"announced by the new incarnation":                           {sent: 10.07, began: 10, learned: 10.19, leaves: true},
+		"announced by the new incarnation long before it was listed": {sent: 11, began: 10, learned: 14, leaves: true},
+		"announced by both":                                          {sent: 8, again: 10.1, began: 10, learned: 10.19, leaves: true},
+		"announced by the previous incarnation":                      {sent: 8, began: 10, learned: 10.19, leaves: false},
+		"announced by the previous incarnation, shortly before":      {sent: 9.99, began: 10, learned: 10.01, leaves: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			table := New()
+			var reported []string
+			table.Changed = func(c Change) { reported = append(reported, c.Runner+" "+c.What) }
+			table.Observe("a@1", Notice{Leaving: true, Sent: at(c.sent)}, at(c.sent))
+			if c.again > 0 {
+				table.Observe("a@1", Notice{Leaving: true, Sent: at(c.again)}, at(c.again))
+			}
+			table.Replace("a@1", Incarnation{ID: "a@2", Began: at(c.began)}, at(c.learned))
+			g.Expect(table.Admits("a@2", Work, at(c.learned)) != nil).To(Equal(c.leaves))
+			g.Expect(table.Leaves("a@1")).To(BeTrue())
+			if c.leaves {
+				g.Expect(reported).To(ContainElement("a@2 leaving"))
+				g.Expect(table.Leaving(time.Second, at(c.learned))).To(ContainElement("a@2"), "other gateways are told")
+			}
+		})
+	}
+}
+
 // Guards against a cycle of successors, which arises when a restored store lists an older incarnation for a
 // while.
 func TestRelistedIncarnationIsNotItsOwnSuccessor(t *testing.T) {
--- a/pkg/notice/table.go
+++ b/pkg/notice/table.go
@@ -24,6 +24,8 @@
 // announcement records that an incarnation is leaving.
 type announcement struct {
 	at time.Time
+	// sent is when the latest call was sent whose response announced it; zero if another gateway reported it.
+	sent time.Time
 	// from is the gateway that reported it; empty if this gateway received the response.
 	from string
 }
@@ -60,7 +62,7 @@
 	var changes []Change
 	t.mu.Lock()
 	runner = t.respondent(runner, n.Sent)
-	if leaves && t.addLeaving(runner, announcement{at: now}) {
+	if leaves && t.addLeaving(runner, announcement{at: now, sent: n.Sent}) {
 		changes = append(changes, Change{Runner: runner, What: Leaving})
 	}
 	if length > 0 {
@@ -78,7 +80,11 @@
 // addLeaving records that an incarnation is leaving, and reports whether that is new. The caller holds the
 // lock.
 func (t *Table) addLeaving(runner string, a announcement) bool {
-	if _, known := t.leaving[runner]; known {
+	if known, found := t.leaving[runner]; found {
+		if a.sent.After(known.sent) {
+			known.sent = a.sent
+			t.leaving[runner] = known
+		}
 		return false
 	}
 	if len(t.leaving) >= maxLeaving {
--- a/pkg/runners/directory.go
+++ b/pkg/runners/directory.go
@@ -127,8 +127,8 @@
 		return nil
 	}
 	before.mu.Lock()
-	defer before.mu.Unlock()
 	before.replaced, before.goneAt = true, now
+	before.mu.Unlock()
 	d.Notices.Replace(before.ID, notice.Incarnation{ID: r.ID, Began: time.UnixMilli(r.Born)}, now)
 	return before
 }
