enginepool, runners: choices and sums don't depend on map order

Cause: the directory listed runners in the iteration order of a map, from which the seeded choice is made, and the pool summed footprints over maps.

What is summed or chosen from keeps the order of the calls (ordered).

Result: TestSimulationIsRepeatable fails before.

--- a/pkg/enginepool/demand.go
+++ b/pkg/enginepool/demand.go
@@ -88,7 +88,7 @@
 // time. The caller holds the lock.
 func (p *Pool) meanPrefillRate() float64 {
 	perToken, n := 1.0/initialPrefillRate, 1
-	for _, r := range p.prefillRunners {
+	for _, r := range p.prefillRunners.values {
 		if r.known > 0 {
 			perToken += 1 / r.known
 			n++
@@ -101,7 +101,7 @@
 // per second, or the learned mean if there are none. The caller holds the lock.
 func (p *Pool) meanDecodeRate() float64 {
 	perToken, n := 0.0, 0
-	for _, e := range p.engines {
+	for _, e := range p.engines.values {
 		if e.speed.steady > 0 {
 			perToken += e.speed.steady
 			n++
--- a/pkg/enginepool/demand_test.go
+++ b/pkg/enginepool/demand_test.go
@@ -13,9 +13,9 @@
 	for i := range n {
 		id := "job" + string(rune('a'+i%26))
 		e := p.engine("d1")
-		e.own[id] = &reservation{job: Job{ID: id, Prompt: prompt, Length: p.Lengths.Estimate(hint, 0)}}
+		e.own.set(id, &reservation{job: Job{ID: id, Prompt: prompt, Length: p.Lengths.Estimate(hint, 0)}})
 		p.RecordTokens("d1", id, 1, now, now)
-		delete(e.own, id)
+		e.own.remove(id)
 	}
 }
 
--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -97,9 +97,9 @@
 	id       string
 	capacity int
 	slots    int
-	own      map[string]*reservation
+	own      ordered[*reservation]
 	// peers holds the reservations of other gateways, by gateway.
-	peers map[string]peerLoads
+	peers ordered[peerLoads]
 	// prefillTokens is how many prompt tokens of other gateways are waiting or being
 	// processed on the engine, by gateway.
 	prefillTokens map[string]int
@@ -164,10 +164,10 @@
 		return e.footprintList
 	}
 	out := e.footprintList[:0]
-	for _, b := range e.own {
+	for _, b := range e.own.values {
 		out = append(out, b.footprint())
 	}
-	for _, reported := range e.peers {
+	for _, reported := range e.peers.values {
 		grown := max(0, rate*now.Sub(reported.at).Seconds())
 		for _, l := range reported.loads {
 			out = append(out, l.footprint(grown))
@@ -190,8 +190,8 @@
 
 // reservationCount returns the number of reservations of all gateways.
 func (e *engine) reservationCount() int {
-	n := len(e.own)
-	for _, reported := range e.peers {
+	n := e.own.len()
+	for _, reported := range e.peers.values {
 		n += len(reported.loads)
 	}
 	return n
--- a/pkg/enginepool/enginepool_bench_test.go
+++ b/pkg/enginepool/enginepool_bench_test.go
@@ -32,7 +32,7 @@
 			for b.Loop() {
 				p.mu.Lock()
 				if s := p.place(&Waiter{job: j}, now); s != nil {
-					delete(p.engine(s.ID).own, "a")
+					p.engine(s.ID).own.remove("a")
 				}
 				p.mu.Unlock()
 			}
@@ -121,14 +121,14 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				p.mu.Lock()
-				for _, e := range p.engines {
+				for _, e := range p.engines.values {
 					if e.idHash%2 == 0 {
 						e.changed()
 					}
 					e.fullAt = now
 				}
 				if s := p.place(&Waiter{job: j}, now); s != nil {
-					delete(p.engine(s.ID).own, "a")
+					p.engine(s.ID).own.remove("a")
 				}
 				p.mu.Unlock()
 			}
--- a/pkg/enginepool/enginepool_test.go
+++ b/pkg/enginepool/enginepool_test.go
@@ -196,7 +196,7 @@
 		now = now.Add(300 * time.Millisecond)
 		p.EndPrefill("p0", "a", true, now)
 	}
-	g.Expect(p.prefillRunners["p0"].rate).To(BeNumerically("~", 10000, 200))
+	g.Expect(p.prefillRunners.get("p0").rate).To(BeNumerically("~", 10000, 200))
 }
 
 func TestLengthsLearnBiasOfHints(t *testing.T) {
@@ -246,8 +246,8 @@
 		// End dispatches the next job, also if "first" has ended already.
 		p.End(s.ID, "first", now)
 		p.mu.Lock()
-		for id := range p.engine(s.ID).own {
-			delete(p.engine(s.ID).own, id)
+		for id := range p.engine(s.ID).own.all() {
+			p.engine(s.ID).own.remove(id)
 		}
 		p.mu.Unlock()
 		g.Expect(w.granted).To(Receive())
@@ -267,7 +267,7 @@
 	for range 20 {
 		p.mu.Lock()
 		s := p.place(&Waiter{job: job("a", 100, 10)}, time.Now())
-		delete(p.engine(s.ID).own, "a")
+		p.engine(s.ID).own.remove("a")
 		p.mu.Unlock()
 		g.Expect(s.ID).To(Equal("d0"))
 		s, _, err := p.BeginPrefill(Prompt{ID: "a", Tokens: 100, Domain: "z0"}, time.Now())
@@ -401,7 +401,7 @@
 		const steps, step, rate, reportEvery = 6000, 20 * time.Millisecond, 1000, 3 * time.Second
 		r := rand.New(rand.NewPCG(5, 6))
 		lengths := NewLengths()
-		e := &engine{capacity: int(DefaultOptions().Fill * memory), slots: 16, own: map[string]*reservation{}, peers: map[string]peerLoads{}}
+		e := &engine{capacity: int(DefaultOptions().Fill * memory), slots: 16}
 		type request struct {
 			reservation
 			length     int
@@ -420,13 +420,13 @@
 			for id, q := range resident {
 				if q.generated += int(rate * step.Seconds()); q.generated >= q.length {
 					delete(resident, id)
-					delete(e.peers, id)
+					e.peers.remove(id)
 					ended++
 					continue
 				}
 				if now.Sub(q.reportedAt) >= reportEvery {
 					q.reportedAt = now
-					e.peers[id] = peerLoads{loads: peerLoadsOf([]Load{{Now: prompt + q.generated, Left: q.remaining(), Generated: q.generated}}, lengths.Spread()), at: now}
+					e.peers.set(id, peerLoads{loads: peerLoadsOf([]Load{{Now: prompt + q.generated, Left: q.remaining(), Generated: q.generated}}, lengths.Spread()), at: now})
 				}
 				taken += prompt + q.generated
 				if newest == "" || q.generated < resident[newest].generated {
@@ -435,7 +435,7 @@
 			}
 			if taken > memory { // The newest request is preempted.
 				delete(resident, newest)
-				delete(e.peers, newest)
+				e.peers.remove(newest)
 				preemptions++
 			}
 			sum += len(resident)
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -67,8 +67,8 @@
 
 	mu             sync.Mutex
 	spec           Spec
-	engines        map[string]*engine
-	prefillRunners map[string]*prefillRunner
+	engines        ordered[*engine]
+	prefillRunners ordered[*prefillRunner]
 	subsets        map[runners.Stage]stageSubset
 	waiting        []*Waiter
 	serial         uint64
@@ -105,7 +105,7 @@
 	if o.Pick == nil {
 		o.Pick = rand.IntN
 	}
-	return &Pool{service: service, directory: d, options: o, engines: map[string]*engine{}, prefillRunners: map[string]*prefillRunner{}, subsets: map[runners.Stage]stageSubset{}, peerWaiting: map[string]int{}, peerEngines: map[string]map[string]*engine{}, rate: initialRate, Lengths: NewLengths()}
+	return &Pool{service: service, directory: d, options: o, subsets: map[runners.Stage]stageSubset{}, peerWaiting: map[string]int{}, peerEngines: map[string]map[string]*engine{}, rate: initialRate, Lengths: NewLengths()}
 }
 
 // Configure sets the properties that all engines share.
@@ -113,7 +113,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.spec = s
-	for _, e := range p.engines {
+	for _, e := range p.engines.values {
 		e.capacity, e.slots = p.capacity(), s.Slots
 	}
 }
@@ -133,10 +133,10 @@
 
 // engine returns the model of an engine, creating it if needed. The caller holds the lock.
 func (p *Pool) engine(id string) *engine {
-	e := p.engines[id]
+	e := p.engines.get(id)
 	if e == nil {
-		e = &engine{id: id, idHash: hashID(id), capacity: p.capacity(), slots: p.spec.Slots, own: map[string]*reservation{}, peers: map[string]peerLoads{}, prefillTokens: map[string]int{}}
-		p.engines[id] = e
+		e = &engine{id: id, idHash: hashID(id), capacity: p.capacity(), slots: p.spec.Slots, prefillTokens: map[string]int{}}
+		p.engines.set(id, e)
 	}
 	return e
 }
@@ -157,7 +157,7 @@
 		return nil
 	}
 	e := p.engine(runner.ID)
-	e.own[w.job.ID] = &reservation{job: w.job}
+	e.own.set(w.job.ID, &reservation{job: w.job})
 	p.recordChange(e)
 	return runner
 }
@@ -269,8 +269,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.engine(runner)
-	if b := e.own[id]; b != nil {
-		delete(e.own, id)
+	if b := e.own.get(id); b != nil {
+		e.own.remove(id)
 		e.changed()
 		if noRoom {
 			e.addUnseen(b.job, now, p.decodeRate(e, now))
@@ -286,7 +286,7 @@
 func (p *Pool) RecordTokens(runner, id string, tokens int, readyAt, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := p.engine(runner).own[id]
+	b := p.engine(runner).own.get(id)
 	if b == nil {
 		return
 	}
@@ -311,9 +311,9 @@
 func (p *Pool) End(runner, id string, now time.Time) {
 	p.mu.Lock()
 	e := p.engine(runner)
-	if b := e.own[id]; b != nil {
+	if b := e.own.get(id); b != nil {
 		p.learnRate(b, now)
-		delete(e.own, id)
+		e.own.remove(id)
 		p.release(runner, id)
 		p.recordChange(e)
 		e.endedAt = now
@@ -355,14 +355,14 @@
 	for _, s := range p.directory.All(p.service) {
 		listed[s.ID] = true
 	}
-	for id, e := range p.engines {
-		if !listed[id] && len(e.own) == 0 && len(e.peers) == 0 {
-			delete(p.engines, id)
+	for id, e := range p.engines.all() {
+		if !listed[id] && e.own.len() == 0 && e.peers.len() == 0 {
+			p.engines.remove(id)
 		}
 	}
-	for id, r := range p.prefillRunners {
+	for id, r := range p.prefillRunners.all() {
 		if !listed[id] && len(r.jobs) == 0 {
-			delete(p.prefillRunners, id)
+			p.prefillRunners.remove(id)
 		}
 	}
 }
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -55,10 +55,10 @@
 // prefillRunner returns the model of a prefill runner, creating it if needed. The caller
 // holds the lock.
 func (p *Pool) prefillRunner(id string) *prefillRunner {
-	r := p.prefillRunners[id]
+	r := p.prefillRunners.get(id)
 	if r == nil {
 		r = &prefillRunner{jobs: map[string]prefillJob{}, rate: initialPrefillRate}
-		p.prefillRunners[id] = r
+		p.prefillRunners.set(id, r)
 	}
 	return r
 }
@@ -157,7 +157,7 @@
 // ownPrefillTokens returns the prompt tokens that this gateway has assigned to a runner
 // and that are not finished. The caller holds the lock.
 func (p *Pool) ownPrefillTokens(id string) int {
-	if r := p.prefillRunners[id]; r != nil {
+	if r := p.prefillRunners.get(id); r != nil {
 		return r.backlog()
 	}
 	return 0
@@ -197,11 +197,11 @@
 // prefillRate returns the learned speed of prefill on an engine, in tokens per second, or the mean
 // of the service if it is unknown. The caller holds the lock.
 func (p *Pool) prefillRate(id string) float64 {
-	if r := p.prefillRunners[id]; r != nil && r.known > 0 {
+	if r := p.prefillRunners.get(id); r != nil && r.known > 0 {
 		return r.known
 	}
 	sum, n := 0.0, 0
-	for _, r := range p.prefillRunners {
+	for _, r := range p.prefillRunners.values {
 		if r.known > 0 {
 			sum += r.known
 			n++
--- a/pkg/enginepool/relative.go
+++ b/pkg/enginepool/relative.go
@@ -53,10 +53,10 @@
 // change, which takes as long. The caller holds the lock.
 func (p *Pool) measured(r *runners.State) Speed {
 	var out Speed
-	if e := p.engines[r.ID]; e != nil && e.speed.steady > 0 {
+	if e := p.engines.get(r.ID); e != nil && e.speed.steady > 0 {
 		out.Decode = 1 / e.speed.steady
 	}
-	if m := p.prefillRunners[r.ID]; m != nil {
+	if m := p.prefillRunners.get(r.ID); m != nil {
 		out.Prefill = m.known
 	}
 	return out
--- a/pkg/enginepool/snapshot.go
+++ b/pkg/enginepool/snapshot.go
@@ -41,9 +41,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := Snapshot{Full: since == 0, Waiting: len(p.waiting), WaitingChanged: p.waitingRevision > since}
-	for id, e := range p.engines {
-		load := EngineLoad{Runner: id, PrefillTokens: p.ownPrefillTokens(id)}
-		for _, b := range e.own {
+	for _, e := range p.engines.values {
+		load := EngineLoad{Runner: e.id, PrefillTokens: p.ownPrefillTokens(e.id)}
+		for _, b := range e.own.values {
 			load.Loads = append(load.Loads, Load{Now: b.job.Prompt + b.generated, Left: b.remaining(), Generated: b.generated})
 		}
 		if out.Full && (len(load.Loads) > 0 || load.PrefillTokens > 0) || !out.Full && e.changedRevision > since {
@@ -61,7 +61,7 @@
 		load.Speed, load.SpeedAge = 1/own.perToken, max(0, now.Sub(own.at))
 	}
 	load.Preempted = e.speed.preempted.value(now)
-	if r := p.prefillRunners[e.id]; r != nil && !r.measuredAt.IsZero() && now.Sub(r.measuredAt) < steadyTime {
+	if r := p.prefillRunners.get(e.id); r != nil && !r.measuredAt.IsZero() && now.Sub(r.measuredAt) < steadyTime {
 		load.PrefillSpeed = r.measured
 	}
 }
@@ -74,10 +74,7 @@
 func (p *Pool) receiveSpeed(gateway string, e *engine, l EngineLoad, now time.Time) {
 	e.speed.receive(l.Speed, now.Add(-l.SpeedAge))
 	if l.Preempted > 0 {
-		if e.speed.peersPreempted == nil {
-			e.speed.peersPreempted = map[string]decayed{}
-		}
-		e.speed.peersPreempted[gateway] = decayed{min(l.Preempted, maxReported), now, preemptionTime}
+		e.speed.peersPreempted.set(gateway, decayed{min(l.Preempted, maxReported), now, preemptionTime})
 	}
 	if l.PrefillSpeed > 0 {
 		p.prefillRunner(e.id).learn(l.PrefillSpeed)
@@ -102,13 +99,13 @@
 	for _, l := range s.Engines {
 		e := p.engine(l.Runner)
 		p.receiveSpeed(gateway, e, l, now)
-		if placed := len(l.Loads) - len(e.peers[gateway].loads); placed > 0 && !s.Full {
+		if placed := len(l.Loads) - len(e.peers.get(gateway).loads); placed > 0 && !s.Full {
 			p.peerPlaced = decayed{p.peerPlaced.value(now) + float64(placed), now, placementTime}
 		}
 		e.dropGateway(gateway)
 		delete(reported, l.Runner)
 		if len(l.Loads) > 0 {
-			e.peers[gateway] = peerLoads{loads: peerLoadsOf(l.Loads, spread), at: now}
+			e.peers.set(gateway, peerLoads{loads: peerLoadsOf(l.Loads, spread), at: now})
 			reported[l.Runner] = e
 		}
 		if l.PrefillTokens > 0 {
@@ -130,7 +127,7 @@
 
 // dropGateway removes another gateway's reservations and prefills from this engine only.
 func (e *engine) dropGateway(gateway string) {
-	delete(e.peers, gateway)
+	e.peers.remove(gateway)
 	delete(e.prefillTokens, gateway)
 	e.changed()
 }
--- a/pkg/enginepool/speed.go
+++ b/pkg/enginepool/speed.go
@@ -76,7 +76,7 @@
 	// preempted counts this gateway's responses that the engine preempted, peersPreempted those of
 	// each other gateway.
 	preempted      decayed
-	peersPreempted map[string]decayed
+	peersPreempted ordered[decayed]
 }
 
 // observe learns from the time between two events of a response. The first slow interval is left out:
@@ -160,10 +160,10 @@
 // preemptions returns the recent number of preempted responses of all gateways.
 func (d *decodeSpeed) preemptions(now time.Time) float64 {
 	n := d.preempted.value(now)
-	for gateway, c := range d.peersPreempted {
+	for gateway, c := range d.peersPreempted.all() {
 		v := c.value(now)
 		if v < negligible {
-			delete(d.peersPreempted, gateway)
+			d.peersPreempted.remove(gateway)
 			continue
 		}
 		n += v
@@ -205,7 +205,7 @@
 // that is silent may have been preempted.
 func (e *engine) silence(now time.Time) (time.Duration, int) {
 	least, tokens, begun := time.Duration(math.MaxInt64), 0, 0
-	for _, b := range e.own {
+	for _, b := range e.own.values {
 		if b.eventTokens == 0 {
 			continue
 		}
@@ -225,7 +225,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := Speed{Decode: p.rate, Prefill: p.prefillRate(runner)}
-	if e := p.engines[runner]; e != nil {
+	if e := p.engines.get(runner); e != nil {
 		out.Decode = p.decodeRate(e, now)
 	}
 	return out
@@ -240,7 +240,7 @@
 	defer p.mu.Unlock()
 	var out []Running
 	for _, s := range p.directory.Stage(p.service, runners.Decode) {
-		e := p.engines[s.ID]
+		e := p.engines.get(s.ID)
 		if e == nil {
 			continue
 		}
--- a/pkg/enginepool/speed_test.go
+++ b/pkg/enginepool/speed_test.go
@@ -12,10 +12,10 @@
 func stream(p *Pool, id string, events int, interval time.Duration, now time.Time) time.Time {
 	p.mu.Lock()
 	e := p.engine("d0")
-	b := e.own[id]
+	b := e.own.get(id)
 	if b == nil {
 		b = &reservation{job: job(id, 100, 1<<20)}
-		e.own[id] = b
+		e.own.set(id, b)
 	}
 	p.mu.Unlock()
 	for range events {
@@ -194,7 +194,7 @@
 	d := &p.engine("d0").speed
 	g.Expect(d.preemptions(now)).To(BeNumerically("<=", 50*maxReported))
 	g.Expect(d.preemptions(now.Add(2 * time.Minute))).To(BeZero())
-	g.Expect(d.peersPreempted).To(BeEmpty())
+	g.Expect(d.peersPreempted.len()).To(BeZero())
 }
 
 // The time left on an engine that is silent, or as reported by a faulty gateway, is bounded.
@@ -239,7 +239,7 @@
 	g := NewWithT(t)
 	p, _ := pool(1, 0, 1<<30)
 	now := stream(p, "a", 20, 40*time.Millisecond, time.Now())
-	b := p.engine("d0").own["a"]
+	b := p.engine("d0").own.get("a")
 	for range 20 {
 		now = now.Add(400 * time.Millisecond)
 		p.RecordTokens("d0", "a", b.generated+eventTokens, now.Add(-time.Millisecond), now)
--- a/pkg/runners/directory.go
+++ b/pkg/runners/directory.go
@@ -18,12 +18,17 @@
 
 // Directory is the set of all known runners.
 type Directory struct {
+	// gateway is the name of this gateway.
+	gateway string
+
 	mu  sync.RWMutex
 	all map[string]*State
+	// listed holds all runners in the order of compareStates.
+	listed []*State
 	// current maps the name of a runner to its newest incarnation.
 	current map[string]*State
-	// services holds the runners of each service, stages those of each service and stage, in no
-	// particular order. The slices are replaced, never modified.
+	// services holds the runners of each service, stages those of each service and stage, in the
+	// same order. The slices are replaced, never modified.
 	services map[string][]*State
 	stages   map[stageKey][]*State
 	// stale is set when services and stages are out of date.
@@ -57,10 +62,10 @@
 const Replaced = "replaced"
 
 // NewDirectory returns an empty directory for the named gateway. The name distinguishes gateways
-// that share the rate limit of a runner.
+// that share the rate limit of a runner, and gives each another order of the runners.
 func NewDirectory(gateway string) *Directory {
 	return &Directory{
-		all: map[string]*State{}, current: map[string]*State{}, services: map[string][]*State{},
+		gateway: gateway, all: map[string]*State{}, current: map[string]*State{}, services: map[string][]*State{},
 		evacuated: &evacuations{domains: map[string]bool{}, restored: map[string]time.Time{}},
 		Limits:    runnerlimit.New(gateway), Notices: notice.New(),
 	}
@@ -94,7 +99,7 @@
 	}
 	d.mu.Lock()
 	old := d.all[r.ID]
-	s := &State{Runner: r, sharedState: &sharedState{leaving: r.Leaving, evacuated: d.evacuated, coldShare: d.ColdShare, limits: d.Limits, notices: d.Notices}}
+	s := &State{Runner: r, sharedState: &sharedState{listHash: d.listHash(r.ID), leaving: r.Leaving, evacuated: d.evacuated, coldShare: d.ColdShare, limits: d.Limits, notices: d.Notices}}
 	what := "new"
 	if old != nil {
 		r.Leaving = r.Leaving || old.Leaving
@@ -112,6 +117,7 @@
 		}
 	}
 	d.all[r.ID], d.current[r.name()] = s, s
+	d.insertLocked(s)
 	d.invalidateLocked()
 	d.mu.Unlock()
 	d.notify(Change{r, what})
@@ -204,6 +210,7 @@
 		s.mu.Unlock()
 		if expired {
 			delete(d.all, id)
+			d.removeLocked(s)
 			if d.current[s.name()] == s {
 				delete(d.current, s.name())
 			}
@@ -242,7 +249,7 @@
 // index rebuilds services and stages. The caller holds the lock.
 func (d *Directory) index() {
 	services, stages := map[string][]*State{}, map[stageKey][]*State{}
-	for _, s := range d.all {
+	for _, s := range d.listed {
 		services[s.Service] = append(services[s.Service], s)
 		key := stageKey{s.Service, s.Stage}
 		stages[key] = append(stages[key], s)
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -72,6 +72,9 @@
 // sharedState is the state of an incarnation that is kept when its entry changes. All States of the
 // incarnation share it.
 type sharedState struct {
+	// listHash determines the place of the runner in lists; see Directory.listHash.
+	listHash uint64
+
 	mu sync.Mutex
 	// goneAt is when the entry was removed; zero while the entry is in the store.
 	goneAt time.Time
