ingress: charge a prompt that is computed again to the retry budget

Cause: a second attempt was charged for its decode, and for its prefill only if an earlier prefill had failed.

Change: a prefill is an extra send unless it is the first of its request. Without budget the decode engine computes the prompt. prefill_begin and decode_begin say which sends are extra.

Result: TestPrefillOfASecondAttemptIsAnExtraSend fails before.

--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -69,6 +69,9 @@
 	// failedPrefill holds the IDs of the prefill runners that failed or whose KV cache could not be
 	// fetched.
 	failedPrefill map[string]bool
+	// prefilled is set once a runner has computed the prompt. Only the first prefill of a request is no
+	// extra send.
+	prefilled bool
 	// charged is set if the last prefill was refused and already charged to the retry budget.
 	charged bool
 	// cacheHolder is the runner that has the longest part of the prompt in its KV cache, and
@@ -248,7 +251,7 @@
 		s.g.metrics.resumed.Inc()
 		s.fields = append(s.fields, decisionlog.F("resumed_by", "gateway"))
 	}
-	s.logStep("decode_begin", decisionlog.F("service", s.service), decisionlog.F("runner", runner.ID), decisionlog.F("software", runner.Version), decisionlog.F("resumed", s.relay.begun || s.call.After != ""))
+	s.logStep("decode_begin", decisionlog.F("service", s.service), decisionlog.F("runner", runner.ID), decisionlog.F("software", runner.Version), decisionlog.F("resumed", s.relay.begun || s.call.After != ""), decisionlog.F("extra", s.sends > 0))
 	s.recordRecomputed(runner)
 	if !s.relay.begun {
 		s.beginStream(runner)
--- a/pkg/ingress/prefill.go
+++ b/pkg/ingress/prefill.go
@@ -25,14 +25,17 @@
 			s.pool.EndPrefill(prefillRunner.ID, s.job.ID, false, time.Now())
 			return PrefilledCache{}, nil, nil
 		}
-		if (tries > 0 || len(s.failedPrefill) > 0) && !s.mayPrefillAgain() {
+		extra := s.prefilled || len(s.failedPrefill) > 0
+		if extra && !s.mayPrefillAgain() {
 			s.pool.EndPrefill(prefillRunner.ID, s.job.ID, false, time.Now())
 			return PrefilledCache{}, nil, nil
 		}
+		s.logStep("prefill_begin", decisionlog.F("runner", prefillRunner.ID), decisionlog.F("extra", extra))
 		began := time.Now()
 		source, err := s.callPrefill(prefillRunner, prefillTimeout(prefillRunner, expected))
 		s.pool.EndPrefill(prefillRunner.ID, s.job.ID, err == nil, time.Now())
 		if err == nil {
+			s.prefilled = true
 			s.g.metrics.prefill.UpdateDuration(began)
 			s.g.metrics.prefilled.Add(source.Tokens)
 			s.fields = append(s.fields, decisionlog.F("prefill", prefillRunner.ID), decisionlog.F("prefill_after", time.Since(s.arrived)))
--- a/pkg/ingress/prefill_test.go
+++ b/pkg/ingress/prefill_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/retrybudget"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runners"
 )
@@ -74,3 +75,20 @@
 		g.Expect(c.prefills).To(Equal(apart), "%d others", others)
 	}
 }
+
+// Guards against repeated prefills that are not charged to the retry budget.
+func TestPrefillOfASecondAttemptIsAnExtraSend(t *testing.T) {
+	for slack, prefills := range map[float64]int{0: 1, 100: 2} {
+		g := NewWithT(t)
+		c := &prefillCounter{}
+		s, room := newGeneration(c, 8)
+		s.g.LimitRetries(retrybudget.Limits{Slack: slack, Window: time.Minute})
+		left := s.budget.Left(time.Now())
+		for range 2 {
+			_, _, err := s.prefill(room)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		g.Expect(c.prefills).To(Equal(prefills), "slack %v", slack)
+		g.Expect(left-s.budget.Left(time.Now())).To(BeEquivalentTo(prefills-1), "slack %v", slack)
+	}
+}
