ingress: a place that becomes free during the choice is not missed

What callers saw: 503 "no runner" for a request to a plain service although a runner had just become free.

Cause: the choice found no place, then a second reading told why. If a place became free between both, the second saw no full runner, and the request was refused instead of waiting.

Change: the number of requests is not read again: a runner that was not claimed and may be used was full.

--- a/pkg/ingress/plain.go
+++ b/pkg/ingress/plain.go
@@ -96,7 +96,7 @@
 	if err := g.Directory.Unavailable(w.service, "", w.allows, now); err != nil {
 		return nil, err
 	}
-	if w.anyFull(usable, g.plain, now) {
+	if w.anyFull(usable, now) {
 		return nil, &ErrFull{Service: w.service}
 	}
 	return nil, w.noRoomError(usable, now)
@@ -117,12 +117,10 @@
 	return out
 }
 
-// anyFull reports whether a runner of a list would take the request but for the number of requests
-// that it has.
-func (w plainRequest) anyFull(list []*runners.State, load *plainload.Table, now time.Time) bool {
-	return slices.ContainsFunc(list, func(s *runners.State) bool {
-		return !w.avoid[s.ID] && s.Room(now) && (w.full[s.ID] || !load.Room(s.ID, now))
-	})
+// anyFull reports whether a runner of a list, from which none could be claimed, would take the request but
+// for the number of requests that it has. That number is not read again: it may have fallen meanwhile.
+func (w plainRequest) anyFull(list []*runners.State, now time.Time) bool {
+	return slices.ContainsFunc(list, func(s *runners.State) bool { return !w.avoid[s.ID] && s.Room(now) })
 }
 
 // noRoomError returns why no runner of a list was chosen.
--- a/pkg/ingress/plainwait_test.go
+++ b/pkg/ingress/plainwait_test.go
@@ -154,6 +154,22 @@
 	})
 }
 
+// Guards against *enginepool.ErrNoRunner if a place becomes free between the choice and the check why it failed.
+func TestPlaceThatBecomesFreeAfterTheChoiceIsNotMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		in := newFullIngress(t)
+		time.Sleep(100 * time.Millisecond)
+		w, now := plainRequest{id: "a", service: "s"}, time.Now()
+		list := []*runners.State{in.Directory.Find("full")}
+		g.Expect(in.claimBest(w, list, failureCost, now)).To(BeNil())
+		in.plain.End("full", plainload.Answered, 15*time.Millisecond, 120*time.Millisecond, now)
+		g.Expect(w.anyFull(list, now)).To(BeTrue(), "the request waits and asks again")
+		g.Expect(in.claimBest(w, list, failureCost, now)).To(Equal(list[0]))
+		g.Expect(plainRequest{avoid: map[string]bool{"full": true}}.anyFull(list, now)).To(BeFalse())
+	})
+}
+
 // Guards against a Retry-After beyond what a client with little time honors.
 func TestImpatientClientCanReturn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
