process: a gateway's first read of a restored store confirms no keys for a second

What callers saw: 200 for a request with a key that had been revoked, from a gateway that started between a restore of the store and the operator's rewriting (CONFIG).

Cause: gateways that notice a restore distrust the store's keys for a second. One that starts then has no earlier era to compare with.

Change: if the store was restored once (its era is above 0), a gateway's own readings confirm keys from a second after the first one; other gateways, which know of the restore, confirm at once. Until then it is not ready.

--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/notice"
@@ -143,7 +144,7 @@
 // and one for the runners, which halves the calls. The few other keys rarely change.
 func (f *feed) follower(s store.Store) *store.Follower {
 	return &store.Follower{
-		Store: s, BatchDelay: f.batchWindow, Relayed: f.relayed, CatchUp: f.forgotten, Reset: f.reset, Apply: f.apply, Confirmed: f.history.Confirm,
+		Store: s, BatchDelay: f.batchWindow, Relayed: f.relayed, CatchUp: f.forgotten, Reset: f.reset, Apply: f.apply, Confirmed: f.history.ConfirmRead,
 		Rejected: func(err *store.ErrOld) {
 			f.log.Write(decisionlog.KindFailed, "store_reading_refused", decisionlog.F("have", err.Have), decisionlog.F("got", err.Got))
 		},
@@ -172,6 +173,9 @@
 	switch {
 	case have == 0:
 		f.history.Restart(at, now)
+		if at.Era() > 0 {
+			f.history.DelayReads(boottime.Now().Add(confirmTime))
+		}
 	case at.Era() > have.Era() || len(f.deferred) > 0:
 		return f.applyDifference(items, at, now)
 	default:
--- a/pkg/relay/history.go
+++ b/pkg/relay/history.go
@@ -33,6 +33,8 @@
 	// time of a request, see Confirm. Times before confirmFrom are rejected: a restored store may
 	// lack acknowledged changes.
 	confirmed, confirmFrom time.Time
+	// readFrom is such a time for readings of this gateway, see DelayReads.
+	readFrom time.Time
 	// restored is the value of Update.Restored.
 	restored store.Revision
 	changes  []store.Event
@@ -98,12 +100,31 @@
 	}
 }
 
+// DelayReads makes ConfirmRead reject times before from. It is for the first read of a store that was restored
+// once: that may have been just now, which only gateways know that read the store before.
+func (h *History) DelayReads(from time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.readFrom = from
+}
+
+// ConfirmRead is Confirm for a request to the store.
+func (h *History) ConfirmRead(asked time.Time) {
+	h.mu.Lock()
+	early := asked.Before(h.readFrom)
+	h.mu.Unlock()
+	if !early {
+		h.Confirm(asked)
+	}
+}
+
 // ConfirmationPending reports whether no time has been confirmed since a restore, and how long it
 // takes until one can be.
 func (h *History) ConfirmationPending(now time.Time) (pending bool, left time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.confirmed.Before(h.confirmFrom), max(0, h.confirmFrom.Sub(now))
+	from := later(h.confirmFrom, h.readFrom)
+	return h.confirmed.Before(from), max(0, from.Sub(now))
 }
 
 // Confirmed returns the latest confirmed time, zero for none.
--- a/pkg/relay/history_test.go
+++ b/pkg/relay/history_test.go
@@ -226,6 +226,26 @@
 	g.Expect(h.Since(30, allEncodings, now)).To(Equal([]Update{{From: 30, To: 30, Truncated: true, Restored: inEra(1, 9)}}))
 }
 
+// Guards against accepting API keys whose revocation was lost in a restore right before a gateway's first read.
+func TestFirstReadOfRestoredStoreConfirmsLater(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	var h History
+	h.Restart(inEra(1, 9), now)
+	h.DelayReads(now.Add(time.Second))
+	h.ConfirmRead(now.Add(time.Second - 1))
+	g.Expect(h.Confirmed()).To(BeZero())
+	pending, left := h.ConfirmationPending(now)
+	g.Expect(pending).To(BeTrue())
+	g.Expect(left).To(Equal(time.Second))
+	h.Confirm(now.Add(time.Millisecond))
+	g.Expect(h.Confirmed()).To(Equal(now.Add(time.Millisecond)))
+	h.ConfirmRead(now.Add(time.Second))
+	g.Expect(h.Confirmed()).To(Equal(now.Add(time.Second)))
+	pending, _ = h.ConfirmationPending(now)
+	g.Expect(pending).To(BeFalse())
+}
+
 // Guards against accepting API keys whose revocation the restored store may have lost.
 func TestRestoreDelaysConfirmation(t *testing.T) {
 	g := NewWithT(t)
