upstream: the head of a response has a bound and a share of the memory

What callers saw: connections that closed without an answer.

Cause: conn.read handed the connection's reader to http.ReadResponse, which bounds neither a line nor a header. All that follows the head was bounded. Many short lines do the same: a line of three bytes takes over a hundred in a http.Header.

Ruled out: the body (an event ends at 1 MB), bytes in the kernel (the measure counts the process's own).

Change: a head is parsed only once all of it is in the read buffer, at most 32 KiB and 128 lines; beyond 4 KiB or 32 lines it takes its memory from an account that all connections share. Beyond a bound the connection ends with *memory.ErrTooLarge or *memory.ErrFull. A line that can't be part of a head fails at once, and a whole head that can't be read is *ErrHead. Trailers are dropped.

--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/hopwell/hopwell/pkg/memory"
 )
 
 // conn is one connection to a runner.
@@ -16,7 +18,10 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
-	uses    int
+	// buffer is what an enlarged read buffer takes of Options.Heads, head what the parsed head of the
+	// current response takes.
+	buffer, head memory.Usage
+	uses         int
 	// responding is set when the head of the response to the current request has arrived.
 	responding atomic.Bool
 	// announced is the keep-alive timeout that the runner last sent on this connection, negative
@@ -58,7 +63,7 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), uses: 1, announced: -1}, nil
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), buffer: memory.Usage{Account: c.options.Heads}, head: memory.Usage{Account: c.options.Heads}, uses: 1, announced: -1}, nil
 }
 
 func (c *Client) popIdle(address string) *conn {
@@ -131,7 +136,8 @@
 	}
 }
 
-// Sweep closes expired idle connections and removes expired idle limits.
+// Sweep closes idle connections that have expired, and those with unread data: they can't be used again,
+// and the data takes memory of the instance. It removes expired idle limits.
 func (c *Client) Sweep(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -139,7 +145,7 @@
 	for a, list := range c.idle {
 		kept := list[:0]
 		for _, k := range list {
-			if now.Before(k.until) {
+			if now.Before(k.until) && k.reusable() {
 				kept = append(kept, k)
 				continue
 			}
@@ -164,7 +170,7 @@
 // keepAlive returns the timeout of a Keep-Alive header, -1 if there is none that can be
 // parsed.
 func keepAlive(h http.Header) time.Duration {
-	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		if !strings.EqualFold(name, "timeout") {
 			continue
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -17,6 +17,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/hopwell/hopwell/pkg/memory"
 )
 
 const (
@@ -54,7 +56,8 @@
 func (e *ErrDial) Unwrap() error { return e.Err }
 
 // ErrExchange reports that a request was sent, at least in part, and that no complete
-// response to it was received.
+// response to it was received. Err is *memory.ErrTooLarge or *memory.ErrFull if the head of the
+// response did not fit.
 type ErrExchange struct {
 	Address string
 	// Reused is whether the connection had served other requests before.
@@ -116,6 +119,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnConnect is called for each new connection, if not nil.
 	OnConnect func(address string)
+	// Heads bounds the memory of all heads of responses that are larger than usual; nil for no bound.
+	Heads *memory.Account
 }
 
 // Client sends requests over reused connections. It is safe for concurrent use.
@@ -140,6 +145,8 @@
 // the runner detects that no client waits for the response any longer.
 type Response struct {
 	*http.Response
+	// head is the memory that the head takes until Close.
+	head memory.Usage
 	done func(complete bool)
 	once sync.Once
 }
@@ -163,6 +170,8 @@
 	}
 	stop()
 	_ = k.Close()
+	k.releaseBuffer()
+	k.head.Release()
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
 	}
@@ -174,10 +183,13 @@
 
 // respond wraps a response, at whose end the connection is closed or kept for reuse.
 func (c *Client) respond(k *conn, res *http.Response, stop func() bool, wrote <-chan error, surplus int) *Response {
-	out := &Response{Response: res}
+	out := &Response{Response: res, head: k.head}
+	k.head = memory.Usage{Account: c.options.Heads}
 	out.done = func(complete bool) {
 		alive := stop()
-		if complete && alive && surplus == 0 && !res.Close && bodyWritten(wrote) && k.reader.Buffered() == 0 {
+		reusable := complete && alive && surplus == 0 && !res.Close && bodyWritten(wrote) && k.reader.Buffered() == 0
+		k.releaseBuffer()
+		if reusable {
 			c.putIdle(k, keepAlive(res.Header))
 			return
 		}
@@ -196,18 +208,21 @@
 	}
 }
 
-// Read reads the body. At the end of the body the connection is closed or kept for reuse.
+// Read reads the body. At the end of the body the connection is closed or kept for reuse. Trailers are
+// dropped, since nothing forwards them.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
 	if err != nil {
+		r.Trailer = nil
 		r.finish(errors.Is(err, io.EOF))
 	}
 	return n, err
 }
 
-// Close ends the exchange.
+// Close ends the exchange. It must be called, since the head takes memory until then.
 func (r *Response) Close() error {
 	r.finish(false)
+	r.head.Release()
 	return nil
 }
 
@@ -289,9 +304,12 @@
 func (k *conn) read(r *Request) (*http.Response, int, error) {
 	req := &http.Request{Method: r.Method}
 	for surplus, interim := 0, 0; ; {
+		if err := k.awaitHead(); err != nil {
+			return nil, surplus, err
+		}
 		res, err := http.ReadResponse(k.reader, req)
 		if err != nil {
-			return nil, surplus, err
+			return nil, surplus, &ErrHead{Err: err}
 		}
 		if res.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterim || res.StatusCode == http.StatusSwitchingProtocols {
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -431,3 +431,31 @@
 	g.Expect(err).To(HaveOccurred())
 	g.Eventually(closed, "20s").Should(BeClosed())
 }
+
+// Guards against bytes after whole responses that wait on idle connections, and take memory, until the
+// connections expire.
+func TestSweepClosesIdleConnectionsWithUnreadData(t *testing.T) {
+	g := NewWithT(t)
+	closed := make(chan struct{})
+	s := serve(t, func(n int, c net.Conn, in *bufio.Reader) {
+		if !respondOK(c, in, "") || n > 1 {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(c, strings.Repeat("x", 10_000))
+		_, _ = in.ReadByte()
+		close(closed)
+	})
+	c := newClient()
+	defer c.CloseIdle("")
+	_, err := get(c, s.address, "a")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(func() bool {
+		c.Sweep(time.Now())
+		return c.HasIdle(s.address)
+	}, "10s", "10ms").Should(BeFalse())
+	g.Eventually(closed, "10s").Should(BeClosed())
+	_, err = get(c, s.address, "b")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.count()).To(Equal(2))
+}
