--- a/pkg/httpd/callers.go
+++ b/pkg/httpd/callers.go
@@ -40,7 +40,7 @@
 			DiscardBody(w, body)
 		}
 	}
-	server := &http.Server{Handler: http.HandlerFunc(handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: http.HandlerFunc(handle), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: MaxHead}
 	go func() { _ = server.Serve(l) }()
 	return &Server{listener: l, stop: func() { _ = server.Close() }}, nil
 }
