peers: what other gateways' datagrams name is bounded

What callers would have seen: a gateway whose memory is taken by reports of others; not measured.

Cause: members, engines, reservations, limits of runners and the length of names had no bound, and some bytes of a delta could stand for a value of 8 MB.

Change: 4,096 engines and limits and 65,536 reservations of other gateways at most, names of a bounded length, a bounded membership list, and values of 1 MB out of a delta, which is the store's bound. What is ignored or rejected is an error with size and bound in the log.

--- a/pkg/delta/delta.go
+++ b/pkg/delta/delta.go
@@ -19,8 +19,9 @@
 	minChunk     = 32
 	maxChunk     = 1024
 	boundaryMask = 1<<6 - 1
-	// maxOutput limits the value that Apply returns, in bytes, for any delta.
-	maxOutput = 8 << 20
+	// maxOutput limits the value that Apply returns, in bytes, for any delta: the store's values have 1 MB
+	// at most.
+	maxOutput = 1 << 20
 	// checksumBytes is the length of the value's checksum, which ends each delta.
 	checksumBytes = 8
 )
--- a/pkg/enginepool/snapshot.go
+++ b/pkg/enginepool/snapshot.go
@@ -1,6 +1,10 @@
 package enginepool
 
-import "time"
+import (
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/memory"
+)
 
 // Snapshot holds one gateway's reservations and prefills, as reported to other gateways.
 type Snapshot struct {
@@ -81,9 +85,32 @@
 	}
 }
 
+const (
+	// maxEngines bounds the engines of a pool that are known from other gateways' reports, which may
+	// come before the engine's entry.
+	maxEngines = 4096
+	// maxPeerLoads bounds the reservations of all other gateways in a pool: two and a half times the
+	// requests that the largest fleet runs at its peak.
+	maxPeerLoads = 1 << 16
+)
+
+// admit returns the part of a reported load that fits the bounds of the pool, in which other gateways have
+// a number of reservations, and an error for the rest. The caller holds the lock.
+func (p *Pool) admit(l EngineLoad, others int) (admitted EngineLoad, known bool, err error) {
+	if p.engines.get(l.Runner) == nil && p.engines.len() >= maxEngines {
+		return l, false, memory.TooLarge("engines in reports", int64(p.engines.len())+1, maxEngines)
+	}
+	if all := others + len(l.Loads); all > maxPeerLoads {
+		err = memory.TooLarge("reservations in reports", int64(all), maxPeerLoads)
+		l.Loads = l.Loads[:max(0, maxPeerLoads-others)]
+	}
+	return l, true, err
+}
+
 // ReceiveSnapshot applies a report of another gateway. A full one replaces all earlier
-// ones, others only what was reported of the engines that they contain.
-func (p *Pool) ReceiveSnapshot(gateway string, s Snapshot, now time.Time) {
+// ones, others only what was reported of the engines that they contain. It fails with
+// *memory.ErrTooLarge if a part of the report was ignored.
+func (p *Pool) ReceiveSnapshot(gateway string, s Snapshot, now time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s.Full {
@@ -96,8 +123,21 @@
 		p.peerEngines[gateway] = reported
 	}
 	spread := p.Lengths.Spread()
+	var ignored error
 	for _, l := range s.Engines {
+		before := 0
+		if e := p.engines.get(l.Runner); e != nil {
+			before = len(e.peers.get(gateway).loads)
+		}
+		l, known, err := p.admit(l, p.peerLoads-before)
+		if err != nil {
+			ignored = err
+		}
+		if !known {
+			continue
+		}
 		e := p.engine(l.Runner)
+		p.peerLoads += len(l.Loads) - before
 		p.receiveSpeed(gateway, e, l, now)
 		if placed := len(l.Loads) - len(e.peers.get(gateway).loads); placed > 0 && !s.Full {
 			p.peerPlaced = decayed{p.peerPlaced.value(now) + float64(placed), now, placementTime}
@@ -113,6 +153,7 @@
 			reported[l.Runner] = e
 		}
 	}
+	return ignored
 }
 
 // peerLoadsOf adds the estimates of lengths to reported loads.
@@ -144,6 +185,7 @@
 // caller holds the lock.
 func (p *Pool) dropLoads(gateway string) {
 	for _, e := range p.peerEngines[gateway] {
+		p.peerLoads -= len(e.peers.get(gateway).loads)
 		e.dropGateway(gateway)
 	}
 	delete(p.peerEngines, gateway)
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -181,13 +181,17 @@
 }
 
 // ReceiveSnapshot applies a peer's reservations for a service. Services that this gateway's
-// configuration doesn't contain are ignored.
-func (g *Ingress) ReceiveSnapshot(gateway, service string, snapshot enginepool.Snapshot) {
-	if p := g.Pools()[service]; p != nil {
-		now := time.Now()
-		p.ReceiveSnapshot(gateway, snapshot, now)
-		g.planner(service).Promises.Receive(gateway, forecast.Report{Since: now.Add(-snapshot.PromisedAge), Counts: snapshot.Promised}, now)
+// configuration doesn't contain are ignored. It fails with *memory.ErrTooLarge if a part of the
+// reservations was ignored.
+func (g *Ingress) ReceiveSnapshot(gateway, service string, snapshot enginepool.Snapshot) error {
+	p := g.Pools()[service]
+	if p == nil {
+		return nil
 	}
+	now := time.Now()
+	err := p.ReceiveSnapshot(gateway, snapshot, now)
+	g.planner(service).Promises.Receive(gateway, forecast.Report{Since: now.Add(-snapshot.PromisedAge), Counts: snapshot.Promised}, now)
+	return err
 }
 
 // DropGateway drops the reservations of a peer that no longer sends reports.
--- a/pkg/peers/limits.go
+++ b/pkg/peers/limits.go
@@ -46,7 +46,9 @@
 	}
 	x.options.Limits.GatewaySeen(s.Name, now)
 	if len(s.Limits) > 0 {
-		x.options.Limits.Receive(s.Name, s.Incarnation, decodeLimits(s.Limits), now)
+		if err := x.options.Limits.Receive(s.Name, s.Incarnation, decodeLimits(s.Limits), now); err != nil {
+			x.options.Failed(err)
+		}
 	}
 }
 
--- a/pkg/peers/members.go
+++ b/pkg/peers/members.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/subset"
 )
 
@@ -45,6 +46,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.members[name] == nil {
+		if known := len(x.members); known >= maxMembers {
+			return memory.TooLarge("gateways in the membership list", int64(known)+1, maxMembers)
+		}
 		x.members[name] = &member{name: name, address: at, lastSeen: time.Now(), needsFull: true}
 		x.memberships++
 	}
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -86,8 +86,8 @@
 	// Snapshots returns the reservations of this gateway that changed after the given
 	// revisions, by service, and the revisions reached. For nil it returns all reservations.
 	Snapshots func(since map[string]uint64) (map[string]enginepool.Snapshot, map[string]uint64)
-	// ReceiveSnapshot records another gateway's reservations for a service.
-	ReceiveSnapshot func(gateway, service string, snapshot enginepool.Snapshot)
+	// ReceiveSnapshot records another gateway's reservations for a service. It fails if they exceed a bound.
+	ReceiveSnapshot func(gateway, service string, snapshot enginepool.Snapshot) error
 	// Domain is this gateway's failure domain. Outcomes returns the outcomes at
 	// runners that fail requests, ReceiveOutcomes records those of another gateway.
 	Domain          string
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -62,10 +62,11 @@
 			w.fullRequested = append(w.fullRequested, since == nil)
 			return map[string]enginepool.Snapshot{"llm": oneLoad(name+"-runner", load, 1)}, map[string]uint64{"llm": 1}
 		},
-		ReceiveSnapshot: func(from, _ string, snapshot enginepool.Snapshot) {
+		ReceiveSnapshot: func(from, _ string, snapshot enginepool.Snapshot) error {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.received[from] = snapshot
+			return nil
 		},
 		Store: w.feed, Notices: notice.New(),
 		Changed: func(string, string, int) {}, Failed: func(err error) { t.Log(err) },
@@ -258,7 +259,7 @@
 	var fromSameDomain bool
 	var received []runners.Outcome
 	x := New(Options{
-		Name: "a", Domain: "east", Failed: func(error) {}, ReceiveSnapshot: func(string, string, enginepool.Snapshot) {}, Changed: func(string, string, int) {},
+		Name: "a", Domain: "east", Failed: func(error) {}, ReceiveSnapshot: func(string, string, enginepool.Snapshot) error { return nil }, Changed: func(string, string, int) {},
 		ReceiveOutcomes: func(gateway string, sameDomain bool, list []runners.Outcome) {
 			from, fromSameDomain, received = gateway, sameDomain, list
 		},
--- a/pkg/peers/period_bench_test.go
+++ b/pkg/peers/period_bench_test.go
@@ -25,7 +25,7 @@
 		Snapshots: func(map[string]uint64) (map[string]enginepool.Snapshot, map[string]uint64) { return nil, nil },
 		Version:   func() uint64 { return 1 }, Outcomes: func() []runners.Outcome { return nil },
 		Changed: func(string, string, int) {}, Failed: func(err error) { panic(err) },
-		ReceiveSnapshot: func(string, string, enginepool.Snapshot) {},
+		ReceiveSnapshot: func(string, string, enginepool.Snapshot) error { return nil },
 	})
 	for i := range n {
 		name := fmt.Sprint("front-", i)
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -22,7 +22,11 @@
 			continue
 		}
 		var state wirepb.GatewayState
-		if err := unmarshal(buffer[:n], &state); err != nil {
+		err = unmarshal(buffer[:n], &state)
+		if err == nil {
+			err = checkNames(&state)
+		}
+		if err != nil {
 			x.options.Failed(&ErrDatagram{Gateway: from.String(), Bytes: n, Err: err})
 			continue
 		}
@@ -76,7 +80,9 @@
 		x.receiveUpdate(s.Name, update, now)
 	}
 	for service, snapshot := range decodeSnapshots(s) {
-		x.options.ReceiveSnapshot(s.Name, service, snapshot)
+		if err := x.options.ReceiveSnapshot(s.Name, service, snapshot); err != nil {
+			x.options.Failed(err)
+		}
 	}
 }
 
--- a/pkg/runnerlimit/exchange.go
+++ b/pkg/runnerlimit/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/hopwell/hopwell/pkg/memory"
 )
 
 // broadcastChange is the relative change of a limit above which the limit is sent to all gateways
@@ -94,17 +96,27 @@
 	return r
 }
 
-// Receive records the reports of a process of another gateway.
-func (t *Table) Receive(gateway string, incarnation uint64, reports []Report, now time.Time) {
+// maxLimits bounds the runners whose limits are known: some times those of the largest fleet.
+const maxLimits = 4096
+
+// Receive records the reports of a process of another gateway. It fails with *memory.ErrTooLarge if some were
+// ignored since too many runners have limits.
+func (t *Table) Receive(gateway string, incarnation uint64, reports []Report, now time.Time) error {
 	var changes []*Change
+	var ignored error
 	t.mu.Lock()
 	for _, r := range reports {
+		if known := len(t.limits); known >= maxLimits && t.limits[r.Runner] == nil {
+			ignored = memory.TooLarge("runners with rate limits", int64(known)+1, maxLimits)
+			continue
+		}
 		changes = append(changes, t.receive(gateway, incarnation, r, now))
 	}
 	t.mu.Unlock()
 	for _, c := range changes {
 		t.notify(c)
 	}
+	return ignored
 }
 
 func (t *Table) receive(gateway string, incarnation uint64, r Report, now time.Time) *Change {
--- a/pkg/runnerlimit/runnerlimit_test.go
+++ b/pkg/runnerlimit/runnerlimit_test.go
@@ -1,10 +1,14 @@
 package runnerlimit
 
 import (
+	"errors"
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/hopwell/hopwell/pkg/memory"
 )
 
 // recordChanges returns t and the list of the changes that t reports.
@@ -186,3 +190,19 @@
 	g.Expect(ok).To(BeTrue())
 	g.Expect(status.Withheld).To(Equal(uint64(1)))
 }
+
+// Guards against reports of limits of runners without end.
+func TestLimitsInReportsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	table := New("a")
+	var last error
+	for i := range maxLimits + 10 {
+		last = table.Receive("b", 1, []Report{{Runner: fmt.Sprint("r", i), Statement: namedLimit(10, now), NamedAgo: time.Second}}, now)
+	}
+	var large *memory.ErrTooLarge
+	g.Expect(errors.As(last, &large)).To(BeTrue())
+	g.Expect(large.Bound).To(BeEquivalentTo(maxLimits))
+	g.Expect(table.limits).To(HaveLen(maxLimits))
+	g.Expect(table.Receive("b", 1, []Report{{Runner: "r1", Statement: namedLimit(5, now), NamedAgo: time.Second}}, now)).To(Succeed())
+}
