engine, opclient, platform: responses have bounds

What was seen: nothing; a reading of all paths on which bytes of others are kept.

Cause: responses to the role with sidecars and to the operators' commands were decoded as they came, or cut off without an error.

Change: each has a bound for its head and its body, and fails with *memory.ErrTooLarge beyond it.

--- a/pkg/engine/http.go
+++ b/pkg/engine/http.go
@@ -10,6 +10,8 @@
 	"io"
 	"net/http"
 	"net/url"
+
+	"github.com/hopwell/hopwell/pkg/memory"
 )
 
 // Paths of a model engine's HTTP API. Bodies are JSON. The response to a decode is
@@ -43,9 +45,12 @@
 	Assignment Assignment `json:"assignment"`
 }
 
-// maxLineBytes is the maximum size of a line of a decode response, and of an error
-// response.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes is the maximum size of a line of a decode response, and of any other response.
+	maxLineBytes = 1 << 20
+	// maxHeadBytes is the maximum size of the head of a response.
+	maxHeadBytes = 64 << 10
+)
 
 // Client implements Engine over a model engine's HTTP API. It uses net/http,
 // because the client of package nbhttp, which the servers use, returns a response
@@ -67,6 +72,7 @@
 func transport() *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxIdleConnsPerHost = maxIdleConns
+	t.MaxResponseHeaderBytes = maxHeadBytes
 	return t
 }
 
@@ -129,7 +135,7 @@
 		_, _ = io.Copy(io.Discard, resp.Body)
 		return nil
 	}
-	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+	if err := json.NewDecoder(memory.Limit(resp.Body, "response of an engine", maxLineBytes)).Decode(into); err != nil {
 		return &ErrUnreachable{Address: c.base, Sent: true, Err: err}
 	}
 	return nil
--- a/pkg/opclient/opclient.go
+++ b/pkg/opclient/opclient.go
@@ -19,6 +19,7 @@
 	"github.com/hopwell/hopwell/pkg/admin"
 	"github.com/hopwell/hopwell/pkg/fleet"
 	"github.com/hopwell/hopwell/pkg/gateway"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/platform"
 	"github.com/hopwell/hopwell/pkg/trace"
 )
@@ -32,6 +33,8 @@
 	pollInterval = 100 * time.Millisecond
 	// maxParallelQueries limits how many processes are queried at the same time.
 	maxParallelQueries = 64
+	// maxResponseBytes limits the response of one process, in bytes.
+	maxResponseBytes = 16 << 20
 )
 
 // ErrAnswer is an error response of a process.
@@ -122,7 +125,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(memory.Limit(resp.Body, "response of "+p.Name, maxResponseBytes))
 	if err != nil {
 		return err
 	}
--- a/pkg/platform/http.go
+++ b/pkg/platform/http.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/hopwell/hopwell/pkg/memory"
 )
 
 // HeaderVersion carries a value's version.
@@ -39,7 +41,9 @@
 // because the client of package nbhttp, which the servers use, can't cancel a watch
 // that is waiting for a change.
 func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = maxHeadBytes
+	return &Client{base: base, http: &http.Client{Transport: transport}}
 }
 
 // errStatus reports a response that the client can't handle.
@@ -66,15 +70,22 @@
 	return c.send(r, service, op)
 }
 
-// send sends a request and returns the response and its body, which is read up to
-// 4*MaxValue.
+const (
+	// maxResponseBytes limits a response, in bytes: a value, or the list of some thousand instances.
+	maxResponseBytes = 4 * MaxValue
+	// maxHeadBytes limits the head of a response, in bytes.
+	maxHeadBytes = 64 << 10
+)
+
+// send sends a request and returns the response and its body. It fails with *memory.ErrTooLarge as the
+// cause if the body exceeds maxResponseBytes.
 func (c *Client) send(r *http.Request, service, op string) (*http.Response, []byte, error) {
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return nil, nil, &ErrUnavailable{Service: service, Op: op, Err: err}
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, 4*MaxValue))
+	data, err := io.ReadAll(memory.Limit(resp.Body, "response of the platform", maxResponseBytes))
 	if err != nil {
 		return nil, nil, &ErrUnavailable{Service: service, Op: op, Err: err}
 	}
--- a/pkg/platform/http_test.go
+++ b/pkg/platform/http_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hopwell/hopwell/pkg/fake"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/platform"
 	"github.com/hopwell/hopwell/pkg/spectest"
 )
@@ -47,6 +51,22 @@
 		var down *platform.ErrUnavailable
 		Expect(errors.As(err, &down)).To(BeTrue())
 	})
+	It("bounds responses, so that one without an end takes no more memory", func() {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			for {
+				if _, err := io.WriteString(w, strings.Repeat("x", 1000)); err != nil {
+					return
+				}
+			}
+		}))
+		DeferCleanup(s.Close)
+		_, err := platform.NewClient(s.URL).Get(ctx, "a")
+		var down *platform.ErrUnavailable
+		Expect(errors.As(err, &down)).To(BeTrue())
+		var large *memory.ErrTooLarge
+		Expect(errors.As(err, &large)).To(BeTrue())
+		Expect(large.Bound).To(BeEquivalentTo(4 * platform.MaxValue))
+	})
 	It("returns the same instance list until it changes, then the new one", func() {
 		list.Put(platform.Instance{Name: "a"})
 		for range 2 {
