store: a watch that takes too long or is too large leads to a full read

Cause: a call to a lost store may last 2.5 s, since a silent store never answers. This store was slow: thousands of entries by other writers had to be read, each watch that came too late was asked for again, and so was one whose response exceeded its bound.

Change: after two watches without a whole answer in time the follower reads the one item of the configuration. While that fails the store is silent; once it is answered, the watch may last 5 s, and if that isn't enough everything is read, in pages and for as long as data arrives. A response that is too large leads to a full read at once. Calls that fail while the store is lost are logged (store_call_failed).

--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -144,10 +144,13 @@
 // and one for the runners, which halves the calls. The few other keys rarely change.
 func (f *feed) follower(s store.Store) *store.Follower {
 	return &store.Follower{
-		Store: s, BatchDelay: f.batchWindow, Relayed: f.relayed, CatchUp: f.forgotten, Reset: f.reset, Apply: f.apply, Confirmed: f.history.ConfirmRead,
+		Store: s, LivenessPrefix: platform.ConfigKey, BatchDelay: f.batchWindow, Relayed: f.relayed, CatchUp: f.forgotten, Reset: f.reset, Apply: f.apply, Confirmed: f.history.ConfirmRead,
 		Rejected: func(err *store.ErrOld) {
 			f.log.Write(decisionlog.KindFailed, "store_reading_refused", decisionlog.F("have", err.Have), decisionlog.F("got", err.Got))
 		},
+		Failed: func(err error) {
+			f.log.Write(decisionlog.KindFailed, "store_call_failed", decisionlog.F("error", err))
+		},
 		Lost: func(err error) {
 			f.storeCopy.setReachable(false)
 			f.log.Write(decisionlog.KindProcess, "store_lost", decisionlog.F("error", err))
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/boottime"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/progress"
 )
 
@@ -27,6 +28,12 @@
 	maxRangeTime = 30 * time.Second
 	// probeWait is how long a watch waits that only checks whether the store responds.
 	probeWait = time.Millisecond
+	// maxUnanswered is the number of watches in a row that get no whole answer in time, after which the liveness
+	// of the store is checked first. It may be silent, or need longer for the changes that have accumulated.
+	maxUnanswered = 2
+	// liveWatchTime bounds a watch right after the store proved to be live. It is twice maxProbeTimeout, since a
+	// store that falls silent meanwhile is noticed only at its end.
+	liveWatchTime = 2 * maxProbeTimeout
 	// minRetryDelay and maxRetryDelay are the shortest and the longest delay after a failed call,
 	// before jitter.
 	minRetryDelay = 100 * time.Millisecond
@@ -37,6 +44,9 @@
 type Follower struct {
 	Store  Store
 	Prefix string
+	// LivenessPrefix is a prefix with few items. They are read to learn whether a store responds that left
+	// watches unanswered.
+	LivenessPrefix string
 	// BatchDelay returns how long to batch changes after some have arrived, before the next watch; nil
 	// disables batching. The first change after a quiet time is delivered at once.
 	BatchDelay func() time.Duration
@@ -60,6 +70,8 @@
 	// Rejected, if set, is called with the error of a full read that is rejected because it is
 	// older than the state reached.
 	Rejected func(err *ErrOld)
+	// Failed, if set, is called with the error of each call that fails while the store is lost already.
+	Failed func(err error)
 	// Lost is called when the store stops responding, Regained when it responds again; after is the
 	// length of the outage.
 	Lost     func(err error)
@@ -74,6 +86,8 @@
 	compacted bool
 	// lostAt is when the store stopped responding; zero while it responds.
 	lostAt time.Time
+	// unanswered is the number of watches in a row that got no whole answer in time.
+	unanswered int
 	// timeout bounds the next call, retryDelay is the delay before it.
 	timeout, retryDelay time.Duration
 }
@@ -100,7 +114,7 @@
 
 // recordSuccess records a successful call.
 func (f *Follower) recordSuccess(p *position, next Revision) {
-	p.at, p.known, p.compacted, p.timeout, p.retryDelay = next, true, false, probeTimeout, minRetryDelay
+	p.at, p.known, p.compacted, p.unanswered, p.timeout, p.retryDelay = next, true, false, 0, probeTimeout, minRetryDelay
 	if !p.lostAt.IsZero() {
 		f.Regained(time.Since(p.lostAt))
 		p.lostAt = time.Time{}
@@ -117,6 +131,13 @@
 	if p.lostAt.IsZero() {
 		p.lostAt = time.Now()
 		f.Lost(err)
+	} else if f.Failed != nil {
+		f.Failed(err)
+	}
+	var large *memory.ErrTooLarge
+	if errors.As(err, &large) || p.unanswered > maxUnanswered {
+		// The same call would fail again; a full read has pages, and lasts as long as they arrive.
+		p.known, p.compacted = false, true
 	}
 	sleep(ctx, p.retryDelay/2+time.Duration(rand.Int64N(int64(p.retryDelay))))
 	p.retryDelay = min(2*p.retryDelay, maxRetryDelay)
@@ -149,11 +170,25 @@
 	if !reachable {
 		wait, limit = probeWait, p.timeout
 	}
+	if p.unanswered >= maxUnanswered {
+		if err := f.checkLiveness(ctx, p.timeout); err != nil {
+			return 0, false, err
+		}
+		limit = liveWatchTime
+	}
+	return f.watch(ctx, p, wait, limit)
+}
+
+// watch waits for changes, at most for a limit. It returns the revision reached, and whether there were changes.
+func (f *Follower) watch(ctx context.Context, p *position, wait, limit time.Duration) (next Revision, changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	asked := boottime.Now()
 	events, next, err := f.Store.Watch(ctx, f.Prefix, p.at, wait)
 	if err != nil {
+		if p.unanswered++; !errors.Is(err, context.DeadlineExceeded) {
+			p.unanswered = 0
+		}
 		return 0, false, err
 	}
 	f.Apply(events, next)
@@ -161,6 +196,14 @@
 	return max(p.at, next), len(events) > 0, nil
 }
 
+// checkLiveness reads little from the store, to learn whether it responds.
+func (f *Follower) checkLiveness(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	_, _, err := f.Store.Range(ctx, f.LivenessPrefix)
+	return err
+}
+
 // readAll reads the full prefix.
 func (f *Follower) readAll(ctx context.Context, p *position) (Revision, error) {
 	ctx, end := context.WithTimeout(ctx, maxRangeTime)
