platform: answers to own calls and to requests are told apart by the ID

Cause: hopwell's own calls accepted any answer, so that a late second answer to a stream took the place of theirs; and a request accepted an answer without an ID on any connection, so that the true answer, a 421, was read as the next request's and counted as "not run".

Ruled out: that the connection was given back too early; nothing can see a byte that is still due.

--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -103,8 +103,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response belongs to this request; nil accepts any response.
-	Matches func(*http.Response) bool
+	// Matches reports whether a response belongs to this request; nil accepts any response. On a reused
+	// connection it may be a late response to an earlier request.
+	Matches func(res *http.Response, reused bool) bool
 }
 
 // Options are a client's settings.
@@ -317,7 +318,7 @@
 			}
 			continue
 		}
-		if r.Matches == nil || r.Matches(res) {
+		if r.Matches == nil || r.Matches(res, k.uses > 1) {
 			k.responding.Store(true)
 			return res, surplus, nil
 		}
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -92,7 +92,7 @@
 // get sends one request and returns the body of its response.
 func get(c *Client, address, id string) (string, error) {
 	res, err := c.Do(context.Background(), address, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{"Id": {id}},
-		Matches: func(r *http.Response) bool { return r.Header.Get("Id") == id }})
+		Matches: func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == id }})
 	if err != nil {
 		return "", err
 	}
