ingress: a response without a length is whole only if its runner is there after it

Cause: the runner was not asked if it leaves or its entry is gone, and a question without an answer in 400 ms, or not sent because of a pause, counted as "complete". A refused or unreadable report counted as proof of the incarnation.

Change: a runner is always asked. If it must not be asked or does not answer in time, a new connection without a request decides, and only if no other process can have started at the address since the last data arrived, which the kernel counts.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -75,8 +75,10 @@
 	// stage.
 	WrongRunner bool
 	// CloseDelimited is set if the body has neither a length nor chunks and ends with the connection. Its end
-	// does not show that it is complete.
+	// does not show that it is complete. LastData then returns, after the end of the body, when its last data
+	// arrived, by the clock of package boottime.
 	CloseDelimited bool
+	LastData       func() (time.Time, error)
 	// Verified is set if the response carries the runner's signature and its body is not encoded.
 	// Successful responses are forwarded only if it is set. It does not mean that the body is
 	// complete.
@@ -109,9 +111,13 @@
 	Drop(ctx context.Context, r *runners.State, hold string) error
 	// CachedPrompts returns the prompts in a runner's KV cache: the number of tokens by Call.PromptID.
 	CachedPrompts(ctx context.Context, r *runners.State) (map[string]int, error)
-	// Alive reports whether the same incarnation of a runner still responds, with whatever status.
-	// It fails with *ErrSilent if this can't be determined.
+	// Alive reports whether the same incarnation of a runner still responds, with whatever status. It fails
+	// with *ErrUnidentified if a runner responds under the ID but doesn't tell which incarnation it is, and
+	// with *ErrSilent if nothing is known.
 	Alive(ctx context.Context, r *runners.State) (bool, error)
+	// Reachable returns nil if a process accepts a new connection at the runner's address and keeps it open. It
+	// sends nothing, so that it may be called during the runner's pause.
+	Reachable(ctx context.Context, r *runners.State) error
 	// CacheName returns the name by which another runner can fetch a KV cache.
 	CacheName(r *runners.State, s PrefilledCache) string
 }
--- /dev/null
+++ b/pkg/ingress/completeness.go
@@ -0,0 +1,91 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hopwell/hopwell/pkg/boottime"
+	"github.com/hopwell/hopwell/pkg/runners"
+)
+
+// runnerStartTime is less than the time that a runner takes to start again.
+const runnerStartTime = 900 * time.Millisecond
+
+// ErrEndUnknown reports that a response which ended with its connection may be incomplete: its runner ended
+// too, or did not respond.
+type ErrEndUnknown struct {
+	Runner string
+	// Err is why the runner did not respond; nil if it has ended.
+	Err error
+}
+
+// Error implements error.
+func (e *ErrEndUnknown) Error() string {
+	text := "response may be incomplete: runner=" + e.Runner
+	if e.Err == nil {
+		return text + " cause=ended"
+	}
+	return text + " cause=" + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ErrEndUnknown) Unwrap() error { return e.Err }
+
+// ErrLateCheck reports that a runner was checked so long after its last data that another process may serve at
+// its address. Err is why the runner itself did not respond.
+type ErrLateCheck struct {
+	After time.Duration
+	Err   error
+}
+
+// Error implements error.
+func (e *ErrLateCheck) Error() string {
+	return fmt.Sprintf("checked too late: after=%s cause=%v", e.After.Round(time.Millisecond), e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrLateCheck) Unwrap() error { return e.Err }
+
+// confirmComplete returns *ErrEndUnknown if a response that ended with its connection may be incomplete. A
+// runner closes that connection at the end of the response, or it ended itself before. So the response is
+// complete if the runner is still there after it. A runner that is leaving is checked too: it may end with
+// responses unfinished.
+func (x *exchange) confirmComplete(runner *runners.State, a *Response) error {
+	if !a.CloseDelimited {
+		return nil
+	}
+	current, err := x.isCurrent(x.ctx, runner)
+	switch {
+	case current:
+		return nil
+	case err == nil:
+		return &ErrEndUnknown{Runner: runner.ID}
+	}
+	// What serves at the runner's address now is not known to be the same process, unless no other one can have
+	// started since the last data.
+	var unidentified *ErrUnidentified
+	if !errors.As(err, &unidentified) {
+		if unreachable := x.reachable(runner); unreachable != nil {
+			return &ErrEndUnknown{Runner: runner.ID, Err: errors.Join(err, unreachable)}
+		}
+	}
+	lastData, unknown := a.LastData()
+	if unknown != nil {
+		return &ErrEndUnknown{Runner: runner.ID, Err: errors.Join(err, unknown)}
+	}
+	if late := boottime.Since(lastData); late > runnerStartTime {
+		return &ErrEndUnknown{Runner: runner.ID, Err: &ErrLateCheck{After: late, Err: err}}
+	}
+	x.logFailedStep("end_confirmed_by_connection", runner.ID, err)
+	return nil
+}
+
+// reachable returns nil if a process accepts a connection at a runner's address. It is used if the runner is
+// paused or does not respond in time.
+func (x *exchange) reachable(runner *runners.State) error {
+	ctx, cancel := context.WithTimeout(x.ctx, aliveTimeout)
+	defer cancel()
+	return x.g.options.Runners.Reachable(ctx, runner)
+}
--- a/pkg/ingress/errors.go
+++ b/pkg/ingress/errors.go
@@ -170,6 +170,21 @@
 // Unwrap returns the cause.
 func (e *ErrSilent) Unwrap() error { return e.Err }
 
+// ErrUnidentified reports that a runner responded under its ID, but not which incarnation it is: it may have
+// restarted. Err is its response.
+type ErrUnidentified struct {
+	Runner string
+	Err    error
+}
+
+// Error implements error.
+func (e *ErrUnidentified) Error() string {
+	return fmt.Sprintf("incarnation not known: runner=%s cause=%v", e.Runner, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrUnidentified) Unwrap() error { return e.Err }
+
 // ErrRunnerLeft reports that a runner stopped accepting work after room was reserved on it.
 type ErrRunnerLeft struct {
 	Runner string
--- a/pkg/ingress/incarnation.go
+++ b/pkg/ingress/incarnation.go
@@ -29,46 +29,21 @@
 // Unwrap returns the cause.
 func (e *ErrOutdated) Unwrap() error { return e.Err }
 
-// ErrCrashed reports that a runner crashed before it had written the whole response.
-type ErrCrashed struct{ Runner string }
-
-// Error implements error.
-func (e *ErrCrashed) Error() string {
-	return "runner crashed before the end of its response: runner=" + e.Runner
-}
-
 // isCurrent reports whether a runner is still the incarnation of its entry. If it is not, the runner gets
-// no more work, and the origins of streams that began there are doubted.
+// no more work, and the origins of streams that began there are doubted, unless it has ended as it had
+// announced.
 func (x *exchange) isCurrent(ctx context.Context, runner *runners.State) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
 	runner.CallSent("", time.Now())
 	current, err := x.g.options.Runners.Alive(ctx, runner)
-	if err == nil && !current {
+	if err == nil && !current && !runner.Leaves() {
 		runner.MarkUnusable(time.Now())
 		x.g.DoubtOrigins(&runner.Runner)
 	}
 	return current && err == nil, err
 }
 
-// confirmComplete returns *ErrCrashed if a response that ended with its connection is incomplete, since its
-// runner crashed. Nothing else shows the end of such a response. If the runner can't be asked, or if it is
-// leaving and may have ended after it, the response counts as complete.
-func (x *exchange) confirmComplete(runner *runners.State, a *Response) error {
-	if !a.CloseDelimited || runner.Leaves() {
-		return nil
-	}
-	current, err := x.isCurrent(x.ctx, runner)
-	if err != nil {
-		x.logFailedStep("end_not_confirmed", runner.ID, err)
-		return nil
-	}
-	if !current {
-		return &ErrCrashed{Runner: runner.ID}
-	}
-	return nil
-}
-
 // confirmOrigin checks in the background, after the first event of a new stream, that its runner is the
 // incarnation of its entry. While only one version serves it checks nothing.
 func (x *exchange) confirmOrigin(runner *runners.State) {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -3,13 +3,16 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/memory"
 )
 
@@ -50,6 +53,11 @@
 		}
 		_ = k.Close()
 	}
+	return c.connect(ctx, address)
+}
+
+// connect opens a connection.
+func (c *Client) connect(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.ConnectTimeout)
 	defer cancel()
 	raw, err := c.options.Dial(ctx, "tcp", address)
@@ -66,6 +74,40 @@
 	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), buffer: memory.Usage{Account: c.options.Heads}, head: memory.Usage{Account: c.options.Heads}, uses: 1, announced: -1}, nil
 }
 
+// openTime is how long Reachable watches a new connection. An instance that is ending may accept one and
+// close it at once.
+const openTime = 50 * time.Millisecond
+
+// Reachable returns nil if an instance accepts a new connection and keeps it open. It sends nothing; the
+// connection is kept for later requests. It fails with *ErrDial if the connection was not accepted, and with
+// *ErrExchange if it was closed.
+func (c *Client) Reachable(ctx context.Context, address string) error {
+	k, err := c.connect(ctx, address)
+	if err != nil {
+		return &ErrDial{Address: address, Err: err}
+	}
+	if err := k.staysOpen(openTime); err != nil {
+		_ = k.Close()
+		return &ErrExchange{Address: address, Err: err}
+	}
+	c.putIdle(k, -1)
+	return nil
+}
+
+// staysOpen returns nil if a connection stays open and no data arrives on it for a time.
+func (k *conn) staysOpen(d time.Duration) error {
+	if err := k.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return err
+	}
+	switch _, err := k.reader.Peek(1); {
+	case err == nil:
+		return &ErrSurplus{Responses: 1}
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return err
+	}
+	return k.SetReadDeadline(time.Time{})
+}
+
 func (c *Client) popIdle(address string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -159,6 +201,15 @@
 	}
 }
 
+// lastData returns when data last arrived on the connection, by the clock of package boottime.
+func (k *conn) lastData() (time.Time, error) {
+	since, err := sinceData(k.Conn)
+	if err != nil {
+		return time.Time{}, &ErrExchange{Address: k.address, Err: err}
+	}
+	return boottime.Now().Add(-since), nil
+}
+
 // reusable reports whether an idle connection is open and has no unread data.
 func (k *conn) reusable() bool {
 	if k.reader.Buffered() > 0 {
--- a/pkg/upstream/sockets.go
+++ b/pkg/upstream/sockets.go
@@ -50,6 +50,26 @@
 	}
 }
 
+// sinceData returns the time since data last arrived on a connection. The kernel counts it, also while this
+// process stands still; it is 0 for connections that are not TCP.
+func sinceData(c net.Conn) (time.Duration, error) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var info *unix.TCPInfo
+	var optErr error
+	err = raw.Control(func(fd uintptr) { info, optErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err := errors.Join(err, optErr); err != nil {
+		return 0, err
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
+}
+
 // stillOpen reports whether an idle connection is open and has no unread data: a peek finds
 // neither data nor the end of the stream.
 func stillOpen(c net.Conn) bool {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -148,8 +148,12 @@
 	*http.Response
 	// head is the memory that the head takes until Close.
 	head memory.Usage
-	done func(complete bool)
-	once sync.Once
+	// lastData is when the last data of a body arrived that ended with its connection. lastDataErr is why
+	// that is not known.
+	lastData    time.Time
+	lastDataErr error
+	done        func(complete bool)
+	once        sync.Once
 }
 
 // Do sends a request and returns the head of its response. It fails with *ErrDial
@@ -187,6 +191,9 @@
 	out := &Response{Response: res, head: k.head}
 	k.head = memory.Usage{Account: c.options.Heads}
 	out.done = func(complete bool) {
+		if complete && out.CloseDelimited() {
+			out.lastData, out.lastDataErr = k.lastData()
+		}
 		alive := stop()
 		reusable := complete && alive && surplus == 0 && !res.Close && bodyWritten(wrote) && k.reader.Buffered() == 0
 		k.releaseBuffer()
@@ -220,6 +227,15 @@
 	return n, err
 }
 
+// CloseDelimited reports whether the body has neither a length nor chunks and ends with the connection.
+func (r *Response) CloseDelimited() bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
+// LastData returns when the last data of a body arrived that ended with its connection, by the clock of package
+// boottime. It may be called after the end of the body.
+func (r *Response) LastData() (time.Time, error) { return r.lastData, r.lastDataErr }
+
 // Close ends the exchange. It must be called, since the head takes memory until then.
 func (r *Response) Close() error {
 	r.finish(false)
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -15,6 +15,8 @@
 
 	. "github.com/onsi/gomega"
 	"golang.org/x/sys/unix"
+
+	"github.com/hopwell/hopwell/pkg/boottime"
 )
 
 // server accepts connections and counts them.
@@ -459,3 +461,76 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.count()).To(Equal(2))
 }
+
+// Guards against an instance that counts as reachable although it refuses or closes new connections.
+func TestReachableNeedsAConnectionThatStaysOpen(t *testing.T) {
+	g := NewWithT(t)
+	stop := make(chan struct{})
+	defer close(stop)
+	open := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+		<-stop
+	})
+	closing := serve(t, func(int, net.Conn, *bufio.Reader) {})
+	unasked := serve(t, func(_ int, c net.Conn, _ *bufio.Reader) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		<-stop
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	ended := l.Addr().String()
+	_ = l.Close()
+
+	c := New(Options{ConnectTimeout: time.Second, DefaultKeepAlive: time.Minute, MaxIdle: 1})
+	var dial *ErrDial
+	var exchange *ErrExchange
+	g.Expect(errors.As(c.Reachable(t.Context(), ended), &dial)).To(BeTrue())
+	g.Expect(errors.As(c.Reachable(t.Context(), closing.address), &exchange)).To(BeTrue())
+	g.Expect(errors.As(c.Reachable(t.Context(), unasked.address), &exchange)).To(BeTrue())
+	g.Expect(c.Reachable(t.Context(), open.address)).To(Succeed())
+	time.Sleep(2 * openTime)
+	res, err := c.Do(t.Context(), open.address, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.StatusCode).To(Equal(http.StatusOK))
+	_ = res.Close()
+	g.Expect(open.count()).To(Equal(1), "the connection is used for the next request")
+}
+
+// Guards against data that counts as recent because it was read late or its connection ended late.
+func TestLastDataIsWhenItArrived(t *testing.T) {
+	// The kernel counts the time in ticks.
+	const pause, tick = 300 * time.Millisecond, 20 * time.Millisecond
+	for name, c := range map[string]struct{ beforeEnd, beforeRead time.Duration }{
+		"at once":               {},
+		"the end comes later":   {beforeEnd: pause},
+		"the body is read late": {beforeRead: pause},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			written := make(chan time.Time, 1)
+			s := serve(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+				if _, err := http.ReadRequest(in); err == nil {
+					written <- boottime.Now()
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nbody")
+					time.Sleep(c.beforeEnd)
+				}
+			})
+			client := New(Options{ConnectTimeout: time.Second})
+			res, err := client.Do(t.Context(), s.address, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			g.Expect(err).NotTo(HaveOccurred())
+			defer res.Close()
+			g.Expect(res.CloseDelimited()).To(BeTrue())
+			g.Expect(res.lastData).To(BeZero(), "the body has not ended")
+			time.Sleep(c.beforeRead)
+			body, err := io.ReadAll(res)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(string(body)).To(Equal("body"))
+			at, err := res.LastData()
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(at).To(BeTemporally(">=", (<-written).Add(-tick)))
+			g.Expect(boottime.Since(at)).To(BeNumerically(">=", c.beforeEnd+c.beforeRead-tick))
+		})
+	}
+}
