ingress: the planned end of a runner is no evidence against its requests

What callers would have seen: requests with a part in common refused for a minute at all gateways, after the owner of borrowed instances took back several that ran them. No such quarantine was seen; the evidence was.

Cause: a runner that leaves ends with the requests that it still runs. The gateway saw broken connections, asked, was refused and recorded a crash.

Change: a broken run is no evidence if its runner said that it leaves, or its entry was removed and no other incarnation took its place (EndIsPlanned). One that starts again at once is replaced and still counts.

--- a/pkg/ingress/suspicion.go
+++ b/pkg/ingress/suspicion.go
@@ -63,11 +63,12 @@
 // runner crashed. If early is set, no part of the response had been received. It first checks
 // whether the runner is alive, since otherwise runners that reset connections and continue to run
 // would get harmless requests quarantined.
-// A connection that only timed out doesn't indicate a crash. Broken prefills are not counted: the
+// A connection that only timed out doesn't indicate a crash, nor does the end of a runner that leaves: it ends
+// as planned with the requests that it still runs. Broken prefills are not counted: the
 // decode engine that computes the prompt instead crashes at the same point, or serves the request.
 func (x *exchange) reportBrokenRun(runner *runners.State, early bool, err error) {
 	var timeout net.Error
-	if x.g.options.Suspicion.Table == nil || errors.As(err, &timeout) && timeout.Timeout() {
+	if x.g.options.Suspicion.Table == nil || errors.As(err, &timeout) && timeout.Timeout() || runner.EndIsPlanned() {
 		return
 	}
 	digest, at := x.digest(), time.Now()
--- a/pkg/runners/runners.go
+++ b/pkg/runners/runners.go
@@ -138,6 +138,14 @@
 	return s.leaving || !s.goneAt.IsZero() || s.notices.Leaves(s.ID)
 }
 
+// EndIsPlanned reports whether the runner said that it leaves, or its entry was removed and no other
+// incarnation took its place. A runner that crashes keeps its entry for some time, or is replaced.
+func (s *State) EndIsPlanned() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving || s.notices.Leaves(s.ID) || !s.goneAt.IsZero() && !s.replaced
+}
+
 // Serving reports whether the runner certainly serves: it is registered, takes work, and isn't ejected for
 // its failures. A runner may be usable without, see goneGrace.
 func (s *State) Serving(now time.Time) bool {
--- a/pkg/runners/runners_test.go
+++ b/pkg/runners/runners_test.go
@@ -121,6 +121,23 @@
 	g.Expect(Healthy(all, now)).To(HaveLen(3))
 }
 
+// Guards against the crash of a runner that is taken for its planned end because it starts again at once.
+func TestEndOfReplacedRunnerIsNotPlanned(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1e9, 0)
+	d := NewDirectory("a")
+	d.Put(Runner{ID: "d1#1", Name: "d1", Service: "llm", Stage: Decode}, now)
+	before := d.Find("d1#1")
+	g.Expect(before.EndIsPlanned()).To(BeFalse())
+	d.Put(Runner{ID: "d1#2", Name: "d1", Service: "llm", Stage: Decode}, now)
+	g.Expect(before.Gone()).To(BeTrue())
+	g.Expect(before.EndIsPlanned()).To(BeFalse())
+	d.Remove("d1", now)
+	g.Expect(d.Find("d1#2").EndIsPlanned()).To(BeTrue(), "its entry was removed")
+	d.Put(Runner{ID: "d2", Service: "llm", Stage: Decode, Leaving: true}, now)
+	g.Expect(d.Find("d2").EndIsPlanned()).To(BeTrue(), "it leaves")
+}
+
 // Guards against state that is kept under a runner's name and applied to a later incarnation.
 func TestNewIncarnationInheritsNoState(t *testing.T) {
 	g := NewWithT(t)
