process: one plan divides the memory among what others send

What callers would have seen: a gateway that is killed, and connections that end without an answer.

Cause: bodies in chunks reserved 64 KiB and the rest after it was read; an event had a bound, all events had none; maxHeaderBytes of the operators was read and not used; answers to own calls held values of any type.

Change: the process's memory is divided once (process/memory.go, table in docs/design/memory.md). Bodies, buffered responses, large events, large heads, kept prompts and answers to own calls take theirs from one account; response heads, request heads and connections have shares of their own. A body gives back what it holds in the step that fails, so that no more are refused than have to be. The header of a resumed stream is counted until the stream ends. Heads beyond the bounds get 431, what finds no memory 503 with size and bound. Garbage is collected continuously from 60 % of the memory on.

--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -10,6 +10,7 @@
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/quota"
 	"github.com/hopwell/hopwell/pkg/request"
@@ -81,6 +82,7 @@
 	var noRoute *ErrNoRoute
 	var bad *ErrBadCall
 	var body *ErrBody
+	var large *memory.ErrTooLarge
 	var notReady *ErrNotReady
 	var credential *workspace.ErrCredential
 	var unconfirmed *ErrUnconfirmed
@@ -90,6 +92,8 @@
 		x.fields = append(x.fields, decisionlog.F("prompt", x.call.Prompt))
 	}
 	switch {
+	case errors.As(err, &large):
+		x.respond(http.StatusRequestHeaderFieldsTooLarge, err)
 	case errors.As(err, &overQuota):
 		x.respondOverQuota(overQuota)
 	case errors.As(err, &credential):
--- a/pkg/ingress/errors.go
+++ b/pkg/ingress/errors.go
@@ -70,12 +70,15 @@
 
 // ErrBusy reports that a request was refused because the process reached one of its limits.
 type ErrBusy struct {
-	What  string
-	Limit int
+	What string
+	// Size is what the request would have brought the use to.
+	Size, Limit int64
 }
 
 // Error implements error.
-func (e *ErrBusy) Error() string { return fmt.Sprintf("busy: what=%s limit=%d", e.What, e.Limit) }
+func (e *ErrBusy) Error() string {
+	return fmt.Sprintf("busy: what=%q size=%d limit=%d", e.What, e.Size, e.Limit)
+}
 
 // ErrTimeout reports that the time limit of a request has expired.
 type ErrTimeout struct {
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/httpd"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/request"
 	"github.com/hopwell/hopwell/pkg/routetable"
@@ -39,11 +40,11 @@
 	life *request.Life
 	// sends counts the calls that run the request on a runner, without prefills.
 	sends int
-	// bufferedBytes is the part of Options.MaxBuffered that this request's body and buffered response
-	// use.
-	bufferedBytes int64
-	rank          enginepool.Rank
-	ctx           context.Context
+	// held is what this request uses of Options.Held. A request whose body does not fit is refused: no
+	// work has been done for it yet, and its client may retry. A response that does not fit is streamed.
+	held memory.Usage
+	rank enginepool.Rank
+	ctx  context.Context
 	// cachedDigest is the digest of the request's content; nil until it is first needed.
 	cachedDigest *quarantine.Digest
 	// probing is the quarantined set of parts that the request was let through for; 0 for none.
@@ -58,6 +59,9 @@
 
 // accept parses the request, finds its route, authenticates it and reads its body.
 func (x *exchange) accept(r *http.Request) error {
+	if err := x.admitHead(r); err != nil {
+		return err
+	}
 	call, err := x.g.options.Reader.Read(r)
 	x.call = call
 	table := x.g.table.Load()
@@ -93,13 +97,6 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
-	share := r.ContentLength
-	if share < 0 {
-		share = 64 << 10
-	}
-	if !x.reserveMemory(share) {
-		return &ErrBusy{What: "bytes held for clients and runners", Limit: int(x.g.options.MaxBuffered)}
-	}
 	allowed := x.call.Timeout
 	if allowed <= 0 {
 		allowed = x.route.Timeout
@@ -107,33 +104,41 @@
 	if allowed > 0 {
 		defer x.limitBodyTime(allowed)()
 	}
-	var err error
 	if r.ContentLength > 0 {
-		x.call.Body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, x.call.Body)
-	} else {
-		x.call.Body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
+		return x.readSizedBody(r, limit)
 	}
-	if err != nil {
-		return &ErrBody{Limit: limit, Err: err}
+	return x.readChunkedBody(r, limit)
+}
+
+// readSizedBody reads a body whose length is known.
+func (x *exchange) readSizedBody(r *http.Request, limit int64) error {
+	if err := x.held.Grow(r.ContentLength); err != nil {
+		return err
 	}
-	if int64(len(x.call.Body)) > limit {
-		return &ErrBody{Limit: limit, TooLarge: true}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return &ErrBody{Limit: limit, Err: err}
 	}
-	x.reserveMemory(int64(len(x.call.Body)) - share)
+	x.call.Body = body
 	return nil
 }
 
-// reserveMemory reserves n bytes of the memory for buffered bodies and responses; a negative n
-// releases them. When the memory is used up, a request whose body does not fit is refused: no work
-// has been done for it yet, and its client may retry. A response that does not fit is streamed.
-func (x *exchange) reserveMemory(n int64) bool {
-	if x.g.bufferedBytes.Add(n) > x.g.options.MaxBuffered && n > 0 {
-		x.g.bufferedBytes.Add(-n)
-		return false
-	}
-	x.bufferedBytes += n
-	return true
+// readChunkedBody reads a body whose length shows only at its end. Trailers are dropped, since nothing
+// forwards them.
+func (x *exchange) readChunkedBody(r *http.Request, limit int64) error {
+	data, _, err := memory.ReadUpTo(r.Body, limit+1, x.held.GrowOrRelease)
+	r.Trailer = nil
+	var full *memory.ErrFull
+	switch {
+	case errors.As(err, &full):
+		return full
+	case err != nil:
+		return &ErrBody{Limit: limit, Err: err}
+	case data.Len() > limit:
+		return &ErrBody{Limit: limit, TooLarge: true}
+	}
+	x.call.Body = data.Join()
+	return nil
 }
 
 // withDeadline returns a context that ends at the client's time limit, the route's or that of the
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -201,7 +201,7 @@
 			return mayHaveRun, err
 		}
 	}
-	if err := firstError(s.bindBegun(), s.checkVersion()); err != nil {
+	if err := firstError(s.relay.holdHeader(), s.bindBegun(), s.checkVersion()); err != nil {
 		return notRun, err
 	}
 	room, err := s.reserve()
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/forecast"
 	"github.com/hopwell/hopwell/pkg/httpd"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/overload"
 	"github.com/hopwell/hopwell/pkg/plainload"
 	"github.com/hopwell/hopwell/pkg/quota"
@@ -40,10 +41,10 @@
 	Budget retrybudget.Limits
 	// Gateways is the initial number of gateways.
 	Gateways int
-	// MaxOpen limits the requests served at once. MaxBuffered limits the total bytes of request bodies
-	// and buffered responses.
-	MaxOpen     int
-	MaxBuffered int64
+	// MaxOpen limits the requests served at once. Held bounds the total bytes of large request heads,
+	// request bodies, buffered responses and large events; nil for no bound.
+	MaxOpen int
+	Held    *memory.Account
 	// Neighbours returns the number of other gateways in the failure domain, to which the balancer
 	// sends clients first; nil if the number is unavailable.
 	Neighbours func() int
@@ -80,8 +81,7 @@
 	confirmations confirmations
 	open          atomic.Int64
 	// lastArrival is the arrival of the latest request, in nanoseconds of Unix time.
-	lastArrival   atomic.Int64
-	bufferedBytes atomic.Int64
+	lastArrival atomic.Int64
 
 	mu       sync.Mutex
 	pools    map[string]*enginepool.Pool
@@ -96,7 +96,7 @@
 // New returns an Ingress without routes.
 func New(o Options) *Ingress {
 	return &Ingress{
-		options: o, origins: resume.NewTable(o.Name), versions: resume.NewVersions(), questions: questions{open: map[resume.Key][]*question{}}, confirmations: confirmations{waiting: map[string][]resume.Key{}}, promptCaches: newPromptCaches(o.Runners, o.Log), Directory: runners.NewDirectory(o.Name), metrics: newMeters(), plain: plainload.NewTable(), gateways: o.Gateways,
+		options: o, origins: resume.NewTable(o.Name), versions: resume.NewVersions(), questions: questions{open: map[resume.Key][]*question{}}, confirmations: confirmations{waiting: map[string][]resume.Key{}}, promptCaches: newPromptCaches(o.Runners, o.Log, o.Held), Directory: runners.NewDirectory(o.Name), metrics: newMeters(), plain: plainload.NewTable(), gateways: o.Gateways,
 		pools: map[string]*enginepool.Pool{}, budgets: map[string]*retrybudget.Budget{}, returnDetectors: map[string]*returnDetector{}, planners: map[string]*forecast.Planner{},
 	}
 }
@@ -325,17 +325,18 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{g: g, w: httpd.NewStallWriter(w, clientStallTimeout), arrived: time.Now()}
+	x := &exchange{g: g, held: memory.Usage{Account: g.options.Held}, w: httpd.NewStallWriter(w, clientStallTimeout), arrived: time.Now()}
 	g.lastArrival.Store(x.arrived.UnixNano())
-	if g.open.Add(1) > int64(g.options.MaxOpen) {
+	if open := g.open.Add(1); open > int64(g.options.MaxOpen) {
 		g.open.Add(-1)
-		x.refuse(&ErrBusy{What: "open requests", Limit: g.options.MaxOpen}, shortRetryAfter)
+		x.refuse(&ErrBusy{What: "open requests", Size: open, Limit: int64(g.options.MaxOpen)}, shortRetryAfter)
 		return
 	}
 	defer g.open.Add(-1)
-	defer func() { g.bufferedBytes.Add(-x.bufferedBytes) }()
+	defer x.held.Release()
 	if err := x.accept(r); err != nil {
 		x.reject(err)
+		x.held.Release()
 		httpd.DiscardBody(w, r.Body)
 		return
 	}
--- a/pkg/ingress/kept.go
+++ b/pkg/ingress/kept.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
@@ -27,6 +28,8 @@
 type promptCaches struct {
 	engines RunnerClient
 	log     *decisionlog.Log
+	// held bounds the memory of all lists.
+	held *memory.Account
 
 	mu    sync.Mutex
 	lists map[string]*promptCacheList
@@ -38,10 +41,15 @@
 	// done is closed when the call ends. tokens holds the number of cached tokens by prompt ID.
 	done   chan struct{}
 	tokens map[string]int
+	// held is the memory that the list takes until it is removed.
+	held memory.Usage
 }
 
-func newPromptCaches(e RunnerClient, l *decisionlog.Log) *promptCaches {
-	return &promptCaches{engines: e, log: l, lists: map[string]*promptCacheList{}}
+// cachedPromptCost is the memory that a prompt in a list takes beside its ID, in bytes.
+const cachedPromptCost = 64
+
+func newPromptCaches(e RunnerClient, l *decisionlog.Log, held *memory.Account) *promptCaches {
+	return &promptCaches{engines: e, log: l, held: held, lists: map[string]*promptCacheList{}}
 }
 
 // find returns the one of the given engines that has the most tokens of a prompt in its cache, and
@@ -79,7 +87,8 @@
 	if list := k.lists[s.ID]; list != nil && now.Sub(list.asked) < promptCacheTTL {
 		return list
 	}
-	list := &promptCacheList{asked: now, done: make(chan struct{})}
+	list := &promptCacheList{asked: now, done: make(chan struct{}), held: memory.Usage{Account: k.held}}
+	k.remove(s.ID)
 	k.lists[s.ID] = list
 	go func() {
 		defer close(list.done)
@@ -87,21 +96,50 @@
 		defer cancel()
 		s.CallSent("", time.Now())
 		tokens, err := k.engines.CachedPrompts(call, s)
+		if err == nil {
+			err = k.keep(s.ID, list, tokens)
+		}
 		if err != nil {
 			k.log.Write(decisionlog.KindFailed, "kept_prompts_unknown", decisionlog.F("runner", s.ID), decisionlog.F("error", err))
 		}
-		list.tokens = tokens
 	}()
 	return list
 }
 
+// keep stores the result of a call in its list, unless the list has been removed meanwhile. It fails with
+// *memory.ErrFull if there is no memory for it.
+func (k *promptCaches) keep(engine string, list *promptCacheList, tokens map[string]int) error {
+	size := 0
+	for id := range tokens {
+		size += len(id) + cachedPromptCost
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.lists[engine] != list {
+		return nil
+	}
+	if err := list.held.Resize(int64(size)); err != nil {
+		return err
+	}
+	list.tokens = tokens
+	return nil
+}
+
+// remove removes the list of an engine. The caller holds the lock.
+func (k *promptCaches) remove(engine string) {
+	if list := k.lists[engine]; list != nil {
+		list.held.Release()
+		delete(k.lists, engine)
+	}
+}
+
 // sweep removes lists that are too old to be used.
 func (k *promptCaches) sweep(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for id, l := range k.lists {
 		if now.Sub(l.asked) > promptCacheTTL {
-			delete(k.lists, id)
+			k.remove(id)
 		}
 	}
 }
--- a/pkg/ingress/kept_test.go
+++ b/pkg/ingress/kept_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
@@ -49,7 +50,7 @@
 	k := &cachingEngines{holder: engines[5].ID, calls: map[string]int{}}
 	log := decisionlog.New("p", io.Discard)
 	defer log.Close(time.Second)
-	kept := newPromptCaches(k, log)
+	kept := newPromptCaches(k, log, memory.NewAccount("held", 1<<20))
 	for range 10 {
 		holder, tokens := kept.find(t.Context(), engines, "p")
 		g.Expect(holder).To(Equal(engines[5]))
@@ -60,3 +61,29 @@
 	none, _ := kept.find(t.Context(), engines, "")
 	g.Expect(none).To(BeNil())
 }
+
+// hoardingEngines are engines that all list a thousand prompts.
+type hoardingEngines struct{ RunnerClient }
+
+func (hoardingEngines) CachedPrompts(context.Context, *runners.State) (map[string]int, error) {
+	out := map[string]int{}
+	for i := range 1000 {
+		out[fmt.Sprint("p", i)] = i
+	}
+	return out, nil
+}
+
+// Guards against lists of all engines that take all memory together until they are swept.
+func TestListsOfCachedPromptsStayInTheirShare(t *testing.T) {
+	g := NewWithT(t)
+	held := memory.NewAccount("held", 1<<20)
+	log := decisionlog.New("p", io.Discard)
+	defer log.Close(time.Second)
+	kept := newPromptCaches(hoardingEngines{}, log, held)
+	for _, e := range enginesOf(3 * maxPromptCacheCalls) {
+		<-kept.ask(t.Context(), e).done
+	}
+	g.Expect(held.Used()).To(And(BeNumerically(">", held.Bound()/2), BeNumerically("<=", held.Bound())))
+	kept.sweep(time.Now().Add(time.Minute))
+	g.Expect(held.Used()).To(BeZero())
+}
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -201,7 +201,7 @@
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (g *Ingress) WriteMetrics(w io.Writer) {
 	fmt.Fprintf(w, "hopwell_ingress_open_requests %d\n", g.open.Load())
-	fmt.Fprintf(w, "hopwell_ingress_held_bytes %d\n", g.bufferedBytes.Load())
+	fmt.Fprintf(w, "hopwell_ingress_held_bytes %d\n", g.options.Held.Used())
 	fmt.Fprintf(w, "hopwell_ingress_evacuated_domains %d\n", len(g.Directory.Evacuated()))
 	fmt.Fprintf(w, "hopwell_ingress_runners %d\n", g.Directory.Len())
 	if t := g.table.Load(); t != nil {
--- a/pkg/ingress/plainflap_test.go
+++ b/pkg/ingress/plainflap_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runners"
@@ -102,7 +103,7 @@
 func newPlainGateway(t *testing.T, name string, fleet *plainFleet) *Ingress {
 	log := decisionlog.New(name, io.Discard)
 	t.Cleanup(func() { log.Close(time.Second) })
-	in := New(Options{Name: name, Runners: fleet, Reader: flapReader{}, Log: log, MaxOpen: 4000, MaxBuffered: 1 << 20, Budget: retrybudget.Limits{Share: 0.2, Slack: 90, Window: 10 * time.Second}, Gateways: 1})
+	in := New(Options{Name: name, Runners: fleet, Reader: flapReader{}, Log: log, MaxOpen: 4000, Held: memory.NewAccount("held", 1<<20), Budget: retrybudget.Limits{Share: 0.2, Slack: 90, Window: 10 * time.Second}, Gateways: 1})
 	route := func(kind routetable.Kind, attempts int) routetable.Route {
 		return routetable.Route{
 			Name: string(kind), Host: "h", PathPrefix: "/" + string(kind), Kind: kind, Timeout: 800 * time.Millisecond, LatencyTarget: 120 * time.Millisecond,
--- a/pkg/ingress/plainwait_test.go
+++ b/pkg/ingress/plainwait_test.go
@@ -14,6 +14,7 @@
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/enginepool"
 	"github.com/hopwell/hopwell/pkg/httpd"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/plainload"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runnerlimit"
@@ -252,7 +253,7 @@
 // Guards against a runner that gets no requests because clients leave.
 func TestGoneClientIsNoLoss(t *testing.T) {
 	g := NewWithT(t)
-	in := New(Options{Log: newLog(t), MaxBuffered: 1 << 20})
+	in := New(Options{Log: newLog(t), Held: memory.NewAccount("held", 1<<20)})
 	in.Directory.Put(runners.Runner{ID: "a", Service: "s"}, time.Now())
 	runner := in.Directory.Find("a")
 	ctx, cancel := context.WithCancel(t.Context())
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -1,8 +1,6 @@
 package ingress
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"time"
@@ -11,28 +9,15 @@
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
-const (
-	// eventBuffer is the size in bytes of the buffer by which a stream is read.
-	eventBuffer = 4096
-	// maxEvent limits the size of one event in bytes.
-	maxEvent = 1 << 20
-)
-
-// ErrEvent reports that a stream contains a malformed event.
-type ErrEvent struct {
-	Bytes int
-	Why   string
-}
-
-// Error implements error.
-func (e *ErrEvent) Error() string { return "bad event: why=" + e.Why }
-
 // relay forwards the events of a stream to the client, each exactly once, from one or several
 // runners.
 type relay struct {
 	s *generation
 	// begun is set once the response header has been sent to the client.
 	begun bool
+	// headerCost is the memory that the header takes after its response has ended, as long as it is not
+	// reserved, in bytes.
+	headerCost int64
 	// origin is the software version of the runner that brought the first event.
 	origin string
 	// last is the ID of the last event sent to the client.
@@ -50,10 +35,11 @@
 func (r *relay) forwardEvents(n int, runner *runners.State, a *Response) (sendResult, error) {
 	r.runner = runner
 	began, before, confirmed := time.Now(), r.events, false
-	in := bufio.NewReaderSize(a.Body, eventBuffer)
+	in := newEventReader(r.s.g.options.Held, a.Body)
+	defer in.close()
 	for {
 		readyAt := time.Now()
-		event, err := readEvent(in)
+		event, err := in.next()
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			if err = r.confirmEnd(runner, a, r.events > before); err == nil {
 				return r.complete(n, runner, a, began)
@@ -127,6 +113,7 @@
 // another runner resumes it.
 func (r *relay) writeHeader(a *Response) {
 	r.begun = true
+	r.headerCost = sentHeaderCost(a.Header)
 	r.origin = r.runner.Version
 	if r.s.job.Version == "" {
 		r.s.confirmOrigin(r.runner)
@@ -165,45 +152,6 @@
 	return nil
 }
 
-// readEvent returns the next event including the empty line that ends it. At the end of the stream
-// it returns the rest, with the error that ended the stream.
-func readEvent(in *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := in.ReadSlice('\n')
-		event = append(event, line...)
-		if len(event) > maxEvent {
-			return event, &ErrEvent{Bytes: len(event), Why: "too long"}
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(event) > 0 {
-				err = io.ErrUnexpectedEOF
-			}
-			return event, err
-		}
-		if blank(line) {
-			return event, nil
-		}
-	}
-}
-
-func blank(line []byte) bool {
-	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
-}
-
-// eventID returns the ID of an event; empty if it has none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(rest))
-		}
-	}
-	return ""
-}
-
 // later reports whether an event ID is above another. IDs are whole numbers.
 func later(id, last string) bool {
 	if last == "" {
--- a/pkg/ingress/slow.go
+++ b/pkg/ingress/slow.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/hopwell/hopwell/pkg/memory"
 )
 
 const (
@@ -28,37 +30,22 @@
 // copyBuffer returns the buffer for streaming the rest of a partly buffered response. It releases
 // the memory of the buffered part, apart from the new buffer.
 func (x *exchange) copyBuffer(buffered []byte) []byte {
-	x.reserveMemory(int64(initialBuffer - cap(buffered)))
+	_ = x.held.Grow(-int64(max(0, cap(buffered)-initialBuffer)))
 	return make([]byte, initialBuffer)
 }
 
-// initialBuffer is the initial size in bytes of the buffer for a response, which doubles as the
-// response grows. Most responses of plain runners fit into it.
+// initialBuffer is the size in bytes of the buffer for streaming a response.
 const initialBuffer = 4 << 10
 
 // bufferBody reads a response into memory, up to maxBuffered and as far as the memory for buffers
 // allows, and reports whether it is complete. A response is never given up for lack of memory: the
 // rest is streamed.
 func (x *exchange) bufferBody(body io.Reader) (buffered []byte, whole bool, err error) {
-	for len(buffered) < maxBuffered {
-		if len(buffered) == cap(buffered) {
-			more := max(initialBuffer, cap(buffered))
-			if !x.reserveMemory(int64(more)) {
-				x.g.metrics.notBuffered.Inc()
-				return buffered, false, nil
-			}
-			grown := make([]byte, len(buffered), len(buffered)+more)
-			copy(grown, buffered)
-			buffered = grown
-		}
-		n, err := body.Read(buffered[len(buffered):cap(buffered)])
-		buffered = buffered[:len(buffered)+n]
-		if errors.Is(err, io.EOF) {
-			return buffered, true, nil
-		}
-		if err != nil {
-			return buffered, false, err
-		}
+	data, whole, err := memory.ReadUpTo(body, maxBuffered, func(more, _ int64) error { return x.held.Grow(more) })
+	var full *memory.ErrFull
+	if errors.As(err, &full) {
+		x.g.metrics.notBuffered.Inc()
+		return data.Join(), false, nil
 	}
-	return buffered, false, nil
+	return data.Join(), whole, err
 }
--- a/pkg/ingress/slow_test.go
+++ b/pkg/ingress/slow_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/httpd"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/retrybudget"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runners"
@@ -64,7 +65,7 @@
 // serveOnPipes starts an ingress with one plain runner, and returns it with its listener.
 func serveOnPipes(t *testing.T, maxHeld int64) (*Ingress, pipeListener) {
 	log := decisionlog.New("g", io.Discard)
-	in := New(Options{Runners: endlessEngines{}, Reader: plainReader{}, Log: log, MaxOpen: 4000, MaxBuffered: maxHeld, Budget: retrybudget.Limits{Window: time.Second}})
+	in := New(Options{Runners: endlessEngines{}, Reader: plainReader{}, Log: log, MaxOpen: 4000, Held: memory.NewAccount("held", maxHeld), Budget: retrybudget.Limits{Window: time.Second}})
 	table, err := routetable.New(routetable.Config{
 		Version: 1, Services: map[string]routetable.Service{"s": {Name: "s"}}, Limits: routetable.Limits{BodyBytes: 1 << 20},
 		Routes: []routetable.Route{{Name: "r", Host: "h", PathPrefix: "/", Kind: routetable.Unsafe, Timeout: time.Minute, MaxAttempts: 1, Targets: []routetable.Target{{Service: "s", Weight: 1}}}},
@@ -105,13 +106,13 @@
 		synctest.Wait()
 		runner := in.Directory.Find("a")
 		g.Expect(runner.Outstanding()).To(Equal(clients))
-		g.Expect(in.bufferedBytes.Load()).To(BeNumerically("<=", maxHeld))
+		g.Expect(in.options.Held.Used()).To(BeNumerically("<=", maxHeld))
 		// The limit covers the buffers, up to maxHeld, and the state of the connections.
 		g.Expect(heapInUse()-before).To(BeNumerically("<", 112<<20), "memory of the smallest gateway")
 		time.Sleep(clientStallTimeout)
 		synctest.Wait()
 		g.Expect(runner.Outstanding()).To(BeZero())
-		g.Expect(in.bufferedBytes.Load()).To(BeZero())
+		g.Expect(in.options.Held.Used()).To(BeZero())
 	})
 }
 
@@ -182,6 +183,6 @@
 		_ = c.Close()
 		time.Sleep(2 * time.Second) // The client's next write fails.
 		synctest.Wait()
-		g.Expect(in.bufferedBytes.Load()).To(BeZero())
+		g.Expect(in.options.Held.Used()).To(BeZero())
 	})
 }
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -56,11 +56,6 @@
 	refusalTime = 800 * time.Millisecond
 	// drainPollInterval is the interval between checks for running requests during a drain.
 	drainPollInterval = 20 * time.Millisecond
-	// memoryLimitFraction is the fraction of the process's memory above which the runtime
-	// collects garbage continuously; heldMemoryFraction is the fraction for request and response bodies
-	// that are held.
-	memoryLimitFraction = 0.7
-	heldMemoryFraction  = 0.3
 	// initialGateways is the number of gateways that share the retry budget until the first sweep.
 	initialGateways = 8
 	// minGateways is the minimum number of gateways that the retry budget is divided among: some may
@@ -77,6 +72,7 @@
 	// settings are the last valid settings; a reload replaces them.
 	settings atomic.Pointer[config.Ingress]
 	log      *decisionlog.Log
+	memory   memoryPlan
 	client   *upstream.Client
 	feed     *feed
 	peers    *peers.Exchange
@@ -99,12 +95,12 @@
 
 // StartIngress starts an ingress. Decisions are logged to out.
 func StartIngress(c *config.Ingress, out io.Writer) (*Ingress, error) {
-	memory := int64(c.Limits.MemoryMB) << 20
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memory)))
+	plan := planMemory(c.Limits)
+	debug.SetMemoryLimit(plan.runtimeLimit)
 	log := decisionlog.New(c.Instance.Name, out)
-	client := upstream.New(upstream.Options{ConnectTimeout: connectTimeout, DefaultKeepAlive: idleConnTimeout, MaxIdle: maxIdleConns, OnConnect: countOpened})
-	calls := &platform.Runners{Client: client}
-	p := &Ingress{log: log, client: client, suspects: quarantine.New(jitter), stopped: make(chan struct{}), reannounce: make(chan struct{}, 1), lag: overload.NewMeter(ingress.DispatchInterval)}
+	client := upstream.New(upstream.Options{ConnectTimeout: connectTimeout, DefaultKeepAlive: idleConnTimeout, MaxIdle: maxIdleConns, OnConnect: countOpened, Heads: plan.heads})
+	calls := &platform.Runners{Client: client, Held: plan.held}
+	p := &Ingress{log: log, memory: plan, client: client, suspects: quarantine.New(jitter), stopped: make(chan struct{}), reannounce: make(chan struct{}, 1), lag: overload.NewMeter(ingress.DispatchInterval)}
 	p.parts = quarantine.NewPartTable(jitter, p.ownsParts)
 	p.settings.Store(c)
 	allowance := c.Workspaces.Quota
@@ -112,7 +108,7 @@
 	p.Ingress = ingress.New(ingress.Options{
 		Name: c.Instance.Name, Domain: c.Instance.Domain, Regions: c.Regions, Runners: calls, Reader: calls, Log: log,
 		Budget:   budgetLimits(c),
-		Gateways: initialGateways, MaxOpen: c.Limits.OpenRequests, MaxBuffered: int64(heldMemoryFraction * float64(memory)),
+		Gateways: initialGateways, MaxOpen: c.Limits.OpenRequests, Held: plan.held,
 		Pool: p.poolOptions(c), Revocation: p.revocation(c), Quota: p.quota, Suspicion: p.suspicion(), Lag: p.lag, Origins: p.origins(), Neighbours: func() int { return p.peers.SameDomainCount() },
 	})
 	p.Ingress.Directory.ColdShare = p.coldShare
--- a/pkg/process/ports.go
+++ b/pkg/process/ports.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/httpd"
 	"github.com/hopwell/hopwell/pkg/peers"
@@ -23,39 +25,58 @@
 	l := settings.Listen
 	health := http.HandlerFunc(p.serveHealth)
 	internal := p.internalHandler()
-	for _, port := range []struct {
-		address string
-		handler http.Handler
-		bound   *string
-		wrap    func(net.Listener) net.Listener
-	}{{l.Callers, p.Ingress, &p.ports.Callers, p.shedding}, {l.Health, health, &p.ports.Health, nil}, {l.Metrics, internal, &p.ports.Metrics, nil}} {
-		if err := p.serve(port.address, port.handler, port.bound, port.wrap); err != nil {
+	for _, port := range []port{
+		{address: l.Callers, handler: p.Ingress, bound: &p.ports.Callers, wrap: p.shedding, connections: p.memory.connections},
+		{address: l.Health, handler: health, bound: &p.ports.Health, connections: internalConnections},
+		{address: l.Metrics, handler: internal, bound: &p.ports.Metrics, connections: internalConnections},
+	} {
+		if err := p.serve(port); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// serve starts an HTTP server on an address. It stores the address that it listens on in bound, and wraps the
-// listener, unless they are nil.
-func (p *Ingress) serve(address string, handler http.Handler, bound *string, wrap func(net.Listener) net.Listener) error {
-	listener, err := net.Listen("tcp", address)
+// port is an address to serve HTTP on.
+type port struct {
+	address string
+	handler http.Handler
+	// bound receives the address that is listened on, and wrap wraps the listener, unless they are nil.
+	bound *string
+	wrap  func(net.Listener) net.Listener
+	// connections is the largest number of open connections.
+	connections int64
+}
+
+var connectionsRejected = metrics.GetOrCreateCounter("hopwell_ingress_connections_rejected_total")
+
+// serve starts an HTTP server on a port.
+func (p *Ingress) serve(to port) error {
+	listener, err := net.Listen("tcp", to.address)
 	if err != nil {
-		return &httpd.ErrListen{Address: address, Err: err}
+		return &httpd.ErrListen{Address: to.address, Err: err}
 	}
-	if bound != nil {
-		*bound = listener.Addr().String()
+	if to.bound != nil {
+		*to.bound = listener.Addr().String()
 	}
-	if wrap != nil {
-		listener = wrap(listener)
+	if to.wrap != nil {
+		listener = to.wrap(listener)
 	}
+	bounds := &httpd.Bounds{Connections: to.connections, Heads: p.memory.requestHeads, Rejected: p.connectionRejected}
 	limits := p.settings.Load().Limits
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: limits.HeaderTime.D(), IdleTimeout: limits.IdleTime.D(), ErrorLog: discardLogger()}
+	server := bounds.Server(to.handler)
+	server.ReadHeaderTimeout, server.IdleTimeout, server.ErrorLog = limits.HeaderTime.D(), limits.IdleTime.D(), discardLogger()
 	p.servers = append(p.servers, server)
-	p.done.Go(func() { _ = server.Serve(listener) })
+	p.done.Go(func() { _ = server.Serve(bounds.Listener(listener)) })
 	return nil
 }
 
+// connectionRejected logs and counts a connection that was closed since it exceeded a bound.
+func (p *Ingress) connectionRejected(remote net.Addr, err error) {
+	connectionsRejected.Inc()
+	p.log.Write(decisionlog.KindFailed, "connection_rejected", decisionlog.F("remote", remote), decisionlog.F("error", err))
+}
+
 // openPeers opens the port for the other gateways: UDP for datagrams, TCP for the copy of the
 // store.
 func (p *Ingress) openPeers() error {
@@ -103,7 +124,7 @@
 			return nil, &httpd.ErrListen{Address: address, Err: err}
 		}
 		p.ports.Peers = conn.LocalAddr().String()
-		err = p.serve(p.ports.Peers, http.HandlerFunc(p.serveState), nil, nil)
+		err = p.serve(port{address: p.ports.Peers, handler: http.HandlerFunc(p.serveState), connections: peerConnections})
 		if err == nil {
 			return conn, nil
 		}
