process, platform: the store's responses and the copy of the store are bounded

What callers would have seen: a gateway that is killed. Shown before: 73 MB in 3 s for a body without an end, 1,464 MB for pages without an end, 139 MB for 300,000 empty items, 762 MB allocated for 7 MB of another gateway's copy.

Cause: 32 MB for a body, 10 MB for a head, nothing for the number of pages, items or values; states of other gateways were decoded as they came; entries of other writers were all kept.

Change: a response, all items of a full read, the copy of the store, one item, the values in a text, the deltas of an update and another gateway's state have bounds from the memory plan. Items without room are rejected, known ones first kept (store_items_rejected); a runner whose entry is too large gets no requests. A page that repeats the last one ends a full read.

--- a/pkg/process/copy.go
+++ b/pkg/process/copy.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/delta"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/relay"
 	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/platform"
@@ -37,6 +38,9 @@
 	mu    sync.Mutex
 	items map[string]store.Item
 	at    store.Revision
+	// size is the memory of all items, bound what it may be, both in bytes; see cost. A bound of 0 stands
+	// for defaultCopyBytes.
+	size, bound int64
 	// lostAt is when the store stopped responding; zero while it responds.
 	lostAt time.Time
 }
@@ -61,25 +65,46 @@
 func (c *storeCopy) replace(items []store.Item, at store.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.items, c.at = map[string]store.Item{}, at
+	c.items, c.at, c.size = map[string]store.Item{}, at, 0
 	for _, i := range items {
 		if needed(i.Key) {
-			c.items[i.Key] = i
+			c.put(i)
 		}
 	}
 }
 
+// put adds or replaces an item. The caller holds the lock.
+func (c *storeCopy) put(i store.Item) {
+	c.remove(i.Key)
+	c.items[i.Key] = i
+	c.size += cost(i)
+}
+
+// remove removes the item of a key. The caller holds the lock.
+func (c *storeCopy) remove(key string) {
+	c.size -= c.costOf(key)
+	delete(c.items, key)
+}
+
+// maxResolvedBytes bounds the values that the deltas of one update may produce, in bytes: some bytes of a
+// delta can stand for a value of 1 MB.
+const maxResolvedBytes = 2 << 20
+
 // resolve applies the deltas of an update to the values in the copy. If a delta can't be applied,
 // it is removed from the update with all later changes, which are left to a watch.
 func (c *storeCopy) resolve(u *relay.Update) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	size := 0
 	for _, d := range u.Deltas {
 		before := c.items[d.Key]
 		if before.Revision >= d.Revision {
 			continue // The change is already applied.
 		}
 		value, err := delta.Apply(before.Value, d.Bytes)
+		if size += len(value); err == nil && size > maxResolvedBytes {
+			err = memory.TooLarge("values of an update", int64(size), maxResolvedBytes)
+		}
 		if err != nil {
 			u.Changes = slices.DeleteFunc(u.Changes, func(e store.Event) bool { return e.Revision >= d.Revision })
 			u.To, u.Truncated = d.Revision-1, true
@@ -169,9 +194,9 @@
 	c.at = at
 	for _, e := range events {
 		if e.Removed {
-			delete(c.items, e.Key)
+			c.remove(e.Key)
 		} else if needed(e.Key) {
-			c.items[e.Key] = e.Item
+			c.put(e.Item)
 		}
 	}
 }
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -169,6 +169,7 @@
 	if have := f.Reached(); at < have {
 		return &store.ErrOld{Have: have, Got: at}
 	}
+	items = f.admitItems(items)
 	now := time.Now()
 	f.storeAnswered(now)
 	f.noteFirstRead(now)
@@ -246,7 +247,7 @@
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
 	f.history.Restart(s.At, time.Now().Add(-time.Duration(s.AgeMs)*time.Millisecond))
-	f.applyAll(s.Items, s.At)
+	f.applyAll(f.admitItems(s.Items), s.At)
 	if s.Config != nil {
 		f.applyConfig(*s.Config, s.At)
 	}
--- a/pkg/process/feedlog.go
+++ b/pkg/process/feedlog.go
@@ -13,8 +13,9 @@
 
 // openStore returns a client of the store at an address. The client logs changes of the store's
 // era, and unknown headers in its responses.
-func openStore(address string, l *decisionlog.Log) *platform.Store {
+func openStore(address string, l *decisionlog.Log, m memoryPlan) *platform.Store {
 	s := platform.NewStore(address)
+	s.MaxResponse, s.MaxItems = m.message, m.storeItems
 	s.EraChanged = func(before, now uint64) {
 		l.Write(decisionlog.KindState, "store_era", decisionlog.F("before", before), decisionlog.F("now", now))
 	}
--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -229,6 +229,7 @@
 			fresh = append(fresh, e)
 		}
 	}
+	fresh = f.admitChanges(fresh)
 	u.Changes = fresh
 	current := f.deferStale(u)
 	if eraChanged {
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -15,6 +15,7 @@
 	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/httpd"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/progress"
 	"github.com/hopwell/hopwell/pkg/store"
 )
@@ -39,8 +40,11 @@
 	// stateWriteTimeout is how long a receiving gateway may read nothing, since its transfer keeps
 	// others waiting.
 	stateWriteTimeout = 3 * time.Second
-	// maxStateBytes bounds a state: some thousand runners and routes.
-	maxStateBytes = 8 << 20
+	// maxStateHead bounds the head of the response with a state, in bytes.
+	maxStateHead = 16 << 10
+	// maxStateValues bounds the values in a state, counted by their commas. A state of a thousand runners
+	// and as many gateways has some ten thousand.
+	maxStateValues = 1 << 16
 	// maxStateAge is the maximum age of a state. If 100 of 730 runners are replaced a day, some 0.7
 	// of them are replaced in this time: it is then about as likely as not that a runner of the
 	// state was removed.
@@ -151,7 +155,7 @@
 // fetchConfigFromPeers fetches a newer configuration from another gateway.
 func (p *Ingress) fetchConfigFromPeers(ctx context.Context, client *http.Client) {
 	for _, address := range sample(p.peers.Addresses(), maxPeersAsked) {
-		s, err := fetchState(ctx, client, address)
+		s, err := fetchState(ctx, client, address, p.memory.message)
 		if err != nil {
 			p.log.Write(decisionlog.KindProcess, "state_not_learned", decisionlog.F("error", err))
 			continue
@@ -163,13 +167,15 @@
 }
 
 // stateClient returns the HTTP client for requests to other gateways.
-func stateClient() *http.Client { return &http.Client{} }
+func stateClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxStateHead, DisableKeepAlives: true}}
+}
 
 // fetchStateFromPeers fetches the state of the first gateway that has one. It asks those with the
 // newest configuration, some others, and the seeds.
 func (p *Ingress) fetchStateFromPeers(ctx context.Context, client *http.Client) {
 	for _, address := range append(sample(p.peers.Addresses(), maxPeersAsked), p.seeds()...) {
-		s, err := fetchState(ctx, client, address)
+		s, err := fetchState(ctx, client, address, p.memory.message)
 		if err != nil {
 			p.log.Write(decisionlog.KindProcess, "state_not_learned", decisionlog.F("error", err))
 			continue
@@ -208,8 +214,22 @@
 	return out
 }
 
-// fetchState requests the state of one gateway. A state older than maxStateAge is rejected.
-func fetchState(ctx context.Context, client *http.Client, address string) (sharedState, error) {
+// decodeState decodes a state of at most limit bytes. It fails with *memory.ErrTooLarge beyond that, or if
+// the state has too many values.
+func decodeState(in io.Reader, limit int64, s *sharedState) error {
+	data, err := memory.Read(in, "state of a gateway", limit, &memory.Usage{}, 0, 1)
+	if err != nil {
+		return err
+	}
+	if err := memory.CheckValues("state of a gateway", data, maxStateValues); err != nil {
+		return err
+	}
+	return json.Unmarshal(data, s)
+}
+
+// fetchState requests the state of one gateway, which has at most limit bytes. A state older than
+// maxStateAge is rejected.
+func fetchState(ctx context.Context, client *http.Client, address string, limit int64) (sharedState, error) {
 	var s sharedState
 	ctx, cancel := progress.WithIdleTimeout(ctx, stateReadTimeout)
 	defer cancel()
@@ -226,7 +246,7 @@
 	if res.StatusCode != http.StatusOK {
 		return s, &ErrState{Address: address, Why: "it sent no state: " + res.Status}
 	}
-	if err := json.NewDecoder(io.LimitReader(progress.Reader(ctx, res.Body), maxStateBytes)).Decode(&s); err != nil {
+	if err := decodeState(progress.Reader(ctx, res.Body), limit, &s); err != nil {
 		return s, &ErrState{Address: address, Why: "not readable", Err: err}
 	}
 	if age := time.Duration(s.AgeMs) * time.Millisecond; age < 0 || age > maxStateAge {
--- a/pkg/process/state_test.go
+++ b/pkg/process/state_test.go
@@ -1,6 +1,9 @@
 package process
 
 import (
+	"bytes"
+	"compress/gzip"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,11 +17,15 @@
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/ingress"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/notice"
 	"github.com/hopwell/hopwell/pkg/store"
 	"github.com/hopwell/hopwell/platform"
 )
 
+// testStateBytes bounds the states in these tests, in bytes.
+const testStateBytes = 8 << 20
+
 // Guards against a timeout of the whole call, which cuts off responses that arrive over a slow link.
 func TestSlowStateTransferIsNotCutOff(t *testing.T) {
 	g := NewWithT(t)
@@ -33,7 +40,7 @@
 		fmt.Fprint(w, `]}`)
 	}))
 	defer server.Close()
-	s, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"))
+	s, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"), testStateBytes)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.At).To(Equal(store.Revision(7)))
 }
@@ -47,7 +54,7 @@
 	}))
 	defer server.Close()
 	began := time.Now()
-	_, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"))
+	_, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"), testStateBytes)
 	g.Expect(err).To(MatchError(ContainSubstring("not readable")))
 	g.Expect(time.Since(began)).To(BeNumerically(">=", stateReadTimeout))
 }
@@ -67,7 +74,7 @@
 		_ = writeState(w, r, sent)
 	}))
 	defer server.Close()
-	got, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"))
+	got, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"), testStateBytes)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(got.Items).To(Equal(sent.Items))
 	g.Expect(bytes).To(BeNumerically("<", 40_000), "compressed from some 200 kB")
@@ -116,7 +123,53 @@
 	p.Ingress.Directory.Notices.Observe("r@1", notice.Notice{Leaving: true}, time.Now())
 	server := httptest.NewServer(http.HandlerFunc(p.serveState))
 	defer server.Close()
-	s, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"))
+	s, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"), testStateBytes)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(s.Leaving).To(ConsistOf("r@1"))
 }
+
+// Guards against another gateway's copy of the store without an end, or whose decoded form takes many
+// times its length.
+func TestStateOfAGatewayIsBounded(t *testing.T) {
+	const limit = 1 << 20
+	var compressed bytes.Buffer
+	z := gzip.NewWriter(&compressed)
+	_, _ = io.WriteString(z, `{"leaving":["`+strings.Repeat("x", 4*limit))
+	_ = z.Close()
+	for name, c := range map[string]struct {
+		write func(w io.Writer) error
+		bound int64
+	}{
+		"endless": {func(w io.Writer) error {
+			_, err := io.WriteString(w, `{"items":[`)
+			for err == nil {
+				_, err = io.WriteString(w, strings.Repeat(" ", 1000))
+			}
+			return err
+		}, limit},
+		"many values": {func(w io.Writer) error {
+			_, err := io.WriteString(w, `{"items":[{}`+strings.Repeat(",{}", limit/4)+"]}")
+			return err
+		}, maxStateValues},
+		"compressed": {func(w io.Writer) error {
+			w.(http.ResponseWriter).Header().Set("Content-Encoding", "gzip")
+			_, err := w.Write(compressed.Bytes())
+			return err
+		}, limit},
+	} {
+		g := NewWithT(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = c.write(w) }))
+		_, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"), limit)
+		server.Close()
+		var tooLarge *memory.ErrTooLarge
+		g.Expect(errors.As(err, &tooLarge)).To(BeTrue(), "%s: %v", name, err)
+		g.Expect(tooLarge.Bound).To(Equal(c.bound), name)
+	}
+	g := NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("A", strings.Repeat("x", 2*maxStateHead))
+	}))
+	defer server.Close()
+	_, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"), limit)
+	g.Expect(err).To(MatchError(ContainSubstring(fmt.Sprint(maxStateHead))))
+}
