upstream: say that a runner stopped reading a body

What operators saw: "use of closed network connection" in send_failed, where docs/OPERATIONS.md names "runner reads nothing".

Cause: the body of a request is written while its response is awaited. If the write stalls, the connection is closed, and the error of the read, which that caused, was reported.

Change: the result of the write is passed on before the connection is closed, and a stalled write is the cause that Do returns.

Result: TestStalledBodyWriteFails reads the head of the request now, so that it reaches the body, and asks for *ErrStalled; it fails before.

--- a/pkg/upstream/slow_test.go
+++ b/pkg/upstream/slow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -35,12 +36,14 @@
 	return took, err
 }
 
-// Guards against a body that stays in memory while its runner reads one byte per second.
+// Guards against a body that stays in memory while its runner reads one byte per second, and against an error that
+// does not say so.
 func TestStalledBodyWriteFails(t *testing.T) {
 	for _, size := range []int{1000, 200 << 10} {
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
 			took, err := sendToReader(make([]byte, size), func(c net.Conn) {
+				_, _ = c.Read(make([]byte, 1000)) // The head.
 				for {
 					if _, err := c.Read(make([]byte, 1)); err != nil {
 						return
@@ -48,7 +51,9 @@
 					time.Sleep(time.Second)
 				}
 			})
+			var stalled *ErrStalled
 			g.Expect(err).To(BeAssignableToTypeOf(&ErrExchange{}))
+			g.Expect(errors.As(err, &stalled)).To(BeTrue(), "%v", err)
 			g.Expect(took).To(BeNumerically("<=", 2*writeTimeout))
 		})
 	}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -172,6 +172,7 @@
 		if res, surplus, err = k.read(r); err == nil {
 			return c.respond(k, res, stop, wrote, surplus), nil
 		}
+		err = causeOf(err, wrote)
 	}
 	stop()
 	_ = k.Close()
@@ -186,6 +187,20 @@
 	return nil, &ErrExchange{Address: address, Reused: k.uses > 1, Err: err}
 }
 
+// causeOf returns why no response could be read: *ErrStalled if the connection was closed because the runner did
+// not read the body, else the error of reading.
+func causeOf(reading error, wrote <-chan error) error {
+	var stalled *ErrStalled
+	select {
+	case writing := <-wrote:
+		if errors.As(writing, &stalled) {
+			return stalled
+		}
+	default:
+	}
+	return reading
+}
+
 // respond wraps a response, at whose end the connection is closed or kept for reuse.
 func (c *Client) respond(k *conn, res *http.Response, stop func() bool, wrote <-chan error, surplus int) *Response {
 	out := &Response{Response: res, head: k.head}
@@ -261,10 +276,10 @@
 	}
 	go func() {
 		err := k.sendBody(r.Body)
+		wrote <- err
 		if err != nil && !k.responding.Load() {
 			_ = k.Close()
 		}
-		wrote <- err
 	}()
 	return wrote, nil
 }
