httpd, upstream: bound the unsent bytes that the kernel keeps for a connection

What callers saw: a client that reads 320 KB/s lost a stream of 7 MB after 3.9 MB, although 16 KB in 3 s should be enough. The same holds for a runner that reads a long body.

Cause: the kernel keeps up to 4 MB for a connection and reports room only when a third of them is free. At that rate this takes 4 s, in which nothing can be written, and the reader counts as stalled.

Ruled out: the time limit itself; 320 KB/s is sixty times what it asks for.

Change: TCP_NOTSENT_LOWAT of 32 KB on clients' and runners' connections (pkg/unsent). It also bounds what the kernel keeps for clients that read nothing. A send buffer of 32 KB was tried: it serves the slow client too, but limits distant ones to 32 KB for each round trip.

--- a/pkg/httpd/bounds.go
+++ b/pkg/httpd/bounds.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/memory"
+	"github.com/hopwell/hopwell/pkg/unsent"
 )
 
 const (
@@ -51,6 +52,9 @@
 	// Rejected is called with *memory.ErrTooLarge or *memory.ErrFull for each connection that was
 	// closed for a bound.
 	Rejected func(remote net.Addr, err error)
+	// Failed is called with *unsent.ErrLimit once if the bytes that the kernel keeps for connections can't be
+	// bounded.
+	Failed func(err error)
 }
 
 // Server returns a server for a handler whose connections stay within the bounds, if it serves on the
@@ -68,6 +72,7 @@
 	net.Listener
 	bounds *Bounds
 	open   atomic.Int64
+	failed sync.Once
 }
 
 // Accept implements net.Listener.
@@ -79,6 +84,9 @@
 		}
 		open := l.open.Add(1)
 		if open <= l.bounds.Connections {
+			if err := unsent.Limit(c); err != nil {
+				l.failed.Do(func() { l.bounds.Failed(err) })
+			}
 			return &boundedConn{Conn: c, listener: l, arriving: true, head: memory.Usage{Account: l.bounds.Heads}}, nil
 		}
 		l.open.Add(-1)
--- a/pkg/process/ports.go
+++ b/pkg/process/ports.go
@@ -62,7 +62,7 @@
 	if to.wrap != nil {
 		listener = to.wrap(listener)
 	}
-	bounds := &httpd.Bounds{Connections: to.connections, Heads: p.memory.requestHeads, Rejected: p.connectionRejected}
+	bounds := &httpd.Bounds{Connections: to.connections, Heads: p.memory.requestHeads, Rejected: p.connectionRejected, Failed: p.unsentNotBounded}
 	limits := p.settings.Load().Limits
 	server := bounds.Server(to.handler)
 	server.ReadHeaderTimeout, server.IdleTimeout, server.ErrorLog = limits.HeaderTime.D(), limits.IdleTime.D(), discardLogger()
@@ -77,6 +77,11 @@
 	p.log.Write(decisionlog.KindFailed, "connection_rejected", decisionlog.F("remote", remote), decisionlog.F("error", err))
 }
 
+// unsentNotBounded logs that the kernel may keep megabytes for a client that reads slowly.
+func (p *Ingress) unsentNotBounded(err error) {
+	p.log.Write(decisionlog.KindProcess, "unsent_not_bounded", decisionlog.F("error", err))
+}
+
 // openPeers opens the port for the other gateways: UDP for datagrams, TCP for the copy of the
 // store.
 func (p *Ingress) openPeers() error {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -14,6 +14,7 @@
 
 	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/memory"
+	"github.com/hopwell/hopwell/pkg/unsent"
 )
 
 // conn is one connection to a runner.
@@ -67,7 +68,7 @@
 	if c.options.OnConnect != nil {
 		c.options.OnConnect(address)
 	}
-	if err := setTimeouts(raw); err != nil {
+	if err := errors.Join(setTimeouts(raw), unsent.Limit(raw)); err != nil {
 		_ = raw.Close()
 		return nil, err
 	}
--- a/pkg/upstream/slow_test.go
+++ b/pkg/upstream/slow_test.go
@@ -98,3 +98,29 @@
 		g.Expect(err).NotTo(HaveOccurred())
 	})
 }
+
+// Guards against a runner that reads a body slowly, many times faster than inlineBody in writeTimeout, and counts as
+// stalled because the kernel takes more only once a third of its buffer is free.
+func TestRunnerThatReadsABodySlowlyIsNotStalled(t *testing.T) {
+	g := NewWithT(t)
+	const size = 24 << 20
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		q, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		for began := time.Now(); time.Since(began) < 2*writeTimeout; time.Sleep(100 * time.Millisecond) {
+			_, _ = io.CopyN(io.Discard, q.Body, inlineBody)
+		}
+		n, err := io.Copy(io.Discard, q.Body)
+		if err == nil && n > 0 {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	c := newClient()
+	defer c.CloseIdle("")
+	res, err := c.Do(t.Context(), s.address, &Request{Method: http.MethodPost, Target: "/", Host: "h", Body: make([]byte, size)})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.StatusCode).To(Equal(http.StatusOK))
+	_ = res.Close()
+}
