peers: send the rate limits of many runners in parts

What callers would have seen: gateways that choose engines without knowing what a gateway has placed there. In the memory soak, a gateway that had received the limits of thousands of runners that do not exist sent no full state until they expired (datagram_failed, bytes=53131).

Cause: a full state carries all limits that the gateway knows, also those that others reported. Above 16 KB the whole datagram is dropped. 600 runners that name limits are enough, without anything hostile.

Change: a datagram takes 4 KiB of limits, those that changed first; the others follow in the next ticks, and a full state does not begin again before they are sent. Limits that are only known from other gateways are not passed on: these reach all gateways themselves, and passing them on multiplied them.

--- a/pkg/peers/limits.go
+++ b/pkg/peers/limits.go
@@ -12,17 +12,20 @@
 // limit. The share of a gateway from which no datagrams arrive stays unused.
 const sharedLimitInterval = 300 * time.Millisecond
 
-// addLimits adds to a datagram the runners' rate limits that its receiver lacks, or all of them if the
-// datagram holds the full state. The caller holds the lock.
+// maxLimitBytes bounds the runners' rate limits in one datagram, in bytes. The others go into the next ones.
+const maxLimitBytes = 4 << 10
+
+// addLimits adds to a datagram the runners' rate limits that its receiver lacks. With the full state it begins with
+// the first again, unless some are left. The caller holds the lock.
 func (x *Exchange) addLimits(m *member, state *wirepb.GatewayState, now time.Time) {
 	if x.options.Limits == nil {
 		return
 	}
-	if state.Address != "" {
+	if state.Address != "" && !m.limitsLeft {
 		m.limitsRevision = 0
 	}
 	var reports []runnerlimit.Report
-	reports, m.limitsRevision = x.options.Limits.ReportsSince(m.name, m.limitsRevision, now)
+	reports, m.limitsRevision, m.limitsLeft = x.options.Limits.ReportsSince(m.name, m.limitsRevision, maxLimitBytes, now)
 	state.Limits = encodeLimits(reports)
 }
 
--- a/pkg/peers/members.go
+++ b/pkg/peers/members.go
@@ -28,8 +28,10 @@
 	needsFull, lostData bool
 	// spendingRevision is the revision up to which this gateway's spending was sent to it.
 	spendingRevision uint64
-	// limitsRevision is the revision up to which the runners' rate limits were sent to it.
+	// limitsRevision is the revision up to which the runners' rate limits were sent to it. limitsLeft is set if
+	// there were more than one datagram takes.
 	limitsRevision uint64
+	limitsLeft     bool
 	// lag is the share of time by which it runs late.
 	lag float64
 }
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -88,7 +88,7 @@
 	var out []datagram
 	for _, m := range x.members {
 		full := m.needsFull && now.Sub(m.lastFull) >= sendInterval || now.Sub(m.lastFull) >= fullInterval
-		if !full && !m.lostData && !receivers[m.name] && !x.spendingDue(m, now) && !x.sharedLimitDue(m, now) && now.Sub(m.lastSent) < heartbeat {
+		if !full && !m.lostData && !receivers[m.name] && !m.limitsLeft && !x.spendingDue(m, now) && !x.sharedLimitDue(m, now) && now.Sub(m.lastSent) < heartbeat {
 			continue
 		}
 		state := &wirepb.GatewayState{}
--- a/pkg/runnerlimit/exchange.go
+++ b/pkg/runnerlimit/exchange.go
@@ -1,6 +1,7 @@
 package runnerlimit
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -25,21 +26,60 @@
 	Sent uint64
 }
 
-// ReportsSince returns the reports that are newer than a revision and meant for a gateway, and the current revision.
-// All gateways receive changes of limits; the users of a limit also receive its call counts.
-func (t *Table) ReportsSince(gateway string, since uint64, now time.Time) ([]Report, uint64) {
+// reportBytes is the largest size in bytes of a report beside the runner's name, as it is sent.
+const reportBytes = 48
+
+// due is a limit that a gateway has to learn of, with the revision of its last change that matters there.
+type due struct {
+	runner   string
+	limit    *limit
+	revision uint64
+}
+
+// ReportsSince returns reports that are newer than a revision and meant for a gateway, and the revision up to
+// which they are complete. If all would take more than maxBytes, those that changed first are returned, at least
+// one, and more is set. All gateways receive changes of the limits of runners that this gateway calls; the users of
+// a limit also receive its call counts. Limits that are only known from others are not passed on.
+func (t *Table) ReportsSince(gateway string, since uint64, maxBytes int, now time.Time) (out []Report, reached uint64, more bool) {
 	if !t.nonEmpty.Load() {
-		return nil, since
+		return nil, since, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []Report
+	list, size := t.due(gateway, since)
+	reached = t.revision
+	if size > maxBytes {
+		list = firstOf(list, maxBytes)
+		reached, more = list[len(list)-1].revision, true
+	}
+	for _, d := range list {
+		out = append(out, d.limit.report(d.runner, now))
+	}
+	return out, reached, more
+}
+
+// due returns the limits that a gateway has to learn of that has received everything up to the revision since,
+// and the size of their reports in bytes. The caller holds the lock.
+func (t *Table) due(gateway string, since uint64) (list []due, size int) {
 	for runner, l := range t.limits {
-		if t.shouldReceive(gateway, runner, l, since) {
-			out = append(out, l.report(runner, now))
+		if revision := t.revisionFor(gateway, runner, l); revision > since {
+			list = append(list, due{runner, l, revision})
+			size += len(runner) + reportBytes
+		}
+	}
+	return list, size
+}
+
+// firstOf returns the limits that changed first and whose reports take at most maxBytes, at least one.
+func firstOf(list []due, maxBytes int) []due {
+	slices.SortFunc(list, func(a, b due) int { return cmp.Compare(a.revision, b.revision) })
+	size := 0
+	for i, d := range list {
+		if size += len(d.runner) + reportBytes; size > maxBytes && i > 0 {
+			return list[:i]
 		}
 	}
-	return out, t.revision
+	return list
 }
 
 // HasReportsFor reports whether ReportsSince would return any reports.
@@ -53,20 +93,23 @@
 		return false
 	}
 	for runner, l := range t.limits {
-		if t.shouldReceive(gateway, runner, l, since) {
+		if t.revisionFor(gateway, runner, l) > since {
 			return true
 		}
 	}
 	return false
 }
 
-// shouldReceive reports whether a limit has to be sent to a gateway that has received everything up to the
-// revision since.
-func (t *Table) shouldReceive(gateway, runner string, l *limit, since uint64) bool {
-	if l.changeRevision > since {
-		return true
+// revisionFor returns the revision of the last change of a limit that a gateway has to learn of; 0 if it has to
+// learn nothing.
+func (t *Table) revisionFor(gateway, runner string, l *limit) uint64 {
+	if !l.called {
+		return 0
+	}
+	if l.callRevision > l.changeRevision && !l.ended && slices.Contains(t.usersOf(runner, l).names, gateway) {
+		return l.callRevision
 	}
-	return l.callRevision > since && !l.ended && slices.Contains(t.usersOf(runner, l).names, gateway)
+	return l.changeRevision
 }
 
 // Shares reports whether another gateway shares a limit with this one, so that each must regularly receive
--- a/pkg/runnerlimit/limit.go
+++ b/pkg/runnerlimit/limit.go
@@ -28,6 +28,8 @@
 	// from is the gateway that received that response; empty for this gateway.
 	learnedAt, namedAt time.Time
 	from               string
+	// called is set once this gateway called the runner.
+	called bool
 	// ended is set when the limit has ended as of endedAt: a call sent then got a response that no longer
 	// named the limit, or the limit expired.
 	ended   bool
--- a/pkg/runnerlimit/room.go
+++ b/pkg/runnerlimit/room.go
@@ -75,6 +75,7 @@
 	l.consume(1)
 	l.recentCalls = append(l.recentCalls, now)
 	l.sent++
+	l.called = true
 	if c, ok := l.claims[request]; ok {
 		c.calls--
 		l.claims[request] = c
--- a/pkg/runnerlimit/runnerlimit.go
+++ b/pkg/runnerlimit/runnerlimit.go
@@ -125,7 +125,9 @@
 		return t.markUnreadable(runner, now)
 	case s.Named:
 		delete(t.unreadable, runner)
-		return t.setLimit(runner, s, now, now, "")
+		change := t.setLimit(runner, s, now, now, "")
+		t.limits[runner].called = true
+		return change
 	case l == nil || l.ended || !s.FromRunner || s.Kind != l.kind || !s.SentAt.After(l.namedAt):
 		return nil
 	}
--- a/pkg/runnerlimit/runnerlimit_test.go
+++ b/pkg/runnerlimit/runnerlimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -87,7 +88,7 @@
 	var reached uint64
 	sendReports := func() {
 		var reports []Report
-		reports, reached = a.ReportsSince("b", reached, now)
+		reports, reached, _ = a.ReportsSince("b", reached, math.MaxInt, now)
 		b.GatewaySeen("a", now)
 		b.Receive("a", 1, reports, now)
 	}
@@ -206,3 +207,50 @@
 	g.Expect(table.limits).To(HaveLen(maxLimits))
 	g.Expect(table.Receive("b", 1, []Report{{Runner: "r1", Statement: namedLimit(5, now), NamedAgo: time.Second}}, now)).To(Succeed())
 }
+
+// Guards against reports of many runners that are too large to be sent together.
+func TestReportsAboveTheirBoundComeInParts(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	table := New("a")
+	for i := range 100 {
+		table.Observe(fmt.Sprint("r", i), namedLimit(10, now), now)
+	}
+	const bound = 10 * (reportBytes + len("r0"))
+	received := map[string]int{}
+	var reached uint64
+	parts := 0
+	for ; table.HasReportsFor("b", reached); parts++ {
+		var reports []Report
+		var more bool
+		reports, reached, more = table.ReportsSince("b", reached, bound, now)
+		g.Expect(more).To(Equal(table.HasReportsFor("b", reached)))
+		for _, r := range reports {
+			received[r.Runner]++
+		}
+		if parts == 0 {
+			table.Observe("r0", Statement{Kind: RunCall, SentAt: now.Add(time.Second), FromRunner: true}, now.Add(time.Second))
+		}
+	}
+	g.Expect(parts).To(BeNumerically("~", 11, 1))
+	g.Expect(received).To(HaveLen(100))
+	g.Expect(received["r0"]).To(Equal(2), "it changed after it was reported")
+	g.Expect(received["r99"]).To(Equal(1))
+	reports, _, _ := table.ReportsSince("b", 0, 1, now)
+	g.Expect(reports).To(HaveLen(1), "a bound below one report")
+}
+
+// Guards against gateways that multiply what another one reports, by sending it on to all others.
+func TestLimitsOfRunnersThatAreNotCalledAreNotPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	table := New("a")
+	for _, runner := range []string{"called", "not called"} {
+		g.Expect(table.Receive("c", 1, []Report{{Runner: runner, Statement: namedLimit(10, now)}}, now)).To(Succeed())
+	}
+	g.Expect(table.HasReportsFor("b", 0)).To(BeFalse())
+	table.Sent("called", "", now)
+	reports, _, _ := table.ReportsSince("b", 0, math.MaxInt, now)
+	g.Expect(reports).To(HaveLen(1))
+	g.Expect(reports[0].Runner).To(Equal("called"))
+}
--- a/pkg/runnerlimit/simulation_test.go
+++ b/pkg/runnerlimit/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -147,7 +148,7 @@
 			continue
 		}
 		var reports []Report
-		reports, g.sentRevision[o.name] = g.table.ReportsSince(o.name, g.sentRevision[o.name], s.now)
+		reports, g.sentRevision[o.name], _ = g.table.ReportsSince(o.name, g.sentRevision[o.name], math.MaxInt, s.now)
 		g.lastSent[o.name] = s.now
 		if s.random.Float64() >= s.lossRate {
 			latency := time.Millisecond + time.Duration(s.random.Int64N(int64(s.maxLatency)))
