peers: collect messages about requests for two milliseconds

A client that resumes its stream at another gateway would be refused, or answered at another software version.

Cause: each message about a request was a datagram of its own, sent at once.

Ruled out: the sequence of datagrams; nothing was dropped as overtaken. A larger buffer: the kernel's limit for it is what sockets have already.

Change: messages to a gateway are at least 2 ms apart; what comes in between goes into one datagram. The first after a pause leaves at once.

--- a/pkg/peers/outbox.go
+++ b/pkg/peers/outbox.go
@@ -8,7 +8,11 @@
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
 )
 
-// outbox holds messages about requests, by gateway. Run sends them at once: datagrams that several
+// outboxInterval is the least time between two datagrams about requests to a gateway. A gateway that is busy for
+// some milliseconds loses what its kernel has no room for: some 270 datagrams, however small.
+const outboxInterval = 2 * time.Millisecond
+
+// outbox holds messages about requests, by gateway. Run sends them soon: datagrams that several
 // goroutines send may overtake each other, and a receiver drops those that were overtaken.
 type outbox struct {
 	mu      sync.Mutex
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -239,7 +239,8 @@
 	defer reading.Wait()
 	tick := time.NewTicker(sendInterval)
 	defer tick.Stop()
-	var due <-chan time.Time
+	var due, outboxDue <-chan time.Time
+	var outboxSent time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -252,7 +253,12 @@
 			due = nil
 			x.sendChanges(time.Now())
 		case <-x.outbox.ready:
-			x.sendOutbox(time.Now())
+			if outboxDue == nil {
+				outboxDue = time.After(outboxInterval - time.Since(outboxSent))
+			}
+		case outboxSent = <-outboxDue:
+			outboxDue = nil
+			x.sendOutbox(outboxSent)
 		case now := <-tick.C:
 			x.sendDue(now)
 			x.subscribe(now)
