peers: the error of a datagram that is too large names its bound

What operators saw: "datagram could not be sent ... bytes=53131 cause=<nil>".

Cause: the size was compared without an error.

--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -145,8 +145,8 @@
 // Unwrap returns the cause.
 func (e *ErrAddress) Unwrap() error { return e.Err }
 
-// ErrDatagram reports that a datagram can't be sent, received or decoded. Err is nil if it is
-// larger than maxDatagram.
+// ErrDatagram reports that a datagram can't be sent, received or decoded. Err is *memory.ErrTooLarge if
+// it is larger than maxDatagram.
 type ErrDatagram struct {
 	Gateway string
 	Bytes   int
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hopwell/hopwell/pkg/enginepool"
+	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/runners"
 	"github.com/hopwell/hopwell/pkg/subset"
 	"github.com/hopwell/hopwell/pkg/wire/wirepb"
@@ -198,11 +199,14 @@
 func (x *Exchange) write(out []datagram) {
 	for _, d := range out {
 		data, err := proto.Marshal(d.state)
-		if err == nil && len(data) <= maxDatagram {
+		if size := len(data); err == nil && size > maxDatagram {
+			err = memory.TooLarge("datagram", int64(size), maxDatagram)
+		}
+		if err == nil {
 			countDatagram("out", d.state, len(data))
 			_, err = x.options.Conn.WriteTo(data, d.to)
 		}
-		if err != nil || len(data) > maxDatagram {
+		if err != nil {
 			x.options.Failed(&ErrDatagram{Gateway: d.name, Bytes: len(data), Err: err})
 		}
 	}
