enginepool: bound the reports of engines by all gateways together

What callers would have seen: a gateway that is killed, after datagrams of many gateways that don't exist.

Cause: engines and reservations in reports had bounds, but 2,048 gateways could each report prefills or preempted responses of 4,096 engines, 8 million entries.

Change: 32,768 reports of engines are kept, counted for each gateway and engine; more are ignored with *memory.ErrTooLarge. Preempted responses are counted at known runners only, of 64 gateways. What is reported of one engine is replaced in a function of its own.

Result: TestReportsOfEnginesAreBounded and TestPreemptionsInReportsAreBounded fail before.

--- a/pkg/enginepool/bounds_test.go
+++ b/pkg/enginepool/bounds_test.go
@@ -62,3 +62,47 @@
 		g.Expect(p.peerLoads).To(BeZero())
 	}
 }
+
+// Guards against reports of many gateways about many engines, each small, that take all memory together.
+func TestReportsOfEnginesAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(3, 2, 100000)
+	now := time.Now()
+	const gateways = 2 * maxPeerReports / maxEngines
+	var last error
+	for i := range gateways {
+		var s Snapshot
+		for n := range maxEngines {
+			s.Engines = append(s.Engines, EngineLoad{Runner: fmt.Sprint("unknown-", n), PrefillTokens: 1, Preempted: 1})
+		}
+		last = p.ReceiveSnapshot(fmt.Sprint("g", i), s, now)
+	}
+	var large *memory.ErrTooLarge
+	g.Expect(errors.As(last, &large)).To(BeTrue())
+	counted := 0
+	for _, e := range p.engines.values {
+		counted += len(e.prefillTokens)
+		g.Expect(e.speed.peersPreempted.len()).To(BeZero(), "it is no known runner")
+	}
+	g.Expect(counted).To(Equal(maxPeerReports))
+	g.Expect(p.ReceiveSnapshot("g0", Snapshot{Engines: []EngineLoad{{Runner: "unknown-1", PrefillTokens: 2}}}, now)).To(Succeed(), "it is reported already")
+	for i := range gateways {
+		g.Expect(p.ReceiveSnapshot(fmt.Sprint("g", i), Snapshot{Full: true}, now)).To(Succeed())
+	}
+	g.Expect(p.peerReports).To(BeZero())
+}
+
+// Guards against preempted responses of an engine that gateways without end report.
+func TestPreemptionsInReportsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(3, 2, 100000)
+	now := time.Now()
+	for i := range 3 * maxPreemptedBy {
+		g.Expect(p.ReceiveSnapshot(fmt.Sprint("g", i), Snapshot{Engines: []EngineLoad{{Runner: "d1", Preempted: 1}}}, now)).To(Succeed())
+	}
+	e := p.engines.get("d1")
+	g.Expect(e.speed.peersPreempted.len()).To(Equal(maxPreemptedBy))
+	g.Expect(e.speed.preemptions(now.Add(time.Hour))).To(BeZero())
+	g.Expect(p.ReceiveSnapshot("new", Snapshot{Engines: []EngineLoad{{Runner: "d1", Preempted: 1}}}, now.Add(time.Hour))).To(Succeed())
+	g.Expect(e.speed.peersPreempted.len()).To(Equal(1))
+}
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -81,8 +81,8 @@
 	// uses only a few of thousands of engines, and its whole report is replaced every few
 	// seconds.
 	peerEngines map[string]map[string]*engine
-	// peerLoads is the number of reservations of all other gateways.
-	peerLoads int
+	// peerReports is the number of engines in peerEngines, peerLoads that of all reservations on them.
+	peerReports, peerLoads int
 	// peerPlaced counts the jobs that other gateways placed lately.
 	peerPlaced decayed
 	// revision counts the changes of this gateway's own reservations and prefills.
--- a/pkg/enginepool/snapshot.go
+++ b/pkg/enginepool/snapshot.go
@@ -77,8 +77,8 @@
 // receiveSpeed learns from what another gateway measured of an engine. The caller holds the lock.
 func (p *Pool) receiveSpeed(gateway string, e *engine, l EngineLoad, now time.Time) {
 	e.speed.receive(l.Speed, now.Add(-l.SpeedAge))
-	if l.Preempted > 0 {
-		e.speed.peersPreempted.set(gateway, decayed{min(l.Preempted, maxReported), now, preemptionTime})
+	if l.Preempted > 0 && p.directory.Find(e.id) != nil {
+		e.speed.receivePreempted(gateway, decayed{min(l.Preempted, maxReported), now, preemptionTime})
 	}
 	if l.PrefillSpeed > 0 {
 		p.prefillRunner(e.id).learn(l.PrefillSpeed)
@@ -89,24 +89,33 @@
 	// maxEngines bounds the engines of a pool that are known from other gateways' reports, which may
 	// come before the engine's entry.
 	maxEngines = 4096
+	// maxPeerReports bounds the engines of which the other gateways report load, counted for each gateway:
+	// twice as many as in the largest fleet, where some gateways use an engine.
+	maxPeerReports = 1 << 15
 	// maxPeerLoads bounds the reservations of all other gateways in a pool: two and a half times the
 	// requests that the largest fleet runs at its peak.
 	maxPeerLoads = 1 << 16
 )
 
-// admit returns the part of a reported load that fits the bounds of the pool, in which other gateways have
-// a number of reservations, and an error for the rest. The caller holds the lock.
-func (p *Pool) admit(l EngineLoad, others int) (admitted EngineLoad, known bool, err error) {
+// admit returns the part of a reported load that fits the bounds of the pool, and an error for the rest. The
+// caller holds the lock.
+func (p *Pool) admit(l EngineLoad) (admitted EngineLoad, fits bool, err error) {
 	if p.engines.get(l.Runner) == nil && p.engines.len() >= maxEngines {
 		return l, false, memory.TooLarge("engines in reports", int64(p.engines.len())+1, maxEngines)
 	}
-	if all := others + len(l.Loads); all > maxPeerLoads {
+	if l.isLoaded() && p.peerReports >= maxPeerReports {
+		return l, false, memory.TooLarge("reports of engines", int64(p.peerReports)+1, maxPeerReports)
+	}
+	if all := p.peerLoads + len(l.Loads); all > maxPeerLoads {
 		err = memory.TooLarge("reservations in reports", int64(all), maxPeerLoads)
-		l.Loads = l.Loads[:max(0, maxPeerLoads-others)]
+		l.Loads = l.Loads[:max(0, maxPeerLoads-p.peerLoads)]
 	}
 	return l, true, err
 }
 
+// isLoaded reports whether there are reservations or prefills.
+func (l *EngineLoad) isLoaded() bool { return len(l.Loads) > 0 || l.PrefillTokens > 0 }
+
 // ReceiveSnapshot applies a report of another gateway. A full one replaces all earlier
 // ones, others only what was reported of the engines that they contain. It fails with
 // *memory.ErrTooLarge if a part of the report was ignored.
@@ -117,45 +126,52 @@
 		p.dropLoads(gateway)
 	}
 	p.peerWaiting[gateway] = s.Waiting
-	reported := p.peerEngines[gateway]
-	if reported == nil {
-		reported = map[string]*engine{}
-		p.peerEngines[gateway] = reported
+	if p.peerEngines[gateway] == nil {
+		p.peerEngines[gateway] = map[string]*engine{}
 	}
 	spread := p.Lengths.Spread()
 	var ignored error
 	for _, l := range s.Engines {
-		before := 0
-		if e := p.engines.get(l.Runner); e != nil {
-			before = len(e.peers.get(gateway).loads)
-		}
-		l, known, err := p.admit(l, p.peerLoads-before)
+		placed, err := p.receiveLoad(gateway, l, spread, now)
 		if err != nil {
 			ignored = err
 		}
-		if !known {
-			continue
-		}
-		e := p.engine(l.Runner)
-		p.peerLoads += len(l.Loads) - before
-		p.receiveSpeed(gateway, e, l, now)
-		if placed := len(l.Loads) - len(e.peers.get(gateway).loads); placed > 0 && !s.Full {
+		if placed > 0 && !s.Full {
 			p.peerPlaced = decayed{p.peerPlaced.value(now) + float64(placed), now, placementTime}
 		}
-		e.dropGateway(gateway)
-		delete(reported, l.Runner)
-		if len(l.Loads) > 0 {
-			e.peers.set(gateway, peerLoads{loads: peerLoadsOf(l.Loads, spread), at: now})
-			reported[l.Runner] = e
-		}
-		if l.PrefillTokens > 0 {
-			e.prefillTokens[gateway] = l.PrefillTokens
-			reported[l.Runner] = e
-		}
 	}
 	return ignored
 }
 
+// receiveLoad replaces what another gateway reported of an engine. It returns the number of reservations that
+// were added, and an error for what exceeds a bound. The caller holds the lock.
+func (p *Pool) receiveLoad(gateway string, l EngineLoad, spread float64, now time.Time) (placed int, err error) {
+	before := 0
+	if e := p.engines.get(l.Runner); e != nil {
+		before = len(e.peers.get(gateway).loads)
+		p.dropLoad(gateway, e)
+	}
+	l, fits, err := p.admit(l)
+	if !fits {
+		return 0, err
+	}
+	e := p.engine(l.Runner)
+	p.receiveSpeed(gateway, e, l, now)
+	if l.isLoaded() {
+		p.peerEngines[gateway][l.Runner] = e
+		p.peerReports++
+	}
+	if len(l.Loads) > 0 {
+		e.peers.set(gateway, peerLoads{loads: peerLoadsOf(l.Loads, spread), at: now})
+		p.peerLoads += len(l.Loads)
+	}
+	if l.PrefillTokens > 0 {
+		e.prefillTokens[gateway] = l.PrefillTokens
+	}
+	e.changed()
+	return len(l.Loads) - before, err
+}
+
 // peerLoadsOf adds the estimates of lengths to reported loads.
 func peerLoadsOf(loads []Load, spread float64) []peerLoad {
 	out := make([]peerLoad, 0, len(loads))
@@ -166,8 +182,14 @@
 	return out
 }
 
-// dropGateway removes another gateway's reservations and prefills from this engine only.
-func (e *engine) dropGateway(gateway string) {
+// dropLoad removes another gateway's reservations and prefills from one engine. The caller holds the lock.
+func (p *Pool) dropLoad(gateway string, e *engine) {
+	if p.peerEngines[gateway][e.id] == nil {
+		return
+	}
+	p.peerReports--
+	p.peerLoads -= len(e.peers.get(gateway).loads)
+	delete(p.peerEngines[gateway], e.id)
 	e.peers.remove(gateway)
 	delete(e.prefillTokens, gateway)
 	e.changed()
@@ -185,8 +207,7 @@
 // caller holds the lock.
 func (p *Pool) dropLoads(gateway string) {
 	for _, e := range p.peerEngines[gateway] {
-		p.peerLoads -= len(e.peers.get(gateway).loads)
-		e.dropGateway(gateway)
+		p.dropLoad(gateway, e)
 	}
 	delete(p.peerEngines, gateway)
 }
--- a/pkg/enginepool/speed.go
+++ b/pkg/enginepool/speed.go
@@ -157,6 +157,18 @@
 	return 1 / (d.steady + (d.known.perToken-d.steady)*recent)
 }
 
+// maxPreemptedBy bounds the gateways whose preempted responses are counted for an engine: some times as many as
+// use it.
+const maxPreemptedBy = 64
+
+// receivePreempted records the number of responses that another gateway saw preempted. Beyond the bound further
+// gateways are left out until others have seen none for some time.
+func (d *decodeSpeed) receivePreempted(gateway string, n decayed) {
+	if _, known := d.peersPreempted.index[gateway]; known || d.peersPreempted.len() < maxPreemptedBy {
+		d.peersPreempted.set(gateway, n)
+	}
+}
+
 // preemptions returns the recent number of preempted responses of all gateways.
 func (d *decodeSpeed) preemptions(now time.Time) float64 {
 	n := d.preempted.value(now)
