runnerlimit: bound the counts of calls by all gateways together

Cause: 4,096 limits, each with a count for any number of gateways.

Change: 32,768 counts, twice as many as the largest fleet has; more are ignored with *memory.ErrTooLarge.

--- a/pkg/runnerlimit/exchange.go
+++ b/pkg/runnerlimit/exchange.go
@@ -139,11 +139,16 @@
 	return r
 }
 
-// maxLimits bounds the runners whose limits are known: some times those of the largest fleet.
-const maxLimits = 4096
+const (
+	// maxLimits bounds the runners whose limits are known: some times those of the largest fleet.
+	maxLimits = 4096
+	// maxPeerCounts bounds the counts of calls of all other gateways, one for each limit and user: twice as many as
+	// in the largest fleet.
+	maxPeerCounts = 1 << 15
+)
 
 // Receive records the reports of a process of another gateway. It fails with *memory.ErrTooLarge if some were
-// ignored since too many runners have limits.
+// ignored since too many runners have limits, or too many gateways call them.
 func (t *Table) Receive(gateway string, incarnation uint64, reports []Report, now time.Time) error {
 	var changes []*Change
 	var ignored error
@@ -153,7 +158,11 @@
 			ignored = memory.TooLarge("runners with rate limits", int64(known)+1, maxLimits)
 			continue
 		}
-		changes = append(changes, t.receive(gateway, incarnation, r, now))
+		change, err := t.receive(gateway, incarnation, r, now)
+		if err != nil {
+			ignored = err
+		}
+		changes = append(changes, change)
 	}
 	t.mu.Unlock()
 	for _, c := range changes {
@@ -162,22 +171,36 @@
 	return ignored
 }
 
-func (t *Table) receive(gateway string, incarnation uint64, r Report, now time.Time) *Change {
+func (t *Table) receive(gateway string, incarnation uint64, r Report, now time.Time) (change *Change, err error) {
 	l := t.limits[r.Runner]
 	namedAt, endedAt := now.Add(-r.NamedAgo), now.Add(-r.EndedAgo)
-	var change *Change
 	switch {
 	case r.Ended && l != nil && !l.ended && endedAt.After(l.namedAt):
 		change = t.end(r.Runner, endedAt, now, gateway)
 	case r.Ended || r.NamedAgo > retention:
-		return nil
+		return nil, nil
 	case l == nil || l.ended && namedAt.After(l.endedAt) || !l.ended && namedAt.After(l.namedAt):
 		change = t.setLimit(r.Runner, r.Statement, namedAt, now, gateway)
 	}
-	if l = t.limits[r.Runner]; !l.ended {
-		l.countPeerCalls(gateway, callCount{incarnation, r.Sent}, now, t.share(r.Runner, l, now))
+	if l = t.limits[r.Runner]; l.ended {
+		return change, nil
+	}
+	if _, known := l.peerCalls[gateway]; !known {
+		if t.peerCounts >= maxPeerCounts {
+			return change, memory.TooLarge("counts of calls in reports", int64(t.peerCounts)+1, maxPeerCounts)
+		}
+		t.peerCounts++
+	}
+	l.countPeerCalls(gateway, callCount{incarnation, r.Sent}, now, t.share(r.Runner, l, now))
+	return change, nil
+}
+
+// remove removes a limit, which another one may replace. The caller holds the lock.
+func (t *Table) remove(runner string) {
+	if l := t.limits[runner]; l != nil {
+		t.peerCounts -= len(l.peerCalls)
+		delete(t.limits, runner)
 	}
-	return change
 }
 
 // countPeerCalls takes another gateway's new calls out of the bucket. On the first report of a gateway it
--- a/pkg/runnerlimit/runnerlimit.go
+++ b/pkg/runnerlimit/runnerlimit.go
@@ -100,6 +100,8 @@
 	// revision counts the changes and calls that other gateways should learn of.
 	revision uint64
 	members  members
+	// peerCounts is the number of entries in the peerCalls of all limits.
+	peerCounts int
 }
 
 // New returns a gateway's table without limits. self is the gateway's name.
@@ -149,6 +151,7 @@
 func (t *Table) setLimit(runner string, s Statement, at, now time.Time, from string) *Change {
 	l := t.limits[runner]
 	if l == nil || l.ended {
+		t.remove(runner)
 		l = newLimit(s, at, now)
 		l.from = from
 		t.limits[runner] = l
@@ -197,7 +200,7 @@
 		if !l.ended {
 			ended = append(ended, t.end(runner, now, now, ""))
 		}
-		delete(t.limits, runner)
+		t.remove(runner)
 	}
 	t.nonEmpty.Store(len(t.limits) > 0)
 	t.mu.Unlock()
--- a/pkg/runnerlimit/runnerlimit_test.go
+++ b/pkg/runnerlimit/runnerlimit_test.go
@@ -254,3 +254,33 @@
 	g.Expect(reports).To(HaveLen(1))
 	g.Expect(reports[0].Runner).To(Equal("called"))
 }
+
+// Guards against counts of calls that gateways without end report for many runners.
+func TestCountsOfCallsInReportsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	table := New("a")
+	var reports []Report
+	for i := range maxLimits {
+		reports = append(reports, Report{Runner: fmt.Sprint("r", i), Statement: namedLimit(10, now), Sent: 1})
+	}
+	var last error
+	for i := range 2 * maxPeerCounts / maxLimits {
+		last = table.Receive(fmt.Sprint("g", i), 1, reports, now)
+	}
+	var large *memory.ErrTooLarge
+	g.Expect(errors.As(last, &large)).To(BeTrue())
+	g.Expect(large.Bound).To(BeEquivalentTo(maxPeerCounts))
+	counted := 0
+	for _, l := range table.limits {
+		counted += len(l.peerCalls)
+	}
+	g.Expect(counted).To(Equal(maxPeerCounts))
+	g.Expect(table.Receive("g0", 1, reports, now)).To(Succeed(), "it is counted already")
+	ended := Report{Runner: "r1", Ended: true}
+	g.Expect(table.Receive("g0", 1, []Report{ended}, now.Add(time.Second))).To(Succeed())
+	table.Observe("r1", namedLimit(10, now.Add(2*time.Second)), now.Add(2*time.Second))
+	g.Expect(table.peerCounts).To(Equal(maxPeerCounts-maxPeerCounts/maxLimits), "a new limit replaced one that had ended")
+	table.Sweep(now.Add(2 * retention))
+	g.Expect(table.peerCounts).To(BeZero())
+}
