runners: keep the latest 64 reports about a runner

Cause: each runner keeps a report of each gateway, of any number.

Change: a report of a further gateway replaces the oldest.

Result: TestReportsAboutARunnerAreBounded fails before.

--- a/pkg/runners/outcomes.go
+++ b/pkg/runners/outcomes.go
@@ -147,6 +147,21 @@
 	}
 }
 
+// maxReporters bounds the gateways whose reports about a runner are kept, the latest ones. Their failure rates differ
+// little.
+const maxReporters = 64
+
+// dropOldestReport removes the oldest report of another gateway. The caller holds the lock.
+func (s *sharedState) dropOldestReport() {
+	oldest, at := "", time.Time{}
+	for gateway, r := range s.others {
+		if oldest == "" || r.at.Before(at) || r.at.Equal(at) && gateway < oldest {
+			oldest, at = gateway, r.at
+		}
+	}
+	delete(s.others, oldest)
+}
+
 // receive records a report of one gateway, and reports whether it made the runner unusable.
 func (s *State) receive(gateway string, r report, o Outcome) bool {
 	s.mu.Lock()
@@ -154,6 +169,9 @@
 	if s.others == nil {
 		s.others = map[string]report{}
 	}
+	if _, known := s.others[gateway]; !known && len(s.others) >= maxReporters {
+		s.dropOldestReport()
+	}
 	s.others[gateway] = r
 	if !o.Unusable || o.Stage != s.Stage || s.mismatch.active(s.Stage, r.at) {
 		return false
--- a/pkg/runners/outcomes_test.go
+++ b/pkg/runners/outcomes_test.go
@@ -1,6 +1,7 @@
 package runners
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -152,3 +153,19 @@
 	d.Sweep(now.Add(time.Second))
 	g.Expect(d.all["r"].others).To(And(HaveLen(1), HaveKey("new")))
 }
+
+// Guards against reports about a runner that gateways without end send.
+func TestReportsAboutARunnerAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1e9, 0)
+	d := NewDirectory("a")
+	d.Put(Runner{ID: "r", Service: "s"}, now)
+	for i := range 3 * maxReporters {
+		d.ReceiveOutcomes(fmt.Sprint("g", i), true, []Outcome{{Runner: "r", Failed: 5, Total: 5}}, now.Add(time.Duration(i)*time.Millisecond))
+	}
+	others := d.all["r"].others
+	g.Expect(others).To(HaveLen(maxReporters))
+	for i := 2 * maxReporters; i < 3*maxReporters; i++ {
+		g.Expect(others).To(HaveKey(fmt.Sprint("g", i)), "the latest reports are kept")
+	}
+}
