forecast: don't keep the rest of a report that is cut

Cause: a long report was cut by reslicing, which keeps all of it in memory.

Change: the part that is used is copied.

Result: TestLongReportIsCut asks for the capacity too, and fails before.

--- a/pkg/forecast/promises.go
+++ b/pkg/forecast/promises.go
@@ -1,6 +1,7 @@
 package forecast
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -91,12 +92,10 @@
 func (p *Promises) Receive(gateway string, r Report, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(r.Counts) > 2*Slots {
-		r.Counts = r.Counts[:2*Slots]
-	}
 	if len(r.Counts) == 0 {
 		return
 	}
+	r.Counts = slices.Clone(r.Counts[:min(len(r.Counts), 2*Slots)])
 	p.others[gateway] = r
 	for i, n := range r.Counts {
 		at := r.Since.Add(time.Duration(i) * SlotLength)
--- a/pkg/forecast/promises_test.go
+++ b/pkg/forecast/promises_test.go
@@ -52,12 +52,14 @@
 	})
 }
 
+// Guards against a report whose rest is not used but stays in memory.
 func TestLongReportIsCut(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	p := NewPromises()
 	p.Receive("a", Report{Since: now, Counts: make([]int, 100000)}, now)
 	g.Expect(len(p.others["a"].Counts)).To(BeNumerically("<=", 2*Slots))
+	g.Expect(cap(p.others["a"].Counts)).To(BeNumerically("<", 4*Slots))
 }
 
 // A report must fit into a datagram however long the pause that a client waits for.
