quota: keep the spending of other gateways by number

What operators would have seen: 77 MB for the counts of spending alone with 420 gateways and 3,000 workspaces, where control may take 64 MB on a node.

Cause: each account kept two maps by gateway name. The one of withheld amounts keeps the memory that it had while no gateway was heard from.

Change: peers have numbers, and an account keeps slices by them: the last totals, and the amounts withheld while there are any.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -23,13 +23,13 @@
 	// refilledTo is the value of fleet.refillTime up to which the bucket was refilled, in
 	// seconds.
 	refilledTo float64
-	// withheld maps each peer that is not alive to the amount that it may spend while this
+	// withheld holds, for each peer that is not alive, the amount that it may spend while this
 	// gateway receives nothing from it.
-	withheld map[string]float64
+	withheld amounts
 	// spent is what this gateway has spent since its process started. reported is the last total
 	// that each peer reported.
 	spent    int64
-	reported map[string]int64
+	reported totals
 	// adopted is set once the level was taken over from a settled peer, one that has seen all
 	// spending of a window.
 	adopted bool
@@ -53,39 +53,29 @@
 	}
 	scale := a.size / oldSize
 	a.level *= scale
-	for name := range a.withheld {
-		a.withheld[name] *= scale
-	}
+	a.withheld.scale(scale)
 }
 
 // refill adds the refill since the last call. refillTime is the fleet's current refill time, in
 // seconds.
 func (a *account) refill(refillTime float64) {
-	a.level = min(a.level+a.refillRate*(refillTime-a.refilledTo), a.size-a.withheldSum())
+	a.level = min(a.level+a.refillRate*(refillTime-a.refilledTo), a.size-a.withheld.sum())
 	a.refilledTo = refillTime
 }
 
-func (a *account) withheldSum() float64 {
-	sum := 0.0
-	for _, v := range a.withheld {
-		sum += v
-	}
-	return sum
-}
-
 // take withdraws an amount, or returns it if it is negative.
-func (a *account) take(amount float64) { a.level = min(a.level-amount, a.size-a.withheldSum()) }
+func (a *account) take(amount float64) { a.level = min(a.level-amount, a.size-a.withheld.sum()) }
 
 // withhold adds a fraction of a level to the amount withheld for a peer that is not alive. The
 // caller subtracts it from a.level.
-func (a *account) withhold(name string, fraction, level float64) {
-	a.withheld[name] += max(0, level) * fraction
+func (a *account) withhold(slot int, fraction, level float64) {
+	a.withheld.set(slot, a.withheld.get(slot)+max(0, level)*fraction)
 }
 
 // release adds the amount withheld for a removed peer back to the level.
-func (a *account) release(name string) {
-	a.level += a.withheld[name]
-	delete(a.withheld, name)
+func (a *account) release(slot int) {
+	a.level += a.withheld.get(slot)
+	a.withheld.set(slot, 0)
 }
 
 // timeUntil returns how long it takes until the bucket holds an amount, at a fraction of its refill
--- a/pkg/quota/exchange.go
+++ b/pkg/quota/exchange.go
@@ -30,12 +30,12 @@
 	if p != nil {
 		return p
 	}
-	p = &peer{name: name}
+	p = &peer{name: name, slot: l.fleet.slots.take()}
 	l.fleet.peers[name] = p
 	for _, a := range l.accounts {
 		a.refill(l.fleet.refillTime)
-		a.withhold(name, 1/float64(l.fleet.size()), a.level)
-		a.level -= a.withheld[name]
+		a.withhold(p.slot, 1/float64(l.fleet.size()), a.level)
+		a.level -= a.withheld.get(p.slot)
 	}
 	return p
 }
@@ -43,11 +43,13 @@
 // removePeer removes a peer for good. The amounts withheld for it become available again. The
 // caller must hold l.mu.
 func (l *Ledger) removePeer(name string) {
+	slot := l.fleet.peers[name].slot
 	delete(l.fleet.peers, name)
 	for _, a := range l.accounts {
-		a.release(name)
-		delete(a.reported, name)
+		a.release(slot)
+		a.reported.forget(slot)
 	}
+	l.fleet.slots.release(slot)
 }
 
 // ReceiveSpending records the spending that a peer reported in a datagram. The caller passes full reports,
@@ -82,7 +84,7 @@
 	if a == nil || a.adopted || l.settled(now) {
 		return
 	}
-	if own := a.level + a.withheldSum(); settled || float64(s.Level) < own {
+	if own := a.level + a.withheld.sum(); settled || float64(s.Level) < own {
 		l.setLevel(a, float64(s.Level))
 	}
 	a.adopted = settled
@@ -96,9 +98,9 @@
 func (l *Ledger) handleRestart(p *peer, incarnation uint64, now time.Time) {
 	restarted := p.incarnation != 0
 	for _, a := range l.accounts {
-		delete(a.reported, p.name)
+		a.reported.forget(p.slot)
 		if restarted {
-			delete(a.withheld, p.name)
+			a.withheld.set(p.slot, 0)
 		}
 	}
 	if restarted {
@@ -119,9 +121,9 @@
 		return
 	}
 	for _, a := range l.accounts {
-		a.level += a.withheld[p.name] + a.refillRate*(l.fleet.refillTime-a.refilledTo)
+		a.level += a.withheld.get(p.slot) + a.refillRate*(l.fleet.refillTime-a.refilledTo)
 		a.refilledTo = l.fleet.refillTime
-		delete(a.withheld, p.name)
+		a.withheld.set(p.slot, 0)
 	}
 }
 
@@ -134,8 +136,8 @@
 		return
 	}
 	a.refill(l.fleet.refillTime)
-	previous, found := a.reported[p.name]
-	a.reported[p.name] = s.Total
+	previous, found := a.reported.get(p.slot)
+	a.reported.set(p.slot, s.Total)
 	if found || p.baselineKnown {
 		a.take(float64(s.Total - previous))
 	}
@@ -167,7 +169,7 @@
 			break
 		}
 		a.refill(l.fleet.refillTime)
-		out = append(out, Spending{Workspace: a.key, Total: a.spent, Level: int64(a.level + a.withheldSum())})
+		out = append(out, Spending{Workspace: a.key, Total: a.spent, Level: int64(a.level + a.withheld.sum())})
 	}
 	return out, l.revision
 }
--- a/pkg/quota/fleet.go
+++ b/pkg/quota/fleet.go
@@ -9,6 +9,7 @@
 // fleet is the set of gateways that share the limits.
 type fleet struct {
 	peers map[string]*peer
+	slots slots
 	// grace is how long after its last datagram a peer counts as alive.
 	grace time.Duration
 	// refillTime is a clock, in seconds, that runs at the fraction of the gateways that are alive:
@@ -20,7 +21,9 @@
 
 // peer is the state that this gateway keeps for another gateway.
 type peer struct {
-	name        string
+	name string
+	// slot is the peer's place in the totals of all accounts.
+	slot        int
 	incarnation uint64
 	// lastReceived is when the last datagram arrived, zero for never. creditedTo is the time up to
 	// which the peer's share was added to refillTime. alive says whether the peer was alive at
@@ -91,6 +94,7 @@
 // it.
 type timedOutPeer struct {
 	name     string
+	slot     int
 	fraction float64
 }
 
@@ -114,7 +118,7 @@
 		f.credit(p, earlier(now, aliveUntil), share)
 		if now.After(aliveUntil) {
 			p.alive = false
-			timedOut = append(timedOut, timedOutPeer{name: p.name})
+			timedOut = append(timedOut, timedOutPeer{name: p.name, slot: p.slot})
 		}
 	}
 	slices.SortFunc(timedOut, func(a, b timedOutPeer) int { return cmp.Compare(a.name, b.name) })
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -147,7 +147,7 @@
 
 // openAccount adds the account of a workspace. The caller must hold l.mu.
 func (l *Ledger) openAccount(key Key, w *workspace.Workspace) {
-	a := &account{name: w.Name, key: key, refilledTo: l.fleet.refillTime, reported: map[string]int64{}, withheld: map[string]float64{}}
+	a := &account{name: w.Name, key: key, refilledTo: l.fleet.refillTime}
 	a.resize(w.Limit, l.allowance, l.shares)
 	a.level = a.size
 	if l.configuredAt.IsZero() {
@@ -160,13 +160,13 @@
 // setLevel sets the level of a bucket and withholds the shares of the peers that are not alive.
 // The caller must hold l.mu.
 func (l *Ledger) setLevel(a *account, level float64) {
-	clear(a.withheld)
-	for name, p := range l.fleet.peers {
+	a.withheld = amounts{}
+	for _, p := range l.fleet.peers {
 		if !p.alive {
-			a.withhold(name, 1/float64(l.fleet.size()), level)
+			a.withhold(p.slot, 1/float64(l.fleet.size()), level)
 		}
 	}
-	a.level = level - a.withheldSum()
+	a.level = level - a.withheld.sum()
 }
 
 // closeAccount removes an account. The caller must hold l.mu.
@@ -236,8 +236,8 @@
 		fraction := timedOut.fraction
 		for _, a := range l.accounts {
 			a.refill(l.fleet.refillTime)
-			a.withhold(timedOut.name, fraction, a.level)
-			a.level -= a.withheld[timedOut.name]
+			a.withhold(timedOut.slot, fraction, a.level)
+			a.level -= a.withheld.get(timedOut.slot)
 		}
 	}
 }
