peers: a relay that may send no more refers gateways to the store

Cause, as read in the code: a relay whose allowance is used up by the entries of thousands of runners sends nothing for a while. The gateways rely on it until the StaleAfter of the pace, 3.0 s at this bound, and call the store only then.

Change: such a relay sends an update without changes that is marked as truncated, which makes a gateway watch the store at once; at most once in the time of a relay's watch to each gateway, so that the store gets as many calls as from so many relays at most.

Result: TestRelayWithoutAllowanceRefersGatewaysToTheStore fails before.

--- a/pkg/peers/relay.go
+++ b/pkg/peers/relay.go
@@ -12,9 +12,8 @@
 const (
 	// relayRate bounds what a relay sends, in bytes a second, and relayBurst what it may send at
 	// once, in bytes: enough to send the changed entries of 100 runners to 40 gateways. When a
-	// whole system starts, thousands of runners register. No request waits for these updates, so
-	// the relay leaves out what exceeds the bounds, and each gateway's own watch of the store reads
-	// the rest.
+	// whole system starts, thousands of runners register. The relay leaves out what exceeds the
+	// bounds, and refers the gateways to the store for the rest.
 	relayRate  = 128 << 10
 	relayBurst = 1 << 20
 	// datagramOverhead is the size of a datagram without the values of its update, in bytes.
@@ -143,8 +142,12 @@
 		if m == nil {
 			continue
 		}
-		for _, u := range x.options.Store.Since(at, x.subscribers.Encodings(name), now) {
+		updates := x.options.Store.Since(at, x.subscribers.Encodings(name), now)
+		for _, u := range updates {
 			if !x.relayAllowance.take(datagramOverhead+u.Bytes(), now) {
+				if x.subscribers.Refer(name, now) {
+					out = append(out, x.referral(m, at, updates[len(updates)-1].Age, now))
+				}
 				break
 			}
 			x.subscribers.Sent(name, u.To, now)
@@ -156,6 +159,13 @@
 	return out
 }
 
+// referral returns a datagram that makes a gateway with all changes up to a revision read the later ones from the
+// store. Without it the gateway would rely on its relays for the StaleAfter of their pace. The caller holds the lock.
+func (x *Exchange) referral(m *member, at store.Revision, age time.Duration, now time.Time) datagram {
+	message := encodeStoreUpdate(relay.Update{From: at, To: at, Age: age, Truncated: true})
+	return x.newDatagram(m, &wirepb.GatewayState{StoreUpdate: message}, now)
+}
+
 // subscribe sends subscriptions to the relays that are due one. A gateway that has not read the store
 // does not subscribe until it has.
 func (x *Exchange) subscribe(now time.Time) {
--- a/pkg/peers/relay_test.go
+++ b/pkg/peers/relay_test.go
@@ -161,3 +161,34 @@
 	}
 	g.Expect(sent).To(And(BeNumerically("<=", 10*relayRate), BeNumerically(">", 9*relayRate)))
 }
+
+// Guards against gateways that learn of a change only when they no longer rely on a relay, because the relay has sent
+// as much as it may.
+func TestRelayWithoutAllowanceRefersGatewaysToTheStore(t *testing.T) {
+	g := NewWithT(t)
+	a := newGateway(t, "a", 1)
+	defer a.options.Conn.Close()
+	now := time.Now()
+	a.feed.Restart(5, now)
+	a.feed.Advance(6, []store.Event{storeChange("k", 6, 5000)}, now)
+	g.Expect(a.Add("b", "127.0.0.1:9")).To(Succeed())
+	a.subscribers.Subscribe("b", 5, allEncodings, now)
+	a.relayAllowance = allowance{at: now}
+	send := func(at time.Time) []datagram { return a.storeUpdates(a.subscribers.Due(6, at), at) }
+	sent := send(now)
+	g.Expect(sent).To(HaveLen(1))
+	u := decodeStoreUpdate(sent[0].state.StoreUpdate)
+	g.Expect(u.Truncated).To(BeTrue())
+	g.Expect(u.Changes).To(BeEmpty())
+	g.Expect(u.To).To(Equal(store.Revision(5)))
+	g.Expect(send(now)).To(BeEmpty(), "it was referred to the store just now")
+	now = now.Add(pace.WatchWait)
+	a.relayAllowance = allowance{at: now}
+	g.Expect(send(now)).To(HaveLen(1))
+	now = now.Add(time.Second)
+	sent = send(now)
+	g.Expect(sent).To(HaveLen(1))
+	u = decodeStoreUpdate(sent[0].state.StoreUpdate)
+	g.Expect(u.Truncated).To(BeFalse(), "the allowance suffices")
+	g.Expect(u.To).To(Equal(store.Revision(6)))
+}
--- a/pkg/relay/subscribers.go
+++ b/pkg/relay/subscribers.go
@@ -17,10 +17,12 @@
 
 type subscriber struct {
 	expires time.Time
-	// sent is the revision up to which changes were sent, sentAt when the last update was.
-	sent      store.Revision
-	sentAt    time.Time
-	encodings Encodings
+	// sent is the revision up to which changes were sent, sentAt when the last update was. referredAt is when
+	// the gateway was last referred to the store.
+	sent       store.Revision
+	sentAt     time.Time
+	referredAt time.Time
+	encodings  Encodings
 	// stamp is that of the newest subscription, stampedAt the time of the subscription's arrival.
 	stamp     uint64
 	stampedAt time.Time
@@ -83,6 +85,17 @@
 	return Encodings{}
 }
 
+// Refer reports whether a gateway is to be referred to the store now, since it can't be sent the changes that it
+// lacks, and records that. It is referred at most once in the time that a relay's watch lasts.
+func (s *Subscribers) Refer(name string, now time.Time) bool {
+	g := s.all[name]
+	if g == nil || now.Sub(g.referredAt) < s.pace.WatchWait {
+		return false
+	}
+	g.referredAt, g.sentAt = now, now
+	return true
+}
+
 // Sent records that changes up to a revision were sent to a gateway. If they are lost, its next
 // subscription carries the earlier revision.
 func (s *Subscribers) Sent(name string, to store.Revision, now time.Time) {
