--- a/pkg/enginepool/snapshot.go
+++ b/pkg/enginepool/snapshot.go
@@ -89,8 +89,8 @@
 	// maxEngines bounds the engines of a pool that are known from other gateways' reports, which may
 	// come before the engine's entry.
 	maxEngines = 4096
-	// maxPeerReports bounds the engines of which the other gateways report load, counted for each gateway:
-	// twice as many as in the largest fleet, where some gateways use an engine.
+	// maxPeerReports bounds the pairs of an engine and a gateway that reports load on it: twice as many as
+	// in the largest fleet, where each engine is used by a few gateways.
 	maxPeerReports = 1 << 15
 	// maxPeerLoads bounds the reservations of all other gateways in a pool: two and a half times the
 	// requests that the largest fleet runs at its peak.
--- a/pkg/quota/slots_test.go
+++ b/pkg/quota/slots_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against counts of all gateways' spending that take most of a gateway's memory in the largest fleet, also after
-// a time in which no gateway was heard from.
+// all gateways have been silent.
 func TestSpendingOfTheLargestFleetTakesLittleMemory(t *testing.T) {
 	const (
 		gateways, workspaces = 420, 3000
