review: case 6, entries of another writer blind all gateways to the store

Rule: CONFIG, a request sent later than configMs after the acknowledgement of a version is handled as only an older version allows, by machines in touch.

Callers of a new route get 404 and requests on a dropped route run, at all gateways, as long as 14 unreadable entries of 1 MiB (value_bytes) lie in the store.

Cause: a watch above 6% of memory_mb becomes a full read; a full read counts all items, also those that would be dropped, fails above 10% of memory_mb, and is repeated for ever.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -12,6 +12,7 @@
 	"versions": playVersions,
 	"in-place": playInPlace,
 	"cold":     playCold,
+	"junk":     playJunk,
 }
 
 // main plays a case: rig2 CASE RECORD. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case
