--- a/review/rig2/link.go
+++ b/review/rig2/link.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/http/httputil"
 	"net/url"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -26,9 +25,6 @@
 	// thereSeen are the addresses that stand for them on the other side.
 	here, there, hereSeen, thereSeen string
 	outer, inner                     net.PacketConn
-
-	mu    sync.Mutex
-	conns []net.Conn
 }
 
 // newLink opens a link of a gateway whose meeting address is here, to the store and to a gateway at there.
--- a/review/rig2/versions.go
+++ b/review/rig2/versions.go
@@ -19,7 +19,6 @@
 
 // versionStream is what one client has received of one stream, over its tries.
 type versionStream struct {
-	mu     sync.Mutex
 	name   string
 	origin string
 	last   string
