upstream: a surplus response without an end fails its exchange

What callers saw: a request on a kept connection on which a runner first sends a surplus response with a body in chunks that has no end waited until its deadline, while its gateway read all bytes.

Cause: the body of a surplus response is skipped to its end, which need not come. The heads and the bodies of due responses were bounded already.

Fix: at most 256 KiB are skipped, as much as is buffered of a response. Beyond that the exchange fails with *memory.ErrTooLarge, which IsUnusable already counts as a response that is none, and the connection is closed, so that the runner stops.

--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -26,6 +26,9 @@
 	readBuffer = 4096
 	// maxSurplus is how many responses to earlier requests are skipped per request.
 	maxSurplus = 2
+	// maxSurplusBytes is how much of the body of such a response is skipped, in bytes. A body may have no
+	// end, while the request that follows it waits.
+	maxSurplusBytes = 256 << 10
 	// maxInterim is how many 1xx responses are accepted before the final one.
 	maxInterim = 5
 	// inlineBody is the longest body, in bytes, that is written before the response is
@@ -356,8 +359,15 @@
 		if surplus++; surplus > maxSurplus || res.Close {
 			return nil, surplus, &ErrSurplus{Responses: surplus}
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		if err := skipBody(res.Body); err != nil {
 			return nil, surplus, err
 		}
 	}
 }
+
+// skipBody reads the body of a surplus response. It fails with *memory.ErrTooLarge if the body exceeds
+// maxSurplusBytes.
+func skipBody(body io.Reader) error {
+	_, err := io.Copy(io.Discard, memory.Limit(body, "body of a surplus response", maxSurplusBytes))
+	return err
+}
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/hopwell/hopwell/pkg/boottime"
+	"github.com/hopwell/hopwell/pkg/memory"
 )
 
 // server accepts connections and counts them.
@@ -313,6 +314,36 @@
 	g.Expect(s.count()).To(Equal(2))
 }
 
+// Guards against a request that waits until its deadline because a surplus response before its own has no end.
+func TestEndlessSurplusResponseEndsTheExchange(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		respondOK(c, in, "")
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for chunk := fmt.Sprintf("%x\r\n%s\r\n", 4096, strings.Repeat("x", 4096)); ; {
+			if _, err := io.WriteString(c, chunk); err != nil {
+				return
+			}
+		}
+	})
+	k := newClient()
+	g.Expect(get(k, s.address, "1")).To(Equal("ok"))
+	failed := make(chan error, 1)
+	go func() {
+		_, err := get(k, s.address, "2")
+		failed <- err
+	}()
+	var err error
+	g.Eventually(failed, "20s").Should(Receive(&err))
+	var large *memory.ErrTooLarge
+	g.Expect(errors.As(err, &large)).To(BeTrue(), "%v", err)
+	g.Expect(large.Bound).To(BeEquivalentTo(256 << 10))
+	g.Expect(IsUnusable(err)).To(BeTrue())
+}
+
 func TestTrailingBytesCloseConnection(t *testing.T) {
 	g := NewWithT(t)
 	s := serve(t, func(n int, c net.Conn, in *bufio.Reader) {
