engine: a call without a result ends although the response does not

What callers saw: nothing directly. A sidecar's release, cancel or assign call at an engine whose response has no end read for as long as its context lasted, and kept a connection busy.

Cause: the body of a response that carries no result was read to its end, unbounded. All other responses of an engine are bounded by maxLineBytes.

Evidence: TestEndlessResponseToCallWithoutResultEnds timed out after 20 s on the code before.

Fix: the same bound. The rest is dropped with its connection; the call had succeeded by its status.

--- a/pkg/engine/http.go
+++ b/pkg/engine/http.go
@@ -132,7 +132,8 @@
 func (c *Client) decodeBody(resp *http.Response, into any) error {
 	defer resp.Body.Close()
 	if into == nil {
-		_, _ = io.Copy(io.Discard, resp.Body)
+		// The rest of a longer body is dropped with its connection.
+		_, _ = io.CopyN(io.Discard, resp.Body, maxLineBytes)
 		return nil
 	}
 	if err := json.NewDecoder(memory.Limit(resp.Body, "response of an engine", maxLineBytes)).Decode(into); err != nil {
