resume: take a version for the only one only after asking the store

What callers saw: clients whose streams had begun at version v2 lost their gateway and resumed at one that was cut off from the store and from other gateways.

Cause: a gateway that had no origin of a stream resumed it at the only version that it knew, if its copy of the store had been confirmed within twice StaleAfter, 3.2 s or more. In that time a version can come, streams can begin at it and be resumed. No age is short enough: both take some 0.1 s. The same inference stood on a related path: replies of half of the gateways asked counted, but only live ones are asked, so after a partition a minority took itself for all.

Fix: the gateway asks the store when the client comes, with one watch that takes some milliseconds and that all clients who come meanwhile share. A version is in the store before a stream begins at it, and a stream begins before its client resumes it, so an answer that was requested after the client came shows it. If the store does not answer in 0.2 s, other gateways are asked as before, and silent ones count among those of whom half must reply.

--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -15,20 +15,24 @@
 type OriginExchange interface {
 	// AnnounceOrigins sends origins to the gateways that keep them.
 	AnnounceOrigins(list []resume.Origin)
-	// AskOrigin asks the gateways that keep the origin of a stream, and returns their number. Their
-	// replies are passed to ReceiveOriginReply.
-	AskOrigin(k resume.Key, service string) int
+	// AskOrigin asks the gateways that keep the origin of a stream and are alive. It returns their
+	// number, and the number of all that keep it, also silent ones. Replies are passed to
+	// ReceiveOriginReply.
+	AskOrigin(k resume.Key, service string) (asked, keepers int)
 }
 
 // Origins connects an Ingress to the origins of streams that other gateways keep.
 type Origins struct {
 	// Exchange is nil if there are no other gateways.
 	Exchange OriginExchange
-	// Fresh reports whether this gateway's copy of the store is up to date; nil if it always is.
-	Fresh func() bool
+	// Refresh brings this gateway's copy of the store up to date. It reports whether the copy then has all
+	// changes made before the call. If it is nil, the copy always has.
+	Refresh func(ctx context.Context) bool
 }
 
 const (
+	// refreshWait is how long the store is waited for, whose calls take some milliseconds.
+	refreshWait = 200 * time.Millisecond
 	// originReplyWait is how long replies of other gateways are waited for, and originAskInterval the
 	// interval at which they are asked again, since datagrams get lost. A round trip within a region
 	// takes some milliseconds.
@@ -180,7 +184,7 @@
 	defer cancel()
 	tick := time.NewTicker(originAskInterval)
 	defer tick.Stop()
-	e.Asked = exchange.AskOrigin(e.Key, e.Service)
+	e.Asked, e.Keepers = exchange.AskOrigin(e.Key, e.Service)
 	for {
 		var known bool
 		e.Replies, known = x.g.questions.list(q)
@@ -192,7 +196,8 @@
 			return
 		case <-q.changed:
 		case <-tick.C:
-			e.Asked = max(e.Asked, exchange.AskOrigin(e.Key, e.Service))
+			asked, keepers := exchange.AskOrigin(e.Key, e.Service)
+			e.Asked, e.Keepers = max(e.Asked, asked), max(e.Keepers, keepers)
 		}
 	}
 }
--- a/pkg/ingress/resumed.go
+++ b/pkg/ingress/resumed.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -31,17 +32,16 @@
 	}
 	x.fields = append(x.fields, decisionlog.F("origin_request", shorten(x.call.OriginID)))
 	e := resume.Evidence{Service: x.service, Named: x.call.OriginID != "", Key: x.streamKey(x.call.OriginID)}
-	now := time.Now()
-	if e.Named {
-		o, known := x.g.origins.Find(e.Key, now)
-		e.Known, e.Version = known, o.Version
-	}
-	e.Only = x.g.versions.Only(x.service, now)
-	e.Fresh = x.g.options.Origins.Fresh == nil || x.g.options.Origins.Fresh()
+	x.lookUpOrigin(&e)
 	from := "own"
+	if !e.Known && e.Only != "" {
+		e.Fresh = x.refreshCopy()
+		x.lookUpOrigin(&e)
+	}
 	if e.NeedsReplies() {
 		from = "replies"
 		x.askOrigin(&e)
+		e.Only = x.g.versions.Only(x.service, time.Now())
 	}
 	version, err := resume.Decide(e)
 	x.g.metrics.resumption(err)
@@ -53,6 +53,27 @@
 	return nil
 }
 
+// lookUpOrigin adds to the evidence what this gateway knows.
+func (x *exchange) lookUpOrigin(e *resume.Evidence) {
+	now := time.Now()
+	if e.Named {
+		o, known := x.g.origins.Find(e.Key, now)
+		e.Known, e.Version = known, o.Version
+	}
+	e.Only = x.g.versions.Only(x.service, now)
+}
+
+// refreshCopy brings this gateway's copy of the store up to date, and reports whether it succeeded in time.
+func (x *exchange) refreshCopy() bool {
+	refresh := x.g.options.Origins.Refresh
+	if refresh == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, refreshWait)
+	defer cancel()
+	return refresh(ctx)
+}
+
 // bindBegun binds a stream whose first event this gateway has sent to the software version of the
 // runner that brought it. It fails with *resume.ErrUnknown if that version is doubted.
 func (s *generation) bindBegun() error {
--- a/pkg/peers/origins.go
+++ b/pkg/peers/origins.go
@@ -44,19 +44,19 @@
 	}
 }
 
-// AskOrigin asks the gateways that keep the origin of a stream for it, and returns their number. It
-// does not wait for replies.
-func (x *Exchange) AskOrigin(k resume.Key, service string) int {
+// AskOrigin asks the gateways that keep the origin of a stream and are alive for it. It returns their
+// number, and the number of all that keep it, also silent ones. It does not wait for replies.
+func (x *Exchange) AskOrigin(k resume.Key, service string) (asked, keepers int) {
 	query := &wirepb.OriginQuery{Stream: uint64(k), Service: service}
-	asked := x.aliveAmong(x.keepers(k, askedKeepers))
-	for _, name := range asked {
+	names := x.aliveAmong(x.keepers(k, askedKeepers))
+	for _, name := range names {
 		x.outbox.add(name, func(s *wirepb.GatewayState) {
 			if len(s.OriginQueries) < maxOrigins {
 				s.OriginQueries = append(s.OriginQueries, query)
 			}
 		})
 	}
-	return len(asked)
+	return len(names), x.withSilent(len(names))
 }
 
 // aliveAmong returns those of the named gateways that are alive, without this one.
@@ -72,6 +72,23 @@
 	return out
 }
 
+// withSilent returns a number of live gateways in proportion to the whole membership list, rounded up. After
+// a partition, the gateways on one side must not take themselves for all.
+func (x *Exchange) withSilent(live int) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	alive := 0
+	for _, m := range x.members {
+		if m.alive {
+			alive++
+		}
+	}
+	if alive == 0 {
+		return len(x.members)
+	}
+	return (live*len(x.members) + alive - 1) / alive
+}
+
 // receiveOrigins records the origins and replies of a datagram, and replies to its queries.
 func (x *Exchange) receiveOrigins(s *wirepb.GatewayState) {
 	if x.options.ReceiveOrigins == nil {
--- a/pkg/peers/origins_test.go
+++ b/pkg/peers/origins_test.go
@@ -52,7 +52,11 @@
 	run(t, a)
 	run(t, b)
 	g.Expect(a.Add("b", b.address)).To(Succeed())
-	g.Eventually(func() int { return a.AskOrigin(1, "s") }, "20s").Should(Equal(1), "b is alive")
+	asked := func() int {
+		n, _ := a.AskOrigin(1, "s")
+		return n
+	}
+	g.Eventually(asked, "20s").Should(Equal(1), "b is alive")
 
 	const streams = 500
 	var clients sync.WaitGroup
@@ -97,6 +101,29 @@
 	}
 }
 
+// Guards against the gateways on one side of a partition that take themselves for all gateways.
+func TestSilentGatewaysCountAmongTheKeepers(t *testing.T) {
+	g := NewWithT(t)
+	w := newGateway(t, "a", 1)
+	for _, m := range []struct {
+		name  string
+		alive bool
+	}{{"b", true}, {"c", true}, {"d", false}, {"e", false}} {
+		w.members[m.name] = &member{name: m.name, alive: m.alive}
+		w.memberships++
+	}
+	w.updateSubset()
+	asked, keepers := w.AskOrigin(1, "s")
+	g.Expect(asked).To(Equal(2))
+	g.Expect(keepers).To(Equal(4))
+	g.Expect(w.withSilent(8)).To(Equal(16))
+	w.members["b"].alive, w.members["c"].alive = false, false
+	w.updateSubset()
+	asked, keepers = w.AskOrigin(1, "s")
+	g.Expect(asked).To(BeZero())
+	g.Expect(keepers).To(Equal(4))
+}
+
 // Guards against a change of the encoding that gateways of other builds would read differently.
 func TestEncodingOfOriginsIsFixed(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -75,6 +75,7 @@
 	restartedMu   sync.Mutex
 	restarted     map[string]runners.Runner
 	storeReplaced chan struct{}
+	refreshes     refreshes
 }
 
 func newFeed(g *ingress.Ingress, l *decisionlog.Log, s store.Store, address string, p relay.Pace) *feed {
--- a/pkg/process/origins.go
+++ b/pkg/process/origins.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/hopwell/hopwell/pkg/boottime"
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/resume"
@@ -23,9 +22,6 @@
 	maxMixedTurn = 10
 	// mixedLeases is the lease of such a key, as a multiple of the time for which origins are kept.
 	mixedLeases = 2
-	// freshPaces is the age, as a multiple of relay.Pace.StaleAfter, up to which the copy of the store
-	// shows the software versions that serve.
-	freshPaces = 2
 )
 
 // originExchange sends origins to other gateways. It implements ingress.OriginExchange. The exchange
@@ -34,16 +30,13 @@
 
 func (o originExchange) AnnounceOrigins(list []resume.Origin) { o.p.peers.AnnounceOrigins(list) }
 
-func (o originExchange) AskOrigin(k resume.Key, service string) int {
+func (o originExchange) AskOrigin(k resume.Key, service string) (asked, keepers int) {
 	return o.p.peers.AskOrigin(k, service)
 }
 
 // origins returns how gateways share the software versions at which streams began.
 func (p *Ingress) origins() ingress.Origins {
-	return ingress.Origins{Exchange: originExchange{p}, Fresh: func() bool {
-		confirmed := p.feed.history.Confirmed()
-		return !confirmed.IsZero() && boottime.Since(confirmed) < freshPaces*p.feed.pace.StaleAfter
-	}}
+	return ingress.Origins{Exchange: originExchange{p}, Refresh: func(ctx context.Context) bool { return p.feed.refresh(ctx) }}
 }
 
 // observeVersion records the software version of a runner that changed. A runner that restarted under
--- a/pkg/resume/decide.go
+++ b/pkg/resume/decide.go
@@ -21,13 +21,15 @@
 	// that is not certain.
 	Known   bool
 	Version string
-	// Only is the single version of the service, empty if the gateway knows of several. Fresh is set
-	// if the gateway's copy of the store is up to date, so that no other version can have appeared.
+	// Only is the single version of the service, empty if the gateway knows of several. Fresh is set if
+	// the gateway's copy of the store has all changes made before the client resumed the stream. A
+	// version appears in the store before a stream begins at it, so no other version can be the origin.
 	Only  string
 	Fresh bool
-	// Asked is the number of gateways that were asked, Replies are their replies.
-	Asked   int
-	Replies []Reply
+	// Keepers is the number of other gateways that keep the origin, also those that have fallen silent,
+	// Asked the number of those that were asked. Replies are their replies.
+	Keepers, Asked int
+	Replies        []Reply
 }
 
 // Decide returns the version at which a stream may continue. It fails with *ErrUnknown.
@@ -51,8 +53,8 @@
 		return version, nil
 	case e.Only != "" && e.Fresh:
 		return e.Only, nil
-	case e.Only != "" && only > 0 && 2*only >= e.Asked && only == len(e.Replies):
-		// Without an up-to-date copy of the store, replies of half of the gateways exclude a partition.
+	case e.Only != "" && only > 0 && 2*only >= e.Keepers && only == len(e.Replies):
+		// With this gateway these are most of the gateways, so they are not cut off from the others.
 		return e.Only, nil
 	case !e.Named:
 		return "", e.unknown(NotNamed)
