resume: keep the versions that streams may have in the store

What callers saw: all gateways were lost while the engines of one software version were replaced by those of another. Clients that resumed at the gateways that started afterwards got the rest of their streams from the new version, as whole streams (ORDER). Where both versions served, all of them were refused (LOST).

Cause: a gateway takes the version that it sees for the only one there was, but one that has just started sees only what serves now. The store's note that a service is mixed was written up to 0.3 s and more after a gateway had seen both versions, and never if none had.

Fix: a record of each service's versions in the store. New resumable streams begin only at versions of the record (for 2 s at most, so that a store that takes no writes does not keep streams from the only engines), and a version stays there until no stream can have it. So a gateway that starts knows which versions streams can have, and that a stream whose origin nobody has began at the version that was alone in the record. After a restore of the store the record is not relied upon for 2 minutes. hopwell/mixed/ is still read, for gateways of the build before.

--- a/pkg/enginepool/engine.go
+++ b/pkg/enginepool/engine.go
@@ -21,16 +21,18 @@
 	Allows func(domain string) bool
 	// Version is the only software version at which the job may run; empty for any.
 	Version string
+	// AllowsVersion reports whether the job may run at a software version; nil allows all.
+	AllowsVersion func(version string) bool
 }
 
 // Accepts reports whether the job may run on a runner.
 func (j Job) Accepts(s *runners.State) bool {
-	return (j.Version == "" || j.Version == s.Version) && (j.Allows == nil || j.Allows(s.Domain))
+	return (j.Version == "" || j.Version == s.Version) && (j.Allows == nil || j.Allows(s.Domain)) && (j.AllowsVersion == nil || j.AllowsVersion(s.Version))
 }
 
 // filter returns Accepts, or nil if the job may run on all runners.
 func (j Job) filter() func(*runners.State) bool {
-	if j.Version == "" && j.Allows == nil {
+	if j.Version == "" && j.Allows == nil && j.AllowsVersion == nil {
 		return nil
 	}
 	return j.Accepts
--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -117,13 +117,26 @@
 func (g *Ingress) ObserveVersion(r *runners.Runner) {
 	now := time.Now()
 	if g.versions.Observe(r.Service, r.Version, now) {
-		own := g.origins.Own(r.Service, now)
-		g.announce(own)
-		g.options.Log.Write(decisionlog.KindState, "software_versions", decisionlog.F("service", r.Service),
-			decisionlog.F("new", r.Version), decisionlog.F("announced", len(own)))
+		g.announceOwn(r.Service, now, decisionlog.F("new", r.Version))
 	}
 }
 
+// ReadRecord applies the record of a service's software versions in the store. Streams that began while
+// there was only one version are announced if it lists a second one.
+func (g *Ingress) ReadRecord(service string, r resume.Record) {
+	now := time.Now()
+	if g.versions.ReadRecord(service, r, now) {
+		g.announceOwn(service, now, decisionlog.F("recorded", r.Versions))
+	}
+}
+
+// announceOwn announces the origins of this gateway's streams of a service, and logs why.
+func (g *Ingress) announceOwn(service string, now time.Time, why decisionlog.Field) {
+	own := g.origins.Own(service, now)
+	g.announce(own)
+	g.options.Log.Write(decisionlog.KindState, "software_versions", decisionlog.F("service", service), why, decisionlog.F("announced", len(own)))
+}
+
 // DoubtOrigins handles that a runner restarted under its name at another software version. Streams
 // that began there shortly before may have begun at either version.
 func (g *Ingress) DoubtOrigins(before *runners.Runner) {
@@ -135,7 +148,7 @@
 	}
 }
 
-// MarkMixed records that, according to the store, a service has had several software versions.
+// MarkMixed records that, according to a gateway of an earlier build, a service has had several software versions.
 func (g *Ingress) MarkMixed(service string) {
 	g.versions.MarkMixed(service, time.Now())
 }
@@ -202,6 +215,17 @@
 	}
 }
 
+// versionFilter returns at which software versions a new resumable stream may begin: at those of the record
+// in the store, from which gateways that start know that it may have begun there. It returns nil if that
+// is not restricted.
+func (x *exchange) versionFilter() func(version string) bool {
+	v := x.g.versions
+	if !x.route.Resumable || x.call.After != "" || !v.Withholds(x.service, time.Now()) {
+		return nil
+	}
+	return func(version string) bool { return v.MayBegin(x.service, version, time.Now()) }
+}
+
 // beginStream records and announces that a runner is about to begin the request's stream.
 func (x *exchange) beginStream(runner *runners.State) {
 	if !x.route.Resumable || x.call.After != "" {
--- a/pkg/ingress/resumed.go
+++ b/pkg/ingress/resumed.go
@@ -34,14 +34,14 @@
 	e := resume.Evidence{Service: x.service, Named: x.call.OriginID != "", Key: x.streamKey(x.call.OriginID)}
 	x.lookUpOrigin(&e)
 	from := "own"
-	if !e.Known && e.Only != "" {
+	if !e.Known && (e.Only != "" || e.Unannounced != "") {
 		e.Fresh = x.refreshCopy()
 		x.lookUpOrigin(&e)
 	}
 	if e.NeedsReplies() {
 		from = "replies"
 		x.askOrigin(&e)
-		e.Only = x.g.versions.Only(x.service, time.Now())
+		x.lookUpVersions(&e)
 	}
 	version, err := resume.Decide(e)
 	x.g.metrics.resumption(err)
@@ -60,7 +60,13 @@
 		o, known := x.g.origins.Find(e.Key, now)
 		e.Known, e.Version = known, o.Version
 	}
-	e.Only = x.g.versions.Only(x.service, now)
+	x.lookUpVersions(e)
+}
+
+// lookUpVersions adds to the evidence which versions streams may have.
+func (x *exchange) lookUpVersions(e *resume.Evidence) {
+	now := time.Now()
+	e.Only, e.Unannounced = x.g.versions.Only(x.service, now), x.g.versions.Unannounced(x.service, now)
 }
 
 // refreshCopy brings this gateway's copy of the store up to date, and reports whether it succeeded in time.
--- a/pkg/process/copy.go
+++ b/pkg/process/copy.go
@@ -50,7 +50,7 @@
 	_, runner := platform.RunnerName(key)
 	_, evacuation := platform.EvacuatedDomain(key)
 	return runner || evacuation || key == platform.ConfigKey || key == orderKey ||
-		strings.HasPrefix(key, gatewayPrefix) || strings.HasPrefix(key, changePrefix) || isQuarantineKey(key) || strings.HasPrefix(key, mixedPrefix)
+		strings.HasPrefix(key, gatewayPrefix) || strings.HasPrefix(key, changePrefix) || isQuarantineKey(key) || strings.HasPrefix(key, recordPrefix) || strings.HasPrefix(key, mixedPrefix)
 }
 
 // has reports whether the copy has an item.
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -179,6 +179,7 @@
 	case have == 0:
 		f.history.Restart(at, now)
 		if at.Era() > 0 {
+			f.ingress.Versions().DoubtRecords(now)
 			f.history.DelayReads(boottime.Now().Add(confirmTime))
 		}
 	case at.Era() > have.Era() || len(f.deferred) > 0:
@@ -323,6 +324,8 @@
 		f.applyRunner(i)
 	} else if name, ok := strings.CutPrefix(i.Key, gatewayPrefix); ok {
 		f.onGateway(name, string(i.Value))
+	} else if service, ok := strings.CutPrefix(i.Key, recordPrefix); ok {
+		f.applyRecord(service, i)
 	} else if service, ok := strings.CutPrefix(i.Key, mixedPrefix); ok {
 		f.ingress.MarkMixed(service)
 	} else if d, ok := parseQuarantineKey(i.Key); ok {
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -137,7 +137,7 @@
 	p.done.Go(func() { p.announce(ctx) })
 	p.done.Go(func() { p.fetchFromPeers(ctx) })
 	p.done.Go(func() { p.publishQuarantines(ctx) })
-	p.done.Go(func() { p.publishMixed(ctx) })
+	p.done.Go(func() { p.writeRecords(ctx) })
 	p.done.Go(func() { p.shedOverload(ctx) })
 	p.done.Go(func() { stager.run(ctx) })
 	p.done.Go(func() { p.sweep(ctx) })
--- a/pkg/process/origins.go
+++ b/pkg/process/origins.go
@@ -8,20 +8,21 @@
 	"github.com/hopwell/hopwell/pkg/ingress"
 	"github.com/hopwell/hopwell/pkg/resume"
 	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/store"
 )
 
 const (
-	// mixedPrefix is the prefix of the keys of services whose streams may have several software
-	// versions. They are in the store so that a gateway that starts knows of versions that served
-	// before, also after all gateways were lost.
+	// recordPrefix is the prefix of the keys of records of the software versions that streams of a
+	// service may have, see resume.Record.
+	recordPrefix = "hopwell/versions/"
+	// mixedPrefix is the prefix of the keys that gateways of earlier builds write for services with
+	// several software versions.
 	mixedPrefix = "hopwell/mixed/"
-	// mixedInterval is the interval between checks for such services, and the time by which each
-	// gateway waits longer than the one before it by name: one write suffices.
-	mixedInterval = 300 * time.Millisecond
-	// maxMixedTurn bounds the number of intervals that a gateway waits for others to write.
-	maxMixedTurn = 10
-	// mixedLeases is the lease of such a key, as a multiple of the time for which origins are kept.
-	mixedLeases = 2
+	// recordInterval is the interval between checks of the records, and the time by which each gateway
+	// waits longer than the one before it by name: one write suffices.
+	recordInterval = 100 * time.Millisecond
+	// maxRecordTurn bounds the number of intervals that a gateway waits for others to write.
+	maxRecordTurn = 30
 )
 
 // originExchange sends origins to other gateways. It implements ingress.OriginExchange. The exchange
@@ -55,10 +56,9 @@
 	}
 }
 
-// publishMixed writes to the store which services have streams of several software versions, until the
-// context ends.
-func (p *Ingress) publishMixed(ctx context.Context) {
-	tick := time.NewTicker(mixedInterval)
+// writeRecords keeps the records of software versions in the store up to date until the context ends.
+func (p *Ingress) writeRecords(ctx context.Context) {
+	tick := time.NewTicker(recordInterval)
 	defer tick.Stop()
 	waited := map[string]int{}
 	for {
@@ -66,38 +66,63 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			for _, service := range p.unpublishedMixed(now) {
-				if waited[service]++; waited[service] > min(p.peers.Rank(), maxMixedTurn) {
+			for service, due := range p.dueRecords(now) {
+				if waited[service]++; waited[service] > min(p.peers.Rank(), maxRecordTurn) {
 					waited[service] = 0
-					p.writeMixed(ctx, service)
+					p.writeRecord(ctx, service, due)
 				}
 			}
 		}
 	}
 }
 
-// unpublishedMixed returns the services that this gateway has observed at several software versions and
-// that the store does not show as such.
-func (p *Ingress) unpublishedMixed(now time.Time) []string {
+// dueRecord is a record to be written in place of an item of the store.
+type dueRecord struct {
+	record resume.Record
+	// replaces is the revision of the item, 0 if there is none.
+	replaces store.Revision
+}
+
+// dueRecords returns the records to be written, by service.
+func (p *Ingress) dueRecords(now time.Time) map[string]dueRecord {
 	table := p.Ingress.Table()
 	if table == nil {
 		return nil
 	}
-	var out []string
-	for name := range table.Config.Services {
-		if len(p.Ingress.Versions().Recent(name, now)) > 1 && !p.feed.storeCopy.has(mixedPrefix+name) {
-			out = append(out, name)
+	out := map[string]dueRecord{}
+	for service := range table.Config.Services {
+		wanted := p.Ingress.Versions().Wanted(service, now)
+		item, _ := p.feed.storeCopy.get(recordPrefix + service)
+		have, err := resume.ParseRecord(item.Value)
+		if len(wanted.Versions) > 0 && (err != nil || !have.Equal(wanted)) {
+			out[service] = dueRecord{record: wanted, replaces: item.Revision}
 		}
 	}
 	return out
 }
 
-// writeMixed writes the key of one service. A failed call is repeated, since the key stays missing.
-func (p *Ingress) writeMixed(ctx context.Context, service string) {
+// writeRecord writes the record of one service. A failed call is repeated, since the record stays due.
+func (p *Ingress) writeRecord(ctx context.Context, service string, due dueRecord) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	ttl := mixedLeases * p.Ingress.Versions().Lifetime(service)
-	first, err := p.putIfAbsent(ctx, mixedPrefix+service, p.settings.Load().Instance.Name, ttl)
-	p.log.Write(decisionlog.KindState, "software_versions_written", decisionlog.F("service", service), decisionlog.F("for", ttl),
-		decisionlog.F("first", first), decisionlog.F("error", err))
+	key := recordPrefix + service
+	value, err := due.record.Encode()
+	if err == nil {
+		_, err = p.feed.currentStore().Commit(ctx, store.Change{If: []store.Condition{{Key: key, Revision: due.replaces}}, Put: []store.Put{{Key: key, Value: value}}})
+	}
+	p.log.Write(decisionlog.KindState, "software_versions_written", decisionlog.F("service", service),
+		decisionlog.F("versions", due.record.Versions), decisionlog.F("error", err))
+	// The copy of the store then shows what this or another gateway wrote, so that it is not written again.
+	p.feed.refresh(ctx)
+}
+
+// applyRecord applies the record of a service's software versions. One that can't be decoded is ignored,
+// and written again.
+func (f *feed) applyRecord(service string, i store.Item) {
+	r, err := resume.ParseRecord(i.Value)
+	if err != nil {
+		f.log.Write(decisionlog.KindFailed, "software_versions_refused", decisionlog.F("key", i.Key), decisionlog.F("error", err))
+		return
+	}
+	f.ingress.ReadRecord(service, r)
 }
--- a/pkg/process/restored.go
+++ b/pkg/process/restored.go
@@ -112,6 +112,7 @@
 func (f *feed) storeRestored(before store.Revision, u relay.Update, withheld int) {
 	storeRestores.Inc()
 	now := time.Now()
+	f.ingress.Versions().DoubtRecords(now)
 	for key, d := range f.deferred {
 		f.deferred[key] = deferredChange{change: d.change, read: now, due: now.Add(d.due.Sub(d.read))}
 	}
--- a/pkg/resume/decide.go
+++ b/pkg/resume/decide.go
@@ -26,6 +26,9 @@
 	// version appears in the store before a stream begins at it, so no other version can be the origin.
 	Only  string
 	Fresh bool
+	// Unannounced is the version of streams whose origin no gateway has: they began while they could only
+	// begin at this one, since otherwise it would have been announced. It is empty if that is not known.
+	Unannounced string
 	// Keepers is the number of other gateways that keep the origin, also those that have fallen silent,
 	// Asked the number of those that were asked. Replies are their replies.
 	Keepers, Asked int
@@ -58,6 +61,8 @@
 		return e.Only, nil
 	case !e.Named:
 		return "", e.unknown(NotNamed)
+	case e.Unannounced != "" && e.Fresh:
+		return e.Unannounced, nil
 	}
 	return "", e.unknown(NotKnown)
 }
--- a/pkg/resume/versions.go
+++ b/pkg/resume/versions.go
@@ -7,18 +7,42 @@
 	"time"
 )
 
+const (
+	// leaveTime is how long a runner may still serve after its entry has gone.
+	leaveTime = 15 * time.Second
+	// dropDelay is how much longer a version stays in the record than streams may have it: gateways see a
+	// runner leave at different times, and one must not add again what another has removed.
+	dropDelay = 5 * time.Second
+	// recordWait is how long new streams do not begin at a version that is not in the record. Writing it
+	// takes some 0.3 s. A store that takes no writes must not keep streams from the only engines for longer.
+	recordWait = 2 * time.Second
+)
+
 // Versions tracks which software versions serve each service. It is safe for concurrent use.
 type Versions struct {
 	mu       sync.Mutex
 	services map[string]*serviceVersions
+	// doubtedUntil is the time until which a record may lack versions at which streams have begun.
+	doubtedUntil time.Time
 }
 
 type serviceVersions struct {
 	// seen is when each version was last observed.
 	seen map[string]time.Time
-	// mixedUntil is the time until which the store shows that several versions serve or served.
+	// recorded are the versions in the record of the store, with the time when this gateway first read
+	// each of them there; nil before the first record.
+	recorded map[string]time.Time
+	// unrecorded are the observed versions that are not in the record, with the time since when.
+	unrecorded map[string]time.Time
+	// sole was the only version in the record until another was added. Streams that began before may be
+	// resumed until soleUntil.
+	sole      string
+	soleUntil time.Time
+	// mixedUntil is the time until which a gateway of an earlier build, which keeps no record, has
+	// observed several versions.
 	mixedUntil time.Time
-	// lifetime is the longest Lifetime of a stream.
+	// lifetime is the longest Lifetime of a stream, rounded up to a multiple of minLifetime so that the
+	// record rarely changes.
 	lifetime time.Duration
 }
 
@@ -29,7 +53,7 @@
 func (v *Versions) service(name string) *serviceVersions {
 	s := v.services[name]
 	if s == nil {
-		s = &serviceVersions{seen: map[string]time.Time{}, lifetime: minLifetime}
+		s = &serviceVersions{seen: map[string]time.Time{}, unrecorded: map[string]time.Time{}, lifetime: minLifetime}
 		v.services[name] = s
 	}
 	return s
@@ -41,10 +65,134 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(service)
-	s.forget(now)
-	before := len(s.seen)
+	before := len(s.possible(now))
 	s.seen[version] = now
-	return before == 1 && len(s.seen) > 1
+	if _, known := s.unrecorded[version]; !known && !s.isRecorded(version) {
+		s.unrecorded[version] = now
+	}
+	return before == 1 && len(s.possible(now)) > 1
+}
+
+// ReadRecord applies the record of a service in the store. It reports whether streams of the service may
+// now have several versions, while they had one before.
+func (v *Versions) ReadRecord(service string, r Record, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.service(service)
+	before := len(s.possible(now))
+	if sole := s.onlyRecorded(); sole != "" && len(r.Versions) > 1 {
+		s.sole, s.soleUntil = sole, now.Add(max(s.lifetime, r.Lifetime))
+	}
+	recorded := make(map[string]time.Time, len(r.Versions))
+	for _, version := range r.Versions {
+		recorded[version] = now
+		if since, known := s.recorded[version]; known {
+			recorded[version] = since
+		}
+		delete(s.unrecorded, version)
+	}
+	s.recorded, s.lifetime = recorded, max(s.lifetime, r.Lifetime)
+	return before == 1 && len(s.possible(now)) > 1
+}
+
+// isRecorded reports whether the record lists a version.
+func (s *serviceVersions) isRecorded(version string) bool {
+	_, ok := s.recorded[version]
+	return ok
+}
+
+// onlyRecorded returns the single version in the record, empty if there are several or none.
+func (s *serviceVersions) onlyRecorded() string {
+	if len(s.recorded) != 1 {
+		return ""
+	}
+	for version := range s.recorded {
+		return version
+	}
+	return ""
+}
+
+// mayBegin reports whether new streams may begin at a version: it is in the record, there is no record
+// yet, or it could not be recorded in recordWait.
+func (s *serviceVersions) mayBegin(version string, now time.Time) bool {
+	since, unrecorded := s.unrecorded[version]
+	return s.recorded == nil || !unrecorded || now.Sub(since) > recordWait
+}
+
+// MayBegin reports whether new resumable streams of a service may begin at a version now.
+func (v *Versions) MayBegin(service, version string, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[service]
+	return s == nil || s.mayBegin(version, now)
+}
+
+// Withholds reports whether there is a version of a service at which new resumable streams may not begin
+// yet.
+func (v *Versions) Withholds(service string, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[service]
+	if s == nil {
+		return false
+	}
+	for version := range s.unrecorded {
+		if !s.mayBegin(version, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// DoubtRecords handles that the store may have lost changes of records.
+func (v *Versions) DoubtRecords(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.doubtedUntil = now.Add(maxLifetime)
+}
+
+// Unannounced returns the version of streams whose origin was not announced: the only one in the record, or
+// the one that was until others were added. It is empty if that is not known.
+func (v *Versions) Unannounced(service string, now time.Time) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[service]
+	if s == nil || now.Before(s.mixedUntil) || now.Before(v.doubtedUntil) {
+		return ""
+	}
+	if sole := s.onlyRecorded(); sole != "" {
+		return sole
+	}
+	if now.Before(s.soleUntil) {
+		return s.sole
+	}
+	return ""
+}
+
+// Wanted returns the record that the store should hold for a service. It is empty as long as nothing is
+// known of the service.
+func (v *Versions) Wanted(service string, now time.Time) Record {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[service]
+	if s == nil {
+		return Record{}
+	}
+	keep := func(at time.Time) bool { return now.Sub(at) <= s.retention()+dropDelay }
+	maps.DeleteFunc(s.seen, func(_ string, at time.Time) bool { return !keep(at) })
+	maps.DeleteFunc(s.unrecorded, func(version string, _ time.Time) bool { _, seen := s.seen[version]; return !seen })
+	wanted := s.recent(now)
+	for version, since := range s.recorded {
+		if _, seen := s.seen[version]; seen || keep(since) {
+			wanted = append(wanted, version)
+		}
+	}
+	if len(wanted) == 0 {
+		return Record{}
+	}
+	slices.Sort(wanted)
+	wanted = slices.Compact(wanted)
+	return Record{Versions: wanted[:min(len(wanted), maxRecorded)], Lifetime: s.lifetime}
 }
 
 // ObserveLifetime records how long the origin of a stream is kept: for so long a version that no
@@ -53,26 +201,37 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.service(service)
-	s.lifetime = max(s.lifetime, lifetime)
+	steps := (lifetime + minLifetime - 1) / minLifetime
+	s.lifetime = max(s.lifetime, min(steps*minLifetime, maxLifetime))
 }
 
-// MarkMixed records that, according to the store, several versions serve or served a service. It holds
-// for the longest Lifetime of a stream, since this gateway does not know those of earlier streams.
+// MarkMixed records that a gateway of an earlier build has observed several versions of a service. It
+// holds for the longest Lifetime of a stream, since this gateway does not know those of earlier streams.
 func (v *Versions) MarkMixed(service string, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.service(service).mixedUntil = now.Add(maxLifetime)
 }
 
-// forget removes the versions that were last observed longer ago than a stream lasts.
-func (s *serviceVersions) forget(now time.Time) {
-	maps.DeleteFunc(s.seen, func(_ string, at time.Time) bool { return now.Sub(at) > s.lifetime })
-}
+// retention returns how long after its last observation streams may have a version.
+func (s *serviceVersions) retention() time.Duration { return s.lifetime + leaveTime }
 
-// recent returns the versions that streams may have.
+// recent returns the observed versions that streams may have.
 func (s *serviceVersions) recent(now time.Time) []string {
-	s.forget(now)
-	return slices.Sorted(maps.Keys(s.seen))
+	var out []string
+	for version, at := range s.seen {
+		if now.Sub(at) <= s.retention() {
+			out = append(out, version)
+		}
+	}
+	return out
+}
+
+// possible returns the versions that streams may have: the observed ones and those of the record.
+func (s *serviceVersions) possible(now time.Time) []string {
+	out := slices.AppendSeq(s.recent(now), maps.Keys(s.recorded))
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
 // Mixed reports whether streams of a service may have several versions, so that their origins must
@@ -81,37 +240,21 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.services[service]
-	return s != nil && (len(s.recent(now)) > 1 || now.Before(s.mixedUntil))
+	return s != nil && (len(s.possible(now)) > 1 || now.Before(s.mixedUntil))
 }
 
-// Lifetime returns the longest time for which an origin of the service is kept.
-func (v *Versions) Lifetime(service string) time.Duration {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.service(service).lifetime
-}
-
-// Only returns the single version that streams of a service can have, empty if there may be several.
+// Only returns the single version that streams of a service can have. It is empty if there may be several,
+// and before the record is known: what this gateway sees does not show what served before it started.
 func (v *Versions) Only(service string, now time.Time) string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.services[service]
-	if s == nil || now.Before(s.mixedUntil) {
+	if s == nil || s.recorded == nil || now.Before(s.mixedUntil) {
 		return ""
 	}
-	recent := s.recent(now)
-	if len(recent) != 1 {
+	possible := s.possible(now)
+	if len(possible) != 1 {
 		return ""
 	}
-	return recent[0]
-}
-
-// Recent returns the versions that streams of a service may have.
-func (v *Versions) Recent(service string, now time.Time) []string {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if s := v.services[service]; s != nil {
-		return s.recent(now)
-	}
-	return nil
+	return possible[0]
 }
