process: origins of streams outlive all gateways

What callers saw: while two software versions served, all gateways were lost at once. None of the clients could resume a stream afterwards, although engines of its version served on (LOST).

Cause: the origins of streams were in the memory of the gateways alone.

Fix: what a gateway announces to others while a service is mixed it also writes to the store, in batches with a lease. A gateway reads the batches once, when it starts. While one version serves nothing is written.

--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -170,11 +170,14 @@
 	if have := f.Reached(); at < have {
 		return &store.ErrOld{Have: have, Got: at}
 	}
+	have := f.Reached()
+	if have == 0 {
+		f.readBatches(items)
+	}
 	items = f.admitItems(items)
 	now := time.Now()
 	f.storeAnswered(now)
 	f.noteFirstRead(now)
-	have := f.Reached()
 	switch {
 	case have == 0:
 		f.history.Restart(at, now)
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -85,6 +85,7 @@
 	ports    IngressPorts
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
+	batches  originBatches
 	// stateTransfers counts the gateways that are receiving this gateway's copy of the store.
 	stateTransfers atomic.Int32
 	// reannounce holds a value when the store may have lost this gateway's address.
@@ -102,6 +103,7 @@
 	calls := &platform.Runners{Client: client, Held: plan.held}
 	p := &Ingress{log: log, memory: plan, client: client, suspects: quarantine.New(jitter), stopped: make(chan struct{}), reannounce: make(chan struct{}, 1), lag: overload.NewMeter(ingress.DispatchInterval)}
 	p.parts = quarantine.NewPartTable(jitter, p.ownsParts)
+	p.batches.started = time.Now().UnixMilli()
 	p.settings.Store(c)
 	allowance := c.Workspaces.Quota
 	p.quota = quota.New(quota.Allowance{Window: allowance.Window.D(), Overshoot: allowance.Overshoot, Slack: allowance.Slack}, quota.DefaultShares())
@@ -138,6 +140,7 @@
 	p.done.Go(func() { p.fetchFromPeers(ctx) })
 	p.done.Go(func() { p.publishQuarantines(ctx) })
 	p.done.Go(func() { p.writeRecords(ctx) })
+	p.done.Go(func() { p.writeBatches(ctx) })
 	p.done.Go(func() { p.shedOverload(ctx) })
 	p.done.Go(func() { stager.run(ctx) })
 	p.done.Go(func() { p.sweep(ctx) })
--- a/pkg/process/origins.go
+++ b/pkg/process/origins.go
@@ -29,7 +29,10 @@
 // of the process does not exist yet when the Ingress is made.
 type originExchange struct{ p *Ingress }
 
-func (o originExchange) AnnounceOrigins(list []resume.Origin) { o.p.peers.AnnounceOrigins(list) }
+func (o originExchange) AnnounceOrigins(list []resume.Origin) {
+	o.p.peers.AnnounceOrigins(list)
+	o.p.batches.add(list)
+}
 
 func (o originExchange) AskOrigin(k resume.Key, service string) (asked, keepers int) {
 	return o.p.peers.AskOrigin(k, service)
