--- a/pkg/process/batches.go
+++ b/pkg/process/batches.go
@@ -135,7 +135,11 @@
 		if !ok {
 			continue
 		}
-		batch, err := resume.ParseBatch(i.Value)
+		err := checkItem(i)
+		var batch resume.Batch
+		if err == nil {
+			batch, err = resume.ParseBatch(i.Value)
+		}
 		if err != nil {
 			f.log.Write(decisionlog.KindFailed, "origins_refused", decisionlog.F("key", i.Key), decisionlog.F("error", err))
 			continue
--- a/pkg/process/origins.go
+++ b/pkg/process/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
@@ -69,7 +70,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			for service, due := range p.dueRecords(now) {
+			dueNow := p.dueRecords(now)
+			maps.DeleteFunc(waited, func(service string, _ int) bool { return dueNow[service].record.Versions == nil })
+			for service, due := range dueNow {
 				if waited[service]++; waited[service] > min(p.peers.Rank(), maxRecordTurn) {
 					waited[service] = 0
 					p.writeRecord(ctx, service, due)
