process: gateways that start together take turns to write a record

Read in review, no failure seen: right after a start no gateway has received datagrams of the others, so each took itself for the first in turn. At 356 gateways all would have written each record at once, beside their addresses, and again at each loss of all.

Fix: silent gateways of the membership list, which the store has for a minute after a loss, count in the turn; a record that is missing altogether, as at the very first start, is created after a random time of up to a second.

--- a/pkg/process/origins.go
+++ b/pkg/process/origins.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
@@ -24,6 +26,9 @@
 	recordInterval = 100 * time.Millisecond
 	// maxRecordTurn bounds the number of intervals that a gateway waits for others to write.
 	maxRecordTurn = 30
+	// maxCreateDelay bounds the random time from the first reading of the store until a gateway creates a
+	// record. Gateways that start together for the first time don't know each other yet.
+	maxCreateDelay = time.Second
 )
 
 // originExchange sends origins to other gateways. It implements ingress.OriginExchange. The exchange
@@ -65,15 +70,16 @@
 	tick := time.NewTicker(recordInterval)
 	defer tick.Stop()
 	waited := map[string]int{}
+	createDelay := rand.N(maxCreateDelay)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			dueNow := p.dueRecords(now)
+			dueNow := p.dueRecords(createDelay, now)
 			maps.DeleteFunc(waited, func(service string, _ int) bool { return dueNow[service].record.Versions == nil })
 			for service, due := range dueNow {
-				if waited[service]++; waited[service] > min(p.peers.Rank(), maxRecordTurn) {
+				if waited[service]++; waited[service] > p.recordTurn() {
 					waited[service] = 0
 					p.writeRecord(ctx, service, due)
 				}
@@ -82,6 +88,13 @@
 	}
 }
 
+// recordTurn returns the number of intervals that this gateway waits for others. Silent gateways count, since
+// after a loss of all gateways none has received datagrams of the others yet.
+func (p *Ingress) recordTurn() int {
+	turn, _ := slices.BinarySearch(p.peers.Names(), p.settings.Load().Instance.Name)
+	return min(turn, maxRecordTurn)
+}
+
 // dueRecord is a record to be written in place of an item of the store.
 type dueRecord struct {
 	record resume.Record
@@ -89,8 +102,9 @@
 	replaces store.Revision
 }
 
-// dueRecords returns the records to be written, by service.
-func (p *Ingress) dueRecords(now time.Time) map[string]dueRecord {
+// dueRecords returns the records to be written, by service. A missing one is created a delay after the first
+// reading of the store.
+func (p *Ingress) dueRecords(createDelay time.Duration, now time.Time) map[string]dueRecord {
 	table := p.Ingress.Table()
 	if table == nil {
 		return nil
@@ -98,7 +112,10 @@
 	out := map[string]dueRecord{}
 	for service := range table.Config.Services {
 		wanted := p.Ingress.Versions().Wanted(service, now)
-		item, _ := p.feed.storeCopy.get(recordPrefix + service)
+		item, exists := p.feed.storeCopy.get(recordPrefix + service)
+		if !exists && !p.feed.readSince(createDelay, now) {
+			continue
+		}
 		have, err := resume.ParseRecord(item.Value)
 		if len(wanted.Versions) > 0 && (err != nil || !have.Equal(wanted)) {
 			out[service] = dueRecord{record: wanted, replaces: item.Revision}
--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -166,6 +166,13 @@
 	}
 }
 
+// readSince reports whether this process first read the store at least d ago.
+func (f *feed) readSince(d time.Duration, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.firstRead.IsZero() && now.Sub(f.firstRead) >= d
+}
+
 // wake makes the feed watch the store now.
 func (f *feed) wake() {
 	select {
