resume: without a record, what serves is taken for all

What callers saw: in the first moments after the very first start, before a record of versions exists, streams that clients resumed were refused.

Cause: a gateway that had read no record said that nothing is known. But a store without a record is one before which no gateway that keeps records has run for longer than creating it takes, a second.

--- a/pkg/resume/versions.go
+++ b/pkg/resume/versions.go
@@ -243,13 +243,13 @@
 	return s != nil && (len(s.possible(now)) > 1 || now.Before(s.mixedUntil))
 }
 
-// Only returns the single version that streams of a service can have. It is empty if there may be several,
-// and before the record is known: what this gateway sees does not show what served before it started.
+// Only returns the single version that streams of a service can have, empty if there may be several. If
+// there is no record, no gateway that keeps records has run for longer than its creation takes.
 func (v *Versions) Only(service string, now time.Time) string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.services[service]
-	if s == nil || s.recorded == nil || now.Before(s.mixedUntil) {
+	if s == nil || now.Before(s.mixedUntil) {
 		return ""
 	}
 	possible := s.possible(now)
