process: a gateway that becomes a relay watches as briefly as other relays

What callers saw: with fail_closed, one gateway refused all requests with keys for up to 0.4 s (503, keys not confirmed, age 2.87 to 3.2 s, limit 2.85 s), some 4 s after all had started.

Cause: the first subscriber makes a gateway watch the store at once, and that watch had the longest wait, 3 s, in place of a relay's, which is at most WatchWait. Its copy of the store is confirmed only when the watch ends. Before, the watch returned at once, since the gateway had not read the registrations of the others yet; since records are written, the call that follows the write has brought them already. In the log: record written and copy refreshed 3.5 s before the refusals, no call to the store in between, first subscriber 1 s after the start.

Evidence: TestWatchOfNewRelayIsAsShortAsThoseOfOthers fails before (wait 0, which stands for 3 s).

Fix: the woken watch waits as long as any watch of a relay.

--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -57,7 +57,7 @@
 		case <-timer.C:
 		case <-f.wakeup:
 			timer.Stop()
-			return f.Reached(), 0
+			return f.Reached(), f.relayWait(time.Now())
 		}
 		timer.Stop()
 	}
--- a/pkg/process/relay_test.go
+++ b/pkg/process/relay_test.go
@@ -366,3 +366,14 @@
 		g.Expect(time.Since(began)).To(BeZero(), "relays, and gateways without relays, read at once")
 	})
 }
+
+// Guards against a gateway that becomes a relay and then confirms its copy of the store only after the longest watch, so
+// that API keys count as unconfirmed.
+func TestWatchOfNewRelayIsAsShortAsThoseOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, 1)
+	f.OnFirstSubscriber()
+	_, wait := f.relayed(t.Context())
+	g.Expect(wait).To(BeNumerically(">", 0), "0 stands for the longest watch")
+	g.Expect(wait).To(BeNumerically("<=", pace.WatchWait))
+}
