process: log how late the entry of a restarted runner comes

The logs could not tell whether a stream began at the incarnation of its runner's entry or at a later one: runner_replaced and runner_new have no times of the restart. The new line runner_restarted has the software versions before and after, how late the entry came, and how many resumable streams this gateway sent to the runner meanwhile, which were recorded at the version of the old entry.

--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -148,6 +148,12 @@
 	}
 }
 
+// StreamsBegunSince returns the number of this gateway's resumable streams that were sent since a time to an
+// incarnation of a runner.
+func (g *Ingress) StreamsBegunSince(since time.Time, r *runners.Runner) int {
+	return g.origins.BegunSince(resume.RunnerDigest(r.ID), since, time.Now())
+}
+
 // MarkMixed records that, according to a gateway of an earlier build, a service has had several software versions.
 func (g *Ingress) MarkMixed(service string) {
 	g.versions.MarkMixed(service, time.Now())
--- a/pkg/process/origins.go
+++ b/pkg/process/origins.go
@@ -60,11 +60,23 @@
 		f.restarted[c.Runner.Name] = c.Runner
 	}
 	f.restartedMu.Unlock()
+	if restarted {
+		f.logRestart(&before, &c.Runner)
+	}
 	if restarted && before.Version != c.Runner.Version {
 		f.ingress.DoubtOrigins(&before)
 	}
 }
 
+// logRestart logs how late the entry of a runner's new incarnation came, and how many resumable streams this gateway
+// sent to the runner meanwhile.
+func (f *feed) logRestart(before, after *runners.Runner) {
+	born := time.UnixMilli(after.Born)
+	f.log.Write(decisionlog.KindState, "runner_restarted", decisionlog.F("runner", after.ID), decisionlog.F("service", after.Service),
+		decisionlog.F("software_before", before.Version), decisionlog.F("software", after.Version),
+		decisionlog.F("entry_late", time.Since(born)), decisionlog.F("streams_meanwhile", f.ingress.StreamsBegunSince(born, before)))
+}
+
 // writeRecords keeps the records of software versions in the store up to date until the context ends.
 func (p *Ingress) writeRecords(ctx context.Context) {
 	tick := time.NewTicker(recordInterval)
--- a/pkg/resume/table.go
+++ b/pkg/resume/table.go
@@ -136,6 +136,11 @@
 	return t.own(now, doubted)
 }
 
+// BegunSince returns the number of this gateway's streams that were sent since a time to an incarnation of a runner.
+func (t *Table) BegunSince(runner uint64, since, now time.Time) int {
+	return len(t.own(now, func(e *entry) bool { return e.runner == runner && !e.at.Before(since) }))
+}
+
 // own returns the origins of this gateway's streams that match.
 func (t *Table) own(now time.Time, match func(*entry) bool) []Origin {
 	var out []Origin
--- a/pkg/resume/table_test.go
+++ b/pkg/resume/table_test.go
@@ -63,6 +63,22 @@
 	g.Expect(table.Own("s", now)).To(ConsistOf(doubted, own(2, "r2"), own(4, "r1")))
 }
 
+// Guards against a log that hides how many streams began at a runner after its unnoticed restart.
+func TestStreamsBegunSinceARestartAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	now, table := time.Now(), NewTable("a")
+	o := Origin{Version: "v1", Runner: RunnerDigest("r1"), Left: time.Minute}
+	for k, begun := range []time.Duration{-time.Second, 0, time.Second} {
+		o.Key = Key(k)
+		table.Begin(o, "s", now.Add(begun))
+	}
+	o.Key, o.Runner = 4, RunnerDigest("r2")
+	table.Begin(o, "s", now)
+	o.Key, o.Runner = 5, RunnerDigest("r1")
+	table.Receive("b", o, now)
+	g.Expect(table.BegunSince(RunnerDigest("r1"), now, now)).To(Equal(2))
+}
+
 // Guards against memory that grows with IDs that clients invent.
 func TestTableIsBounded(t *testing.T) {
 	g := NewWithT(t)
