ingress: a stream begins only at the confirmed incarnation of its runner

Clients saw streams of two software versions joined (ORDER), and refusals of streams whose version still served (LOST).

Cause: an engine that restarts under its ID writes as its new version before its entry says so. The gateway recorded such a stream at the version of the old entry. Only while several versions were known did it ask the engine, in the background; before that, each gateway that a client came to asked the store, which confirmed the single old version. And when the entry followed, all streams of the earlier incarnation were doubted, also those long begun.

Change: nothing of a resumable stream is forwarded before the process that sends it is known to be the incarnation of its runner's entry. A connection ends with its process, so each is identified once, by the runner's report, mostly while the prompt is computed. A version is then in the store before a stream begins at it, which is what the other decisions rest on.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/runners"
+	"github.com/hopwell/hopwell/pkg/upstream"
 )
 
 // Call is one request of a client: the parameters read from its headers, and the parts that are
@@ -79,6 +80,8 @@
 	// arrived, by the clock of package boottime.
 	CloseDelimited bool
 	LastData       func() (time.Time, error)
+	// Peer is the process that sends the response. It is identified by the ID of its incarnation.
+	Peer *upstream.Peer
 	// Verified is set if the response carries the runner's signature and its body is not encoded.
 	// Successful responses are forwarded only if it is set. It does not mean that the body is
 	// complete.
@@ -115,6 +118,9 @@
 	// with *ErrUnidentified if a runner responds under the ID but doesn't tell which incarnation it is, and
 	// with *ErrSilent if nothing is known.
 	Alive(ctx context.Context, r *runners.State) (bool, error)
+	// Identified reports whether the next call to a runner goes to a process which Alive found to be the
+	// incarnation of the runner's entry.
+	Identified(r *runners.State) bool
 	// Reachable returns nil if a process accepts a new connection at the runner's address and keeps it open. It
 	// sends nothing, so that it may be called during the runner's pause.
 	Reachable(ctx context.Context, r *runners.State) error
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/quarantine"
 	"github.com/hopwell/hopwell/pkg/request"
+	"github.com/hopwell/hopwell/pkg/resume"
 	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/workspace"
 )
@@ -50,9 +51,11 @@
 	// probing is the quarantined set of parts that the request was let through for; 0 for none.
 	probing quarantine.SetID
 	// software is the only software version at which the request may run: that at which the stream
-	// began which it resumes; empty for any. announced is the version that was announced to other
-	// gateways for the request's own stream.
-	software, announced string
+	// began which it resumes; empty for any.
+	software string
+	// announced is the origin of the request's own stream that was last announced to other gateways; nil
+	// for none.
+	announced *resume.Origin
 	// fields are added to the request's final log line.
 	fields []decisionlog.Field
 }
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -213,6 +213,7 @@
 	var source PrefilledCache
 	var prefillRunner *runners.State
 	if !s.relay.begun && s.call.After == "" {
+		s.identifyMeanwhile(room.runner)
 		source, prefillRunner, err = s.prefill(room)
 	}
 	if err != nil {
@@ -309,6 +310,10 @@
 func (s *generation) handleResponse(n int, runner *runners.State, response *Response) (sendResult, error) {
 	bad := &ErrAnswer{Runner: runner.ID, Status: response.Status, Why: "runner failed"}
 	if response.OK() && response.Verified {
+		if err := s.confirmVersion(runner, response, s.job.Version); err != nil {
+			s.failedDecode[runner.ID] = true
+			return mayHaveRun, firstError(s.endReason(), err)
+		}
 		return s.relay.forwardEvents(n, runner, response)
 	}
 	s.failedDecode[runner.ID] = true
--- a/pkg/ingress/incarnation.go
+++ b/pkg/ingress/incarnation.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"sync"
+	"errors"
 	"time"
 
-	"github.com/hopwell/hopwell/pkg/resume"
+	"github.com/hopwell/hopwell/pkg/routetable"
 	"github.com/hopwell/hopwell/pkg/runners"
 )
 
-// ErrOutdated reports that a runner has restarted since its entry was written, so that its software
-// version is not known.
+// ErrOutdated reports that the process which responded for a runner is not known to be the incarnation of the
+// runner's entry, so that its software version is not known.
 type ErrOutdated struct {
 	Runner string
 	// Err is the error of the check; nil if the runner reported another start time.
@@ -19,19 +19,17 @@
 
 // Error implements error.
 func (e *ErrOutdated) Error() string {
-	text := "runner restarted, so that its software version is unknown: runner=" + e.Runner
-	if e.Err != nil {
-		text += " cause=" + e.Err.Error()
+	if e.Err == nil {
+		return "runner restarted, so that its software version is unknown: runner=" + e.Runner
 	}
-	return text
+	return "software version is not confirmed: runner=" + e.Runner + " cause=" + e.Err.Error()
 }
 
 // Unwrap returns the cause.
 func (e *ErrOutdated) Unwrap() error { return e.Err }
 
 // isCurrent reports whether a runner is still the incarnation of its entry. If it is not, the runner gets
-// no more work, and the origins of streams that began there are doubted, unless it has ended as it had
-// announced.
+// no more work, unless it has ended as it had announced.
 func (x *exchange) isCurrent(ctx context.Context, runner *runners.State) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
@@ -39,78 +37,57 @@
 	current, err := x.g.options.Runners.Alive(ctx, runner)
 	if err == nil && !current && !runner.Leaves() {
 		runner.MarkUnusable(time.Now())
-		x.g.DoubtOrigins(&runner.Runner)
 	}
 	return current && err == nil, err
 }
 
-// confirmOrigin checks in the background, after the first event of a new stream, that its runner is the
-// incarnation of its entry. While only one version serves it checks nothing.
-func (x *exchange) confirmOrigin(runner *runners.State) {
-	if runner.Born == 0 || !x.route.Resumable || !x.g.versions.Mixed(x.service, time.Now()) {
-		return
+// confirmVersion makes sure, before anything of a response is forwarded, that it comes from the software version in
+// its runner's entry. bound is the version at which the request has to run, empty for any. It fails with
+// *ErrOutdated if the version is not known. If the stream may begin at any version and the runner only does not tell
+// its incarnation, the response is forwarded and other gateways learn that its version is not certain.
+func (x *exchange) confirmVersion(runner *runners.State, a *Response, bound string) error {
+	begins := bound == "" && x.route.Kind == routetable.Stream && x.route.Resumable
+	if bound == "" && !begins {
+		return nil
 	}
-	x.g.confirmations.run(runner.ID, x.streamKey(x.call.ID), func(keys []resume.Key) {
-		current, err := x.isCurrent(context.WithoutCancel(x.ctx), runner)
-		if err != nil {
-			x.logFailedStep("origin_not_confirmed", runner.ID, err)
-		}
-		if current {
-			for _, k := range keys {
-				x.g.origins.Confirm(k)
-			}
-		}
-	})
+	err := x.confirmIncarnation(runner, a)
+	x.g.metrics.confirmation(err)
+	if err == nil {
+		x.g.origins.Confirm(x.streamKey(x.call.ID))
+		return nil
+	}
+	x.logFailedStep("runner_outdated", runner.ID, err)
+	if begins && errors.Unwrap(err) != nil {
+		x.doubtOrigin()
+		return nil
+	}
+	return err
 }
 
-// confirmations runs one check of each runner at a time.
-type confirmations struct {
-	mu sync.Mutex
-	// waiting holds, for the runners that are being checked, the streams whose first event came after
-	// the current check had started.
-	waiting map[string][]resume.Key
+// confirmIncarnation returns *ErrOutdated if the process that sends a response is not known to be the incarnation of
+// the runner's entry. A runner is asked only about processes that were not identified before. It is asked after
+// the response began, because it could have restarted before.
+func (x *exchange) confirmIncarnation(runner *runners.State, a *Response) error {
+	if runner.Born == 0 || a.Peer.Is(runner.ID) {
+		return nil // Without a start time, each start has a new name, which the runner checks itself.
+	}
+	current, err := x.isCurrent(x.ctx, runner)
+	if !current {
+		return &ErrOutdated{Runner: runner.ID, Err: err}
+	}
+	a.Peer.Identify(runner.ID)
+	return nil
 }
 
-// run checks a runner in the background for a stream. If a check is running, which began before the
-// stream's first event, the next one is for all streams that wait.
-func (c *confirmations) run(runner string, k resume.Key, check func(keys []resume.Key)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if list, running := c.waiting[runner]; running {
-		c.waiting[runner] = append(list, k)
+// identifyMeanwhile checks a decode runner's incarnation while the prompt is computed elsewhere, if the runner
+// would have to be asked after its response has begun. A runner that restarted then gets no decode.
+func (s *generation) identifyMeanwhile(runner *runners.State) {
+	if !s.route.Resumable || runner.Born == 0 || s.g.options.Runners.Identified(runner) {
 		return
 	}
-	c.waiting[runner] = nil
 	go func() {
-		for keys := []resume.Key{k}; len(keys) > 0; {
-			check(keys)
-			keys = c.next(runner)
+		if _, err := s.isCurrent(s.ctx, runner); err != nil && s.ctx.Err() == nil {
+			s.logFailedStep("runner_not_identified", runner.ID, err)
 		}
 	}()
 }
-
-// next returns the streams that wait for the next check of a runner. If there are none, the runner's
-// checks end.
-func (c *confirmations) next(runner string) []resume.Key {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	keys := c.waiting[runner]
-	if c.waiting[runner] = nil; len(keys) == 0 {
-		delete(c.waiting, runner)
-	}
-	return keys
-}
-
-// confirmIncarnation makes sure that the runner which resumes a stream is the incarnation of its
-// entry, whose software version is known. It is called after the first event has arrived, because the
-// runner could restart before, and before that event is forwarded.
-func (s *generation) confirmIncarnation(runner *runners.State) error {
-	if runner.Born == 0 {
-		return nil // Each start has a new name, which the runner checks itself.
-	}
-	current, err := s.isCurrent(s.ctx, runner)
-	if current {
-		return nil
-	}
-	return &ErrOutdated{Runner: runner.ID, Err: err}
-}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -77,9 +77,7 @@
 	origins   *resume.Table
 	versions  *resume.Versions
 	questions questions
-	// confirmations checks whether runners are the incarnations of their entries.
-	confirmations confirmations
-	open          atomic.Int64
+	open      atomic.Int64
 	// lastArrival is the arrival of the latest request, in nanoseconds of Unix time.
 	lastArrival atomic.Int64
 
@@ -96,7 +94,7 @@
 // New returns an Ingress without routes.
 func New(o Options) *Ingress {
 	return &Ingress{
-		options: o, origins: resume.NewTable(o.Name), versions: resume.NewVersions(), questions: questions{open: map[resume.Key][]*question{}}, confirmations: confirmations{waiting: map[string][]resume.Key{}}, promptCaches: newPromptCaches(o.Runners, o.Log, o.Held), Directory: runners.NewDirectory(o.Name), metrics: newMeters(), plain: plainload.NewTable(), gateways: o.Gateways,
+		options: o, origins: resume.NewTable(o.Name), versions: resume.NewVersions(), questions: questions{open: map[resume.Key][]*question{}}, promptCaches: newPromptCaches(o.Runners, o.Log, o.Held), Directory: runners.NewDirectory(o.Name), metrics: newMeters(), plain: plainload.NewTable(), gateways: o.Gateways,
 		pools: map[string]*enginepool.Pool{}, budgets: map[string]*retrybudget.Budget{}, returnDetectors: map[string]*returnDetector{}, planners: map[string]*forecast.Planner{},
 	}
 }
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -94,6 +95,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`hopwell_ingress_client_resumptions_total{software_known="%t"}`, err == nil)).Inc()
 }
 
+// confirmation counts a stream whose runner's incarnation was confirmed before its first event, or was not.
+func (m *meters) confirmation(err error) {
+	result := "current"
+	switch {
+	case err != nil && errors.Unwrap(err) == nil:
+		result = "outdated"
+	case err != nil:
+		result = "unknown"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`hopwell_ingress_incarnations_total{result=%q}`, result)).Inc()
+}
+
 // declined counts a runner's refusal.
 func (m *meters) declined(status int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`hopwell_ingress_declined_total{status="%d"}`, status)).Inc()
--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -137,14 +137,11 @@
 	g.options.Log.Write(decisionlog.KindState, "software_versions", decisionlog.F("service", service), why, decisionlog.F("announced", len(own)))
 }
 
-// DoubtOrigins handles that a runner restarted under its name at another software version. Streams
-// that began there shortly before may have begun at either version.
+// DoubtOrigins handles that a runner restarted under its name at another software version. Streams of other
+// gateways that were announced shortly before may have begun at either version.
 func (g *Ingress) DoubtOrigins(before *runners.Runner) {
-	now := time.Now()
-	doubted := g.origins.Doubt(resume.RunnerDigest(before.ID), now)
-	g.announce(doubted)
-	if len(doubted) > 0 {
-		g.options.Log.Write(decisionlog.KindState, "origins_doubted", decisionlog.F("runner", before.ID), decisionlog.F("streams", len(doubted)))
+	if doubted := g.origins.Doubt(resume.RunnerDigest(before.ID), time.Now()); doubted > 0 {
+		g.options.Log.Write(decisionlog.KindState, "origins_doubted", decisionlog.F("runner", before.ID), decisionlog.F("streams", doubted))
 	}
 }
 
@@ -241,8 +238,24 @@
 	o := resume.Origin{Key: x.streamKey(x.call.ID), Version: runner.Version, Runner: resume.RunnerDigest(runner.ID), Left: resume.Lifetime(max(x.call.Timeout, x.route.Timeout))}
 	x.g.versions.ObserveLifetime(x.service, o.Left)
 	x.g.origins.Begin(o, x.service, now)
-	if x.g.versions.Mixed(x.service, now) && o.Version != x.announced {
-		x.announced = o.Version
-		x.g.announce([]resume.Origin{o})
+	if x.announced == nil && !x.g.versions.Mixed(x.service, now) || x.announced != nil && x.announced.Version == o.Version {
+		return
+	}
+	x.announceOrigin(o)
+}
+
+// announceOrigin announces the origin of the request's own stream.
+func (x *exchange) announceOrigin(o resume.Origin) {
+	x.announced = &o
+	x.g.announce([]resume.Origin{o})
+}
+
+// doubtOrigin records and announces that it is not certain at which version the request's own stream began.
+func (x *exchange) doubtOrigin() {
+	k := x.streamKey(x.call.ID)
+	if o, known := x.g.origins.Find(k, time.Now()); known {
+		o.Version = ""
+		x.g.origins.Begin(o, x.service, time.Now())
+		x.announceOrigin(o)
 	}
 }
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -34,7 +34,7 @@
 // forwardEvents forwards the events of a response until its end.
 func (r *relay) forwardEvents(n int, runner *runners.State, a *Response) (sendResult, error) {
 	r.runner = runner
-	began, before, confirmed := time.Now(), r.events, false
+	began, before := time.Now(), r.events
 	in := newEventReader(r.s.g.options.Held, a.Body)
 	defer in.close()
 	for {
@@ -48,14 +48,6 @@
 		if err != nil {
 			return r.streamBroken(runner, r.events == before, err)
 		}
-		if r.events == before && r.s.job.Version != "" && !confirmed {
-			if err := r.s.confirmIncarnation(runner); err != nil {
-				r.s.failedDecode[runner.ID] = true
-				r.s.logFailedStep("runner_outdated", runner.ID, err)
-				return mayHaveRun, firstError(r.s.endReason(), err)
-			}
-			confirmed = true
-		}
 		r.s.pool.RecordTokens(runner.ID, r.s.job.ID, (r.events+1)*max(1, r.s.engine.TokensPerEvent), readyAt, time.Now())
 		if err := r.write(a, event); err != nil {
 			return mayHaveRun, errClientGone{}
@@ -115,9 +107,6 @@
 	r.begun = true
 	r.headerCost = sentHeaderCost(a.Header)
 	r.origin = r.runner.Version
-	if r.s.job.Version == "" {
-		r.s.confirmOrigin(r.runner)
-	}
 	r.s.g.metrics.firstEvent.UpdateDuration(r.s.arrived)
 	r.s.planner.Serving.Learn(time.Since(r.s.roomAt))
 	r.s.fields = append(r.s.fields, decisionlog.F("first_event", time.Since(r.s.arrived)))
--- a/pkg/resume/resume.go
+++ b/pkg/resume/resume.go
@@ -56,7 +56,8 @@
 	Key Key
 	// Version is empty if it is not certain, see Table.Doubt.
 	Version string
-	// Runner is the digest of the incarnation of the runner that brought the event, see RunnerDigest.
+	// Runner is the digest of the incarnation at which the stream begins, see RunnerDigest. It is 0 once that
+	// incarnation is confirmed.
 	Runner uint64
 	// Left is the time for which the origin is kept.
 	Left time.Duration
--- a/pkg/resume/table.go
+++ b/pkg/resume/table.go
@@ -31,18 +31,17 @@
 	version string
 	// from is the gateway that announced the origin, service that of an own stream.
 	from, service string
-	runner        uint64
-	expires       time.Time
-	// at is when the origin was recorded. confirmed is set once the runner of an own stream reported,
-	// after the first event, the start time that is in its entry.
-	at        time.Time
-	confirmed bool
+	// runner is Origin.Runner.
+	runner  uint64
+	expires time.Time
+	// at is when the origin was recorded.
+	at time.Time
 	// uncertain is set if the version is contradictory or doubted.
 	uncertain bool
 }
 
 // confirmTime is the age from which on the origin of another gateway's stream is not doubted: that
-// gateway confirms the origin within some milliseconds after the first event, or announces its doubt.
+// gateway confirms the origin before it passes on the first event, or announces its doubt.
 const confirmTime = time.Second
 
 // NewTable returns an empty table of the named gateway.
@@ -114,26 +113,29 @@
 	return t.own(now, func(e *entry) bool { return e.service == service })
 }
 
-// Confirm records that the runner of one of this gateway's streams reported, after the first event, the
-// start time that is in its entry.
+// Confirm records that one of this gateway's streams began at the incarnation of its runner's entry, so that
+// its version is certain whatever becomes of the runner.
 func (t *Table) Confirm(k Key) {
 	s := t.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.origins[k]; e != nil && e.from == t.self {
-		e.confirmed = true
+		e.runner = 0
 	}
 }
 
-// Doubt records that an incarnation of a runner was replaced, which its entry shows late: the streams
-// that began there and were not confirmed may have begun at the version of the next incarnation. It
-// returns the origins of this gateway's streams among them, without a version.
-func (t *Table) Doubt(runner uint64, now time.Time) []Origin {
-	doubted := func(e *entry) bool {
-		return e.runner == runner && !e.confirmed && (e.from == t.self || now.Sub(e.at) < confirmTime)
-	}
-	t.each(now, func(_ Key, e *entry) { e.uncertain = e.uncertain || doubted(e) })
-	return t.own(now, doubted)
+// Doubt records that an incarnation of a runner was replaced, which its entry shows late: streams of other
+// gateways that were announced shortly before, and were not confirmed then, may have begun at the version of
+// the next incarnation. It returns their number.
+func (t *Table) Doubt(runner uint64, now time.Time) int {
+	doubted := 0
+	t.each(now, func(_ Key, e *entry) {
+		if e.from != t.self && e.runner == runner && now.Sub(e.at) < confirmTime {
+			e.uncertain = true
+			doubted++
+		}
+	})
+	return doubted
 }
 
 // BegunSince returns the number of this gateway's streams that were sent since a time to an incarnation of a runner.
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -21,6 +21,7 @@
 type conn struct {
 	net.Conn
 	address string
+	peer    *Peer
 	reader  *bufio.Reader
 	// buffer is what an enlarged read buffer takes of Options.Heads, head what the parsed head of the
 	// current response takes.
@@ -72,7 +73,7 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer), buffer: memory.Usage{Account: c.options.Heads}, head: memory.Usage{Account: c.options.Heads}, uses: 1, announced: -1}, nil
+	return &conn{Conn: raw, address: address, peer: &Peer{}, reader: bufio.NewReaderSize(raw, readBuffer), buffer: memory.Usage{Account: c.options.Heads}, head: memory.Usage{Account: c.options.Heads}, uses: 1, announced: -1}, nil
 }
 
 // openTime is how long Reachable watches a new connection. An instance that is ending may accept one and
@@ -121,6 +122,17 @@
 	return k
 }
 
+// IdlePeer returns the process at the other end of the idle connection that is reused next; nil if there is none.
+func (c *Client) IdlePeer(address string) *Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	return list[len(list)-1].peer
+}
+
 // HasIdle reports whether there is an idle connection to an address. It is false if all of its
 // connections are in use.
 func (c *Client) HasIdle(address string) bool {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -155,6 +155,7 @@
 	// that is not known.
 	lastData    time.Time
 	lastDataErr error
+	peer        *Peer
 	done        func(complete bool)
 	once        sync.Once
 }
@@ -206,7 +207,7 @@
 
 // respond wraps a response, at whose end the connection is closed or kept for reuse.
 func (c *Client) respond(k *conn, res *http.Response, stop func() bool, wrote <-chan error, surplus int) *Response {
-	out := &Response{Response: res, head: k.head}
+	out := &Response{Response: res, head: k.head, peer: k.peer}
 	k.head = memory.Usage{Account: c.options.Heads}
 	out.done = func(complete bool) {
 		if complete && out.CloseDelimited() {
@@ -250,6 +251,9 @@
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
+// Peer returns the process that sends the response.
+func (r *Response) Peer() *Peer { return r.peer }
+
 // LastData returns when the last data of a body arrived that ended with its connection, by the clock of package
 // boottime. It may be called after the end of the body.
 func (r *Response) LastData() (time.Time, error) { return r.lastData, r.lastDataErr }
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -565,3 +565,30 @@
 		})
 	}
 }
+
+// Guards against taking what serves on a new connection for the process that answered on an earlier one.
+func TestPeerIsBoundToItsConnection(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	c := newClient()
+	peer := func() *Peer {
+		res, err := c.Do(t.Context(), s.address, &Request{Method: "GET", Target: "/", Host: "h"})
+		g.Expect(err).NotTo(HaveOccurred())
+		_, _ = io.Copy(io.Discard, res)
+		return res.Peer()
+	}
+	g.Expect(c.IdlePeer(s.address).Is("a")).To(BeFalse(), "no connection")
+	peer().Identify("a")
+	g.Expect(c.IdlePeer(s.address).Is("a")).To(BeTrue())
+	g.Expect(peer().Is("a")).To(BeTrue(), "the same connection")
+	g.Expect(peer().Is("b")).To(BeFalse())
+	c.CloseIdle(s.address)
+	g.Expect(peer().Is("a")).To(BeFalse(), "a new connection")
+}
