resume: a stream is of the version before only if no gateway can have begun it since

Clients saw streams of two software versions joined (ORDER) where gateways were lost, or one had been cut off, shortly after a second version came.

Cause: Versions.Unannounced. A gateway that found nobody who knew a stream took it for one of the version that was alone before, since streams of several versions are announced. But announcements are lost: with all four gateways that keep them (more than 24 gateways), and on the way to a gateway that is cut off.

Change: that a stream began before is concluded only if every gateway in the membership list, silent ones among them, replies that it has run since before the version came and has the origins of all streams that it began. The reply has a new field; gateways of earlier builds don't send it, and the stream is refused. Above 64 other gateways it is refused too. The cases of TestStreamContinuesOnlyAtCertainVersion that asserted the old conclusion are replaced by stricter ones.

--- a/pkg/ingress/incarnation_test.go
+++ b/pkg/ingress/incarnation_test.go
@@ -19,6 +19,9 @@
 
 func (a *announcements) AnnounceOrigins(list []resume.Origin)         { a.list = append(a.list, list...) }
 func (a *announcements) AskOrigin(resume.Key, string) (asked, of int) { return 0, 0 }
+func (a *announcements) AskOriginOfAll(resume.Key, string) (asked, all int, ok bool) {
+	return 0, 0, true
+}
 
 // newStreamExchange returns a request for a new stream, at a gateway whose runners are checked by calls.
 func newStreamExchange(t *testing.T, calls RunnerClient, route routetable.Route, others OriginExchange) *exchange {
--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -19,6 +19,9 @@
 	// number, and the number of all that keep it, also silent ones. Replies are passed to
 	// ReceiveOriginReply.
 	AskOrigin(k resume.Key, service string) (asked, keepers int)
+	// AskOriginOfAll does the same with all gateways, whether or not they keep the origin. It returns false,
+	// and asks nobody, if there are too many.
+	AskOriginOfAll(k resume.Key, service string) (asked, all int, ok bool)
 }
 
 // Origins connects an Ingress to the origins of streams that other gateways keep.
@@ -109,7 +112,11 @@
 func (g *Ingress) OriginOf(k resume.Key, service string) resume.Reply {
 	now := time.Now()
 	o, known := g.origins.Find(k, now)
-	return resume.Reply{Key: k, Known: known, Version: o.Version, Only: g.versions.Only(service, now)}
+	r := resume.Reply{Key: k, Known: known, Version: o.Version, Only: g.versions.Only(service, now)}
+	if g.origins.Complete(now) {
+		r.Unannounced = g.versions.Unannounced(service, now)
+	}
+	return r
 }
 
 // ObserveVersion records that a runner serves. Streams of its service that began while there was only
@@ -192,6 +199,7 @@
 func (x *exchange) askOrigin(e *resume.Evidence) {
 	exchange := x.g.options.Origins.Exchange
 	if exchange == nil {
+		e.AskedAll = true
 		return
 	}
 	q := x.g.questions.add(e.Key)
@@ -200,11 +208,21 @@
 	defer cancel()
 	tick := time.NewTicker(originAskInterval)
 	defer tick.Stop()
-	e.Asked, e.Keepers = exchange.AskOrigin(e.Key, e.Service)
+	askOnce := func() {
+		var asked, keepers int
+		if e.Unannounced != "" && e.Fresh {
+			asked, keepers, e.AskedAll = exchange.AskOriginOfAll(e.Key, e.Service)
+		}
+		if !e.AskedAll {
+			asked, keepers = exchange.AskOrigin(e.Key, e.Service)
+		}
+		e.Asked, e.Keepers = max(e.Asked, asked), max(e.Keepers, keepers)
+	}
+	askOnce()
 	for {
 		var known bool
 		e.Replies, known = x.g.questions.list(q)
-		if known || e.Asked > 0 && len(e.Replies) >= e.Asked {
+		if known || len(e.Replies) >= e.Asked && (e.Asked > 0 || e.AskedAll && e.Keepers == 0) {
 			return
 		}
 		select {
@@ -212,8 +230,7 @@
 			return
 		case <-q.changed:
 		case <-tick.C:
-			asked, keepers := exchange.AskOrigin(e.Key, e.Service)
-			e.Asked, e.Keepers = max(e.Asked, asked), max(e.Keepers, keepers)
+			askOnce()
 		}
 	}
 }
--- a/pkg/peers/origins.go
+++ b/pkg/peers/origins.go
@@ -16,6 +16,8 @@
 	// askedKeepers is the number of gateways that are then asked for an origin. It is larger, because
 	// the gateways' membership lists may differ.
 	askedKeepers = 8
+	// maxAsked bounds the number of gateways that are asked together for one origin, with some 80 bytes each way.
+	maxAsked = 64
 	// maxOrigins limits the origins in one datagram, at some 35 bytes each, and the queries and replies.
 	maxOrigins = 200
 )
@@ -47,8 +49,26 @@
 // AskOrigin asks the gateways that keep the origin of a stream and are alive for it. It returns their
 // number, and the number of all that keep it, also silent ones. It does not wait for replies.
 func (x *Exchange) AskOrigin(k resume.Key, service string) (asked, keepers int) {
-	query := &wirepb.OriginQuery{Stream: uint64(k), Service: service}
 	names := x.aliveAmong(x.keepers(k, askedKeepers))
+	x.askOrigin(names, k, service)
+	return len(names), x.withSilent(len(names))
+}
+
+// AskOriginOfAll asks all gateways that are alive for the origin of a stream. It returns their number, and that of
+// all, also silent ones. It returns false, and asks nobody, if there are more than maxAsked.
+func (x *Exchange) AskOriginOfAll(k resume.Key, service string) (asked, all int, ok bool) {
+	names := x.Names()
+	if len(names) > maxAsked {
+		return 0, 0, false
+	}
+	alive := x.aliveAmong(names)
+	x.askOrigin(alive, k, service)
+	return len(alive), len(names), true
+}
+
+// askOrigin sends a query for the origin of a stream to the named gateways.
+func (x *Exchange) askOrigin(names []string, k resume.Key, service string) {
+	query := &wirepb.OriginQuery{Stream: uint64(k), Service: service}
 	for _, name := range names {
 		x.outbox.add(name, func(s *wirepb.GatewayState) {
 			if len(s.OriginQueries) < maxOrigins {
@@ -56,7 +76,6 @@
 			}
 		})
 	}
-	return len(names), x.withSilent(len(names))
 }
 
 // aliveAmong returns those of the named gateways that are alive, without this one.
@@ -98,7 +117,7 @@
 		x.options.ReceiveOrigins(s.Name, decodeOrigins(s.StreamOrigins))
 	}
 	for _, r := range s.OriginReplies {
-		x.options.ReceiveOriginReply(s.Name, resume.Reply{Key: resume.Key(r.Stream), Known: r.Known, Version: r.Software, Only: r.Only})
+		x.options.ReceiveOriginReply(s.Name, resume.Reply{Key: resume.Key(r.Stream), Known: r.Known, Version: r.Software, Only: r.Only, Unannounced: r.Unannounced})
 	}
 	if len(s.OriginQueries) > 0 {
 		x.replyOrigins(s.Name, s.OriginQueries)
@@ -118,7 +137,7 @@
 	replies := make([]*wirepb.OriginReply, 0, len(queries))
 	for _, q := range queries[:min(len(queries), maxOrigins)] {
 		r := x.options.OriginOf(resume.Key(q.Stream), q.Service)
-		replies = append(replies, &wirepb.OriginReply{Stream: q.Stream, Known: r.Known, Software: r.Version, Only: r.Only})
+		replies = append(replies, &wirepb.OriginReply{Stream: q.Stream, Known: r.Known, Software: r.Version, Only: r.Only, Unannounced: r.Unannounced})
 	}
 	x.outbox.add(to, func(s *wirepb.GatewayState) {
 		if len(s.OriginReplies) < maxOrigins {
--- a/pkg/peers/origins_test.go
+++ b/pkg/peers/origins_test.go
@@ -124,17 +124,38 @@
 	g.Expect(keepers).To(Equal(4))
 }
 
+// Guards against a gateway that takes the keepers of an origin for all gateways, or floods a large fleet with questions.
+func TestAllGatewaysAreAskedUnlessThereAreTooMany(t *testing.T) {
+	g := NewWithT(t)
+	w := newGateway(t, "a", 1)
+	for i := range maxAsked {
+		name := fmt.Sprint("g", i)
+		w.members[name] = &member{name: name, alive: i > 0}
+		w.memberships++
+	}
+	w.updateSubset()
+	asked, all, ok := w.AskOriginOfAll(1, "s")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(asked).To(Equal(maxAsked-1), "all that are alive")
+	g.Expect(all).To(Equal(maxAsked), "silent ones too")
+	w.members["one too many"] = &member{name: "one too many", alive: true}
+	w.memberships++
+	asked, _, ok = w.AskOriginOfAll(2, "s")
+	g.Expect(ok).To(BeFalse())
+	g.Expect(asked).To(BeZero())
+}
+
 // Guards against a change of the encoding that gateways of other builds would read differently.
 func TestEncodingOfOriginsIsFixed(t *testing.T) {
 	g := NewWithT(t)
 	state := &wirepb.GatewayState{
 		Name: "a", StreamOrigins: []*wirepb.StreamOrigin{{Stream: 1, Software: "v1.1", LeftMs: 16000, Runner: 2}},
 		OriginQueries: []*wirepb.OriginQuery{{Stream: 3, Service: "s"}},
-		OriginReplies: []*wirepb.OriginReply{{Stream: 4, Known: true, Software: "v1", Only: "v2"}},
+		OriginReplies: []*wirepb.OriginReply{{Stream: 4, Known: true, Software: "v1", Only: "v2"}, {Stream: 5, Unannounced: "v3"}},
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(hex.EncodeToString(data)).To(Equal("0a0161b2011b090100000000000000120476312e3118807d210200000000000000ba010c090300000000000000120173c2011309040000000000000010011a02763122027632"))
+	g.Expect(hex.EncodeToString(data)).To(Equal("0a0161b2011b090100000000000000120476312e3118807d210200000000000000ba010c090300000000000000120173c2011309040000000000000010011a02763122027632c2010d0905000000000000002a027633"))
 	var back wirepb.GatewayState
 	g.Expect(unmarshal(data, &back)).To(Succeed())
 	g.Expect(proto.Equal(&back, state)).To(BeTrue())
--- a/pkg/process/origins.go
+++ b/pkg/process/origins.go
@@ -44,6 +44,10 @@
 	return o.p.peers.AskOrigin(k, service)
 }
 
+func (o originExchange) AskOriginOfAll(k resume.Key, service string) (asked, all int, ok bool) {
+	return o.p.peers.AskOriginOfAll(k, service)
+}
+
 // origins returns how gateways share the software versions at which streams began.
 func (p *Ingress) origins() ingress.Origins {
 	return ingress.Origins{Exchange: originExchange{p}, Refresh: func(ctx context.Context) bool { return p.feed.refresh(ctx) }}
--- a/pkg/resume/decide.go
+++ b/pkg/resume/decide.go
@@ -9,6 +9,8 @@
 	Version string
 	// Only is the single version of the service, empty if the gateway knows of several.
 	Only string
+	// Unannounced is Versions.Unannounced at the gateway.
+	Unannounced string
 }
 
 // Evidence is what a gateway knows of a stream whose client resumes it.
@@ -26,11 +28,13 @@
 	// version appears in the store before a stream begins at it, so no other version can be the origin.
 	Only  string
 	Fresh bool
-	// Unannounced is the version of streams whose origin no gateway has: they began while they could only
-	// begin at this one, since otherwise it would have been announced. It is empty if that is not known.
+	// Unannounced is the version of streams that began before another one came, as far as this gateway knows;
+	// empty if it does not. See Versions.Unannounced.
 	Unannounced string
-	// Keepers is the number of other gateways that keep the origin, also those that have fallen silent,
-	// Asked the number of those that were asked. Replies are their replies.
+	// AskedAll is set if all other gateways were asked, not only those that keep the origin.
+	AskedAll bool
+	// Keepers is the number of other gateways that keep the origin, or of all if AskedAll is set, also those
+	// that have fallen silent, Asked the number of those that were asked. Replies are their replies.
 	Keepers, Asked int
 	Replies        []Reply
 }
@@ -38,7 +42,7 @@
 // Decide returns the version at which a stream may continue. It fails with *ErrUnknown.
 func Decide(e Evidence) (string, error) {
 	version, known := e.Version, e.Known
-	only := 0
+	only, unannounced := 0, 0
 	for _, r := range e.Replies {
 		if r.Known && (!known || r.Version == version) {
 			version, known = r.Version, true
@@ -48,6 +52,9 @@
 		if r.Only != "" && r.Only == e.Only {
 			only++
 		}
+		if r.Unannounced != "" && r.Unannounced == e.Unannounced {
+			unannounced++
+		}
 	}
 	switch {
 	case known && version == "":
@@ -61,7 +68,9 @@
 		return e.Only, nil
 	case !e.Named:
 		return "", e.unknown(NotNamed)
-	case e.Unannounced != "" && e.Fresh:
+	case e.Unannounced != "" && e.Fresh && e.AskedAll && unannounced == e.Keepers:
+		// All gateways have run since before the other version came, and none of them began the stream. So a
+		// gateway did that ended before.
 		return e.Unannounced, nil
 	}
 	return "", e.unknown(NotKnown)
--- a/pkg/resume/decide_test.go
+++ b/pkg/resume/decide_test.go
@@ -9,6 +9,7 @@
 // Guards against a stream that continues at a guessed version, and against refusing one whose version is certain.
 func TestStreamContinuesOnlyAtCertainVersion(t *testing.T) {
 	known, uncertain := Reply{Known: true, Version: "v1"}, Reply{Known: true}
+	before := Reply{Unannounced: "v1"}
 	only, none := Reply{Only: "v1"}, Reply{}
 	for name, c := range map[string]struct {
 		e       Evidence
@@ -29,10 +30,15 @@
 		"two versions, one gateway knows":         {Evidence{Named: true, Asked: 4, Replies: []Reply{none, known}}, "v1", ""},
 		"two versions, nobody knows":              {Evidence{Named: true, Asked: 4, Replies: []Reply{none, none, none, none}}, "", NotKnown},
 		"two versions, client names nothing":      {Evidence{}, "", NotNamed},
-		"unannounced, up to date":                 {Evidence{Named: true, Unannounced: "v1", Fresh: true, Asked: 1, Replies: []Reply{none}}, "v1", ""},
-		"unannounced, another gateway knows":      {Evidence{Named: true, Unannounced: "v2", Fresh: true, Asked: 1, Replies: []Reply{known}}, "v1", ""},
-		"unannounced, cut off":                    {Evidence{Named: true, Unannounced: "v1", Asked: 1}, "", NotKnown},
-		"unannounced, client names nothing":       {Evidence{Unannounced: "v1", Fresh: true}, "", NotNamed},
+		"unannounced, all gateways ran before":    {Evidence{Named: true, Unannounced: "v1", Fresh: true, AskedAll: true, Keepers: 2, Asked: 2, Replies: []Reply{before, before}}, "v1", ""},
+		"unannounced, no other gateway":           {Evidence{Named: true, Unannounced: "v1", Fresh: true, AskedAll: true}, "v1", ""},
+		"unannounced, a gateway is silent":        {Evidence{Named: true, Unannounced: "v1", Fresh: true, AskedAll: true, Keepers: 3, Asked: 2, Replies: []Reply{before, before}}, "", NotKnown},
+		"unannounced, a gateway started since":    {Evidence{Named: true, Unannounced: "v1", Fresh: true, AskedAll: true, Keepers: 2, Asked: 2, Replies: []Reply{before, none}}, "", NotKnown},
+		"unannounced, only the keepers asked":     {Evidence{Named: true, Unannounced: "v1", Fresh: true, Keepers: 1, Asked: 1, Replies: []Reply{before}}, "", NotKnown},
+		"unannounced, another version elsewhere":  {Evidence{Named: true, Unannounced: "v2", Fresh: true, AskedAll: true, Keepers: 1, Asked: 1, Replies: []Reply{before}}, "", NotKnown},
+		"unannounced, another gateway knows":      {Evidence{Named: true, Unannounced: "v2", Fresh: true, AskedAll: true, Keepers: 1, Asked: 1, Replies: []Reply{known}}, "v1", ""},
+		"unannounced, cut off":                    {Evidence{Named: true, Unannounced: "v1", AskedAll: true}, "", NotKnown},
+		"unannounced, client names nothing":       {Evidence{Unannounced: "v1", Fresh: true, AskedAll: true}, "", NotNamed},
 		"gateways contradict each other":          {Evidence{Named: true, Asked: 2, Replies: []Reply{known, {Known: true, Version: "v2"}}}, "", Contradictory},
 		"a gateway is not certain":                {Evidence{Named: true, Asked: 2, Replies: []Reply{uncertain, none}}, "", Contradictory},
 		"a gateway is not certain, another is":    {Evidence{Named: true, Asked: 2, Replies: []Reply{known, uncertain}}, "", Contradictory},
--- a/pkg/resume/table.go
+++ b/pkg/resume/table.go
@@ -18,7 +18,9 @@
 	// self is the name of this gateway.
 	self    string
 	dropped atomic.Uint64
-	shards  [shardCount]shard
+	// droppedAt is when an origin was last dropped, in Unix nanoseconds; 0 for never.
+	droppedAt atomic.Int64
+	shards    [shardCount]shard
 }
 
 type shard struct {
@@ -75,6 +77,7 @@
 	old := s.origins[k]
 	if old == nil && len(s.origins) >= maxPerShard {
 		t.dropped.Add(1)
+		t.droppedAt.Store(now.UnixNano())
 		return
 	}
 	if old != nil && old.from != e.from && (old.uncertain || old.version != e.version) {
@@ -182,6 +185,12 @@
 	}
 }
 
+// Complete reports whether the table has all origins that were recorded and may still be asked for.
+func (t *Table) Complete(now time.Time) bool {
+	at := t.droppedAt.Load()
+	return at == 0 || now.Sub(time.Unix(0, at)) > maxLifetime
+}
+
 // Size returns the number of origins in the table, and the number that did not fit.
 func (t *Table) Size() (origins int, dropped uint64) {
 	for i := range t.shards {
--- a/pkg/resume/versions.go
+++ b/pkg/resume/versions.go
@@ -13,6 +13,9 @@
 	// dropDelay is how much longer a version stays in the record than streams may have it: gateways see a
 	// runner leave at different times, and one must not add again what another has removed.
 	dropDelay = 5 * time.Second
+	// maxSoleTime bounds the time for which a gateway may conclude that a stream began before a second version
+	// came. For so long a gateway that was lost since then is still in the membership lists.
+	maxSoleTime = time.Minute
 	// recordWait is how long new streams do not begin at a version that is not in the record. Writing it
 	// takes some 0.3 s. A store that takes no writes must not keep streams from the only engines for longer.
 	recordWait = 2 * time.Second
@@ -81,7 +84,7 @@
 	s := v.service(service)
 	before := len(s.possible(now))
 	if sole := s.onlyRecorded(); sole != "" && len(r.Versions) > 1 {
-		s.sole, s.soleUntil = sole, now.Add(max(s.lifetime, r.Lifetime))
+		s.sole, s.soleUntil = sole, now.Add(min(max(s.lifetime, r.Lifetime), maxSoleTime))
 	}
 	recorded := make(map[string]time.Time, len(r.Versions))
 	for _, version := range r.Versions {
@@ -151,8 +154,8 @@
 	v.doubtedUntil = now.Add(maxLifetime)
 }
 
-// Unannounced returns the version of streams whose origin was not announced: the only one in the record, or
-// the one that was until others were added. It is empty if that is not known.
+// Unannounced returns the version of streams that began before another version was added to the record: the only
+// one in it, or the one that was until then. It is empty if this gateway did not read the record before.
 func (v *Versions) Unannounced(service string, now time.Time) string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
