ingress: a decode waits for the identity of its runner

In one of two runs of TestStreamsThatBeginAtRestartedEngine... a new stream failed: the prompt was computed faster than the decode engine told its incarnation, so the stream began at two restarted engines in a row and had used its attempts.

--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -213,8 +213,9 @@
 	var source PrefilledCache
 	var prefillRunner *runners.State
 	if !s.relay.begun && s.call.After == "" {
-		s.identifyMeanwhile(room.runner)
+		identified := s.identifyMeanwhile(room.runner)
 		source, prefillRunner, err = s.prefill(room)
+		<-identified
 	}
 	if err != nil {
 		s.dropHold(room)
--- a/pkg/ingress/incarnation.go
+++ b/pkg/ingress/incarnation.go
@@ -80,14 +80,19 @@
 }
 
 // identifyMeanwhile checks a decode runner's incarnation while the prompt is computed elsewhere, if the runner
-// would have to be asked after its response has begun. A runner that restarted then gets no decode.
-func (s *generation) identifyMeanwhile(runner *runners.State) {
+// would have to be asked after its response has begun. A runner that restarted then gets no decode. The channel
+// is closed at the end of the check.
+func (s *generation) identifyMeanwhile(runner *runners.State) <-chan struct{} {
+	done := make(chan struct{})
 	if !s.route.Resumable || runner.Born == 0 || s.g.options.Runners.Identified(runner) {
-		return
+		close(done)
+		return done
 	}
 	go func() {
+		defer close(done)
 		if _, err := s.isCurrent(s.ctx, runner); err != nil && s.ctx.Err() == nil {
 			s.logFailedStep("runner_not_identified", runner.ID, err)
 		}
 	}()
+	return done
 }
