resume: streams don't begin at an unrecorded version beside a recorded one

Clients saw streams of two software versions joined (ORDER) where the store took no writes while a second version came, and all gateways were lost then.

Cause: after 2 s without a record, streams began at the new version nevertheless. Gateways that start read the old record and take its version for the origin of streams that nobody knows.

Change: the exception holds only once no version of the record has served for 2 s, so that the engines of the new version are the only ones. While the old ones serve, streams begin there.

--- a/pkg/resume/versions.go
+++ b/pkg/resume/versions.go
@@ -16,8 +16,9 @@
 	// maxSoleTime bounds the time for which a gateway may conclude that a stream began before a second version
 	// came. For so long a gateway that was lost since then is still in the membership lists.
 	maxSoleTime = time.Minute
-	// recordWait is how long new streams do not begin at a version that is not in the record. Writing it
-	// takes some 0.3 s. A store that takes no writes must not keep streams from the only engines for longer.
+	// recordWait is how long new streams do not begin at a version that is not in the record, if no runner of a
+	// version in the record serves. Writing it takes some 0.3 s. A store that takes no writes must not keep
+	// streams from the only engines for longer.
 	recordWait = 2 * time.Second
 )
 
@@ -115,11 +116,20 @@
 	return ""
 }
 
-// mayBegin reports whether new streams may begin at a version: it is in the record, there is no record
-// yet, or it could not be recorded in recordWait.
+// mayBegin reports whether new streams may begin at a version: it is in the record, or there is no record
+// yet, or it could not be recorded in recordWait and no version in the record has served meanwhile. While one
+// serves, a gateway that starts could take the streams of the other for streams of that one.
 func (s *serviceVersions) mayBegin(version string, now time.Time) bool {
 	since, unrecorded := s.unrecorded[version]
-	return s.recorded == nil || !unrecorded || now.Sub(since) > recordWait
+	if s.recorded == nil || !unrecorded {
+		return true
+	}
+	for recorded := range s.recorded {
+		if at, seen := s.seen[recorded]; seen && at.After(since) {
+			since = at
+		}
+	}
+	return now.Sub(since) > recordWait
 }
 
 // MayBegin reports whether new resumable streams of a service may begin at a version now.
