process: a host name in a gateway's entry is not looked up

Cause: an item under hopwell/gateways/ may hold a host name. It was resolved (net.ResolveUDPAddr) while the changes of the store were applied, so that nothing else was applied for as long as the name server took.

Fix: gateways write IP:PORT, so anything else is refused before it is added.

--- a/pkg/process/announce.go
+++ b/pkg/process/announce.go
@@ -8,6 +8,7 @@
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/peers"
 	"github.com/hopwell/hopwell/pkg/store"
+	"github.com/hopwell/hopwell/platform"
 )
 
 const (
@@ -99,8 +100,12 @@
 
 // addPeer adds the address of another gateway.
 func (p *Ingress) addPeer(name, address string) {
-	if err := p.peers.Add(name, address); err != nil {
-		p.log.Write(decisionlog.KindProcess, "gateway_refused", decisionlog.F("error", err))
+	err := platform.CheckAddress(address)
+	if err == nil {
+		err = p.peers.Add(name, address)
+	}
+	if err != nil {
+		p.log.Write(decisionlog.KindProcess, "gateway_refused", decisionlog.F("gateway", name), decisionlog.F("error", err))
 	}
 }
 
