store: a lock's key without a lease is replaced

What callers saw: not seen. An item that another writer leaves under hopwell/orders counted as the lock of some gateway. Nothing removes it, so no gateway ever assigned stages again.

Cause: holders write the key with a lease, and the conflict names the item as it is; the lease was not read.

TestAcquireFailsWhenLockIsHeld is as it was.

Fix: Acquire replaces an item that no lease binds, at its revision. A gateway tries that if the item names no gateway that it knows; the lease decides, so a holder that is not known yet keeps the lock.

--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -218,10 +219,18 @@
 	return &stager{
 		ingress: p.Ingress, calls: r, log: p.log, policy: staging.DefaultPolicy(), wait: lease, rank: p.peers.Rank,
 		report: p.peers.SendStageChanges, refusals: map[string]refusalSpan{}, busy: map[string]time.Time{},
-		lock: &store.Lock{Store: p.feed.currentStore(), Key: orderKey, Holder: p.settings.Load().Instance.Name, TTL: lease},
+		lockForeign: p.lockForeign,
+		lock:        &store.Lock{Store: p.feed.currentStore(), Key: orderKey, Holder: p.settings.Load().Instance.Name, TTL: lease},
 	}
 }
 
+// lockForeign reports whether the key of the order lock names no gateway. Another writer may have written it.
+func (p *Ingress) lockForeign() bool {
+	item, exists := p.feed.storeCopy.get(orderKey)
+	holder := string(item.Value)
+	return exists && holder != p.settings.Load().Instance.Name && !slices.Contains(p.peers.Names(), holder)
+}
+
 func (p *Ingress) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	if !p.Ingress.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/pkg/process/stager.go
+++ b/pkg/process/stager.go
@@ -75,6 +75,8 @@
 	rank func() int
 	// report sends the other gateways the stage changes that are about to be ordered.
 	report func(changes []runners.StageChange, now time.Time)
+	// lockForeign reports whether the store shows a holder of the lock that is no known gateway.
+	lockForeign func() bool
 	// lockFree is set while the store shows the lock as free, restored when the store may have lost the
 	// records of changes.
 	lockFree, restored atomic.Bool
@@ -122,7 +124,7 @@
 		s.rewriteRecords(ctx, now)
 	}
 	fence, since, held := s.lock.Held(boottime.Now())
-	if !held && !s.lockFree.Load() {
+	if !held && !s.mayBeFree() {
 		s.mismatchSince = time.Time{}
 		return
 	}
@@ -207,7 +209,7 @@
 // others try one after another, when planned changes have been left undone for so long that the first
 // process must have failed.
 func (s *stager) mayAcquire(now time.Time) bool {
-	if s.ingress.Table() == nil || now.Before(s.retryAt) || !s.lockFree.Load() {
+	if s.ingress.Table() == nil || now.Before(s.retryAt) || !s.mayBeFree() {
 		return false
 	}
 	if now.Sub(s.startedAt) < discoveryTime {
@@ -221,6 +223,9 @@
 	return !s.mismatchSince.IsZero() && now.Sub(s.mismatchSince) > s.restageTime()+s.wait+turn
 }
 
+// mayBeFree reports whether no gateway is known to hold the lock.
+func (s *stager) mayBeFree() bool { return s.lockFree.Load() || s.lockForeign() }
+
 // urgent reports whether any of the changes is for a stage without engines.
 func urgent(changes []staging.Change) bool {
 	return slices.ContainsFunc(changes, func(c staging.Change) bool { return c.Urgent })
--- a/pkg/store/lock.go
+++ b/pkg/store/lock.go
@@ -47,15 +47,19 @@
 	return l.fence, l.since, !l.lease.None() && now.Before(l.until)
 }
 
-// Acquire tries to acquire the lock. It fails with *ErrHeld if another process holds it.
+// Acquire tries to acquire the lock. It fails with *ErrHeld if another process holds it. A key without a lease is
+// no lock: another writer wrote it, and nothing would ever remove it. It is replaced.
 func (l *Lock) Acquire(ctx context.Context) error {
 	began := boottime.Now()
-	leased, err := PutLeased(ctx, l.Store, l.TTL, Change{If: []Condition{{Key: l.Key}}, Put: []Put{{Key: l.Key, Value: []byte(l.Holder)}}})
+	leased, err := l.put(ctx, 0)
+	var conflict *ErrConflict
+	if errors.As(err, &conflict) && len(conflict.Items) > 0 && conflict.Items[0].Unleased {
+		leased, err = l.put(ctx, conflict.Items[0].Revision)
+	}
+	if errors.As(err, &conflict) && len(conflict.Items) > 0 {
+		return &ErrHeld{Key: l.Key, Holder: string(conflict.Items[0].Value)}
+	}
 	if err != nil {
-		var conflict *ErrConflict
-		if errors.As(err, &conflict) && len(conflict.Items) > 0 {
-			return &ErrHeld{Key: l.Key, Holder: string(conflict.Items[0].Value)}
-		}
 		return err
 	}
 	l.mu.Lock()
@@ -64,6 +68,11 @@
 	return nil
 }
 
+// put writes the key under a new lease in place of its item at a revision, 0 for none.
+func (l *Lock) put(ctx context.Context, replaces Revision) (Leased, error) {
+	return PutLeased(ctx, l.Store, l.TTL, Change{If: []Condition{{Key: l.Key, Revision: replaces}}, Put: []Put{{Key: l.Key, Value: []byte(l.Holder)}}})
+}
+
 // Renew extends the lease of the lock. If the lease is over, the lock is lost at once.
 func (l *Lock) Renew(ctx context.Context) error {
 	l.mu.Lock()
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -15,6 +15,8 @@
 	Value []byte
 	// Revision is that of the last change, Made that of the creation.
 	Revision, Made Revision
+	// Unleased reports that no lease binds the key. It is known only in the items of ErrConflict.
+	Unleased bool `json:"-"`
 }
 
 // Event is one change of a key.
--- a/pkg/store/store_test.go
+++ b/pkg/store/store_test.go
@@ -317,3 +317,31 @@
 		g.Expect(held).To(BeFalse())
 	})
 }
+
+// Guards against a lock that is never free because another writer wrote its key without a lease, and against a lock
+// that is taken from its holder.
+func TestLockReplacesAKeyWithoutALease(t *testing.T) {
+	for name, want := range map[string]struct{ leased, taken bool }{"another writer's": {false, true}, "a holder's": {true, false}} {
+		g := NewWithT(t)
+		s := &fakeStore{}
+		s.commit = func(c Change) (Revision, error) {
+			if c.If[0].Revision != 7 {
+				return 0, &ErrConflict{Items: []Item{{Key: "lock", Value: []byte("x"), Revision: 7, Unleased: !want.leased}}}
+			}
+			return 8, nil
+		}
+		l := &Lock{Store: s, Key: "lock", Holder: "me", TTL: 3 * time.Second}
+		err := l.Acquire(t.Context())
+		fence, _, held := l.Held(boottime.Now())
+		g.Expect(held).To(Equal(want.taken), name)
+		if want.taken {
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(fence).To(Equal(Revision(8)))
+			continue
+		}
+		var other *ErrHeld
+		g.Expect(errors.As(err, &other)).To(BeTrue())
+		g.Expect(other.Holder).To(Equal("x"))
+		g.Expect(s.ended).To(HaveLen(s.granted), "leases that were not needed are ended")
+	}
+}
