process: a record of versions replaces an item that is too large

What callers saw: not seen. If another writer left more than 16 KiB under hopwell/versions/SERVICE, the record was never written: gateways tried for ever, one commit every 0.1 s and more for each of them, beside a read.

Cause: the item is not kept, so the record was committed under the condition that there is none.

Evidence: TestRecordReplacesATooLargeItem fails before with *store.ErrConflict.

Fix: on a conflict with an item that is too large to be kept, the record is written at its revision.

--- a/pkg/process/origins.go
+++ b/pkg/process/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -128,17 +129,32 @@
 func (p *Ingress) writeRecord(ctx context.Context, service string, due dueRecord) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	key := recordPrefix + service
-	value, err := due.record.Encode()
-	if err == nil {
-		_, err = p.feed.currentStore().Commit(ctx, store.Change{If: []store.Condition{{Key: key, Revision: due.replaces}}, Put: []store.Put{{Key: key, Value: value}}})
-	}
+	err := p.feed.replaceRecord(ctx, recordPrefix+service, due)
 	p.log.Write(decisionlog.KindState, "software_versions_written", decisionlog.F("service", service),
 		decisionlog.F("versions", due.record.Versions), decisionlog.F("error", err))
 	// The copy of the store then shows what this or another gateway wrote, so that it is not written again.
 	p.feed.refresh(ctx)
 }
 
+// replaceRecord writes a record in place of the item that it was derived from. If the copy has no item, the store may
+// have one that is too large to be kept; it is replaced too.
+func (f *feed) replaceRecord(ctx context.Context, key string, due dueRecord) error {
+	value, err := due.record.Encode()
+	if err != nil {
+		return err
+	}
+	put := func(replaces store.Revision) error {
+		_, err := f.currentStore().Commit(ctx, store.Change{If: []store.Condition{{Key: key, Revision: replaces}}, Put: []store.Put{{Key: key, Value: value}}})
+		return err
+	}
+	err = put(due.replaces)
+	var conflict *store.ErrConflict
+	if errors.As(err, &conflict) && due.replaces == 0 && len(conflict.Items) == 1 && checkItem(conflict.Items[0]) != nil {
+		return put(conflict.Items[0].Revision)
+	}
+	return err
+}
+
 // applyRecord applies the record of a service's software versions. One that can't be decoded is ignored,
 // and written again.
 func (f *feed) applyRecord(service string, i store.Item) {
