process: ages in another gateway's state don't overflow

What callers saw: not seen; another gateway would have to send such a state.

Cause: age_ms and assured_us were multiplied to durations before they were checked.  ms became less than a millisecond, and some values of assured_us a time in the future, up to which keys count as not revoked.

Fix: both are compared as whole numbers first.

--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -249,10 +249,10 @@
 	if err := decodeState(progress.Reader(ctx, res.Body), limit, &s); err != nil {
 		return s, &ErrState{Address: address, Why: "not readable", Err: err}
 	}
-	if age := time.Duration(s.AgeMs) * time.Millisecond; age < 0 || age > maxStateAge {
-		return s, &ErrState{Address: address, Why: "too old: " + age.String()}
+	if s.AgeMs < 0 || s.AgeMs > maxStateAge.Milliseconds() {
+		return s, &ErrState{Address: address, Why: fmt.Sprintf("age of %d ms, %s allowed", s.AgeMs, maxStateAge)}
 	}
-	if s.AssuredUs > 0 {
+	if s.AssuredUs > 0 && s.AssuredUs <= maxStateAge.Microseconds() {
 		s.confirmed = sentAt.Add(-time.Duration(s.AssuredUs) * time.Microsecond)
 	}
 	return s, nil
--- a/pkg/process/state_test.go
+++ b/pkg/process/state_test.go
@@ -173,3 +173,23 @@
 	_, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"), limit)
 	g.Expect(err).To(MatchError(ContainSubstring(fmt.Sprint(maxStateHead))))
 }
+
+// Guards against ages in another gateway's state that overflow: one counts as recent, the other as in the future, so
+// that revoked keys would be accepted.
+func TestAgesOfAStateDoNotOverflow(t *testing.T) {
+	for text, usable := range map[string]bool{
+		`{"at":7,"age_ms":18446744073710}`:           false,
+		`{"at":7,"age_ms":9223372036854775807}`:      false,
+		`{"at":7,"age_ms":-9223372036854775808}`:     false,
+		`{"at":7,"assured_us":18446744073709552}`:    true,
+		`{"at":7,"assured_us":9223372036854775807}`:  true,
+		`{"at":7,"assured_us":-9223372036854775808}`: true,
+	} {
+		g := NewWithT(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, text) }))
+		s, err := fetchState(t.Context(), stateClient(), strings.TrimPrefix(server.URL, "http://"), testStateBytes)
+		server.Close()
+		g.Expect(err == nil).To(Equal(usable), text)
+		g.Expect(s.confirmed.IsZero()).To(BeTrue(), text)
+	}
+}
