memory: commas in names are no values

What callers saw: not seen. 345 keys of 190 commas in one page would have been refused as 65,550 values, with the full read that held them: no gateway that starts would have had a configuration.

Cause: values are counted by commas, also those in strings, which other writers choose.

Evidence: TestCommasInStringsAreNoValues fails before.

Fix: if there are too many commas, those outside strings are counted. Usual messages are counted as before.

--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -214,3 +214,14 @@
 	}
 	return len(p), nil
 }
+
+// Guards against messages that are refused for the commas in the names that they hold.
+func TestCommasInStringsAreNoValues(t *testing.T) {
+	g := NewWithT(t)
+	for text, refused := range map[string]bool{
+		`[1,2,3]`: false, `[1,2,3,4]`: true, `{"a,,,,":1,"b\",,":"\\",` + "\n" + `"c":",,,,"}`: false, `["\\",",",1,2,"\",",3]`: true,
+	} {
+		var large *ErrTooLarge
+		g.Expect(errors.As(CheckValues("list", []byte(text), 2), &large)).To(Equal(refused), text)
+	}
+}
--- a/pkg/memory/read.go
+++ b/pkg/memory/read.go
@@ -37,14 +37,33 @@
 }
 
 // CheckValues fails with *ErrTooLarge if JSON text has more than bound values, counted by their commas: a short
-// value takes many times its length once it is decoded.
+// value takes many times its length once it is decoded. Commas within strings, such as names, don't count.
 func CheckValues(what string, text []byte, bound int64) error {
-	if n := int64(bytes.Count(text, []byte(","))); n > bound {
+	if int64(bytes.Count(text, []byte(","))) <= bound {
+		return nil
+	}
+	if n := commasOutsideStrings(text); n > bound {
 		return TooLarge("values in the "+what, n, bound)
 	}
 	return nil
 }
 
+// commasOutsideStrings returns the number of commas that separate values.
+func commasOutsideStrings(text []byte) (n int64) {
+	inString := false
+	for i := 0; i < len(text); i++ {
+		switch c := text[i]; {
+		case c == '\\' && inString:
+			i++
+		case c == '"':
+			inString = !inString
+		case c == ',' && !inString:
+			n++
+		}
+	}
+	return n
+}
+
 // Read reads all of in and reserves the buffers as they grow, factor bytes for each byte of them: the
 // decoded form may take more than the text. The first free bytes need no reservation. It fails with
 // *ErrTooLarge beyond bound bytes and with *ErrFull if the account is full.
