ingress: events of resumed streams are compared by their position

Callers saw events twice, or lost them and got an end as of a whole stream: - a client's Last-Event-Id of "0002", "none" or 4,000 bytes: every event of the new run was dropped, and the stream ended as complete; - Last-Event-Id on a route that can't be resumed: the first events of the new run were dropped; - a stream that broke off after an event without an ID: the gateway resumed it after the ID before, and the event came twice; without any ID the whole stream came twice; - an event that a runner sends again with the ID 009 after 9, or with a second id line: twice; - IDs of one run that don't rise as text (7f3a, 11c0, 2): dropped.

Cause: `later` compared lengths and texts of any two IDs, an event without an ID was passed whatever the response had reached, `eventID` took the first id line.

An event without an ID stands after the ID before it. The gateway resumes a stream only after an event with an ID that a header can hold; otherwise the client's response breaks off (ErrNoPosition) and the client decides. A byte order mark of the second response is not passed into the middle of the first.

--- a/pkg/ingress/events.go
+++ b/pkg/ingress/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 
@@ -99,13 +98,3 @@
 func blank(line []byte) bool {
 	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
 }
-
-// eventID returns the ID of an event; empty if it has none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(rest))
-		}
-	}
-	return ""
-}
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"time"
@@ -20,8 +21,13 @@
 	headerCost int64
 	// origin is the software version of the runner that brought the first event.
 	origin string
-	// last is the ID of the last event sent to the client.
-	last string
+	// last is the ID of the last event sent to the client. unnumbered is set if the client has events after
+	// it that have no ID, so that no runner can go on after them.
+	last       string
+	unnumbered bool
+	// at is the ID that the current response has reached. opening is set until its first event.
+	at      string
+	opening bool
 	// runner is the runner of the current response.
 	runner *runners.State
 	events int
@@ -33,7 +39,7 @@
 
 // forwardEvents forwards the events of a response until its end.
 func (r *relay) forwardEvents(n int, runner *runners.State, a *Response) (sendResult, error) {
-	r.runner = runner
+	r.runner, r.at, r.opening = runner, r.last, true
 	began, before, confirmed := time.Now(), r.events, false
 	in := newEventReader(r.s.g.options.Held, a.Body)
 	defer in.close()
@@ -103,10 +109,13 @@
 		return mayHaveRun, reason
 	}
 	runner.Failed(time.Now())
-	r.s.logFailedStep("stream_broken", runner.ID, err, decisionlog.F("events", r.events), decisionlog.F("last", r.last),
+	r.s.logFailedStep("stream_broken", runner.ID, err, decisionlog.F("events", r.events), decisionlog.F("last", shorten(r.last)),
 		decisionlog.F("asked", r.s.digest()), decisionlog.F("parts", r.s.call.SharedParts))
 	r.s.exchange.reportBrokenRun(runner, early, err)
-	return mayHaveRun, &ErrBroken{Runner: runner.ID, After: r.last, Err: err}
+	if r.unnumbered {
+		err = &ErrNoPosition{After: shorten(r.last), Err: err}
+	}
+	return mayHaveRun, &ErrBroken{Runner: runner.ID, After: shorten(r.last), Err: err}
 }
 
 // writeHeader sends the header of the first response. It applies to the whole stream, also if
@@ -127,8 +136,12 @@
 
 // write sends one event to the client, unless the client has it already.
 func (r *relay) write(a *Response, event []byte) error {
-	id := eventID(event)
-	if id != "" && !later(id, r.last) {
+	f := parseEvent(event)
+	if r.opening && r.begun {
+		event = bytes.TrimPrefix(event, []byte(byteOrderMark))
+	}
+	r.opening = false
+	if r.sent(f) {
 		return nil
 	}
 	if !r.begun {
@@ -146,19 +159,31 @@
 	}
 	r.written = now
 	r.events++
-	if id != "" {
-		r.last = id
-	}
+	r.advance(f)
 	return nil
 }
 
-// later reports whether an event ID is above another. IDs are whole numbers.
-func later(id, last string) bool {
-	if last == "" {
-		return true
+// sent reports whether the client has an event already. One without an ID stands after the ID before it.
+// What has neither an ID nor data is passed on each time.
+func (r *relay) sent(f eventFields) bool {
+	if f.numbered {
+		r.at = f.id
 	}
-	if len(id) != len(last) {
-		return len(id) > len(last)
+	switch {
+	case r.last == "" || r.at == "":
+		return false
+	case f.numbered:
+		return atOrBefore(r.at, r.last)
+	}
+	return f.data && r.at != r.last && atOrBefore(r.at, r.last)
+}
+
+// advance records that an event was sent to the client.
+func (r *relay) advance(f eventFields) {
+	switch {
+	case f.id != "" && resumable(f.id):
+		r.last, r.unnumbered = f.id, false
+	case f.data || f.id != "":
+		r.unnumbered = true
 	}
-	return id > last
 }
--- a/pkg/ingress/resumed.go
+++ b/pkg/ingress/resumed.go
@@ -15,6 +15,15 @@
 // resumed reports whether the client resumes a stream.
 func (x *exchange) resumed() bool { return x.route.Kind == routetable.Stream && x.call.After != "" }
 
+// position returns the ID of the last event that the client has; empty if none is known. On a route whose streams
+// can't be resumed each run is a stream of its own, whatever the client sent.
+func (x *exchange) position() string {
+	if !x.route.Resumable {
+		return ""
+	}
+	return x.call.After
+}
+
 // streamKey returns the key of the stream whose first event was brought by the request with an ID.
 func (x *exchange) streamKey(id string) resume.Key {
 	workspace := ""
@@ -114,11 +123,12 @@
 	return &resume.ErrNoRunner{Service: s.service, Version: s.job.Version, Registered: registered}
 }
 
-// notResumable reports whether a stream can't be resumed because of its software version.
+// notResumable reports whether a stream can't be resumed because of its software version or its position.
 func notResumable(err error) bool {
 	var unknown *resume.ErrUnknown
 	var none *resume.ErrNoRunner
-	return errors.As(err, &unknown) || errors.As(err, &none)
+	var nowhere *ErrNoPosition
+	return errors.As(err, &unknown) || errors.As(err, &none) || errors.As(err, &nowhere)
 }
 
 // otherStageRetryAfter is the Retry-After of a resumed stream while engines of its software version
