ingress: events end at empty lines of any kind

A stream whose lines end with CR, as text/event-stream allows, brought no event until its end, and then counted as broken: 502, "broken off: runner=d2 after= cause=unexpected EOF", in the test on the code before.

Cause: the reader looked for LF only. lines.go finds the empty line that ends an event for LF, CR and CR LF, mixed too, cut between any two bytes, and waits for the LF after a CR only in streams whose lines end with both.

Evidence: TestGatewayResumesAfterTheLastWholeEvent/lines_end_with_CR failed before; TestEventsEndAtEmptyLines reads each form cut at each byte and byte by byte.

--- a/pkg/ingress/events.go
+++ b/pkg/ingress/events.go
@@ -20,6 +20,7 @@
 // is read.
 type eventReader struct {
 	in    *bufio.Reader
+	lines lineScanner
 	event []byte
 	held  memory.Usage
 }
@@ -35,26 +36,29 @@
 func (e *eventReader) next() ([]byte, error) {
 	e.reset()
 	for {
-		line, err := e.in.ReadSlice('\n')
-		if err := e.append(line); err != nil {
-			return nil, err
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
+		if _, err := e.in.Peek(1); err != nil {
+			if e.lines.takeBlank() {
+				return e.event, nil
+			}
 			if errors.Is(err, io.EOF) && len(e.event) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
 			return e.event, err
 		}
-		if blank(line) {
+		// Peek does not fail for what is buffered.
+		part, _ := e.in.Peek(e.in.Buffered())
+		n, ended := e.lines.scan(part, len(e.event) == 0)
+		if err := e.append(part[:n]); err != nil {
+			return nil, err
+		}
+		_, _ = e.in.Discard(n)
+		if ended {
 			return e.event, nil
 		}
 	}
 }
 
-// append adds a part of a line to the event.
+// append adds a part of the stream to the event.
 func (e *eventReader) append(part []byte) error {
 	size := len(e.event) + len(part)
 	if size > maxEvent {
@@ -94,7 +98,3 @@
 	e.held.Release()
 	e.event = nil
 }
-
-func blank(line []byte) bool {
-	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
-}
