ingress: only a response of the same kind continues a stream

A stream broke off, and the runner that should go on answered 200 with JSON: its bytes were passed into the client's stream, which ended as complete ("id: 1, data: a, {"x":1}"); with 204 the stream ended as complete after its first event.

Cause: each successful signed response was taken for the rest. Now its status and media type must be those of the client's response; otherwise the runner counts as failed, and another one is asked or the response breaks off.

Evidence: TestGatewayBreaksOffStreamsThatItCannotContinue, another_content_type and another_status failed before.

--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
@@ -28,6 +29,9 @@
 	// at is the ID that the current response has reached. opening is set until its first event.
 	at      string
 	opening bool
+	// status and mediaType are those of the client's response.
+	status    int
+	mediaType string
 	// runner is the runner of the current response.
 	runner *runners.State
 	events int
@@ -39,6 +43,11 @@
 
 // forwardEvents forwards the events of a response until its end.
 func (r *relay) forwardEvents(n int, runner *runners.State, a *Response) (sendResult, error) {
+	if r.begun && !r.continuedBy(a) {
+		r.s.failedDecode[runner.ID] = true
+		runner.Failed(time.Now())
+		return mayHaveRun, &ErrAnswer{Runner: runner.ID, Status: a.Status, Why: "does not continue the stream: type=" + a.Header.Get("Content-Type")}
+	}
 	r.runner, r.at, r.opening = runner, r.last, true
 	began, before, confirmed := time.Now(), r.events, false
 	in := newEventReader(r.s.g.options.Held, a.Body)
@@ -72,6 +81,17 @@
 	}
 }
 
+// continuedBy reports whether a response can go on with the client's: its status and content type are the same.
+func (r *relay) continuedBy(a *Response) bool {
+	return a.Status == r.status && mediaType(a) == r.mediaType
+}
+
+// mediaType returns the content type of a response without its parameters.
+func mediaType(a *Response) string {
+	kind, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(kind))
+}
+
 // confirmEnd returns an error if a stream that ended between two events is not complete.
 func (r *relay) confirmEnd(runner *runners.State, a *Response, hasEvents bool) error {
 	if !hasEvents {
@@ -121,7 +141,7 @@
 // writeHeader sends the header of the first response. It applies to the whole stream, also if
 // another runner resumes it.
 func (r *relay) writeHeader(a *Response) {
-	r.begun = true
+	r.begun, r.status, r.mediaType = true, a.Status, mediaType(a)
 	r.headerCost = sentHeaderCost(a.Header)
 	r.origin = r.runner.Version
 	if r.s.job.Version == "" {
