ingress: streams of a split route go on at their service

The key of an origin holds the service, so the other service looked like one whose stream is not known, and as it had one version only, the stream went on there.

Cause: each request drew its service at random.

Now the request ID of the first try determines the draw (resume.Draw), which each gateway can work out from Resumes without a message; a gateway that has the origin under one of the services takes that one, also after the weights have changed. A client that names no request is refused on such a route, why=not_named, as the service can't be known.

Weighed: asking other gateways under each service of the split. Origins are announced only while a service has several versions, so each stream of a split route would have to be announced.

--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -76,10 +75,10 @@
 	if x.route == nil {
 		return &ErrNoRoute{Host: call.Host, Path: call.Path, Version: x.version}
 	}
-	x.service = x.route.Pick(rand.Float64())
 	if err := x.identify(); err != nil {
 		return err
 	}
+	x.service = x.pickService()
 	if x.g.drain.refuses(x.arrived, x.route.Kind == routetable.Stream) {
 		return &ErrNotReady{Why: "stopping"}
 	}
--- a/pkg/ingress/resumed.go
+++ b/pkg/ingress/resumed.go
@@ -25,12 +25,15 @@
 }
 
 // streamKey returns the key of the stream whose first event was brought by the request with an ID.
-func (x *exchange) streamKey(id string) resume.Key {
+func (x *exchange) streamKey(id string) resume.Key { return x.streamKeyAt(x.service, id) }
+
+// streamKeyAt returns the key if a given service of the route serves the stream.
+func (x *exchange) streamKeyAt(service, id string) resume.Key {
 	workspace := ""
 	if x.workspace != nil {
 		workspace = x.workspace.Name
 	}
-	return resume.KeyOf(x.service, workspace, id)
+	return resume.KeyOf(service, workspace, id)
 }
 
 // bindResumed binds a request that resumes a stream to the software version at which the stream
@@ -40,6 +43,10 @@
 		return nil
 	}
 	x.fields = append(x.fields, decisionlog.F("origin_request", shorten(x.call.OriginID)))
+	if err := x.checkService(); err != nil {
+		x.g.metrics.resumption(err)
+		return err
+	}
 	e := resume.Evidence{Service: x.service, Named: x.call.OriginID != "", Key: x.streamKey(x.call.OriginID)}
 	x.lookUpOrigin(&e)
 	from := "own"
--- a/pkg/resume/resume.go
+++ b/pkg/resume/resume.go
@@ -48,6 +48,9 @@
 	return Key(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
+// Draw returns the number in [0, 1) that an ID determines, the same at all gateways.
+func Draw(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+
 // String returns the key as it is logged.
 func (k Key) String() string { return fmt.Sprintf("%016x", uint64(k)) }
 
