ingress: streams of plain runners go on after the last event

A plain runner that begins anew, although the client named the last event that it has, brought its client all events twice ("id: 1, id: 2, id: 10" after 2, want "id: 10"). And a stream without a length that ended inside an event was passed on as whole ("id: 1, data: a, id: 2, da" with a proper end); news: "A stream that ends inside an event has been broken off."

Cause: plain services forward bytes. Their event streams are now read event by event, with the same comparison of positions as those of engines (progress), and an end inside an event breaks them.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -230,7 +230,9 @@
 // forwardResponse forwards a response to the client: buffered and in one piece if it is short,
 // streamed if it is long.
 func (x *exchange) forwardResponse(life *request.Life, n int, a *Response, runner *runners.State) (sendResult, error) {
-	buffered, whole, err := x.bufferBody(a.Body)
+	body, release := x.body(a)
+	defer release()
+	buffered, whole, err := x.bufferBody(body)
 	if err == nil && whole {
 		err = x.confirmComplete(runner, a)
 	}
@@ -250,7 +252,7 @@
 	x.w.WriteHeader(a.Status)
 	_, err = x.w.Write(buffered)
 	if err == nil && !whole {
-		_, err = io.CopyBuffer(x.w, a.Body, x.copyBuffer(buffered))
+		_, err = io.CopyBuffer(x.w, body, x.copyBuffer(buffered))
 		err = firstError(err, x.confirmComplete(runner, a))
 	}
 	if err != nil {
--- a/pkg/ingress/position.go
+++ b/pkg/ingress/position.go
@@ -84,6 +84,44 @@
 	return len(id) <= maxPosition && strings.IndexFunc(id, func(r rune) bool { return r < ' ' || r == 0x7f }) < 0
 }
 
+// progress is how much of a stream its client has.
+type progress struct {
+	// last is the ID of the last event sent to the client. unnumbered is set if the client has events after
+	// it that have no ID, so that no runner can go on after them.
+	last       string
+	unnumbered bool
+	// at is the ID that the current response has reached.
+	at string
+}
+
+// restart begins a response that goes on after the last event.
+func (p *progress) restart() { p.at = p.last }
+
+// sent reports whether the client has an event already. One without an ID stands after the ID before it.
+// What has neither an ID nor data is passed on each time.
+func (p *progress) sent(f eventFields) bool {
+	if f.numbered {
+		p.at = f.id
+	}
+	switch {
+	case p.last == "" || p.at == "":
+		return false
+	case f.numbered:
+		return atOrBefore(p.at, p.last)
+	}
+	return f.data && p.at != p.last && atOrBefore(p.at, p.last)
+}
+
+// advance records that an event was sent to the client.
+func (p *progress) advance(f eventFields) {
+	switch {
+	case f.id != "" && resumable(f.id):
+		p.last, p.unnumbered = f.id, false
+	case f.data || f.id != "":
+		p.unnumbered = true
+	}
+}
+
 // ErrNoPosition reports that a stream can't be resumed because the last event that the client has names no ID
 // after which another runner could go on.
 type ErrNoPosition struct {
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -22,12 +22,8 @@
 	headerCost int64
 	// origin is the software version of the runner that brought the first event.
 	origin string
-	// last is the ID of the last event sent to the client. unnumbered is set if the client has events after
-	// it that have no ID, so that no runner can go on after them.
-	last       string
-	unnumbered bool
-	// at is the ID that the current response has reached. opening is set until its first event.
-	at      string
+	progress
+	// opening is set until the first event of the current response.
 	opening bool
 	// status and mediaType are those of the client's response.
 	status    int
@@ -48,7 +44,8 @@
 		runner.Failed(time.Now())
 		return mayHaveRun, &ErrAnswer{Runner: runner.ID, Status: a.Status, Why: "does not continue the stream: type=" + a.Header.Get("Content-Type")}
 	}
-	r.runner, r.at, r.opening = runner, r.last, true
+	r.runner, r.opening = runner, true
+	r.restart()
 	began, before, confirmed := time.Now(), r.events, false
 	in := newEventReader(r.s.g.options.Held, a.Body)
 	defer in.close()
@@ -182,28 +179,3 @@
 	r.advance(f)
 	return nil
 }
-
-// sent reports whether the client has an event already. One without an ID stands after the ID before it.
-// What has neither an ID nor data is passed on each time.
-func (r *relay) sent(f eventFields) bool {
-	if f.numbered {
-		r.at = f.id
-	}
-	switch {
-	case r.last == "" || r.at == "":
-		return false
-	case f.numbered:
-		return atOrBefore(r.at, r.last)
-	}
-	return f.data && r.at != r.last && atOrBefore(r.at, r.last)
-}
-
-// advance records that an event was sent to the client.
-func (r *relay) advance(f eventFields) {
-	switch {
-	case f.id != "" && resumable(f.id):
-		r.last, r.unnumbered = f.id, false
-	case f.data || f.id != "":
-		r.unnumbered = true
-	}
-}
