ingress: streams don't go on at restarted plain runners

Cause: only engines were asked whether they are the incarnation of their entry. A plain runner that resumes a stream is now asked after the head of its response and before its first event; one that begins a stream in the background while several versions serve.

--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -165,6 +165,12 @@
 		runner.Failed(time.Now())
 		return mayHaveRun, &ErrAnswer{Runner: runner.ID, Status: response.Status, Why: "not signed, or encoded"}
 	}
+	if response.OK() {
+		if err := x.confirmPlain(runner); err != nil {
+			x.logFailedStep("runner_outdated", runner.ID, err)
+			return mayHaveRun, firstError(x.endReason(), err)
+		}
+	}
 	v, err := x.forwardResponse(life, n, response, runner)
 	if err == nil && response.Status < http.StatusInternalServerError {
 		runner.Completed(time.Since(began))
--- a/pkg/ingress/plainstream.go
+++ b/pkg/ingress/plainstream.go
@@ -5,6 +5,7 @@
 
 	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/routetable"
+	"github.com/hopwell/hopwell/pkg/runners"
 )
 
 // eventStream is the media type of a series of events.
@@ -59,3 +60,21 @@
 	f := newEventFilter(x.g.options.Held, a.Body, x.position())
 	return f, f.events.close
 }
+
+// confirmPlain makes sure that the runner which writes a stream is the incarnation of its entry, whose software
+// version is known. It is called after the head of the response has arrived. A new stream is checked in the
+// background, a resumed one before its first event is forwarded: it fails with *ErrOutdated.
+func (x *exchange) confirmPlain(runner *runners.State) error {
+	switch {
+	case x.route.Kind != routetable.Stream || runner.Born == 0:
+		return nil // Each start has a new name, which the runner checks itself.
+	case x.software == "":
+		x.confirmOrigin(runner)
+		return nil
+	}
+	current, err := x.isCurrent(x.ctx, runner)
+	if current {
+		return nil
+	}
+	return &ErrOutdated{Runner: runner.ID, Err: err}
+}
