ingress: plain services begin resumable streams at recorded versions

A resumable stream of a plain service began at a version that the record in the store did not list yet: 1 of 45, the first at that version, in TestPlainStreamBeginsAtRecordedVersion on the code before. A gateway that starts, or is cut off, may then take the version of the record for the origin of that stream.

Cause: only the choice of engines asked versionFilter. The filter of plain runners does so too.

--- a/pkg/ingress/where.go
+++ b/pkg/ingress/where.go
@@ -95,8 +95,8 @@
 
 // runnerFilter returns which runners may serve the request, or nil if it is not restricted.
 func (x *exchange) runnerFilter() func(*runners.State) bool {
-	j := enginepool.Job{Allows: x.domainFilter(), Version: x.software}
-	if j.Allows == nil && j.Version == "" {
+	j := enginepool.Job{Allows: x.domainFilter(), Version: x.software, AllowsVersion: x.versionFilter()}
+	if j.Allows == nil && j.Version == "" && j.AllowsVersion == nil {
 		return nil
 	}
 	return j.Accepts
