--- a/pkg/ingress/position.go
+++ b/pkg/ingress/position.go
@@ -51,14 +51,18 @@
 // position is the place of an event in its stream, from its ID.
 type position struct {
 	prefix string
-	// number is the whole number at the end of the ID, without leading zeros; empty if there is none.
+	// number is the whole number at the end of the ID, without leading zeros; empty if there is none. The
+	// digits behind a decimal point are none.
 	number string
 }
 
 func positionOf(id string) position {
 	prefix := strings.TrimRight(id, "0123456789")
 	number := id[len(prefix):]
-	if number != "" {
+	switch {
+	case strings.HasSuffix(prefix, "."):
+		number = ""
+	case number != "":
 		number = cmp.Or(strings.TrimLeft(number, "0"), "0")
 	}
 	return position{prefix: prefix, number: number}
