--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -1,8 +1,10 @@
 package ingress
 
 import (
+	"bytes"
 	"errors"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/decisionlog"
@@ -20,8 +22,12 @@
 	headerCost int64
 	// origin is the software version of the runner that brought the first event.
 	origin string
-	// last is the ID of the last event sent to the client.
-	last string
+	progress
+	// opening is set until the first event of the current response.
+	opening bool
+	// status and mediaType are those of the client's response.
+	status    int
+	mediaType string
 	// runner is the runner of the current response.
 	runner *runners.State
 	events int
@@ -33,7 +39,13 @@
 
 // forwardEvents forwards the events of a response until its end.
 func (r *relay) forwardEvents(n int, runner *runners.State, a *Response) (sendResult, error) {
-	r.runner = runner
+	if r.begun && !r.continuedBy(a) {
+		r.s.failedDecode[runner.ID] = true
+		runner.Failed(time.Now())
+		return mayHaveRun, &ErrAnswer{Runner: runner.ID, Status: a.Status, Why: "does not continue the stream: type=" + a.Header.Get("Content-Type")}
+	}
+	r.runner, r.opening = runner, true
+	r.restart()
 	began, before := time.Now(), r.events
 	in := newEventReader(r.s.g.options.Held, a.Body)
 	defer in.close()
@@ -58,6 +70,17 @@
 	}
 }
 
+// continuedBy reports whether a response can go on with the client's: its status and content type are the same.
+func (r *relay) continuedBy(a *Response) bool {
+	return a.Status == r.status && mediaType(a) == r.mediaType
+}
+
+// mediaType returns the content type of a response without its parameters.
+func mediaType(a *Response) string {
+	kind, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(kind))
+}
+
 // confirmEnd returns an error if a stream that ended between two events is not complete.
 func (r *relay) confirmEnd(runner *runners.State, a *Response, hasEvents bool) error {
 	if !hasEvents {
@@ -95,16 +118,19 @@
 		return mayHaveRun, reason
 	}
 	runner.Failed(time.Now())
-	r.s.logFailedStep("stream_broken", runner.ID, err, decisionlog.F("events", r.events), decisionlog.F("last", r.last),
+	r.s.logFailedStep("stream_broken", runner.ID, err, decisionlog.F("events", r.events), decisionlog.F("last", shorten(r.last)),
 		decisionlog.F("asked", r.s.digest()), decisionlog.F("parts", r.s.call.SharedParts))
 	r.s.exchange.reportBrokenRun(runner, early, err)
-	return mayHaveRun, &ErrBroken{Runner: runner.ID, After: r.last, Err: err}
+	if r.unnumbered {
+		err = &ErrNoPosition{After: shorten(r.last), Err: err}
+	}
+	return mayHaveRun, &ErrBroken{Runner: runner.ID, After: shorten(r.last), Err: err}
 }
 
 // writeHeader sends the header of the first response. It applies to the whole stream, also if
 // another runner resumes it.
 func (r *relay) writeHeader(a *Response) {
-	r.begun = true
+	r.begun, r.status, r.mediaType = true, a.Status, mediaType(a)
 	r.headerCost = sentHeaderCost(a.Header)
 	r.origin = r.runner.Version
 	r.s.g.metrics.firstEvent.UpdateDuration(r.s.arrived)
@@ -116,8 +142,12 @@
 
 // write sends one event to the client, unless the client has it already.
 func (r *relay) write(a *Response, event []byte) error {
-	id := eventID(event)
-	if id != "" && !later(id, r.last) {
+	f := parseEvent(event)
+	if r.opening && r.begun {
+		event = bytes.TrimPrefix(event, []byte(byteOrderMark))
+	}
+	r.opening = false
+	if r.sent(f) {
 		return nil
 	}
 	if !r.begun {
@@ -135,19 +165,6 @@
 	}
 	r.written = now
 	r.events++
-	if id != "" {
-		r.last = id
-	}
+	r.advance(f)
 	return nil
 }
-
-// later reports whether an event ID is above another. IDs are whole numbers.
-func later(id, last string) bool {
-	if last == "" {
-		return true
-	}
-	if len(id) != len(last) {
-		return len(id) > len(last)
-	}
-	return id > last
-}
--- a/pkg/ingress/resumed.go
+++ b/pkg/ingress/resumed.go
@@ -15,13 +15,25 @@
 // resumed reports whether the client resumes a stream.
 func (x *exchange) resumed() bool { return x.route.Kind == routetable.Stream && x.call.After != "" }
 
+// position returns the ID of the last event that the client has; empty if none is known. On a route whose streams
+// can't be resumed each run is a stream of its own, whatever the client sent.
+func (x *exchange) position() string {
+	if !x.route.Resumable {
+		return ""
+	}
+	return x.call.After
+}
+
 // streamKey returns the key of the stream whose first event was brought by the request with an ID.
-func (x *exchange) streamKey(id string) resume.Key {
+func (x *exchange) streamKey(id string) resume.Key { return x.streamKeyAt(x.service, id) }
+
+// streamKeyAt returns the key if a given service of the route serves the stream.
+func (x *exchange) streamKeyAt(service, id string) resume.Key {
 	workspace := ""
 	if x.workspace != nil {
 		workspace = x.workspace.Name
 	}
-	return resume.KeyOf(x.service, workspace, id)
+	return resume.KeyOf(service, workspace, id)
 }
 
 // bindResumed binds a request that resumes a stream to the software version at which the stream
@@ -31,6 +43,10 @@
 		return nil
 	}
 	x.fields = append(x.fields, decisionlog.F("origin_request", shorten(x.call.OriginID)))
+	if err := x.checkService(); err != nil {
+		x.g.metrics.resumption(err)
+		return err
+	}
 	e := resume.Evidence{Service: x.service, Named: x.call.OriginID != "", Key: x.streamKey(x.call.OriginID)}
 	x.lookUpOrigin(&e)
 	from := "own"
@@ -114,11 +130,12 @@
 	return &resume.ErrNoRunner{Service: s.service, Version: s.job.Version, Registered: registered}
 }
 
-// notResumable reports whether a stream can't be resumed because of its software version.
+// notResumable reports whether a stream can't be resumed because of its software version or its position.
 func notResumable(err error) bool {
 	var unknown *resume.ErrUnknown
 	var none *resume.ErrNoRunner
-	return errors.As(err, &unknown) || errors.As(err, &none)
+	var nowhere *ErrNoPosition
+	return errors.As(err, &unknown) || errors.As(err, &none) || errors.As(err, &nowhere)
 }
 
 // otherStageRetryAfter is the Retry-After of a resumed stream while engines of its software version
