ingress: a stream is not resumed on a route that does not allow it

Cause: whether the route allows it was never asked; the header travelled on.

Change: such a request is refused at once, 503 without Retry-After, cause not_resumable: it has not run and never will. Beginning anew was weighed: the client that sends its last event would see numbers going back.

--- a/pkg/ingress/answers.go
+++ b/pkg/ingress/answers.go
@@ -226,8 +226,11 @@
 		unknown     *resume.ErrUnknown
 		noVersion   *resume.ErrNoRunner
 	)
+	var closed *ErrNotResumable
 	_, quarantined := quarantineLeft(err)
 	switch {
+	case errors.As(err, &closed):
+		return "not_resumable"
 	case errors.As(err, &unknown):
 		return "software_unknown"
 	case errors.As(err, &noVersion):
--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -103,7 +103,7 @@
 		failedPrefill: map[string]bool{}, failedDecode: map[string]bool{},
 	}
 	x.life = s.life
-	s.relay = relay{s: s, progress: progress{last: x.position()}}
+	s.relay = relay{s: s, progress: progress{last: x.call.After}}
 	s.job = enginepool.Job{ID: x.call.ID, Prompt: x.call.Prompt, Length: s.pool.Lengths.Estimate(s.lengthHint(), x.call.MaxOut), Priority: x.priority(), Allows: x.domainFilter(), Version: x.software, AllowsVersion: x.versionFilter()}
 	s.fields = append(s.fields, decisionlog.F("gap", s.route.GapTarget), decisionlog.F("timeout", s.call.Timeout), decisionlog.F("prompt", s.job.Prompt), decisionlog.F("guess", s.lengthHint()), decisionlog.F("expected", s.job.Length.Expected(0)))
 	if x.call.After != "" {
--- a/pkg/ingress/plainstream.go
+++ b/pkg/ingress/plainstream.go
@@ -56,6 +56,6 @@
 	if x.route.Kind != routetable.Stream || !a.OK() || mediaType(a) != eventStream {
 		return a.Body, func() {}
 	}
-	f := newEventFilter(x.g.options.Held, a.Body, x.position())
+	f := newEventFilter(x.g.options.Held, a.Body, x.call.After)
 	return f, f.events.close
 }
--- a/pkg/ingress/resumed.go
+++ b/pkg/ingress/resumed.go
@@ -15,15 +15,15 @@
 // resumed reports whether the client resumes a stream.
 func (x *exchange) resumed() bool { return x.route.Kind == routetable.Stream && x.call.After != "" }
 
-// position returns the ID of the last event that the client has; empty if none is known. On a route whose streams
-// can't be resumed each run is a stream of its own, whatever the client sent.
-func (x *exchange) position() string {
-	if !x.route.Resumable {
-		return ""
-	}
-	return x.call.After
+// ErrNotResumable reports that a client resumes a stream on a route that does not allow it: the events of
+// another run would not fit those that it has.
+type ErrNotResumable struct {
+	Route string
 }
 
+// Error implements error.
+func (e *ErrNotResumable) Error() string { return "streams can't be resumed: route=" + e.Route }
+
 // streamKey returns the key of the stream whose first event was brought by the request with an ID.
 func (x *exchange) streamKey(id string) resume.Key { return x.streamKeyAt(x.service, id) }
 
@@ -37,11 +37,14 @@
 }
 
 // bindResumed binds a request that resumes a stream to the software version at which the stream
-// began. It fails with *resume.ErrUnknown or *resume.ErrNoRunner.
+// began. It fails with *ErrNotResumable, *resume.ErrUnknown or *resume.ErrNoRunner.
 func (x *exchange) bindResumed() error {
 	if !x.resumed() {
 		return nil
 	}
+	if !x.route.Resumable {
+		return &ErrNotResumable{Route: x.route.Name}
+	}
 	x.fields = append(x.fields, decisionlog.F("origin_request", shorten(x.call.OriginID)))
 	if err := x.checkService(); err != nil {
 		x.g.metrics.resumption(err)
