peers, runners, enginepool, process: call other packages without a lock

For a cold runner whose share was older than 200 ms it called Directory.ColdShare with the runner locked, which called Exchange.Names, which locked the exchange.

Change: both halves are gone, so no order between the exchange and the pools is needed.

Of the same class: Pool called Options.Changed with its lock held, and feed called the exchange with feed.mu held; both now call after it, or before.

--- a/pkg/enginepool/backlog.go
+++ b/pkg/enginepool/backlog.go
@@ -26,7 +26,7 @@
 // Backlog returns what waits for memory.
 func (p *Pool) Backlog(now time.Time) Backlog {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	b := Backlog{Engines: map[string]bool{}}
 	for _, r := range p.subsetOf(runners.Decode, now) {
 		if r.Usable(now) {
--- a/pkg/enginepool/decoding.go
+++ b/pkg/enginepool/decoding.go
@@ -17,7 +17,7 @@
 // Decoding returns the work of a decode engine, without the job that was just placed there.
 func (p *Pool) Decoding(runner string, now time.Time) Decoding {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	e := p.engine(runner)
 	out := Decoding{
 		Running: max(0, e.reservationCount()-1),
--- a/pkg/enginepool/demand.go
+++ b/pkg/enginepool/demand.go
@@ -57,7 +57,7 @@
 // the requests that this gateway served recently; false if they are too few.
 func (p *Pool) PrefillShare() (float64, bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	return p.demand.share(p.meanPrefillRate(), p.meanDecodeRate())
 }
 
@@ -65,7 +65,7 @@
 // 0 if too few requests were served recently.
 func (p *Pool) PromptTime(speed float64) time.Duration {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	if p.demand.responses < minPrompts || speed <= 0 {
 		return 0
 	}
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -34,7 +34,7 @@
 	// GatewaysOf returns the gateways that use a runner, of those that report to this one; nil if all
 	// use all.
 	GatewaysOf func(runner string) []string
-	// Changed is called, with the pool locked, after a change that should be reported to
+	// Changed is called, without the pool locked, after a change that should be reported to
 	// other gateways at once; nil for none.
 	Changed func()
 	// Gateway is the name under which this gateway reports to others, and TurnInterval how long it
@@ -44,7 +44,8 @@
 	// Domain is the gateway's failure domain, empty for none.
 	Domain string
 	// Connected reports whether an idle connection to an address exists; nil if that
-	// does not matter.
+	// does not matter. Uses, GatewaysOf and Connected are called with the pool locked: they must
+	// take no lock that is held while the pool is called, see docs/design/lock-order.md.
 	Connected func(address string) bool
 	// Pick returns a random number from 0 to n-1; nil uses math/rand/v2.
 	Pick func(n int) int
@@ -91,6 +92,8 @@
 	// whether they did.
 	waitingRevision uint64
 	reportedWaiting bool
+	// unreportedChange is set while the lock is held if Options.Changed must be called after it.
+	unreportedChange bool
 	// rate is the learned mean speed of one response, in tokens per second.
 	rate float64
 	// Lengths learns the lengths of responses.
@@ -110,10 +113,20 @@
 	return &Pool{service: service, directory: d, options: o, subsets: map[runners.Stage]stageSubset{}, peerWaiting: map[string]int{}, peerEngines: map[string]map[string]*engine{}, rate: initialRate, Lengths: NewLengths()}
 }
 
+// unlock releases the lock, then has a change reported.
+func (p *Pool) unlock() {
+	report := p.unreportedChange && p.options.Changed != nil
+	p.unreportedChange = false
+	p.mu.Unlock()
+	if report {
+		p.options.Changed()
+	}
+}
+
 // Configure sets the properties that all engines share.
 func (p *Pool) Configure(s Spec) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	p.spec = s
 	for _, e := range p.engines.values {
 		e.capacity, e.slots = p.capacity(), s.Slots
@@ -269,7 +282,7 @@
 // was unreachable or takes no work for another reason.
 func (p *Pool) Refused(runner, id string, noRoom bool, now time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	e := p.engine(runner)
 	if b := e.own.get(id); b != nil {
 		e.own.remove(id)
@@ -287,7 +300,7 @@
 // the event was waited for: nothing is learned of the engine's speed if the client delayed that.
 func (p *Pool) RecordTokens(runner, id string, tokens int, readyAt, now time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	b := p.engine(runner).own.get(id)
 	if b == nil {
 		return
@@ -320,7 +333,7 @@
 		p.recordChange(e)
 		e.endedAt = now
 	}
-	p.mu.Unlock()
+	p.unlock()
 	p.Dispatch(now)
 }
 
@@ -352,7 +365,7 @@
 // Sweep removes the models of runners that left the directory and have no requests.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	listed := map[string]bool{}
 	for _, s := range p.directory.All(p.service) {
 		listed[s.ID] = true
--- a/pkg/enginepool/prefill.go
+++ b/pkg/enginepool/prefill.go
@@ -89,7 +89,7 @@
 // the prompts ahead of it. It fails with *ErrNoRunner.
 func (p *Pool) BeginPrefill(w Prompt, now time.Time) (*runners.State, time.Duration, error) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	var fit []candidate
 	for _, s := range p.sample(runners.Prefill, w.filter(), now) {
 		if !w.Avoid[s.ID] && len(fit) < maxCandidates && s.Room(now) {
@@ -111,7 +111,7 @@
 // completed it already.
 func (p *Pool) RepeatPrefill(runner *runners.State, id string, tokens int, now time.Time) time.Duration {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	return p.assign(runner, id, tokens, now)
 }
 
@@ -167,7 +167,7 @@
 // the prompt was processed.
 func (p *Pool) EndPrefill(runner, id string, processed bool, now time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	p.release(runner, id)
 	r := p.prefillRunner(runner)
 	j, ok := r.jobs[id]
--- a/pkg/enginepool/queue.go
+++ b/pkg/enginepool/queue.go
@@ -73,7 +73,7 @@
 // NewWaiter returns a waiter for a job. Wait adds it to the queue.
 func (p *Pool) NewWaiter(j Job, rank Rank) *Waiter {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	p.serial++
 	w := &Waiter{job: j, rank: rank, serial: p.serial, avoid: map[string]bool{}, granted: make(chan *runners.State, 1)}
 	return w
@@ -128,7 +128,7 @@
 
 func (p *Pool) enqueue(w *Waiter) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	at, _ := slices.BinarySearchFunc(p.waiting, w, compareWaiters)
 	p.waiting = slices.Insert(p.waiting, at, w)
 }
@@ -137,7 +137,7 @@
 // instead if one was granted at the same moment.
 func (p *Pool) leave(w *Waiter) (int, *runners.State) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	at := slices.Index(p.waiting, w)
 	if at >= 0 {
 		p.waiting = slices.Delete(p.waiting, at, at+1)
@@ -158,7 +158,7 @@
 // version blocks only the runners of that version.
 func (p *Pool) Dispatch(now time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	p.demote(now)
 	p.kept = map[string]int{}
 	defer func() { p.kept = nil }()
@@ -218,7 +218,7 @@
 // including this one.
 func (p *Pool) Waiting() (here, all int) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	all = len(p.waiting)
 	for _, n := range p.peerWaiting {
 		all += n
--- a/pkg/enginepool/relative.go
+++ b/pkg/enginepool/relative.go
@@ -38,7 +38,7 @@
 // requests wait for.
 func (p *Pool) measuredSpeeds(engines []*runners.State) []Speed {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	out := make([]Speed, len(engines))
 	for i, r := range engines {
 		out[i] = p.measured(r)
--- a/pkg/enginepool/snapshot.go
+++ b/pkg/enginepool/snapshot.go
@@ -43,7 +43,7 @@
 // For revision 0 it returns all engines with load.
 func (p *Pool) Snapshot(since uint64, now time.Time) (Snapshot, uint64) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	out := Snapshot{Full: since == 0, Waiting: len(p.waiting), WaitingChanged: p.waitingRevision > since}
 	for _, e := range p.engines.values {
 		load := EngineLoad{Runner: e.id, PrefillTokens: p.ownPrefillTokens(e.id)}
@@ -121,7 +121,7 @@
 // *memory.ErrTooLarge if a part of the report was ignored.
 func (p *Pool) ReceiveSnapshot(gateway string, s Snapshot, now time.Time) error {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	if s.Full {
 		p.dropLoads(gateway)
 	}
@@ -198,7 +198,7 @@
 // DropGateway removes all reports of a gateway that no longer sends any.
 func (p *Pool) DropGateway(gateway string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	p.dropLoads(gateway)
 	delete(p.peerWaiting, gateway)
 }
@@ -218,7 +218,5 @@
 	p.revision++
 	e.changed()
 	e.changedRevision = p.revision
-	if p.options.Changed != nil {
-		p.options.Changed()
-	}
+	p.unreportedChange = true
 }
--- a/pkg/enginepool/snapshot_test.go
+++ b/pkg/enginepool/snapshot_test.go
@@ -104,3 +104,28 @@
 	delete(share, "d0")
 	g.Expect(p.sample(runners.Decode, nil, now.Add(2*subsetTTL))).To(HaveLen(8))
 }
+
+// Guards against a deadlock: what Changed calls may wait for locks of callers that wait for the pool.
+func TestChangesAreReportedWithoutTheLock(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := pool(1, 1, 10000)
+	calls := 0
+	p.options.Changed = func() {
+		if g.Expect(p.mu.TryLock()).To(BeTrue(), "the pool is locked") {
+			p.mu.Unlock()
+		}
+		calls++
+	}
+	s, err := wait(p, job("a", 1000, 100), Fresh, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(calls).To(Equal(1), "a reservation")
+	p.Refused(s.ID, "a", true, time.Now())
+	g.Expect(calls).To(Equal(2))
+	prefill, _, err := p.BeginPrefill(Prompt{ID: "b", Tokens: 100}, time.Now())
+	g.Expect(err).NotTo(HaveOccurred())
+	p.EndPrefill(prefill.ID, "b", true, time.Now())
+	g.Expect(calls).To(Equal(4))
+	_, err = wait(p, job("c", 20000, 100), Fresh, time.Millisecond)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(calls).To(Equal(6), "a job began and ceased to wait")
+}
--- a/pkg/enginepool/speed.go
+++ b/pkg/enginepool/speed.go
@@ -235,7 +235,7 @@
 // Speed returns the learned speed of an engine, or the mean of the service if it is unknown.
 func (p *Pool) Speed(runner string, now time.Time) Speed {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	out := Speed{Decode: p.rate, Prefill: p.prefillRate(runner)}
 	if e := p.engines.get(runner); e != nil {
 		out.Decode = p.decodeRate(e, now)
@@ -249,7 +249,7 @@
 // Running returns the responses of all gateways on the decode engines of the service.
 func (p *Pool) Running(now time.Time) []Running {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	var out []Running
 	for _, s := range p.directory.Stage(p.service, runners.Decode) {
 		e := p.engines.get(s.ID)
--- a/pkg/enginepool/status.go
+++ b/pkg/enginepool/status.go
@@ -27,7 +27,7 @@
 // Status returns the current state of the service's engines.
 func (p *Pool) Status(now time.Time) Status {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	s := Status{Waiting: len(p.waiting)}
 	for _, n := range p.peerWaiting {
 		s.Waiting += n
@@ -61,7 +61,7 @@
 // unrelated to the type Load.
 func (p *Pool) RemainingWork(runner string, now time.Time) float64 {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	most, e := float64(p.backlog(runner)), p.engine(runner)
 	for _, s := range e.footprints(now, p.decodeRate(e, now)) {
 		most = max(most, s.left())
--- a/pkg/enginepool/turn.go
+++ b/pkg/enginepool/turn.go
@@ -101,8 +101,6 @@
 		p.reportedWaiting = waits
 		p.revision++
 		p.waitingRevision = p.revision
-		if p.options.Changed != nil {
-			p.options.Changed()
-		}
+		p.unreportedChange = true
 	}
 }
--- a/pkg/peers/members.go
+++ b/pkg/peers/members.go
@@ -53,6 +53,7 @@
 		}
 		x.members[name] = &member{name: name, address: at, lastSeen: time.Now(), needsFull: true}
 		x.memberships++
+		x.addName(name)
 	}
 	return nil
 }
@@ -64,16 +65,22 @@
 	return len(x.members)
 }
 
-// Names returns the names of the other gateways in the membership list, including silent ones.
-func (x *Exchange) Names() []string {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	list := x.sortedMembers()
-	out := make([]string, 0, len(list))
-	for _, m := range list {
-		out = append(out, m.name)
-	}
-	return out
+// Names returns the sorted names of the other gateways in the membership list, including silent ones.
+// The list must not be modified. Names takes no lock: it is called while engines are chosen.
+func (x *Exchange) Names() []string { return *x.names.Load() }
+
+// addName adds a name to the list that Names returns. The caller holds the lock.
+func (x *Exchange) addName(name string) {
+	list := *x.names.Load()
+	at, _ := slices.BinarySearch(list, name)
+	list = slices.Insert(slices.Clip(list), at, name)
+	x.names.Store(&list)
+}
+
+// removeName removes a name from the list that Names returns. The caller holds the lock.
+func (x *Exchange) removeName(name string) {
+	list := slices.DeleteFunc(slices.Clone(*x.names.Load()), func(n string) bool { return n == name })
+	x.names.Store(&list)
 }
 
 // Rank returns the number of live gateways whose names sort before this gateway's name.
@@ -186,6 +193,7 @@
 		if silentFor > MemberTTL {
 			delete(x.members, name)
 			x.memberships++
+			x.removeName(name)
 		}
 	}
 	if len(silent) > 0 {
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -85,6 +85,7 @@
 	Conn          net.PacketConn
 	// Snapshots returns the reservations of this gateway that changed after the given
 	// revisions, by service, and the revisions reached. For nil it returns all reservations.
+	// It may take any lock: Run calls it without one.
 	Snapshots func(since map[string]uint64) (map[string]enginepool.Snapshot, map[string]uint64)
 	// ReceiveSnapshot records another gateway's reservations for a service. It fails if they exceed a bound.
 	ReceiveSnapshot func(gateway, service string, snapshot enginepool.Snapshot) error
@@ -169,6 +170,8 @@
 	// changed holds a value when there are changes to send at once.
 	changed chan struct{}
 	subset  atomic.Pointer[subset.Subset]
+	// names holds the sorted names of the members. The list is replaced, never modified.
+	names atomic.Pointer[[]string]
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -218,6 +221,7 @@
 	x.outbox = outbox{pending: map[string]*wirepb.GatewayState{}, ready: make(chan struct{}, 1)}
 	x.sources, x.clock = relay.NewSources(o.Name, o.Pace), newStampClock()
 	x.subscribers = relay.NewSubscribers(o.Pace)
+	x.names.Store(&[]string{})
 	x.updateSubset()
 	return x
 }
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -25,9 +25,9 @@
 // sendChanges sends changed reservations to the gateways that use the engines concerned, and changes
 // of runners' rate limits to the gateways that lack them.
 func (x *Exchange) sendChanges(now time.Time) {
-	x.mu.Lock()
 	changed, reached := x.options.Snapshots(x.sentRevisions)
 	x.sentRevisions = reached
+	x.mu.Lock()
 	x.limitWaiting(changed, now)
 	var out []datagram
 	for _, m := range x.members {
@@ -81,23 +81,19 @@
 // runners go to some gateways at a time.
 func (x *Exchange) sendDue(now time.Time) {
 	outcomes, leaving := x.reports(now)
-	var all map[string]enginepool.Snapshot
+	own := x.ownState(now)
 	x.mu.Lock()
 	heartbeat := x.heartbeat()
-	fullInterval := max(minFullInterval, time.Duration(len(x.members))*heartbeatPerGateway)
 	receivers := x.outcomeReceivers(len(outcomes)+len(leaving) > 0)
 	var out []datagram
 	for _, m := range x.members {
-		full := m.needsFull && now.Sub(m.lastFull) >= sendInterval || now.Sub(m.lastFull) >= fullInterval
+		full := own != nil && x.fullDue(m, now)
 		if !full && !m.lostData && !receivers[m.name] && !m.limitsLeft && !x.spendingDue(m, now) && !x.sharedLimitDue(m, now) && now.Sub(m.lastSent) < heartbeat {
 			continue
 		}
 		state := &wirepb.GatewayState{}
 		if full {
-			if all == nil {
-				all, _ = x.options.Snapshots(nil)
-			}
-			state = x.fullState(m, all, now)
+			state = x.fullState(m, own, now)
 		}
 		state.WantFull = m.lostData
 		if receivers[m.name] {
@@ -109,6 +105,41 @@
 	x.write(out)
 }
 
+// ownState is what a datagram with the full state contains of this gateway.
+type ownState struct {
+	snapshots map[string]enginepool.Snapshot
+	version   uint64
+}
+
+// ownState returns the full state if a gateway is due one, otherwise nil. Options.Snapshots is called without the
+// lock, see docs/design/lock-order.md.
+func (x *Exchange) ownState(now time.Time) *ownState {
+	if !x.anyFullDue(now) {
+		return nil
+	}
+	all, _ := x.options.Snapshots(nil)
+	return &ownState{snapshots: all, version: x.options.Version()}
+}
+
+// anyFullDue reports whether a gateway is due the full state.
+func (x *Exchange) anyFullDue(now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, m := range x.members {
+		if x.fullDue(m, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// fullDue reports whether a gateway is due the full state. The caller holds the lock.
+func (x *Exchange) fullDue(m *member, now time.Time) bool {
+	interval := max(minFullInterval, time.Duration(len(x.members))*heartbeatPerGateway)
+	since := now.Sub(m.lastFull)
+	return m.needsFull && since >= sendInterval || since >= interval
+}
+
 // reports returns the outcomes at runners and the leaving runners in every outcomesEvery-th send
 // interval, and nothing in the others.
 func (x *Exchange) reports(now time.Time) (outcomes []*wirepb.RunnerOutcome, leaving []string) {
@@ -172,9 +203,9 @@
 }
 
 // fullState returns a message with the full state for a gateway. The caller holds the lock.
-func (x *Exchange) fullState(m *member, all map[string]enginepool.Snapshot, now time.Time) *wirepb.GatewayState {
-	state := encodeSnapshots(x.changesFor(m.name, all))
-	state.Address, state.Domain, state.ConfigVersion = x.options.Address, x.options.Domain, x.options.Version()
+func (x *Exchange) fullState(m *member, own *ownState, now time.Time) *wirepb.GatewayState {
+	state := encodeSnapshots(x.changesFor(m.name, own.snapshots))
+	state.Address, state.Domain, state.ConfigVersion = x.options.Address, x.options.Domain, own.version
 	list := x.sortedMembers()
 	for i := range min(peersPerDatagram, len(list)) {
 		p := list[(int(m.sent)+i)%len(list)]
--- a/pkg/process/relay.go
+++ b/pkg/process/relay.go
@@ -63,21 +63,21 @@
 	}
 }
 
-// nextWatch returns how long the store need not be watched, and how long the watch that follows may wait
+// nextWatch returns how much longer the store need not be watched, and how long the watch that follows may wait
 // for a change, 0 for the usual time.
-func (f *feed) nextWatch(now time.Time) (delay, wait time.Duration) {
+func (f *feed) nextWatch(now time.Time) (left, wait time.Duration) {
 	if f.Reached() == 0 {
 		return 0, 0
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if left := f.firstRead.Add(f.pace.Scale(delayAfterFirstRead)).Sub(now); left > 0 {
+	if left := f.untilWatched(now); left > 0 {
 		return left, 0
 	}
 	if f.exchange.IsRelay(now) {
 		return 0, f.relayWait(now)
 	}
-	coverage := f.exchange.Freshness(now)
+	coverage, delay := f.exchange.Freshness(now), f.confirmDelay()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	until := coverage.FreshUntil
 	if f.confirmAt.Before(until) {
 		until = f.confirmAt
@@ -86,7 +86,7 @@
 	case now.Before(until):
 		return until.Sub(now), 0
 	case now.Before(coverage.FreshUntil):
-		f.confirmAt, wait = now.Add(f.confirmDelay()), confirmWatchWait
+		f.confirmAt, wait = now.Add(delay), confirmWatchWait
 	case f.storeCopy.unreachable() && coverage.RelayResponding && now.Before(f.retryAt):
 		return f.retryAt.Sub(now), 0
 	}
@@ -94,6 +94,13 @@
 	return 0, wait
 }
 
+// untilWatched returns how much longer the store need not be watched after its first read.
+func (f *feed) untilWatched(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.firstRead.Add(f.pace.Scale(delayAfterFirstRead)).Sub(now)
+}
+
 // forgottenPollInterval is the interval between checks for updates from relays.
 const forgottenPollInterval = 50 * time.Millisecond
 
--- a/pkg/runners/cold.go
+++ b/pkg/runners/cold.go
@@ -67,17 +67,26 @@
 	return !restored.IsZero() && now.Sub(restored) < coldAfterRestore
 }
 
+// lockWithShare takes the lock, with this gateway's share of a cold runner up to date. ColdShare is
+// called without the lock, see docs/design/lock-order.md.
+func (s *State) lockWithShare(now time.Time) {
+	s.mu.Lock()
+	if s.coldShare == nil || !s.isCold(now) || now.Sub(s.cold.sharedAt) < coldShareTTL {
+		return
+	}
+	s.mu.Unlock()
+	share, bounded := s.coldShare(s.Runner)
+	s.mu.Lock()
+	s.cold.share, s.cold.bounded, s.cold.sharedAt = share, bounded, now
+}
+
 // coldRoom reports whether the runner is warm or has a free slot for a request of this gateway. It
-// updates the gateway's share and removes expired claims. The caller holds the lock.
+// removes expired claims. The caller has called lockWithShare.
 func (s *State) coldRoom(now time.Time) bool {
 	if !s.isCold(now) {
 		return true
 	}
 	c := &s.cold
-	if s.coldShare != nil && now.Sub(c.sharedAt) >= coldShareTTL {
-		c.share, c.bounded = s.coldShare(s.Runner)
-		c.sharedAt = now
-	}
 	c.claims = slices.DeleteFunc(c.claims, func(k claim) bool { return k.expired(now) })
 	return !c.bounded || len(c.claims) < c.share
 }
@@ -85,7 +94,7 @@
 // claimCold claims a slot at the runner for a request until the request is sent, and reports
 // whether a slot was free. The slots of a warm runner are not limited.
 func (s *State) claimCold(request string, now time.Time) bool {
-	s.mu.Lock()
+	s.lockWithShare(now)
 	defer s.mu.Unlock()
 	if !s.coldRoom(now) {
 		return false
--- a/pkg/runners/cold_test.go
+++ b/pkg/runners/cold_test.go
@@ -81,3 +81,24 @@
 	g.Expect(s.Cold(now.Add(2*time.Second))).To(BeTrue(), "an entry older than the response does not shorten its time")
 	g.Expect(s.Cold(now.Add(3 * time.Second))).To(BeFalse())
 }
+
+// Guards against a deadlock: ColdShare may wait for locks of callers that wait for the runner.
+func TestColdShareIsComputedWithoutTheLock(t *testing.T) {
+	g := NewWithT(t)
+	d, now := NewDirectory("a"), time.Now()
+	calls := 0
+	d.ColdShare = func(r Runner) (int, bool) {
+		s := d.Find(r.ID)
+		if g.Expect(s.mu.TryLock()).To(BeTrue(), "the runner is locked") {
+			s.mu.Unlock()
+		}
+		calls++
+		return 1, true
+	}
+	d.PutEntry(Entry{Runner: Runner{ID: "a"}, ColdFor: 10 * time.Second}, now)
+	s := d.Find("a")
+	g.Expect(s.Room(now)).To(BeTrue())
+	g.Expect(s.Claim("r1", now.Add(coldShareTTL))).To(BeTrue())
+	g.Expect(s.Claim("r2", now.Add(2*coldShareTTL))).To(BeFalse())
+	g.Expect(calls).To(Equal(3))
+}
--- a/pkg/runners/directory.go
+++ b/pkg/runners/directory.go
@@ -40,7 +40,7 @@
 	Changed func(what Change)
 	// ColdShare returns how many requests this gateway may send to a cold runner in any
 	// coldstart.Window; bounded is false if there is no limit. It is set before the first entry is
-	// put. If it is nil, there is no limit.
+	// put. If it is nil, there is no limit. It must take no lock: it is called with engine pools locked.
 	ColdShare func(Runner) (share int, bounded bool)
 	// Limits holds the rate limits that runners reported, Notices what else they reported in their
 	// responses.
--- a/pkg/runners/room.go
+++ b/pkg/runners/room.go
@@ -34,7 +34,7 @@
 // cold, reported a rate limit or is in the slow start after a pause takes fewer requests than
 // others.
 func (s *State) Room(now time.Time) bool {
-	s.mu.Lock()
+	s.lockWithShare(now)
 	room := s.coldRoom(now)
 	s.mu.Unlock()
 	return room && s.limits.Room(s.ID, s.callsPerRequest(), now) && s.notices.Room(s.ID, now)
