upstream: the response to a HEAD does not end with its connection

Without a length it counted as one that ends with its connection, although it has no body and its connection is used again.

Before, TestResponseToHeadIsNotCloseDelimited: 'Expected <bool>: true to be false'.

TestHeadThatEndsEarlyIsNoHead passes before and now: a head that ends early at any byte, with a length, chunks or neither, fails its exchange.

--- a/pkg/upstream/head_test.go
+++ b/pkg/upstream/head_test.go
@@ -290,3 +290,44 @@
 		}
 	})
 }
+
+// Guards against a head that ends early, at any byte and in any way, and is taken for a response.
+func TestHeadThatEndsEarlyIsNoHead(t *testing.T) {
+	for name, framing := range map[string]string{"length": "Content-Length: 4\r\n", "chunks": "Transfer-Encoding: chunked\r\n", "neither": "Connection: close\r\n"} {
+		for _, breaks := range []string{"\r\n", "\n"} {
+			head := strings.ReplaceAll("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"+framing+"\r\n", "\r\n", breaks)
+			for after := range len(head) {
+				g := NewWithT(t)
+				_, _, _, err := exchangeWith(nil, func(c net.Conn) error {
+					_, err := io.WriteString(c, head[:after])
+					return err
+				})
+				var exchange *ErrExchange
+				g.Expect(errors.As(err, &exchange)).To(BeTrue(), "%s: %q", name, head[:after])
+			}
+		}
+	}
+}
+
+// Guards against the response to a HEAD, which has no body, that counts as one that ends with its connection.
+func TestResponseToHeadIsNotCloseDelimited(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		}
+	})
+	c := newClient()
+	for range 2 {
+		res, err := c.Do(t.Context(), s.address, &Request{Method: http.MethodHead, Target: "/", Host: "h"})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(res.CloseDelimited()).To(BeFalse())
+		_, err = io.ReadAll(res)
+		g.Expect(err).NotTo(HaveOccurred())
+		_ = res.Close()
+	}
+	g.Expect(s.count()).To(Equal(1))
+}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -245,9 +245,10 @@
 	return n, err
 }
 
-// CloseDelimited reports whether the body has neither a length nor chunks and ends with the connection.
+// CloseDelimited reports whether the body has neither a length nor chunks and ends with the connection. The
+// response to a HEAD has no body whatever its head says.
 func (r *Response) CloseDelimited() bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
 }
 
 // LastData returns when the last data of a body arrived that ended with its connection, by the clock of package
