ingress: a success without a length and without a body is no response

What callers saw: a runner stopped after the head of its response and closed. The head had no length, and the runner lived on. A client on a plain route got 200 with Content-Length: 0, framed as whole.

Cause: a response with neither a length nor chunks counts as complete if its runner is still there, also if nothing follows its head. Streams without an event were an error already.

Now such a success counts as broken off: a repeatable request goes to another runner, another one gets 502. A server that has nothing to send states a length of 0, so whole responses do not fail. Failures keep their status without a body.

--- a/pkg/ingress/completeness.go
+++ b/pkg/ingress/completeness.go
@@ -48,6 +48,26 @@
 // Unwrap returns the cause.
 func (e *ErrLateCheck) Unwrap() error { return e.Err }
 
+// ErrNoBody reports a success without a length and without a byte of its body.
+type ErrNoBody struct {
+	Runner string
+}
+
+// Error implements error.
+func (e *ErrNoBody) Error() string {
+	return "success without a length and without a body: runner=" + e.Runner
+}
+
+// confirmBody returns an error if a plain response with the given size of its body is not known to be complete.
+// *ErrNoBody means that the response of a runner that stopped after its head looks the same: a server that has
+// nothing to send states a length of 0.
+func (x *exchange) confirmBody(runner *runners.State, a *Response, size int) error {
+	if a.CloseDelimited && a.OK() && size == 0 {
+		return &ErrNoBody{Runner: runner.ID}
+	}
+	return x.confirmComplete(runner, a)
+}
+
 // confirmComplete returns *ErrEndUnknown if a response that ended with its connection may be incomplete. A
 // runner closes that connection at the end of the response, or it ended itself before. So the response is
 // complete if the runner is still there after it. A runner that is leaving is checked too: it may end with
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -232,7 +232,7 @@
 func (x *exchange) forwardResponse(life *request.Life, n int, a *Response, runner *runners.State) (sendResult, error) {
 	buffered, whole, err := x.bufferBody(a.Body)
 	if err == nil && whole {
-		err = x.confirmComplete(runner, a)
+		err = x.confirmBody(runner, a, len(buffered))
 	}
 	if err != nil {
 		runner.Failed(time.Now())
