platform client: a value whose end nothing shows is refused

What the older role's processes saw: a value of the key-value service without a length or chunks that its connection cut off counted as whole. A value is any bytes, so nothing in it shows its end.

Before, 'refuses a value whose end nothing shows': 'FAILED "": <nil>', the empty value of a response that ends with its head. The service's own server states a length.

--- a/pkg/platform/http.go
+++ b/pkg/platform/http.go
@@ -57,6 +57,16 @@
 	return "unexpected answer: status=" + strconv.Itoa(e.Status) + " body=" + strconv.Quote(e.Body)
 }
 
+// errNoEnd reports a value whose response has neither a length nor chunks: nothing shows that it is whole.
+type errNoEnd struct {
+	Bytes int
+}
+
+// Error implements error.
+func (e *errNoEnd) Error() string {
+	return "value without a length may be cut off: bytes=" + strconv.Itoa(e.Bytes)
+}
+
 // call builds and sends one request and returns the response and its body.
 func (c *Client) call(ctx context.Context, service, op, method, path string, query url.Values, body []byte) (*http.Response, []byte, error) {
 	u := c.base + path
@@ -118,6 +128,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return Value{}, unexpectedStatus("kv", op, resp, data)
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
+		return Value{}, &ErrUnavailable{Service: "kv", Op: op, Err: &errNoEnd{Bytes: len(data)}}
+	}
 	return toValue(resp, data)
 }
 
--- a/pkg/platform/http_test.go
+++ b/pkg/platform/http_test.go
@@ -67,6 +67,20 @@
 		Expect(errors.As(err, &large)).To(BeTrue())
 		Expect(large.Bound).To(BeEquivalentTo(4 * platform.MaxValue))
 	})
+	// Guards against a value that is cut off by the end of its connection and taken for whole.
+	It("refuses a value whose end nothing shows", func() {
+		for _, sent := range []string{"", "hal", "half"} {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(platform.HeaderVersion, "1")
+				w.Header().Set("Transfer-Encoding", "identity")
+				_, _ = io.WriteString(w, sent)
+			}))
+			DeferCleanup(s.Close)
+			got, err := platform.NewClient(s.URL).Get(ctx, "a")
+			var down *platform.ErrUnavailable
+			Expect(errors.As(err, &down)).To(BeTrue(), "%q: %v", got.Data, err)
+		}
+	})
 	It("returns the same instance list until it changes, then the new one", func() {
 		list.Put(platform.Instance{Name: "a"})
 		for range 2 {
