engine: a service's success without a length and without a body is not whole

What callers of the older role saw: a service that stopped after the head of its response, which had no length, gave 200 with an empty body. It is a broken response now.

Before, TestSuccessWithoutLengthAndBodyIsNotWhole/no_length,_no_body: '<nil>' where an error is due. A part of the stream of an engine is an error at each byte, before and now (TestPartOfEngineResponseIsNoResponse): its last token says so.

--- a/pkg/engine/http.go
+++ b/pkg/engine/http.go
@@ -273,5 +273,25 @@
 	if err != nil {
 		return nil, &ErrUnreachable{Address: s.base.Host, Sent: !neverConnected(err), Err: err}
 	}
+	if resp.StatusCode < http.StatusMultipleChoices && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
+		resp.Body = &nonEmptyBody{ReadCloser: resp.Body}
+	}
 	return resp, nil
 }
+
+// nonEmptyBody is the body of a success that ends with its connection. It fails with io.ErrUnexpectedEOF if it ends
+// before its first byte: a service that has nothing to send states a length of 0.
+type nonEmptyBody struct {
+	io.ReadCloser
+	begun bool
+}
+
+// Read implements io.Reader.
+func (b *nonEmptyBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.begun = b.begun || n > 0
+	if !b.begun && errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
