--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -239,7 +239,7 @@
 	defer release()
 	buffered, whole, err := x.bufferBody(body)
 	if err == nil && whole {
-		err = x.confirmComplete(runner, a)
+		err = x.confirmBody(runner, a, len(buffered))
 	}
 	if err != nil {
 		runner.Failed(time.Now())
