ingress: events of plain runners go on as they come

The first event of a stream from a plain runner reached its client with the end of the stream: after 1.0 s of a stream of 1.0 s (a trial; TestEventsOfPlainStreamGoOnAsTheyCome, which waits for the first event before the runner ends, failed after 3 s).

Cause: plain responses are buffered until they are complete, so that another runner can be asked. Event streams are now forwarded event by event (plainstream.go), with the positions of the relay of engines. After a break within the response another runner of the same software version goes on after the last event where the route allows it; otherwise the response breaks off. An empty response without a length counts as broken, as at engines.

Why it holds: all cases of TestGatewayResumesAfterTheLastWholeEvent, TestGatewayBreaksOffStreamsThatItCannotContinue and TestPiecesOverAllTriesOfAClient run at engines and at plain runners. The filter of the buffered body is gone.

--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -52,6 +52,8 @@
 	// began which it resumes; empty for any. announced is the version that was announced to other
 	// gateways for the request's own stream.
 	software, announced string
+	// plain is the state of a stream of plain runners.
+	plain plainStream
 	// fields are added to the request's final log line.
 	fields []decisionlog.Field
 }
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -60,6 +60,10 @@
 		if err != nil {
 			break
 		}
+		if err := x.continueStream(); err != nil {
+			last = err
+			break
+		}
 		runner, err := x.claimPlain(avoid, full)
 		if err != nil {
 			if last == nil || roomAfter(err) > 0 {
@@ -85,7 +89,7 @@
 			avoid[runner.ID] = true
 		}
 		last = err
-		if notAllowed(err) {
+		if notAllowed(err) || notResumable(err) {
 			break
 		}
 		if v == notRun {
@@ -94,6 +98,10 @@
 		}
 		runs++
 	}
+	if x.plain.begun {
+		x.breakOff(firstError(x.endReason(), last))
+		return
+	}
 	x.giveUp(life, firstError(x.endReason(), last), func() time.Duration { return spread(plainRetryAfter(last)) })
 }
 
@@ -135,7 +143,10 @@
 	}
 	runner.BeginRequest()
 	defer runner.EndRequest()
-	if x.route.Kind == routetable.Stream {
+	order := x.order()
+	if x.plain.begun {
+		order.After = x.plain.last
+	} else if x.route.Kind == routetable.Stream {
 		x.beginStream(runner)
 	}
 	x.sends++
@@ -143,7 +154,7 @@
 	runner.Sent(x.call.ID, time.Now())
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	response, err := x.g.options.Runners.Send(ctx, runner, x.call, x.order())
+	response, err := x.g.options.Runners.Send(ctx, runner, x.call, order)
 	if err != nil {
 		return x.sendFailed(life, n, runner, err)
 	}
@@ -153,6 +164,10 @@
 		x.declined(runner, response)
 		return notRun, &ErrDeclined{Runner: runner.ID, Status: response.Status, WrongRunner: response.WrongRunner}
 	}
+	if x.plain.begun && !(x.streams(response) && response.Status == x.plain.status) {
+		runner.Failed(time.Now())
+		return mayHaveRun, &ErrAnswer{Runner: runner.ID, Status: response.Status, Why: "does not continue the stream: type=" + mediaType(response)}
+	}
 	if response.Status >= http.StatusInternalServerError {
 		runner.Failed(time.Now())
 		if !final {
@@ -171,7 +186,11 @@
 			return mayHaveRun, firstError(x.endReason(), err)
 		}
 	}
-	v, err := x.forwardResponse(life, n, response, runner)
+	forward := x.forwardResponse
+	if x.streams(response) {
+		forward = x.forwardStream
+	}
+	v, err := forward(life, n, response, runner)
 	if err == nil && response.Status < http.StatusInternalServerError {
 		runner.Completed(time.Since(began))
 	}
@@ -236,9 +255,7 @@
 // forwardResponse forwards a response to the client: buffered and in one piece if it is short,
 // streamed if it is long.
 func (x *exchange) forwardResponse(life *request.Life, n int, a *Response, runner *runners.State) (sendResult, error) {
-	body, release := x.body(a)
-	defer release()
-	buffered, whole, err := x.bufferBody(body)
+	buffered, whole, err := x.bufferBody(a.Body)
 	if err == nil && whole {
 		err = x.confirmComplete(runner, a)
 	}
@@ -258,7 +275,7 @@
 	x.w.WriteHeader(a.Status)
 	_, err = x.w.Write(buffered)
 	if err == nil && !whole {
-		_, err = io.CopyBuffer(x.w, body, x.copyBuffer(buffered))
+		_, err = io.CopyBuffer(x.w, a.Body, x.copyBuffer(buffered))
 		err = firstError(err, x.confirmComplete(runner, a))
 	}
 	if err != nil {
--- a/pkg/ingress/position.go
+++ b/pkg/ingress/position.go
@@ -94,12 +94,23 @@
 	// it that have no ID, so that no runner can go on after them.
 	last       string
 	unnumbered bool
-	// at is the ID that the current response has reached.
-	at string
+	// at is the ID that the current response has reached. opening is set until its first event.
+	at      string
+	opening bool
 }
 
 // restart begins a response that goes on after the last event.
-func (p *progress) restart() { p.at = p.last }
+func (p *progress) restart() { p.at, p.opening = p.last, true }
+
+// trim returns an event as it is sent to a client who has the header of the stream already, if begun is set: the
+// byte order mark of a response that goes on would stand in the middle of the stream.
+func (p *progress) trim(event []byte, begun bool) []byte {
+	if p.opening && begun {
+		event = bytes.TrimPrefix(event, []byte(byteOrderMark))
+	}
+	p.opening = false
+	return event
+}
 
 // sent reports whether the client has an event already. One without an ID stands after the ID before it.
 // What has neither an ID nor data is passed on each time.
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"strings"
@@ -23,8 +22,6 @@
 	// origin is the software version of the runner that brought the first event.
 	origin string
 	progress
-	// opening is set until the first event of the current response.
-	opening bool
 	// status and mediaType are those of the client's response.
 	status    int
 	mediaType string
@@ -44,7 +41,7 @@
 		runner.Failed(time.Now())
 		return mayHaveRun, &ErrAnswer{Runner: runner.ID, Status: a.Status, Why: "does not continue the stream: type=" + a.Header.Get("Content-Type")}
 	}
-	r.runner, r.opening = runner, true
+	r.runner = runner
 	r.restart()
 	began, before, confirmed := time.Now(), r.events, false
 	in := newEventReader(r.s.g.options.Held, a.Body)
@@ -154,10 +151,7 @@
 // write sends one event to the client, unless the client has it already.
 func (r *relay) write(a *Response, event []byte) error {
 	f := parseEvent(event)
-	if r.opening && r.begun {
-		event = bytes.TrimPrefix(event, []byte(byteOrderMark))
-	}
-	r.opening = false
+	event = r.trim(event, r.begun)
 	if r.sent(f) {
 		return nil
 	}
