--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -55,6 +55,8 @@
 	// announced is the origin of the request's own stream that was last announced to other gateways; nil
 	// for none.
 	announced *resume.Origin
+	// plain is the state of a stream of plain runners.
+	plain plainStream
 	// fields are added to the request's final log line.
 	fields []decisionlog.Field
 }
