--- a/pkg/peers/origins_test.go
+++ b/pkg/peers/origins_test.go
@@ -130,16 +130,15 @@
 	w := newGateway(t, "a", 1)
 	for i := range maxAsked {
 		name := fmt.Sprint("g", i)
-		w.members[name] = &member{name: name, alive: i > 0}
-		w.memberships++
+		g.Expect(w.Add(name, "127.0.0.1:1")).To(Succeed())
+		w.members[name].alive = i > 0
 	}
 	w.updateSubset()
 	asked, all, ok := w.AskOriginOfAll(1, "s")
 	g.Expect(ok).To(BeTrue())
 	g.Expect(asked).To(Equal(maxAsked-1), "all that are alive")
 	g.Expect(all).To(Equal(maxAsked), "silent ones too")
-	w.members["one too many"] = &member{name: "one too many", alive: true}
-	w.memberships++
+	g.Expect(w.Add("one too many", "127.0.0.1:1")).To(Succeed())
 	asked, _, ok = w.AskOriginOfAll(2, "s")
 	g.Expect(ok).To(BeFalse())
 	g.Expect(asked).To(BeZero())
