process, platform: foreign items of any size and number keep no sound one out

With 1,200 items of 16 KB listed before all others, gateways that start had no configuration; a copy of the store that was full of unreadable entries kept new runners and larger configurations out.

Cause: (1) the response to a watch counted as a whole, also what is not kept, so it became a full read; (2) a full read counted all items, also those that are not kept, and failed in the same way for ever; (3) room in the copy went to the items that are listed first, whether or not they can be read, and the configuration needed room too; (4) after each piece of a large response the next watch waited for a batch, and one whose response took long was cut off.

Fix: a response to a watch that is too large is read event by event; a value that would not be kept counts as a removal of its key (Store.Refuse). Where not all fits, the configuration comes first, then what is known, then the smallest, and entries that name no runner last; they also leave the copy when a sound one needs room. Each item left out has one line (store_item_left_out: key, revision, bytes, why) and counts in hopwell_store_items_left_out_total; runner_refused too is written once for each revision.

The lease of a conflicting item is now named by ErrConflict, so that items are as small as before. Records of stage changes have a file of their own.

--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// Charge reserves bytes even if they don't fit, for data that is bounded by itself and can't be rejected.
+func (a *Account) Charge(size int64) {
+	if a != nil {
+		a.used.Add(size)
+	}
+}
+
 // Release releases reserved bytes.
 func (a *Account) Release(size int64) {
 	if a != nil {
--- a/pkg/process/copy.go
+++ b/pkg/process/copy.go
@@ -41,6 +41,8 @@
 	// size is the memory of all items, bound what it may be, both in bytes; see cost. A bound of 0 stands
 	// for defaultCopyBytes.
 	size, bound int64
+	// readable is set if no runner's entry was added since unreadable ones were removed.
+	readable bool
 	// lostAt is when the store stopped responding; zero while it responds.
 	lostAt time.Time
 }
@@ -53,6 +55,9 @@
 		strings.HasPrefix(key, gatewayPrefix) || strings.HasPrefix(key, changePrefix) || isQuarantineKey(key) || strings.HasPrefix(key, recordPrefix) || strings.HasPrefix(key, mixedPrefix)
 }
 
+// neededAtStart reports whether gateways need the item of a key when they start.
+func neededAtStart(key string) bool { return needed(key) || strings.HasPrefix(key, batchPrefix) }
+
 // has reports whether the copy has an item.
 func (c *storeCopy) has(key string) bool {
 	c.mu.Lock()
@@ -78,6 +83,7 @@
 	c.remove(i.Key)
 	c.items[i.Key] = i
 	c.size += cost(i)
+	c.readable = false
 }
 
 // remove removes the item of a key. The caller holds the lock.
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -77,6 +76,7 @@
 	restarted     map[string]runners.Runner
 	storeReplaced chan struct{}
 	refreshes     refreshes
+	leftOut       leftOutItems
 }
 
 func newFeed(g *ingress.Ingress, l *decisionlog.Log, s store.Store, address string, p relay.Pace) *feed {
@@ -351,35 +351,6 @@
 	f.ingress.ReadPartQuarantine(parts)
 }
 
-// maxStageChange bounds the duration of a stage change that is read from the store, since its start is
-// unknown. The lease of the key expires before that.
-const maxStageChange = 20 * time.Second
-
-// ErrStageChange reports a record of a stage change that names no stage of an engine.
-type ErrStageChange struct {
-	Key, Value string
-}
-
-// Error implements error.
-func (e *ErrStageChange) Error() string {
-	return fmt.Sprintf("no stage of an engine: key=%s value=%.64q", e.Key, e.Value)
-}
-
-// applyStageChange applies a stage change in progress. Its engine must already be in the directory. A record
-// that names no stage is ignored: an engine that changes its stage gets no work.
-func (f *feed) applyStageChange(i store.Item) {
-	id, ok := strings.CutPrefix(i.Key, changePrefix)
-	if !ok {
-		return
-	}
-	switch to := runners.Stage(i.Value); to {
-	case runners.Prefill, runners.Decode:
-		f.ingress.ReceiveStageChanges([]runners.StageChange{{Runner: id, To: to, Remaining: maxStageChange}})
-	default:
-		f.log.Write(decisionlog.KindFailed, "stage_change_refused", decisionlog.F("error", &ErrStageChange{Key: i.Key, Value: string(i.Value)}))
-	}
-}
-
 // applyConfig puts a configuration into force. A configuration that can't be decoded is ignored.
 func (f *feed) applyConfig(i store.Item, at store.Revision) {
 	c, err := platform.DecodeConfig(i.Value)
@@ -404,7 +375,9 @@
 func (f *feed) applyRunner(i store.Item) {
 	r, err := platform.DecodeRunner(i.Key, i.Value)
 	if err != nil {
-		f.log.Write(decisionlog.KindFailed, "runner_refused", decisionlog.F("key", i.Key), decisionlog.F("error", err))
+		if first, _ := f.leftOut.first(i.Key, i.Revision); first {
+			f.log.Write(decisionlog.KindFailed, "runner_refused", decisionlog.F("key", i.Key), decisionlog.F("bytes", len(i.Key)+len(i.Value)), decisionlog.F("error", err))
+		}
 		if name, ok := platform.RunnerName(i.Key); ok {
 			f.ingress.Directory.Remove(name, time.Now())
 		}
--- a/pkg/process/feedlog.go
+++ b/pkg/process/feedlog.go
@@ -13,9 +13,9 @@
 
 // openStore returns a client of the store at an address. The client logs changes of the store's
 // era, and unknown headers in its responses.
-func openStore(address string, l *decisionlog.Log, m memoryPlan) *platform.Store {
-	s := platform.NewStore(address)
-	s.MaxResponse, s.MaxItems = m.message, m.storeItems
+func (f *feed) openStore(address string, m memoryPlan) *platform.Store {
+	s, l := platform.NewStore(address), f.log
+	s.MaxResponse, s.MaxItems, s.Refuse, s.Trim = m.message, m.storeItems, f.refuseItem, f.trimItems
 	s.EraChanged = func(before, now uint64) {
 		l.Write(decisionlog.KindState, "store_era", decisionlog.F("before", before), decisionlog.F("now", now))
 	}
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -116,8 +116,8 @@
 	})
 	p.Ingress.Directory.ColdShare = p.coldShare
 	p.Ingress.Directory.Limits.ReportsPending = func() { p.peers.Notify() }
-	p.feed = newFeed(p.Ingress, log, openStore(c.Store, log, plan), c.Store, relay.PaceFor(c.Changes.Bound(c.Workspaces)))
-	p.feed.storeCopy.bound = plan.storeItems
+	p.feed = newFeed(p.Ingress, log, nil, c.Store, relay.PaceFor(c.Changes.Bound(c.Workspaces)))
+	p.feed.storeCopy.bound, p.feed.store = plan.storeItems, p.feed.openStore(c.Store, plan)
 	if err := p.openPeers(); err != nil {
 		return nil, err
 	}
@@ -287,7 +287,7 @@
 		return err
 	}
 	p.settings.Store(c)
-	p.feed.useStore(openStore(c.Store, p.log, p.memory), c.Store)
+	p.feed.useStore(p.feed.openStore(c.Store, p.memory), c.Store)
 	p.Ingress.LimitRetries(budgetLimits(c))
 	p.log.Write(decisionlog.KindProcess, "reload", decisionlog.F("store", c.Store),
 		decisionlog.F("retry_share", c.RetryBudget.Share), decisionlog.F("retry_slack", c.RetryBudget.Slack),
--- a/pkg/store/follow.go
+++ b/pkg/store/follow.go
@@ -34,6 +34,12 @@
 	// liveWatchTime bounds a watch right after the store proved to be live. It is twice maxProbeTimeout, since a
 	// store that falls silent meanwhile is noticed only at its end.
 	liveWatchTime = 2 * maxProbeTimeout
+	// maxTransferTime bounds how much longer a watch may take while its response arrives, as after a time in which
+	// much has changed: cut off, it would begin anew.
+	maxTransferTime = maxProbeTimeout
+	// partBytes is the size of the values from which on the response to a watch may be a part of the changes, so that
+	// the next watch is not delayed.
+	partBytes = 128 << 10
 	// minRetryDelay and maxRetryDelay are the shortest and the longest delay after a failed call,
 	// before jitter.
 	minRetryDelay = 100 * time.Millisecond
@@ -48,7 +54,8 @@
 	// watches unanswered.
 	LivenessPrefix string
 	// BatchDelay returns how long to batch changes after some have arrived, before the next watch; nil
-	// disables batching. The first change after a quiet time is delivered at once.
+	// disables batching. The first change after a quiet time is delivered at once. After large changes the next watch
+	// follows at once: a store may cut its responses into pieces.
 	BatchDelay func() time.Duration
 	// Relayed, if set, blocks for as long as relays deliver the changes. It returns the revision
 	// that they reached, 0 for none, and how long the next watch may wait for a change, 0 for the
@@ -146,7 +153,7 @@
 
 // step reads the full prefix, or waits for its next changes. If reachable is not set, it requests
 // only the changes that exist already. It returns the revision reached, and whether there were
-// changes.
+// changes after which others may be batched.
 func (f *Follower) step(ctx context.Context, p *position, reachable bool) (next Revision, changed bool, err error) {
 	if p.compacted && f.CatchUp != nil {
 		if at := f.CatchUp(ctx, p.at); at > 0 {
@@ -179,9 +186,12 @@
 	return f.watch(ctx, p, wait, limit)
 }
 
-// watch waits for changes, at most for a limit. It returns the revision reached, and whether there were changes.
+// watch waits for changes, at most for a limit, or maxTransferTime longer while they arrive. Its results are those of
+// step.
 func (f *Follower) watch(ctx context.Context, p *position, wait, limit time.Duration) (next Revision, changed bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, end := context.WithTimeout(ctx, limit+maxTransferTime)
+	defer end()
+	ctx, cancel := progress.WithIdleTimeout(ctx, limit)
 	defer cancel()
 	asked := boottime.Now()
 	events, next, err := f.Store.Watch(ctx, f.Prefix, p.at, wait)
@@ -193,7 +203,15 @@
 	}
 	f.Apply(events, next)
 	f.confirm(asked)
-	return max(p.at, next), len(events) > 0, nil
+	return max(p.at, next), len(events) > 0 && valueBytes(events) < partBytes, nil
+}
+
+// valueBytes returns the size of the values in events, in bytes.
+func valueBytes(events []Event) (size int) {
+	for i := range events {
+		size += len(events[i].Value) + events[i].LeftOut
+	}
+	return size
 }
 
 // checkLiveness reads little from the store, to learn whether it responds.
--- a/pkg/store/lock.go
+++ b/pkg/store/lock.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,7 +54,7 @@
 	began := boottime.Now()
 	leased, err := l.put(ctx, 0)
 	var conflict *ErrConflict
-	if errors.As(err, &conflict) && len(conflict.Items) > 0 && conflict.Items[0].Unleased {
+	if errors.As(err, &conflict) && len(conflict.Items) > 0 && slices.Contains(conflict.Unleased, l.Key) {
 		leased, err = l.put(ctx, conflict.Items[0].Revision)
 	}
 	if errors.As(err, &conflict) && len(conflict.Items) > 0 {
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -15,8 +15,6 @@
 	Value []byte
 	// Revision is that of the last change, Made that of the creation.
 	Revision, Made Revision
-	// Unleased reports that no lease binds the key. It is known only in the items of ErrConflict.
-	Unleased bool `json:"-"`
 }
 
 // Event is one change of a key.
@@ -24,6 +22,8 @@
 	Item
 	// Removed is set when the key was removed; Value is then empty.
 	Removed bool
+	// LeftOut is the size in bytes of a value that was read and not kept. Removed is then set too.
+	LeftOut int
 }
 
 // Put writes one key.
@@ -94,6 +94,8 @@
 type ErrConflict struct {
 	// Items are the current items of the keys in the conditions.
 	Items []Item
+	// Unleased are the keys of those that no lease binds.
+	Unleased []string
 }
 
 // Error implements error.
--- a/pkg/store/store_test.go
+++ b/pkg/store/store_test.go
@@ -326,7 +326,11 @@
 		s := &fakeStore{}
 		s.commit = func(c Change) (Revision, error) {
 			if c.If[0].Revision != 7 {
-				return 0, &ErrConflict{Items: []Item{{Key: "lock", Value: []byte("x"), Revision: 7, Unleased: !want.leased}}}
+				conflict := &ErrConflict{Items: []Item{{Key: "lock", Value: []byte("x"), Revision: 7}}}
+				if !want.leased {
+					conflict.Unleased = []string{"lock"}
+				}
+				return 0, conflict
 			}
 			return 8, nil
 		}
