ingress: streams of any kind of split route keep their service

A client that names the last event on a split route whose streams can't be resumed was refused without Resumes, and got a service at random with it. The ID now determines the service of all streams. TestNewStreamsFollowTheWeightsOfASplit shows that new streams still follow the weights (1 to 9; it passes before too).

--- a/pkg/ingress/service.go
+++ b/pkg/ingress/service.go
@@ -12,7 +12,7 @@
 // client for one stream get the same service at each gateway: that which this gateway recorded, or that which the ID
 // of the request that brought the first event determines.
 func (x *exchange) pickService() string {
-	if len(x.route.Targets) == 1 || x.route.Kind != routetable.Stream || !x.route.Resumable {
+	if len(x.route.Targets) == 1 || x.route.Kind != routetable.Stream {
 		return x.route.Pick(rand.Float64())
 	}
 	if !x.resumed() {
