process, peers, enginepool: a gateway that hangs says so

Change: a watchdog observes four parts of the process: decisions (a probe takes the lock of each engine pool, of the directory and of the connections), state (a probe reads the metrics, which show all that decisions use), and sending and receiving of the exchange. If a part makes no step in 22 rounds of 100 ms, the health page (GET /api/ready) says 503 without taking a lock, `event=hung` names the part, and `event=hung_stack` lines show, once for a hang, the stacks that wait for a lock and those of the parts. When steps are made again, the page says 200 again and `event=progress_resumed` is logged. Rounds are counted and not time, so that a suspension, or a process without processor time, is no hang.

--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/runners"
@@ -66,6 +67,9 @@
 	directory *runners.Directory
 	options   Options
 
+	// steps counts how often the lock was released.
+	steps atomic.Uint64
+
 	mu             sync.Mutex
 	spec           Spec
 	engines        ordered[*engine]
@@ -113,10 +117,15 @@
 	return &Pool{service: service, directory: d, options: o, subsets: map[runners.Stage]stageSubset{}, peerWaiting: map[string]int{}, peerEngines: map[string]map[string]*engine{}, rate: initialRate, Lengths: NewLengths()}
 }
 
+// Steps returns a number that grows with each operation on the pool. It takes no lock: a caller that waits for
+// the pool sees whether others make progress.
+func (p *Pool) Steps() uint64 { return p.steps.Load() }
+
 // unlock releases the lock, then has a change reported.
 func (p *Pool) unlock() {
 	report := p.unreportedChange && p.options.Changed != nil
 	p.unreportedChange = false
+	p.steps.Add(1)
 	p.mu.Unlock()
 	if report {
 		p.options.Changed()
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -171,7 +171,8 @@
 	changed chan struct{}
 	subset  atomic.Pointer[subset.Subset]
 	// names holds the sorted names of the members. The list is replaced, never modified.
-	names atomic.Pointer[[]string]
+	names              atomic.Pointer[[]string]
+	sending, receiving loop
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -246,6 +247,7 @@
 	var due, outboxDue <-chan time.Time
 	var outboxSent time.Time
 	for {
+		x.sending.step()
 		select {
 		case <-ctx.Done():
 			return
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -12,7 +12,10 @@
 func (x *Exchange) read(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		n, from, err := x.options.Conn.ReadFrom(buffer)
+		var n int
+		var from net.Addr
+		var err error
+		x.receiving.outside(func() { n, from, err = x.options.Conn.ReadFrom(buffer) })
 		if err != nil {
 			if ctx.Err() != nil {
 				return
@@ -80,7 +83,9 @@
 		x.receiveUpdate(s.Name, update, now)
 	}
 	for service, snapshot := range decodeSnapshots(s) {
-		if err := x.options.ReceiveSnapshot(s.Name, service, snapshot); err != nil {
+		var err error
+		x.receiving.outside(func() { err = x.options.ReceiveSnapshot(s.Name, service, snapshot) })
+		if err != nil {
 			x.options.Failed(err)
 		}
 	}
--- a/pkg/peers/send.go
+++ b/pkg/peers/send.go
@@ -25,7 +25,7 @@
 // sendChanges sends changed reservations to the gateways that use the engines concerned, and changes
 // of runners' rate limits to the gateways that lack them.
 func (x *Exchange) sendChanges(now time.Time) {
-	changed, reached := x.options.Snapshots(x.sentRevisions)
+	changed, reached := x.snapshots(x.sentRevisions)
 	x.sentRevisions = reached
 	x.mu.Lock()
 	x.limitWaiting(changed, now)
@@ -42,6 +42,12 @@
 	x.write(out)
 }
 
+// snapshots calls Options.Snapshots.
+func (x *Exchange) snapshots(since map[string]uint64) (changed map[string]enginepool.Snapshot, reached map[string]uint64) {
+	x.sending.outside(func() { changed, reached = x.options.Snapshots(since) })
+	return changed, reached
+}
+
 // limitWaiting leaves out that jobs began or ceased to wait if that was sent lately: it goes to all
 // gateways. It is then sent with the next change. The caller holds the lock.
 func (x *Exchange) limitWaiting(changed map[string]enginepool.Snapshot, now time.Time) {
@@ -117,7 +123,7 @@
 	if !x.anyFullDue(now) {
 		return nil
 	}
-	all, _ := x.options.Snapshots(nil)
+	all, _ := x.snapshots(nil)
 	return &ownState{snapshots: all, version: x.options.Version()}
 }
 
@@ -229,6 +235,7 @@
 // write sends datagrams. The next datagram with the full state makes up for a lost one.
 func (x *Exchange) write(out []datagram) {
 	for _, d := range out {
+		x.sending.step()
 		data, err := proto.Marshal(d.state)
 		if size := len(data); err == nil && size > maxDatagram {
 			err = memory.TooLarge("datagram", int64(size), maxDatagram)
--- a/pkg/process/ingress.go
+++ b/pkg/process/ingress.go
@@ -81,6 +81,7 @@
 	parts    *quarantine.PartTable
 	lag      *overload.Meter
 	shedder  overload.Shedder
+	watchdog watchdog
 	servers  []*http.Server
 	ports    IngressPorts
 	cancel   context.CancelFunc
@@ -144,6 +145,7 @@
 	p.done.Go(func() { p.shedOverload(ctx) })
 	p.done.Go(func() { stager.run(ctx) })
 	p.done.Go(func() { p.sweep(ctx) })
+	p.startWatchdog(ctx)
 	log.Write(decisionlog.KindProcess, "start", decisionlog.F("pid", os.Getpid()), decisionlog.F("callers", p.ports.Callers),
 		decisionlog.F("store", c.Store), decisionlog.F("domain", c.Instance.Domain))
 	if err := boottime.Err(); err != nil {
@@ -223,7 +225,7 @@
 }
 
 func (p *Ingress) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	if !p.Ingress.Ready() {
+	if p.watchdog.Hung() || !p.Ingress.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
