ingress: the log names what marked the end of a response

The line request_end of a response that counts as complete has the field end: length, chunks, runner_there (it ended with its connection, and its runner answers with the same start time) or runner_reachable (a process accepts connections at its address too early for another one). Until now nothing told a response that showed its end from one that was taken for whole.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -78,7 +78,9 @@
 	// does not show that it is complete. LastData then returns, after the end of the body, when its last data
 	// arrived, by the clock of package boottime.
 	CloseDelimited bool
-	LastData       func() (time.Time, error)
+	// Chunked is set if the body has chunks.
+	Chunked  bool
+	LastData func() (time.Time, error)
 	// Verified is set if the response carries the runner's signature and its body is not encoded.
 	// Successful responses are forwarded only if it is set. It does not mean that the body is
 	// complete.
--- a/pkg/ingress/completeness.go
+++ b/pkg/ingress/completeness.go
@@ -58,6 +58,23 @@
 	return "success without a length and without a body: runner=" + e.Runner
 }
 
+// responseEnd is what marks the end of a response, as logged.
+type responseEnd string
+
+const (
+	// endLength and endChunks are the ends that responses show themselves.
+	endLength responseEnd = "length"
+	endChunks responseEnd = "chunks"
+	// endRunnerThere and endRunnerReachable are those of responses that ended with their connection: their runner
+	// is there with the same start time, or a process is reachable at its address too early for another one.
+	endRunnerThere     responseEnd = "runner_there"
+	endRunnerReachable responseEnd = "runner_reachable"
+	// endNoEvents is that of a stream after whose end its runner had no further event. endDoubtful is an end that
+	// counts although the runner has broken off others lately.
+	endNoEvents responseEnd = "no_further_events"
+	endDoubtful responseEnd = "doubtful"
+)
+
 // confirmBody returns an error if a plain response with the given size of its body is not known to be complete.
 // *ErrNoBody means that the response of a runner that stopped after its head looks the same: a server that has
 // nothing to send states a length of 0.
@@ -74,11 +91,15 @@
 // responses unfinished.
 func (x *exchange) confirmComplete(runner *runners.State, a *Response) error {
 	if !a.CloseDelimited {
+		if x.end = endLength; a.Chunked {
+			x.end = endChunks
+		}
 		return nil
 	}
 	current, err := x.isCurrent(x.ctx, runner)
 	switch {
 	case current:
+		x.end = endRunnerThere
 		return nil
 	case err == nil:
 		return &ErrEndUnknown{Runner: runner.ID}
@@ -99,6 +120,7 @@
 		return &ErrEndUnknown{Runner: runner.ID, Err: &ErrLateCheck{After: late, Err: err}}
 	}
 	x.logFailedStep("end_confirmed_by_connection", runner.ID, err)
+	x.end = endRunnerReachable
 	return nil
 }
 
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -53,6 +53,8 @@
 	// began which it resumes; empty for any. announced is the version that was announced to other
 	// gateways for the request's own stream.
 	software, announced string
+	// end is what marked the end of the last response that counted as complete.
+	end responseEnd
 	// fields are added to the request's final log line.
 	fields []decisionlog.Field
 }
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -260,7 +260,7 @@
 	x.recordEnd(life, n)
 	x.recordCompleted()
 	x.recordSound()
-	x.finish(a.Status, nil, decisionlog.F("runner", runner.ID))
+	x.finish(a.Status, nil, decisionlog.F("runner", runner.ID), decisionlog.F("end", x.end))
 	return responded, nil
 }
 
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -90,7 +90,7 @@
 	r.s.pool.Lengths.Learn(r.s.lengthHint(), r.events*r.s.engine.TokensPerEvent)
 	r.s.exchange.recordEnd(r.s.life, n)
 	r.s.recordCompleted()
-	r.s.finish(a.Status, nil, decisionlog.F("runner", runner.ID), decisionlog.F("events", r.events), decisionlog.F("pause", r.longestGap))
+	r.s.finish(a.Status, nil, decisionlog.F("runner", runner.ID), decisionlog.F("events", r.events), decisionlog.F("pause", r.longestGap), decisionlog.F("end", r.s.end))
 	return responded, nil
 }
 
