ingress: a stream's end is asked about where its runner breaks off others

What callers saw: a runner, or the link to it, broke off a stream without a length between two events, with a clean end of its connection, and lived on. Its client got a part as the whole stream.

If the runner's failure rate shows that it has broken off others lately (trustedFailureRate), a resumable stream is in doubt at such an end: a second call to the same runner asks for the events after the last. They are forwarded if there are any. Otherwise, and if the call is not possible, fails or takes over a second, the stream is complete as before, so no whole stream fails. Second calls are made while more than half of the retry budget is left. Streams with a length or chunks, and those of runners that break off nothing, cost nothing. The field part_of of request_end names the runner of a part.

A client that took up a stream after its last event, at runners whose responses have no length, got 502 ('broken off: runner=d1 after=5 cause=unexpected EOF'): two empty responses in a row from runners that are there say now that there are no further events.

--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -116,6 +116,7 @@
 		s.planner.Arrived(s.job.MeanMemory(), x.arrived)
 	}
 	s.budget.Request(x.arrived)
+	s.countUnspent()
 	s.run()
 }
 
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -25,6 +25,10 @@
 	// runner is the runner of the current response.
 	runner *runners.State
 	events int
+	// ends is the number of responses in a row without an event. asked is set while a second call asks for the
+	// events after an end that is in doubt, until it has brought one.
+	ends  int
+	asked bool
 	// written is when the last event was sent. longestGap is the longest time between two events,
 	// which is logged as pause.
 	written    time.Time
@@ -42,9 +46,12 @@
 		event, err := in.next()
 		if errors.Is(err, io.EOF) && len(event) == 0 {
 			if err = r.confirmEnd(runner, a, r.events > before); err == nil {
-				return r.complete(n, runner, a, began)
+				return r.completeOrAsk(n, runner, a, began, r.events > before)
 			}
 		}
+		if err != nil && r.asked && r.events == before && r.s.endReason() == nil {
+			return r.endNotAsked(n, runner, a, began, err)
+		}
 		if err != nil {
 			return r.streamBroken(runner, r.events == before, err)
 		}
@@ -60,6 +67,9 @@
 		if err := r.write(a, event); err != nil {
 			return mayHaveRun, errClientGone{}
 		}
+		if r.asked && r.events > before {
+			r.partFound(runner)
+		}
 		if r.events-before == soundEvents {
 			r.s.recordSound()
 		}
@@ -69,10 +79,7 @@
 // confirmEnd returns an error if a stream that ended between two events is not complete.
 func (r *relay) confirmEnd(runner *runners.State, a *Response, hasEvents bool) error {
 	if !hasEvents {
-		if a.CloseDelimited {
-			return io.ErrUnexpectedEOF
-		}
-		return nil
+		return r.confirmNoEvents(a)
 	}
 	if err := r.s.confirmComplete(runner, a); err != nil {
 		return err
@@ -146,6 +153,7 @@
 	}
 	r.written = now
 	r.events++
+	r.ends = 0
 	if id != "" {
 		r.last = id
 	}
