--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -79,7 +79,9 @@
 	// does not show that it is complete. LastData then returns, after the end of the body, when its last data
 	// arrived, by the clock of package boottime.
 	CloseDelimited bool
-	LastData       func() (time.Time, error)
+	// Chunked is set if the body has chunks.
+	Chunked  bool
+	LastData func() (time.Time, error)
 	// Peer is the process that sends the response. It is identified by the ID of its incarnation.
 	Peer *upstream.Peer
 	// Verified is set if the response carries the runner's signature and its body is not encoded.
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -57,6 +57,8 @@
 	announced *resume.Origin
 	// plain is the state of a stream of plain runners.
 	plain plainStream
+	// end is what marked the end of the last response that counted as complete.
+	end responseEnd
 	// fields are added to the request's final log line.
 	fields []decisionlog.Field
 }
