process: items left out beyond the 4,096 that are remembered share a line

The gateway wrote a line for each item and reading, 16,393 of which its log left out within two seconds.

Cause: the reading of a large response reports items one by one, and what can't be remembered was logged each time.

Evidence: TestRecordOfItemsLeftOutIsBounded now checks the interval.

Fix: one line in ten seconds with their number.

--- a/pkg/process/foreign_items_test.go
+++ b/pkg/process/foreign_items_test.go
@@ -113,6 +113,10 @@
 	g.Expect([]bool{first, remembered}).To(Equal([]bool{true, true}))
 	_, remembered = l.first("another", 1)
 	g.Expect(remembered).To(BeFalse())
+	now := time.Now()
+	for second, want := range []int{1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 10, 0} {
+		g.Expect(l.countFurther(1, now.Add(time.Duration(second)*time.Second))).To(Equal(want), "second %d", second)
+	}
 	l.forget("1")
 	_, remembered = l.first("another", 1)
 	g.Expect(remembered).To(BeTrue())
--- a/pkg/process/leftout.go
+++ b/pkg/process/leftout.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -33,8 +34,13 @@
 	return &ErrLeftOut{Key: i.Key, Revision: i.Revision, Bytes: len(i.Key) + len(i.Value), Err: err}
 }
 
-// maxLeftOut bounds the items whose omission is remembered. Further ones are logged by their number.
-const maxLeftOut = 4096
+const (
+	// maxLeftOut bounds the items whose omission is remembered. Further ones are logged by their number, which is
+	// that of their readings.
+	maxLeftOut = 4096
+	// furtherInterval is the least time between two lines about further items.
+	furtherInterval = 10 * time.Second
+)
 
 var itemsLeftOut = metrics.GetOrCreateCounter("hopwell_store_items_left_out_total")
 
@@ -43,6 +49,9 @@
 type leftOutItems struct {
 	mu        sync.Mutex
 	revisions map[string]store.Revision
+	// further is the number of readings of further items since furtherAt, when they were last logged.
+	further   int
+	furtherAt time.Time
 }
 
 // first reports whether an item is left out for the first time at its revision, and whether it could be remembered.
@@ -64,6 +73,19 @@
 	return true, true
 }
 
+// countFurther counts readings of items that can't be remembered. It returns their number if it is to be logged now,
+// else 0.
+func (l *leftOutItems) countFurther(count int, now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.further += count
+	if now.Sub(l.furtherAt) < furtherInterval {
+		return 0
+	}
+	count, l.further, l.furtherAt = l.further, 0, now
+	return count
+}
+
 // forget forgets an item that was removed from the store.
 func (l *leftOutItems) forget(key string) {
 	l.mu.Lock()
@@ -71,20 +93,23 @@
 	delete(l.revisions, key)
 }
 
-// logLeftOut logs each item that is left out, once for each of its revisions, and the number of those that can't be
-// remembered.
+// logLeftOut logs each item that is left out, once for each of its revisions, and now and then the number of those that
+// can't be remembered.
 func (f *feed) logLeftOut(left []*ErrLeftOut) {
-	more := 0
+	further := 0
 	for _, e := range left {
 		first, remembered := f.leftOut.first(e.Key, e.Revision)
 		if !remembered {
-			more++
+			further++
 		} else if first {
 			f.log.Write(decisionlog.KindFailed, "store_item_left_out", decisionlog.F("key", e.Key), decisionlog.F("revision", e.Revision), decisionlog.F("bytes", e.Bytes), decisionlog.F("error", e.Err))
 		}
 	}
-	if more > 0 {
-		f.log.Write(decisionlog.KindFailed, "store_items_rejected", decisionlog.F("items", more), decisionlog.F("error", left[len(left)-1]))
+	if further == 0 {
+		return
+	}
+	if count := f.leftOut.countFurther(further, time.Now()); count > 0 {
+		f.log.Write(decisionlog.KindFailed, "store_items_rejected", decisionlog.F("items", count), decisionlog.F("error", left[len(left)-1]))
 	}
 }
 
