resume: versions are concluded only from the store itself, records and confirmations

Replies that another gateway knows one version count for nothing now. Without the store a stream goes on only if its origin is known; no gateway is in touch then. For 3 s after a restore, or after a start where there was one, one version is not taken for the only one. - A request that waited kept a version filter from before a version came (TestWaitingStreamDoesNotBeginAtVersionThatCameMeanwhile): the filter asks at the time of the choice. - A version that no gateway had observed yet was allowed (TestStreamDoesNotBeginAtVersionThatIsNotObservedYet). - A gateway that started from another's old copy claimed to have run since before a version came, and never read the batches (TestGatewayThatStartedFromOlderCopy..., TestBatchesAreReadAfterTheStateOfAnotherGateway); one that had dropped origins trusted its own table (TestStreamWhoseOriginWasDropped...).

All failed before and hold now. The store is waited for 0.6 s instead of 0.2: above 200 gateways the calls of one gateway are further apart than that. TestSilentGatewaysCountAmongTheKeepers and the cases of Decide for half of the gateways go with the rule they guarded; stricter cases replace them.

--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -16,9 +16,8 @@
 	// AnnounceOrigins sends origins to the gateways that keep them.
 	AnnounceOrigins(list []resume.Origin)
 	// AskOrigin asks the gateways that keep the origin of a stream and are alive. It returns their
-	// number, and the number of all that keep it, also silent ones. Replies are passed to
-	// ReceiveOriginReply.
-	AskOrigin(k resume.Key, service string) (asked, keepers int)
+	// number. Replies are passed to ReceiveOriginReply.
+	AskOrigin(k resume.Key, service string) (asked int)
 	// AskOriginOfAll does the same with all gateways, whether or not they keep the origin. It returns false,
 	// and asks nobody, if there are too many.
 	AskOriginOfAll(k resume.Key, service string) (asked, all int, ok bool)
@@ -34,8 +33,9 @@
 }
 
 const (
-	// refreshWait is how long the store is waited for, whose calls take some milliseconds.
-	refreshWait = 200 * time.Millisecond
+	// refreshWait is how long the store is waited for. Its calls take some milliseconds, but those of one gateway
+	// are a millisecond apart for each gateway of the fleet.
+	refreshWait = 600 * time.Millisecond
 	// originReplyWait is how long replies of other gateways are waited for, and originAskInterval the
 	// interval at which they are asked again, since datagrams get lost. A round trip within a region
 	// takes some milliseconds.
@@ -113,12 +113,18 @@
 	now := time.Now()
 	o, known := g.origins.Find(k, now)
 	r := resume.Reply{Key: k, Known: known, Version: o.Version, Only: g.versions.Only(service, now)}
-	if g.origins.Complete(now) {
-		r.Unannounced = g.versions.Unannounced(service, now)
-	}
+	r.Unannounced = g.unannounced(service, now)
 	return r
 }
 
+// unannounced returns Versions.Unannounced if this gateway has the origins of all streams that it began.
+func (g *Ingress) unannounced(service string, now time.Time) string {
+	if !g.origins.Complete(now) {
+		return ""
+	}
+	return g.versions.Unannounced(service, now)
+}
+
 // ObserveVersion records that a runner serves. Streams of its service that began while there was only
 // one version are announced when a second one comes.
 func (g *Ingress) ObserveVersion(r *runners.Runner) {
@@ -209,20 +215,20 @@
 	tick := time.NewTicker(originAskInterval)
 	defer tick.Stop()
 	askOnce := func() {
-		var asked, keepers int
+		var asked, all int
 		if e.Unannounced != "" && e.Fresh {
-			asked, keepers, e.AskedAll = exchange.AskOriginOfAll(e.Key, e.Service)
+			asked, all, e.AskedAll = exchange.AskOriginOfAll(e.Key, e.Service)
 		}
 		if !e.AskedAll {
-			asked, keepers = exchange.AskOrigin(e.Key, e.Service)
+			asked = exchange.AskOrigin(e.Key, e.Service)
 		}
-		e.Asked, e.Keepers = max(e.Asked, asked), max(e.Keepers, keepers)
+		e.Asked, e.All = max(e.Asked, asked), max(e.All, all)
 	}
 	askOnce()
 	for {
 		var known bool
 		e.Replies, known = x.g.questions.list(q)
-		if known || len(e.Replies) >= e.Asked && (e.Asked > 0 || e.AskedAll && e.Keepers == 0) {
+		if known || len(e.Replies) >= e.Asked && (e.Asked > 0 || e.AskedAll && e.All == 0) {
 			return
 		}
 		select {
@@ -240,7 +246,7 @@
 // is not restricted.
 func (x *exchange) versionFilter() func(version string) bool {
 	v := x.g.versions
-	if !x.route.Resumable || x.call.After != "" || !v.Withholds(x.service, time.Now()) {
+	if !x.route.Resumable || x.call.After != "" {
 		return nil
 	}
 	return func(version string) bool { return v.MayBegin(x.service, version, time.Now()) }
--- a/pkg/ingress/resumed.go
+++ b/pkg/ingress/resumed.go
@@ -85,7 +85,7 @@
 // lookUpVersions adds to the evidence which versions streams may have.
 func (x *exchange) lookUpVersions(e *resume.Evidence) {
 	now := time.Now()
-	e.Only, e.Unannounced = x.g.versions.Only(x.service, now), x.g.versions.Unannounced(x.service, now)
+	e.Only, e.Unannounced = x.g.versions.Only(x.service, now), x.g.unannounced(x.service, now)
 }
 
 // refreshCopy brings this gateway's copy of the store up to date, and reports whether it succeeded in time.
--- a/pkg/peers/origins.go
+++ b/pkg/peers/origins.go
@@ -47,11 +47,11 @@
 }
 
 // AskOrigin asks the gateways that keep the origin of a stream and are alive for it. It returns their
-// number, and the number of all that keep it, also silent ones. It does not wait for replies.
-func (x *Exchange) AskOrigin(k resume.Key, service string) (asked, keepers int) {
+// number. It does not wait for replies.
+func (x *Exchange) AskOrigin(k resume.Key, service string) (asked int) {
 	names := x.aliveAmong(x.keepers(k, askedKeepers))
 	x.askOrigin(names, k, service)
-	return len(names), x.withSilent(len(names))
+	return len(names)
 }
 
 // AskOriginOfAll asks all gateways that are alive for the origin of a stream. It returns their number, and that of
@@ -91,23 +91,6 @@
 	return out
 }
 
-// withSilent returns a number of live gateways in proportion to the whole membership list, rounded up. After
-// a partition, the gateways on one side must not take themselves for all.
-func (x *Exchange) withSilent(live int) int {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	alive := 0
-	for _, m := range x.members {
-		if m.alive {
-			alive++
-		}
-	}
-	if alive == 0 {
-		return len(x.members)
-	}
-	return (live*len(x.members) + alive - 1) / alive
-}
-
 // receiveOrigins records the origins and replies of a datagram, and replies to its queries.
 func (x *Exchange) receiveOrigins(s *wirepb.GatewayState) {
 	if x.options.ReceiveOrigins == nil {
--- a/pkg/peers/receive.go
+++ b/pkg/peers/receive.go
@@ -46,10 +46,16 @@
 	x.addNamedGateways(s, from)
 	x.mu.Lock()
 	m := x.members[s.Name]
-	if m == nil || s.Incarnation < m.incarnation || s.Incarnation == m.incarnation && s.Sequence <= m.sequence {
+	if m == nil || s.Incarnation < m.incarnation {
 		x.mu.Unlock()
 		return
 	}
+	if s.Incarnation == m.incarnation && s.Sequence <= m.sequence {
+		x.mu.Unlock()
+		// What is sent once is received also if another datagram has overtaken it.
+		x.receiveOrigins(s)
+		return
+	}
 	becameAlive := x.updateMember(m, s, from, now)
 	known, sameDomain, inSync := len(x.members), m.domain == x.options.Domain, !m.lostData
 	x.mu.Unlock()
--- a/pkg/process/feed.go
+++ b/pkg/process/feed.go
@@ -77,10 +77,14 @@
 	storeReplaced chan struct{}
 	refreshes     refreshes
 	leftOut       leftOutItems
+	// startedAt is when this feed started, by the clock of package boottime. batchesRead is set once the batches
+	// of origins were read; it is guarded by applyMu.
+	startedAt   time.Time
+	batchesRead bool
 }
 
 func newFeed(g *ingress.Ingress, l *decisionlog.Log, s store.Store, address string, p relay.Pace) *feed {
-	f := &feed{ingress: g, log: l, store: s, address: address, pace: p, storeReplaced: make(chan struct{}), wakeup: make(chan struct{}, 1), deferred: map[string]deferredChange{}, restarted: map[string]runners.Runner{}}
+	f := &feed{ingress: g, log: l, store: s, address: address, pace: p, storeReplaced: make(chan struct{}), wakeup: make(chan struct{}, 1), deferred: map[string]deferredChange{}, restarted: map[string]runners.Runner{}, startedAt: boottime.Now()}
 	g.Directory.Changed = func(c runners.Change) {
 		f.observeVersion(c)
 		if c.What == runners.Replaced {
@@ -146,7 +150,7 @@
 // and one for the runners, which halves the calls. The few other keys rarely change.
 func (f *feed) follower(s store.Store) *store.Follower {
 	return &store.Follower{
-		Store: s, LivenessPrefix: platform.ConfigKey, BatchDelay: f.batchWindow, Relayed: f.relayed, CatchUp: f.forgotten, Reset: f.reset, Apply: f.apply, Confirmed: f.history.ConfirmRead,
+		Store: s, LivenessPrefix: platform.ConfigKey, BatchDelay: f.batchWindow, Relayed: f.relayed, CatchUp: f.forgotten, Reset: f.reset, Apply: f.apply, Confirmed: f.confirmRead,
 		Rejected: func(err *store.ErrOld) {
 			f.log.Write(decisionlog.KindFailed, "store_reading_refused", decisionlog.F("have", err.Have), decisionlog.F("got", err.Got))
 		},
@@ -172,8 +176,9 @@
 		return &store.ErrOld{Have: have, Got: at}
 	}
 	have := f.Reached()
-	if have == 0 {
+	if !f.batchesRead {
 		f.readBatches(items)
+		f.batchesRead = at > 0
 	}
 	items = f.admitItems(items)
 	now := time.Now()
@@ -247,6 +252,14 @@
 	f.log.Write(decisionlog.KindState, "runners_read", decisionlog.F("runners", len(names)), decisionlog.F("at", at))
 }
 
+// confirmRead records that the copy has all changes that the store had when it was asked.
+func (f *feed) confirmRead(asked time.Time) {
+	f.history.ConfirmRead(asked)
+	if !f.history.Confirmed().Before(f.startedAt) {
+		f.ingress.Versions().SetBehind(false)
+	}
+}
+
 // loadPeerState applies another gateway's copy of the store in place of a read of the store. Later
 // changes come from relays, or from a watch once the store responds.
 func (f *feed) loadPeerState(s sharedState) {
@@ -258,6 +271,7 @@
 		f.applyConfig(*s.Config, s.At)
 	}
 	f.history.Confirm(s.confirmed)
+	f.ingress.Versions().SetBehind(true)
 	f.storeCopy.setReachable(false)
 }
 
--- a/pkg/process/origins.go
+++ b/pkg/process/origins.go
@@ -41,7 +41,7 @@
 	o.p.batches.add(list)
 }
 
-func (o originExchange) AskOrigin(k resume.Key, service string) (asked, keepers int) {
+func (o originExchange) AskOrigin(k resume.Key, service string) (asked int) {
 	return o.p.peers.AskOrigin(k, service)
 }
 
--- a/pkg/process/refresh.go
+++ b/pkg/process/refresh.go
@@ -90,5 +90,5 @@
 		return
 	}
 	f.apply(events, at)
-	f.history.ConfirmRead(asked)
+	f.confirmRead(asked)
 }
--- a/pkg/resume/decide.go
+++ b/pkg/resume/decide.go
@@ -7,7 +7,8 @@
 	// that is not certain.
 	Known   bool
 	Version string
-	// Only is the single version of the service, empty if the gateway knows of several.
+	// Only is the single version of the service, empty if the gateway knows of several. Gateways of earlier builds
+	// decide by it when the store is away.
 	Only string
 	// Unannounced is Versions.Unannounced at the gateway.
 	Unannounced string
@@ -33,25 +34,22 @@
 	Unannounced string
 	// AskedAll is set if all other gateways were asked, not only those that keep the origin.
 	AskedAll bool
-	// Keepers is the number of other gateways that keep the origin, or of all if AskedAll is set, also those
-	// that have fallen silent, Asked the number of those that were asked. Replies are their replies.
-	Keepers, Asked int
-	Replies        []Reply
+	// Asked is the number of other gateways that were asked, All that of all if AskedAll is set, also those that
+	// have fallen silent. Replies are the replies.
+	Asked, All int
+	Replies    []Reply
 }
 
 // Decide returns the version at which a stream may continue. It fails with *ErrUnknown.
 func Decide(e Evidence) (string, error) {
 	version, known := e.Version, e.Known
-	only, unannounced := 0, 0
+	unannounced := 0
 	for _, r := range e.Replies {
 		if r.Known && (!known || r.Version == version) {
 			version, known = r.Version, true
 		} else if r.Known {
 			return "", e.unknown(Contradictory)
 		}
-		if r.Only != "" && r.Only == e.Only {
-			only++
-		}
 		if r.Unannounced != "" && r.Unannounced == e.Unannounced {
 			unannounced++
 		}
@@ -63,12 +61,9 @@
 		return version, nil
 	case e.Only != "" && e.Fresh:
 		return e.Only, nil
-	case e.Only != "" && only > 0 && 2*only >= e.Keepers && only == len(e.Replies):
-		// With this gateway these are most of the gateways, so they are not cut off from the others.
-		return e.Only, nil
 	case !e.Named:
 		return "", e.unknown(NotNamed)
-	case e.Unannounced != "" && e.Fresh && e.AskedAll && unannounced == e.Keepers:
+	case e.Unannounced != "" && e.Fresh && e.AskedAll && unannounced == e.All:
 		// All gateways have run since before the other version came, and none of them began the stream. So a
 		// gateway did that ended before.
 		return e.Unannounced, nil
@@ -78,7 +73,7 @@
 
 // NeedsReplies reports whether other gateways must be asked before a decision.
 func (e *Evidence) NeedsReplies() bool {
-	return !e.Known && (e.Named || e.Only != "") && !(e.Only != "" && e.Fresh)
+	return !e.Known && e.Named && !(e.Only != "" && e.Fresh)
 }
 
 func (e *Evidence) unknown(why string) error {
--- a/pkg/resume/versions.go
+++ b/pkg/resume/versions.go
@@ -16,6 +16,9 @@
 	// maxSoleTime bounds the time for which a gateway may conclude that a stream began before a second version
 	// came. For so long a gateway that was lost since then is still in the membership lists.
 	maxSoleTime = time.Minute
+	// settleTime is how long after a restore of the store its entries may lack runners that serve: they write
+	// them again within some 2 s.
+	settleTime = 3 * time.Second
 	// recordWait is how long new streams do not begin at a version that is not in the record, if no runner of a
 	// version in the record serves. Writing it takes some 0.3 s. A store that takes no writes must not keep
 	// streams from the only engines for longer.
@@ -28,6 +31,10 @@
 	services map[string]*serviceVersions
 	// doubtedUntil is the time until which a record may lack versions at which streams have begun.
 	doubtedUntil time.Time
+	// settledAt is the time until which the store may lack entries of runners that serve.
+	settledAt time.Time
+	// behind is set while this process has not read the store itself, see SetBehind.
+	behind bool
 }
 
 type serviceVersions struct {
@@ -84,7 +91,7 @@
 	defer v.mu.Unlock()
 	s := v.service(service)
 	before := len(s.possible(now))
-	if sole := s.onlyRecorded(); sole != "" && len(r.Versions) > 1 {
+	if sole := s.onlyRecorded(); sole != "" && len(r.Versions) > 1 && !v.behind {
 		s.sole, s.soleUntil = sole, now.Add(min(max(s.lifetime, r.Lifetime), maxSoleTime))
 	}
 	recorded := make(map[string]time.Time, len(r.Versions))
@@ -117,13 +124,16 @@
 }
 
 // mayBegin reports whether new streams may begin at a version: it is in the record, or there is no record
-// yet, or it could not be recorded in recordWait and no version in the record has served meanwhile. While one
+// yet, or it was observed but could not be recorded in recordWait, and no version in the record has served meanwhile. While one
 // serves, a gateway that starts could take the streams of the other for streams of that one.
 func (s *serviceVersions) mayBegin(version string, now time.Time) bool {
-	since, unrecorded := s.unrecorded[version]
-	if s.recorded == nil || !unrecorded {
+	if s.recorded == nil || s.isRecorded(version) {
 		return true
 	}
+	since, observed := s.unrecorded[version]
+	if !observed {
+		return false
+	}
 	for recorded := range s.recorded {
 		if at, seen := s.seen[recorded]; seen && at.After(since) {
 			since = at
@@ -140,28 +150,19 @@
 	return s == nil || s.mayBegin(version, now)
 }
 
-// Withholds reports whether there is a version of a service at which new resumable streams may not begin
-// yet.
-func (v *Versions) Withholds(service string, now time.Time) bool {
+// DoubtRecords handles that the store may have lost changes of records.
+func (v *Versions) DoubtRecords(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	s := v.services[service]
-	if s == nil {
-		return false
-	}
-	for version := range s.unrecorded {
-		if !s.mayBegin(version, now) {
-			return true
-		}
-	}
-	return false
+	v.doubtedUntil, v.settledAt = now.Add(maxLifetime), now.Add(settleTime)
 }
 
-// DoubtRecords handles that the store may have lost changes of records.
-func (v *Versions) DoubtRecords(now time.Time) {
+// SetBehind records whether all that this process knows of the store is an earlier copy of another gateway. The
+// process before it may have begun streams at versions that the copy lacks.
+func (v *Versions) SetBehind(behind bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.doubtedUntil = now.Add(maxLifetime)
+	v.behind = behind
 }
 
 // Unannounced returns the version of streams that began before another version was added to the record: the only
@@ -170,7 +171,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.services[service]
-	if s == nil || now.Before(s.mixedUntil) || now.Before(v.doubtedUntil) {
+	if s == nil || v.behind || now.Before(s.mixedUntil) || now.Before(v.doubtedUntil) {
 		return ""
 	}
 	if sole := s.onlyRecorded(); sole != "" {
@@ -262,7 +263,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.services[service]
-	if s == nil || now.Before(s.mixedUntil) {
+	if s == nil || now.Before(s.mixedUntil) || now.Before(v.settledAt) {
 		return ""
 	}
 	possible := s.possible(now)
