platform: a runner that resets a connection has not restarted

A runner at its connection limit resets the connection of a report. Alive now tells a connection that ends without an answer (ErrClosed) from one that is refused. For the incarnation of a stream nothing is known then; for the end of a response and for crashes it counts as before.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -117,8 +117,8 @@
 	// CachedPrompts returns the prompts in a runner's KV cache: the number of tokens by Call.PromptID.
 	CachedPrompts(ctx context.Context, r *runners.State) (map[string]int, error)
 	// Alive reports whether the same incarnation of a runner still responds, with whatever status. It fails
-	// with *ErrUnidentified if a runner responds under the ID but doesn't tell which incarnation it is, and
-	// with *ErrSilent if nothing is known.
+	// with *ErrUnidentified if a runner responds under the ID but doesn't tell which incarnation it is, with
+	// *ErrClosed if its connection ended without a response, and with *ErrSilent if nothing is known.
 	Alive(ctx context.Context, r *runners.State) (bool, error)
 	// Identified reports whether the next call to a runner goes to a process which Alive found to be the
 	// incarnation of the runner's entry.
--- a/pkg/ingress/completeness.go
+++ b/pkg/ingress/completeness.go
@@ -101,7 +101,7 @@
 	case current:
 		x.end = endRunnerThere
 		return nil
-	case err == nil:
+	case err == nil || isClosed(err):
 		return &ErrEndUnknown{Runner: runner.ID}
 	}
 	// What serves at the runner's address now is not known to be the same process, unless no other one can have
--- a/pkg/ingress/errors.go
+++ b/pkg/ingress/errors.go
@@ -173,6 +173,27 @@
 // Unwrap returns the cause.
 func (e *ErrSilent) Unwrap() error { return e.Err }
 
+// ErrClosed reports that a runner accepted a connection and ended it without a response. It may have ended, or take no
+// more connections.
+type ErrClosed struct {
+	Runner string
+	Err    error
+}
+
+// Error implements error.
+func (e *ErrClosed) Error() string {
+	return fmt.Sprintf("closed without a response: runner=%s cause=%v", e.Runner, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ErrClosed) Unwrap() error { return e.Err }
+
+// isClosed reports whether an error is an *ErrClosed.
+func isClosed(err error) bool {
+	var closed *ErrClosed
+	return errors.As(err, &closed)
+}
+
 // ErrUnidentified reports that a runner responded under its ID, but not which incarnation it is: it may have
 // restarted. Err is its response.
 type ErrUnidentified struct {
--- a/pkg/ingress/suspicion.go
+++ b/pkg/ingress/suspicion.go
@@ -77,6 +77,9 @@
 		defer cancel()
 		runner.CallSent("", time.Now())
 		alive, err := x.g.options.Runners.Alive(ctx, runner)
+		if isClosed(err) {
+			err = nil
+		}
 		if err != nil {
 			x.logFailedStep("runner_not_asked", runner.ID, err, decisionlog.F("asked", digest))
 		}
