--- a/pkg/ingress/doubt.go
+++ b/pkg/ingress/doubt.go
@@ -96,7 +96,7 @@
 // sendAgain asks the runner of a stream for the events after the last, and returns its response and the number of
 // the attempt. It takes the place that the stream has there. If no event arrives in time, it calls cancel.
 func (s *generation) sendAgain(ctx context.Context, cancel func(), runner *runners.State) (*Response, int, error) {
-	if err := s.bindBegun(); err != nil {
+	if err := firstError(s.checkQuarantine(), s.reconfirm(), s.bindBegun()); err != nil {
 		return nil, 0, err
 	}
 	if !runner.Room(time.Now()) {
