--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -49,7 +49,7 @@
 				return r.completeOrAsk(n, runner, a, began, r.events > before)
 			}
 		}
-		if err != nil && r.asked && r.events == before && r.s.endReason() == nil {
+		if err != nil && r.asked && r.events == before {
 			return r.endNotAsked(n, runner, a, began, err)
 		}
 		if err != nil {
