ingress: a request whose stream was announced begins only at that version

Change: after an announcement, another attempt of the same request goes to the announced version only. The client's own next attempt has another ID and may go anywhere. TestAnnouncedStreamBeginsOnlyAtItsVersion fails without it.

--- a/pkg/ingress/generate.go
+++ b/pkg/ingress/generate.go
@@ -205,6 +205,7 @@
 	if err := firstError(s.relay.holdHeader(), s.bindBegun(), s.checkVersion()); err != nil {
 		return notRun, err
 	}
+	s.job.AllowsVersion = s.versionFilter()
 	room, err := s.reserve()
 	if err != nil {
 		return notRun, err
--- a/pkg/ingress/incarnation_test.go
+++ b/pkg/ingress/incarnation_test.go
@@ -89,6 +89,26 @@
 	g.Expect(x.confirmIncarnation(runner, response)).NotTo(Succeed(), "a connection of another incarnation")
 }
 
+// Guards against a request that is sent again at another version than the announced one: the second announcement may be
+// lost with this gateway.
+func TestAnnouncedStreamBeginsOnlyAtItsVersion(t *testing.T) {
+	g := NewWithT(t)
+	others := &announcements{}
+	x := newStreamExchange(t, &askedRunners{}, routetable.Route{Kind: routetable.Stream, Resumable: true}, others)
+	for id, version := range map[string]string{"d1": "v1", "d2": "v2"} {
+		x.g.Directory.Put(runners.Runner{ID: id, Service: "llm", Version: version}, time.Now())
+		x.g.ObserveVersion(&runners.Runner{Service: "llm", Version: version})
+	}
+	x.g.ReadRecord("llm", resume.Record{Versions: []string{"v1", "v2"}, Lifetime: time.Minute})
+	g.Expect(x.versionFilter()("v1")).To(BeTrue())
+	x.beginStream(x.g.Directory.Find("d2"))
+	g.Expect(others.list).To(HaveLen(1))
+	g.Expect(x.versionFilter()("v1")).To(BeFalse())
+	g.Expect(x.versionFilter()("v2")).To(BeTrue())
+	x.doubtOrigin()
+	g.Expect(x.versionFilter()("v1")).To(BeTrue(), "the announced origin names no version")
+}
+
 // Guards against other gateways that keep an origin as uncertain after the stream began anew at a confirmed runner.
 func TestOriginIsAnnouncedAgainAfterDoubt(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -249,6 +249,11 @@
 	if !x.route.Resumable || x.call.After != "" {
 		return nil
 	}
+	if x.announced != nil && x.announced.Version != "" {
+		// Another announcement may not reach all gateways that have this one.
+		announced := x.announced.Version
+		return func(version string) bool { return version == announced }
+	}
 	return func(version string) bool { return v.MayBegin(x.service, version, time.Now()) }
 }
 
--- a/pkg/resume/versions.go
+++ b/pkg/resume/versions.go
@@ -27,7 +27,7 @@
 
 // Versions tracks which software versions serve each service. It is safe for concurrent use.
 type Versions struct {
-	mu       sync.Mutex
+	mu       sync.RWMutex
 	services map[string]*serviceVersions
 	// doubtedUntil is the time until which a record may lack versions at which streams have begun.
 	doubtedUntil time.Time
@@ -144,8 +144,8 @@
 
 // MayBegin reports whether new resumable streams of a service may begin at a version now.
 func (v *Versions) MayBegin(service, version string, now time.Time) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
+	v.mu.RLock()
+	defer v.mu.RUnlock()
 	s := v.services[service]
 	return s == nil || s.mayBegin(version, now)
 }
