--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -19,7 +19,7 @@
 	// number. Replies are passed to ReceiveOriginReply.
 	AskOrigin(k resume.Key, service string) (asked int)
 	// AskOriginOfAll does the same with all gateways, whether or not they keep the origin. It returns false,
-	// and asks nobody, if there are too many.
+	// without a query, if there are too many.
 	AskOriginOfAll(k resume.Key, service string) (asked, all int, ok bool)
 }
 
--- a/pkg/peers/origins.go
+++ b/pkg/peers/origins.go
@@ -55,7 +55,7 @@
 }
 
 // AskOriginOfAll asks all gateways that are alive for the origin of a stream. It returns their number, and that of
-// all, also silent ones. It returns false, and asks nobody, if there are more than maxAsked.
+// all, also silent ones. It returns false, without a query, if there are more than maxAsked.
 func (x *Exchange) AskOriginOfAll(k resume.Key, service string) (asked, all int, ok bool) {
 	names := x.Names()
 	if len(names) > maxAsked {
--- a/pkg/peers/progress.go
+++ b/pkg/peers/progress.go
@@ -6,8 +6,8 @@
 type Progress struct {
 	// Steps grows with each step of the loop.
 	Steps uint64
-	// Outside is set while the loop waits for a datagram or for engine pools. The pools may be busy; whoever
-	// watches them detects that they hang.
+	// Outside is set while the loop waits for a datagram or for engine pools. The pools may be busy; they
+	// are watched on their own.
 	Outside bool
 }
 
