platform: only a reset leaves open whether a runner has ended

Runners reset connections beyond their limit, so only a reset (ECONNRESET, EPIPE) is ErrClosed now. No test is changed.

--- a/pkg/ingress/call.go
+++ b/pkg/ingress/call.go
@@ -118,7 +118,7 @@
 	CachedPrompts(ctx context.Context, r *runners.State) (map[string]int, error)
 	// Alive reports whether the same incarnation of a runner still responds, with whatever status. It fails
 	// with *ErrUnidentified if a runner responds under the ID but doesn't tell which incarnation it is, with
-	// *ErrClosed if its connection ended without a response, and with *ErrSilent if nothing is known.
+	// *ErrClosed if its connection was reset without a response, and with *ErrSilent if nothing is known.
 	Alive(ctx context.Context, r *runners.State) (bool, error)
 	// Identified reports whether the next call to a runner goes to a process which Alive found to be the
 	// incarnation of the runner's entry.
--- a/pkg/ingress/errors.go
+++ b/pkg/ingress/errors.go
@@ -173,8 +173,8 @@
 // Unwrap returns the cause.
 func (e *ErrSilent) Unwrap() error { return e.Err }
 
-// ErrClosed reports that a runner accepted a connection and ended it without a response. It may have ended, or take no
-// more connections.
+// ErrClosed reports that a runner reset a connection without a response. It may have ended, or take no more
+// connections.
 type ErrClosed struct {
 	Runner string
 	Err    error
