--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -247,7 +247,7 @@
 }
 
 // CloseDelimited reports whether the body has neither a length nor chunks and ends with the connection. The
-// response to a HEAD has no body whatever its head says.
+// response to a HEAD has no body, whatever its headers.
 func (r *Response) CloseDelimited() bool {
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
 }
