httpd, ingress: heads of legal size may have any number of lines

What callers saw: a request inside the operators' maxHeaderBytes with 150, 500 or 2,300 short fields got 431 in calm, on plain and split routes, which ends its client's tries.

Cause: MaxHeadLines, 128, a bound that the operators' pages don't have. It stood for the memory of parsed lines.

Why this works: that memory is charged to the account of heads as lines arrive, at HeadLineCost each, so a legal head of 4,000 lines takes 0.6 of 6.7 MB. The charge now lasts until the handler has charged the request to its own account, not only until the last line is read. Lines that arrive in the same bytes as an earlier request, which were never charged, are charged before the handler is called; their requests get 503 if there is no memory. The body of such a request is no longer taken for a part of its head, which rejected it above 64 KiB.

--- a/pkg/httpd/bounds.go
+++ b/pkg/httpd/bounds.go
@@ -17,9 +17,6 @@
 const (
 	// MaxHead is the largest head of a request, in bytes: four times what operators usually allow.
 	MaxHead = 64 << 10
-	// MaxHeadLines is the largest number of lines in the head of a request. A short line takes many
-	// times its length once it is parsed.
-	MaxHeadLines = 128
 	// OrdinaryHead and OrdinaryLines are the size in bytes, and the number of lines, up to which a head is
 	// part of what its connection takes. Only larger ones need a reservation, so that ordinary requests
 	// don't fail because other heads are large.
@@ -34,11 +31,13 @@
 const rejectTimeout = time.Second
 
 const (
+	// noMemoryRetryAfter is the Retry-After of a request that found no memory, in seconds.
+	noMemoryRetryAfter = "0.05"
 	// tooLargeResponse is sent to a client whose head exceeds a bound.
 	tooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// noMemoryResponse is sent to a client whose head is allowed but finds no memory. Its request has not run,
 	// and another gateway may have memory.
-	noMemoryResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.05\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	noMemoryResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + noMemoryRetryAfter + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
 // Bounds limits the memory that the connections of a server take. The bodies of requests are left to
@@ -60,7 +59,7 @@
 // Server returns a server for a handler whose connections stay within the bounds, if it serves on the
 // result of Listener.
 func (b *Bounds) Server(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, MaxHeaderBytes: MaxHead, ConnState: connState}
+	return &http.Server{Handler: trackRequests(h), MaxHeaderBytes: MaxHead, ConnState: connState, ConnContext: withConn}
 }
 
 // Listener wraps the listener of a server.
@@ -117,6 +116,7 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.arriving, b.begun, b.inLine, b.size, b.lines = true, false, false, 0, 0
+		b.head.Release()
 	}
 }
 
@@ -179,10 +179,6 @@
 		b.begun, b.inLine = b.begun || !empty, false
 		p = p[end+1:]
 	}
-	if !b.arriving {
-		b.head.Release()
-		return nil
-	}
 	return b.reserve()
 }
 
@@ -194,8 +190,6 @@
 	switch {
 	case b.size > MaxHead:
 		return memory.TooLarge("head of a request", int64(b.size), MaxHead)
-	case b.lines > MaxHeadLines:
-		return memory.TooLarge("lines of a request's head", int64(b.lines), MaxHeadLines)
 	case b.size <= OrdinaryHead && b.lines <= OrdinaryLines:
 		return nil
 	}
--- a/pkg/ingress/head.go
+++ b/pkg/ingress/head.go
@@ -22,18 +22,18 @@
 func (x *exchange) admitHead(r *http.Request) error {
 	size, lines := headerSize(r.Header)
 	size, lines = size+len("Host")+len(r.Host)+lineSeparators, lines+1
-	if lines > httpd.MaxHeadLines {
-		return memory.TooLarge("lines of a request's head", int64(lines), httpd.MaxHeadLines)
-	}
 	if table := x.g.table.Load(); table != nil {
 		if limit := table.Config.Limits.HeaderBytes; limit > 0 && size > limit {
 			return memory.TooLarge("head of a request", int64(size), int64(limit))
 		}
 	}
-	if size <= httpd.OrdinaryHead && lines <= httpd.OrdinaryLines {
-		return nil
+	if size > httpd.OrdinaryHead || lines > httpd.OrdinaryLines {
+		if err := x.held.Grow(int64(headCopies*size + headMaps*lines*memory.HeadLineCost)); err != nil {
+			return err
+		}
 	}
-	return x.held.Grow(int64(headCopies*size + headMaps*lines*memory.HeadLineCost))
+	httpd.AdmitHead(r)
+	return nil
 }
 
 // lineSeparators is the number of bytes of a header line beside its name and value.
