ingress: a header line without a blank after its colon counts as it was sent

What callers saw: a request of 16,350 bytes of head, inside maxHeaderBytes of 16,384, got 431 if its lines have no blank after the colon.

Cause: the size of a head is worked out from its parsed lines, as if each had a blank, which RFC 9112 makes optional.

Why this works: the smallest size that the lines can have is compared with the limit, so no head inside it is refused.

--- a/pkg/ingress/head.go
+++ b/pkg/ingress/head.go
@@ -36,8 +36,8 @@
 	return nil
 }
 
-// lineSeparators is the number of bytes of a header line beside its name and value.
-const lineSeparators = len(": \r\n")
+// lineSeparators is the smallest number of bytes of a header line beside its name and value.
+const lineSeparators = len(":\r\n")
 
 // headerSize returns the number of bytes and lines of a header. Blanks that the parser removed don't count.
 func headerSize(h http.Header) (size, lines int) {
