httpd, unread: bound the bytes that clients send and nothing reads

Cause: nothing bounds the receive buffers of accepted connections, which the kernel grows to megabytes, and the body of a refused request was read and discarded for up to 64 MiB or 5 s on each connection.

Change: the listeners have receive buffers of 8 KiB, which keep at most 16 KiB unread; that has to be set before a connection exists, since a buffer that is lowered later makes the kernel drop data and the client wait. A client whose request is admitted with a body above 8 KiB gets 64 KiB, so that distant ones are not slowed, from an account of 5% of the memory. A refused request gets its response at once: a body that arrives within 50 ms is discarded and the connection kept, any other ends its connection, which is read for 500 ms, 32 connections at a time.

Ruled out: setting the buffer after accept, which on loopback left 0 MB/s with 4 and 8 KiB; a fixed buffer alone, which lets a body of 4 MiB over 100 ms arrive at 0.1 MB/s at best (window by round trip, not played).

TestUnreadBytesAreBounded fails without unread.Limit.

--- a/pkg/httpd/bounds.go
+++ b/pkg/httpd/bounds.go
@@ -51,9 +51,11 @@
 	// Rejected is called with *memory.ErrTooLarge or *memory.ErrFull for each connection that was
 	// closed for a bound.
 	Rejected func(remote net.Addr, err error)
-	// Failed is called with *unsent.ErrLimit once if the bytes that the kernel keeps for connections can't be
-	// bounded.
+	// Failed is called with *unsent.ErrLimit or *unread.ErrLimit once if the bytes that the kernel keeps for
+	// connections can't be bounded.
 	Failed func(err error)
+	// Windows bounds the receive buffers of connections that are larger than usual, see Admit.
+	Windows *memory.Account
 }
 
 // Server returns a server for a handler whose connections stay within the bounds, if it serves on the
@@ -62,7 +64,7 @@
 	return &http.Server{Handler: trackRequests(h), MaxHeaderBytes: MaxHead, ConnState: connState, ConnContext: withConn}
 }
 
-// Listener wraps the listener of a server.
+// Listener wraps the listener of a server. Its connections have small receive buffers if unread.Limit was called.
 func (b *Bounds) Listener(l net.Listener) net.Listener {
 	return &boundedListener{Listener: l, bounds: b}
 }
@@ -72,6 +74,8 @@
 	bounds *Bounds
 	open   atomic.Int64
 	failed sync.Once
+	// lingering is the number of connections that are read although their requests are over.
+	lingering atomic.Int32
 }
 
 // Accept implements net.Listener.
@@ -84,7 +88,7 @@
 		open := l.open.Add(1)
 		if open <= l.bounds.Connections {
 			if err := unsent.Limit(c); err != nil {
-				l.failed.Do(func() { l.bounds.Failed(err) })
+				l.reportFailure(err)
 			}
 			return &boundedConn{Conn: c, listener: l, arriving: true, head: memory.Usage{Account: l.bounds.Heads}}, nil
 		}
@@ -94,6 +98,15 @@
 	}
 }
 
+// reportFailure reports the first failure to bound what the kernel keeps.
+func (l *boundedListener) reportFailure(err error) {
+	l.failed.Do(func() {
+		if l.bounds.Failed != nil {
+			l.bounds.Failed(err)
+		}
+	})
+}
+
 // boundedConn bounds the heads of the requests that arrive on a connection.
 type boundedConn struct {
 	net.Conn
@@ -108,6 +121,11 @@
 	arriving, begun, inLine bool
 	size, lines             int
 	head                    memory.Usage
+	// arrived is set while a request is served that has arrived whole.
+	arrived bool
+	// window is the memory that is charged for a receive buffer that is larger than usual.
+	window memory.Usage
+	closed bool
 }
 
 // connState prepares a connection for the head of its next request.
@@ -116,6 +134,7 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.arriving, b.begun, b.inLine, b.size, b.lines = true, false, false, 0, 0
+		b.arrived = false
 		b.head.Release()
 	}
 }
@@ -148,15 +167,6 @@
 	return tooLargeResponse
 }
 
-// CloseWrite closes the writing side if the connection has one, as net/http does before it closes a
-// connection whose client may still be sending.
-func (b *boundedConn) CloseWrite() error {
-	if c, ok := b.Conn.(interface{ CloseWrite() error }); ok {
-		return c.CloseWrite()
-	}
-	return nil
-}
-
 // charge charges arrived bytes to the head that they belong to.
 func (b *boundedConn) charge(p []byte) error {
 	b.mu.Lock()
@@ -203,8 +213,9 @@
 		b.listener.open.Add(-1)
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.arriving = false
+		b.arriving, b.closed = false, true
 		b.head.Release()
+		b.window.Release()
 	})
 	return b.Conn.Close()
 }
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -100,6 +100,7 @@
 	if r.ContentLength > limit {
 		return &ErrBody{Limit: limit, TooLarge: true}
 	}
+	httpd.Admit(r)
 	if r.ContentLength == 0 {
 		return nil
 	}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -327,15 +327,16 @@
 	g.lastArrival.Store(x.arrived.UnixNano())
 	if open := g.open.Add(1); open > int64(g.options.MaxOpen) {
 		g.open.Add(-1)
+		httpd.RefuseBody(w, r)
 		x.refuse(&ErrBusy{What: "open requests", Size: open, Limit: int64(g.options.MaxOpen)}, shortRetryAfter)
 		return
 	}
 	defer g.open.Add(-1)
 	defer x.held.Release()
 	if err := x.accept(r); err != nil {
-		x.reject(err)
 		x.held.Release()
-		httpd.DiscardBody(w, r.Body)
+		httpd.RefuseBody(w, r)
+		x.reject(err)
 		return
 	}
 	if err := x.checkServable(); err != nil {
--- a/pkg/process/memory.go
+++ b/pkg/process/memory.go
@@ -19,6 +19,8 @@
 	// requestHeadFraction for arriving heads that are larger.
 	connectionFraction  = 0.35
 	requestHeadFraction = 0.05
+	// windowFraction is for receive buffers of connections whose clients send large bodies.
+	windowFraction = 0.05
 	// storeFraction is for the copy of the store, and as much again for a full read that replaces it.
 	// messageFraction is for one response of the store, or one copy of it from another gateway.
 	storeFraction   = 0.1
@@ -42,8 +44,9 @@
 	heads *memory.Account
 	// connections is the largest number of clients' connections.
 	connections int64
-	// requestHeads is for arriving heads of requests that are larger than usual.
-	requestHeads *memory.Account
+	// requestHeads is for arriving heads of requests that are larger than usual, windows for receive buffers that
+	// are.
+	requestHeads, windows *memory.Account
 	// storeItems is for the copy of the store, message for one response of the store or of another
 	// gateway, in bytes.
 	storeItems, message int64
@@ -58,6 +61,7 @@
 		heads:        memory.NewAccount("heads of runners' responses", share(responseHeadFraction)),
 		connections:  max(1, share(connectionFraction)/httpd.ConnectionCost),
 		requestHeads: memory.NewAccount("heads of requests", share(requestHeadFraction)),
+		windows:      memory.NewAccount("receive buffers", share(windowFraction)),
 		storeItems:   share(storeFraction), message: share(messageFraction),
 	}
 }
--- a/pkg/process/ports.go
+++ b/pkg/process/ports.go
@@ -9,6 +9,7 @@
 	"github.com/hopwell/hopwell/pkg/decisionlog"
 	"github.com/hopwell/hopwell/pkg/httpd"
 	"github.com/hopwell/hopwell/pkg/peers"
+	"github.com/hopwell/hopwell/pkg/unread"
 )
 
 // IngressPorts are the addresses that an ingress listens on.
@@ -56,13 +57,16 @@
 	if err != nil {
 		return &httpd.ErrListen{Address: to.address, Err: err}
 	}
+	if err := unread.Limit(listener); err != nil {
+		p.socketsNotBounded(err)
+	}
 	if to.bound != nil {
 		*to.bound = listener.Addr().String()
 	}
 	if to.wrap != nil {
 		listener = to.wrap(listener)
 	}
-	bounds := &httpd.Bounds{Connections: to.connections, Heads: p.memory.requestHeads, Rejected: p.connectionRejected, Failed: p.unsentNotBounded}
+	bounds := &httpd.Bounds{Connections: to.connections, Heads: p.memory.requestHeads, Windows: p.memory.windows, Rejected: p.connectionRejected, Failed: p.socketsNotBounded}
 	limits := p.settings.Load().Limits
 	server := bounds.Server(to.handler)
 	server.ReadHeaderTimeout, server.IdleTimeout, server.ErrorLog = limits.HeaderTime.D(), limits.IdleTime.D(), discardLogger()
@@ -77,9 +81,9 @@
 	p.log.Write(decisionlog.KindFailed, "connection_rejected", decisionlog.F("remote", remote), decisionlog.F("error", err))
 }
 
-// unsentNotBounded logs that the kernel may keep megabytes for a client that reads slowly.
-func (p *Ingress) unsentNotBounded(err error) {
-	p.log.Write(decisionlog.KindProcess, "unsent_not_bounded", decisionlog.F("error", err))
+// socketsNotBounded logs that the kernel may keep megabytes for a client that reads slowly or sends too much.
+func (p *Ingress) socketsNotBounded(err error) {
+	p.log.Write(decisionlog.KindProcess, "sockets_not_bounded", decisionlog.F("error", err))
 }
 
 // openPeers opens the port for the other gateways: UDP for datagrams, TCP for the copy of the
