httpd: a new connection takes the place of the most overdue one

What callers saw: beside a crowd at all gateways that sends heads or bodies byte by byte, sends nothing, or rests after a refused request, 54 to 60 of 142 to 160 ordinary requests were served: the others were closed unread at each gateway. 60 connections at the ready address, where 32 are allowed, kept all checks of the balancer out.

Cause: when all connections are taken, new ones are closed, whoever holds the others and for whatever.

Change: the connection that has kept the gateway waiting the longest is closed instead. Counted is the time since its request began or it came to rest, less what has arrived at 4 KiB/s, and less 30 s if a request on it was admitted before. Connections whose request has arrived whole and was admitted are never chosen; if there are only those, the new one is closed unread as before. A request whose body is cut off so gets 408, not run.

Why this works: an ordinary client needs milliseconds, so it is hardly ever the oldest; of a crowd of any size each has the time in which as many new ones come as there are connections. A client that makes progress is not overdue. A request of an evicted connection is not admitted, so nothing runs that its client counts as unread (TestRequestOfAnEvictedConnectionIsNotAdmitted).

TestConnectionsBeyondTheBoundAreClosedUnread had silent connections, which are now evicted; it asks the same of busy ones.

--- a/pkg/httpd/bounds.go
+++ b/pkg/httpd/bounds.go
@@ -1,9 +1,6 @@
 package httpd
 
 import (
-	"bytes"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -27,25 +24,13 @@
 	ConnectionCost = 40 << 10
 )
 
-// rejectTimeout limits the time to send a response to a client whose head is rejected.
-const rejectTimeout = time.Second
-
-const (
-	// noMemoryRetryAfter is the Retry-After of a request that found no memory, in seconds.
-	noMemoryRetryAfter = "0.05"
-	// tooLargeResponse is sent to a client whose head exceeds a bound.
-	tooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	// noMemoryResponse is sent to a client whose head is allowed but finds no memory. Its request has not run,
-	// and another gateway may have memory.
-	noMemoryResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + noMemoryRetryAfter + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
-
 // Bounds limits the memory that the connections of a server take. The bodies of requests are left to
 // the handler.
 type Bounds struct {
-	// Connections is the largest number of open connections. New ones beyond it are closed unread, so
-	// that their clients connect to another gateway.
-	Connections int64
+	// Connections is the largest number of open connections. A new one beyond it takes the place of the most
+	// overdue one, see boundedConn.overdue. If all are busy, the new one is closed unread, so that its client
+	// connects to another gateway.
+	Connections int
 	// Heads bounds the memory of arriving heads that are larger than usual; nil for no bound.
 	Heads *memory.Account
 	// Rejected is called with *memory.ErrTooLarge or *memory.ErrFull for each connection that was
@@ -66,16 +51,18 @@
 
 // Listener wraps the listener of a server. Its connections have small receive buffers if unread.Limit was called.
 func (b *Bounds) Listener(l net.Listener) net.Listener {
-	return &boundedListener{Listener: l, bounds: b}
+	return &boundedListener{Listener: l, bounds: b, open: map[*boundedConn]struct{}{}}
 }
 
 type boundedListener struct {
 	net.Listener
 	bounds *Bounds
-	open   atomic.Int64
 	failed sync.Once
 	// lingering is the number of connections that are read although their requests are over.
 	lingering atomic.Int32
+
+	mu   sync.Mutex
+	open map[*boundedConn]struct{}
 }
 
 // Accept implements net.Listener.
@@ -85,16 +72,19 @@
 		if err != nil {
 			return nil, err
 		}
-		open := l.open.Add(1)
-		if open <= l.bounds.Connections {
-			if err := unsent.Limit(c); err != nil {
-				l.reportFailure(err)
-			}
-			return &boundedConn{Conn: c, listener: l, arriving: true, head: memory.Usage{Account: l.bounds.Heads}}, nil
+		if err := unsent.Limit(c); err != nil {
+			l.reportFailure(err)
+		}
+		now := time.Now()
+		b := &boundedConn{Conn: c, listener: l, arriving: true, since: now, head: memory.Usage{Account: l.bounds.Heads}}
+		evicted, reason, admitted := l.admit(b, now)
+		if reason != nil {
+			l.bounds.Rejected(evicted.RemoteAddr(), reason)
+			evicted.end()
+		}
+		if admitted {
+			return b, nil
 		}
-		l.open.Add(-1)
-		l.bounds.Rejected(c.RemoteAddr(), memory.TooLarge("open connections", open, l.bounds.Connections))
-		_ = c.Close()
 	}
 }
 
@@ -107,115 +97,28 @@
 	})
 }
 
-// boundedConn bounds the heads of the requests that arrive on a connection.
-type boundedConn struct {
-	net.Conn
-	listener *boundedListener
-	once     sync.Once
-	rejected atomic.Bool
-
-	mu sync.Mutex
-	// arriving is set while a head arrives. size and lines are what has arrived of it, and head the
-	// memory that is charged for it. begun is set after its first line that is not empty, inLine if the
-	// current line is not empty.
-	arriving, begun, inLine bool
-	size, lines             int
-	head                    memory.Usage
-	// arrived is set while a request is served that has arrived whole.
-	arrived bool
-	// window is the memory that is charged for a receive buffer that is larger than usual.
-	window memory.Usage
-	closed bool
-}
-
-// connState prepares a connection for the head of its next request.
-func connState(c net.Conn, s http.ConnState) {
-	if b, ok := c.(*boundedConn); ok && s == http.StateIdle {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.arriving, b.begun, b.inLine, b.size, b.lines = true, false, false, 0, 0
-		b.arrived = false
-		b.head.Release()
-	}
-}
-
-// Read implements net.Conn. It ends the connection if the head of a request exceeds a bound.
-func (b *boundedConn) Read(p []byte) (int, error) {
-	if b.rejected.Load() {
-		return 0, io.EOF
+// admit adds a connection. If there are too many, it returns the one to end, and why: one that waits for a request,
+// or the new one, which is then not admitted.
+func (l *boundedListener) admit(b *boundedConn, now time.Time) (end *boundedConn, reason error, admitted bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.open) < l.bounds.Connections {
+		l.open[b] = struct{}{}
+		return nil, nil, true
 	}
-	n, err := b.Conn.Read(p)
-	if n == 0 {
-		return n, err
-	}
-	if rejected := b.charge(p[:n]); rejected != nil {
-		b.rejected.Store(true)
-		b.listener.bounds.Rejected(b.RemoteAddr(), rejected)
-		_ = b.SetWriteDeadline(time.Now().Add(rejectTimeout))
-		_, _ = io.WriteString(b.Conn, responseTo(rejected))
-		return 0, io.EOF
-	}
-	return n, err
-}
-
-// responseTo returns the response to a request whose head is rejected.
-func responseTo(rejected error) string {
-	var full *memory.ErrFull
-	if errors.As(rejected, &full) {
-		return noMemoryResponse
-	}
-	return tooLargeResponse
-}
-
-// charge charges arrived bytes to the head that they belong to.
-func (b *boundedConn) charge(p []byte) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.arriving {
-		return nil
-	}
-	for len(p) > 0 && b.arriving {
-		end := bytes.IndexByte(p, '\n')
-		if end < 0 {
-			b.size += len(p)
-			b.inLine = b.inLine || !isCR(p)
-			break
+	for victim := l.mostOverdue(now); victim != nil; victim = l.mostOverdue(now) {
+		if reason := victim.evict(now); reason != nil {
+			delete(l.open, victim)
+			l.open[b] = struct{}{}
+			return victim, reason, true
 		}
-		b.lines++
-		b.size += end + 1
-		empty := !b.inLine && (end == 0 || isCR(p[:end]))
-		// Empty lines before a request don't end its head.
-		b.arriving = !empty || !b.begun
-		b.begun, b.inLine = b.begun || !empty, false
-		p = p[end+1:]
-	}
-	return b.reserve()
-}
-
-// isCR reports whether a part of a line is only the end of a line without its line feed.
-func isCR(p []byte) bool { return len(p) == 1 && p[0] == '\r' }
-
-// reserve checks the bounds of the head that arrives. The caller holds the lock.
-func (b *boundedConn) reserve() error {
-	switch {
-	case b.size > MaxHead:
-		return memory.TooLarge("head of a request", int64(b.size), MaxHead)
-	case b.size <= OrdinaryHead && b.lines <= OrdinaryLines:
-		return nil
 	}
-	// The text is held twice while a long line grows.
-	return b.head.Resize(int64(2*b.size + b.lines*memory.HeadLineCost))
+	return b, memory.TooLarge("open connections", int64(len(l.open)+1), int64(l.bounds.Connections)), false
 }
 
-// Close implements net.Conn.
-func (b *boundedConn) Close() error {
-	b.once.Do(func() {
-		b.listener.open.Add(-1)
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.arriving, b.closed = false, true
-		b.head.Release()
-		b.window.Release()
-	})
-	return b.Conn.Close()
+// remove removes a connection.
+func (l *boundedListener) remove(b *boundedConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, b)
 }
--- a/pkg/httpd/requests.go
+++ b/pkg/httpd/requests.go
@@ -74,6 +74,9 @@
 func (b *boundedConn) beginRequest(r *http.Request) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.rejected.Load() {
+		panic(http.ErrAbortHandler) // The connection was evicted, and its client counts the request as unread.
+	}
 	b.arriving = false
 	if b.arrived = r.Body == http.NoBody; !b.arrived {
 		r.Body = &arrivingBody{ReadCloser: r.Body, conn: b}
@@ -117,6 +120,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.arrived = true
+	b.accepted = b.accepted || b.admitted
 }
 
 // AdmitHead reports that a handler has charged the head of a request to an account of its own.
@@ -129,28 +133,40 @@
 }
 
 // Admit reports that a handler admits a request if its body arrives. The connection of a large body gets a larger
-// receive buffer, as long as there is memory for it.
-func Admit(r *http.Request) {
+// receive buffer, as long as there is memory for it. It fails with *ErrEvicted if the connection was evicted: the
+// request must not run, since its client may send it again.
+func Admit(r *http.Request) error {
 	b := connOfRequest(r)
-	if b == nil || !b.reserveWindow(r) {
-		return
+	if b == nil {
+		return nil
+	}
+	larger, err := b.admit(r)
+	if err != nil || !larger {
+		return err
 	}
 	if err := unread.Raise(b.Conn, bodyBuffer); err != nil {
 		b.listener.reportFailure(err)
 	}
+	return nil
 }
 
-// reserveWindow reports whether a connection is to get a larger receive buffer, and reserves the memory for it.
-func (b *boundedConn) reserveWindow(r *http.Request) bool {
+// admit records that a request is admitted, and reports whether its connection is to get a larger receive buffer. It
+// fails with *ErrEvicted.
+func (b *boundedConn) admit(r *http.Request) (larger bool, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.evicted != nil {
+		return false, b.evicted
+	}
+	b.admitted = true
+	b.accepted = b.accepted || b.arrived
 	windows := b.listener.bounds.Windows
 	large := !b.arrived && (r.ContentLength < 0 || r.ContentLength > unread.Buffer)
 	if !large || windows == nil || b.closed || b.window.Size() > 0 {
-		return false
+		return false, nil
 	}
 	b.window.Account = windows
-	return b.window.Grow(unread.Size(bodyBuffer)) == nil
+	return b.window.Grow(unread.Size(bodyBuffer)) == nil, nil
 }
 
 // RefuseBody prepares the response to a request whose body the handler does not read. A short body that arrives soon
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -100,7 +100,9 @@
 	if r.ContentLength > limit {
 		return &ErrBody{Limit: limit, TooLarge: true}
 	}
-	httpd.Admit(r)
+	if err := httpd.Admit(r); err != nil {
+		return err
+	}
 	if r.ContentLength == 0 {
 		return nil
 	}
--- a/pkg/process/memory.go
+++ b/pkg/process/memory.go
@@ -43,7 +43,7 @@
 	// heads is for heads of runners' responses that are larger than usual.
 	heads *memory.Account
 	// connections is the largest number of clients' connections.
-	connections int64
+	connections int
 	// requestHeads is for arriving heads of requests that are larger than usual, windows for receive buffers that
 	// are.
 	requestHeads, windows *memory.Account
@@ -59,7 +59,7 @@
 	return memoryPlan{
 		runtimeLimit: share(memoryLimitFraction), held: memory.NewAccount("requests and responses", share(heldMemoryFraction)),
 		heads:        memory.NewAccount("heads of runners' responses", share(responseHeadFraction)),
-		connections:  max(1, share(connectionFraction)/httpd.ConnectionCost),
+		connections:  max(1, int(share(connectionFraction)/httpd.ConnectionCost)),
 		requestHeads: memory.NewAccount("heads of requests", share(requestHeadFraction)),
 		windows:      memory.NewAccount("receive buffers", share(windowFraction)),
 		storeItems:   share(storeFraction), message: share(messageFraction),
--- a/pkg/process/ports.go
+++ b/pkg/process/ports.go
@@ -46,7 +46,7 @@
 	bound *string
 	wrap  func(net.Listener) net.Listener
 	// connections is the largest number of open connections.
-	connections int64
+	connections int
 }
 
 var connectionsRejected = metrics.GetOrCreateCounter("hopwell_ingress_connections_rejected_total")
--- a/pkg/process/state.go
+++ b/pkg/process/state.go
@@ -93,6 +93,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if err := httpd.Admit(r); err != nil {
+		p.log.Write(decisionlog.KindProcess, "state_not_sent", decisionlog.F("error", err))
+		return
+	}
 	s, _ := p.feed.storeCopy.export(time.Now())
 	if s.At.Era() > 0 && !r.URL.Query().Has(paramEras) {
 		w.WriteHeader(http.StatusServiceUnavailable)
