httpd: connections that always have data give way to others

What callers saw: beside 200 clients that send bodies in chunks of one byte, 23 of 31 ordinary requests in time, beside 200 that send many requests ahead, 20 of 28; three readiness checks in a row were missed.

Cause: a goroutine whose client has always sent more never blocks, so it keeps its processor for a whole time slice of 10 ms. On an instance with one processor, 200 of them let each other goroutine wait for up to 2 s, and an ordinary request waits several times. What each of them does is little: a chunk of one byte costs the gateway no more than its six bytes cost the client's link.

Change: such a goroutine yields after each read of a body and after each request.

--- a/pkg/httpd/conn.go
+++ b/pkg/httpd/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,8 @@
 func connState(c net.Conn, s http.ConnState) {
 	if b, ok := c.(*boundedConn); ok && s == http.StateIdle {
 		b.awaitRequest()
+		// Requests that a client sent ahead must not keep others from the processor for a whole time slice.
+		runtime.Gosched()
 	}
 }
 
@@ -81,7 +84,12 @@
 	if n == 0 {
 		return n, err
 	}
-	if rejected := b.charge(p[:n]); rejected != nil {
+	rejected, body := b.charge(p[:n])
+	if body {
+		// A client that sends without a pause must not keep others from the processor for a whole time slice.
+		runtime.Gosched()
+	}
+	if rejected != nil {
 		b.rejected.Store(true)
 		b.listener.bounds.Rejected(b.RemoteAddr(), rejected)
 		_ = b.SetWriteDeadline(time.Now().Add(rejectTimeout))
@@ -100,8 +108,8 @@
 	return tooLargeResponse
 }
 
-// charge charges arrived bytes to the head that they belong to.
-func (b *boundedConn) charge(p []byte) error {
+// charge charges arrived bytes to the head that they belong to. It reports whether they belong to a body.
+func (b *boundedConn) charge(p []byte) (err error, body bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.arriving && b.resting {
@@ -109,7 +117,7 @@
 	}
 	b.received += int64(len(p))
 	if !b.arriving {
-		return nil
+		return nil, true
 	}
 	for len(p) > 0 && b.arriving {
 		end := bytes.IndexByte(p, '\n')
@@ -126,7 +134,7 @@
 		b.begun, b.inLine = b.begun || !empty, false
 		p = p[end+1:]
 	}
-	return b.reserve()
+	return b.reserve(), false
 }
 
 // isCR reports whether a part of a line is only the end of a line without its line feed.
