httpd, process: the operators' times for heads and rests are in force

What callers would have seen: where the operators allow heads to take longer than 10 s (headerTimeoutMs) or connections to rest longer than 60 s (idleTimeoutMs), clients inside these limits lost their connections; where they allow less, slow clients kept theirs for longer.

Cause: the limits of the configuration were read and never used; those of the settings file held.

Change: the connections limit their own times and read the limits in force before each read. The operators' ones get a second more, since clients count from when they begin to send. The settings hold until a configuration is known, and at the other ports.

Found by reading; not seen at an operator's.

--- a/pkg/httpd/bounds.go
+++ b/pkg/httpd/bounds.go
@@ -39,6 +39,9 @@
 	// Failed is called with *unsent.ErrLimit or *unread.ErrLimit once if the bytes that the kernel keeps for
 	// connections can't be bounded.
 	Failed func(err error)
+	// Times returns how long a client may take to send the head of a request, and how long a connection may rest
+	// between two requests. It is nil if the server's own limits apply.
+	Times func() (head, idle time.Duration)
 	// Windows bounds the receive buffers of connections that are larger than usual, see Admit.
 	Windows *memory.Account
 }
--- a/pkg/httpd/conn.go
+++ b/pkg/httpd/conn.go
@@ -82,6 +82,7 @@
 	if b.rejected.Load() {
 		return 0, io.EOF
 	}
+	b.limitTime()
 	n, err := b.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -101,6 +102,25 @@
 	return n, err
 }
 
+// limitTime sets the time by which the next bytes of a head have to arrive.
+func (b *boundedConn) limitTime() {
+	times := b.listener.bounds.Times
+	if times == nil {
+		return
+	}
+	b.mu.Lock()
+	arriving, resting, since := b.arriving, b.resting, b.since
+	b.mu.Unlock()
+	if !arriving {
+		return
+	}
+	limit, idle := times()
+	if resting {
+		limit = idle
+	}
+	_ = b.Conn.SetReadDeadline(since.Add(limit))
+}
+
 // responseTo returns the response to a request whose head is rejected.
 func responseTo(rejected error) string {
 	var full *memory.ErrFull
--- a/pkg/httpd/requests.go
+++ b/pkg/httpd/requests.go
@@ -79,6 +79,9 @@
 	}
 	b.arriving = false
 	b.ahead = b.ahead || b.size == 0
+	if b.listener.bounds.Times != nil {
+		_ = b.Conn.SetReadDeadline(time.Time{})
+	}
 	if b.arrived = r.Body == http.NoBody; !b.arrived {
 		r.Body = &arrivingBody{ReadCloser: r.Body, conn: b}
 	}
--- a/pkg/process/ports.go
+++ b/pkg/process/ports.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -27,7 +28,7 @@
 	health := http.HandlerFunc(p.serveHealth)
 	internal := p.internalHandler()
 	for _, port := range []port{
-		{address: l.Callers, handler: p.Ingress, bound: &p.ports.Callers, wrap: p.shedding, connections: p.memory.connections},
+		{address: l.Callers, handler: p.Ingress, bound: &p.ports.Callers, wrap: p.shedding, times: p.clientTimes, connections: p.memory.connections},
 		{address: l.Health, handler: health, bound: &p.ports.Health, connections: internalConnections},
 		{address: l.Metrics, handler: internal, bound: &p.ports.Metrics, connections: internalConnections},
 	} {
@@ -45,10 +46,37 @@
 	// bound receives the address that is listened on, and wrap wraps the listener, unless they are nil.
 	bound *string
 	wrap  func(net.Listener) net.Listener
+	// times returns how long a head may take and a connection may rest; nil for those of the settings.
+	times func() (head, idle time.Duration)
 	// connections is the largest number of open connections.
 	connections int
 }
 
+// ownTimes returns the times of the settings: how long a head may take and a connection may rest.
+func (p *Ingress) ownTimes() (head, idle time.Duration) {
+	limits := p.settings.Load().Limits
+	return limits.HeaderTime.D(), limits.IdleTime.D()
+}
+
+// clientTimeMargin is added to the operators' limits, which clients count from when they begin to send.
+const clientTimeMargin = time.Second
+
+// clientTimes returns the operators' times for clients, or those of the settings before they are known.
+func (p *Ingress) clientTimes() (head, idle time.Duration) {
+	head, idle = p.ownTimes()
+	table := p.Ingress.Table()
+	if table == nil {
+		return head, idle
+	}
+	if limit := table.Config.Limits.HeaderTime; limit > 0 {
+		head = limit + clientTimeMargin
+	}
+	if limit := table.Config.Limits.IdleTime; limit > 0 {
+		idle = limit + clientTimeMargin
+	}
+	return head, idle
+}
+
 var connectionsRejected = metrics.GetOrCreateCounter("hopwell_ingress_connections_rejected_total")
 
 // serve starts an HTTP server on a port.
@@ -67,9 +95,12 @@
 		listener = to.wrap(listener)
 	}
 	bounds := &httpd.Bounds{Connections: to.connections, Heads: p.memory.requestHeads, Windows: p.memory.windows, Rejected: p.connectionRejected, Failed: p.socketsNotBounded}
-	limits := p.settings.Load().Limits
+	bounds.Times = to.times
+	if bounds.Times == nil {
+		bounds.Times = p.ownTimes
+	}
 	server := bounds.Server(to.handler)
-	server.ReadHeaderTimeout, server.IdleTimeout, server.ErrorLog = limits.HeaderTime.D(), limits.IdleTime.D(), discardLogger()
+	server.ErrorLog = discardLogger()
 	p.servers = append(p.servers, server)
 	p.done.Go(func() { _ = server.Serve(bounds.Listener(listener)) })
 	return nil
