--- a/pkg/httpd/conn.go
+++ b/pkg/httpd/conn.go
@@ -27,7 +27,7 @@
 	noMemoryResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + noMemoryRetryAfter + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
-// boundedConn bounds the heads of the requests that arrive on a connection.
+// boundedConn bounds the heads of the requests that arrive on a connection, and records how far the current one is.
 type boundedConn struct {
 	net.Conn
 	listener *boundedListener
@@ -87,7 +87,7 @@
 	if n == 0 {
 		return n, err
 	}
-	rejected, body := b.charge(p[:n])
+	body, rejected := b.charge(p[:n])
 	if body {
 		// A client that sends without a pause must not keep others from the processor for a whole time slice.
 		runtime.Gosched()
@@ -114,11 +114,12 @@
 	if !arriving {
 		return
 	}
-	limit, idle := times()
+	head, idle := times()
 	if resting {
-		limit = idle
+		_ = b.Conn.SetReadDeadline(since.Add(idle))
+		return
 	}
-	_ = b.Conn.SetReadDeadline(since.Add(limit))
+	_ = b.Conn.SetReadDeadline(since.Add(head))
 }
 
 // responseTo returns the response to a request whose head is rejected.
@@ -131,7 +132,7 @@
 }
 
 // charge charges arrived bytes to the head that they belong to. It reports whether they belong to a body.
-func (b *boundedConn) charge(p []byte) (err error, body bool) {
+func (b *boundedConn) charge(p []byte) (body bool, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.arriving && b.resting {
@@ -139,7 +140,7 @@
 	}
 	b.received += int64(len(p))
 	if !b.arriving {
-		return nil, true
+		return true, nil
 	}
 	for len(p) > 0 && b.arriving {
 		end := bytes.IndexByte(p, '\n')
@@ -156,7 +157,7 @@
 		b.begun, b.inLine = b.begun || !empty, false
 		p = p[end+1:]
 	}
-	return b.reserve(), false
+	return false, b.reserve()
 }
 
 // isCR reports whether a part of a line is only the end of a line without its line feed.
--- a/pkg/httpd/requests.go
+++ b/pkg/httpd/requests.go
@@ -49,23 +49,23 @@
 // trackRequests wraps a handler and records on the connections which requests have arrived whole.
 func trackRequests(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body := r.Body
-		if b := connOfRequest(r); b != nil {
-			if err := b.beginRequest(r); err != nil {
-				b.listener.bounds.Rejected(b.RemoteAddr(), err)
-				w.Header().Set("Connection", "close")
-				w.Header().Set("Retry-After", noMemoryRetryAfter)
-				w.WriteHeader(http.StatusServiceUnavailable)
-				return
-			}
+		b, body := connOfRequest(r), r.Body
+		if b == nil {
+			h.ServeHTTP(w, r)
+			return
+		}
+		if err := b.beginRequest(r); err != nil {
+			b.listener.bounds.Rejected(b.RemoteAddr(), err)
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", noMemoryRetryAfter)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		} else {
+			h.ServeHTTP(w, r)
 		}
-		h.ServeHTTP(w, r)
 		// net/http detects by its own body that a part of it was not read. While it waits for that part, nothing
 		// needs the header.
 		r.Body, r.Header = body, nil
-		if b := connOfRequest(r); b != nil {
-			b.limitRest()
-		}
+		b.limitRest()
 	})
 }
 
