upstream: a reset that only the upload meets is not the end of a response

Clients got a part of a response as complete: the runner answers a long upload with a 200 that has neither a length nor chunks, sends a part of the body and resets the connection while the gateway still writes the request.

Cause: the request's body is written in one goroutine while another reads the response. The kernel reports a reset once, to the first call that meets it. If that is the write, the read returns io.EOF, as after an orderly end. confirmComplete then asks the runner, which is there, and the part counts as complete.

Change: connections to runners are duplex.Conn. At the end of the peer's data it interrupts the write in progress, waits for its result, and fails if a write met the failure of the connection. EPIPE is no failure: the kernel reports it for a reset that follows the end of the data. So a whole response whose runner closes the connection in order and is gone when the upload arrives is still passed on.

--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/hopwell/hopwell/pkg/boottime"
+	"github.com/hopwell/hopwell/pkg/duplex"
 	"github.com/hopwell/hopwell/pkg/memory"
 	"github.com/hopwell/hopwell/pkg/unsent"
 )
@@ -73,7 +74,8 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	return &conn{Conn: raw, address: address, peer: &Peer{}, reader: bufio.NewReaderSize(raw, readBuffer), buffer: memory.Usage{Account: c.options.Heads}, head: memory.Usage{Account: c.options.Heads}, uses: 1, announced: -1}, nil
+	both := duplex.New(raw)
+	return &conn{Conn: both, address: address, peer: &Peer{}, reader: bufio.NewReaderSize(both, readBuffer), buffer: memory.Usage{Account: c.options.Heads}, head: memory.Usage{Account: c.options.Heads}, uses: 1, announced: -1}, nil
 }
 
 // openTime is how long Reachable watches a new connection. An instance that is ending may accept one and
--- a/pkg/upstream/sockets.go
+++ b/pkg/upstream/sockets.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/hopwell/hopwell/pkg/duplex"
 )
 
 const (
@@ -23,6 +25,14 @@
 	keepAliveInterval = time.Second
 )
 
+// socket returns the connection below a *duplex.Conn, and other connections as they are.
+func socket(c net.Conn) net.Conn {
+	if d, ok := c.(*duplex.Conn); ok {
+		return d.NetConn()
+	}
+	return c
+}
+
 // setTimeouts makes the kernel close a connection that has gone silent.
 func setTimeouts(c net.Conn) error {
 	tcp, ok := c.(*net.TCPConn)
@@ -45,7 +55,7 @@
 // setKeepAlive switches keep-alive probes on or off. Connections in use are probed. Idle ones
 // are not: a silent one is detected when it is used.
 func setKeepAlive(c net.Conn, enabled bool) {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := socket(c).(*net.TCPConn); ok {
 		_ = tcp.SetKeepAlive(enabled)
 	}
 }
@@ -53,7 +63,7 @@
 // sinceData returns the time since data last arrived on a connection. The kernel counts it, also while this
 // process stands still; it is 0 for connections that are not TCP.
 func sinceData(c net.Conn) (time.Duration, error) {
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := socket(c).(*net.TCPConn)
 	if !ok {
 		return 0, nil
 	}
@@ -73,7 +83,7 @@
 // stillOpen reports whether an idle connection is open and has no unread data: a peek finds
 // neither data nor the end of the stream.
 func stillOpen(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
+	s, ok := socket(c).(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -219,7 +219,7 @@
 	})
 	c := newClient()
 	option := func(k *conn, level, name int) int {
-		raw, err := k.Conn.(*net.TCPConn).SyscallConn()
+		raw, err := socket(k.Conn).(*net.TCPConn).SyscallConn()
 		g.Expect(err).NotTo(HaveOccurred())
 		value := 0
 		g.Expect(raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), level, name) })).To(Succeed())
