upstream: a status outside 100 to 599 makes a response unusable

Clients got a response although a runner in trouble had sent the status 000 (001, 099), followed by a whole 200: that 200. Statuses 600 and 999 were passed on as they were.

Cause: net/http takes any three digits for a status, and the loop over interim responses takes any status below 200 for one. So 000 was skipped like a 103.

Change: the status line is checked before the head is parsed. A response with another status is malformed, as one without digits, and the client gets 502: RFC 9110, section 15, has an invalid status treated as a 5xx.

--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -67,7 +67,10 @@
 		buffered, _ := k.reader.Peek(k.reader.Buffered())
 		if searched == 0 {
 			if size, lines := wholeHead(buffered); size > 0 && lines <= MaxHeadLines {
-				return k.chargeHead(size, lines) // What reads the head checks its lines.
+				if err := checkLines(buffered[:size]); err != nil {
+					return err
+				}
+				return k.chargeHead(size, lines)
 			}
 		}
 		for {
@@ -84,8 +87,8 @@
 			if len(line) == 0 && lines > 1 {
 				return k.chargeHead(lineStart, lines)
 			}
-			if !wellFormed(line, lines) {
-				return &ErrHeadLine{Number: lines, Start: string(line[:min(len(line), maxReportedLine)])}
+			if err := checkLine(line, lines); err != nil {
+				return err
 			}
 		}
 		searched = len(buffered)
@@ -114,21 +117,50 @@
 	}
 }
 
-// wellFormed reports whether a line may be the status line, if its number is 1, or else a header line
-// or the continuation of one.
-func wellFormed(line []byte, number int) bool {
-	if number > 1 {
-		return line[0] == ' ' || line[0] == '\t' || bytes.IndexByte(line, ':') > 0
+// checkLines fails with *ErrHeadLine at the first malformed line of a whole head.
+func checkLines(head []byte) error {
+	for number := 1; ; number++ {
+		line, rest, _ := bytes.Cut(head, []byte("\n"))
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) == 0 && number > 1 {
+			return nil
+		}
+		if err := checkLine(line, number); err != nil {
+			return err
+		}
+		head = rest
+	}
+}
+
+// checkLine fails with *ErrHeadLine if a line can't be the status line, if its number is 1, or else a header line or
+// the continuation of one.
+func checkLine(line []byte, number int) error {
+	ok := false
+	if number == 1 {
+		ok = isStatusLine(line)
+	} else {
+		ok = line[0] == ' ' || line[0] == '\t' || bytes.IndexByte(line, ':') > 0
+	}
+	if ok {
+		return nil
 	}
+	return &ErrHeadLine{Number: number, Start: string(line[:min(len(line), maxReportedLine)])}
+}
+
+// isStatusLine reports whether a line has an HTTP version and a status from 100 to 599. Package net/http accepts any
+// three digits.
+func isStatusLine(line []byte) bool {
 	proto, status, _ := bytes.Cut(line, []byte(" "))
 	_, _, ok := http.ParseHTTPVersion(string(proto))
 	code, _, _ := bytes.Cut(bytes.TrimLeft(status, " "), []byte(" "))
-	return ok && len(code) == statusDigits
+	return ok && len(code) == statusDigits && '1' <= code[0] && code[0] <= '5' && isDigit(code[1]) && isDigit(code[2])
 }
 
 // statusDigits is the number of digits of a status code.
 const statusDigits = 3
 
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
 // bufferMore waits for data beyond the n bytes that are buffered. It enlarges a full buffer.
 func (k *conn) bufferMore(n int) error {
 	if n >= MaxHead {
