--- a/pkg/duplex/duplex.go
+++ b/pkg/duplex/duplex.go
@@ -85,15 +85,22 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
+	if err != nil {
+		err = c.recordFailure(err)
+	}
+	return n, err
+}
+
+// recordFailure records the failure that a write has met, and returns the error of that write.
+func (c *Conn) recordFailure(err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case isFailure(err):
+	if isFailure(err) {
 		c.failure = cmp.Or(c.failure, err)
-	case c.ended && errors.Is(err, os.ErrDeadlineExceeded):
-		err = &ErrEnded{}
+	} else if c.ended && errors.Is(err, os.ErrDeadlineExceeded) {
+		return &ErrEnded{}
 	}
-	return n, err
+	return err
 }
 
 // isFailure reports whether the error of a write shows that the connection failed. EPIPE does not: the peer has ended
