upstream: a malformed line makes a response unusable

Clients got a response although a line of its head had no valid field name: without that line ("X Bad: 1", "X-Bad : 1"), with a signature to which " : 1" had been appended, or with a body that did not end where "Content-Length : 3" or "Transfer-Encoding : chunked" says.

Cause: net/http drops lines whose names hold blanks, and joins a line that begins with a blank to the one before it. The gateway checked lines only of heads that arrive in parts, and took each line with a blank at its start for a continuation.

Change: each line must begin with a token and a colon (RFC 9112, section 5.1). Continued lines are refused, which RFC 9112, section 5.2, allows a gateway: it can't tell them from a name that begins with a blank. One loop buffers the head and checks its lines, also if it is whole at once; the second loop for that case is gone.

--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -58,90 +58,52 @@
 	return errors.As(err, &line) || errors.As(err, &head) || errors.As(err, &large) || errors.As(err, &full) || errors.As(err, &surplus)
 }
 
-// awaitHead waits until the whole head of a response is in the read buffer. It fails with
-// *memory.ErrTooLarge or *memory.ErrFull before the head exceeds its bounds, and with *ErrHeadLine at
-// the first line that can't be part of a head, since no end of the head may follow.
+// awaitHead waits until the whole head of a response is in the read buffer, and reserves the memory that it takes once
+// it is parsed. It fails as bufferHead.
 func (k *conn) awaitHead() error {
-	lineStart, searched, lines := 0, 0, 0
+	size, lines, err := k.bufferHead()
+	if err != nil {
+		return err
+	}
+	return k.chargeHead(size, lines)
+}
+
+// bufferHead waits until the whole head of a response is in the read buffer, and returns its size and the number of its
+// lines. It fails with *memory.ErrTooLarge or *memory.ErrFull before the head exceeds its bounds, and with *ErrHeadLine
+// at the first malformed line, since no end of the head may follow.
+func (k *conn) bufferHead() (size, lines int, err error) {
+	searched := 0
 	for {
 		buffered, _ := k.reader.Peek(k.reader.Buffered())
-		if searched == 0 {
-			if size, lines := wholeHead(buffered); size > 0 && lines <= MaxHeadLines {
-				if err := checkLines(buffered[:size]); err != nil {
-					return err
-				}
-				return k.chargeHead(size, lines)
-			}
-		}
 		for {
 			end := bytes.IndexByte(buffered[searched:], '\n')
 			if end < 0 {
 				break
 			}
-			line := bytes.TrimSuffix(buffered[lineStart:searched+end], []byte("\r"))
+			line := bytes.TrimSuffix(buffered[size:searched+end], []byte("\r"))
 			searched += end + 1
-			lineStart = searched
+			size = searched
 			if lines++; lines > MaxHeadLines {
-				return memory.TooLarge("lines of a response's head", int64(lines), MaxHeadLines)
+				return size, lines, memory.TooLarge("lines of a response's head", int64(lines), MaxHeadLines)
 			}
 			if len(line) == 0 && lines > 1 {
-				return k.chargeHead(lineStart, lines)
+				return size, lines, nil
 			}
 			if err := checkLine(line, lines); err != nil {
-				return err
+				return size, lines, err
 			}
 		}
 		searched = len(buffered)
 		if err := k.bufferMore(len(buffered)); err != nil {
-			return err
+			return size, lines, err
 		}
 	}
 }
 
-// wholeHead returns the size of the head at the start of a buffer and the number of its lines, or 0 if its end
-// is not there.
-func wholeHead(buffered []byte) (size, lines int) {
-	for {
-		end := bytes.IndexByte(buffered[size:], '\n')
-		if end < 0 {
-			return 0, 0
-		}
-		size += end + 1
-		lines++
-		switch rest := buffered[size:]; {
-		case len(rest) > 0 && rest[0] == '\n':
-			return size + 1, lines + 1
-		case len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n':
-			return size + 2, lines + 1
-		}
-	}
-}
-
-// checkLines fails with *ErrHeadLine at the first malformed line of a whole head.
-func checkLines(head []byte) error {
-	for number := 1; ; number++ {
-		line, rest, _ := bytes.Cut(head, []byte("\n"))
-		line = bytes.TrimSuffix(line, []byte("\r"))
-		if len(line) == 0 && number > 1 {
-			return nil
-		}
-		if err := checkLine(line, number); err != nil {
-			return err
-		}
-		head = rest
-	}
-}
-
-// checkLine fails with *ErrHeadLine if a line can't be the status line, if its number is 1, or else a header line or
-// the continuation of one.
+// checkLine fails with *ErrHeadLine if a line can't be the status line, if its number is 1, or else a header line. A
+// line that continues another is malformed: a blank may be what is left of a name.
 func checkLine(line []byte, number int) error {
-	ok := false
-	if number == 1 {
-		ok = isStatusLine(line)
-	} else {
-		ok = line[0] == ' ' || line[0] == '\t' || bytes.IndexByte(line, ':') > 0
-	}
-	if ok {
+	if number == 1 && isStatusLine(line) || number > 1 && hasFieldName(line) {
 		return nil
 	}
 	return &ErrHeadLine{Number: number, Start: string(line[:min(len(line), maxReportedLine)])}
@@ -161,6 +123,28 @@
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
+// hasFieldName reports whether a line begins with the name of a header and a colon. Package net/http drops lines whose
+// names hold blanks, also those that say how long the body is.
+func hasFieldName(line []byte) bool {
+	for i, c := range line {
+		if !isToken[c] {
+			return c == ':' && i > 0
+		}
+	}
+	return false
+}
+
+// isToken holds the characters of header names: tchar in RFC 9110, section 5.6.2.
+var isToken = func() (set [256]bool) {
+	for c := range set {
+		set[c] = 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+	}
+	for _, c := range []byte("!#$%&'*+-.^_`|~") {
+		set[c] = true
+	}
+	return set
+}()
+
 // bufferMore waits for data beyond the n bytes that are buffered. It enlarges a full buffer.
 func (k *conn) bufferMore(n int) error {
 	if n >= MaxHead {
