--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/hopwell/hopwell/pkg/memory"
 )
 
@@ -127,24 +129,13 @@
 // names hold blanks, also those that say how long the body is.
 func hasFieldName(line []byte) bool {
 	for i, c := range line {
-		if !isToken[c] {
+		if !httpguts.IsTokenRune(rune(c)) {
 			return c == ':' && i > 0
 		}
 	}
 	return false
 }
 
-// isToken holds the characters of header names: tchar in RFC 9110, section 5.6.2.
-var isToken = func() (set [256]bool) {
-	for c := range set {
-		set[c] = 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
-	}
-	for _, c := range []byte("!#$%&'*+-.^_`|~") {
-		set[c] = true
-	}
-	return set
-}()
-
 // bufferMore waits for data beyond the n bytes that are buffered. It enlarges a full buffer.
 func (k *conn) bufferMore(n int) error {
 	if n >= MaxHead {
