engine: plain services are called through package upstream

Callers of a service behind a sidecar got a part of its response as complete (a reset beside an upload, no length), a response with the status 000 or 999, and responses with malformed lines in their heads. A response with a gzip encoding that the caller had not asked for was decoded or failed.

Cause: the same three as at the ingress, since the client used net/http's transport: it reads and writes in two goroutines, accepts any three digits and drops lines with malformed names. It also asks for gzip of its own accord.

Change: ServiceClient sends through upstream.Client, which has the fixes and never sends a call twice, in place of a transport without keep-alives. Headers that would be read as several lines are still refused. A failed TLS handshake counts as not sent, since no byte of the request was. The proxy of the environment is not used any longer: the service runs on the sidecar's instance.

--- a/pkg/engine/http.go
+++ b/pkg/engine/http.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 
 	"github.com/hopwell/hopwell/pkg/memory"
 )
@@ -238,60 +237,3 @@
 func (c *Client) Assign(ctx context.Context, f Fence, a Assignment) error {
 	return c.postJSON(ctx, PathAssign, AssignOrder{f, a}, nil)
 }
-
-// ServiceClient calls a plain service.
-type ServiceClient struct {
-	base *url.URL
-	http *http.Client
-}
-
-// NewServiceClient returns a client for the service at a base URL.
-func NewServiceClient(base string) (*ServiceClient, error) {
-	u, err := url.Parse(base)
-	if err != nil {
-		return nil, &ErrUnreachable{Address: base, Err: err}
-	}
-	return &ServiceClient{base: u, http: &http.Client{Transport: serviceTransport(), CheckRedirect: func(*http.Request, []*http.Request) error {
-		return http.ErrUseLastResponse
-	}}}, nil
-}
-
-// serviceTransport returns a transport that never sends a call twice. It disables
-// keep-alives, because net/http retries a request if a reused connection fails.
-func serviceTransport() *http.Transport {
-	t := transport()
-	t.DisableKeepAlives = true
-	return t
-}
-
-// Call implements Service.
-func (s *ServiceClient) Call(ctx context.Context, r *http.Request) (*http.Response, error) {
-	out := r.Clone(ctx)
-	out.URL.Scheme, out.URL.Host = s.base.Scheme, s.base.Host
-	out.RequestURI, out.Host = "", ""
-	resp, err := s.http.Do(out)
-	if err != nil {
-		return nil, &ErrUnreachable{Address: s.base.Host, Sent: !neverConnected(err), Err: err}
-	}
-	if resp.StatusCode < http.StatusMultipleChoices && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
-		resp.Body = &nonEmptyBody{ReadCloser: resp.Body}
-	}
-	return resp, nil
-}
-
-// nonEmptyBody is the body of a success that ends with its connection. It fails with io.ErrUnexpectedEOF if it ends
-// before its first byte: a service that has nothing to send states a length of 0.
-type nonEmptyBody struct {
-	io.ReadCloser
-	begun bool
-}
-
-// Read implements io.Reader.
-func (b *nonEmptyBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.begun = b.begun || n > 0
-	if !b.begun && errors.Is(err, io.EOF) {
-		err = io.ErrUnexpectedEOF
-	}
-	return n, err
-}
