ingress: a stop refuses requests that it can't finish

Callers got 504 for requests that had run: in a planned stop that streams prolong, plain requests were taken until a second before the end, passed on, and failed with a timeout when the process ended. Among them are requests that may not be repeated.

Cause: the reserve before the end is a second, whatever the requests of a route take. It was applied when the head arrived, not when the body was there or when the request had waited for a place.

Change: the gateway remembers for each route the longest that a runner took for a whole response, for 30 to 60 s. A request is refused if the end is nearer than one and a half times that, or than its own time limit if that is shorter or nothing is known. It is checked again before the request is sent, unless it is a repeatable one that may have run already. A refusal says that the request has not run, so that its client goes to another gateway. Routes that take up to two thirds of a second are treated as before.

--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -89,7 +89,7 @@
 		return err
 	}
 	x.service = x.pickService()
-	if x.g.drain.refuses(x.arrived, x.route.Kind == routetable.Stream) {
+	if x.g.drain.refuses(x.arrived, x.route.Kind == routetable.Stream, x.drainNeed(x.arrived)) {
 		return &ErrNotReady{Why: "stopping"}
 	}
 	if err := x.readBody(r, table.Config.Limits.BodyBytes); err != nil {
@@ -153,13 +153,18 @@
 	return nil
 }
 
+// allowedTime returns the client's time limit or that of the route, whichever is shorter, and whose it is; 0 for none.
+func (x *exchange) allowedTime() (limit time.Duration, setBy string) {
+	if x.call.Timeout > 0 && (x.route.Timeout <= 0 || x.call.Timeout < x.route.Timeout) {
+		return x.call.Timeout, "client"
+	}
+	return x.route.Timeout, "route"
+}
+
 // withDeadline returns a context that ends at the client's time limit, the route's or that of the
 // drain, whichever is first.
 func (x *exchange) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
-	limit, setBy := x.route.Timeout, "route"
-	if x.call.Timeout > 0 && (limit <= 0 || x.call.Timeout < limit) {
-		limit, setBy = x.call.Timeout, "client"
-	}
+	limit, setBy := x.allowedTime()
 	if left := x.g.drain.bound(x.arrived, limit); left != limit {
 		limit, setBy = left, "drain"
 	}
--- a/pkg/ingress/forward.go
+++ b/pkg/ingress/forward.go
@@ -191,7 +191,9 @@
 	}
 	v, err := forward(life, n, response, runner)
 	if err == nil && response.Status < http.StatusInternalServerError {
-		runner.Completed(time.Since(began))
+		now := time.Now()
+		runner.Completed(now.Sub(began))
+		x.g.durations.observe(x.route.Name, now.Sub(began), now)
 	}
 	return v, err
 }
--- a/pkg/ingress/identity.go
+++ b/pkg/ingress/identity.go
@@ -69,12 +69,15 @@
 }
 
 // reconfirm checks again, right before a request is sent to a runner, that it may run. While it
-// waited, its key may have been revoked, the process may have been suspended, or requests with the
-// same content may have crashed their runners.
+// waited, its key may have been revoked, the process may have been suspended or be about to end, or
+// requests with the same content may have crashed their runners.
 func (x *exchange) reconfirm() error {
 	if err := x.checkQuarantine(); err != nil {
 		return err
 	}
+	if err := x.checkDrain(); err != nil {
+		return err
+	}
 	if x.workspace == nil {
 		return nil
 	}
@@ -110,6 +113,7 @@
 func notAllowed(err error) bool {
 	var credential *workspace.ErrCredential
 	var unconfirmed *ErrUnconfirmed
+	var notReady *ErrNotReady
 	_, quarantined := quarantineLeft(err)
-	return quarantined || errors.As(err, &credential) || errors.As(err, &unconfirmed)
+	return quarantined || errors.As(err, &notReady) || errors.As(err, &credential) || errors.As(err, &unconfirmed)
 }
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -70,8 +70,10 @@
 	table     atomic.Pointer[routetable.Table]
 	metrics   *meters
 	// plain holds the load of the plain runners.
-	plain        *plainload.Table
-	drain        drain
+	plain *plainload.Table
+	drain drain
+	// durations holds how long the requests of routes lately took at plain runners.
+	durations    routeDurations
 	promptCaches *promptCaches
 	// origins holds the software versions at which streams began, versions those that serve.
 	origins   *resume.Table
