ingress: at a stop, a repeatable request of a route without recent ones is taken as before

Only requests that must not be repeated are refused now, where a timeout would leave the client in doubt.

--- a/pkg/ingress/drain.go
+++ b/pkg/ingress/drain.go
@@ -56,13 +56,16 @@
 }
 
 // drainNeed returns the time that a request other than a stream may still take: drainSlack times that
-// of the longest recent one of its route, but no longer than the client and the route allow. It is 0
-// if neither is known.
+// of the longest recent one of its route, but no longer than the client and the route allow. If there
+// was none, it is what they allow, or 0 if the request may be repeated. It is also 0 if nothing is
+// known.
 func (x *exchange) drainNeed(now time.Time) time.Duration {
 	allowed, _ := x.allowedTime()
 	allowed = max(0, allowed-now.Sub(x.arrived))
 	need := time.Duration(drainSlack * float64(x.g.durations.longest(x.route.Name, now)))
 	switch {
+	case need == 0 && x.route.Repeatable():
+		return 0
 	case need == 0:
 		return allowed
 	case allowed == 0:
